--- /dev/null
+++ b/dockgate-core/src/config.rs
@@ -0,0 +1,75 @@
+//! The fleet's configuration: what operators declare, in force as one immutable value.
+
+mod arena;
+mod change;
+mod declaration;
+mod key_hash;
+mod spec;
+
+pub use arena::SpecArena;
+pub use change::{ChangeError, ConfigChange, ConfigEntry};
+pub use declaration::{Declaration, parse_declaration};
+pub use key_hash::KeyHash;
+pub use spec::{CostRule, KindSpec, PoolKind, PoolSpec, ServerSpec, WorkspaceSpec};
+
+use crate::ids::{KindKey, PoolKey, ServerKey, WorkspaceKey};
+use serde::{Deserialize, Serialize};
+
+/// The accepted configuration at one version.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetConfig {
+    /// Number of the last change applied; zero is the empty configuration.
+    pub version: u64,
+    /// The workspaces that share the fleet.
+    pub workspaces: SpecArena<WorkspaceKey, WorkspaceSpec>,
+    /// The pools of servers.
+    pub pools: SpecArena<PoolKey, PoolSpec>,
+    /// The servers.
+    pub servers: SpecArena<ServerKey, ServerSpec>,
+    /// The kinds of request.
+    pub kinds: SpecArena<KindKey, KindSpec>,
+}
+
+impl FleetConfig {
+    /// Finds the workspace that owns an API key, comparing hashes in constant time.
+    pub fn workspace_of_key(&self, api_key: &str) -> Option<WorkspaceKey> {
+        let hash = KeyHash::of(api_key);
+        self.workspaces
+            .iter()
+            .find(|(_, spec)| spec.key_hashes.iter().any(|known| known.matches(hash)))
+            .map(|(key, _)| key)
+    }
+
+    /// Finds the engine pool that serves a model.
+    pub fn pool_of_model(&self, model: &str) -> Option<PoolKey> {
+        self.pools
+            .iter()
+            .find(|(_, spec)| {
+                spec.kind == PoolKind::Engine && spec.models.iter().any(|known| known == model)
+            })
+            .map(|(key, _)| key)
+    }
+
+    /// Finds a pool of plain services by its name.
+    pub fn pool_of_service(&self, name: &str) -> Option<PoolKey> {
+        let key = self.pools.find(name)?;
+        let spec = self.pools.get(key)?;
+        (spec.kind == PoolKind::Service).then_some(key)
+    }
+
+    /// Returns the servers of a pool.
+    pub fn servers_of(&self, pool: PoolKey) -> impl Iterator<Item = (ServerKey, &ServerSpec)> {
+        let name = self.pools.get(pool).map(|spec| spec.name.as_str());
+        self.servers
+            .iter()
+            .filter(move |(_, spec)| Some(spec.pool.as_str()) == name)
+    }
+
+    /// Returns the sum of every workspace's share.
+    pub fn total_share(&self) -> u64 {
+        self.workspaces
+            .iter()
+            .map(|(_, spec)| u64::from(spec.share))
+            .sum()
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/config/change.rs
@@ -0,0 +1,199 @@
+//! Changes to the configuration, and their application in order.
+
+use super::spec::{KindSpec, PoolKind, PoolSpec, ServerSpec, WorkspaceSpec};
+use super::{FleetConfig, arena::NamedSpec};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
+
+/// One change; a `Put` adds the spec or replaces the one of the same name.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigChange {
+    /// Adds or replaces a workspace.
+    PutWorkspace(WorkspaceSpec),
+    /// Removes a workspace.
+    RetireWorkspace(String),
+    /// Adds or replaces a pool.
+    PutPool(PoolSpec),
+    /// Removes a pool, which must have no servers left.
+    RetirePool(String),
+    /// Adds or replaces a server.
+    PutServer(ServerSpec),
+    /// Removes a server: it gets no new work and finishes what it has.
+    RetireServer(String),
+    /// Adds or replaces a kind of request.
+    PutKind(KindSpec),
+    /// Removes a kind of request.
+    RetireKind(String),
+}
+
+impl ConfigChange {
+    /// Returns the type of thing changed, as operators name it.
+    pub const fn subject(&self) -> &'static str {
+        match self {
+            Self::PutWorkspace(_) | Self::RetireWorkspace(_) => "workspace",
+            Self::PutPool(_) | Self::RetirePool(_) => "pool",
+            Self::PutServer(_) | Self::RetireServer(_) => "server",
+            Self::PutKind(_) | Self::RetireKind(_) => "kind",
+        }
+    }
+
+    /// Returns the name of the thing changed.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::PutWorkspace(spec) => spec.name(),
+            Self::PutPool(spec) => spec.name(),
+            Self::PutServer(spec) => spec.name(),
+            Self::PutKind(spec) => spec.name(),
+            Self::RetireWorkspace(name)
+            | Self::RetirePool(name)
+            | Self::RetireServer(name)
+            | Self::RetireKind(name) => name,
+        }
+    }
+}
+
+/// One accepted change set, as it stands in the platform's service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigEntry {
+    /// The version that this entry makes.
+    pub version: u64,
+    /// The plan that was confirmed.
+    pub plan: String,
+    /// Who confirmed it, as they named themselves.
+    pub author: String,
+    /// When, in milliseconds of Unix time by the confirming box's clock; for people only.
+    pub at_ms: u64,
+    /// The changes, applied in this order.
+    pub changes: Vec<ConfigChange>,
+}
+
+quick_error! {
+    /// Why a change cannot be applied.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum ChangeError {
+        /// The name to retire does not exist.
+        Missing(subject: &'static str, name: String) {
+            display("there is no {} named {}", subject, name)
+        }
+        /// A server names a pool that does not exist.
+        Dangling(server: String, pool: String) {
+            display("server {} names pool {}, which does not exist", server, pool)
+        }
+        /// A pool is retired while it has servers.
+        PoolInUse(pool: String, server: String) {
+            display("pool {} still has server {}", pool, server)
+        }
+        /// Two engine pools serve the same model.
+        ModelTwice(model: String) {
+            display("model {} is served by two pools", model)
+        }
+        /// Two workspaces have the same key.
+        KeyTwice(workspace: String) {
+            display("workspace {} has a key that another workspace has too", workspace)
+        }
+        /// Two servers have the same address.
+        AddressTwice(server: String) {
+            display("server {} has an address that another server has too", server)
+        }
+        /// An entry does not follow the version in force.
+        Gap(have: u64, got: u64) {
+            display("version {} cannot follow version {}", got, have)
+        }
+    }
+}
+
+impl FleetConfig {
+    /// Applies changes and checks the whole; the version stays.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first rule that the outcome would break; nothing is applied then.
+    pub fn apply(&self, changes: &[ConfigChange]) -> Result<Self, ChangeError> {
+        let mut config = self.clone();
+        for change in changes {
+            config.apply_one(change.clone())?;
+        }
+        config.check()?;
+        Ok(config)
+    }
+
+    /// Applies the entry that makes the next version.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ChangeError::Gap`] for an entry out of order, or the rule that is broken.
+    pub fn advance(&self, entry: &ConfigEntry) -> Result<Self, ChangeError> {
+        if entry.version != self.version + 1 {
+            return Err(ChangeError::Gap(self.version, entry.version));
+        }
+        let mut config = self.apply(&entry.changes)?;
+        config.version = entry.version;
+        Ok(config)
+    }
+
+    fn apply_one(&mut self, change: ConfigChange) -> Result<(), ChangeError> {
+        let subject = change.subject();
+        let found = match &change {
+            ConfigChange::RetireWorkspace(name) => self.workspaces.remove(name),
+            ConfigChange::RetirePool(name) => self.pools.remove(name),
+            ConfigChange::RetireServer(name) => self.servers.remove(name),
+            ConfigChange::RetireKind(name) => self.kinds.remove(name),
+            _ => true,
+        };
+        match change {
+            ConfigChange::PutWorkspace(spec) => self.workspaces.put(spec),
+            ConfigChange::PutPool(spec) => self.pools.put(spec),
+            ConfigChange::PutServer(spec) => self.servers.put(spec),
+            ConfigChange::PutKind(spec) => self.kinds.put(spec),
+            retire if !found => {
+                return Err(ChangeError::Missing(subject, retire.name().to_owned()));
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), ChangeError> {
+        self.check_servers()?;
+        self.check_models()?;
+        self.check_keys()
+    }
+
+    fn check_servers(&self) -> Result<(), ChangeError> {
+        let mut addresses = HashSet::new();
+        for (_, server) in self.servers.iter() {
+            if self.pools.find(&server.pool).is_none() {
+                let (name, pool) = (server.name.clone(), server.pool.clone());
+                return Err(ChangeError::Dangling(name, pool));
+            }
+            if !addresses.insert(server.address) {
+                return Err(ChangeError::AddressTwice(server.name.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_models(&self) -> Result<(), ChangeError> {
+        let mut models = HashSet::new();
+        self.pools
+            .iter()
+            .filter(|(_, pool)| pool.kind == PoolKind::Engine)
+            .flat_map(|(_, pool)| &pool.models)
+            .find(|model| !models.insert(*model))
+            .map_or(Ok(()), |model| Err(ChangeError::ModelTwice(model.clone())))
+    }
+
+    fn check_keys(&self) -> Result<(), ChangeError> {
+        let mut hashes = HashSet::new();
+        for (_, workspace) in self.workspaces.iter() {
+            for hash in &workspace.key_hashes {
+                if !hashes.insert(hash.to_string()) {
+                    return Err(ChangeError::KeyTwice(workspace.name.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/config/declaration.rs
@@ -0,0 +1,325 @@
+//! Declaration files: the whole fleet in one INI file kept in version control.
+//!
+//! ```ini
+//! [workspace council]
+//! share = 4
+//! key = 5d41402abc4b2a76b9719d911017c592…
+//!
+//! [pool chat]
+//! kind = engine
+//! models = small, large
+//!
+//! [server hwt-1]
+//! pool = chat
+//! domain = half-way-tree
+//! address = 127.0.0.1:9001
+//! slots = 16
+//!
+//! [kind changelog-draft]
+//! repeatable = no
+//! ```
+
+use super::spec::{
+    CostRule, KindSpec, PRIORITIES, PoolKind, PoolSpec, QUEUE_LIMITS, SHARES, SLOTS, ServerSpec,
+    WorkspaceSpec,
+};
+use super::{ConfigChange, FleetConfig, KeyHash, SpecArena};
+use crate::config::arena::NamedSpec;
+use crate::ids::SpecKey;
+use crate::ini::{IniDocument, IniProblems, SectionReader};
+use std::net::SocketAddr;
+
+const SECTIONS: &str = "[workspace NAME], [pool NAME], [server NAME] and [kind NAME]";
+const ADDRESS: &str = "an IP number and a port, such as 10.0.0.7:8000 (names are not looked up)";
+const WEIGHT: &str = "a number from 0 to 1000000";
+const DEFAULT_QUEUE_LIMIT: u32 = 256;
+const DEFAULT_OUTPUT_WEIGHT: f64 = 1.0;
+const DEFAULT_SLOTS: u32 = 16;
+
+/// The specs that a declaration file names.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Declaration {
+    /// The workspaces.
+    pub workspaces: Vec<WorkspaceSpec>,
+    /// The pools.
+    pub pools: Vec<PoolSpec>,
+    /// The servers.
+    pub servers: Vec<ServerSpec>,
+    /// The kinds of request.
+    pub kinds: Vec<KindSpec>,
+}
+
+/// Parses and checks a declaration; `file` is the name used in problems.
+///
+/// # Errors
+///
+/// Returns every problem found, each with its line and what is allowed.
+pub fn parse_declaration(file: &str, text: &str) -> Result<Declaration, IniProblems> {
+    let mut document = IniDocument::parse(file, text)?;
+    let mut declaration = Declaration::default();
+    let mut server_lines = Vec::new();
+    for mut section in document.take_sections() {
+        match (section.kind.as_str(), section.name.is_empty()) {
+            ("workspace", false) => declaration.workspaces.push(read_workspace(&mut section)),
+            ("pool", false) => declaration.pools.extend(read_pool(&mut section)),
+            ("server", false) => {
+                server_lines.push((section.line, section.line_of("pool")));
+                match read_server(&mut section) {
+                    Some(server) => declaration.servers.push(server),
+                    None => drop(server_lines.pop()),
+                }
+            }
+            ("kind", false) => declaration.kinds.push(read_kind(&mut section)),
+            _ => {
+                let header = format!("[{} {}]", section.kind, section.name);
+                let message = format!("unknown section {header}; allowed: {SECTIONS}");
+                document.report(section.line, message);
+                continue;
+            }
+        }
+        document.close(section);
+    }
+    report_dangling(&declaration, &server_lines, &mut document);
+    document.finish()?;
+    Ok(declaration)
+}
+
+fn report_dangling(
+    declaration: &Declaration,
+    lines: &[(usize, usize)],
+    document: &mut IniDocument,
+) {
+    let names: Vec<&str> = declaration.pools.iter().map(NamedSpec::name).collect();
+    for (server, (_, line)) in declaration.servers.iter().zip(lines) {
+        if !names.contains(&server.pool.as_str()) {
+            let allowed = names.join(", ");
+            let message = format!("pool {} does not exist; declared: {allowed}", server.pool);
+            document.report(*line, message);
+        }
+    }
+}
+
+fn read_workspace(section: &mut SectionReader) -> WorkspaceSpec {
+    let key_line = section.line_of("key");
+    let mut key_hashes = Vec::new();
+    for text in section.take_list("key") {
+        match text.parse::<KeyHash>() {
+            Ok(hash) => key_hashes.push(hash),
+            Err(error) => section.report(key_line, error.to_string()),
+        }
+    }
+    WorkspaceSpec {
+        name: section.name.clone(),
+        share: section.take_checked("share", 1, "a whole number from 1 to 10000", |share| {
+            SHARES.contains(share)
+        }),
+        priority: section.take_checked("priority", 0, "a whole number from 0 to 9", |priority| {
+            PRIORITIES.contains(priority)
+        }),
+        key_hashes,
+        queue_limit: section.take_checked(
+            "queue_limit",
+            DEFAULT_QUEUE_LIMIT,
+            "a whole number from 1 to 100000",
+            |limit| QUEUE_LIMITS.contains(limit),
+        ),
+    }
+}
+
+fn take_weight(section: &mut SectionReader, key: &str, default: f64) -> f64 {
+    section.take_checked(key, default, WEIGHT, |weight| (0.0..=1e6).contains(weight))
+}
+
+fn read_pool(section: &mut SectionReader) -> Option<PoolSpec> {
+    let line = section.line_of("kind");
+    let kind: Option<String> = section.take_required("kind", "engine or service");
+    let kind = match kind.as_deref() {
+        Some("engine") => Some(PoolKind::Engine),
+        Some("service") => Some(PoolKind::Service),
+        Some(other) => {
+            section.report(line, format!("kind = {other}: must be engine or service"));
+            None
+        }
+        None => None,
+    };
+    let cost = CostRule {
+        input_weight: take_weight(section, "input_weight", 0.0),
+        output_weight: take_weight(section, "output_weight", DEFAULT_OUTPUT_WEIGHT),
+        slot_ms_weight: take_weight(section, "slot_ms_weight", 1.0),
+    };
+    let models = section.take_list("models");
+    Some(PoolSpec {
+        name: section.name.clone(),
+        kind: kind?,
+        cost,
+        models,
+    })
+}
+
+fn read_server(section: &mut SectionReader) -> Option<ServerSpec> {
+    let pool = section.take_required("pool", "the name of a pool");
+    let domain = section.take_required("domain", "the name of a failure domain");
+    let address: Option<SocketAddr> = section.take_required("address", ADDRESS);
+    let domain_addresses = section.take_prefixed("address.", ADDRESS);
+    let slots = section.take_checked(
+        "slots",
+        DEFAULT_SLOTS,
+        "a whole number from 1 to 4096",
+        |slots| SLOTS.contains(slots),
+    );
+    let honest_refusal = take_flag(section, "honest_refusal", false);
+    Some(ServerSpec {
+        name: section.name.clone(),
+        pool: pool?,
+        domain: domain?,
+        address: address?,
+        domain_addresses: domain_addresses.into_iter().collect(),
+        slots,
+        honest_refusal,
+    })
+}
+
+fn read_kind(section: &mut SectionReader) -> KindSpec {
+    KindSpec {
+        name: section.name.clone(),
+        repeatable: take_flag(section, "repeatable", true),
+    }
+}
+
+fn take_flag(section: &mut SectionReader, key: &str, default: bool) -> bool {
+    let line = section.line_of(key);
+    match section.take_text(key).as_deref() {
+        None => default,
+        Some("yes") => true,
+        Some("no") => false,
+        Some(other) => {
+            section.report(line, format!("{key} = {other}: must be yes or no"));
+            default
+        }
+    }
+}
+
+impl Declaration {
+    /// Lists the changes that turn `config` into this declaration; what is not declared retires.
+    pub fn changes_from(&self, config: &FleetConfig) -> Vec<ConfigChange> {
+        let mut changes = Vec::new();
+        put_changed(
+            &self.pools,
+            &config.pools,
+            ConfigChange::PutPool,
+            &mut changes,
+        );
+        put_changed(
+            &self.servers,
+            &config.servers,
+            ConfigChange::PutServer,
+            &mut changes,
+        );
+        put_changed(
+            &self.workspaces,
+            &config.workspaces,
+            ConfigChange::PutWorkspace,
+            &mut changes,
+        );
+        put_changed(
+            &self.kinds,
+            &config.kinds,
+            ConfigChange::PutKind,
+            &mut changes,
+        );
+        let retire = ConfigChange::RetireServer;
+        retire_absent(&self.servers, &config.servers, retire, &mut changes);
+        retire_absent(
+            &self.pools,
+            &config.pools,
+            ConfigChange::RetirePool,
+            &mut changes,
+        );
+        let retire = ConfigChange::RetireWorkspace;
+        retire_absent(&self.workspaces, &config.workspaces, retire, &mut changes);
+        retire_absent(
+            &self.kinds,
+            &config.kinds,
+            ConfigChange::RetireKind,
+            &mut changes,
+        );
+        changes
+    }
+}
+
+fn put_changed<K: SpecKey, T: NamedSpec + PartialEq + Clone>(
+    wanted: &[T],
+    arena: &SpecArena<K, T>,
+    put: impl Fn(T) -> ConfigChange,
+    changes: &mut Vec<ConfigChange>,
+) {
+    let new = wanted
+        .iter()
+        .filter(|spec| arena.named(spec.name()) != Some(spec));
+    changes.extend(new.cloned().map(put));
+}
+
+fn retire_absent<K: SpecKey, T: NamedSpec>(
+    wanted: &[T],
+    arena: &SpecArena<K, T>,
+    retire: impl Fn(String) -> ConfigChange,
+    changes: &mut Vec<ConfigChange>,
+) {
+    let gone = arena
+        .iter()
+        .map(|(_, spec)| spec.name())
+        .filter(|name| !wanted.iter().any(|spec| spec.name() == *name));
+    changes.extend(gone.map(|name| retire(name.to_owned())));
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use yare::parameterized;
+
+    const FLEET: &str = "[pool chat]\nkind = engine\nmodels = small\n\
+        [server a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\n\
+        [workspace w]\nshare = 3\n[kind quiz]\nrepeatable = no\n";
+
+    #[test]
+    fn a_declaration_applied_twice_changes_nothing() {
+        let declaration = parse_declaration("f", FLEET).unwrap();
+        let empty = FleetConfig::default();
+        let config = empty.apply(&declaration.changes_from(&empty)).unwrap();
+        assert_eq!(declaration.changes_from(&config), []);
+        assert_eq!(
+            config.kinds.named("quiz").map(|kind| kind.repeatable),
+            Some(false)
+        );
+        let text = serde_json::to_string(&config).unwrap();
+        assert_eq!(serde_json::from_str::<FleetConfig>(&text).unwrap(), config);
+    }
+
+    #[parameterized(
+        share = { "[workspace w]\nshare = 0\n", "f:2: share = 0: must be" },
+        key = { "[workspace w]\nkey = abc\n", "f:2: a key hash is 64" },
+        unknown_key = { "[kind k]\ncolour = red\n", "f:2: unknown key colour; allowed here: repeatable" },
+        unknown_section = { "[sever a]\n", "f:1: unknown section [sever a]; allowed: [workspace" },
+        twice = { "[kind k]\n[kind k]\n", "f:2: [kind k] is already at line 1" },
+        dangling = {
+            "[server a]\npool = x\ndomain = d\naddress = 127.0.0.1:1\n",
+            "f:2: pool x does not exist"
+        },
+        name_address = {
+            "[pool p]\nkind = engine\n[server a]\npool = p\ndomain = d\naddress = host:80\n",
+            "f:6: address = host:80: must be an IP number"
+        },
+    )]
+    fn bad_input_is_reported_with_its_line(text: &str, expected: &str) {
+        let report = parse_declaration("f", text).unwrap_err().to_string();
+        assert!(report.starts_with(expected), "{report}");
+    }
+
+    proptest! {
+        #[test]
+        fn any_text_is_parsed_or_refused(text in "(?s).{0,200}") {
+            let _ = parse_declaration("f", &text);
+        }
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/fair/ledger.rs
@@ -0,0 +1,268 @@
+//! Sums of service over the fleet.
+
+use crate::ids::{BoxKey, Incarnation, PoolKey, WorkspaceKey};
+use crate::invariant::check_invariant;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+type AccountKey = (PoolKey, WorkspaceKey);
+type SourceKey = (BoxKey, Incarnation);
+
+/// The cumulative service that one scheduler has given to one workspace in one pool.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LedgerRow(
+    /// The pool.
+    pub PoolKey,
+    /// The workspace.
+    pub WorkspaceKey,
+    /// Service units since the scheduler started, rounded down.
+    pub u64,
+    /// The lift of the workspace, in units for a share of one, rounded down.
+    pub u64,
+);
+
+/// What one scheduler tells the others, or passes on of a third.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LedgerReport {
+    /// The scheduler that gave the service.
+    #[serde(rename = "b")]
+    pub source: BoxKey,
+    /// Its incarnation.
+    #[serde(rename = "i")]
+    pub incarnation: Incarnation,
+    /// The rows that changed.
+    #[serde(rename = "r")]
+    pub rows: Vec<LedgerRow>,
+}
+
+/// One workspace's account in one pool.
+#[derive(Debug, Clone, Copy, Default)]
+struct FairAccount {
+    own: f64,
+    others: f64,
+    lift: f64,
+    last_active_ms: u64,
+    reported: (u64, u64),
+}
+
+/// Adds up the service given to each workspace in each pool.
+#[derive(Debug, Default)]
+pub struct FairLedger {
+    accounts: BTreeMap<AccountKey, FairAccount>,
+    sources: HashMap<SourceKey, HashMap<AccountKey, u64>>,
+}
+
+impl FairLedger {
+    /// How long an account counts as active after its last sign of work, in milliseconds.
+    const ACTIVE_FOR_MS: u64 = 2_000;
+
+    /// Adds service given by this scheduler.
+    pub fn charge(&mut self, pool: PoolKey, workspace: WorkspaceKey, units: f64) {
+        if check_invariant("service never decreases", units >= 0.0 && units.is_finite()) {
+            self.accounts.entry((pool, workspace)).or_default().own += units;
+        }
+    }
+
+    /// Returns the service given over the fleet, as far as it is known here, in service units.
+    pub fn total(&self, pool: PoolKey, workspace: WorkspaceKey) -> f64 {
+        self.accounts
+            .get(&(pool, workspace))
+            .map_or(0.0, |account| account.own + account.others)
+    }
+
+    /// Returns the service for a share of one, lift included: the quantity that is kept equal.
+    pub fn level(&self, pool: PoolKey, workspace: WorkspaceKey, share: u32) -> f64 {
+        self.accounts
+            .get(&(pool, workspace))
+            .map_or(0.0, |account| {
+                (account.own + account.others) / f64::from(share.max(1)) + account.lift
+            })
+    }
+
+    /// Notes that an account has work, and lifts it to `floor` if it comes back from idle.
+    pub fn touch(
+        &mut self,
+        pool: PoolKey,
+        workspace: WorkspaceKey,
+        share: u32,
+        floor: f64,
+        now_ms: u64,
+    ) {
+        let level = self.level(pool, workspace, share);
+        let account = self.accounts.entry((pool, workspace)).or_default();
+        let idle =
+            account.last_active_ms + Self::ACTIVE_FOR_MS < now_ms || account.last_active_ms == 0;
+        if idle && level < floor {
+            account.lift += floor - level;
+        }
+        account.last_active_ms = now_ms;
+    }
+
+    /// Keeps the level of an account where it was when its share changes.
+    pub fn change_share(&mut self, workspace: WorkspaceKey, old: u32, new: u32) {
+        for ((_, key), account) in &mut self.accounts {
+            if *key == workspace {
+                let total = account.own + account.others;
+                account.lift += total / f64::from(old.max(1)) - total / f64::from(new.max(1));
+            }
+        }
+    }
+
+    /// Merges a report; rows that are not news change nothing. Returns the accounts that moved.
+    pub fn merge(&mut self, report: &LedgerReport, now_ms: u64) -> Vec<(PoolKey, WorkspaceKey)> {
+        let source = self
+            .sources
+            .entry((report.source, report.incarnation))
+            .or_default();
+        let mut moved = Vec::new();
+        for LedgerRow(pool, workspace, units, lift) in &report.rows {
+            let account = self.accounts.entry((*pool, *workspace)).or_default();
+            let known = source.entry((*pool, *workspace)).or_default();
+            let news = units.saturating_sub(*known);
+            *known += news;
+            account.others += news as f64;
+            account.lift = account.lift.max(*lift as f64);
+            account.last_active_ms = now_ms;
+            moved.push((*pool, *workspace));
+        }
+        moved
+    }
+
+    /// Takes the rows of this scheduler that changed since the last call.
+    pub fn take_report(&mut self, source: BoxKey, incarnation: Incarnation) -> LedgerReport {
+        let mut rows = Vec::new();
+        for ((pool, workspace), account) in &mut self.accounts {
+            let state = (account.own as u64, account.lift.max(0.0) as u64);
+            if state != account.reported {
+                account.reported = state;
+                rows.push(LedgerRow(*pool, *workspace, state.0, state.1));
+            }
+        }
+        LedgerReport {
+            source,
+            incarnation,
+            rows,
+        }
+    }
+
+    /// Returns everything known, one report a source, for a daemon that starts with no memory.
+    pub fn full_reports(&self, source: BoxKey, incarnation: Incarnation) -> Vec<LedgerReport> {
+        let own = self
+            .accounts
+            .iter()
+            .map(|((pool, workspace), account)| {
+                LedgerRow(
+                    *pool,
+                    *workspace,
+                    account.own as u64,
+                    account.lift.max(0.0) as u64,
+                )
+            })
+            .collect();
+        let mut reports = vec![LedgerReport {
+            source,
+            incarnation,
+            rows: own,
+        }];
+        for ((source, incarnation), rows) in &self.sources {
+            let rows = rows
+                .iter()
+                .map(|((pool, workspace), units)| LedgerRow(*pool, *workspace, *units, 0))
+                .collect();
+            reports.push(LedgerReport {
+                source: *source,
+                incarnation: *incarnation,
+                rows,
+            });
+        }
+        reports
+    }
+
+    /// Returns how many sources are remembered.
+    pub fn source_count(&self) -> usize {
+        self.sources.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const POOL: PoolKey = PoolKey(1);
+    const WORKSPACE: WorkspaceKey = WorkspaceKey(1);
+
+    fn report(incarnation: u32, units: u64) -> LedgerReport {
+        LedgerReport {
+            source: BoxKey(9),
+            incarnation: Incarnation(incarnation),
+            rows: vec![LedgerRow(POOL, WORKSPACE, units, 0)],
+        }
+    }
+
+    #[test]
+    fn doubled_and_late_reports_change_nothing() {
+        let mut ledger = FairLedger::default();
+        for units in [10, 30, 30, 20] {
+            ledger.merge(&report(1, units), 1);
+        }
+        assert_eq!(ledger.total(POOL, WORKSPACE), 30.0);
+        ledger.merge(&report(2, 5), 1);
+        assert_eq!(ledger.total(POOL, WORKSPACE), 35.0);
+    }
+
+    #[test]
+    fn idle_time_is_not_saved_up() {
+        let mut ledger = FairLedger::default();
+        ledger.touch(POOL, WORKSPACE, 2, 500.0, 10_000);
+        assert_eq!(ledger.level(POOL, WORKSPACE, 2), 500.0);
+        ledger.touch(POOL, WORKSPACE, 2, 900.0, 10_500);
+        assert_eq!(ledger.level(POOL, WORKSPACE, 2), 500.0, "it was not idle");
+    }
+
+    #[test]
+    fn a_share_change_keeps_the_level() {
+        let mut ledger = FairLedger::default();
+        ledger.charge(POOL, WORKSPACE, 100.0);
+        ledger.change_share(WORKSPACE, 1, 4);
+        assert_eq!(ledger.level(POOL, WORKSPACE, 4), 100.0);
+    }
+
+    proptest! {
+        #[test]
+        fn merging_in_any_order_gives_the_same_total(
+            mut reports in prop::collection::vec((0u32..3, 0u64..1000), 1..40),
+            seed in 0usize..40,
+        ) {
+            let sum = |reports: &[(u32, u64)]| {
+                let mut ledger = FairLedger::default();
+                for (incarnation, units) in reports {
+                    ledger.merge(&report(*incarnation, *units), 1);
+                }
+                ledger.total(POOL, WORKSPACE)
+            };
+            let first = sum(&reports);
+            let turn = seed % reports.len();
+            reports.rotate_left(turn);
+            reports.extend_from_within(..turn);
+            prop_assert_eq!(first, sum(&reports));
+        }
+
+        #[test]
+        fn a_newcomer_learns_the_same_totals(
+            reports in prop::collection::vec((0u32..3, 0u64..1000), 1..20),
+            own in 0u64..1000,
+        ) {
+            let mut old = FairLedger::default();
+            old.charge(POOL, WORKSPACE, own as f64);
+            for (incarnation, units) in &reports {
+                old.merge(&report(*incarnation, *units), 1);
+            }
+            let mut newcomer = FairLedger::default();
+            for report in old.full_reports(BoxKey(1), Incarnation(1)) {
+                newcomer.merge(&report, 2);
+            }
+            prop_assert_eq!(old.total(POOL, WORKSPACE), newcomer.total(POOL, WORKSPACE));
+        }
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/lib.rs
@@ -0,0 +1,49 @@
+//! Decisions of dockgate: fair shares, slots, attempts, configuration and plans.
+//!
+//! Everything here is a plain struct or function fed with events and the current time. Nothing in
+//! this crate does I/O, reads a clock or draws a random number, so that long randomised runs with
+//! injected faults stay cheap and repeatable.
+//!
+//! ```
+//! use dockgate_core::{FleetConfig, parse_declaration};
+//!
+//! let text = "[pool chat]\nkind = engine\nmodels = small\n";
+//! let changes = parse_declaration("fleet.ini", text)?.changes_from(&FleetConfig::default());
+//! let config = FleetConfig::default().apply(&changes)?;
+//! assert_eq!(config.pools.len(), 1);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod attempt;
+mod config;
+mod entry;
+mod fair;
+mod grants;
+mod ids;
+mod ini;
+mod invariant;
+mod placement;
+mod plan;
+mod queue;
+mod scheduler;
+mod seek;
+
+pub use attempt::{AttemptState, Outcome, RetryVerdict};
+pub use config::{
+    ChangeError, ConfigChange, ConfigEntry, CostRule, Declaration, FleetConfig, KeyHash, KindSpec,
+    PoolKind, PoolSpec, ServerSpec, SpecArena, WorkspaceSpec, parse_declaration,
+};
+pub use entry::{EntryAction, EntryState, RunningRequest, SeekRule};
+pub use fair::{FairLedger, FairQueue, LedgerReport, LedgerRow, OrderRule};
+pub use grants::{GrantTable, HeldGrant};
+pub use ids::{BoxKey, GrantId, Incarnation, KindKey, PoolKey, ServerKey, SpecKey, WorkspaceKey};
+pub use ini::{IniDocument, IniProblem, IniProblems, SectionReader};
+pub use invariant::{check_invariant, invariant_violations, set_fatal_invariants};
+pub use placement::{owner_of, score_of};
+pub use plan::{ConfigPlan, PlanEffect, PlanId, ShareEffect};
+pub use queue::{QueueError, RequestQueue, RequestRank, WaitingRequest};
+pub use scheduler::{
+    AdoptedGrant, GrantOffer, OrderMode, ScheduleRule, SeekDemand, SettleReport, SlotScheduler,
+    SlotServer,
+};
+pub use seek::{SeekBook, SeekUpdate};
--- /dev/null
+++ b/dockgate-core/src/plan.rs
@@ -0,0 +1,178 @@
+//! Plans: what an intent would change, reviewed by the operator before anything does.
+
+use crate::config::{ChangeError, ConfigChange, FleetConfig};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Names a plan: a hash of its base version and its changes, so that the same intent on the same
+/// version is the same plan.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PlanId(pub String);
+
+impl fmt::Display for PlanId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// The share of a workspace before and after, as fractions of the fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ShareEffect {
+    /// The workspace.
+    pub workspace: String,
+    /// Its fraction under the base version; zero where it is new.
+    pub before: f64,
+    /// Its fraction under the plan; zero where it is retired.
+    pub after: f64,
+}
+
+/// What a plan would do beyond its differences.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlanEffect {
+    /// Shares that move.
+    pub shares: Vec<ShareEffect>,
+    /// Servers that get no new work and finish what they have.
+    pub drained: Vec<String>,
+    /// What would be refused afterwards and is not now.
+    pub refused: Vec<String>,
+    /// Slots over the fleet, before and after.
+    pub slots: (u64, u64),
+}
+
+/// A reviewed set of changes, valid for one base version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigPlan {
+    /// The plan's name.
+    pub id: PlanId,
+    /// The version that it changes.
+    pub base: u64,
+    /// The changes.
+    pub changes: Vec<ConfigChange>,
+    /// Their effects.
+    pub effect: PlanEffect,
+}
+
+impl ConfigPlan {
+    /// Works out the plan of a list of changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns the rule that the changes would break.
+    pub fn new(config: &FleetConfig, changes: Vec<ConfigChange>) -> Result<Self, ChangeError> {
+        let after = config.apply(&changes)?;
+        Ok(Self {
+            id: plan_id(config.version, &changes),
+            base: config.version,
+            effect: PlanEffect {
+                shares: share_effects(config, &after),
+                drained: drained_servers(&changes, config),
+                refused: refused_requests(config, &after),
+                slots: (total_slots(config), total_slots(&after)),
+            },
+            changes,
+        })
+    }
+}
+
+fn plan_id(base: u64, changes: &[ConfigChange]) -> PlanId {
+    const ID_DIGITS: usize = 16;
+    let text = serde_json::to_string(&(base, changes)).unwrap_or_default();
+    let hash = blake3::hash(text.as_bytes()).to_hex();
+    PlanId(hash[..ID_DIGITS].to_owned())
+}
+
+fn total_slots(config: &FleetConfig) -> u64 {
+    config
+        .servers
+        .iter()
+        .map(|(_, server)| u64::from(server.slots))
+        .sum()
+}
+
+fn share_of(config: &FleetConfig, name: &str) -> f64 {
+    let share = config.workspaces.named(name).map_or(0, |spec| spec.share);
+    match config.total_share() {
+        0 => 0.0,
+        total => f64::from(share) / total as f64,
+    }
+}
+
+fn share_effects(before: &FleetConfig, after: &FleetConfig) -> Vec<ShareEffect> {
+    let mut names: Vec<&str> = before
+        .workspaces
+        .iter()
+        .chain(after.workspaces.iter())
+        .map(|(_, spec)| spec.name.as_str())
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+        .into_iter()
+        .map(|name| ShareEffect {
+            workspace: name.to_owned(),
+            before: share_of(before, name),
+            after: share_of(after, name),
+        })
+        .filter(|effect| effect.before != effect.after)
+        .collect()
+}
+
+fn drained_servers(changes: &[ConfigChange], config: &FleetConfig) -> Vec<String> {
+    let drains = |change: &&ConfigChange| match change {
+        ConfigChange::RetireServer(_) => true,
+        ConfigChange::PutServer(spec) => config
+            .servers
+            .named(&spec.name)
+            .is_some_and(|old| old.pool != spec.pool || old.address != spec.address),
+        _ => false,
+    };
+    changes
+        .iter()
+        .filter(drains)
+        .map(|change| change.name().to_owned())
+        .collect()
+}
+
+/// Names the pools and workspaces whose requests would be refused after the change only.
+fn refused_requests(before: &FleetConfig, after: &FleetConfig) -> Vec<String> {
+    let pools = before
+        .pools
+        .iter()
+        .filter(|(key, _)| before.servers_of(*key).next().is_some())
+        .filter(|(key, _)| after.servers_of(*key).next().is_none())
+        .map(|(_, pool)| format!("every request for pool {}", pool.name));
+    let workspaces = before
+        .workspaces
+        .iter()
+        .filter(|(_, spec)| after.workspaces.find(&spec.name).is_none())
+        .map(|(_, spec)| format!("every request of workspace {}", spec.name));
+    pools.chain(workspaces).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::parse_declaration;
+
+    const FLEET: &str = "[pool chat]\nkind = engine\nmodels = small\n\
+        [server a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\nslots = 8\n\
+        [workspace w]\nshare = 3\n[workspace v]\n";
+
+    #[test]
+    fn a_plan_tells_shares_drains_and_refusals() {
+        let empty = FleetConfig::default();
+        let changes = parse_declaration("f", FLEET).unwrap().changes_from(&empty);
+        let config = empty.apply(&changes).unwrap();
+        let changes = vec![
+            ConfigChange::RetireServer("a".into()),
+            ConfigChange::RetireWorkspace("v".into()),
+        ];
+        let plan = ConfigPlan::new(&config, changes.clone()).unwrap();
+        assert_eq!(plan.effect.drained, ["a"]);
+        assert_eq!(plan.effect.slots, (8, 0));
+        assert_eq!(plan.effect.refused.len(), 2);
+        assert_eq!(plan.effect.shares[1].after, 1.0);
+        assert_eq!(plan.id, ConfigPlan::new(&config, changes).unwrap().id);
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/queue.rs
@@ -0,0 +1,212 @@
+//! Requests that wait at an entry, one bounded queue for each workspace and pool.
+//!
+//! Inside a workspace the order is priority, then deadline, then age. A full queue refuses, so that
+//! a flood fills its own queue and nobody else's.
+
+use crate::ids::{PoolKey, WorkspaceKey};
+use quick_error::quick_error;
+use std::collections::{BTreeMap, HashMap};
+
+/// The order inside a workspace: higher priority, then earlier deadline, then older.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRank {
+    /// Nine minus the priority, so that a higher priority sorts first.
+    urgency: u8,
+    /// The deadline in milliseconds.
+    deadline_ms: u64,
+    /// The id, which grows with time.
+    id: u64,
+}
+
+/// One request that waits.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WaitingRequest {
+    /// The id given by the entry, growing with time.
+    pub id: u64,
+    /// The pool that can serve it.
+    pub pool: PoolKey,
+    /// The workspace it belongs to.
+    pub workspace: WorkspaceKey,
+    /// The priority inside the workspace, 0 to 9.
+    pub priority: u8,
+    /// When it is refused if it still waits, in milliseconds.
+    pub deadline_ms: u64,
+    /// When it was queued, in milliseconds.
+    pub since_ms: u64,
+}
+
+impl WaitingRequest {
+    const TOP_PRIORITY: u8 = 9;
+
+    /// Returns its place in the order.
+    pub const fn rank(&self) -> RequestRank {
+        RequestRank {
+            urgency: Self::TOP_PRIORITY.saturating_sub(self.priority),
+            deadline_ms: self.deadline_ms,
+            id: self.id,
+        }
+    }
+}
+
+quick_error! {
+    /// Why a request is not queued.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum QueueError {
+        /// The workspace's own queue is full.
+        Full(limit: usize) {
+            display("the workspace has {} requests waiting here, its limit", limit)
+        }
+    }
+}
+
+type AccountKey = (PoolKey, WorkspaceKey);
+
+/// Holds every request that waits at one entry.
+#[derive(Debug, Default)]
+pub struct RequestQueue {
+    queues: HashMap<AccountKey, BTreeMap<RequestRank, WaitingRequest>>,
+    index: HashMap<u64, (AccountKey, RequestRank)>,
+    lengths: HashMap<WorkspaceKey, usize>,
+}
+
+impl RequestQueue {
+    /// Queues a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`QueueError::Full`] where the workspace has `limit` requests waiting.
+    pub fn push(&mut self, request: WaitingRequest, limit: usize) -> Result<(), QueueError> {
+        let length = self.lengths.entry(request.workspace).or_default();
+        if *length >= limit {
+            return Err(QueueError::Full(limit));
+        }
+        *length += 1;
+        let account = (request.pool, request.workspace);
+        let queue = self.queues.entry(account).or_default();
+        queue.insert(request.rank(), request);
+        self.index.insert(request.id, (account, request.rank()));
+        Ok(())
+    }
+
+    /// Takes the request of a workspace that goes first.
+    pub fn pop(&mut self, pool: PoolKey, workspace: WorkspaceKey) -> Option<WaitingRequest> {
+        let queue = self.queues.get(&(pool, workspace))?;
+        let id = queue.first_key_value()?.1.id;
+        self.remove(id)
+    }
+
+    /// Takes a request out, by its id.
+    pub fn remove(&mut self, id: u64) -> Option<WaitingRequest> {
+        let (account, rank) = self.index.remove(&id)?;
+        let queue = self.queues.get_mut(&account)?;
+        let request = queue.remove(&rank)?;
+        if queue.is_empty() {
+            self.queues.remove(&account);
+        }
+        if let Some(length) = self.lengths.get_mut(&request.workspace) {
+            *length -= 1;
+        }
+        Some(request)
+    }
+
+    /// Returns how many requests of a workspace wait for a pool.
+    pub fn waiting(&self, pool: PoolKey, workspace: WorkspaceKey) -> usize {
+        self.queues.get(&(pool, workspace)).map_or(0, BTreeMap::len)
+    }
+
+    /// Returns when the oldest request of an account was queued, in milliseconds.
+    pub fn oldest_ms(&self, pool: PoolKey, workspace: WorkspaceKey) -> Option<u64> {
+        let queue = self.queues.get(&(pool, workspace))?;
+        queue.values().map(|request| request.since_ms).min()
+    }
+
+    /// Returns the ids of the requests whose deadline has passed.
+    pub fn expired(&self, now_ms: u64) -> Vec<u64> {
+        self.queues
+            .values()
+            .flat_map(BTreeMap::values)
+            .filter(|request| request.deadline_ms <= now_ms)
+            .map(|request| request.id)
+            .collect()
+    }
+
+    /// Returns the accounts that have requests waiting.
+    pub fn accounts(&self) -> impl Iterator<Item = AccountKey> {
+        self.queues.keys().copied()
+    }
+
+    /// Returns the ids of every request that waits.
+    pub fn ids(&self) -> Vec<u64> {
+        self.index.keys().copied().collect()
+    }
+
+    /// Returns how many requests wait in all.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Tells whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const POOL: PoolKey = PoolKey(1);
+
+    fn request(id: u64, workspace: u32, priority: u8, deadline_ms: u64) -> WaitingRequest {
+        WaitingRequest {
+            id,
+            pool: POOL,
+            workspace: WorkspaceKey(workspace),
+            priority,
+            deadline_ms,
+            since_ms: id,
+        }
+    }
+
+    #[test]
+    fn priority_then_deadline_then_age() {
+        let mut queue = RequestQueue::default();
+        for request in [
+            request(1, 1, 0, 900),
+            request(2, 1, 0, 500),
+            request(3, 1, 5, 900),
+            request(4, 1, 0, 500),
+        ] {
+            queue.push(request, 10).unwrap();
+        }
+        let order: Vec<u64> = std::iter::from_fn(|| queue.pop(POOL, WorkspaceKey(1)))
+            .map(|request| request.id)
+            .collect();
+        assert_eq!(order, [3, 2, 4, 1]);
+        assert!(queue.is_empty());
+    }
+
+    #[test]
+    fn a_flood_fills_its_own_queue_only() {
+        let mut queue = RequestQueue::default();
+        for id in 0..3 {
+            queue.push(request(id, 1, 0, 10), 3).unwrap();
+        }
+        assert_eq!(
+            queue.push(request(3, 1, 0, 10), 3),
+            Err(QueueError::Full(3))
+        );
+        assert_eq!(queue.push(request(4, 2, 0, 10), 3), Ok(()));
+        queue.remove(0);
+        assert_eq!(queue.push(request(5, 1, 0, 10), 3), Ok(()));
+    }
+
+    #[test]
+    fn deadlines_pass_and_ages_are_known() {
+        let mut queue = RequestQueue::default();
+        queue.push(request(1, 1, 0, 10), 3).unwrap();
+        queue.push(request(2, 1, 9, 20), 3).unwrap();
+        assert_eq!(queue.expired(10), [1]);
+        assert_eq!(queue.oldest_ms(POOL, WorkspaceKey(1)), Some(1));
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/scheduler.rs
@@ -0,0 +1,384 @@
+//! Which workspace gets each free slot of the servers that this box schedules.
+//!
+//! A plain state machine: seeks, settles and reports go in, grants come out. Two schedulers that
+//! both think they own a server are tolerated; the server's own limit and the settles of both
+//! entries keep the promises, and `overcommitted_slots` shows it.
+
+mod demand;
+mod rate;
+mod slots;
+
+pub use demand::SeekDemand;
+pub use slots::SlotServer;
+
+use crate::fair::{FairLedger, FairQueue, LedgerReport, OrderRule};
+use crate::grants::{GrantTable, HeldGrant};
+use crate::ids::{BoxKey, GrantId, Incarnation, PoolKey, ServerKey, WorkspaceKey};
+use crate::invariant::check_invariant;
+use demand::DemandBook;
+use rate::RateMeter;
+use slots::SlotTable;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// How workspaces are ordered; the last two are baselines for measurements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum OrderMode {
+    /// Fair over the whole fleet.
+    #[default]
+    Fair,
+    /// Fair by what this box has given alone.
+    Local,
+    /// First come, first served.
+    Fcfs,
+}
+
+/// The settings of a scheduler.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ScheduleRule {
+    /// How workspaces are ordered.
+    pub mode: OrderMode,
+    /// What the order key adds.
+    pub order: OrderRule,
+    /// How long a grant lasts without a sign of the entry, in milliseconds.
+    pub grant_ttl_ms: u64,
+    /// How long a newly owned server is left alone while entries report what runs on it, in
+    /// milliseconds.
+    pub adopt_ms: u64,
+}
+
+/// A grant to be sent to an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GrantOffer {
+    /// The entry.
+    pub entry: BoxKey,
+    /// The grant.
+    pub id: GrantId,
+    /// The pool.
+    pub pool: PoolKey,
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The server.
+    pub server: ServerKey,
+}
+
+/// A running request that an entry reports to the scheduler that now owns its server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdoptedGrant {
+    /// The grant, as the former scheduler named it.
+    pub id: GrantId,
+    /// The pool.
+    pub pool: PoolKey,
+    /// The workspace.
+    pub workspace: WorkspaceKey,
+    /// The server.
+    pub server: ServerKey,
+    /// The service units that the former scheduler was told of.
+    pub charged: f64,
+}
+
+/// What an entry says of a grant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SettleReport {
+    /// The grant.
+    pub id: GrantId,
+    /// The cost so far, in service units.
+    pub cost: f64,
+    /// Whether the request has ended.
+    pub done: bool,
+}
+
+/// Decides who gets the slots of the servers that this box owns.
+#[derive(Debug)]
+pub struct SlotScheduler {
+    me: BoxKey,
+    incarnation: Incarnation,
+    rule: ScheduleRule,
+    counter: u32,
+    shares: HashMap<WorkspaceKey, u32>,
+    schedulers: HashMap<PoolKey, u32>,
+    ledger: FairLedger,
+    demand: DemandBook,
+    queues: BTreeMap<PoolKey, FairQueue>,
+    floors: HashMap<PoolKey, f64>,
+    rates: HashMap<PoolKey, RateMeter>,
+    slots: SlotTable,
+    grants: GrantTable,
+    expired: u64,
+}
+
+impl SlotScheduler {
+    /// Makes a scheduler with no servers and no memory.
+    pub fn new(me: BoxKey, incarnation: Incarnation, rule: ScheduleRule) -> Self {
+        Self {
+            me,
+            incarnation,
+            rule,
+            counter: 0,
+            shares: HashMap::new(),
+            schedulers: HashMap::new(),
+            ledger: FairLedger::default(),
+            demand: DemandBook::default(),
+            queues: BTreeMap::new(),
+            floors: HashMap::new(),
+            rates: HashMap::new(),
+            slots: SlotTable::default(),
+            grants: GrantTable::default(),
+            expired: 0,
+        }
+    }
+
+    /// Sets the shares in force; levels stay where they are.
+    pub fn set_shares(&mut self, shares: HashMap<WorkspaceKey, u32>) {
+        for (workspace, new) in &shares {
+            match self.shares.get(workspace) {
+                Some(old) if old != new => self.ledger.change_share(*workspace, *old, *new),
+                _ => {}
+            }
+        }
+        self.shares = shares;
+        self.reorder_all();
+    }
+
+    /// Sets how many schedulers each pool has.
+    pub fn set_schedulers(&mut self, schedulers: HashMap<PoolKey, u32>) {
+        self.schedulers = schedulers;
+        self.reorder_all();
+    }
+
+    /// Sets the servers that this box owns; grants on the others are forgotten, their charges stay.
+    pub fn set_servers(&mut self, servers: &[SlotServer], now_ms: u64) {
+        let ready_ms = now_ms + self.rule.adopt_ms;
+        let kept: HashSet<ServerKey> = servers.iter().map(|server| server.key).collect();
+        self.slots.replace(servers, ready_ms);
+        let gone = self
+            .grants
+            .remove_where(|grant| !kept.contains(&grant.server));
+        for grant in gone {
+            self.slots.drop_held(grant.pool, grant.workspace);
+            self.refresh(grant.pool, grant.workspace);
+        }
+    }
+
+    /// Takes a seek in; an unknown workspace is refused with `false`.
+    pub fn seek(&mut self, entry: BoxKey, seek: SeekDemand, now_ms: u64) -> bool {
+        let Some(share) = self.shares.get(&seek.workspace).copied() else {
+            return false;
+        };
+        let (pool, workspace) = (seek.pool, seek.workspace);
+        self.demand.put(entry, seek, now_ms);
+        if self.demand.waiting(pool, workspace) > 0 {
+            let floor = self.floors.get(&pool).copied().unwrap_or_default();
+            self.ledger.touch(pool, workspace, share, floor, now_ms);
+        }
+        self.refresh(pool, workspace);
+        true
+    }
+
+    /// Takes a settle in; an unknown grant, or one of another entry, is refused with `false`.
+    pub fn settle(&mut self, entry: BoxKey, settle: SettleReport, now_ms: u64) -> bool {
+        let Some(grant) = self.grants.get_mut(settle.id, entry) else {
+            return false;
+        };
+        let news = (settle.cost - grant.charged).max(0.0);
+        grant.charged += news;
+        grant.expires_ms = now_ms + self.rule.grant_ttl_ms;
+        let grant = *grant;
+        self.ledger.charge(grant.pool, grant.workspace, news);
+        self.rates.entry(grant.pool).or_default().add_units(news);
+        if settle.done {
+            self.grants.remove(settle.id);
+            self.slots.release(grant.server, grant.workspace);
+        }
+        self.refresh(grant.pool, grant.workspace);
+        true
+    }
+
+    /// Takes a running request over from a scheduler that is gone.
+    pub fn adopt(&mut self, entry: BoxKey, adopted: AdoptedGrant, now_ms: u64) -> bool {
+        if !self.slots.owns(adopted.server) || self.grants.contains(adopted.id) {
+            return false;
+        }
+        let grant = HeldGrant {
+            entry,
+            pool: adopted.pool,
+            workspace: adopted.workspace,
+            server: adopted.server,
+            charged: adopted.charged,
+            expires_ms: now_ms + self.rule.grant_ttl_ms,
+        };
+        self.grants.insert(adopted.id, grant);
+        self.slots.take(adopted.server, adopted.workspace);
+        self.refresh(adopted.pool, adopted.workspace);
+        true
+    }
+
+    /// Forgets a box: its seeks go, and its grants are free again since its connections are cut.
+    pub fn forget_box(&mut self, entry: BoxKey) {
+        for (pool, workspace) in self.demand.forget(entry) {
+            self.refresh(pool, workspace);
+        }
+        for grant in self.grants.remove_where(|grant| grant.entry == entry) {
+            self.slots.release(grant.server, grant.workspace);
+            self.refresh(grant.pool, grant.workspace);
+        }
+    }
+
+    /// Merges what another scheduler has given.
+    pub fn merge(&mut self, report: &LedgerReport, now_ms: u64) {
+        let me = (self.me, self.incarnation);
+        if self.rule.mode != OrderMode::Fair || (report.source, report.incarnation) == me {
+            return;
+        }
+        for (pool, workspace) in self.ledger.merge(report, now_ms) {
+            self.refresh(pool, workspace);
+        }
+    }
+
+    /// Takes what the other schedulers are to be told.
+    pub fn take_report(&mut self) -> LedgerReport {
+        self.ledger.take_report(self.me, self.incarnation)
+    }
+
+    /// Returns everything known, for a daemon that starts with no memory.
+    pub fn full_reports(&self) -> Vec<LedgerReport> {
+        self.ledger.full_reports(self.me, self.incarnation)
+    }
+
+    /// Releases grants without a sign of their entry, and measures the rates.
+    pub fn tick(&mut self, now_ms: u64) {
+        for grant in self.grants.remove_where(|grant| grant.expires_ms <= now_ms) {
+            self.expired += 1;
+            self.slots.release(grant.server, grant.workspace);
+            self.refresh(grant.pool, grant.workspace);
+        }
+        for (pool, held) in self.slots.held_by_pool() {
+            self.rates.entry(pool).or_default().advance(now_ms, held);
+        }
+        self.reorder_all();
+    }
+
+    /// Gives every free slot to the workspace furthest behind that waits for it.
+    pub fn schedule(&mut self, now_ms: u64) -> Vec<GrantOffer> {
+        let pools: Vec<PoolKey> = self.queues.keys().copied().collect();
+        let mut offers = Vec::new();
+        for pool in pools {
+            while let Some(offer) = self.grant_one(pool, now_ms) {
+                offers.push(offer);
+            }
+        }
+        offers
+    }
+
+    fn grant_one(&mut self, pool: PoolKey, now_ms: u64) -> Option<GrantOffer> {
+        let server = self.slots.pick(pool, now_ms)?;
+        let workspace = self.queues.get(&pool)?.first()?;
+        let entry = self.demand.take(pool, workspace)?;
+        self.raise_floor(pool, workspace);
+        self.counter = self.counter.wrapping_add(1);
+        let id = GrantId::new(self.incarnation, self.counter);
+        let grant = HeldGrant {
+            entry,
+            pool,
+            workspace,
+            server,
+            charged: 0.0,
+            expires_ms: now_ms + self.rule.grant_ttl_ms,
+        };
+        check_invariant("a grant id is new", self.grants.insert(id, grant));
+        let free = self.slots.take(server, workspace);
+        check_invariant("slots never above capacity", free);
+        self.refresh(pool, workspace);
+        Some(GrantOffer {
+            entry,
+            id,
+            pool,
+            workspace,
+            server,
+        })
+    }
+
+    /// Raises the level to which workspaces that come back from idle are lifted.
+    fn raise_floor(&mut self, pool: PoolKey, workspace: WorkspaceKey) {
+        let share = self.share(workspace);
+        let level = self.ledger.level(pool, workspace, share);
+        let floor = self.floors.entry(pool).or_default();
+        *floor = floor.max(level);
+    }
+
+    fn share(&self, workspace: WorkspaceKey) -> u32 {
+        self.shares.get(&workspace).copied().unwrap_or(1)
+    }
+
+    /// Puts a workspace where its key says, or takes it out when nothing of it waits.
+    fn refresh(&mut self, pool: PoolKey, workspace: WorkspaceKey) {
+        let queue = self.queues.entry(pool).or_default();
+        match self.demand.waiting(pool, workspace) {
+            0 => queue.remove(workspace),
+            _ => {
+                let key = self.order_key(pool, workspace);
+                self.queues.entry(pool).or_default().put(workspace, key);
+            }
+        }
+    }
+
+    fn order_key(&self, pool: PoolKey, workspace: WorkspaceKey) -> f64 {
+        if self.rule.mode == OrderMode::Fcfs {
+            return self.demand.arrival_key(pool, workspace);
+        }
+        let share = self.share(workspace);
+        let level = self.ledger.level(pool, workspace, share);
+        let held = self.slots.held_of(pool, workspace);
+        let schedulers = match self.rule.mode {
+            OrderMode::Fair => self.schedulers.get(&pool).copied().unwrap_or(1),
+            _ => 1,
+        };
+        let rate = self.rates.get(&pool).map_or(0.0, RateMeter::rate);
+        self.rule
+            .order
+            .order_key(level, held, share, schedulers, rate)
+    }
+
+    fn reorder_all(&mut self) {
+        let waiting: Vec<(PoolKey, WorkspaceKey)> = self
+            .queues
+            .iter()
+            .flat_map(|(pool, queue)| queue.iter().map(|workspace| (*pool, workspace)))
+            .collect();
+        for (pool, workspace) in waiting {
+            self.refresh(pool, workspace);
+        }
+    }
+
+    /// Returns the free slots of each pool.
+    pub fn free_slots(&self, now_ms: u64) -> BTreeMap<PoolKey, u32> {
+        self.slots.free_by_pool(now_ms)
+    }
+
+    /// Returns how many grants are held.
+    pub fn held_grants(&self) -> usize {
+        self.grants.len()
+    }
+
+    /// Returns how many grants lapsed without a sign of their entry.
+    pub const fn expired_grants(&self) -> u64 {
+        self.expired
+    }
+
+    /// Returns how many slots are held beyond capacity, as when two boxes own a server.
+    pub fn overcommitted_slots(&self) -> u32 {
+        self.slots.overcommitted()
+    }
+
+    /// Returns the servers that this box schedules.
+    pub fn server_count(&self) -> usize {
+        self.slots.len()
+    }
+
+    /// Returns the sums of service.
+    pub const fn ledger(&self) -> &FairLedger {
+        &self.ledger
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/dockgatectl/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
