--- /dev/null
+++ b/dockgate-bench/src/caller/client.rs
@@ -0,0 +1,269 @@
+//! The callers' HTTP client.
+
+use super::DrawnCall;
+use super::check::{AnswerCheck, CheckVerdict, check_whole};
+use super::stats::{CallOutcome, CallerStats, OutstandingCall};
+use crate::fleet::workspace_key;
+use crate::scenario::WorkspaceLoad;
+use bytes::Bytes;
+use dockgate_core::Outcome;
+use dockgate_proto::{RefusalBody, headers};
+use http::{Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+/// A box as the balancer sees it.
+#[derive(Debug)]
+pub struct BoxView {
+    /// Its name.
+    pub name: String,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    ready: AtomicBool,
+    stopping: AtomicBool,
+}
+
+impl BoxView {
+    /// Makes the view of a box that is ready.
+    pub const fn new(name: String, callers: SocketAddr) -> Self {
+        Self {
+            name,
+            callers,
+            ready: AtomicBool::new(true),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Tells whether the balancer sends requests there.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Sets whether the balancer sends requests there.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Release);
+    }
+
+    /// Sets whether the box is stopping in order.
+    pub fn set_stopping(&self, stopping: bool) {
+        self.stopping.store(stopping, Ordering::Release);
+    }
+}
+
+/// Sends requests and judges what comes back.
+pub struct CallerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    boxes: Vec<BoxView>,
+    /// What was seen.
+    pub stats: Arc<CallerStats>,
+    engines: BTreeMap<String, bool>,
+}
+
+impl CallerClient {
+    /// Makes a client of these boxes; `engines` tells for each pool whether it is of engines.
+    pub fn new(boxes: Vec<BoxView>, engines: BTreeMap<String, bool>) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self {
+            client,
+            boxes,
+            stats: Arc::default(),
+            engines,
+        }
+    }
+
+    /// Returns the boxes.
+    pub fn boxes(&self) -> &[BoxView] {
+        &self.boxes
+    }
+
+    /// Sends one request and follows it to its end.
+    pub async fn call(&self, load: &WorkspaceLoad, call: DrawnCall) -> CallOutcome {
+        let view = &self.boxes[call.entry];
+        let outstanding = OutstandingCall {
+            pool: load.pool.clone(),
+            workspace: load.workspace.clone(),
+            nonce: call.nonce.clone(),
+            since: Instant::now(),
+        };
+        self.stats.sent(outstanding, load.kind.is_some());
+        let outcome = match self.engines.get(&load.pool) {
+            Some(false) => self.call_service(load, &call, view).await,
+            _ => self.call_engine(load, &call, view).await,
+        };
+        let stopping = view.stopping.load(Ordering::Acquire);
+        self.stats.ended(&load.pool, &call.nonce, outcome, stopping);
+        outcome
+    }
+
+    fn request(&self, load: &WorkspaceLoad, view: &BoxView, path: &str) -> http::request::Builder {
+        let key = format!("Bearer {}", workspace_key(&load.workspace));
+        let mut request = Request::builder()
+            .method("POST")
+            .uri(format!("http://{}{path}", view.callers))
+            .header(header::AUTHORIZATION, key);
+        if let Some(kind) = &load.kind {
+            request = request.header(headers::KIND, kind);
+        }
+        if load.deadline_ms > 0 {
+            request = request.header(headers::DEADLINE_MS, load.deadline_ms);
+        }
+        request
+    }
+
+    async fn call_engine(
+        &self,
+        load: &WorkspaceLoad,
+        call: &DrawnCall,
+        view: &BoxView,
+    ) -> CallOutcome {
+        let filler = "lorem ipsum ".repeat(load.prompt / 12 + 1);
+        let body = serde_json::json!({
+            "model": load.pool,
+            "stream": load.stream,
+            "max_tokens": call.size,
+            "messages": [{ "role": "user", "content": format!("{filler}{}", call.nonce) }],
+        });
+        let body = Full::new(Bytes::from(body.to_string()));
+        let request = self.request(load, view, "/v1/chat/completions").body(body);
+        let Ok(request) = request else {
+            return CallOutcome::Cut;
+        };
+        let started = Instant::now();
+        match self.client.request(request).await {
+            Ok(response) if !response.status().is_success() => read_refusal(response).await,
+            Ok(response) if load.stream => self.follow(response, call, started).await,
+            Ok(response) => match response.into_body().collect().await {
+                Ok(body) => {
+                    let verdict = check_whole(&body.to_bytes(), &call.nonce, call.size);
+                    outcome_of(verdict)
+                }
+                Err(_) => CallOutcome::Cut,
+            },
+            Err(_) => CallOutcome::Cut,
+        }
+    }
+
+    /// Follows a stream, token by token.
+    async fn follow(
+        &self,
+        response: Response<Incoming>,
+        call: &DrawnCall,
+        started: Instant,
+    ) -> CallOutcome {
+        let mut check = AnswerCheck::new(call.nonce.clone(), call.size);
+        let mut body = response.into_body();
+        let mut last = None;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                return CallOutcome::Cut;
+            };
+            let tokens = frame.data_ref().map_or(0, |bytes| check.feed(bytes));
+            if tokens > 0 {
+                let now = Instant::now();
+                match last {
+                    None => self.stats.first_token(now - started),
+                    Some(last) => self.stats.between((now - last) / tokens as u32),
+                }
+                last = Some(now);
+            }
+        }
+        outcome_of(check.verdict())
+    }
+
+    async fn call_service(
+        &self,
+        load: &WorkspaceLoad,
+        call: &DrawnCall,
+        view: &BoxView,
+    ) -> CallOutcome {
+        let path = format!("/services/{}/wait/{}", load.pool, call.size);
+        let body = Full::new(Bytes::from(call.nonce.clone()));
+        let request = self
+            .request(load, view, &path)
+            .header("x-nonce", &call.nonce)
+            .body(body);
+        let Ok(request) = request else {
+            return CallOutcome::Cut;
+        };
+        match self.client.request(request).await {
+            Ok(response) if !response.status().is_success() => read_refusal(response).await,
+            Ok(response) => {
+                let echoed = response.headers().get("x-nonce").cloned();
+                let expected = format!("POST /wait/{} {}", call.size, call.nonce);
+                let body = response.into_body().collect().await;
+                match body.map(http_body_util::Collected::to_bytes) {
+                    Ok(body) if body == expected => {
+                        let own = echoed.is_some_and(|echoed| echoed == call.nonce.as_str());
+                        if own {
+                            CallOutcome::Ok
+                        } else {
+                            CallOutcome::Wrong
+                        }
+                    }
+                    Ok(_) => CallOutcome::Wrong,
+                    Err(_) => CallOutcome::Cut,
+                }
+            }
+            Err(_) => CallOutcome::Cut,
+        }
+    }
+
+    /// Calls a service stand-in directly and through a box, one after the other.
+    pub async fn probe(&self, load: &WorkspaceLoad, entry: usize, direct: SocketAddr) {
+        let view = &self.boxes[entry];
+        let bare = Request::builder()
+            .method("POST")
+            .uri(format!("http://{direct}/wait/0"))
+            .body(Full::default());
+        let path = format!("/services/{}/wait/0", load.pool);
+        let routed = self.request(load, view, &path).body(Full::default());
+        let (Ok(bare), Ok(routed)) = (bare, routed) else {
+            return;
+        };
+        let direct = self.timed(bare).await;
+        let routed = self.timed(routed).await;
+        if let (Some(direct), Some(routed)) = (direct, routed) {
+            self.stats.probed(direct, routed);
+        }
+    }
+
+    async fn timed(&self, request: Request<Full<Bytes>>) -> Option<std::time::Duration> {
+        let started = Instant::now();
+        let response = self.client.request(request).await.ok()?;
+        let success = response.status().is_success();
+        response.into_body().collect().await.ok()?;
+        success.then(|| started.elapsed())
+    }
+}
+
+const fn outcome_of(verdict: CheckVerdict) -> CallOutcome {
+    match verdict {
+        CheckVerdict::Whole => CallOutcome::Ok,
+        CheckVerdict::Truncated => CallOutcome::Truncated,
+        CheckVerdict::Wrong => CallOutcome::Wrong,
+    }
+}
+
+async fn read_refusal(response: Response<Incoming>) -> CallOutcome {
+    let Ok(body) = response.into_body().collect().await else {
+        return CallOutcome::Cut;
+    };
+    let refusal = serde_json::from_slice::<RefusalBody>(&body.to_bytes());
+    match refusal.map(|refusal| refusal.outcome) {
+        Ok(Outcome::NotRun) => CallOutcome::NotRun,
+        Ok(Outcome::Unknown) => CallOutcome::Unknown,
+        Ok(Outcome::Failed) | Err(_) => CallOutcome::Failed,
+    }
+}
--- /dev/null
+++ b/dockgate-bench/src/demo.rs
@@ -0,0 +1,82 @@
+//! A small fleet on embedded stand-ins that a newcomer can `curl`.
+
+use crate::error::BenchError;
+use crate::fleet::{BenchFleet, workspace_key};
+use crate::scenario::{BenchArm, BenchScenario};
+use std::path::Path;
+
+/// The fleet of the demonstration.
+const SCENARIO: &str = "\
+[fleet]
+domains = hall-a, hall-b
+boxes_per_domain = 1
+
+[pool small]
+kind = engine
+servers = 4
+slots = 8
+tokens_per_second = 30
+
+[pool status]
+kind = service
+servers = 2
+slots = 8
+
+[workspace accessibility]
+share = 2
+
+[workspace chapters]
+share = 1
+
+[kind quiz]
+";
+
+/// Starts the fleet, says how to call it, and runs until Ctrl-C.
+///
+/// # Errors
+///
+/// Returns what could not be started.
+pub async fn run_demo() -> Result<(), BenchError> {
+    let scenario = BenchScenario::parse("demo", "demo.ini", SCENARIO)?;
+    let mut fleet = BenchFleet::start(scenario, &BenchArm::fair()).await?;
+    let (first, last) = (&fleet.daemons[0], &fleet.daemons[fleet.daemons.len() - 1]);
+    let key = workspace_key("accessibility");
+    println!(
+        "The fleet is ready: {} boxes. Try, in another shell:\n",
+        fleet.daemons.len()
+    );
+    println!(
+        "  curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n    \
+         -d '{{\"model\":\"small\",\"stream\":true,\"max_tokens\":20,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"hello n1\"}}]}}'\n",
+        first.callers()
+    );
+    println!(
+        "  curl http://{}/services/status/build/7 -H 'Authorization: Bearer {key}'\n",
+        last.callers()
+    );
+    let program = program_path("dockgatectl");
+    println!(
+        "  {program} --operator {} --token-file {} status\n",
+        first.operators(),
+        fleet.path().join("operator.token").display()
+    );
+    println!(
+        "Logs, one JSON line a decision: {}",
+        first.log_path().display()
+    );
+    println!("Ctrl-C ends it.");
+    // Without a signal handler there is nothing to wait for.
+    let _ = tokio::signal::ctrl_c().await;
+    fleet.stop().await;
+    Ok(())
+}
+
+fn program_path(name: &str) -> String {
+    let here = std::env::current_exe().unwrap_or_default();
+    let folder = here.parent().unwrap_or(Path::new(""));
+    let path = folder.join(name);
+    let current = std::env::current_dir().unwrap_or_default();
+    let short = path.strip_prefix(&current).unwrap_or(&path);
+    short.display().to_string()
+}
--- /dev/null
+++ b/dockgate-bench/src/fault.rs
@@ -0,0 +1,205 @@
+//! Brings faults on a fleet, and takes them away.
+
+use crate::caller::CallerClient;
+use crate::error::BenchError;
+use crate::fleet::{BenchFleet, ServerStandIn};
+use crate::scenario::{FaultKind, FaultPlan};
+use dockgate_core::ConfigChange;
+use dockgate_platform::BoxState;
+use dockgate_proto::operator::PlanIntent;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How much longer every call to a slow platform takes.
+const SLOW: Duration = Duration::from_millis(500);
+/// How long a retired server may still get new work.
+const LEAVE_GRACE: Duration = Duration::from_secs(3);
+/// How long a box may take to stop in order.
+const STOP: Duration = Duration::from_secs(60);
+
+/// A fault that is to come, or is there.
+struct ActiveFault {
+    plan: FaultPlan,
+    begun: bool,
+    ended: bool,
+    undo: Option<ConfigChange>,
+}
+
+/// Brings the faults of a scenario on a fleet at their times.
+pub struct FaultDriver {
+    faults: Vec<ActiveFault>,
+    started: Instant,
+}
+
+impl FaultDriver {
+    /// Makes a driver whose times count from now.
+    pub fn new(plans: &[FaultPlan]) -> Self {
+        let faults = plans.iter().map(|plan| ActiveFault {
+            plan: plan.clone(),
+            begun: false,
+            ended: false,
+            undo: None,
+        });
+        Self {
+            faults: faults.collect(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Begins and ends what is due.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a daemon cannot be started anew or refuses a change.
+    pub async fn drive(
+        &mut self,
+        fleet: &mut BenchFleet,
+        client: &CallerClient,
+    ) -> Result<(), BenchError> {
+        let elapsed = self.started.elapsed();
+        for fault in &mut self.faults {
+            let FaultPlan { at, lasts, .. } = fault.plan;
+            if !fault.begun && elapsed >= at {
+                fault.begun = true;
+                log::info!("fault begins: {:?} {}", fault.plan.kind, fault.plan.target);
+                fault.undo = begin(&fault.plan, fleet, client).await?;
+            }
+            if fault.begun && !fault.ended && elapsed >= at + lasts {
+                fault.ended = true;
+                log::info!("fault ends: {:?} {}", fault.plan.kind, fault.plan.target);
+                end(&fault.plan, fault.undo.take(), fleet, client).await?;
+            }
+        }
+        Ok(())
+    }
+}
+
+async fn begin(
+    plan: &FaultPlan,
+    fleet: &mut BenchFleet,
+    client: &CallerClient,
+) -> Result<Option<ConfigChange>, BenchError> {
+    let target = plan.target.as_str();
+    match plan.kind {
+        FaultKind::Kill => {
+            for daemon in fleet
+                .daemons
+                .iter_mut()
+                .filter(|daemon| daemon.name() == target)
+            {
+                daemon.kill();
+            }
+        }
+        FaultKind::Stop => {
+            set_stopping(client, target, true);
+            fleet.platform.set_box_state(target, BoxState::Leaving);
+            if let Some(daemon) = fleet.daemon(target) {
+                daemon.terminate();
+            }
+        }
+        FaultKind::Pause => {
+            if let Some(daemon) = fleet.daemon(target) {
+                daemon.pause();
+            }
+        }
+        FaultKind::Cut => fleet.set_domain_cut(target, true),
+        FaultKind::CutPlatform => set_platform_cut(fleet, target, true),
+        FaultKind::PlatformOutage => fleet.platform.set_out(true),
+        FaultKind::LostReplies => fleet.platform.set_loses_replies(true),
+        FaultKind::PlatformSlow => fleet.platform.set_slow(SLOW),
+        FaultKind::EngineDeath => {
+            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
+                server.standin.kill();
+            }
+        }
+        FaultKind::Retire => {
+            let undo = fleet.retire(target).await?;
+            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
+                server.standin.set_leaving(Some(LEAVE_GRACE));
+            }
+            return Ok(undo);
+        }
+    }
+    Ok(None)
+}
+
+async fn end(
+    plan: &FaultPlan,
+    undo: Option<ConfigChange>,
+    fleet: &mut BenchFleet,
+    client: &CallerClient,
+) -> Result<(), BenchError> {
+    let target = plan.target.as_str();
+    match plan.kind {
+        FaultKind::Kill => restart(fleet, target)?,
+        FaultKind::Stop => {
+            for daemon in fleet
+                .daemons
+                .iter_mut()
+                .filter(|daemon| daemon.name() == target)
+            {
+                daemon.wait_or_kill(STOP).await;
+            }
+            set_stopping(client, target, false);
+            fleet.platform.set_box_state(target, BoxState::Live);
+            restart(fleet, target)?;
+        }
+        FaultKind::Pause => {
+            if let Some(daemon) = fleet.daemon(target) {
+                daemon.resume();
+            }
+        }
+        FaultKind::Cut => fleet.set_domain_cut(target, false),
+        FaultKind::CutPlatform => set_platform_cut(fleet, target, false),
+        FaultKind::PlatformOutage => fleet.platform.set_out(false),
+        FaultKind::LostReplies => fleet.platform.set_loses_replies(false),
+        FaultKind::PlatformSlow => fleet.platform.set_slow(Duration::ZERO),
+        FaultKind::EngineDeath => {}
+        FaultKind::Retire => {
+            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
+                server.standin.set_leaving(None);
+            }
+            if let Some(change) = undo {
+                fleet.change(0, PlanIntent::Changes(vec![change])).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn restart(fleet: &mut BenchFleet, name: &str) -> Result<(), BenchError> {
+    let mut daemons = fleet.daemons.iter_mut();
+    daemons
+        .find(|daemon| daemon.name() == name)
+        .map_or(Ok(()), crate::fleet::DaemonProcess::restart)
+}
+
+fn set_stopping(client: &CallerClient, name: &str, stopping: bool) {
+    for view in client.boxes().iter().filter(|view| view.name == name) {
+        view.set_stopping(stopping);
+    }
+}
+
+fn set_platform_cut(fleet: &BenchFleet, domain: &str, cut: bool) {
+    if let Some(relay) = fleet.platform_links.get(domain) {
+        relay.set_cut(cut);
+    }
+}
+
+impl ServerStandIn {
+    /// Notes that the server leaves; runs that start after the grace are counted.
+    pub fn set_leaving(&self, grace: Option<Duration>) {
+        match self {
+            Self::Engine(engine) => engine.leave.set(grace),
+            Self::Service(service) => service.leave.set(grace),
+        }
+    }
+
+    /// Returns how many runs started after the grace.
+    pub fn late_starts(&self) -> u64 {
+        match self {
+            Self::Engine(engine) => engine.leave.late(),
+            Self::Service(service) => service.leave.late(),
+        }
+    }
+}
--- /dev/null
+++ b/dockgate-bench/src/fleet/daemon.rs
@@ -0,0 +1,317 @@
+//! One daemon as a process of its own.
+
+use crate::error::BenchError;
+use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::fmt::Write as _;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// The operator token of bench fleets.
+pub(super) const OPERATOR_TOKEN: &str = "bench-operator-token";
+const FLEET_SECRET: &str = "bench-fleet-secret-0";
+const OPERATOR_FILE: &str = "operator.token";
+const FLEET_FILE: &str = "fleet.secret";
+const POLL: Duration = Duration::from_millis(20);
+
+/// What a daemon is started with.
+#[derive(Debug, Clone)]
+pub(super) struct DaemonPlan {
+    pub(super) name: String,
+    pub(super) domain: String,
+    pub(super) callers: SocketAddr,
+    pub(super) peers: SocketAddr,
+    pub(super) operators: SocketAddr,
+    pub(super) metrics: SocketAddr,
+    pub(super) platform: SocketAddr,
+    pub(super) schedule: Vec<(String, String)>,
+}
+
+/// A daemon; killed when it is dropped.
+pub struct DaemonProcess {
+    plan: DaemonPlan,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Writes the secrets that every daemon reads.
+pub(super) fn secrets(folder: &Path) -> Result<(), BenchError> {
+    for (file, secret) in [(FLEET_FILE, FLEET_SECRET), (OPERATOR_FILE, OPERATOR_TOKEN)] {
+        write_file(&folder.join(file), secret)?;
+    }
+    Ok(())
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), BenchError> {
+    let written = std::fs::write(path, text);
+    written.map_err(|cause| BenchError::Io("write", path.display().to_string(), cause))
+}
+
+/// Makes a client of an operator door.
+pub(super) fn operator_client(address: SocketAddr, token: &str) -> Result<HttpClient, BenchError> {
+    let mut headers = HeaderMap::new();
+    if let Ok(bearer) = HeaderValue::from_str(&format!("Bearer {token}")) {
+        headers.insert("authorization", bearer);
+    }
+    HttpClientBuilder::default()
+        .set_headers(headers)
+        .max_request_size(64 << 20)
+        .max_response_size(64 << 20)
+        .build(format!("http://{address}"))
+        .map_err(|error| {
+            BenchError::Daemon("make a client of", address.to_string(), error.to_string())
+        })
+}
+
+/// Returns the program of the daemon: beside the bench tool, or one folder up from a test.
+fn program() -> Result<PathBuf, BenchError> {
+    let here = std::env::current_exe()
+        .map_err(|cause| BenchError::Io("find", "this program".to_owned(), cause))?;
+    let found = here
+        .ancestors()
+        .skip(1)
+        .take(2)
+        .map(|folder| folder.join("dockgate"))
+        .find(|path| path.is_file());
+    found.ok_or_else(|| {
+        let cause = "build it first: cargo build --package dockgate".to_owned();
+        BenchError::Daemon("find", "dockgate".to_owned(), cause)
+    })
+}
+
+impl DaemonProcess {
+    /// Starts a daemon with settings and a log file in `folder`.
+    pub(super) fn start(plan: DaemonPlan, folder: &Path) -> Result<Self, BenchError> {
+        let settings = folder.join(format!("{}.ini", plan.name));
+        write_file(&settings, &plan.settings(folder))?;
+        let mut daemon = Self {
+            plan,
+            settings,
+            child: None,
+        };
+        daemon.restart()?;
+        Ok(daemon)
+    }
+
+    /// Starts the daemon anew, with no memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it cannot be started.
+    pub fn restart(&mut self) -> Result<(), BenchError> {
+        let log = self.log_path();
+        let failed = |cause| BenchError::Io("start", self.plan.name.clone(), cause);
+        let file = File::options().create(true).append(true).open(&log);
+        let file = file.map_err(failed)?;
+        let child = Command::new(program()?)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()
+            .map_err(failed)?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns the box's name.
+    pub fn name(&self) -> &str {
+        &self.plan.name
+    }
+
+    /// Returns the box's failure domain.
+    pub fn domain(&self) -> &str {
+        &self.plan.domain
+    }
+
+    /// Returns where callers are served.
+    pub const fn callers(&self) -> SocketAddr {
+        self.plan.callers
+    }
+
+    /// Returns where operators are served.
+    pub const fn operators(&self) -> SocketAddr {
+        self.plan.operators
+    }
+
+    /// Returns where the log stands.
+    pub fn log_path(&self) -> PathBuf {
+        self.settings.with_extension("log")
+    }
+
+    /// Returns the process id, while it runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid().and_then(|pid| i32::try_from(pid).ok()) {
+            // A process that has ended needs no signal.
+            let _ = kill(Pid::from_raw(pid), signal);
+        }
+    }
+
+    /// Tells the daemon to stop in order.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Freezes the daemon.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen daemon go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Kills the daemon.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits until the daemon has ended; returns whether it ended by itself with success.
+    pub async fn wait_or_kill(&mut self, patience: Duration) -> bool {
+        let deadline = Instant::now() + patience;
+        while Instant::now() < deadline {
+            let ended = self.child.as_mut().map(Child::try_wait);
+            match ended {
+                Some(Ok(Some(status))) => {
+                    self.child = None;
+                    return status.success();
+                }
+                None => return true,
+                _ => tokio::time::sleep(POLL).await,
+            }
+        }
+        self.kill();
+        false
+    }
+
+    /// Waits until `GET /PATH` of the caller's door answers 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it does not within `patience`.
+    pub async fn wait_for(&self, path: &str, patience: Duration) -> Result<(), BenchError> {
+        let ready = async |daemon: &Self| answers_ok(daemon.plan.callers, path).await;
+        self.wait_until(path, patience, ready).await
+    }
+
+    /// Waits until the daemon has so many open links.
+    pub(super) async fn wait_for_links(
+        &self,
+        links: usize,
+        patience: Duration,
+    ) -> Result<(), BenchError> {
+        let linked =
+            async |daemon: &Self| daemon.metric("dockgate_open_links").await == Some(links as f64);
+        self.wait_until("links", patience, linked).await
+    }
+
+    async fn wait_until(
+        &self,
+        what: &str,
+        patience: Duration,
+        holds: impl AsyncFn(&Self) -> bool,
+    ) -> Result<(), BenchError> {
+        let deadline = Instant::now() + patience;
+        while Instant::now() < deadline {
+            if holds(self).await {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let cause = format!("{what} did not come in {patience:?}");
+        Err(BenchError::Daemon(
+            "wait for",
+            self.plan.name.clone(),
+            cause,
+        ))
+    }
+
+    /// Returns the sum of a metric over its labels.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let text = fetch(self.plan.metrics, "metrics").await?;
+        let mut found = None;
+        for line in text.lines() {
+            let Some((key, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let plain = key.split('{').next().unwrap_or(key);
+            if let (true, Ok(value)) = (plain == name, value.parse::<f64>()) {
+                found = Some(found.unwrap_or(0.0) + value);
+            }
+        }
+        found
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl DaemonPlan {
+    fn settings(&self, folder: &Path) -> String {
+        let mut text = format!(
+            "[box]\nname = {}\ndomain = {}\n\n[listen]\ncallers = {}\npeers = {}\n\
+             operators = {}\nmetrics = {}\n\n[platform]\naddress = {}\nboxes_every_ms = 500\n\n\
+             [secrets]\nfleet_file = {}\noperator_file = {}\n\n[limits]\nstop_grace_ms = 500\n\n\
+             [schedule]\n",
+            self.name,
+            self.domain,
+            self.callers,
+            self.peers,
+            self.operators,
+            self.metrics,
+            self.platform,
+            folder.join(FLEET_FILE).display(),
+            folder.join(OPERATOR_FILE).display(),
+        );
+        for (key, value) in &self.schedule {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{key} = {value}");
+        }
+        text
+    }
+}
+
+async fn answers_ok(address: SocketAddr, path: &str) -> bool {
+    let answer = fetch(address, path).await;
+    answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+}
+
+/// Tells whether a box says that it is ready.
+pub async fn is_ready(callers: SocketAddr) -> bool {
+    answers_ok(callers, "readyz").await
+}
+
+/// Fetches a path; the answer with its head as text.
+async fn fetch(address: SocketAddr, path: &str) -> Option<String> {
+    let fetched = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let request = format!("GET /{path} HTTP/1.1\r\nhost: bench\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await.ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.ok()?;
+        Some(answer)
+    };
+    tokio::time::timeout(Duration::from_secs(2), fetched)
+        .await
+        .ok()
+        .flatten()
+}
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -1,2 +1,130 @@
-//! placeholder
-fn main() {}
+//! The bench tool: stand-ins, load, faults, reports.
+
+use clap::{Parser, Subcommand};
+use dockgate_bench::demo::run_demo;
+use dockgate_bench::error::BenchError;
+use dockgate_bench::report::BenchReport;
+use dockgate_bench::run::{RunOptions, run_scenario};
+use dockgate_bench::scenario::BenchScenario;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit code of a run in which a promise was broken.
+const EXIT_BROKEN: u8 = 3;
+
+/// Loads a dockgate fleet on loopback and measures it.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct BenchArgs {
+    /// What to do.
+    #[command(subcommand)]
+    command: BenchCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum BenchCommand {
+    /// Runs a small fleet that a newcomer can call.
+    Demo,
+    /// Runs a scenario and reports what was measured.
+    Run {
+        /// The scenario file.
+        #[arg(long)]
+        scenario: PathBuf,
+        /// Seed of arrivals and sizes.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Seconds measured, after the warm-up.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        /// Where the report is written.
+        #[arg(long)]
+        report: Option<PathBuf>,
+        /// Only this arm.
+        #[arg(long)]
+        arm: Option<String>,
+        /// Folder in which the daemons' logs are kept.
+        #[arg(long)]
+        keep_logs: Option<PathBuf>,
+    },
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::new().filter_or("DOCKGATE_LOG", "warn")).init();
+    let args = BenchArgs::parse();
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("dockgate-bench: start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match runtime.block_on(run(args.command)) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("dockgate-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: BenchCommand) -> Result<ExitCode, BenchError> {
+    match command {
+        BenchCommand::Demo => run_demo().await.map(|()| ExitCode::SUCCESS),
+        BenchCommand::Run {
+            scenario,
+            seed,
+            seconds,
+            report,
+            arm,
+            keep_logs,
+        } => {
+            let mut scenario = BenchScenario::load(&scenario)?;
+            if let Some(arm) = arm {
+                scenario.arms.retain(|known| known.name == arm);
+                if scenario.arms.is_empty() {
+                    let cause = "the scenario has no such arm".to_owned();
+                    return Err(BenchError::Report("find arm", arm, cause));
+                }
+            }
+            let options = RunOptions {
+                seed,
+                seconds,
+                keep_logs,
+            };
+            let measured = run_scenario(&scenario, &options).await?;
+            measured.print();
+            if let Some(path) = report {
+                write_report(&path, &measured)?;
+            }
+            Ok(verdict(&measured))
+        }
+    }
+}
+
+fn write_report(path: &Path, report: &BenchReport) -> Result<(), BenchError> {
+    let text = serde_json::to_string_pretty(report).unwrap_or_default();
+    std::fs::write(path, text)
+        .map_err(|cause| BenchError::Io("write", path.display().to_string(), cause))
+}
+
+/// Fails where any arm broke a promise.
+fn verdict(report: &BenchReport) -> ExitCode {
+    let arms = std::iter::once(&report.main).chain(&report.baselines);
+    let mut broken = false;
+    for arm in arms {
+        for (name, count) in arm.broken_promises().iter().filter(|(_, count)| *count > 0) {
+            eprintln!(
+                "dockgate-bench: arm {}: {name} is {count}, and must be 0",
+                arm.arm
+            );
+            broken = true;
+        }
+    }
+    match broken {
+        true => ExitCode::from(EXIT_BROKEN),
+        false => ExitCode::SUCCESS,
+    }
+}
--- /dev/null
+++ b/dockgate-bench/src/run/measure.rs
@@ -0,0 +1,102 @@
+//! Totals that are read before and after a run, and the checks at its end.
+
+use crate::caller::CallerStats;
+use crate::fleet::BenchFleet;
+use crate::report::ArmReport;
+use crate::standin::PlatformCalls;
+
+/// Totals of control traffic and work over all boxes.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ControlTotals {
+    pub(super) peer_bytes: u64,
+    pub(super) bytes: u64,
+    calls: PlatformCalls,
+    busy_us: f64,
+}
+
+impl ControlTotals {
+    /// Reads the totals.
+    pub(super) async fn read(fleet: &BenchFleet) -> Self {
+        let peer_bytes = fleet.peer_bytes.total();
+        Self {
+            peer_bytes,
+            bytes: peer_bytes + fleet.platform_bytes.total(),
+            calls: fleet.platform.calls(),
+            busy_us: sum_metric(fleet, "dockgate_control_busy_microseconds_total").await,
+        }
+    }
+
+    /// Returns what came since an earlier reading.
+    pub(super) const fn since(&self, earlier: &Self) -> Self {
+        Self {
+            peer_bytes: self.peer_bytes - earlier.peer_bytes,
+            bytes: self.bytes - earlier.bytes,
+            calls: PlatformCalls {
+                reads: self.calls.reads - earlier.calls.reads,
+                writes: self.calls.writes - earlier.calls.writes,
+            },
+            busy_us: self.busy_us - earlier.busy_us,
+        }
+    }
+
+    /// Fills a report in.
+    pub(super) fn fill(&self, report: &mut ArmReport, fleet: &BenchFleet, seconds: f64) {
+        let boxes = fleet.daemons.len() as f64;
+        let requests = report.requests.max(1) as f64;
+        report.control_bytes_per_request = self.peer_bytes as f64 / requests;
+        report.control_bytes_per_node_second = self.bytes as f64 / boxes / seconds;
+        report.platform_reads_per_second = self.calls.reads as f64 / seconds;
+        report.platform_writes_per_second = self.calls.writes as f64 / seconds;
+        // A box that was started anew counts from zero; its total is then too low, never negative.
+        let busy_s = self.busy_us.max(0.0) / 1e6;
+        report.control_core_fraction = busy_s / boxes / seconds;
+        report.fairness_bound_units = bound_units(fleet);
+    }
+}
+
+async fn sum_metric(fleet: &BenchFleet, name: &str) -> f64 {
+    let values = fleet.daemons.iter().map(|daemon| daemon.metric(name));
+    let values = futures::future::join_all(values).await;
+    values.into_iter().flatten().sum()
+}
+
+/// Returns the stated bound: every slot may hold an answer of the largest size, and a report
+/// period's service may be unknown, to the favour of one workspace.
+fn bound_units(fleet: &BenchFleet) -> f64 {
+    const REPORT_S: f64 = 1.0;
+    let pools = fleet.scenario.pools.iter().filter(|pool| pool.engine);
+    pools
+        .map(|pool| {
+            let slots = (pool.servers * pool.slots) as f64;
+            let loads = fleet.scenario.workspaces.iter();
+            let sizes = loads.filter(|load| load.pool == pool.name);
+            let largest = sizes.map(|load| load.sizes.largest()).max().unwrap_or(0);
+            slots * (largest as f64 + pool.tokens_per_second * REPORT_S)
+        })
+        .fold(0.0, f64::max)
+}
+
+/// Checks at the end of a run what must never have happened.
+pub(super) async fn close_books(report: &mut ArmReport, fleet: &BenchFleet, stats: &CallerStats) {
+    let runs = |pool: &str, nonce: &str| {
+        let tally = fleet.tallies.get(pool);
+        tally.map_or(0, |tally| tally.runs_of(nonce))
+    };
+    let not_run = stats.not_run();
+    let ran = not_run.iter().filter(|(pool, nonce)| runs(pool, nonce) > 0);
+    report.not_run_but_ran = ran.count() as u64;
+    let once = stats.once();
+    let doubled = once.iter().filter(|(pool, nonce)| runs(pool, nonce) > 1);
+    report.duplicate_runs = doubled.count() as u64;
+    let late = fleet
+        .servers
+        .iter()
+        .map(|server| server.standin.late_starts());
+    report.late_grants_to_leaving = late.sum();
+    let tallies = fleet.tallies.values();
+    report.engine_refusals = tallies.clone().map(|tally| tally.refused()).sum();
+    report.tokens_computed_twice = tallies.map(|tally| tally.recomputed()).sum();
+    report.invariant_violations = sum_metric(fleet, "dockgate_invariant_violations").await as u64;
+    report.overgrants = sum_metric(fleet, "dockgate_overgrants").await as u64;
+    report.expired_grants = sum_metric(fleet, "dockgate_expired_grants").await as u64;
+}
--- /dev/null
+++ b/dockgate-bench/src/run/sampler.rs
@@ -0,0 +1,192 @@
+//! Samples the stand-ins and the callers many times a second.
+
+use crate::caller::{CallOutcome, CallerStats};
+use crate::fleet::BenchFleet;
+use crate::gap::{GapMeter, ServicePoint};
+use crate::report::{AddedLatency, ArmReport, TimePercentiles};
+use crate::scenario::{BenchScenario, PoolShape};
+use crate::standin::RunTally;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A request that is younger is under way, not waiting.
+const UNDER_WAY: Duration = Duration::from_millis(10);
+/// How often the versions in force are looked at.
+const VERSIONS: Duration = Duration::from_millis(250);
+
+/// What was seen of one pool.
+struct PoolSampler {
+    shape: PoolShape,
+    tally: Arc<RunTally>,
+    gap: GapMeter,
+    busy: f64,
+    idle_queued: f64,
+    slots: f64,
+    first_units: f64,
+    last_units: f64,
+}
+
+/// Samples a run.
+pub(super) struct RunSampler {
+    pools: Vec<PoolSampler>,
+    shares: HashMap<String, u32>,
+    last: Instant,
+    versions: HashMap<String, f64>,
+    versions_due: Instant,
+    reverts: u64,
+}
+
+impl RunSampler {
+    pub(super) fn new(scenario: &BenchScenario, tallies: &BTreeMap<String, Arc<RunTally>>) -> Self {
+        let pools = scenario.pools.iter().filter_map(|shape| {
+            let tally = tallies.get(&shape.name)?.clone();
+            let units = tally.sample().iter().map(|sample| sample.units).sum();
+            Some(PoolSampler {
+                shape: shape.clone(),
+                tally,
+                gap: GapMeter::default(),
+                busy: 0.0,
+                idle_queued: 0.0,
+                slots: 0.0,
+                first_units: units,
+                last_units: units,
+            })
+        });
+        let loads = scenario.workspaces.iter();
+        Self {
+            pools: pools.collect(),
+            shares: loads
+                .map(|load| (load.workspace.clone(), load.share))
+                .collect(),
+            last: Instant::now(),
+            versions: HashMap::new(),
+            versions_due: Instant::now(),
+            reverts: 0,
+        }
+    }
+
+    /// Takes one sample.
+    pub(super) fn sample(&mut self, stats: &CallerStats) {
+        let now = Instant::now();
+        let seconds = (now - self.last).as_secs_f64();
+        self.last = now;
+        let outstanding = stats.outstanding();
+        for pool in &mut self.pools {
+            let mut waiting: HashMap<&str, usize> = HashMap::new();
+            for call in &outstanding {
+                let old = now.saturating_duration_since(call.since) > UNDER_WAY;
+                if old && call.pool == pool.shape.name && pool.tally.runs_of(&call.nonce) == 0 {
+                    *waiting.entry(&call.workspace).or_default() += 1;
+                }
+            }
+            pool.sample(&waiting, &self.shares, seconds);
+        }
+    }
+
+    /// Looks whether a box has gone back to an older configuration.
+    pub(super) async fn watch_versions(&mut self, fleet: &BenchFleet) {
+        if Instant::now() < self.versions_due {
+            return;
+        }
+        self.versions_due = Instant::now() + VERSIONS;
+        let versions = fleet.daemons.iter().map(async |daemon| {
+            let patience = Duration::from_millis(100);
+            let metric = daemon.metric("dockgate_config_version");
+            let version = tokio::time::timeout(patience, metric).await.ok().flatten();
+            (daemon.name().to_owned(), version)
+        });
+        for (name, version) in futures::future::join_all(versions).await {
+            // A box that has just started has none in force and is not ready.
+            let Some(version) = version.filter(|version| *version > 0.0) else {
+                continue;
+            };
+            let known = self.versions.entry(name).or_insert(version);
+            if version < *known {
+                self.reverts += 1;
+            }
+            *known = known.max(version);
+        }
+    }
+
+    /// Returns what was seen.
+    pub(super) fn report(&self, stats: &CallerStats, seconds: f64) -> ArmReport {
+        let engines = || self.pools.iter().filter(|pool| pool.shape.engine);
+        let worst = engines().max_by(|a, b| a.gap_units(self).total_cmp(&b.gap_units(self)));
+        let sum = |part: fn(&PoolSampler) -> f64| engines().map(part).sum::<f64>();
+        let slots = sum(|pool| pool.slots).max(f64::EPSILON);
+        let times = |at: &dyn Fn(f64) -> f64| TimePercentiles {
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+        };
+        ArmReport {
+            fairness_gap_units: worst.map_or(0.0, |pool| pool.gap_units(self)),
+            fairness_gap_seconds: worst.map_or(0.0, |pool| pool.gap.worst_seconds()),
+            utilisation: sum(|pool| pool.busy) / slots,
+            idle_while_queued: sum(|pool| pool.idle_queued) / slots,
+            units_per_second: sum(|pool| pool.last_units - pool.first_units) / seconds,
+            requests: stats.total(),
+            requests_ok: stats.count(CallOutcome::Ok),
+            requests_failed: stats.count(CallOutcome::Failed),
+            requests_unknown: stats.count(CallOutcome::Unknown),
+            requests_not_run: stats.count(CallOutcome::NotRun),
+            requests_cut: stats.count(CallOutcome::Cut),
+            wrong_answers: stats.count(CallOutcome::Wrong),
+            truncated_answers: stats.count(CallOutcome::Truncated),
+            cut_by_planned_stop: stats.cut_by_stop(),
+            config_reverts: self.reverts,
+            first_token_ms: times(&|quantile| stats.first_token_ms(quantile)),
+            between_token_ms: times(&|quantile| stats.between_ms(quantile)),
+            added_latency_us: match stats.probes() {
+                0 => AddedLatency::default(),
+                _ => AddedLatency {
+                    p50: stats.added_us(0.5),
+                    p99: stats.added_us(0.99),
+                },
+            },
+            ..ArmReport::default()
+        }
+    }
+
+    fn mean_share(&self) -> f64 {
+        let total: u32 = self.shares.values().sum();
+        f64::from(total) / self.shares.len().max(1) as f64
+    }
+}
+
+impl PoolSampler {
+    fn sample(
+        &mut self,
+        waiting: &HashMap<&str, usize>,
+        shares: &HashMap<String, u32>,
+        seconds: f64,
+    ) {
+        let slots = self.tally.slots();
+        let running = self.tally.running();
+        let queued: usize = waiting.values().sum();
+        let idle = slots.saturating_sub(running);
+        self.slots += slots as f64 * seconds;
+        self.busy += running.min(slots) as f64 * seconds;
+        self.idle_queued += idle.min(queued) as f64 * seconds;
+        let mut points = BTreeMap::new();
+        let mut units = 0.0;
+        for sample in self.tally.sample() {
+            units += sample.units;
+            let Some(share) = shares.get(&sample.workspace) else {
+                continue;
+            };
+            let point = ServicePoint {
+                level: sample.units / f64::from(*share),
+                backlogged: waiting.contains_key(sample.workspace.as_str()),
+            };
+            points.insert(sample.workspace, point);
+        }
+        self.last_units = units;
+        self.gap.add(points, seconds);
+    }
+
+    fn gap_units(&self, sampler: &RunSampler) -> f64 {
+        self.gap.worst_level() * sampler.mean_share()
+    }
+}
--- /dev/null
+++ b/dockgate-bench/src/scenario/load.rs
@@ -0,0 +1,160 @@
+//! What a workspace sends.
+
+use dockgate_core::SectionReader;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use std::str::FromStr;
+
+/// When requests come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Arrival {
+    /// So many callers, each with one request at a time.
+    Closed(usize),
+    /// So many requests a second, at random.
+    Open(f64),
+}
+
+impl FromStr for Arrival {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        match text.split_once(':') {
+            Some(("closed", callers)) => callers.parse().map(Self::Closed).map_err(drop),
+            Some(("open", rate)) => match rate.parse() {
+                Ok(rate) if rate > 0.0 => Ok(Self::Open(rate)),
+                _ => Err(()),
+            },
+            _ => Err(()),
+        }
+    }
+}
+
+/// Sizes of answers with their weights: `30*99 3000*1`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SizeMix(Vec<(usize, u32)>);
+
+impl FromStr for SizeMix {
+    type Err = ();
+
+    fn from_str(text: &str) -> Result<Self, ()> {
+        let sizes: Option<Vec<(usize, u32)>> = text
+            .split_whitespace()
+            .map(|item| {
+                let (size, weight) = item.split_once('*').unwrap_or((item, "1"));
+                Some((size.parse().ok()?, weight.parse().ok()?))
+            })
+            .collect();
+        match sizes {
+            Some(sizes) if sizes.iter().any(|(_, weight)| *weight > 0) => Ok(Self(sizes)),
+            _ => Err(()),
+        }
+    }
+}
+
+impl SizeMix {
+    /// Returns the largest size.
+    pub fn largest(&self) -> usize {
+        self.0.iter().map(|(size, _)| *size).max().unwrap_or(0)
+    }
+
+    /// Draws a size.
+    pub fn draw(&self, random: &mut StdRng) -> usize {
+        let total: u32 = self.0.iter().map(|(_, weight)| weight).sum();
+        let mut left = random.random_range(0..total);
+        for (size, weight) in &self.0 {
+            match left.checked_sub(*weight) {
+                Some(rest) => left = rest,
+                None => return *size,
+            }
+        }
+        self.0.last().map_or(1, |(size, _)| *size)
+    }
+}
+
+/// At which boxes a workspace's requests enter.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EntryChoice {
+    /// At all, evenly.
+    All,
+    /// At these boxes, evenly.
+    Named(Vec<String>),
+}
+
+/// What one workspace sends to one pool.
+#[derive(Debug, Clone)]
+pub struct WorkspaceLoad {
+    /// The workspace.
+    pub workspace: String,
+    /// Its share.
+    pub share: u32,
+    /// The pool.
+    pub pool: String,
+    /// When requests come.
+    pub arrival: Arrival,
+    /// Tokens of an answer, or milliseconds of a plain service.
+    pub sizes: SizeMix,
+    /// Bytes of a prompt.
+    pub prompt: usize,
+    /// Whether answers are streamed.
+    pub stream: bool,
+    /// A kind that may not be repeated, if it is set.
+    pub kind: Option<String>,
+    /// Where they enter.
+    pub entries: EntryChoice,
+    /// How long a request may wait for a slot, in milliseconds; zero for the daemon's default.
+    pub deadline_ms: u64,
+    /// The longest queue at one box.
+    pub queue_limit: u32,
+}
+
+/// Reads `[workspace NAME]`: one load for each `arrival.POOL`.
+pub(super) fn read_workspaces(section: &mut SectionReader) -> Vec<WorkspaceLoad> {
+    let share = section.take("share", "a whole number").unwrap_or(1);
+    let entries = section.take_list("entries");
+    let entries = match entries.is_empty() {
+        true => EntryChoice::All,
+        false => EntryChoice::Named(entries),
+    };
+    let kind = section.take_text("kind");
+    let stream = section.take_text("stream").as_deref() != Some("no");
+    let prompt = section.take("prompt", "a number of bytes").unwrap_or(200);
+    let deadline_ms = section.take("deadline_ms", "milliseconds").unwrap_or(0);
+    let queue_limit = section
+        .take("queue_limit", "a whole number")
+        .unwrap_or(1_000);
+    let allowed = "closed:CALLERS or open:REQUESTS_PER_SECOND";
+    let arrivals = section.take_prefixed::<Arrival>("arrival.", allowed);
+    let loads = arrivals.into_iter().map(|(pool, arrival)| {
+        let sizes = section.take(&format!("sizes.{pool}"), "sizes such as 30*99 3000*1");
+        WorkspaceLoad {
+            workspace: section.name.clone(),
+            share,
+            pool,
+            arrival,
+            sizes: sizes.unwrap_or(SizeMix(vec![(30, 1)])),
+            prompt,
+            stream,
+            kind: kind.clone(),
+            entries: entries.clone(),
+            deadline_ms,
+            queue_limit,
+        }
+    });
+    loads.collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    #[test]
+    fn sizes_are_drawn_by_weight() {
+        let mix: SizeMix = "1*3 9*1".parse().unwrap();
+        let mut random = StdRng::seed_from_u64(1);
+        let large = (0..1_000).filter(|_| mix.draw(&mut random) == 9).count();
+        assert!((200..300).contains(&large), "{large}");
+        assert!("x".parse::<SizeMix>().is_err());
+        assert!("1*0".parse::<SizeMix>().is_err());
+    }
+}
--- /dev/null
+++ b/dockgate-bench/src/standin.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for model engines, plain services and the platform's key-value service.
+
+mod engine;
+mod http;
+mod platform;
+mod service;
+mod tally;
+
+pub use engine::{EngineRule, EngineStandIn, answer_token};
+pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn};
+pub use service::{ServiceRule, ServiceStandIn};
+pub use tally::{LeaveWatch, RunTally, TallySample};
--- /dev/null
+++ b/dockgate-bench/src/standin/engine.rs
@@ -0,0 +1,399 @@
+//! A stand-in for a model engine: continuous batching, a prefix cache of limited size, streams.
+
+use super::http::{BrokenOff, StandInBody, answer, serve};
+use super::tally::{LeaveWatch, RunTally};
+use crate::error::BenchError;
+use bytes::Bytes;
+use dockgate_proto::headers;
+use futures::SinkExt;
+use futures::channel::mpsc;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde::Deserialize;
+use std::collections::{HashSet, VecDeque};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Bytes of a prompt that make one token.
+const BYTES_PER_TOKEN: usize = 4;
+/// Tokens of a prompt that make one block of the prefix cache.
+const BLOCK_TOKENS: usize = 16;
+
+/// How an engine behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineRule {
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Tokens a second for each stream while the engine is not crowded.
+    pub stream_rate: f64,
+    /// Tokens a second shared by all streams.
+    pub total_rate: f64,
+    /// Tokens of a prompt read in a second.
+    pub prefill_rate: f64,
+    /// Blocks of prompts that the cache holds.
+    pub cache_blocks: usize,
+    /// How often a batch step hands out tokens.
+    pub step: Duration,
+}
+
+impl EngineRule {
+    /// Makes the rule of an engine with so many slots and tokens a second for a stream.
+    pub fn new(slots: usize, stream_rate: f64) -> Self {
+        Self {
+            slots,
+            stream_rate,
+            total_rate: stream_rate * slots as f64,
+            prefill_rate: 20_000.0,
+            cache_blocks: 4_096,
+            step: Duration::from_millis(25),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatMessage {
+    content: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChatRequest {
+    messages: Vec<ChatMessage>,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<usize>,
+    /// How many tokens of the answer the caller has already.
+    #[serde(default)]
+    resume_from: usize,
+}
+
+/// Blocks of prompts, the least recently added dropped first.
+#[derive(Debug, Default)]
+struct PrefixCache {
+    blocks: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl PrefixCache {
+    /// Returns how many tokens of a prompt must be read, and keeps its blocks.
+    fn missing_tokens(&mut self, prompt: &str, most: usize) -> usize {
+        let size = BLOCK_TOKENS * BYTES_PER_TOKEN;
+        let mut hash = 0_u64;
+        let mut missing = 0;
+        for block in prompt.as_bytes().chunks(size) {
+            hash = block
+                .iter()
+                .fold(hash ^ 0x9e37_79b9_7f4a_7c15, |hash, byte| {
+                    (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+                });
+            if self.blocks.insert(hash) {
+                missing += block.len().div_ceil(BYTES_PER_TOKEN);
+                self.order.push_back(hash);
+            }
+        }
+        while self.order.len() > most {
+            if let Some(old) = self.order.pop_front() {
+                self.blocks.remove(&old);
+            }
+        }
+        missing
+    }
+}
+
+struct EngineState {
+    rule: EngineRule,
+    tally: Arc<RunTally>,
+    running: AtomicUsize,
+    dying: AtomicBool,
+    cache: Mutex<PrefixCache>,
+    leave: Arc<LeaveWatch>,
+    stop: CancellationToken,
+}
+
+/// One engine on a loopback port.
+pub struct EngineStandIn {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Counts runs that start after the engine was told to leave.
+    pub leave: Arc<LeaveWatch>,
+    state: Arc<EngineState>,
+}
+
+impl EngineStandIn {
+    /// Starts an engine that counts into a tally.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no port is free.
+    pub async fn start(rule: EngineRule, tally: Arc<RunTally>) -> Result<Self, BenchError> {
+        tally.add_slots(rule.slots as isize);
+        let state = Arc::new(EngineState {
+            rule,
+            tally,
+            running: AtomicUsize::new(0),
+            dying: AtomicBool::new(false),
+            cache: Mutex::default(),
+            leave: Arc::default(),
+            stop: CancellationToken::new(),
+        });
+        let handler = state.clone();
+        let handle = move |request| handle(handler.clone(), request);
+        let address = serve(handle, state.stop.clone()).await?;
+        let leave = state.leave.clone();
+        Ok(Self {
+            address,
+            leave,
+            state,
+        })
+    }
+
+    /// Dies: every connection is cut and nothing listens any more.
+    pub fn kill(&self) {
+        if !self.state.dying.swap(true, Ordering::AcqRel) {
+            self.state
+                .tally
+                .add_slots(-(self.state.rule.slots as isize));
+            self.state.stop.cancel();
+        }
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.state.running.load(Ordering::Acquire)
+    }
+}
+
+/// A run that holds a slot; dropping it frees the slot.
+struct EngineRun {
+    state: Arc<EngineState>,
+    workspace: String,
+}
+
+impl EngineRun {
+    fn start(state: &Arc<EngineState>, workspace: &str, nonce: &str) -> Option<Self> {
+        let slots = state.rule.slots;
+        let taken = state
+            .running
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |running| {
+                (running < slots).then_some(running + 1)
+            });
+        if taken.is_err() {
+            state.tally.refuse();
+            return None;
+        }
+        state.leave.start();
+        state.tally.start(workspace, nonce);
+        Some(Self {
+            state: state.clone(),
+            workspace: workspace.to_owned(),
+        })
+    }
+
+    /// Returns the tokens a second of each stream now.
+    fn rate(&self) -> f64 {
+        let running = self.state.running.load(Ordering::Acquire).max(1);
+        let rule = &self.state.rule;
+        rule.stream_rate.min(rule.total_rate / running as f64)
+    }
+}
+
+impl Drop for EngineRun {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::AcqRel);
+        self.state.tally.end(&self.workspace);
+    }
+}
+
+/// Returns the text of one token of the answer to a prompt that carries a nonce.
+pub fn answer_token(nonce: &str, index: usize) -> String {
+    format!("{nonce}.{index} ")
+}
+
+/// Returns the nonce of a prompt: its last word.
+fn nonce_of(prompt: &str) -> &str {
+    prompt.rsplit(' ').next().unwrap_or(prompt)
+}
+
+fn header_text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+async fn handle(
+    state: Arc<EngineState>,
+    request: Request<Incoming>,
+) -> Result<Response<StandInBody>, BrokenOff> {
+    if request.uri().path() != "/v1/chat/completions" {
+        return Ok(answer(StatusCode::NOT_FOUND, "no such path"));
+    }
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| BrokenOff)?.to_bytes();
+    let Ok(chat) = serde_json::from_slice::<ChatRequest>(&body) else {
+        return Ok(answer(StatusCode::BAD_REQUEST, "not a chat request"));
+    };
+    let workspace = header_text(&parts.headers, headers::WORKSPACE);
+    let prompts: Vec<&str> = chat
+        .messages
+        .iter()
+        .map(|part| part.content.as_str())
+        .collect();
+    let prompt = prompts.join("\n");
+    let nonce = nonce_of(&prompt).to_owned();
+    let Some(run) = EngineRun::start(&state, &workspace, &nonce) else {
+        return Ok(answer(StatusCode::TOO_MANY_REQUESTS, "every slot is taken"));
+    };
+    let missing = {
+        let mut cache = state.cache.lock().unwrap_or_else(PoisonError::into_inner);
+        cache.missing_tokens(&prompt, state.rule.cache_blocks)
+    };
+    state.tally.recompute(chat.resume_from as u64);
+    let task = EngineTask {
+        run,
+        nonce,
+        first: chat.resume_from,
+        tokens: chat.max_tokens.unwrap_or(1),
+        prompt_tokens: prompt.len().div_ceil(BYTES_PER_TOKEN),
+        prefill: Duration::from_secs_f64(missing as f64 / state.rule.prefill_rate),
+        attempt: header_text(&parts.headers, headers::ATTEMPT_ID),
+    };
+    match chat.stream {
+        true => Ok(task.stream()),
+        false => task.whole().await,
+    }
+}
+
+/// One request that runs on an engine.
+struct EngineTask {
+    run: EngineRun,
+    nonce: String,
+    first: usize,
+    tokens: usize,
+    prompt_tokens: usize,
+    prefill: Duration,
+    attempt: String,
+}
+
+impl EngineTask {
+    /// Computes tokens step by step; `emit` gets each step's range and says whether to go on.
+    async fn compute<F, A>(&self, mut emit: F)
+    where
+        F: FnMut(std::ops::Range<usize>) -> A,
+        A: Future<Output = bool>,
+    {
+        tokio::time::sleep(self.prefill).await;
+        let mut made = 0.0;
+        let mut next = self.first;
+        let mut last = Instant::now();
+        while next < self.tokens {
+            tokio::time::sleep(self.run.state.rule.step).await;
+            if self.run.state.dying.load(Ordering::Acquire) {
+                return;
+            }
+            let now = Instant::now();
+            made += self.run.rate() * (now - last).as_secs_f64();
+            last = now;
+            let end = self.tokens.min(self.first + made as usize);
+            if end > next {
+                self.run
+                    .state
+                    .tally
+                    .give(&self.run.workspace, (end - next) as f64);
+                if !emit(next..end).await {
+                    return;
+                }
+                next = end;
+            }
+        }
+    }
+
+    fn usage(&self) -> serde_json::Value {
+        serde_json::json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.tokens - self.first,
+        })
+    }
+
+    fn step_text(&self, range: std::ops::Range<usize>) -> String {
+        let mut text = String::new();
+        for index in range {
+            let token = answer_token(&self.nonce, index);
+            // Writing to a string does not fail.
+            let _ = write!(
+                text,
+                "data: {{\"id\":\"{}\",\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{token}\"}}}}]}}\n\n",
+                self.attempt
+            );
+        }
+        text
+    }
+
+    fn stream(self) -> Response<StandInBody> {
+        let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, BrokenOff>>(4);
+        tokio::spawn(async move {
+            let feed = sender.clone();
+            self.compute(|range| {
+                let text = self.step_text(range);
+                let mut feed = feed.clone();
+                async move { feed.send(Ok(Frame::data(text.into()))).await.is_ok() }
+            })
+            .await;
+            let mut sender = sender;
+            let last = match self.run.state.dying.load(Ordering::Acquire) {
+                true => Err(BrokenOff),
+                false => {
+                    let usage = serde_json::json!({ "choices": [], "usage": self.usage() });
+                    let text = format!("data: {usage}\n\ndata: [DONE]\n\n");
+                    Ok(Frame::data(Bytes::from(text)))
+                }
+            };
+            // The slot is free before the caller sees the end.
+            drop(self);
+            let _ = sender.send(last).await;
+        });
+        let mut response = Response::new(BodyExt::boxed(StreamBody::new(receiver)));
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        response
+    }
+
+    async fn whole(self) -> Result<Response<StandInBody>, BrokenOff> {
+        self.compute(|_| async { true }).await;
+        if self.run.state.dying.load(Ordering::Acquire) {
+            return Err(BrokenOff);
+        }
+        let tokens = (self.first..self.tokens).map(|index| answer_token(&self.nonce, index));
+        let text: String = tokens.collect();
+        let body = serde_json::json!({
+            "id": self.attempt,
+            "object": "chat.completion",
+            "choices": [{ "index": 0, "message": { "role": "assistant", "content": text } }],
+            "usage": self.usage(),
+        });
+        Ok(answer(StatusCode::OK, body.to_string()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_known_prefix_is_not_read_again() {
+        let mut cache = PrefixCache::default();
+        let prompt = "x".repeat(640);
+        assert_eq!(cache.missing_tokens(&prompt, 100), 160);
+        assert_eq!(cache.missing_tokens(&prompt, 100), 0);
+        assert_eq!(cache.missing_tokens(&format!("{prompt}yyyy"), 100), 1);
+        assert_eq!(cache.missing_tokens(&"z".repeat(64), 0), 16);
+        assert_eq!(
+            cache.missing_tokens(&prompt, 0),
+            160,
+            "everything was dropped"
+        );
+    }
+}
--- a/dockgate-core/src/attempt.rs
+++ b/dockgate-core/src/attempt.rs
@@ -82,6 +82,29 @@
     }
 }
 
+/// What has been sent for one request over all its attempts.
+///
+/// Once a byte of any attempt may have reached a server, no later refusal may say `not_run`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AttemptTrail {
+    sent: bool,
+}
+
+impl AttemptTrail {
+    /// Notes how far an attempt had come when it ended.
+    pub const fn note(&mut self, state: AttemptState) {
+        self.sent |= matches!(state, AttemptState::Sent | AttemptState::Streaming);
+    }
+
+    /// Returns what may be said of the whole request when its last attempt ended in `state`.
+    pub const fn outcome(self, state: AttemptState, repeatable: bool) -> Outcome {
+        match self.sent {
+            true => AttemptState::Sent.outcome(repeatable),
+            false => state.outcome(repeatable),
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -100,6 +123,16 @@
         assert_eq!(state.after_loss(repeatable, true), verdict);
     }
 
+    #[test]
+    fn a_request_that_was_sent_once_is_never_called_not_run() {
+        let mut trail = AttemptTrail::default();
+        trail.note(AttemptState::Refused);
+        assert_eq!(trail.outcome(AttemptState::Queued, true), Outcome::NotRun);
+        trail.note(AttemptState::Sent);
+        trail.note(AttemptState::Bound);
+        assert_eq!(trail.outcome(AttemptState::Queued, true), Outcome::Failed);
+    }
+
     #[test]
     fn not_run_is_never_said_after_sending() {
         for state in [AttemptState::Sent, AttemptState::Streaming] {
--- a/dockgate-core/src/entry.rs
+++ b/dockgate-core/src/entry.rs
@@ -43,6 +43,19 @@
     pub cost: f64,
 }
 
+impl RunningRequest {
+    /// Returns what a scheduler needs to count this request.
+    const fn adopted(&self) -> AdoptedGrant {
+        AdoptedGrant {
+            id: self.grant.id,
+            pool: self.grant.pool,
+            workspace: self.grant.workspace,
+            server: self.grant.server,
+            charged: self.cost,
+        }
+    }
+}
+
 /// The state of one entry.
 #[derive(Debug)]
 pub struct EntryState {
@@ -242,32 +255,36 @@
         actions
     }
 
-    /// Lists what runs on the servers that `owner` schedules, so that it can rebuild its slots, and
-    /// reports to it from now on.
-    pub fn adopt_by(
+    /// Reports what runs to the schedulers that own the servers now, where that has changed.
+    pub fn reassign(
         &mut self,
-        owner: BoxKey,
-        owns: impl Fn(ServerKey) -> bool,
-    ) -> Vec<AdoptedGrant> {
-        self.running
-            .iter_mut()
-            .filter(|(_, running)| owns(running.grant.server))
-            .map(|(id, running)| {
-                running.scheduler = owner;
-                AdoptedGrant {
-                    id: *id,
-                    pool: running.grant.pool,
-                    workspace: running.grant.workspace,
-                    server: running.grant.server,
-                    charged: running.cost,
+        owner_of: impl Fn(ServerKey) -> Option<BoxKey>,
+    ) -> Vec<(BoxKey, AdoptedGrant)> {
+        let mut moved = Vec::new();
+        for running in self.running.values_mut() {
+            match owner_of(running.grant.server) {
+                Some(owner) if owner != running.scheduler => {
+                    running.scheduler = owner;
+                    moved.push((owner, running.adopted()));
                 }
-            })
+                _ => {}
+            }
+        }
+        moved
+    }
+
+    /// Lists what runs by grants of one scheduler, so that it can rebuild its slots.
+    pub fn running_at(&self, scheduler: BoxKey) -> Vec<AdoptedGrant> {
+        self.running
+            .values()
+            .filter(|running| running.scheduler == scheduler)
+            .map(RunningRequest::adopted)
             .collect()
     }
 
-    /// Lists the running requests, to be reported on.
-    pub fn running(&self) -> impl Iterator<Item = (GrantId, &RunningRequest)> {
-        self.running.iter().map(|(id, running)| (*id, running))
+    /// Returns how many requests run.
+    pub fn running_count(&self) -> usize {
+        self.running.len()
     }
 
     /// Empties the queue, as at an orderly stop; returns the requests.
@@ -396,8 +413,10 @@
         entry.enqueue(request(1, 0), 9).unwrap();
         entry.offer(NEAR, grant(1));
         assert_eq!(entry.progress(grant(1).id, 12.0), Some(NEAR));
-        let adopted = entry.adopt_by(FAR, |_| true);
-        assert_eq!(adopted[0].charged, 12.0);
+        assert_eq!(entry.reassign(|_| Some(NEAR)), []);
+        let moved = entry.reassign(|_| Some(FAR));
+        assert_eq!((moved[0].0, moved[0].1.charged), (FAR, 12.0));
+        assert_eq!(entry.running_at(FAR).len(), 1);
         assert_eq!(entry.finish(grant(1).id), Some(FAR));
         assert_eq!(entry.finish(grant(1).id), None);
     }
--- a/dockgate-core/src/ini.rs
+++ b/dockgate-core/src/ini.rs
@@ -61,6 +61,23 @@
 }
 
 impl SectionReader {
+    /// Makes a section that a file does not have, so that required keys are reported.
+    pub fn empty(file: &str, kind: &str) -> Self {
+        Self::new(file, kind, "", 1)
+    }
+
+    fn new(file: &str, kind: &str, name: &str, line: usize) -> Self {
+        Self {
+            file: file.to_owned(),
+            kind: kind.to_owned(),
+            name: name.to_owned(),
+            line,
+            entries: BTreeMap::new(),
+            allowed: Vec::new(),
+            problems: Vec::new(),
+        }
+    }
+
     /// Adds a problem at a line of this section.
     pub fn report(&mut self, line: usize, message: impl Into<String>) {
         self.problems.push(IniProblem {
@@ -233,15 +250,8 @@
         if let Some(first) = twin {
             self.report(number, format!("[{header}] is already at line {first}"));
         }
-        self.sections.push(SectionReader {
-            file: self.file.clone(),
-            kind: kind.to_owned(),
-            name: name.to_owned(),
-            line: number,
-            entries: BTreeMap::new(),
-            allowed: Vec::new(),
-            problems: Vec::new(),
-        });
+        let section = SectionReader::new(&self.file, kind, name, number);
+        self.sections.push(section);
     }
 
     fn read_pair(&mut self, number: usize, line: &str) {
--- a/dockgate-core/src/lib.rs
+++ b/dockgate-core/src/lib.rs
@@ -27,8 +27,9 @@
 mod queue;
 mod scheduler;
 mod seek;
+mod topology;
 
-pub use attempt::{AttemptState, Outcome, RetryVerdict};
+pub use attempt::{AttemptState, AttemptTrail, Outcome, RetryVerdict};
 pub use config::{
     ChangeError, ConfigChange, ConfigEntry, CostRule, Declaration, FleetConfig, KeyHash, KindSpec,
     PoolKind, PoolSpec, ServerSpec, SpecArena, WorkspaceSpec, parse_declaration,
@@ -47,3 +48,4 @@
     SlotServer,
 };
 pub use seek::{SeekBook, SeekUpdate};
+pub use topology::{FleetTopology, LiveBox};
--- a/dockgate-core/src/scheduler/tests.rs
+++ b/dockgate-core/src/scheduler/tests.rs
@@ -61,8 +61,8 @@
         assert!(scheduler.settle(ENTRY, settle(done.id, cost, true), step));
     }
     let unit = given[1];
-    for workspace in 2..=4 {
-        let ratio = given[workspace] / unit / workspace as f64;
+    for (workspace, given) in given.iter().enumerate().skip(2) {
+        let ratio = given / unit / workspace as f64;
         assert!((0.9..1.1).contains(&ratio), "{workspace}: {ratio}");
     }
 }
--- /dev/null
+++ b/dockgate-core/src/topology.rs
@@ -0,0 +1,150 @@
+//! Which box schedules which server, and whom to ask for a pool, as one box sees the fleet.
+
+use crate::config::FleetConfig;
+use crate::ids::{BoxKey, PoolKey, ServerKey};
+use crate::placement::owner_of;
+use crate::scheduler::SlotServer;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A box that is seen alive.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LiveBox {
+    /// The box.
+    pub key: BoxKey,
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether it may schedule servers; a leaving box may not.
+    pub schedules: bool,
+}
+
+/// The owners of all servers, worked out from a configuration and the boxes seen alive.
+#[derive(Debug, Clone, Default)]
+pub struct FleetTopology {
+    owners: HashMap<ServerKey, BoxKey>,
+    servers: Vec<SlotServer>,
+    schedulers: BTreeMap<PoolKey, BTreeSet<BoxKey>>,
+    domains: HashMap<BoxKey, String>,
+}
+
+impl FleetTopology {
+    /// Gives every server to a box of its own failure domain.
+    pub fn new(config: &FleetConfig, boxes: &[LiveBox]) -> Self {
+        let mut by_domain: HashMap<&str, Vec<BoxKey>> = HashMap::new();
+        for live in boxes.iter().filter(|live| live.schedules) {
+            by_domain.entry(&live.domain).or_default().push(live.key);
+        }
+        let mut topology = Self {
+            domains: boxes
+                .iter()
+                .map(|live| (live.key, live.domain.clone()))
+                .collect(),
+            ..Self::default()
+        };
+        for (key, server) in config.servers.iter() {
+            let candidates = by_domain.get(server.domain.as_str());
+            let owner = candidates.and_then(|boxes| owner_of(key, boxes));
+            let pool = config.pools.find(&server.pool);
+            if let (Some(owner), Some(pool)) = (owner, pool) {
+                topology.add(key, pool, server.slots, owner);
+            }
+        }
+        topology
+    }
+
+    fn add(&mut self, key: ServerKey, pool: PoolKey, slots: u32, owner: BoxKey) {
+        self.owners.insert(key, owner);
+        self.schedulers.entry(pool).or_default().insert(owner);
+        self.servers.push(SlotServer { key, pool, slots });
+    }
+
+    /// Returns the box that schedules a server.
+    pub fn owner(&self, server: ServerKey) -> Option<BoxKey> {
+        self.owners.get(&server).copied()
+    }
+
+    /// Returns the servers that a box schedules.
+    pub fn servers_of(&self, owner: BoxKey) -> Vec<SlotServer> {
+        self.servers
+            .iter()
+            .filter(|server| self.owner(server.key) == Some(owner))
+            .copied()
+            .collect()
+    }
+
+    /// Returns how many boxes schedule servers of each pool.
+    pub fn scheduler_counts(&self) -> HashMap<PoolKey, u32> {
+        self.schedulers
+            .iter()
+            .map(|(pool, boxes)| (*pool, boxes.len() as u32))
+            .collect()
+    }
+
+    /// Returns the schedulers of each pool as `me` asks them: itself, its own domain, the others.
+    pub fn schedulers_from(&self, me: BoxKey) -> HashMap<PoolKey, Vec<BoxKey>> {
+        let home = self.domains.get(&me);
+        let distance = |key: &BoxKey| match key {
+            key if *key == me => 0,
+            key if self.domains.get(key) == home => 1,
+            _ => 2,
+        };
+        self.schedulers
+            .iter()
+            .map(|(pool, boxes)| {
+                let mut boxes: Vec<BoxKey> = boxes.iter().copied().collect();
+                boxes.sort_by_key(|key| (distance(key), key.0 ^ me.0));
+                (*pool, boxes)
+            })
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::parse_declaration;
+
+    fn config() -> FleetConfig {
+        let mut text = String::from("[pool p]\nkind = service\n");
+        for server in 0..12 {
+            let domain = ["a", "b"][server % 2];
+            text += &format!(
+                "[server s{server}]\npool = p\ndomain = {domain}\naddress = 127.0.0.1:{}\n",
+                9000 + server
+            );
+        }
+        let empty = FleetConfig::default();
+        let declaration = parse_declaration("f", &text).unwrap();
+        empty.apply(&declaration.changes_from(&empty)).unwrap()
+    }
+
+    fn live(key: u32, domain: &str, schedules: bool) -> LiveBox {
+        LiveBox {
+            key: BoxKey(key),
+            domain: domain.to_owned(),
+            schedules,
+        }
+    }
+
+    #[test]
+    fn servers_are_scheduled_in_their_own_domain() {
+        let boxes = [live(1, "a", true), live(2, "a", false), live(3, "b", true)];
+        let topology = FleetTopology::new(&config(), &boxes);
+        assert_eq!(topology.servers_of(BoxKey(1)).len(), 6);
+        assert_eq!(topology.servers_of(BoxKey(2)).len(), 0);
+        let asked = topology.schedulers_from(BoxKey(2));
+        assert_eq!(asked[&PoolKey(1)], [BoxKey(1), BoxKey(3)]);
+    }
+
+    #[test]
+    fn a_domain_without_boxes_leaves_its_servers_unscheduled() {
+        let topology = FleetTopology::new(&config(), &[live(1, "a", true)]);
+        assert_eq!(topology.scheduler_counts()[&PoolKey(1)], 1);
+        let owned = topology.servers_of(BoxKey(1));
+        assert!(
+            owned
+                .iter()
+                .all(|server| topology.owner(server.key) == Some(BoxKey(1)))
+        );
+        assert_eq!(owned.len(), 6);
+    }
+}
--- a/dockgate-proto/src/lib.rs
+++ b/dockgate-proto/src/lib.rs
@@ -1,1 +1,21 @@
-//! placeholder
+//! Messages between dockgate's processes, and what callers see of it.
+//!
+//! Peers exchange batches of [`PeerMessage`] by JSON-RPC; operators call the methods named in
+//! [`operator`]; callers get [`RefusalBody`] as the body of every refusal.
+//!
+//! ```
+//! use dockgate_core::{GrantId, PoolKey, ServerKey, WorkspaceKey};
+//! use dockgate_proto::PeerMessage;
+//!
+//! let grant = PeerMessage::Grant(GrantId(7), PoolKey(1), WorkspaceKey(2), ServerKey(3));
+//! assert_eq!(serde_json::to_string(&grant)?, r#"{"g":[7,1,2,3]}"#);
+//! # Ok::<(), serde_json::Error>(())
+//! ```
+
+pub mod headers;
+pub mod operator;
+mod peer;
+mod refusal;
+
+pub use peer::{ConfigAnswer, ExchangeRequest, HelloReply, HelloRequest, PeerMessage, methods};
+pub use refusal::{RefusalBody, RefusalCode, RequestStep};
--- /dev/null
+++ b/dockgate-proto/src/peer.rs
@@ -0,0 +1,110 @@
+//! What daemons say to each other.
+//!
+//! The forms are short on purpose: control traffic is one of the three things that users measure.
+
+use dockgate_core::{
+    AdoptedGrant, FleetConfig, GrantId, Incarnation, LedgerReport, PoolKey, ServerKey, WorkspaceKey,
+};
+use serde::{Deserialize, Serialize};
+
+/// Names of the JSON-RPC methods between peers.
+pub mod methods {
+    /// Opens a link: [`HelloRequest`](super::HelloRequest) to [`HelloReply`](super::HelloReply).
+    pub const HELLO: &str = "hello";
+    /// Hands over a batch: [`ExchangeRequest`](super::ExchangeRequest) to a list of messages.
+    pub const EXCHANGE: &str = "x";
+    /// Asks for the configuration: a version to [`ConfigAnswer`](super::ConfigAnswer).
+    pub const CONFIG: &str = "config";
+}
+
+/// One message from an entry to a scheduler, back, or among schedulers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Entry to scheduler: how many requests wait, how many grants were seen, and for how many
+    /// milliseconds the oldest has waited.
+    #[serde(rename = "s")]
+    Seek(PoolKey, WorkspaceKey, u32, u32, u32),
+    /// Scheduler to entry: a slot on a server for one request.
+    #[serde(rename = "g")]
+    Grant(GrantId, PoolKey, WorkspaceKey, ServerKey),
+    /// Entry to scheduler: the cost so far of a request that goes on, in service units.
+    #[serde(rename = "p")]
+    Progress(GrantId, u64),
+    /// Entry to scheduler: the cost of a request that has ended, in service units.
+    #[serde(rename = "t")]
+    Settle(GrantId, u64),
+    /// Entry to scheduler: a request that runs on a server which the scheduler now owns.
+    #[serde(rename = "a")]
+    Adopt(GrantId, PoolKey, WorkspaceKey, ServerKey, u64),
+    /// Scheduler to entries: free slots of a pool.
+    #[serde(rename = "f")]
+    Free(PoolKey, u32),
+    /// Scheduler to scheduler: service given.
+    #[serde(rename = "l")]
+    Ledger(LedgerReport),
+    /// To all: the sender is about to stop and schedules no server any more.
+    #[serde(rename = "b")]
+    Leaving,
+}
+
+impl PeerMessage {
+    /// Returns the step of a request's way that this message belongs to, for logs and metrics.
+    pub const fn step(&self) -> &'static str {
+        match self {
+            Self::Seek(..) => "seek",
+            Self::Grant(..) => "grant",
+            Self::Progress(..) => "progress",
+            Self::Settle(..) => "settle",
+            Self::Adopt(..) => "adopt",
+            Self::Free(..) => "free",
+            Self::Ledger(_) => "ledger",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+impl From<AdoptedGrant> for PeerMessage {
+    fn from(grant: AdoptedGrant) -> Self {
+        Self::Adopt(
+            grant.id,
+            grant.pool,
+            grant.workspace,
+            grant.server,
+            grant.charged as u64,
+        )
+    }
+}
+
+/// A batch of messages.
+pub type ExchangeRequest = Vec<PeerMessage>;
+
+/// Opens a link: replaces all that the receiver knew of the sender.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HelloRequest {
+    /// Settles that an earlier link did not deliver.
+    pub settles: Vec<PeerMessage>,
+    /// What runs on servers that the receiver schedules.
+    pub adopts: Vec<PeerMessage>,
+    /// Whether the sender has no memory yet and wants every sum of service.
+    pub wants_ledger: bool,
+}
+
+/// The answer to [`HelloRequest`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HelloReply {
+    /// The incarnation of the daemon that answers.
+    pub incarnation: Incarnation,
+    /// The version of its configuration.
+    pub config_version: u64,
+    /// Sums of service, if they were asked for.
+    pub ledger: Vec<LedgerReport>,
+    /// Its free slots.
+    pub free: Vec<PeerMessage>,
+}
+
+/// The configuration as a peer has it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// The configuration, if it is newer than the one asked about.
+    pub config: Option<FleetConfig>,
+}
--- /dev/null
+++ b/dockgate/src/caller.rs
@@ -0,0 +1,264 @@
+//! The door for callers: HTTP/1.1 and HTTP/2 in clear text.
+
+mod answer;
+mod attempt;
+mod classify;
+mod hop;
+mod meter;
+mod refusal;
+mod server_client;
+
+use crate::config_keeper::ConfigCell;
+use crate::dispatch::DispatchHandle;
+use crate::logging::{LogEvent, log_event};
+use crate::metrics::METRICS;
+use crate::settings::DaemonSettings;
+use crate::stop::StopFlag;
+use attempt::AttemptContext;
+use bytes::Bytes;
+use classify::Classifier;
+use dockgate_core::{BoxKey, Incarnation};
+use dockgate_proto::headers;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use hyper_util::server::graceful::GracefulShutdown;
+use refusal::Refusal;
+use server_client::ServerClient;
+use std::convert::Infallible;
+use std::error::Error;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+/// An error inside a body.
+pub(super) type BodyError = Box<dyn Error + Send + Sync>;
+/// The body of every response.
+pub(super) type AnswerBody = BoxBody<Bytes, BodyError>;
+
+/// Makes a body of bytes.
+pub(super) fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed()
+}
+
+/// Counts a request for as long as it is in flight.
+pub(super) struct InFlight(Arc<AtomicUsize>);
+
+impl InFlight {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Serves callers.
+pub(crate) struct CallerDoor {
+    settings: Arc<DaemonSettings>,
+    cell: ConfigCell,
+    dispatch: DispatchHandle,
+    client: ServerClient,
+    stop: StopFlag,
+    /// The part of every request id that tells this life of this box.
+    id_prefix: String,
+    next_id: AtomicU64,
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl CallerDoor {
+    /// Makes the door.
+    pub(crate) fn new(
+        settings: Arc<DaemonSettings>,
+        cell: ConfigCell,
+        dispatch: DispatchHandle,
+        incarnation: Incarnation,
+        stop: StopFlag,
+    ) -> Self {
+        let client = ServerClient::new(settings.limits.connect_timeout);
+        let id_prefix = format!(
+            "{}-{:08x}",
+            BoxKey::from_name(&settings.name),
+            incarnation.0
+        );
+        Self {
+            settings,
+            cell,
+            dispatch,
+            client,
+            stop,
+            id_prefix,
+            next_id: AtomicU64::new(1),
+            in_flight: Arc::default(),
+        }
+    }
+
+    /// Returns how many requests are in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Serves callers until the task is aborted.
+    pub(crate) async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let permits = Arc::new(Semaphore::new(self.settings.limits.connections));
+        loop {
+            // Beyond the cap, callers wait in the kernel's queue.
+            let Ok(permit) = permits.clone().acquire_owned().await else {
+                return;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let door = self.clone();
+                    tokio::spawn(async move {
+                        door.serve_connection(stream).await;
+                        drop(permit);
+                    });
+                }
+                Err(error) => log::warn!("callers: accept: {error}"),
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let limits = &self.settings.limits;
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder
+            .http1()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.header_timeout)
+            .max_buf_size(limits.header_bytes);
+        builder
+            .http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(limits.header_bytes as u32);
+        let door = self.clone();
+        let service = service_fn(move |request| {
+            let door = door.clone();
+            async move { Ok::<_, Infallible>(door.answer(request).await) }
+        });
+        let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
+        let graceful = GracefulShutdown::new();
+        if let Err(error) = graceful.watch(connection).await {
+            log::debug!("callers: connection: {error}");
+        }
+    }
+
+    /// Answers one request; every response carries its id.
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = format!("{}-{number:x}", self.id_prefix);
+        let answered = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/livez") => Ok(text_response(StatusCode::OK, "alive\n")),
+            (&Method::GET, "/readyz") => Ok(self.readiness()),
+            _ => self.route(&id, request).await,
+        };
+        let mut response = answered.unwrap_or_else(|refusal| {
+            log_event(&LogEvent::Ended {
+                request: &id,
+                workspace: refusal.workspace.as_deref().unwrap_or_default(),
+                outcome: refusal.outcome.as_str(),
+                step: refusal.step_name(),
+                cost: 0,
+                took_ms: 0,
+            });
+            METRICS
+                .requests
+                .with_label_values(&[refusal.outcome.as_str(), refusal.step_name()])
+                .inc();
+            refusal.into_response(&id)
+        });
+        if let Ok(id) = HeaderValue::from_str(&id) {
+            response.headers_mut().insert(headers::REQUEST_ID, id);
+        }
+        if self.stop.is_set() && response.version() < http::Version::HTTP_2 {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    fn readiness(&self) -> Response<AnswerBody> {
+        match (self.stop.is_set(), self.cell.is_ready()) {
+            (true, _) => text_response(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            (_, false) => text_response(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n"),
+            _ => text_response(StatusCode::OK, "ready\n"),
+        }
+    }
+
+    async fn route(
+        &self,
+        id: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        if self.stop.is_set() {
+            return Err(Refusal::stopping());
+        }
+        let in_flight = InFlight::new(&self.in_flight);
+        let config = self.cell.current();
+        let classifier = Classifier::new(&config, &self.settings.limits);
+        if request.method() == Method::GET && request.uri().path() == "/v1/models" {
+            classifier.workspace(request.headers())?;
+            return Ok(models_response(&config));
+        }
+        let call = classifier.classify(id, request).await?;
+        let context = AttemptContext {
+            settings: &self.settings,
+            cell: &self.cell,
+            dispatch: &self.dispatch,
+            client: &self.client,
+        };
+        context.run(call, in_flight).await
+    }
+
+    /// Serves the metrics' address.
+    pub(crate) async fn serve_metrics(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let service = service_fn(|request: Request<Incoming>| async move {
+                Ok::<_, Infallible>(match request.uri().path() {
+                    "/metrics" => Response::new(full_body(METRICS.render())),
+                    _ => text_response(StatusCode::NOT_FOUND, "only /metrics is here\n"),
+                })
+            });
+            tokio::spawn(async move {
+                let builder = Builder::new(TokioExecutor::new());
+                let served = builder.serve_connection(TokioIo::new(stream), service);
+                if let Err(error) = served.await {
+                    log::debug!("metrics: connection: {error}");
+                }
+            });
+        }
+    }
+}
+
+fn text_response(status: StatusCode, text: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(text));
+    *response.status_mut() = status;
+    response
+}
+
+/// Lists the models as the chat-completions API does.
+fn models_response(config: &dockgate_core::FleetConfig) -> Response<AnswerBody> {
+    let models: Vec<serde_json::Value> = config
+        .pools
+        .iter()
+        .flat_map(|(_, pool)| pool.models.iter())
+        .map(|model| serde_json::json!({ "id": model, "object": "model", "owned_by": "dockgate" }))
+        .collect();
+    let body = serde_json::json!({ "object": "list", "data": models });
+    let mut response = Response::new(full_body(body.to_string()));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/dockgate/src/caller/answer.rs
@@ -0,0 +1,230 @@
+//! Passes an answer on to the caller while its cost is measured and reported.
+
+use super::meter::StreamMeter;
+use super::{BodyError, InFlight};
+use crate::clock::now_ms;
+use crate::dispatch::DispatchHandle;
+use crate::logging::{LogEvent, log_event};
+use crate::metrics::METRICS;
+use bytes::Bytes;
+use dockgate_core::{CostRule, GrantId};
+use hyper::body::{Body, Frame, Incoming};
+use quick_error::quick_error;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep};
+
+quick_error! {
+    /// Why an answer ends before it is whole; the caller's connection is cut, so that it can tell.
+    #[derive(Debug)]
+    pub enum AnswerError {
+        /// The server ended the stream without its end mark.
+        Truncated(server: String) {
+            display("server {}: answer: the stream ended without its end mark", server)
+        }
+        /// The server was silent for too long.
+        Silent(server: String) {
+            display("server {}: answer: nothing came in time", server)
+        }
+        /// The connection to the server broke.
+        Lost(server: String, cause: hyper::Error) {
+            display("server {}: answer: {}", server, cause)
+        }
+    }
+}
+
+/// A grant in use; dropping it settles the cost and frees the slot.
+pub(super) struct RunningGrant {
+    pub(super) grant: GrantId,
+    pub(super) dispatch: DispatchHandle,
+    pub(super) cost: f64,
+}
+
+impl Drop for RunningGrant {
+    fn drop(&mut self) {
+        self.dispatch.finish(self.grant, self.cost);
+    }
+}
+
+/// Whose answer it is, for the line at its end.
+pub(super) struct AnswerLabel {
+    pub(super) request: String,
+    pub(super) workspace: String,
+    pub(super) server: String,
+    pub(super) started_ms: u64,
+}
+
+impl AnswerLabel {
+    /// Logs and counts the end of a request that reached a server.
+    pub(super) fn log_end(&self, outcome: &str, cost: f64) {
+        METRICS
+            .requests
+            .with_label_values(&[outcome, "answer"])
+            .inc();
+        log_event(&LogEvent::Ended {
+            request: &self.request,
+            workspace: &self.workspace,
+            outcome,
+            step: "answer",
+            cost: cost as u64,
+            took_ms: now_ms() - self.started_ms,
+        });
+    }
+}
+
+/// How the cost of an answer is found.
+pub(super) enum AnswerMeter {
+    /// By the events of a stream.
+    Stream(StreamMeter),
+    /// By the time for which the slot is held.
+    SlotTime,
+}
+
+/// The body of an answer on its way to the caller.
+pub(super) struct MeteredBody {
+    inner: Incoming,
+    meter: AnswerMeter,
+    rule: CostRule,
+    running: RunningGrant,
+    label: AnswerLabel,
+    granted_ms: u64,
+    progress_every_ms: u64,
+    progress_due_ms: u64,
+    silence: Duration,
+    timer: Pin<Box<Sleep>>,
+    outcome: Option<&'static str>,
+    _in_flight: InFlight,
+}
+
+/// Times that bound an answer.
+pub(super) struct AnswerTimes {
+    /// How long the server may be silent.
+    pub(super) silence: Duration,
+    /// How often the cost is reported.
+    pub(super) progress_every: Duration,
+}
+
+impl MeteredBody {
+    pub(super) fn new(
+        inner: Incoming,
+        meter: AnswerMeter,
+        rule: CostRule,
+        running: RunningGrant,
+        label: AnswerLabel,
+        times: &AnswerTimes,
+        in_flight: InFlight,
+    ) -> Self {
+        let now = now_ms();
+        let progress_every_ms = times.progress_every.as_millis() as u64;
+        Self {
+            inner,
+            meter,
+            rule,
+            running,
+            label,
+            granted_ms: now,
+            progress_every_ms,
+            progress_due_ms: now + progress_every_ms,
+            silence: times.silence,
+            timer: Box::pin(tokio::time::sleep(times.silence)),
+            outcome: None,
+            _in_flight: in_flight,
+        }
+    }
+
+    fn take_in(&mut self, bytes: &Bytes) {
+        let now = now_ms();
+        if let AnswerMeter::Stream(meter) = &mut self.meter {
+            meter.feed(bytes);
+        }
+        self.running.cost = self.cost(now);
+        if now >= self.progress_due_ms {
+            self.progress_due_ms = now + self.progress_every_ms;
+            let RunningGrant { grant, cost, .. } = self.running;
+            self.running.dispatch.progress(grant, cost);
+        }
+        let silence = Instant::now() + self.silence;
+        self.timer.as_mut().reset(silence);
+    }
+
+    fn cost(&self, now: u64) -> f64 {
+        match &self.meter {
+            AnswerMeter::Stream(meter) => meter.cost(&self.rule),
+            AnswerMeter::SlotTime => (now - self.granted_ms) as f64 * self.rule.slot_ms_weight,
+        }
+    }
+
+    /// Ends the answer; a stream without its end mark is not whole.
+    fn end(&mut self) -> Option<AnswerError> {
+        self.running.cost = self.cost(now_ms());
+        let whole = match &self.meter {
+            AnswerMeter::Stream(meter) => meter.is_done(),
+            AnswerMeter::SlotTime => true,
+        };
+        match whole {
+            true => {
+                self.outcome = Some("ok");
+                None
+            }
+            false => Some(self.fail(AnswerError::Truncated(self.label.server.clone()))),
+        }
+    }
+
+    fn fail(&mut self, error: AnswerError) -> AnswerError {
+        log::warn!("{error}");
+        self.outcome = Some("failed");
+        error
+    }
+}
+
+impl Body for MeteredBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let server = self.label.server.clone();
+        match Pin::new(&mut self.inner).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(bytes) = frame.data_ref() {
+                    self.take_in(bytes);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(cause))) => {
+                let error = self.fail(AnswerError::Lost(server, cause));
+                Poll::Ready(Some(Err(error.into())))
+            }
+            Poll::Ready(None) if self.outcome.is_some() => Poll::Ready(None),
+            Poll::Ready(None) => {
+                let error = self.end();
+                Poll::Ready(error.map(|error| Err(error.into())))
+            }
+            Poll::Pending => {
+                std::task::ready!(self.timer.as_mut().poll(context));
+                let error = self.fail(AnswerError::Silent(server));
+                Poll::Ready(Some(Err(error.into())))
+            }
+        }
+    }
+}
+
+impl Drop for MeteredBody {
+    fn drop(&mut self) {
+        let whole = match &self.meter {
+            AnswerMeter::Stream(meter) => meter.is_done(),
+            AnswerMeter::SlotTime => self.inner.is_end_stream(),
+        };
+        let outcome = match self.outcome {
+            Some(outcome) => outcome,
+            // hyper may drop a body of known length without asking for its end.
+            None if whole => "ok",
+            None => "caller_gone",
+        };
+        self.label.log_end(outcome, self.running.cost);
+    }
+}
--- /dev/null
+++ b/dockgate/src/caller/attempt.rs
@@ -0,0 +1,327 @@
+//! Runs a request: waits for a slot, sends it to the server, and tries again where that is allowed.
+
+use super::answer::{AnswerLabel, AnswerMeter, AnswerTimes, MeteredBody, RunningGrant};
+use super::classify::CallerCall;
+use super::hop::clean_response;
+use super::meter::{StreamMeter, whole_cost};
+use super::refusal::Refusal;
+use super::server_client::{CallFailure, ServerClient};
+use super::{AnswerBody, InFlight, full_body};
+use crate::clock::now_ms;
+use crate::config_keeper::ConfigCell;
+use crate::dispatch::{BindReply, DispatchHandle};
+use crate::logging::{LogEvent, log_event};
+use crate::metrics::METRICS;
+use crate::settings::DaemonSettings;
+use bytes::Bytes;
+use dockgate_core::{
+    AttemptState, AttemptTrail, CostRule, FleetConfig, GrantOffer, QueueError, RetryVerdict,
+    ServerSpec, WaitingRequest,
+};
+use dockgate_proto::{RefusalCode, RequestStep, headers};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use std::fmt::Display;
+use std::time::Duration;
+
+/// The largest answer that is not streamed, in bytes.
+const MOST_ANSWER_BYTES: usize = 64 << 20;
+/// How long to wait before another attempt, in milliseconds.
+const RETRY_MS: std::ops::Range<u64> = 5..50;
+/// After how many seconds a refused caller does well to come again.
+const RETRY_AFTER_S: u32 = 1;
+
+/// What an attempt needs of the daemon.
+pub(super) struct AttemptContext<'a> {
+    pub(super) settings: &'a DaemonSettings,
+    pub(super) cell: &'a ConfigCell,
+    pub(super) dispatch: &'a DispatchHandle,
+    pub(super) client: &'a ServerClient,
+}
+
+/// An attempt that gave no answer, and how far it had come.
+struct AttemptLoss {
+    state: AttemptState,
+    message: String,
+}
+
+/// A bound attempt.
+struct BoundAttempt {
+    grant: GrantOffer,
+    server: ServerSpec,
+    rule: CostRule,
+    number: u32,
+}
+
+impl AttemptContext<'_> {
+    /// Runs a request until it has an answer or may not be tried again.
+    pub(super) async fn run(
+        &self,
+        call: CallerCall,
+        in_flight: InFlight,
+    ) -> Result<Response<AnswerBody>, Refusal> {
+        let mut number = 1;
+        let mut in_flight = Some(in_flight);
+        let mut trail = AttemptTrail::default();
+        loop {
+            let slot = self.wait_for_slot(&call).await;
+            let grant = slot.map_err(|refusal| {
+                let outcome = trail.outcome(AttemptState::Queued, call.repeatable);
+                refusal.with_outcome(outcome)
+            })?;
+            let loss = match self.bound_attempt(&call, grant, number) {
+                Ok(attempt) => match self.send(&call, &attempt, &mut in_flight).await {
+                    Ok(response) => return Ok(response),
+                    Err(loss) => loss,
+                },
+                Err(loss) => loss,
+            };
+            trail.note(loss.state);
+            let limits = &self.settings.limits;
+            let budget_left = number < limits.attempts && now_ms() < call.deadline_ms;
+            match loss.state.after_loss(call.repeatable, budget_left) {
+                RetryVerdict::Retry => {
+                    METRICS.retries.inc();
+                    let pause = rand::random_range(RETRY_MS);
+                    tokio::time::sleep(Duration::from_millis(pause)).await;
+                    number += 1;
+                }
+                RetryVerdict::Report(_) => {
+                    let outcome = trail.outcome(loss.state, call.repeatable);
+                    let refusal = Refusal::after_attempt(loss.state, loss.message);
+                    let refusal = refusal.with_outcome(outcome).retry_after(RETRY_AFTER_S);
+                    return Err(refusal.of(&call.workspace_name));
+                }
+            }
+        }
+    }
+
+    async fn wait_for_slot(&self, call: &CallerCall) -> Result<GrantOffer, Refusal> {
+        let since_ms = now_ms();
+        let request = WaitingRequest {
+            id: 0,
+            pool: call.pool,
+            workspace: call.workspace,
+            priority: call.priority,
+            deadline_ms: call.deadline_ms,
+            since_ms,
+        };
+        let ticket = self.dispatch.enqueue(request, call.queue_limit);
+        let reply = ticket.wait().await;
+        let waited = now_ms() - since_ms;
+        METRICS
+            .wait
+            .with_label_values(&[&call.pool_name])
+            .observe(Duration::from_millis(waited).as_secs_f64());
+        let refusal = match reply {
+            BindReply::Bound(grant) => return Ok(grant),
+            BindReply::Refused(error @ QueueError::Full(_)) => Refusal::not_run(
+                RefusalCode::QueueFull,
+                RequestStep::Queue,
+                error.to_string(),
+            ),
+            BindReply::Expired => {
+                let message = format!("no slot came free within {waited} ms");
+                Refusal::not_run(RefusalCode::DeadlinePassed, RequestStep::Queue, message)
+            }
+        };
+        Err(refusal.retry_after(RETRY_AFTER_S).of(&call.workspace_name))
+    }
+
+    /// Looks the granted server up; one that has just been retired is given back unused.
+    fn bound_attempt(
+        &self,
+        call: &CallerCall,
+        grant: GrantOffer,
+        number: u32,
+    ) -> Result<BoundAttempt, AttemptLoss> {
+        let config = self.cell.current();
+        let found = find_server(&config, call, grant);
+        let Some((server, rule)) = found else {
+            self.dispatch.finish(grant.id, 0.0);
+            return Err(AttemptLoss {
+                state: AttemptState::Bound,
+                message: "the granted server is no longer configured".to_owned(),
+            });
+        };
+        log_event(&LogEvent::Routed {
+            request: &call.id,
+            workspace: &call.workspace_name,
+            pool: &call.pool_name,
+            server: &server.name,
+            scheduler: grant.entry.to_string(),
+            grant: grant.id.to_string(),
+            attempt: number,
+            waited_ms: now_ms() - call.started_ms,
+        });
+        Ok(BoundAttempt {
+            grant,
+            server,
+            rule,
+            number,
+        })
+    }
+
+    async fn send(
+        &self,
+        call: &CallerCall,
+        attempt: &BoundAttempt,
+        in_flight: &mut Option<InFlight>,
+    ) -> Result<Response<AnswerBody>, AttemptLoss> {
+        let running = RunningGrant {
+            grant: attempt.grant.id,
+            dispatch: self.dispatch.clone(),
+            cost: 0.0,
+        };
+        let request = self.server_request(call, attempt)?;
+        let limit = self.settings.limits.answer_timeout;
+        let name = &attempt.server.name;
+        let response = match tokio::time::timeout(limit, self.client.call(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(CallFailure::NotSent(cause))) => {
+                return Err(loss(AttemptState::Bound, name, cause));
+            }
+            Ok(Err(CallFailure::Lost(cause))) => {
+                return Err(loss(AttemptState::Sent, name, cause));
+            }
+            Err(_) => {
+                let cause = "no answer came in time".to_owned();
+                return Err(loss(AttemptState::Sent, name, cause));
+            }
+        };
+        match response.status() {
+            status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+                if attempt.server.honest_refusal =>
+            {
+                return Err(loss(AttemptState::Refused, name, status.to_string()));
+            }
+            StatusCode::SERVICE_UNAVAILABLE if call.repeatable => {
+                let cause = "it is unavailable".to_owned();
+                return Err(loss(AttemptState::Sent, name, cause));
+            }
+            _ => {}
+        }
+        let label = AnswerLabel {
+            request: call.id.clone(),
+            workspace: call.workspace_name.clone(),
+            server: name.clone(),
+            started_ms: call.started_ms,
+        };
+        match is_event_stream(&response) || !call.engine {
+            true => Ok(self.pass_on(call, attempt, response, running, label, in_flight)),
+            false => self.pass_whole(attempt, response, running, &label).await,
+        }
+    }
+
+    fn server_request(
+        &self,
+        call: &CallerCall,
+        attempt: &BoundAttempt,
+    ) -> Result<Request<Full<Bytes>>, AttemptLoss> {
+        let address = attempt.server.address_from(&self.settings.domain);
+        let built = Request::builder()
+            .method(call.method.clone())
+            .uri(format!("http://{address}{}", call.path))
+            .body(Full::new(call.body.clone()));
+        let mut request = built
+            .map_err(|error| loss(AttemptState::Bound, &attempt.server.name, error.to_string()))?;
+        *request.headers_mut() = call.headers.clone();
+        let id = format!("{}.{}", call.id, attempt.number);
+        let own = [
+            (headers::ATTEMPT_ID, id),
+            (headers::WORKSPACE, call.workspace_name.clone()),
+            (headers::PRIORITY, call.priority.to_string()),
+        ];
+        for (name, value) in own {
+            // Names of workspaces that cannot stand in a header are left out.
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                request.headers_mut().insert(name, value);
+            }
+        }
+        Ok(request)
+    }
+
+    /// Passes an answer on piece by piece.
+    fn pass_on(
+        &self,
+        call: &CallerCall,
+        attempt: &BoundAttempt,
+        response: Response<Incoming>,
+        running: RunningGrant,
+        label: AnswerLabel,
+        in_flight: &mut Option<InFlight>,
+    ) -> Response<AnswerBody> {
+        let meter = match call.engine {
+            true => AnswerMeter::Stream(StreamMeter::default()),
+            false => AnswerMeter::SlotTime,
+        };
+        let times = AnswerTimes {
+            silence: self.settings.limits.answer_timeout,
+            progress_every: self.settings.schedule.progress_every,
+        };
+        let (mut parts, body) = response.into_parts();
+        clean_response(&mut parts.headers);
+        let body = match in_flight.take() {
+            Some(in_flight) => {
+                let rule = attempt.rule;
+                MeteredBody::new(body, meter, rule, running, label, &times, in_flight).boxed()
+            }
+            None => full_body(Bytes::new()),
+        };
+        Response::from_parts(parts, body)
+    }
+
+    /// Collects an answer that is not streamed, so that one which breaks off can be tried again.
+    async fn pass_whole(
+        &self,
+        attempt: &BoundAttempt,
+        response: Response<Incoming>,
+        mut running: RunningGrant,
+        label: &AnswerLabel,
+    ) -> Result<Response<AnswerBody>, AttemptLoss> {
+        let (mut parts, body) = response.into_parts();
+        let name = &attempt.server.name;
+        let limit = self.settings.limits.answer_timeout;
+        let collected = Limited::new(body, MOST_ANSWER_BYTES).collect();
+        let body = match tokio::time::timeout(limit, collected).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Err(loss(AttemptState::Sent, name, error.to_string())),
+            Err(_) => {
+                let cause = "the answer did not end in time".to_owned();
+                return Err(loss(AttemptState::Sent, name, cause));
+            }
+        };
+        running.cost = match parts.status.is_success() {
+            true => whole_cost(&body, &attempt.rule),
+            false => 0.0,
+        };
+        label.log_end("ok", running.cost);
+        clean_response(&mut parts.headers);
+        Ok(Response::from_parts(parts, full_body(body)))
+    }
+}
+
+fn loss(state: AttemptState, server: &str, cause: impl Display) -> AttemptLoss {
+    AttemptLoss {
+        state,
+        message: format!("server {server}: {cause}"),
+    }
+}
+
+fn find_server(
+    config: &FleetConfig,
+    call: &CallerCall,
+    grant: GrantOffer,
+) -> Option<(ServerSpec, CostRule)> {
+    let server = config.servers.get(grant.server)?;
+    let pool = config.pools.get(call.pool)?;
+    Some((server.clone(), pool.cost))
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(CONTENT_TYPE);
+    kind.and_then(|kind| kind.to_str().ok())
+        .is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/dockgate/src/caller/server_client.rs
@@ -0,0 +1,77 @@
+//! Calls to model engines and plain services.
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use std::error::Error as _;
+use std::time::Duration;
+
+/// How long an idle connection to a server is kept.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// What went wrong before any part of an answer came.
+#[derive(Debug)]
+pub(super) enum CallFailure {
+    /// No byte of the request has left this box.
+    NotSent(String),
+    /// The request may have reached the server.
+    Lost(String),
+}
+
+/// A pooled HTTP client without hidden retries.
+#[derive(Debug, Clone)]
+pub(super) struct ServerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl ServerClient {
+    pub(super) fn new(connect_timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(connect_timeout));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE)
+            // Whether a request may be sent again is decided by the attempt, never by the client.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub(super) async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, CallFailure> {
+        self.client.request(request).await.map_err(|error| {
+            let message = describe(&error);
+            match error.is_connect() || was_never_sent(&error) {
+                true => CallFailure::NotSent(message),
+                false => CallFailure::Lost(message),
+            }
+        })
+    }
+}
+
+/// Tells whether the connection was found closed before the request was put on it.
+fn was_never_sent(error: &Error) -> bool {
+    let source = error.source();
+    source
+        .and_then(|source| source.downcast_ref::<hyper::Error>())
+        .is_some_and(hyper::Error::is_canceled)
+}
+
+/// Writes an error with its causes.
+fn describe(error: &Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/dockgate/src/dispatch/actor.rs
@@ -0,0 +1,625 @@
+//! The control actor itself.
+
+use super::handle::{BindReply, DispatchHandle};
+use super::links::{PeerLink, PeerLinks};
+use super::messages::{
+    Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
+    Progress, SetConfig, SetMembers, Status, StatusAnswer, Tick,
+};
+use crate::clock::now_ms;
+use crate::config_keeper::ConfigCell;
+use crate::link::{LinkSender, LinkTask};
+use crate::logging::{LogEvent, log_event};
+use crate::members::MemberBox;
+use crate::metrics::METRICS;
+use crate::settings::DaemonSettings;
+use dockgate_core::{
+    AdoptedGrant, BoxKey, EntryAction, EntryState, FleetConfig, FleetTopology, GrantId, GrantOffer,
+    Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, SettleReport, SlotScheduler,
+    WaitingRequest,
+};
+use dockgate_proto::operator::PeerStatus;
+use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::oneshot;
+use xtra::{Actor, Context, Handler};
+
+/// Holds the state of the entry and the scheduler of one box.
+pub(crate) struct DispatchActor {
+    settings: Arc<DaemonSettings>,
+    me: LiveBox,
+    incarnation: Incarnation,
+    cell: ConfigCell,
+    config: Arc<FleetConfig>,
+    topology: FleetTopology,
+    entry: EntryState,
+    scheduler: SlotScheduler,
+    waiting: HashMap<u64, oneshot::Sender<BindReply>>,
+    links: PeerLinks,
+    handle: Option<DispatchHandle>,
+    live: Vec<LiveBox>,
+    has_ledger: bool,
+    report_due_ms: u64,
+    /// The peer whose batch is being handled, and what it is answered.
+    answering: Option<(BoxKey, Vec<PeerMessage>)>,
+}
+
+impl DispatchActor {
+    /// Makes the actor of a box with no memory.
+    pub(crate) fn new(
+        settings: Arc<DaemonSettings>,
+        incarnation: Incarnation,
+        cell: ConfigCell,
+    ) -> Self {
+        let me = LiveBox {
+            key: BoxKey::from_name(&settings.name),
+            domain: settings.domain.clone(),
+            schedules: true,
+        };
+        let schedule = &settings.schedule;
+        let rule = ScheduleRule {
+            mode: schedule.mode,
+            order: schedule.order,
+            grant_ttl_ms: schedule.grant_ttl.as_millis() as u64,
+            adopt_ms: schedule.adopt.as_millis() as u64,
+        };
+        let seek = SeekRule {
+            widen_ms: schedule.widen.as_millis() as u64,
+            width: schedule.width,
+        };
+        let mut entry = EntryState::new(seek);
+        entry.connect(me.key);
+        Self {
+            scheduler: SlotScheduler::new(me.key, incarnation, rule),
+            settings,
+            live: vec![me.clone()],
+            me,
+            incarnation,
+            cell,
+            config: Arc::default(),
+            topology: FleetTopology::default(),
+            entry,
+            waiting: HashMap::new(),
+            links: PeerLinks::default(),
+            handle: None,
+            has_ledger: false,
+            report_due_ms: 0,
+            answering: None,
+        }
+    }
+
+    /// Starts the actor.
+    pub(crate) fn spawn(self) -> DispatchHandle {
+        let address = xtra::spawn_tokio(self, xtra::Mailbox::unbounded());
+        let handle = DispatchHandle::new(address.clone());
+        let started = handle.clone();
+        tokio::spawn(async move {
+            let _ = address.send(Started(started)).await;
+        });
+        handle
+    }
+
+    /// Carries out the entry's actions and gives out free slots until nothing is left to do.
+    fn pump(&mut self, actions: Vec<EntryAction>) {
+        let now = now_ms();
+        let mut actions = VecDeque::from(actions);
+        loop {
+            while let Some(action) = actions.pop_front() {
+                self.act(action, now);
+            }
+            for grant in self.scheduler.schedule(now) {
+                self.log_grant(&grant, now);
+                match grant.entry == self.me.key {
+                    true => actions.extend(self.entry.offer(self.me.key, grant)),
+                    false => self.send(grant.entry, grant_message(&grant)),
+                }
+            }
+            if actions.is_empty() {
+                break;
+            }
+        }
+    }
+
+    fn act(&mut self, action: EntryAction, now: u64) {
+        match action {
+            EntryAction::Seek(seek) => {
+                let age = self.entry.age_ms(seek.pool, seek.workspace, now);
+                let demand = SeekDemand {
+                    pool: seek.pool,
+                    workspace: seek.workspace,
+                    waiting: seek.waiting,
+                    seen: seek.seen,
+                    age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+                };
+                self.seek(seek.to, demand, now);
+            }
+            EntryAction::Bind(id, grant) => self.bind(id, grant),
+            EntryAction::Return(to, id) => self.settle(to, id, 0.0, true, now),
+            EntryAction::Expire(id) => {
+                if let Some(reply) = self.waiting.remove(&id) {
+                    let _ = reply.send(BindReply::Expired);
+                }
+            }
+        }
+    }
+
+    fn seek(&mut self, to: BoxKey, demand: SeekDemand, now: u64) {
+        if to == self.me.key {
+            self.scheduler.seek(to, demand, now);
+            return;
+        }
+        let message = PeerMessage::Seek(
+            demand.pool,
+            demand.workspace,
+            demand.waiting,
+            demand.seen,
+            demand.age_ms,
+        );
+        self.send(to, message);
+    }
+
+    /// Hands a grant to the request that waits; a request that has gone gives it back.
+    fn bind(&mut self, id: u64, grant: GrantOffer) {
+        let reply = self.waiting.remove(&id);
+        let sent = reply.map(|reply| reply.send(BindReply::Bound(grant)));
+        if !matches!(sent, Some(Ok(()))) {
+            self.finish(grant.id, 0.0);
+        }
+    }
+
+    fn settle(&mut self, to: BoxKey, id: GrantId, cost: f64, done: bool, now: u64) {
+        match (to == self.me.key, done) {
+            (true, _) => {
+                let report = SettleReport { id, cost, done };
+                self.scheduler.settle(to, report, now);
+            }
+            (false, true) => self.send(to, PeerMessage::Settle(id, cost as u64)),
+            (false, false) => self.send(to, PeerMessage::Progress(id, cost as u64)),
+        }
+    }
+
+    fn finish(&mut self, id: GrantId, cost: f64) {
+        if let Some(scheduler) = self.entry.finish(id) {
+            self.settle(scheduler, id, cost, true, now_ms());
+        }
+    }
+
+    /// Sends to a peer: in the answer to its batch if one is being handled, else by the link.
+    fn send(&mut self, to: BoxKey, message: PeerMessage) {
+        match &mut self.answering {
+            Some((peer, answer)) if *peer == to => answer.push(message),
+            _ => self.links.send(to, message),
+        }
+    }
+
+    /// Takes one message of a peer in; the entry's reactions are returned.
+    fn receive(&mut self, from: BoxKey, message: PeerMessage, now: u64) -> Vec<EntryAction> {
+        let step = message.step();
+        let known = match message {
+            PeerMessage::Seek(pool, workspace, waiting, seen, age_ms) => {
+                let demand = SeekDemand {
+                    pool,
+                    workspace,
+                    waiting,
+                    seen,
+                    age_ms,
+                };
+                self.scheduler.seek(from, demand, now)
+            }
+            PeerMessage::Grant(id, pool, workspace, server) => {
+                let grant = GrantOffer {
+                    entry: self.me.key,
+                    id,
+                    pool,
+                    workspace,
+                    server,
+                };
+                return self.entry.offer(from, grant);
+            }
+            PeerMessage::Progress(id, cost) => {
+                let report = settle_report(id, cost, false);
+                self.scheduler.settle(from, report, now)
+            }
+            PeerMessage::Settle(id, cost) => {
+                let report = settle_report(id, cost, true);
+                self.scheduler.settle(from, report, now)
+            }
+            PeerMessage::Adopt(id, pool, workspace, server, charged) => {
+                let adopted = AdoptedGrant {
+                    id,
+                    pool,
+                    workspace,
+                    server,
+                    charged: charged as f64,
+                };
+                self.scheduler.adopt(from, adopted, now)
+            }
+            PeerMessage::Free(pool, free) => {
+                self.entry.note_free(from, pool, free);
+                true
+            }
+            PeerMessage::Ledger(report) => {
+                self.scheduler.merge(&report, now);
+                true
+            }
+            PeerMessage::Leaving => {
+                if let Some(link) = self.links.get_mut(from) {
+                    link.member.leaving = true;
+                }
+                self.rebuild();
+                true
+            }
+        };
+        if !known {
+            METRICS.ignored.with_label_values(&[step]).inc();
+            log_event(&LogEvent::Ignored {
+                step,
+                peer: self.links.name(from),
+                reason: "it names something unknown here",
+            });
+        }
+        Vec::new()
+    }
+
+    fn receive_all(&mut self, from: BoxKey, messages: Vec<PeerMessage>) {
+        let now = now_ms();
+        let mut actions = Vec::new();
+        for message in messages {
+            actions.extend(self.receive(from, message, now));
+        }
+        self.pump(actions);
+    }
+
+    fn free_messages(&mut self, to: BoxKey) -> Vec<PeerMessage> {
+        let free = self.scheduler.free_slots(now_ms());
+        self.links.free_news(to, &free)
+    }
+
+    /// Works out anew who schedules what, after the boxes or the configuration changed.
+    fn rebuild(&mut self) {
+        let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
+        self.live = self.links.live_boxes(&self.me, suspect_ms);
+        self.topology = FleetTopology::new(&self.config, &self.live);
+        let mine = self.topology.servers_of(self.me.key);
+        log_event(&LogEvent::Owned {
+            servers: mine.len(),
+            boxes: self.live.len(),
+        });
+        METRICS.servers.set(mine.len() as i64);
+        self.scheduler.set_servers(&mine, now_ms());
+        self.scheduler
+            .set_schedulers(self.topology.scheduler_counts());
+        self.entry
+            .set_schedulers(self.topology.schedulers_from(self.me.key));
+        let topology = &self.topology;
+        let moved = self.entry.reassign(|server| topology.owner(server));
+        for (owner, adopted) in moved {
+            match owner == self.me.key {
+                true => drop(self.scheduler.adopt(owner, adopted, now_ms())),
+                false => self.links.send(owner, adopted.into()),
+            }
+        }
+        self.pump(Vec::new());
+    }
+
+    /// Rebuilds if a box has become suspect, or is no more.
+    fn rebuild_if_suspects_changed(&mut self) {
+        let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
+        if self.links.live_boxes(&self.me, suspect_ms) != self.live {
+            self.rebuild();
+        }
+    }
+
+    /// Tells every other scheduler what was given here, and every entry what is free.
+    fn report(&mut self) {
+        let report = self.scheduler.take_report();
+        let free = self.scheduler.free_slots(now_ms());
+        for key in self.links.keys() {
+            if !report.rows.is_empty() {
+                self.links.send(key, PeerMessage::Ledger(report.clone()));
+            }
+            for news in self.links.free_news(key, &free) {
+                self.links.send(key, news);
+            }
+        }
+        for (pool, free) in free {
+            self.entry.note_free(self.me.key, pool, free);
+        }
+    }
+
+    fn update_metrics(&self) {
+        METRICS.waiting.set(self.entry.waiting() as i64);
+        METRICS.running.set(self.entry.running_count() as i64);
+        METRICS.overgrants.set(self.entry.overgranted() as i64);
+        let expired = self.scheduler.expired_grants();
+        METRICS.expired_grants.set(expired as i64);
+        let overcommitted = self.scheduler.overcommitted_slots();
+        METRICS.overcommitted.set(i64::from(overcommitted));
+        METRICS.links.set(self.links.linked_count() as i64);
+    }
+
+    fn log_grant(&self, grant: &GrantOffer, now: u64) {
+        METRICS.grants.inc();
+        let free = self.scheduler.free_slots(now);
+        log_event(&LogEvent::Granted {
+            grant: grant.id.to_string(),
+            pool: grant.pool.0,
+            workspace: grant.workspace.0,
+            server: grant.server.0,
+            entry: grant.entry.to_string(),
+            free_after: free.get(&grant.pool).copied().unwrap_or(0),
+        });
+    }
+
+    fn add_member(&mut self, member: MemberBox) {
+        let Some(handle) = self.handle.clone() else {
+            return;
+        };
+        let (sender, receiver) = LinkSender::new();
+        let task = LinkTask::new(
+            member.clone(),
+            self.settings.clone(),
+            self.incarnation,
+            self.cell.clone(),
+            handle,
+        );
+        tokio::spawn(task.run(receiver));
+        self.links.insert(PeerLink::new(member, sender));
+    }
+
+    fn remove_member(&mut self, key: BoxKey) {
+        self.links.remove(key);
+        self.entry.disconnect(key);
+        self.scheduler.forget_box(key);
+    }
+}
+
+fn grant_message(grant: &GrantOffer) -> PeerMessage {
+    PeerMessage::Grant(grant.id, grant.pool, grant.workspace, grant.server)
+}
+
+const fn settle_report(id: GrantId, cost: u64, done: bool) -> SettleReport {
+    SettleReport {
+        id,
+        cost: cost as f64,
+        done,
+    }
+}
+
+/// Gives the actor a handle on itself.
+struct Started(DispatchHandle);
+
+impl Actor for DispatchActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+/// Implements a handler that takes no time to speak of, and counts what it takes.
+macro_rules! handle {
+    ($message:ty, $return:ty, |$actor:ident, $name:ident| $body:block) => {
+        impl Handler<$message> for DispatchActor {
+            type Return = $return;
+
+            async fn handle(&mut self, $name: $message, _: &mut Context<Self>) -> $return {
+                let started = Instant::now();
+                let $actor = self;
+                let outcome = $body;
+                let busy = started.elapsed().as_micros() as u64;
+                METRICS.control_busy_us.inc_by(busy);
+                outcome
+            }
+        }
+    };
+}
+
+handle!(Started, (), |actor, started| {
+    actor.handle = Some(started.0);
+});
+
+handle!(Enqueue, (), |actor, message| {
+    let Enqueue {
+        request,
+        limit,
+        reply,
+    } = message;
+    let WaitingRequest { id, .. } = request;
+    match actor.entry.enqueue(request, limit) {
+        Ok(actions) => {
+            actor.waiting.insert(id, reply);
+            actor.pump(actions);
+        }
+        Err(error) => drop(reply.send(BindReply::Refused(error))),
+    }
+});
+
+handle!(Cancel, (), |actor, message| {
+    actor.waiting.remove(&message.0);
+    actor.entry.cancel(message.0);
+});
+
+handle!(Progress, (), |actor, message| {
+    let Progress(id, cost) = message;
+    if let Some(scheduler) = actor.entry.progress(id, cost) {
+        actor.settle(scheduler, id, cost, false, now_ms());
+    }
+});
+
+handle!(Finish, (), |actor, message| {
+    let Finish(id, cost) = message;
+    actor.finish(id, cost);
+    actor.pump(Vec::new());
+});
+
+handle!(PeerBatch, Option<Vec<PeerMessage>>, |actor, batch| {
+    if actor.links.is_linked(batch.from) {
+        actor.answering = Some((batch.from, Vec::new()));
+        actor.receive_all(batch.from, batch.messages);
+        let free = actor.free_messages(batch.from);
+        let answer = actor.answering.take().map(|(_, answer)| answer);
+        answer.map(|mut answer| {
+            answer.extend(free);
+            answer
+        })
+    } else {
+        // Grants could not be sent back, so that the peer had better come again.
+        None
+    }
+});
+
+handle!(PeerHello, HelloReply, |actor, hello| {
+    let PeerHello { from, request } = hello;
+    actor.receive_all(from, request.settles);
+    actor.scheduler.forget_box(from);
+    actor.receive_all(from, request.adopts);
+    actor.links.forget_told(from);
+    let ledger = match request.wants_ledger {
+        true => actor.scheduler.full_reports(),
+        false => Vec::new(),
+    };
+    HelloReply {
+        incarnation: actor.incarnation,
+        config_version: actor.config.version,
+        ledger,
+        free: actor.free_messages(from),
+    }
+});
+
+handle!(PrepareHello, HelloRequest, |actor, message| {
+    let peer = message.0;
+    let adopts = actor.entry.running_at(peer).into_iter();
+    let settles = actor.links.get_mut(peer).map(|link| link.settles.clone());
+    HelloRequest {
+        settles: settles.unwrap_or_default(),
+        adopts: adopts.map(PeerMessage::from).collect(),
+        wants_ledger: !actor.has_ledger,
+    }
+});
+
+handle!(LinkUp, (), |actor, message| {
+    let LinkUp(peer, reply) = message;
+    let now = now_ms();
+    if let Some(link) = actor.links.get_mut(peer) {
+        link.linked = true;
+        link.changed_ms = now;
+        link.settles.clear();
+        log_event(&LogEvent::Link {
+            peer: &link.member.name,
+            up: true,
+            reason: String::new(),
+        });
+    }
+    actor.entry.connect(peer);
+    for report in &reply.ledger {
+        actor.has_ledger = true;
+        actor.scheduler.merge(report, now);
+    }
+    actor.receive_all(peer, reply.free);
+    actor.rebuild_if_suspects_changed();
+});
+
+handle!(LinkFailure, (), |actor, failure| {
+    let LinkFailure {
+        peer,
+        undelivered,
+        reason,
+    } = failure;
+    if let Some(link) = actor.links.get_mut(peer)
+        && std::mem::take(&mut link.linked)
+    {
+        link.changed_ms = now_ms();
+        log_event(&LogEvent::Link {
+            peer: &link.member.name,
+            up: false,
+            reason,
+        });
+    }
+    actor.entry.disconnect(peer);
+    for message in undelivered {
+        match message {
+            // The peer may not have seen the grant: its slot is free again.
+            PeerMessage::Grant(id, ..) => {
+                let report = settle_report(id, 0, true);
+                actor.scheduler.settle(peer, report, now_ms());
+            }
+            message => actor.links.send(peer, message),
+        }
+    }
+    actor.pump(Vec::new());
+});
+
+handle!(SetMembers, (), |actor, message| {
+    let members = message.0;
+    for key in actor.links.keys() {
+        if !members.iter().any(|member| member.key == key) {
+            actor.remove_member(key);
+        }
+    }
+    for member in members {
+        match actor.links.get_mut(member.key) {
+            Some(link) if link.member.address == member.address => {
+                link.member.leaving |= member.leaving;
+            }
+            Some(_) => {
+                actor.remove_member(member.key);
+                actor.add_member(member);
+            }
+            None => actor.add_member(member),
+        }
+    }
+    actor.rebuild();
+});
+
+handle!(SetConfig, (), |actor, message| {
+    let config = message.0;
+    let shares = config.workspaces.iter();
+    let shares = shares.map(|(key, workspace)| (key, workspace.share));
+    actor.scheduler.set_shares(shares.collect());
+    actor.config = config;
+    actor.rebuild();
+});
+
+handle!(Tick, (), |actor, _message| {
+    let now = now_ms();
+    let actions = actor.entry.tick(now);
+    actor.scheduler.tick(now);
+    actor.pump(actions);
+    actor.rebuild_if_suspects_changed();
+    if now >= actor.report_due_ms {
+        let every = actor.settings.schedule.report_every.as_millis() as u64;
+        actor.report_due_ms = now + every;
+        actor.report();
+        actor.update_metrics();
+    }
+});
+
+handle!(Leave, (), |actor, _message| {
+    actor.me.schedules = false;
+    for key in actor.links.keys() {
+        actor.links.send(key, PeerMessage::Leaving);
+    }
+    actor.rebuild();
+});
+
+handle!(Status, StatusAnswer, |actor, _message| {
+    let peers = actor.links.iter().map(|link| PeerStatus {
+        name: link.member.name.clone(),
+        domain: link.member.domain.clone(),
+        linked: link.linked,
+        leaving: link.member.leaving,
+    });
+    StatusAnswer {
+        name: actor.settings.name.clone(),
+        domain: actor.settings.domain.clone(),
+        config_version: actor.config.version,
+        platform_reachable: actor.cell.platform_reachable(),
+        waiting: actor.entry.waiting(),
+        running: actor.entry.running_count(),
+        servers: actor.scheduler.server_count(),
+        held: actor.scheduler.held_grants(),
+        invariant_violations: dockgate_core::invariant_violations(),
+        peers: peers.collect(),
+    }
+});
--- /dev/null
+++ b/dockgate/src/logging.rs
@@ -0,0 +1,113 @@
+//! Logs as JSON lines: one object a line, and one line for each decision.
+
+use crate::clock::unix_ms;
+use env_logger::{Builder, Env};
+use serde::Serialize;
+use std::io::Write;
+
+/// The target of lines whose message is already a JSON object.
+const EVENT_TARGET: &str = "event";
+
+#[derive(Serialize)]
+struct LogLine<'a> {
+    at_ms: u64,
+    level: &'a str,
+    #[serde(rename = "box")]
+    name: &'a str,
+    module: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    event: Option<Box<serde_json::value::RawValue>>,
+}
+
+/// Starts logging; `DOCKGATE_LOG` filters as `env_logger` says, `info` by default.
+pub(crate) fn init(name: &str) {
+    let name = name.to_owned();
+    Builder::from_env(Env::new().filter_or("DOCKGATE_LOG", "info,jsonrpsee=error"))
+        .format(move |out, record| {
+            let text = record.args().to_string();
+            let event = match record.target() {
+                EVENT_TARGET => serde_json::value::RawValue::from_string(text.clone()).ok(),
+                _ => None,
+            };
+            let line = LogLine {
+                at_ms: unix_ms(),
+                level: record.level().as_str(),
+                name: &name,
+                module: record.module_path().unwrap_or_default(),
+                message: event.is_none().then_some(text),
+                event,
+            };
+            let line = serde_json::to_string(&line).unwrap_or_default();
+            writeln!(out, "{line}")
+        })
+        .init();
+}
+
+/// Something that happened, as typed fields of one log line.
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(crate) enum LogEvent<'a> {
+    /// A request was bound to a server.
+    Routed {
+        request: &'a str,
+        workspace: &'a str,
+        pool: &'a str,
+        server: &'a str,
+        scheduler: String,
+        grant: String,
+        attempt: u32,
+        waited_ms: u64,
+    },
+    /// A request has ended.
+    Ended {
+        request: &'a str,
+        workspace: &'a str,
+        outcome: &'a str,
+        step: &'a str,
+        cost: u64,
+        took_ms: u64,
+    },
+    /// A slot was given to a workspace.
+    Granted {
+        grant: String,
+        pool: u32,
+        workspace: u32,
+        server: u32,
+        entry: String,
+        free_after: u32,
+    },
+    /// A configuration came into force.
+    Configured { version: u64, source: &'a str },
+    /// The servers that this box schedules changed.
+    Owned { servers: usize, boxes: usize },
+    /// A link to a peer opened or closed.
+    Link {
+        peer: &'a str,
+        up: bool,
+        reason: String,
+    },
+    /// A caller, peer or operator was turned away at a door.
+    TurnedAway {
+        door: &'a str,
+        peer: String,
+        reason: &'a str,
+    },
+    /// A peer's message named something unknown here.
+    Ignored {
+        step: &'a str,
+        peer: String,
+        reason: &'a str,
+    },
+    /// The daemon goes from one state to another.
+    Lifecycle { state: &'a str },
+}
+
+/// Writes an event as one line.
+pub(crate) fn log_event(event: &LogEvent) {
+    if log::log_enabled!(target: EVENT_TARGET, log::Level::Info) {
+        let text = serde_json::to_string(event).unwrap_or_default();
+        log::info!(target: EVENT_TARGET, "{text}");
+    }
+}
--- /dev/null
+++ b/dockgate/src/metrics.rs
@@ -0,0 +1,163 @@
+//! What the daemon counts, in the Prometheus text form.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use std::sync::LazyLock;
+
+/// Upper bounds of the buckets of times, in seconds.
+const SECONDS: [f64; 14] = [
+    0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
+];
+
+/// Every metric of the daemon.
+pub(crate) struct DaemonMetrics {
+    registry: Registry,
+    /// Requests that ended, by outcome and step.
+    pub(crate) requests: IntCounterVec,
+    /// Time spent waiting for a slot, by pool.
+    pub(crate) wait: HistogramVec,
+    /// Attempts sent to a second server.
+    pub(crate) retries: IntCounter,
+    /// Grants given out by this scheduler.
+    pub(crate) grants: IntCounter,
+    /// Grants that came when nothing waited any more.
+    pub(crate) overgrants: IntGauge,
+    /// Grants that lapsed without a sign of their entry.
+    pub(crate) expired_grants: IntGauge,
+    /// Slots held beyond capacity, as when two boxes own a server.
+    pub(crate) overcommitted: IntGauge,
+    /// Requests waiting here.
+    pub(crate) waiting: IntGauge,
+    /// Requests running from here.
+    pub(crate) running: IntGauge,
+    /// Servers that this box schedules.
+    pub(crate) servers: IntGauge,
+    /// Version of the configuration in force.
+    pub(crate) config_version: IntGauge,
+    /// Violations of invariants.
+    pub(crate) violations: IntGauge,
+    /// Messages of peers that named something unknown, by step.
+    pub(crate) ignored: IntCounterVec,
+    /// Callers, peers and operators turned away, by door.
+    pub(crate) turned_away: IntCounterVec,
+    /// Batches handed to peers.
+    pub(crate) exchanges: IntCounter,
+    /// Open links to peers.
+    pub(crate) links: IntGauge,
+    /// Processor time of the control actor, in microseconds.
+    pub(crate) control_busy_us: IntCounter,
+}
+
+/// The daemon's metrics.
+pub(crate) static METRICS: LazyLock<DaemonMetrics> = LazyLock::new(DaemonMetrics::new);
+
+impl DaemonMetrics {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help).expect("a constant name is valid");
+            registry
+                .register(Box::new(metric.clone()))
+                .expect("names differ");
+            metric
+        };
+        let gauge = |name: &str, help: &str| {
+            let metric = IntGauge::new(name, help).expect("a constant name is valid");
+            registry
+                .register(Box::new(metric.clone()))
+                .expect("names differ");
+            metric
+        };
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let metric = IntCounterVec::new(Opts::new(name, help), labels);
+            let metric = metric.expect("a constant name is valid");
+            registry
+                .register(Box::new(metric.clone()))
+                .expect("names differ");
+            metric
+        };
+        let wait = HistogramOpts::new(
+            "dockgate_wait_seconds",
+            "Time a request waited for a slot, by pool",
+        );
+        let wait = HistogramVec::new(wait.buckets(SECONDS.to_vec()), &["pool"]);
+        let wait = wait.expect("a constant name is valid");
+        registry
+            .register(Box::new(wait.clone()))
+            .expect("names differ");
+        Self {
+            requests: counters(
+                "dockgate_requests_total",
+                "Requests that ended, by outcome and step",
+                &["outcome", "step"],
+            ),
+            wait,
+            retries: counter("dockgate_retries_total", "Attempts sent to a second server"),
+            grants: counter(
+                "dockgate_grants_total",
+                "Grants given out by this scheduler",
+            ),
+            overgrants: gauge(
+                "dockgate_overgrants",
+                "Grants received when nothing waited any more, since the start",
+            ),
+            expired_grants: gauge(
+                "dockgate_expired_grants",
+                "Grants that lapsed without a sign of their entry, since the start",
+            ),
+            overcommitted: gauge(
+                "dockgate_overcommitted_slots",
+                "Slots held beyond capacity on the servers scheduled here",
+            ),
+            waiting: gauge(
+                "dockgate_waiting_requests",
+                "Requests waiting at this entry",
+            ),
+            running: gauge(
+                "dockgate_running_requests",
+                "Requests running from this entry",
+            ),
+            servers: gauge(
+                "dockgate_scheduled_servers",
+                "Servers scheduled by this box",
+            ),
+            config_version: gauge(
+                "dockgate_config_version",
+                "Version of the configuration in force",
+            ),
+            violations: gauge(
+                "dockgate_invariant_violations",
+                "Violations of invariants since the start",
+            ),
+            ignored: counters(
+                "dockgate_ignored_messages_total",
+                "Messages of peers that named something unknown here, by step",
+                &["step"],
+            ),
+            turned_away: counters(
+                "dockgate_turned_away_total",
+                "Callers, peers and operators turned away, by door",
+                &["door"],
+            ),
+            exchanges: counter("dockgate_exchanges_total", "Batches handed to peers"),
+            links: gauge("dockgate_open_links", "Open links to peers"),
+            control_busy_us: counter(
+                "dockgate_control_busy_microseconds_total",
+                "Time spent in decisions by the control actor",
+            ),
+            registry,
+        }
+    }
+
+    /// Writes every metric as text.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        self.violations
+            .set(dockgate_core::invariant_violations() as i64);
+        let mut text = Vec::new();
+        // Writing to memory fails on a malformed metric only, which then is left out.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/dockgate/src/operator_door.rs
@@ -0,0 +1,173 @@
+//! The door for operators: plan, confirm, show, history, status.
+
+use crate::clock::unix_ms;
+use crate::config_keeper::ConfigCell;
+use crate::dispatch::DispatchHandle;
+use crate::door::{RpcDoor, has_secret};
+use crate::error::DaemonError;
+use dockgate_core::{ConfigPlan, parse_declaration};
+use dockgate_platform::{CommitOutcome, ConfigHead, ConfigStore, PlatformError};
+use dockgate_proto::operator::{
+    self, ConfirmReply, ConfirmRequest, HistoryRequest, PlanIntent, PlanReply, PlanRequest,
+    StaleDetail, codes,
+};
+use http::{Extensions, HeaderMap};
+use jsonrpsee::RpcModule;
+use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
+use std::fmt::Display;
+use std::time::Duration;
+
+/// How long a plan can be confirmed.
+const PLAN_LIFE: Duration = Duration::from_secs(3_600);
+/// How often a commit whose reply was lost is settled by asking again.
+const COMMIT_TRIES: u32 = 3;
+
+struct OperatorContext {
+    store: ConfigStore,
+    cell: ConfigCell,
+    dispatch: DispatchHandle,
+}
+
+/// Makes the door.
+///
+/// # Errors
+///
+/// Returns an error where a method cannot be registered.
+pub(crate) fn operator_door(
+    store: ConfigStore,
+    cell: ConfigCell,
+    dispatch: DispatchHandle,
+    token: String,
+) -> Result<RpcDoor<impl Fn(&HeaderMap) -> Result<Extensions, &'static str>>, DaemonError> {
+    let context = OperatorContext {
+        store,
+        cell,
+        dispatch,
+    };
+    let mut module = RpcModule::new(context);
+    module.register_async_method(operator::PLAN, |params, context, _| async move {
+        plan(&context, params.one()?).await
+    })?;
+    module.register_async_method(operator::CONFIRM, |params, context, _| async move {
+        confirm(&context, params.one()?).await
+    })?;
+    module.register_method(operator::SHOW, |_, context, _| {
+        Ok::<_, ErrorObjectOwned>((*context.cell.current()).clone())
+    })?;
+    module.register_async_method(operator::HISTORY, |params, context, _| async move {
+        let HistoryRequest { limit } = params.one()?;
+        let (head, _) = context
+            .store
+            .head()
+            .await
+            .map_err(|error| platform_error(&error))?;
+        let mut entries = head.entries;
+        entries.reverse();
+        entries.truncate(limit);
+        Ok::<_, ErrorObjectOwned>(entries)
+    })?;
+    module.register_async_method(operator::STATUS, |_, context, _| async move {
+        let status = context.dispatch.status().await;
+        status.ok_or_else(|| ErrorObjectOwned::from(ErrorCode::InternalError))
+    })?;
+    Ok(RpcDoor {
+        name: "operators",
+        methods: module.into(),
+        guard: move |headers: &HeaderMap| match has_secret(headers, &token) {
+            true => Ok(Extensions::new()),
+            false => Err("the operator token is missing or wrong"),
+        },
+    })
+}
+
+async fn plan(
+    context: &OperatorContext,
+    request: PlanRequest,
+) -> Result<PlanReply, ErrorObjectOwned> {
+    let (head, _) = context
+        .store
+        .head()
+        .await
+        .map_err(|error| platform_error(&error))?;
+    let followed = context.cell.follow(&context.store, &head).await;
+    followed.map_err(|error| platform_error(&error))?;
+    let config = context.cell.current();
+    let changes = match request.intent {
+        PlanIntent::Changes(changes) => changes,
+        PlanIntent::Declaration(file, text) => parse_declaration(&file, &text)
+            .map_err(invalid)?
+            .changes_from(&config),
+    };
+    let plan = ConfigPlan::new(&config, changes).map_err(invalid)?;
+    let kept = context.store.keep_plan(&plan, PLAN_LIFE).await;
+    kept.map_err(|error| platform_error(&error))?;
+    Ok(PlanReply {
+        plan,
+        valid_for_s: PLAN_LIFE.as_secs(),
+    })
+}
+
+async fn confirm(
+    context: &OperatorContext,
+    request: ConfirmRequest,
+) -> Result<ConfirmReply, ErrorObjectOwned> {
+    let plan = context.store.plan(&request.plan).await;
+    let plan = plan
+        .map_err(|error| platform_error(&error))?
+        .ok_or_else(|| {
+            let message = format!("there is no plan {}; plan again", request.plan);
+            ErrorObjectOwned::owned(codes::UNKNOWN_PLAN, message, None::<()>)
+        })?;
+    match commit(&context.store, &plan, &request.author).await? {
+        CommitOutcome::Committed(version) => Ok(ConfirmReply {
+            version,
+            already: false,
+        }),
+        CommitOutcome::Already(version) => Ok(ConfirmReply {
+            version,
+            already: true,
+        }),
+        CommitOutcome::Stale(head) => Err(stale(&plan, &head)),
+    }
+}
+
+/// Commits a plan; a lost reply is settled by committing again, which changes things once.
+async fn commit(
+    store: &ConfigStore,
+    plan: &ConfigPlan,
+    author: &str,
+) -> Result<CommitOutcome, ErrorObjectOwned> {
+    let mut last = None;
+    for _ in 0..COMMIT_TRIES {
+        match store.commit(plan, author, unix_ms()).await {
+            Ok(outcome) => return Ok(outcome),
+            Err(error) => last = Some(platform_error(&error)),
+        }
+    }
+    Err(last.unwrap_or_else(|| ErrorCode::InternalError.into()))
+}
+
+fn stale(plan: &ConfigPlan, head: &ConfigHead) -> ErrorObjectOwned {
+    let detail = StaleDetail {
+        base: plan.base,
+        version: head.version,
+        since: head.since(plan.base).unwrap_or_default(),
+    };
+    let message = format!(
+        "the plan is based on version {}, but version {} is in force; plan again",
+        detail.base, detail.version
+    );
+    ErrorObjectOwned::owned(codes::STALE, message, Some(detail))
+}
+
+fn invalid(error: impl Display) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(codes::INVALID, error.to_string(), None::<()>)
+}
+
+fn platform_error(error: &PlatformError) -> ErrorObjectOwned {
+    let code = match error {
+        PlatformError::Invalid(..) => codes::INVALID,
+        _ => codes::PLATFORM,
+    };
+    ErrorObjectOwned::owned(code, error.to_string(), None::<()>)
+}
--- /dev/null
+++ b/dockgate/src/settings.rs
@@ -0,0 +1,448 @@
+//! Settings of the daemon: an INI file, overridden by environment and flags.
+
+use crate::error::DaemonError;
+use clap::Parser;
+use dockgate_core::{IniDocument, IniProblem, IniProblems, OrderMode, OrderRule, SectionReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const ADDRESS: &str = "an IP number and a port, such as 10.0.0.7:8000 (names are not looked up)";
+
+/// Command line of the daemon.
+#[derive(Debug, Clone, Parser)]
+#[command(version, about = "A router fleet's daemon")]
+pub(crate) struct DaemonArgs {
+    /// The settings file.
+    #[arg(long, env = "DOCKGATE_SETTINGS", default_value = "dockgate.ini")]
+    settings: PathBuf,
+    /// Only checks the settings.
+    #[arg(long)]
+    pub(crate) check: bool,
+    /// Overrides `name` of [box].
+    #[arg(long, env = "DOCKGATE_NAME")]
+    name: Option<String>,
+    /// Overrides `domain` of [box].
+    #[arg(long, env = "DOCKGATE_DOMAIN")]
+    domain: Option<String>,
+    /// Overrides `callers` of [listen].
+    #[arg(long, env = "DOCKGATE_CALLERS")]
+    callers: Option<SocketAddr>,
+    /// Overrides `peers` of [listen].
+    #[arg(long, env = "DOCKGATE_PEERS")]
+    peers: Option<SocketAddr>,
+    /// Overrides `operators` of [listen].
+    #[arg(long, env = "DOCKGATE_OPERATORS")]
+    operators: Option<SocketAddr>,
+    /// Overrides `metrics` of [listen].
+    #[arg(long, env = "DOCKGATE_METRICS")]
+    metrics: Option<SocketAddr>,
+    /// Overrides `address` of [platform].
+    #[arg(long, env = "DOCKGATE_PLATFORM")]
+    platform: Option<SocketAddr>,
+}
+
+/// Everything the daemon is told by its operators on its own box.
+#[derive(Debug, Clone)]
+pub(crate) struct DaemonSettings {
+    /// The box's name.
+    pub(crate) name: String,
+    /// Its failure domain.
+    pub(crate) domain: String,
+    /// Addresses that it listens at.
+    pub(crate) listen: ListenSettings,
+    /// How the platform's service is reached.
+    pub(crate) platform: PlatformSettings,
+    /// Secrets, read from files.
+    pub(crate) secrets: SecretSettings,
+    /// Limits towards callers.
+    pub(crate) limits: LimitSettings,
+    /// How slots are shared out.
+    pub(crate) schedule: ScheduleSettings,
+}
+
+/// The addresses of the doors.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ListenSettings {
+    /// For callers.
+    pub(crate) callers: SocketAddr,
+    /// For peers.
+    pub(crate) peers: SocketAddr,
+    /// For operators.
+    pub(crate) operators: SocketAddr,
+    /// For metrics.
+    pub(crate) metrics: SocketAddr,
+}
+
+/// How the platform's service is reached.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PlatformSettings {
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Bound of a call.
+    pub(crate) timeout: Duration,
+    /// How long a watch waits.
+    pub(crate) watch: Duration,
+    /// How often the list of boxes is read.
+    pub(crate) boxes_every: Duration,
+}
+
+/// What proves who is who.
+#[derive(Clone, Default)]
+pub(crate) struct SecretSettings {
+    /// Shared by the fleet's daemons.
+    pub(crate) fleet: String,
+    /// Given to operators.
+    pub(crate) operator: String,
+}
+
+impl std::fmt::Debug for SecretSettings {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SecretSettings(..)")
+    }
+}
+
+/// Limits towards callers and servers.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LimitSettings {
+    /// Connections of callers at once.
+    pub(crate) connections: usize,
+    /// Bytes of a request's body.
+    pub(crate) body_bytes: usize,
+    /// Bytes of a request's headers.
+    pub(crate) header_bytes: usize,
+    /// How long a caller may take to send its headers.
+    pub(crate) header_timeout: Duration,
+    /// How long a caller may take to send its body.
+    pub(crate) body_timeout: Duration,
+    /// How long a request waits for a slot where the caller names no deadline.
+    pub(crate) queue_timeout: Duration,
+    /// How long connecting to a server may take.
+    pub(crate) connect_timeout: Duration,
+    /// How long a server may be silent before or inside an answer.
+    pub(crate) answer_timeout: Duration,
+    /// Attempts for one request.
+    pub(crate) attempts: u32,
+    /// How long a stopping daemon still answers, so that the balancer sees it.
+    pub(crate) stop_grace: Duration,
+    /// How long a stopping daemon waits for requests in flight.
+    pub(crate) stop_timeout: Duration,
+}
+
+/// How slots are shared out.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ScheduleSettings {
+    /// How workspaces are ordered.
+    pub(crate) mode: OrderMode,
+    /// What the order key adds.
+    pub(crate) order: OrderRule,
+    /// How often service given is reported to other schedulers.
+    pub(crate) report_every: Duration,
+    /// How long a grant lasts without a sign of its entry.
+    pub(crate) grant_ttl: Duration,
+    /// How often the cost of a running request is reported.
+    pub(crate) progress_every: Duration,
+    /// How long a newly owned server is left alone.
+    pub(crate) adopt: Duration,
+    /// How long a request may wait on the first scheduler asked.
+    pub(crate) widen: Duration,
+    /// How many schedulers are asked after that.
+    pub(crate) width: usize,
+    /// How long a link may be closed before its box is passed over.
+    pub(crate) suspect: Duration,
+    /// Bound of a call to a peer.
+    pub(crate) peer_timeout: Duration,
+}
+
+impl DaemonArgs {
+    /// Reads and checks the settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem in the settings, or the file that cannot be read.
+    pub(crate) fn load(&self) -> Result<DaemonSettings, DaemonError> {
+        let path = self.settings.display().to_string();
+        let text = std::fs::read_to_string(&self.settings)
+            .map_err(|cause| DaemonError::File("read settings", path.clone(), cause))?;
+        let mut settings = parse_settings(&path, &text, self)?;
+        settings.secrets = read_secrets(&path, &text)?;
+        Ok(settings)
+    }
+}
+
+fn read_secrets(path: &str, text: &str) -> Result<SecretSettings, DaemonError> {
+    const SHORTEST: usize = 16;
+    let mut document = IniDocument::parse(path, text)?;
+    let mut secrets = SecretSettings::default();
+    let mut problems = Vec::new();
+    for mut section in document.take_sections() {
+        if section.kind != "secrets" {
+            continue;
+        }
+        for (key, secret) in [
+            ("fleet_file", &mut secrets.fleet),
+            ("operator_file", &mut secrets.operator),
+        ] {
+            let line = section.line_of(key);
+            let file = section.take_text(key).unwrap_or_default();
+            *secret = std::fs::read_to_string(&file)
+                .map_err(|cause| DaemonError::File("read secret", file.clone(), cause))?
+                .trim()
+                .to_owned();
+            if secret.len() < SHORTEST {
+                problems.push(IniProblem {
+                    file: path.to_owned(),
+                    line,
+                    message: format!("{file} must hold at least {SHORTEST} characters"),
+                });
+            }
+        }
+    }
+    match problems.is_empty() {
+        true => Ok(secrets),
+        false => Err(IniProblems::Invalid(problems).into()),
+    }
+}
+
+/// Sections of a settings file, in the order of their use.
+const SECTIONS: [&str; 6] = ["box", "listen", "platform", "secrets", "limits", "schedule"];
+
+fn parse_settings(
+    file: &str,
+    text: &str,
+    args: &DaemonArgs,
+) -> Result<DaemonSettings, IniProblems> {
+    let mut document = IniDocument::parse(file, text)?;
+    let mut sections = document.take_sections();
+    for section in &sections {
+        if !SECTIONS.contains(&section.kind.as_str()) || !section.name.is_empty() {
+            let allowed = SECTIONS.join("], [");
+            let message = format!("unknown section; allowed: [{allowed}]");
+            document.report(section.line, message);
+        }
+    }
+    let mut section = |kind: &str| -> SectionReader {
+        let found = sections.iter().position(|section| section.kind == kind);
+        found.map_or_else(
+            || SectionReader::empty(file, kind),
+            |index| sections.remove(index),
+        )
+    };
+    let (mut identity, mut listen, mut platform) =
+        (section("box"), section("listen"), section("platform"));
+    let (mut secrets, mut limits, mut schedule) =
+        (section("secrets"), section("limits"), section("schedule"));
+    let settings = read_all(
+        args,
+        &mut identity,
+        &mut listen,
+        &mut platform,
+        &mut limits,
+        &mut schedule,
+    );
+    for key in ["fleet_file", "operator_file"] {
+        secrets.take_required::<String>(key, "the path of a file that holds the secret");
+    }
+    for section in [identity, listen, platform, secrets, limits, schedule] {
+        document.close(section);
+    }
+    document.finish()?;
+    // A required key that is missing has been reported by now.
+    settings.ok_or_else(|| IniProblems::Invalid(Vec::new()))
+}
+
+fn read_all(
+    args: &DaemonArgs,
+    identity: &mut SectionReader,
+    listen: &mut SectionReader,
+    platform: &mut SectionReader,
+    limits: &mut SectionReader,
+    schedule: &mut SectionReader,
+) -> Option<DaemonSettings> {
+    let name = required(identity, "name", "the box's name", args.name.clone());
+    let domain = required(
+        identity,
+        "domain",
+        "the box's failure domain",
+        args.domain.clone(),
+    );
+    let listen = read_listen(listen, args);
+    let platform = read_platform(platform, args);
+    let limits = read_limits(limits);
+    let schedule = read_schedule(schedule);
+    Some(DaemonSettings {
+        name: name?,
+        domain: domain?,
+        listen: listen?,
+        platform: platform?,
+        secrets: SecretSettings::default(),
+        limits,
+        schedule,
+    })
+}
+
+fn required<T: std::str::FromStr>(
+    section: &mut SectionReader,
+    key: &str,
+    allowed: &str,
+    given: Option<T>,
+) -> Option<T> {
+    match given {
+        Some(value) => {
+            section.take_text(key);
+            Some(value)
+        }
+        None => section.take_required(key, allowed),
+    }
+}
+
+fn read_listen(section: &mut SectionReader, args: &DaemonArgs) -> Option<ListenSettings> {
+    let callers = required(section, "callers", ADDRESS, args.callers);
+    let peers = required(section, "peers", ADDRESS, args.peers);
+    let operators = required(section, "operators", ADDRESS, args.operators);
+    let metrics = required(section, "metrics", ADDRESS, args.metrics);
+    Some(ListenSettings {
+        callers: callers?,
+        peers: peers?,
+        operators: operators?,
+        metrics: metrics?,
+    })
+}
+
+/// Takes a time in milliseconds within a range.
+fn take_ms(
+    section: &mut SectionReader,
+    key: &str,
+    default: u64,
+    least: u64,
+    most: u64,
+) -> Duration {
+    let allowed = format!("milliseconds from {least} to {most}");
+    let value = section.take_checked(key, default, &allowed, |value| {
+        (least..=most).contains(value)
+    });
+    Duration::from_millis(value)
+}
+
+fn take_count(
+    section: &mut SectionReader,
+    key: &str,
+    default: usize,
+    least: usize,
+    most: usize,
+) -> usize {
+    let allowed = format!("a whole number from {least} to {most}");
+    section.take_checked(key, default, &allowed, |value| {
+        (least..=most).contains(value)
+    })
+}
+
+fn read_platform(section: &mut SectionReader, args: &DaemonArgs) -> Option<PlatformSettings> {
+    let address = required(section, "address", ADDRESS, args.platform);
+    Some(PlatformSettings {
+        timeout: take_ms(section, "timeout_ms", 2_000, 10, 60_000),
+        watch: take_ms(section, "watch_ms", 20_000, 100, 300_000),
+        boxes_every: take_ms(section, "boxes_every_ms", 2_000, 50, 60_000),
+        address: address?,
+    })
+}
+
+fn read_limits(section: &mut SectionReader) -> LimitSettings {
+    LimitSettings {
+        connections: take_count(section, "connections", 10_000, 1, 1_000_000),
+        body_bytes: take_count(section, "body_bytes", 4 << 20, 1, 1 << 30),
+        header_bytes: take_count(section, "header_bytes", 32 << 10, 8 << 10, 1 << 20),
+        header_timeout: take_ms(section, "header_timeout_ms", 10_000, 10, 600_000),
+        body_timeout: take_ms(section, "body_timeout_ms", 30_000, 10, 600_000),
+        queue_timeout: take_ms(section, "queue_timeout_ms", 60_000, 1, 86_400_000),
+        connect_timeout: take_ms(section, "connect_timeout_ms", 1_000, 1, 60_000),
+        answer_timeout: take_ms(section, "answer_timeout_ms", 60_000, 10, 3_600_000),
+        attempts: take_count(section, "attempts", 3, 1, 10) as u32,
+        stop_grace: take_ms(section, "stop_grace_ms", 1_000, 0, 60_000),
+        stop_timeout: take_ms(section, "stop_timeout_ms", 600_000, 0, 86_400_000),
+    }
+}
+
+fn read_schedule(section: &mut SectionReader) -> ScheduleSettings {
+    let line = section.line_of("order");
+    let mode = match section.take_text("order").as_deref() {
+        None | Some("fair") => OrderMode::Fair,
+        Some("local") => OrderMode::Local,
+        Some("fcfs") => OrderMode::Fcfs,
+        Some(other) => {
+            section.report(
+                line,
+                format!("order = {other}: must be fair, local or fcfs"),
+            );
+            OrderMode::Fair
+        }
+    };
+    let horizon_s = section.take_checked(
+        "horizon_s",
+        3.0,
+        "a number of seconds from 0 to 600",
+        |horizon| (0.0..=600.0).contains(horizon),
+    );
+    ScheduleSettings {
+        mode,
+        order: OrderRule { horizon_s },
+        report_every: take_ms(section, "report_every_ms", 1_000, 10, 60_000),
+        grant_ttl: take_ms(section, "grant_ttl_ms", 5_000, 100, 600_000),
+        progress_every: take_ms(section, "progress_every_ms", 1_000, 10, 60_000),
+        adopt: take_ms(section, "adopt_ms", 300, 0, 60_000),
+        widen: take_ms(section, "widen_ms", 5, 1, 10_000),
+        width: take_count(section, "width", 16, 1, 10_000),
+        suspect: take_ms(section, "suspect_ms", 1_000, 10, 60_000),
+        peer_timeout: take_ms(section, "peer_timeout_ms", 1_000, 10, 60_000),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use yare::parameterized;
+
+    const GOOD: &str = "[box]\nname = a\ndomain = d\n[listen]\ncallers = 127.0.0.1:1\n\
+        peers = 127.0.0.1:2\noperators = 127.0.0.1:3\nmetrics = 127.0.0.1:4\n\
+        [platform]\naddress = 127.0.0.1:5\n[secrets]\nfleet_file = f\noperator_file = o\n";
+
+    fn args(flags: &[&str]) -> DaemonArgs {
+        DaemonArgs::parse_from(std::iter::once("dockgate").chain(flags.iter().copied()))
+    }
+
+    #[test]
+    fn flags_override_the_file() {
+        let flags = args(&["--name", "b", "--callers", "127.0.0.1:9"]);
+        let settings = parse_settings("s.ini", GOOD, &flags).unwrap();
+        assert_eq!(
+            (settings.name.as_str(), settings.domain.as_str()),
+            ("b", "d")
+        );
+        assert_eq!(settings.listen.callers.port(), 9);
+    }
+
+    #[parameterized(
+        section = { "[lisen]\n", "s.ini:14: unknown section; allowed: [box], [listen]" },
+        key = { "[limits]\ncolour = 1\n", "s.ini:15: unknown key colour; allowed here: conn" },
+        range = { "[limits]\nattempts = 0\n", "s.ini:15: attempts = 0: must be a whole number" },
+        word = { "[schedule]\norder = best\n", "s.ini:15: order = best: must be fair" },
+    )]
+    fn bad_settings_are_reported_with_their_line(extra: &str, expected: &str) {
+        let text = format!("{GOOD}{extra}");
+        let report = parse_settings("s.ini", &text, &args(&[]))
+            .unwrap_err()
+            .to_string();
+        assert!(report.starts_with(expected), "{report}");
+    }
+
+    #[test]
+    fn a_missing_key_is_named() {
+        let report = parse_settings("s.ini", "", &args(&[]))
+            .unwrap_err()
+            .to_string();
+        assert!(
+            report.contains("[box] lacks name, which must be the box's name"),
+            "{report}"
+        );
+    }
+}
--- /dev/null
+++ b/dockgatectl/src/client.rs
@@ -0,0 +1,118 @@
+//! Calls to a daemon's operator door.
+
+use crate::error::CtlError;
+use dockgate_core::{ConfigEntry, ConfigPlan, FleetConfig};
+use dockgate_proto::operator::{
+    self, ConfirmReply, ConfirmRequest, HistoryRequest, PlanIntent, PlanReply, PlanRequest,
+    StatusReply, codes,
+};
+use jsonrpsee::core::ClientError;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::params::ArrayParams;
+use jsonrpsee::core::traits::ToRpcParams;
+use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
+use jsonrpsee::rpc_params;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const MOST_BYTES: u32 = 64 << 20;
+
+/// A client of one daemon's operator door.
+pub(crate) struct OperatorClient {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+impl OperatorClient {
+    /// Makes a client that proves itself with the token in a file.
+    pub(crate) fn new(
+        address: SocketAddr,
+        token_file: &Path,
+        timeout_s: u64,
+    ) -> Result<Self, CtlError> {
+        let path = token_file.display().to_string();
+        let token = std::fs::read_to_string(token_file)
+            .map_err(|cause| CtlError::File("read token", path, cause))?;
+        let bearer = HeaderValue::from_str(&format!("Bearer {}", token.trim()))
+            .map_err(|_| CtlError::Intent("the operator token is not plain text".to_owned()))?;
+        let mut headers = HeaderMap::new();
+        headers.insert("authorization", bearer);
+        let client = HttpClientBuilder::default()
+            .set_headers(headers)
+            .request_timeout(Duration::from_secs(timeout_s))
+            .max_request_size(MOST_BYTES)
+            .max_response_size(MOST_BYTES)
+            .build(format!("http://{address}"));
+        let client = client.map_err(|error| {
+            CtlError::Unreachable("connect", address.to_string(), error.to_string())
+        })?;
+        Ok(Self { client, address })
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        params: impl ToRpcParams + Send,
+    ) -> Result<T, CtlError> {
+        let reply = self.client.request(method, params).await;
+        reply.map_err(|error| match error {
+            ClientError::Call(error) => CtlError::Refused(error.code(), refusal_text(&error)),
+            error => CtlError::Unreachable(method, self.address.to_string(), error.to_string()),
+        })
+    }
+
+    /// Works out the plan of an intent.
+    pub(crate) async fn plan(&self, intent: PlanIntent) -> Result<ConfigPlan, CtlError> {
+        let request = PlanRequest { intent };
+        let reply: PlanReply = self.call(operator::PLAN, rpc_params![request]).await?;
+        Ok(reply.plan)
+    }
+
+    /// Commits a plan.
+    pub(crate) async fn confirm(&self, plan: &str, author: &str) -> Result<ConfirmReply, CtlError> {
+        let request = ConfirmRequest {
+            plan: plan.to_owned(),
+            author: author.to_owned(),
+        };
+        self.call(operator::CONFIRM, rpc_params![request]).await
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) async fn show(&self) -> Result<FleetConfig, CtlError> {
+        self.call(operator::SHOW, ArrayParams::new()).await
+    }
+
+    /// Returns the last changes.
+    pub(crate) async fn history(&self, limit: usize) -> Result<Vec<ConfigEntry>, CtlError> {
+        let request = HistoryRequest { limit };
+        self.call(operator::HISTORY, rpc_params![request]).await
+    }
+
+    /// Returns the state of the box.
+    pub(crate) async fn status(&self) -> Result<StatusReply, CtlError> {
+        self.call(operator::STATUS, ArrayParams::new()).await
+    }
+}
+
+/// Writes a refusal, with what changed since where the plan is stale.
+fn refusal_text(error: &jsonrpsee::types::ErrorObjectOwned) -> String {
+    let detail = error.data().filter(|_| error.code() == codes::STALE);
+    let detail =
+        detail.and_then(|data| serde_json::from_str::<operator::StaleDetail>(data.get()).ok());
+    let since = detail.map(|detail| detail.since).unwrap_or_default();
+    let lines = since.iter().flat_map(|entry| {
+        entry.changes.iter().map(|change| {
+            let (version, author) = (entry.version, &entry.author);
+            format!(
+                "\n  {version} by {author}: {} {}",
+                change.subject(),
+                change.name()
+            )
+        })
+    });
+    std::iter::once(error.message().to_owned())
+        .chain(lines)
+        .collect()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,2 +1,115 @@
-//! placeholder
-fn main() {}
+//! Chores that CI and developers run: `cargo xtask ci`.
+
+use clap::{Parser, Subcommand};
+use std::process::{Command, ExitCode};
+
+/// Chores of the dockgate workspace.
+#[derive(Debug, Parser)]
+struct XtaskArgs {
+    /// What to do.
+    #[command(subcommand)]
+    chore: XtaskChore,
+}
+
+#[derive(Debug, Clone, Copy, Subcommand)]
+enum XtaskChore {
+    /// Runs everything that must pass before a change lands.
+    Ci,
+    /// Checks the formatting.
+    Fmt,
+    /// Checks with clippy; warnings are errors.
+    Lint,
+    /// Builds the docs; warnings are errors.
+    Docs,
+    /// Builds the programs and runs every test.
+    Test,
+    /// Runs a short fleet with a fixed seed.
+    Fleet,
+}
+
+/// One command to be run.
+struct ChoreStep {
+    program: &'static str,
+    args: &'static [&'static str],
+    rustdoc_flags: &'static str,
+}
+
+const fn cargo(args: &'static [&'static str]) -> ChoreStep {
+    ChoreStep {
+        program: "cargo",
+        args,
+        rustdoc_flags: "",
+    }
+}
+
+const FMT: ChoreStep = cargo(&["fmt", "--all", "--check"]);
+const LINT: ChoreStep = cargo(&[
+    "clippy",
+    "--workspace",
+    "--all-targets",
+    "--",
+    "--deny",
+    "warnings",
+]);
+const DOCS: ChoreStep = ChoreStep {
+    rustdoc_flags: "--deny warnings",
+    ..cargo(&[
+        "doc",
+        "--workspace",
+        "--no-deps",
+        "--document-private-items",
+    ])
+};
+const BUILD: ChoreStep = cargo(&["build", "--workspace"]);
+const TEST: ChoreStep = cargo(&["test", "--workspace", "--no-fail-fast"]);
+const FLEET: ChoreStep = cargo(&[
+    "run",
+    "--package",
+    "dockgate-bench",
+    "--",
+    "run",
+    "--scenario",
+    "dockgate-bench/scenarios/lectures-half.ini",
+    "--seed",
+    "1",
+    "--seconds",
+    "5",
+]);
+
+impl XtaskChore {
+    fn steps(self) -> Vec<ChoreStep> {
+        match self {
+            Self::Ci => vec![FMT, LINT, DOCS, BUILD, TEST, FLEET],
+            Self::Fmt => vec![FMT],
+            Self::Lint => vec![LINT],
+            Self::Docs => vec![DOCS],
+            Self::Test => vec![BUILD, TEST],
+            Self::Fleet => vec![BUILD, FLEET],
+        }
+    }
+}
+
+/// Runs a step; returns whether it succeeded.
+fn run(step: &ChoreStep) -> bool {
+    eprintln!("xtask: {} {}", step.program, step.args.join(" "));
+    let mut command = Command::new(step.program);
+    command.args(step.args);
+    if !step.rustdoc_flags.is_empty() {
+        command.env("RUSTDOCFLAGS", step.rustdoc_flags);
+    }
+    match command.status() {
+        Ok(status) => status.success(),
+        Err(error) => {
+            eprintln!("xtask: start {}: {error}", step.program);
+            false
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let args = XtaskArgs::parse();
+    match args.chore.steps().iter().all(run) {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
