fix(core): rest failing servers, believe full ones, serve the oldest entry first

Cause, found by the fault scenario: (1) a scheduler gave a workspace's grant to the entry where most waits, so the shrinking queue of a stopping box starved until its deadlines (165 callers cut, the stop took 60 s); (2) a dead server always looked free and swallowed the queue; (3) a full server (its slots taken by a frozen box) was granted again and again. Ruled out: lost seeks (the demand was known to the scheduler; its log shows it passed over).

--- a/dockgate-bench/src/fault.rs
+++ b/dockgate-bench/src/fault.rs
@@ -14,8 +14,6 @@
 const SLOW: Duration = Duration::from_millis(500);
 /// How long a retired server may still get new work.
 const LEAVE_GRACE: Duration = Duration::from_secs(3);
-/// How long a box may take to stop in order.
-const STOP: Duration = Duration::from_secs(60);
 
 /// A fault that is to come, or is there.
 struct ActiveFault {
@@ -64,7 +62,8 @@
                 log::info!("fault begins: {:?} {}", fault.plan.kind, fault.plan.target);
                 fault.undo = begin(&fault.plan, fleet, client).await?;
             }
-            if fault.begun && !fault.ended && elapsed >= at + lasts {
+            let due = fault.begun && !fault.ended && elapsed >= at + lasts;
+            if due && may_end(&fault.plan, fleet) {
                 fault.ended = true;
                 log::info!("fault ends: {:?} {}", fault.plan.kind, fault.plan.target);
                 end(&fault.plan, fault.undo.take(), fleet, client).await?;
@@ -74,6 +73,16 @@
     }
 }
 
+/// Tells whether a fault can be taken away: a box that stops in order is waited for.
+fn may_end(plan: &FaultPlan, fleet: &mut BenchFleet) -> bool {
+    let mut daemons = fleet.daemons.iter_mut();
+    let daemon = daemons.find(|daemon| daemon.name() == plan.target);
+    match (plan.kind, daemon) {
+        (FaultKind::Stop, Some(daemon)) => daemon.has_ended(),
+        _ => true,
+    }
+}
+
 async fn begin(
     plan: &FaultPlan,
     fleet: &mut BenchFleet,
@@ -133,13 +142,6 @@
     match plan.kind {
         FaultKind::Kill => restart(fleet, target)?,
         FaultKind::Stop => {
-            for daemon in fleet
-                .daemons
-                .iter_mut()
-                .filter(|daemon| daemon.name() == target)
-            {
-                daemon.wait_or_kill(STOP).await;
-            }
             set_stopping(client, target, false);
             fleet.platform.set_box_state(target, BoxState::Live);
             restart(fleet, target)?;
--- a/dockgate-bench/src/fleet/daemon.rs
+++ b/dockgate-bench/src/fleet/daemon.rs
@@ -182,19 +182,27 @@
         }
     }
 
-    /// Waits until the daemon has ended; returns whether it ended by itself with success.
+    /// Tells whether the daemon has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().map(Child::try_wait);
+        match ended {
+            Some(Ok(Some(_))) => {
+                self.child = None;
+                true
+            }
+            None => true,
+            _ => false,
+        }
+    }
+
+    /// Waits until the daemon has ended; returns whether it ended by itself.
     pub async fn wait_or_kill(&mut self, patience: Duration) -> bool {
         let deadline = Instant::now() + patience;
         while Instant::now() < deadline {
-            let ended = self.child.as_mut().map(Child::try_wait);
-            match ended {
-                Some(Ok(Some(status))) => {
-                    self.child = None;
-                    return status.success();
-                }
-                None => return true,
-                _ => tokio::time::sleep(POLL).await,
+            if self.has_ended() {
+                return true;
             }
+            tokio::time::sleep(POLL).await;
         }
         self.kill();
         false
--- a/dockgate-bench/src/report.rs
+++ b/dockgate-bench/src/report.rs
@@ -3,6 +3,7 @@
 use comfy_table::Table;
 use comfy_table::presets::ASCII_MARKDOWN;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// Added latency against calling a stand-in directly, in microseconds.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -32,6 +33,8 @@
             /// The arm.
             pub arm: String,
             $($(#[$doc])* pub $name: $type,)+
+            /// Second by second.
+            pub timeline: Vec<TimelinePoint>,
         }
 
         impl ArmReport {
@@ -58,6 +61,21 @@
     }
 }
 
+/// What was seen in one second of a run.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TimelinePoint {
+    /// Seconds since the warm-up.
+    pub at_s: f64,
+    /// Part of the engines' slot time in use.
+    pub utilisation: f64,
+    /// Part of slot time idle while a compatible request waited.
+    pub idle_while_queued: f64,
+    /// Bytes between boxes in this second.
+    pub peer_bytes: u64,
+    /// Service units of each workspace so far, for a share of one.
+    pub levels: BTreeMap<String, f64>,
+}
+
 arm_report! {
     /// Worst gap between two backlogged workspaces, in service units at the mean share.
     fairness_gap_units: f64,
--- a/dockgate-core/src/queue.rs
+++ b/dockgate-core/src/queue.rs
@@ -14,6 +14,8 @@
     urgency: u8,
     /// The deadline in milliseconds.
     deadline_ms: u64,
+    /// When it was first queued, in milliseconds.
+    since_ms: u64,
     /// The id, which grows with time.
     id: u64,
 }
@@ -43,6 +45,7 @@
         RequestRank {
             urgency: Self::TOP_PRIORITY.saturating_sub(self.priority),
             deadline_ms: self.deadline_ms,
+            since_ms: self.since_ms,
             id: self.id,
         }
     }
--- a/dockgate-core/src/scheduler.rs
+++ b/dockgate-core/src/scheduler.rs
@@ -5,10 +5,12 @@
 //! entries keep the promises, and `overcommitted_slots` shows it.
 
 mod demand;
+mod health;
 mod rate;
 mod slots;
 
 pub use demand::SeekDemand;
+pub use health::ServerSign;
 pub use slots::SlotServer;
 
 use crate::fair::{FairLedger, FairQueue, LedgerReport, OrderRule};
@@ -83,8 +85,8 @@
     pub id: GrantId,
     /// The cost so far, in service units.
     pub cost: f64,
-    /// Whether the request has ended.
-    pub done: bool,
+    /// How the request ended, if it has.
+    pub ended: Option<ServerSign>,
 }
 
 /// Decides who gets the slots of the servers that this box owns.
@@ -185,9 +187,10 @@
         let grant = *grant;
         self.ledger.charge(grant.pool, grant.workspace, news);
         self.rates.entry(grant.pool).or_default().add_units(news);
-        if settle.done {
+        if let Some(sign) = settle.ended {
             self.grants.remove(settle.id);
             self.slots.release(grant.server, grant.workspace);
+            self.slots.note(grant.server, sign, now_ms);
         }
         self.refresh(grant.pool, grant.workspace);
         true
@@ -285,6 +288,7 @@
             expires_ms: now_ms + self.rule.grant_ttl_ms,
         };
         check_invariant("a grant id is new", self.grants.insert(id, grant));
+        self.slots.granted(server, now_ms);
         let free = self.slots.take(server, workspace);
         check_invariant("slots never above capacity", free);
         self.refresh(pool, workspace);
@@ -369,6 +373,11 @@
         self.slots.overcommitted()
     }
 
+    /// Returns how many servers get no new work for a while, after failures.
+    pub fn resting_servers(&self, now_ms: u64) -> usize {
+        self.slots.resting(now_ms)
+    }
+
     /// Returns the servers that this box schedules.
     pub fn server_count(&self) -> usize {
         self.slots.len()
--- a/dockgate-core/src/scheduler/demand.rs
+++ b/dockgate-core/src/scheduler/demand.rs
@@ -57,13 +57,16 @@
         })
     }
 
-    /// Takes one request of an account: at the entry where most wait.
+    /// Takes one request of an account: at the entry where the oldest waits.
+    ///
+    /// Taking it where most wait would starve an entry whose queue only shrinks, such as that of a
+    /// box that is stopping.
     pub(super) fn take(&mut self, pool: PoolKey, workspace: WorkspaceKey) -> Option<BoxKey> {
         let entries = self.accounts.get_mut(&(pool, workspace))?;
         let (entry, demand) = entries
             .iter_mut()
             .filter(|(_, demand)| demand.waiting > 0)
-            .max_by_key(|(_, demand)| demand.waiting)?;
+            .min_by_key(|(_, demand)| demand.oldest_ms)?;
         // The next request is assumed to be younger by an equal part of the queue's age.
         let spread = demand.told_ms.saturating_sub(demand.oldest_ms);
         demand.oldest_ms += spread / u64::from(demand.waiting);
--- /dev/null
+++ b/dockgate-core/src/scheduler/health.rs
@@ -0,0 +1,110 @@
+//! How far a server is trusted with new work: circuit breaking with probes, and learned slots.
+
+/// What an entry saw of a server when a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerSign {
+    /// It answered.
+    Answered,
+    /// It refused, as it is full.
+    Full,
+    /// It could not be reached, or was lost inside an answer.
+    Lost,
+}
+
+/// The trust in one server.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ServerHealth {
+    failures: u32,
+    closed_until_ms: u64,
+    /// Slots that it was seen to have, where that is fewer than it is declared to have.
+    learned: Option<u32>,
+    learned_ms: u64,
+}
+
+impl ServerHealth {
+    /// How long a server rests after its first failure, in milliseconds; doubles with each more.
+    const REST_MS: u64 = 100;
+    /// The longest rest, in milliseconds.
+    const MOST_REST_MS: u64 = 5_000;
+    /// How long a full server rests, in milliseconds.
+    const FULL_REST_MS: u64 = 20;
+    /// After how many milliseconds without a refusal a slot more is tried.
+    const REGROW_MS: u64 = 250;
+
+    /// Tells whether the server may get new work now.
+    pub(super) const fn is_open(&self, now_ms: u64) -> bool {
+        now_ms >= self.closed_until_ms
+    }
+
+    /// Returns how many slots to count on.
+    pub(super) fn slots(&self, declared: u32, now_ms: u64) -> u32 {
+        self.learned.map_or(declared, |learned| {
+            let regrown = now_ms.saturating_sub(self.learned_ms) / Self::REGROW_MS;
+            let regrown = u32::try_from(regrown).unwrap_or(u32::MAX);
+            learned.saturating_add(regrown).min(declared)
+        })
+    }
+
+    /// Notes new work: while it is doubted, a server gets one request at a time as a probe.
+    pub(super) fn granted(&mut self, now_ms: u64) {
+        if self.failures > 0 {
+            self.closed_until_ms = now_ms + self.rest_ms();
+        }
+    }
+
+    /// Notes how a request ended; `held` slots are still held.
+    pub(super) fn note(&mut self, sign: ServerSign, held: u32, now_ms: u64) {
+        match sign {
+            ServerSign::Answered => {
+                self.failures = 0;
+                self.closed_until_ms = 0;
+            }
+            ServerSign::Full => {
+                self.learned = Some(held.max(1));
+                self.learned_ms = now_ms;
+                self.closed_until_ms = now_ms + Self::FULL_REST_MS;
+            }
+            ServerSign::Lost => {
+                self.failures = self.failures.saturating_add(1);
+                self.closed_until_ms = now_ms + self.rest_ms();
+            }
+        }
+    }
+
+    fn rest_ms(&self) -> u64 {
+        let doublings = self.failures.saturating_sub(1).min(16);
+        Self::MOST_REST_MS.min(Self::REST_MS << doublings)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_failing_server_is_probed_ever_less_and_trusted_after_one_answer() {
+        let mut health = ServerHealth::default();
+        health.note(ServerSign::Lost, 0, 0);
+        assert!(!health.is_open(99));
+        assert!(health.is_open(100));
+        health.granted(100);
+        assert!(!health.is_open(150), "one probe at a time");
+        health.note(ServerSign::Lost, 0, 160);
+        assert!(!health.is_open(359));
+        assert!(health.is_open(360));
+        health.granted(360);
+        health.note(ServerSign::Answered, 0, 400);
+        assert!(health.is_open(400));
+    }
+
+    #[test]
+    fn a_full_server_is_believed_and_tried_again_slot_by_slot() {
+        let mut health = ServerHealth::default();
+        health.note(ServerSign::Full, 3, 0);
+        assert_eq!(health.slots(8, 0), 3);
+        assert!(!health.is_open(10));
+        assert!(health.is_open(20));
+        assert_eq!(health.slots(8, 500), 5);
+        assert_eq!(health.slots(8, 60_000), 8);
+    }
+}
--- a/dockgate-core/src/scheduler/slots.rs
+++ b/dockgate-core/src/scheduler/slots.rs
@@ -1,5 +1,6 @@
 //! The slots of the servers that one scheduler owns.
 
+use super::health::{ServerHealth, ServerSign};
 use crate::ids::{PoolKey, ServerKey, WorkspaceKey};
 use crate::invariant::check_invariant;
 use std::collections::{BTreeMap, HashMap};
@@ -21,13 +22,17 @@
     slots: u32,
     held: u32,
     ready_ms: u64,
+    health: ServerHealth,
 }
 
 impl ServerSlots {
-    const fn free(&self, now_ms: u64) -> u32 {
-        match now_ms < self.ready_ms {
+    fn free(&self, now_ms: u64) -> u32 {
+        match now_ms < self.ready_ms || !self.health.is_open(now_ms) {
             true => 0,
-            false => self.slots.saturating_sub(self.held),
+            false => {
+                let slots = self.health.slots(self.slots, now_ms);
+                slots.saturating_sub(self.held)
+            }
         }
     }
 }
@@ -52,6 +57,7 @@
                 slots: server.slots,
                 held: known.map_or(0, |known| known.held),
                 ready_ms: known.map_or(ready_ms, |known| known.ready_ms),
+                health: known.map(|known| known.health).unwrap_or_default(),
             };
             self.servers.insert(server.key, slots);
         }
@@ -74,6 +80,20 @@
             .map(|(key, _)| *key)
     }
 
+    /// Notes that a server gets new work.
+    pub(super) fn granted(&mut self, server: ServerKey, now_ms: u64) {
+        if let Some(slots) = self.servers.get_mut(&server) {
+            slots.health.granted(now_ms);
+        }
+    }
+
+    /// Notes how a request on a server ended, after its slot was released.
+    pub(super) fn note(&mut self, server: ServerKey, sign: ServerSign, now_ms: u64) {
+        if let Some(slots) = self.servers.get_mut(&server) {
+            slots.health.note(sign, slots.held, now_ms);
+        }
+    }
+
     /// Holds a slot for a workspace; returns false beyond capacity.
     pub(super) fn take(&mut self, server: ServerKey, workspace: WorkspaceKey) -> bool {
         let Some(slots) = self.servers.get_mut(&server) else {
@@ -135,6 +155,14 @@
             .sum()
     }
 
+    /// Returns how many servers are resting after failures.
+    pub(super) fn resting(&self, now_ms: u64) -> usize {
+        let servers = self.servers.values();
+        servers
+            .filter(|server| !server.health.is_open(now_ms))
+            .count()
+    }
+
     /// Returns how many servers are owned.
     pub(super) fn len(&self) -> usize {
         self.servers.len()
--- a/dockgate-core/src/scheduler/tests.rs
+++ b/dockgate-core/src/scheduler/tests.rs
@@ -40,7 +40,8 @@
 }
 
 fn settle(id: GrantId, cost: f64, done: bool) -> SettleReport {
-    SettleReport { id, cost, done }
+    let ended = done.then_some(ServerSign::Answered);
+    SettleReport { id, cost, ended }
 }
 
 #[test]
@@ -110,6 +111,48 @@
     assert_eq!(scheduler.ledger().total(POOL, WorkspaceKey(1)), 10.0);
 }
 
+#[test]
+fn an_entry_with_a_short_queue_is_not_starved_by_one_with_a_long_queue() {
+    let mut scheduler = scheduler(OrderMode::Fair, 1, 1);
+    let small = BoxKey(200);
+    scheduler.seek(small, seek(1, 2), 0);
+    let mut served = 0;
+    for now in 1..=20 {
+        let mut demand = seek(1, 50);
+        demand.seen = u32::MAX / 4;
+        scheduler.seek(ENTRY, demand, now);
+        for grant in scheduler.schedule(now) {
+            served += u32::from(grant.entry == small);
+            scheduler.settle(grant.entry, settle(grant.id, 1.0, true), now);
+        }
+    }
+    assert_eq!(served, 2);
+}
+
+#[test]
+fn a_dead_server_does_not_swallow_the_queue() {
+    let mut scheduler = scheduler(OrderMode::Fair, 2, 1);
+    let mut lost = 0;
+    for now in 0..1_000 {
+        let mut demand = seek(1, 10);
+        demand.seen = u32::MAX / 4;
+        scheduler.seek(ENTRY, demand, now);
+        for grant in scheduler.schedule(now) {
+            let dead = grant.server == ServerKey(1);
+            let sign = if dead {
+                ServerSign::Lost
+            } else {
+                ServerSign::Answered
+            };
+            lost += u32::from(dead);
+            let mut report = settle(grant.id, 1.0, true);
+            report.ended = Some(sign);
+            scheduler.settle(ENTRY, report, now);
+        }
+    }
+    assert_eq!(lost, 4, "probed after 100, 200 and 400 ms of rest");
+}
+
 #[test]
 fn strangers_are_refused() {
     let mut scheduler = scheduler(OrderMode::Fair, 1, 1);
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -33,6 +33,12 @@
     /// Entry to scheduler: the cost of a request that has ended, in service units.
     #[serde(rename = "t")]
     Settle(GrantId, u64),
+    /// Entry to scheduler: the server refused, as it is full.
+    #[serde(rename = "r")]
+    Refused(GrantId),
+    /// Entry to scheduler: the server could not be reached or was lost, and the cost so far.
+    #[serde(rename = "e")]
+    Lost(GrantId, u64),
     /// Entry to scheduler: a request that runs on a server which the scheduler now owns.
     #[serde(rename = "a")]
     Adopt(GrantId, PoolKey, WorkspaceKey, ServerKey, u64),
@@ -55,6 +61,8 @@
             Self::Grant(..) => "grant",
             Self::Progress(..) => "progress",
             Self::Settle(..) => "settle",
+            Self::Refused(_) => "refused",
+            Self::Lost(..) => "lost",
             Self::Adopt(..) => "adopt",
             Self::Free(..) => "free",
             Self::Ledger(_) => "ledger",
--- a/dockgate/src/caller/answer.rs
+++ b/dockgate/src/caller/answer.rs
@@ -7,7 +7,7 @@
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
 use bytes::Bytes;
-use dockgate_core::{CostRule, GrantId};
+use dockgate_core::{CostRule, GrantId, ServerSign};
 use hyper::body::{Body, Frame, Incoming};
 use quick_error::quick_error;
 use std::future::Future;
@@ -40,11 +40,13 @@
     pub(super) grant: GrantId,
     pub(super) dispatch: DispatchHandle,
     pub(super) cost: f64,
+    /// What was seen of the server.
+    pub(super) sign: ServerSign,
 }
 
 impl Drop for RunningGrant {
     fn drop(&mut self) {
-        self.dispatch.finish(self.grant, self.cost);
+        self.dispatch.finish(self.grant, self.cost, self.sign);
     }
 }
 
@@ -175,6 +177,7 @@
     fn fail(&mut self, error: AnswerError) -> AnswerError {
         log::warn!("{error}");
         self.outcome = Some("failed");
+        self.running.sign = ServerSign::Lost;
         error
     }
 }
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use dockgate_core::{
     AttemptState, AttemptTrail, CostRule, FleetConfig, GrantOffer, QueueError, RetryVerdict,
-    ServerSpec, WaitingRequest,
+    ServerSign, ServerSpec, WaitingRequest,
 };
 use dockgate_proto::{RefusalCode, RequestStep, headers};
 use http::header::CONTENT_TYPE;
@@ -63,6 +63,8 @@
         in_flight: InFlight,
     ) -> Result<Response<AnswerBody>, Refusal> {
         let mut number = 1;
+        // Attempts of which nothing was sent cost nobody anything: only the deadline ends them.
+        let mut sent = 0;
         let mut in_flight = Some(in_flight);
         let mut trail = AttemptTrail::default();
         loop {
@@ -79,8 +81,9 @@
                 Err(loss) => loss,
             };
             trail.note(loss.state);
+            sent += u32::from(loss.state == AttemptState::Sent);
             let limits = &self.settings.limits;
-            let budget_left = number < limits.attempts && now_ms() < call.deadline_ms;
+            let budget_left = sent < limits.attempts && now_ms() < call.deadline_ms;
             match loss.state.after_loss(call.repeatable, budget_left) {
                 RetryVerdict::Retry => {
                     METRICS.retries.inc();
@@ -99,18 +102,19 @@
     }
 
     async fn wait_for_slot(&self, call: &CallerCall) -> Result<GrantOffer, Refusal> {
-        let since_ms = now_ms();
+        let asked_ms = now_ms();
         let request = WaitingRequest {
             id: 0,
             pool: call.pool,
             workspace: call.workspace,
             priority: call.priority,
             deadline_ms: call.deadline_ms,
-            since_ms,
+            // A request that comes back keeps its age, and so its place.
+            since_ms: call.started_ms,
         };
         let ticket = self.dispatch.enqueue(request, call.queue_limit);
         let reply = ticket.wait().await;
-        let waited = now_ms() - since_ms;
+        let waited = now_ms() - asked_ms;
         METRICS
             .wait
             .with_label_values(&[&call.pool_name])
@@ -140,7 +144,7 @@
         let config = self.cell.current();
         let found = find_server(&config, call, grant);
         let Some((server, rule)) = found else {
-            self.dispatch.finish(grant.id, 0.0);
+            self.dispatch.finish(grant.id, 0.0, ServerSign::Answered);
             return Err(AttemptLoss {
                 state: AttemptState::Bound,
                 message: "the granted server is no longer configured".to_owned(),
@@ -170,10 +174,12 @@
         attempt: &BoundAttempt,
         in_flight: &mut Option<InFlight>,
     ) -> Result<Response<AnswerBody>, AttemptLoss> {
-        let running = RunningGrant {
+        let mut running = RunningGrant {
             grant: attempt.grant.id,
             dispatch: self.dispatch.clone(),
             cost: 0.0,
+            // Until it has answered, an attempt that ends has lost its server.
+            sign: ServerSign::Lost,
         };
         let request = self.server_request(call, attempt)?;
         let limit = self.settings.limits.answer_timeout;
@@ -195,13 +201,15 @@
             status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
                 if attempt.server.honest_refusal =>
             {
+                running.sign = ServerSign::Full;
                 return Err(loss(AttemptState::Refused, name, status.to_string()));
             }
             StatusCode::SERVICE_UNAVAILABLE if call.repeatable => {
+                running.sign = ServerSign::Full;
                 let cause = "it is unavailable".to_owned();
                 return Err(loss(AttemptState::Sent, name, cause));
             }
-            _ => {}
+            _ => running.sign = ServerSign::Answered,
         }
         let label = AnswerLabel {
             request: call.id.clone(),
@@ -287,8 +295,12 @@
         let collected = Limited::new(body, MOST_ANSWER_BYTES).collect();
         let body = match tokio::time::timeout(limit, collected).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(error)) => return Err(loss(AttemptState::Sent, name, error.to_string())),
+            Ok(Err(error)) => {
+                running.sign = ServerSign::Lost;
+                return Err(loss(AttemptState::Sent, name, error));
+            }
             Err(_) => {
+                running.sign = ServerSign::Lost;
                 let cause = "the answer did not end in time".to_owned();
                 return Err(loss(AttemptState::Sent, name, cause));
             }
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -15,8 +15,8 @@
 use crate::settings::DaemonSettings;
 use dockgate_core::{
     AdoptedGrant, BoxKey, EntryAction, EntryState, FleetConfig, FleetTopology, GrantId, GrantOffer,
-    Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, SettleReport, SlotScheduler,
-    WaitingRequest,
+    Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, ServerSign, SettleReport,
+    SlotScheduler, WaitingRequest,
 };
 use dockgate_proto::operator::PeerStatus;
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
@@ -136,7 +136,9 @@
                 self.seek(seek.to, demand, now);
             }
             EntryAction::Bind(id, grant) => self.bind(id, grant),
-            EntryAction::Return(to, id) => self.settle(to, id, 0.0, true, now),
+            EntryAction::Return(to, id) => {
+                self.settle(to, id, 0.0, Some(ServerSign::Answered), now);
+            }
             EntryAction::Expire(id) => {
                 if let Some(reply) = self.waiting.remove(&id) {
                     let _ = reply.send(BindReply::Expired);
@@ -165,24 +167,29 @@
         let reply = self.waiting.remove(&id);
         let sent = reply.map(|reply| reply.send(BindReply::Bound(grant)));
         if !matches!(sent, Some(Ok(()))) {
-            self.finish(grant.id, 0.0);
+            self.finish(grant.id, 0.0, ServerSign::Answered);
         }
     }
 
-    fn settle(&mut self, to: BoxKey, id: GrantId, cost: f64, done: bool, now: u64) {
-        match (to == self.me.key, done) {
-            (true, _) => {
-                let report = SettleReport { id, cost, done };
-                self.scheduler.settle(to, report, now);
-            }
-            (false, true) => self.send(to, PeerMessage::Settle(id, cost as u64)),
-            (false, false) => self.send(to, PeerMessage::Progress(id, cost as u64)),
+    fn settle(&mut self, to: BoxKey, id: GrantId, cost: f64, ended: Option<ServerSign>, now: u64) {
+        if to == self.me.key {
+            let report = SettleReport { id, cost, ended };
+            self.scheduler.settle(to, report, now);
+            return;
         }
+        let cost = cost as u64;
+        let message = match ended {
+            None => PeerMessage::Progress(id, cost),
+            Some(ServerSign::Answered) => PeerMessage::Settle(id, cost),
+            Some(ServerSign::Full) => PeerMessage::Refused(id),
+            Some(ServerSign::Lost) => PeerMessage::Lost(id, cost),
+        };
+        self.send(to, message);
     }
 
-    fn finish(&mut self, id: GrantId, cost: f64) {
+    fn finish(&mut self, id: GrantId, cost: f64, sign: ServerSign) {
         if let Some(scheduler) = self.entry.finish(id) {
-            self.settle(scheduler, id, cost, true, now_ms());
+            self.settle(scheduler, id, cost, Some(sign), now_ms());
         }
     }
 
@@ -219,11 +226,19 @@
                 return self.entry.offer(from, grant);
             }
             PeerMessage::Progress(id, cost) => {
-                let report = settle_report(id, cost, false);
+                let report = settle_report(id, cost, None);
                 self.scheduler.settle(from, report, now)
             }
             PeerMessage::Settle(id, cost) => {
-                let report = settle_report(id, cost, true);
+                let report = settle_report(id, cost, Some(ServerSign::Answered));
+                self.scheduler.settle(from, report, now)
+            }
+            PeerMessage::Refused(id) => {
+                let report = settle_report(id, 0, Some(ServerSign::Full));
+                self.scheduler.settle(from, report, now)
+            }
+            PeerMessage::Lost(id, cost) => {
+                let report = settle_report(id, cost, Some(ServerSign::Lost));
                 self.scheduler.settle(from, report, now)
             }
             PeerMessage::Adopt(id, pool, workspace, server, charged) => {
@@ -337,6 +352,8 @@
         METRICS.expired_grants.set(expired as i64);
         let overcommitted = self.scheduler.overcommitted_slots();
         METRICS.overcommitted.set(i64::from(overcommitted));
+        let resting = self.scheduler.resting_servers(now_ms());
+        METRICS.resting.set(resting as i64);
         METRICS.links.set(self.links.linked_count() as i64);
     }
 
@@ -380,11 +397,11 @@
     PeerMessage::Grant(grant.id, grant.pool, grant.workspace, grant.server)
 }
 
-const fn settle_report(id: GrantId, cost: u64, done: bool) -> SettleReport {
+const fn settle_report(id: GrantId, cost: u64, ended: Option<ServerSign>) -> SettleReport {
     SettleReport {
         id,
         cost: cost as f64,
-        done,
+        ended,
     }
 }
 
@@ -443,13 +460,13 @@
 handle!(Progress, (), |actor, message| {
     let Progress(id, cost) = message;
     if let Some(scheduler) = actor.entry.progress(id, cost) {
-        actor.settle(scheduler, id, cost, false, now_ms());
+        actor.settle(scheduler, id, cost, None, now_ms());
     }
 });
 
 handle!(Finish, (), |actor, message| {
-    let Finish(id, cost) = message;
-    actor.finish(id, cost);
+    let Finish(id, cost, sign) = message;
+    actor.finish(id, cost, sign);
     actor.pump(Vec::new());
 });
 
@@ -541,7 +558,7 @@
         match message {
             // The peer may not have seen the grant: its slot is free again.
             PeerMessage::Grant(id, ..) => {
-                let report = settle_report(id, 0, true);
+                let report = settle_report(id, 0, Some(ServerSign::Answered));
                 actor.scheduler.settle(peer, report, now_ms());
             }
             message => actor.links.send(peer, message),
--- a/dockgate/src/dispatch/handle.rs
+++ b/dockgate/src/dispatch/handle.rs
@@ -7,7 +7,7 @@
 };
 use crate::config_keeper::ConfigCell;
 use crate::members::MemberBox;
-use dockgate_core::{BoxKey, GrantId, GrantOffer, QueueError, WaitingRequest};
+use dockgate_core::{BoxKey, GrantId, GrantOffer, QueueError, ServerSign, WaitingRequest};
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
 use futures::FutureExt;
 use std::sync::Arc;
@@ -48,7 +48,9 @@
     fn drop(&mut self) {
         // A grant that came while the caller went away is given back.
         match self.receiver.try_recv() {
-            Ok(BindReply::Bound(grant)) => self.dispatch.finish(grant.id, 0.0),
+            Ok(BindReply::Bound(grant)) => {
+                self.dispatch.finish(grant.id, 0.0, ServerSign::Answered);
+            }
             Ok(_) => {}
             Err(_) => self.dispatch.tell(Cancel(self.id)),
         }
@@ -127,8 +129,8 @@
     }
 
     /// Ends a running request.
-    pub(crate) fn finish(&self, grant: GrantId, cost: f64) {
-        self.tell(Finish(grant, cost));
+    pub(crate) fn finish(&self, grant: GrantId, cost: f64, sign: ServerSign) {
+        self.tell(Finish(grant, cost, sign));
     }
 
     /// Hands over a batch from a peer; returns the messages for that peer.
--- a/dockgate/src/dispatch/links.rs
+++ b/dockgate/src/dispatch/links.rs
@@ -85,15 +85,21 @@
     pub(super) fn send(&mut self, to: BoxKey, message: PeerMessage) {
         match self.links.get_mut(&to) {
             Some(link) if link.linked => link.sender.send(message),
-            Some(link) => Self::keep(link, message),
+            Some(link) => Self::keep(link, &message),
             None => {}
         }
     }
 
-    fn keep(link: &mut PeerLink, message: PeerMessage) {
-        let settle = matches!(message, PeerMessage::Settle(..));
-        if settle && link.settles.len() < Self::MOST_SETTLES {
-            link.settles.push(message);
+    fn keep(link: &mut PeerLink, message: &PeerMessage) {
+        let settle = match *message {
+            PeerMessage::Settle(id, cost) => PeerMessage::Settle(id, cost),
+            // What was lost with the link says nothing of the server any more.
+            PeerMessage::Lost(id, cost) => PeerMessage::Settle(id, cost),
+            PeerMessage::Refused(id) => PeerMessage::Settle(id, 0),
+            _ => return,
+        };
+        if link.settles.len() < Self::MOST_SETTLES {
+            link.settles.push(settle);
         }
     }
 
--- a/dockgate/src/dispatch/messages.rs
+++ b/dockgate/src/dispatch/messages.rs
@@ -1,7 +1,7 @@
 //! Messages to the control actor.
 
 use crate::members::MemberBox;
-use dockgate_core::{BoxKey, FleetConfig, GrantId, WaitingRequest};
+use dockgate_core::{BoxKey, FleetConfig, GrantId, ServerSign, WaitingRequest};
 use dockgate_proto::operator::StatusReply;
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
 use std::sync::Arc;
@@ -23,7 +23,7 @@
 pub(super) struct Progress(pub(super) GrantId, pub(super) f64);
 
 /// Ends a running request.
-pub(super) struct Finish(pub(super) GrantId, pub(super) f64);
+pub(super) struct Finish(pub(super) GrantId, pub(super) f64, pub(super) ServerSign);
 
 /// A batch from a peer; answered with messages for that peer.
 pub(crate) struct PeerBatch {
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -14,7 +14,8 @@
     level: &'a str,
     #[serde(rename = "box")]
     name: &'a str,
-    module: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    module: Option<&'a str>,
     #[serde(skip_serializing_if = "Option::is_none")]
     message: Option<String>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -35,7 +36,7 @@
                 at_ms: unix_ms(),
                 level: record.level().as_str(),
                 name: &name,
-                module: record.module_path().unwrap_or_default(),
+                module: event.is_none().then(|| record.module_path()).flatten(),
                 message: event.is_none().then_some(text),
                 event,
             };
--- a/dockgate/src/metrics.rs
+++ b/dockgate/src/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) running: IntGauge,
     /// Servers that this box schedules.
     pub(crate) servers: IntGauge,
+    /// Servers that get no new work for a while, after failures.
+    pub(crate) resting: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
     /// Violations of invariants.
@@ -123,6 +125,10 @@
                 "dockgate_scheduled_servers",
                 "Servers scheduled by this box",
             ),
+            resting: gauge(
+                "dockgate_resting_servers",
+                "Servers scheduled here that get no new work for a while, after failures",
+            ),
             config_version: gauge(
                 "dockgate_config_version",
                 "Version of the configuration in force",
