feat(bench): put a timeline into the report

The report now holds utilisation, idle while queued, control bytes and every workspace's service second by second. No behaviour of the daemon changes.

--- a/dockgate-bench/src/run.rs
+++ b/dockgate-bench/src/run.rs
@@ -104,7 +104,7 @@
     client.stats.reset();
 
     let before = ControlTotals::read(&fleet).await;
-    let mut sampler = RunSampler::new(&fleet.scenario, &fleet.tallies);
+    let mut sampler = RunSampler::new(&fleet.scenario, &fleet.tallies, fleet.peer_bytes.clone());
     let mut faults = FaultDriver::new(&fleet.scenario.faults);
     let started = tokio::time::Instant::now();
     let mut ticks = tokio::time::interval(SAMPLE);
--- a/dockgate-bench/src/run/sampler.rs
+++ b/dockgate-bench/src/run/sampler.rs
@@ -3,7 +3,8 @@
 use crate::caller::{CallOutcome, CallerStats};
 use crate::fleet::BenchFleet;
 use crate::gap::{GapMeter, ServicePoint};
-use crate::report::{AddedLatency, ArmReport, TimePercentiles};
+use crate::relay::ByteCount;
+use crate::report::{AddedLatency, ArmReport, TimePercentiles, TimelinePoint};
 use crate::scenario::{BenchScenario, PoolShape};
 use crate::standin::RunTally;
 use std::collections::{BTreeMap, HashMap};
@@ -35,10 +36,27 @@
     versions: HashMap<String, f64>,
     versions_due: Instant,
     reverts: u64,
+    peer_bytes: ByteCount,
+    started: Instant,
+    second: SecondTotals,
+    timeline: Vec<TimelinePoint>,
+}
+
+/// Totals at the beginning of a second of the timeline.
+#[derive(Debug, Clone, Copy, Default)]
+struct SecondTotals {
+    busy: f64,
+    idle_queued: f64,
+    slots: f64,
+    peer_bytes: u64,
 }
 
 impl RunSampler {
-    pub(super) fn new(scenario: &BenchScenario, tallies: &BTreeMap<String, Arc<RunTally>>) -> Self {
+    pub(super) fn new(
+        scenario: &BenchScenario,
+        tallies: &BTreeMap<String, Arc<RunTally>>,
+        peer_bytes: ByteCount,
+    ) -> Self {
         let pools = scenario.pools.iter().filter_map(|shape| {
             let tally = tallies.get(&shape.name)?.clone();
             let units = tally.sample().iter().map(|sample| sample.units).sum();
@@ -63,6 +81,13 @@
             versions: HashMap::new(),
             versions_due: Instant::now(),
             reverts: 0,
+            second: SecondTotals {
+                peer_bytes: peer_bytes.total(),
+                ..SecondTotals::default()
+            },
+            peer_bytes,
+            started: Instant::now(),
+            timeline: Vec::new(),
         }
     }
 
@@ -82,6 +107,37 @@
             }
             pool.sample(&waiting, &self.shares, seconds);
         }
+        let at_s = (now - self.started).as_secs_f64();
+        if at_s >= (self.timeline.len() + 1) as f64 {
+            self.close_second(at_s);
+        }
+    }
+
+    /// Adds a point to the timeline.
+    fn close_second(&mut self, at_s: f64) {
+        let engines = || self.pools.iter().filter(|pool| pool.shape.engine);
+        let sum = |part: fn(&PoolSampler) -> f64| engines().map(part).sum::<f64>();
+        let totals = SecondTotals {
+            busy: sum(|pool| pool.busy),
+            idle_queued: sum(|pool| pool.idle_queued),
+            slots: sum(|pool| pool.slots),
+            peer_bytes: self.peer_bytes.total(),
+        };
+        let slots = (totals.slots - self.second.slots).max(f64::EPSILON);
+        let mut levels = BTreeMap::new();
+        for sample in engines().flat_map(|pool| pool.tally.sample()) {
+            if let Some(share) = self.shares.get(&sample.workspace) {
+                *levels.entry(sample.workspace).or_default() += sample.units / f64::from(*share);
+            }
+        }
+        self.timeline.push(TimelinePoint {
+            at_s,
+            utilisation: (totals.busy - self.second.busy) / slots,
+            idle_while_queued: (totals.idle_queued - self.second.idle_queued) / slots,
+            peer_bytes: totals.peer_bytes - self.second.peer_bytes,
+            levels,
+        });
+        self.second = totals;
     }
 
     /// Looks whether a box has gone back to an older configuration.
@@ -145,6 +201,7 @@
                     p99: stats.added_us(0.99),
                 },
             },
+            timeline: self.timeline.clone(),
             ..ArmReport::default()
         }
     }
