fix(core): send no grant to an entry that cannot be reached

Cause, read off the new timeline: after a box was killed, utilisation fell from 0.99 to 0.40 within five seconds, far below the five sixths of the servers that were left. Seeks of the dead box stayed in every scheduler; their grants went nowhere and held slots until they lapsed after 5 s. Ruled out: the dead box's own servers (taken over within a second).

--- a/dockgate-bench/src/fault.rs
+++ b/dockgate-bench/src/fault.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::CallerClient;
 use crate::error::BenchError;
-use crate::fleet::{BenchFleet, ServerStandIn};
+use crate::fleet::{BenchFleet, BenchServer, ServerStandIn};
 use crate::scenario::{FaultKind, FaultPlan};
 use dockgate_core::ConfigChange;
 use dockgate_platform::BoxState;
@@ -125,6 +125,7 @@
             let undo = fleet.retire(target).await?;
             if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
                 server.standin.set_leaving(Some(LEAVE_GRACE));
+                count_slots(fleet, server, -1);
             }
             return Ok(undo);
         }
@@ -160,6 +161,7 @@
         FaultKind::Retire => {
             if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
                 server.standin.set_leaving(None);
+                count_slots(fleet, server, 1);
             }
             if let Some(change) = undo {
                 fleet.change(0, PlanIntent::Changes(vec![change])).await?;
@@ -169,6 +171,13 @@
     Ok(())
 }
 
+/// Takes a server's slots out of what could be used, or puts them back.
+fn count_slots(fleet: &BenchFleet, server: &BenchServer, sign: isize) {
+    if let Some(tally) = fleet.tallies.get(&server.pool) {
+        tally.add_slots(sign * server.slots as isize);
+    }
+}
+
 fn restart(fleet: &mut BenchFleet, name: &str) -> Result<(), BenchError> {
     let mut daemons = fleet.daemons.iter_mut();
     daemons
--- a/dockgate-core/src/scheduler.rs
+++ b/dockgate-core/src/scheduler.rs
@@ -215,11 +215,17 @@
         true
     }
 
-    /// Forgets a box: its seeks go, and its grants are free again since its connections are cut.
-    pub fn forget_box(&mut self, entry: BoxKey) {
+    /// Forgets what waits at an entry that cannot be reached, so that no grant is sent into the
+    /// void; what runs there goes on.
+    pub fn forget_demand(&mut self, entry: BoxKey) {
         for (pool, workspace) in self.demand.forget(entry) {
             self.refresh(pool, workspace);
         }
+    }
+
+    /// Forgets a box: its seeks go, and its grants are free again since its connections are cut.
+    pub fn forget_box(&mut self, entry: BoxKey) {
+        self.forget_demand(entry);
         for grant in self.grants.remove_where(|grant| grant.entry == entry) {
             self.slots.release(grant.server, grant.workspace);
             self.refresh(grant.pool, grant.workspace);
--- a/dockgate-core/src/scheduler/tests.rs
+++ b/dockgate-core/src/scheduler/tests.rs
@@ -153,6 +153,23 @@
     assert_eq!(lost, 4, "probed after 100, 200 and 400 ms of rest");
 }
 
+#[test]
+fn nothing_is_granted_to_an_entry_that_cannot_be_reached() {
+    let mut scheduler = scheduler(OrderMode::Fair, 1, 2);
+    scheduler.seek(ENTRY, seek(1, 5), 0);
+    let running = scheduler.schedule(0).len();
+    scheduler.forget_demand(ENTRY);
+    scheduler.seek(BoxKey(200), seek(2, 1), 0);
+    assert_eq!(scheduler.held_grants(), running, "what runs goes on");
+    scheduler.forget_box(ENTRY);
+    let entries: Vec<BoxKey> = scheduler
+        .schedule(0)
+        .iter()
+        .map(|grant| grant.entry)
+        .collect();
+    assert_eq!(entries, [BoxKey(200)]);
+}
+
 #[test]
 fn strangers_are_refused() {
     let mut scheduler = scheduler(OrderMode::Fair, 1, 1);
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -322,9 +322,17 @@
     /// Rebuilds if a box has become suspect, or is no more.
     fn rebuild_if_suspects_changed(&mut self) {
         let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
-        if self.links.live_boxes(&self.me, suspect_ms) != self.live {
-            self.rebuild();
+        let live = self.links.live_boxes(&self.me, suspect_ms);
+        if live == self.live {
+            return;
+        }
+        // What a box ran that cannot be reached for long was cut off with it, or soon will be; a
+        // server that is still busy refuses, which costs a retry and no promise.
+        let lost = self.live.iter().filter(|known| !live.contains(known));
+        for key in lost.map(|known| known.key).collect::<Vec<_>>() {
+            self.scheduler.forget_box(key);
         }
+        self.rebuild();
     }
 
     /// Tells every other scheduler what was given here, and every entry what is free.
@@ -554,6 +562,7 @@
         });
     }
     actor.entry.disconnect(peer);
+    actor.scheduler.forget_demand(peer);
     for message in undelivered {
         match message {
             // The peer may not have seen the grant: its slot is free again.
