fix: recover within a second from a frozen box

(1) A peer that had no link back yet made the other side close its own link, and both did so in turn for seconds; now the batch is offered again.

--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -328,7 +328,10 @@
         }
         // What a box ran that cannot be reached for long was cut off with it, or soon will be; a
         // server that is still busy refuses, which costs a retry and no promise.
-        let lost = self.live.iter().filter(|known| !live.contains(known));
+        let lost = self
+            .live
+            .iter()
+            .filter(|known| !live.iter().any(|seen| seen.key == known.key));
         for key in lost.map(|known| known.key).collect::<Vec<_>>() {
             self.scheduler.forget_box(key);
         }
@@ -481,6 +484,9 @@
 handle!(PeerBatch, Option<Vec<PeerMessage>>, |actor, batch| {
     if actor.links.is_linked(batch.from) {
         actor.answering = Some((batch.from, Vec::new()));
+        if let Some(link) = actor.links.get_mut(batch.from) {
+            link.note_heard();
+        }
         actor.receive_all(batch.from, batch.messages);
         let free = actor.free_messages(batch.from);
         let answer = actor.answering.take().map(|(_, answer)| answer);
@@ -529,6 +535,7 @@
     if let Some(link) = actor.links.get_mut(peer) {
         link.linked = true;
         link.changed_ms = now;
+        link.note_heard();
         link.settles.clear();
         log_event(&LogEvent::Link {
             peer: &link.member.name,
@@ -551,10 +558,10 @@
         undelivered,
         reason,
     } = failure;
+    let suspect_ms = actor.settings.schedule.suspect.as_millis() as u64;
     if let Some(link) = actor.links.get_mut(peer)
-        && std::mem::take(&mut link.linked)
+        && link.close(suspect_ms)
     {
-        link.changed_ms = now_ms();
         log_event(&LogEvent::Link {
             peer: &link.member.name,
             up: false,
--- a/dockgate/src/dispatch/links.rs
+++ b/dockgate/src/dispatch/links.rs
@@ -13,6 +13,8 @@
     pub(super) sender: LinkSender,
     pub(super) linked: bool,
     pub(super) changed_ms: u64,
+    /// When the peer was last heard of.
+    heard_ms: u64,
     /// Settles that a broken link did not deliver.
     pub(super) settles: Vec<PeerMessage>,
     /// The free slots that the peer was last told of.
@@ -20,17 +22,39 @@
 }
 
 impl PeerLink {
+    /// How long a link may be closed before its box is passed over, at the least, in milliseconds.
+    const REOPEN_MS: u64 = 300;
+
     pub(super) fn new(member: MemberBox, sender: LinkSender) -> Self {
         Self {
             member,
             sender,
             linked: false,
             changed_ms: now_ms(),
+            heard_ms: now_ms(),
             settles: Vec::new(),
             told_free: HashMap::new(),
         }
     }
 
+    /// Notes that the link is open, or that the peer has answered.
+    pub(super) fn note_heard(&mut self) {
+        self.heard_ms = now_ms();
+    }
+
+    /// Notes that the link is closed; returns whether it was open.
+    ///
+    /// The box is alive for the rest of the time since it was last heard of, but long enough for
+    /// the link to be opened again where only the connection was lost.
+    pub(super) fn close(&mut self, suspect_ms: u64) -> bool {
+        let reopen_until = (now_ms() + Self::REOPEN_MS).saturating_sub(suspect_ms);
+        let was_open = std::mem::take(&mut self.linked);
+        if was_open {
+            self.changed_ms = self.heard_ms.max(reopen_until);
+        }
+        was_open
+    }
+
     /// Tells whether the box counts as alive: linked, or not closed for long.
     fn alive(&self, suspect_ms: u64) -> bool {
         self.linked || now_ms() < self.changed_ms + suspect_ms
--- a/dockgate/src/link.rs
+++ b/dockgate/src/link.rs
@@ -24,6 +24,8 @@
 
 /// The most messages in one batch.
 const MOST_MESSAGES: usize = 512;
+/// How long to wait before a batch is offered again to a peer that has no link to this box yet.
+const NOT_LINKED: Duration = Duration::from_millis(20);
 /// How long to wait before a broken link is opened again, in milliseconds.
 const RETRY_MS: std::ops::Range<u64> = 50..200;
 
@@ -35,10 +37,6 @@
         Call(step: &'static str, peer: String, cause: ClientError) {
             display("peer {}: {}: {}", peer, step, cause)
         }
-        /// The peer has no open link to this box yet.
-        NotLinked(peer: String) {
-            display("peer {}: exchange: it has no link to this box yet", peer)
-        }
         /// The fleet secret cannot stand in a header.
         Secret(peer: String) {
             display("peer {}: connect: the fleet secret is not plain text", peer)
@@ -135,6 +133,11 @@
             }
             let answered = self.exchange(&client, &batch).await;
             let answer = answered.inspect_err(|_| undelivered.append(&mut batch))?;
+            let Some(answer) = answer else {
+                // Closing this link too would make both sides wait for each other for ever.
+                tokio::time::sleep(NOT_LINKED).await;
+                continue;
+            };
             batch.clear();
             let reaction = PeerBatch {
                 from: self.peer.key,
@@ -204,11 +207,12 @@
         Ok(())
     }
 
+    /// Hands a batch over; the peer takes nothing in while it has no link to this box.
     async fn exchange(
         &self,
         client: &WsClient,
         batch: &[PeerMessage],
-    ) -> Result<Vec<PeerMessage>, LinkError> {
+    ) -> Result<Option<Vec<PeerMessage>>, LinkError> {
         METRICS.exchanges.inc();
         let mut params = ArrayParams::new();
         for message in batch {
@@ -217,10 +221,9 @@
                 .map_err(ClientError::ParseError)
                 .map_err(self.failed("write a batch"))?;
         }
-        let answer: Option<Vec<PeerMessage>> = client
+        client
             .request(methods::EXCHANGE, params)
             .await
-            .map_err(self.failed("exchange"))?;
-        answer.ok_or_else(|| LinkError::NotLinked(self.peer.name.clone()))
+            .map_err(self.failed("exchange"))
     }
 }
