--- a/dockgate-bench/src/scenario.rs
+++ b/dockgate-bench/src/scenario.rs
@@ -39,7 +39,7 @@
     pub delay: Duration,
     /// Whether the added latency is probed.
     pub probe: bool,
-    /// Settings handed to every daemon, as lines of [schedule].
+    /// Settings handed to every daemon, as lines of `[schedule]`.
     pub schedule: Vec<(String, String)>,
 }
 
@@ -105,9 +105,9 @@
 pub struct BenchArm {
     /// Its name.
     pub name: String,
-    /// The order of the daemons' [schedule].
+    /// The order of the daemons' `[schedule]`.
     pub order: String,
-    /// Further lines of [schedule].
+    /// Further lines of `[schedule]`.
     pub schedule: Vec<(String, String)>,
 }
 
--- a/dockgate-bench/src/scenario/load.rs
+++ b/dockgate-bench/src/scenario/load.rs
@@ -123,7 +123,11 @@
         .take("queue_limit", "a whole number")
         .unwrap_or(1_000);
     let allowed = "closed:CALLERS or open:REQUESTS_PER_SECOND";
-    let arrivals = section.take_prefixed::<Arrival>("arrival.", allowed);
+    let mut arrivals = section.take_prefixed::<Arrival>("arrival.", allowed);
+    if arrivals.is_empty() {
+        // A workspace that sends nothing is declared all the same.
+        arrivals.push((String::new(), Arrival::Closed(0)));
+    }
     let loads = arrivals.into_iter().map(|(pool, arrival)| {
         let sizes = section.take(&format!("sizes.{pool}"), "sizes such as 30*99 3000*1");
         WorkspaceLoad {
--- a/dockgate/src/settings.rs
+++ b/dockgate/src/settings.rs
@@ -19,25 +19,25 @@
     /// Only checks the settings.
     #[arg(long)]
     pub(crate) check: bool,
-    /// Overrides `name` of [box].
+    /// Overrides `name` of `[box]`.
     #[arg(long, env = "DOCKGATE_NAME")]
     name: Option<String>,
-    /// Overrides `domain` of [box].
+    /// Overrides `domain` of `[box]`.
     #[arg(long, env = "DOCKGATE_DOMAIN")]
     domain: Option<String>,
-    /// Overrides `callers` of [listen].
+    /// Overrides `callers` of `[listen]`.
     #[arg(long, env = "DOCKGATE_CALLERS")]
     callers: Option<SocketAddr>,
-    /// Overrides `peers` of [listen].
+    /// Overrides `peers` of `[listen]`.
     #[arg(long, env = "DOCKGATE_PEERS")]
     peers: Option<SocketAddr>,
-    /// Overrides `operators` of [listen].
+    /// Overrides `operators` of `[listen]`.
     #[arg(long, env = "DOCKGATE_OPERATORS")]
     operators: Option<SocketAddr>,
-    /// Overrides `metrics` of [listen].
+    /// Overrides `metrics` of `[listen]`.
     #[arg(long, env = "DOCKGATE_METRICS")]
     metrics: Option<SocketAddr>,
-    /// Overrides `address` of [platform].
+    /// Overrides `address` of `[platform]`.
     #[arg(long, env = "DOCKGATE_PLATFORM")]
     platform: Option<SocketAddr>,
 }
