--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -3,7 +3,9 @@
 mod config;
 mod daemon;
 
+pub(crate) use config::change_at;
 pub use config::workspace_key;
+pub(crate) use daemon::metric_at;
 pub use daemon::{DaemonProcess, is_ready};
 
 use crate::error::BenchError;
@@ -198,6 +200,7 @@
         secrets(self.folder.path())?;
         let network = run_network();
         let mut entries = Vec::new();
+        let mut plans = Vec::new();
         for (index, (name, domain)) in self.scenario.boxes().into_iter().enumerate() {
             let number = index as u16 + 1;
             let ip = Ipv4Addr::new(127, network, (number >> 8) as u8, number as u8);
@@ -217,8 +220,11 @@
                 domain,
                 schedule,
             };
-            self.daemons
-                .push(DaemonProcess::start(plan, self.folder.path())?);
+            plans.push(plan);
+        }
+        for plan in plans {
+            let process = DaemonProcess::start(plan, &entries, self.folder.path())?;
+            self.daemons.push(process);
         }
         self.platform.set_boxes(entries);
         Ok(())
--- a/dockgate-bench/src/fleet/config.rs
+++ b/dockgate-bench/src/fleet/config.rs
@@ -12,12 +12,37 @@
 use jsonrpsee::rpc_params;
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::net::SocketAddr;
 
 /// Returns the API key of a workspace.
 pub fn workspace_key(workspace: &str) -> String {
     format!("key-of-{workspace}")
 }
 
+/// Plans and confirms an intent at an operator door.
+pub(crate) async fn change_at(
+    operators: SocketAddr,
+    intent: PlanIntent,
+) -> Result<ConfirmReply, BenchError> {
+    let client = operator_client(operators, OPERATOR_TOKEN)?;
+    let failed = |error: jsonrpsee::core::ClientError| {
+        BenchError::Daemon("configure", operators.to_string(), error.to_string())
+    };
+    let request = PlanRequest { intent };
+    let reply: PlanReply = client
+        .request(operator::PLAN, rpc_params![request])
+        .await
+        .map_err(failed)?;
+    let request = ConfirmRequest {
+        plan: reply.plan.id.0,
+        author: "bench".to_owned(),
+    };
+    client
+        .request(operator::CONFIRM, rpc_params![request])
+        .await
+        .map_err(failed)
+}
+
 impl BenchFleet {
     /// Writes the declaration of the whole fleet.
     pub fn declaration(&self) -> String {
@@ -27,7 +52,7 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "[pool {}]\nkind = {kind}", pool.name);
             if pool.engine {
-                let _ = writeln!(text, "models = {}", pool.name);
+                let _ = writeln!(text, "models = {}\nresumes = yes", pool.name);
             }
         }
         for server in &self.servers {
@@ -81,24 +106,7 @@
         daemon: usize,
         intent: PlanIntent,
     ) -> Result<ConfirmReply, BenchError> {
-        let daemon = &self.daemons[daemon];
-        let client = operator_client(daemon.operators(), OPERATOR_TOKEN)?;
-        let failed = |error: jsonrpsee::core::ClientError| {
-            BenchError::Daemon("configure", daemon.name().to_owned(), error.to_string())
-        };
-        let request = PlanRequest { intent };
-        let reply: PlanReply = client
-            .request(operator::PLAN, rpc_params![request])
-            .await
-            .map_err(failed)?;
-        let request = ConfirmRequest {
-            plan: reply.plan.id.0,
-            author: "bench".to_owned(),
-        };
-        client
-            .request(operator::CONFIRM, rpc_params![request])
-            .await
-            .map_err(failed)
+        change_at(self.daemons[daemon].operators(), intent).await
     }
 
     /// Retires a server, and returns the change that adds it again.
--- a/dockgate-bench/src/fleet/daemon.rs
+++ b/dockgate-bench/src/fleet/daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon as a process of its own.
 
 use crate::error::BenchError;
+use crate::standin::BoxEntry;
 use jsonrpsee::http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -88,9 +89,13 @@
 
 impl DaemonProcess {
     /// Starts a daemon with settings and a log file in `folder`.
-    pub(super) fn start(plan: DaemonPlan, folder: &Path) -> Result<Self, BenchError> {
+    pub(super) fn start(
+        plan: DaemonPlan,
+        boxes: &[BoxEntry],
+        folder: &Path,
+    ) -> Result<Self, BenchError> {
         let settings = folder.join(format!("{}.ini", plan.name));
-        write_file(&settings, &plan.settings(folder))?;
+        write_file(&settings, &plan.settings(boxes, folder))?;
         let mut daemon = Self {
             plan,
             settings,
@@ -250,21 +255,59 @@
         ))
     }
 
+    fn proc_text(&self, file: &str) -> String {
+        let path = self.pid().map(|pid| format!("/proc/{pid}/{file}"));
+        path.and_then(|path| std::fs::read_to_string(path).ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns the processor time that the process has used, in seconds; zero where it is not told.
+    pub fn processor_seconds(&self) -> f64 {
+        /// Clock ticks a second in that file, on every Linux that we know.
+        const TICKS: f64 = 100.0;
+        let text = self.proc_text("stat");
+        // The fields after the name, which ends with the last parenthesis, begin with the state.
+        let fields = text.rsplit(')').next().unwrap_or_default();
+        let times = fields.split_whitespace().skip(11).take(2);
+        times
+            .filter_map(|ticks| ticks.parse::<f64>().ok())
+            .sum::<f64>()
+            / TICKS
+    }
+
+    /// Returns the resident memory of the process, in megabytes; zero where it is not told.
+    pub fn memory_mb(&self) -> f64 {
+        let text = self.proc_text("status");
+        let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+        kilobytes.unwrap_or(0.0) / 1_024.0
+    }
+
+    /// Returns where metrics are served.
+    pub(crate) const fn metrics(&self) -> SocketAddr {
+        self.plan.metrics
+    }
+
     /// Returns the sum of a metric over its labels.
     pub async fn metric(&self, name: &str) -> Option<f64> {
-        let text = fetch(self.plan.metrics, "metrics").await?;
-        let mut found = None;
-        for line in text.lines() {
-            let Some((key, value)) = line.rsplit_once(' ') else {
-                continue;
-            };
-            let plain = key.split('{').next().unwrap_or(key);
-            if let (true, Ok(value)) = (plain == name, value.parse::<f64>()) {
-                found = Some(found.unwrap_or(0.0) + value);
-            }
+        metric_at(self.plan.metrics, name).await
+    }
+}
+
+/// Returns the sum of a metric over its labels, as a metrics address tells it.
+pub(crate) async fn metric_at(address: SocketAddr, name: &str) -> Option<f64> {
+    let text = fetch(address, "metrics").await?;
+    let mut found = None;
+    for line in text.lines() {
+        let Some((key, value)) = line.rsplit_once(' ') else {
+            continue;
+        };
+        let plain = key.split('{').next().unwrap_or(key);
+        if let (true, Ok(value)) = (plain == name, value.parse::<f64>()) {
+            found = Some(found.unwrap_or(0.0) + value);
         }
-        found
     }
+    found
 }
 
 impl Drop for DaemonProcess {
@@ -274,10 +317,10 @@
 }
 
 impl DaemonPlan {
-    fn settings(&self, folder: &Path) -> String {
+    fn settings(&self, boxes: &[BoxEntry], folder: &Path) -> String {
         let mut text = format!(
             "[box]\nname = {}\ndomain = {}\n\n[listen]\ncallers = {}\npeers = {}\n\
-             operators = {}\nmetrics = {}\n\n[platform]\naddress = {}\nboxes_every_ms = 500\n\n\
+             operators = {}\nmetrics = {}\n\n[platform]\naddress = {}\n\n\
              [secrets]\nfleet_file = {}\noperator_file = {}\n\n[limits]\nstop_grace_ms = 500\n\n\
              [schedule]\n",
             self.name,
@@ -294,6 +337,15 @@
             // Writing to a string does not fail.
             let _ = writeln!(text, "{key} = {value}");
         }
+        for seed in boxes.iter().filter(|seed| seed.name != self.name) {
+            if let Some(address) = seed.peer_addresses.get(&self.domain) {
+                let _ = writeln!(
+                    text,
+                    "[seed {}]\ndomain = {}\naddress = {address}",
+                    seed.name, seed.domain
+                );
+            }
+        }
         text
     }
 }
--- a/dockgate-bench/src/lib.rs
+++ b/dockgate-bench/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod standin;
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -4,8 +4,10 @@
 use dockgate_bench::demo::run_demo;
 use dockgate_bench::error::BenchError;
 use dockgate_bench::report::BenchReport;
-use dockgate_bench::run::{RunOptions, run_scenario};
+use dockgate_bench::run::{RunOptions, WARM_UP, run_scenario};
 use dockgate_bench::scenario::BenchScenario;
+use dockgate_bench::slopes::{SlopeReport, run_slopes};
+use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -25,6 +27,22 @@
 enum BenchCommand {
     /// Runs a small fleet that a newcomer can call.
     Demo,
+    /// Measures how the cost of control grows, and fits lines.
+    Slopes {
+        /// Only these axes: boxes, servers, workspaces, requests-per-second,
+        /// changes-per-100-seconds, domains.
+        #[arg(long)]
+        axis: Vec<String>,
+        /// Seconds measured at each point.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Seed of arrivals and sizes.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where the report is written.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
     /// Runs a scenario and reports what was measured.
     Run {
         /// The scenario file.
@@ -73,6 +91,19 @@
 async fn run(command: BenchCommand) -> Result<ExitCode, BenchError> {
     match command {
         BenchCommand::Demo => run_demo().await.map(|()| ExitCode::SUCCESS),
+        BenchCommand::Slopes {
+            axis,
+            seconds,
+            seed,
+            report,
+        } => {
+            let measured = run_slopes(&axis, seconds, seed).await?;
+            measured.iter().for_each(SlopeReport::print);
+            if let Some(path) = report {
+                write_report(&path, &measured)?;
+            }
+            Ok(ExitCode::SUCCESS)
+        }
         BenchCommand::Run {
             scenario,
             seed,
@@ -92,6 +123,7 @@
             let options = RunOptions {
                 seed,
                 seconds,
+                warm_up: WARM_UP,
                 keep_logs,
             };
             let measured = run_scenario(&scenario, &options).await?;
@@ -104,7 +136,7 @@
     }
 }
 
-fn write_report(path: &Path, report: &BenchReport) -> Result<(), BenchError> {
+fn write_report(path: &Path, report: &impl Serialize) -> Result<(), BenchError> {
     let text = serde_json::to_string_pretty(report).unwrap_or_default();
     std::fs::write(path, text)
         .map_err(|cause| BenchError::Io("write", path.display().to_string(), cause))
--- a/dockgate-bench/src/report.rs
+++ b/dockgate-bench/src/report.rs
@@ -145,6 +145,12 @@
     added_latency_us: AddedLatency,
     /// Part of one core that a box's control actor used.
     control_core_fraction: f64,
+    /// Part of one core that a box's whole process used.
+    process_core_fraction: f64,
+    /// Resident memory of a box's process, in megabytes.
+    memory_mb: f64,
+    /// Time from the confirmation of a change until it was in force at every box.
+    config_in_force_ms: TimePercentiles,
 }
 
 impl ArmReport {
--- a/dockgate-bench/src/run.rs
+++ b/dockgate-bench/src/run.rs
@@ -1,5 +1,6 @@
 //! Runs a scenario: starts the fleet, drives callers and faults, measures.
 
+mod churn;
 mod measure;
 mod sampler;
 
@@ -9,6 +10,7 @@
 use crate::fleet::{BenchFleet, ServerStandIn};
 use crate::report::{ArmReport, BenchReport};
 use crate::scenario::{Arrival, BenchArm, BenchScenario, EntryChoice, WorkspaceLoad};
+use churn::{ChurnStats, OperatorChurn};
 use measure::{ControlTotals, close_books};
 use sampler::RunSampler;
 use std::path::PathBuf;
@@ -16,8 +18,8 @@
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
-/// How long callers run before anything is measured.
-const WARM_UP: Duration = Duration::from_secs(4);
+/// How long callers run before anything is measured, where nothing else is said.
+pub const WARM_UP: Duration = Duration::from_secs(4);
 /// How long the idle fleet's control traffic is measured.
 const IDLE: Duration = Duration::from_secs(2);
 /// How often the fleet is sampled.
@@ -38,6 +40,8 @@
     pub seed: u64,
     /// How long is measured, after the warm-up.
     pub seconds: f64,
+    /// How long callers run before anything is measured.
+    pub warm_up: Duration,
     /// Where the daemons' logs go, if they are to be kept.
     pub keep_logs: Option<PathBuf>,
 }
@@ -100,7 +104,12 @@
             helpers.clone(),
         ));
     }
-    tokio::time::sleep(WARM_UP).await;
+    let churn = ChurnStats::default();
+    if fleet.scenario.fleet.changes_per_second > 0.0 {
+        let churner = OperatorChurn::new(&fleet, churn.clone());
+        tokio::spawn(churner.run(helpers.clone()));
+    }
+    tokio::time::sleep(options.warm_up).await;
     client.stats.reset();
 
     let before = ControlTotals::read(&fleet).await;
@@ -120,6 +129,7 @@
     let _ = tokio::time::timeout(DRAIN, futures::future::join_all(callers)).await;
     helpers.cancel();
     report.arm = arm.name.clone();
+    report.config_in_force_ms = churn.percentiles();
     control.fill(&mut report, &fleet, options.seconds);
     report.idle_control_bytes_per_node_second =
         idle.bytes as f64 / fleet.daemons.len() as f64 / IDLE.as_secs_f64();
--- /dev/null
+++ b/dockgate-bench/src/run/churn.rs
@@ -0,0 +1,108 @@
+//! An operator who changes the configuration again and again, and times until it is in force.
+
+use crate::fleet::{BenchFleet, DaemonProcess, change_at, metric_at};
+use crate::report::TimePercentiles;
+use dockgate_core::{ConfigChange, KindSpec};
+use dockgate_proto::operator::PlanIntent;
+use hdrhistogram::Histogram;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// How often the boxes are asked which version is in force.
+const POLL: Duration = Duration::from_millis(10);
+/// How long a change may take before it is given up.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Times until changes were in force everywhere.
+#[derive(Debug, Clone)]
+pub(super) struct ChurnStats(Arc<Mutex<Histogram<u64>>>);
+
+impl Default for ChurnStats {
+    fn default() -> Self {
+        let longest_us = 60_000_000;
+        let times = Histogram::new_with_bounds(1, longest_us, 3);
+        Self(Arc::new(Mutex::new(
+            times.expect("constant bounds are valid"),
+        )))
+    }
+}
+
+impl ChurnStats {
+    fn record(&self, time: Duration) {
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.saturating_record(time.as_micros() as u64);
+    }
+
+    /// Returns the percentiles, in milliseconds.
+    pub(super) fn percentiles(&self) -> TimePercentiles {
+        let times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = |quantile| times.value_at_quantile(quantile) as f64 / 1_000.0;
+        TimePercentiles {
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+        }
+    }
+}
+
+/// The operator.
+pub(super) struct OperatorChurn {
+    operators: Vec<SocketAddr>,
+    metrics: Vec<SocketAddr>,
+    every: Duration,
+    stats: ChurnStats,
+}
+
+impl OperatorChurn {
+    pub(super) fn new(fleet: &BenchFleet, stats: ChurnStats) -> Self {
+        let daemons = || fleet.daemons.iter();
+        Self {
+            operators: daemons().map(DaemonProcess::operators).collect(),
+            metrics: daemons().map(DaemonProcess::metrics).collect(),
+            every: Duration::from_secs_f64(1.0 / fleet.scenario.fleet.changes_per_second),
+            stats,
+        }
+    }
+
+    /// Changes one thing after the other until the token is cancelled.
+    pub(super) async fn run(self, stop: CancellationToken) {
+        let mut ticks = tokio::time::interval(self.every);
+        for number in 0.. {
+            ticks.tick().await;
+            if stop.is_cancelled() {
+                return;
+            }
+            let spec = KindSpec {
+                name: "churned".to_owned(),
+                repeatable: number % 2 == 0,
+            };
+            let intent = PlanIntent::Changes(vec![ConfigChange::PutKind(spec)]);
+            let door = self.operators[number % self.operators.len()];
+            match change_at(door, intent).await {
+                Ok(reply) => self.time_in_force(reply.version).await,
+                Err(error) => log::warn!("churn: {error}"),
+            }
+        }
+    }
+
+    async fn time_in_force(&self, version: u64) {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            let versions = self
+                .metrics
+                .iter()
+                .map(|address| metric_at(*address, "dockgate_config_version"));
+            let versions = futures::future::join_all(versions).await;
+            let lagging = versions
+                .iter()
+                .any(|seen| seen.is_none_or(|seen| seen < version as f64));
+            if !lagging {
+                break;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        self.stats.record(started.elapsed());
+    }
+}
--- a/dockgate-bench/src/run/measure.rs
+++ b/dockgate-bench/src/run/measure.rs
@@ -1,7 +1,7 @@
 //! Totals that are read before and after a run, and the checks at its end.
 
 use crate::caller::CallerStats;
-use crate::fleet::BenchFleet;
+use crate::fleet::{BenchFleet, DaemonProcess};
 use crate::report::ArmReport;
 use crate::standin::PlatformCalls;
 
@@ -12,6 +12,8 @@
     pub(super) bytes: u64,
     calls: PlatformCalls,
     busy_us: f64,
+    processor_s: f64,
+    pauses: f64,
 }
 
 impl ControlTotals {
@@ -23,6 +25,12 @@
             bytes: peer_bytes + fleet.platform_bytes.total(),
             calls: fleet.platform.calls(),
             busy_us: sum_metric(fleet, "dockgate_control_busy_microseconds_total").await,
+            pauses: sum_metric(fleet, "dockgate_pauses_total").await,
+            processor_s: fleet
+                .daemons
+                .iter()
+                .map(DaemonProcess::processor_seconds)
+                .sum(),
         }
     }
 
@@ -36,6 +44,8 @@
                 writes: self.calls.writes - earlier.calls.writes,
             },
             busy_us: self.busy_us - earlier.busy_us,
+            pauses: self.pauses - earlier.pauses,
+            processor_s: self.processor_s - earlier.processor_s,
         }
     }
 
@@ -50,6 +60,10 @@
         // A box that was started anew counts from zero; its total is then too low, never negative.
         let busy_s = self.busy_us.max(0.0) / 1e6;
         report.control_core_fraction = busy_s / boxes / seconds;
+        report.pauses_per_second = self.pauses.max(0.0) / seconds;
+        report.process_core_fraction = self.processor_s.max(0.0) / boxes / seconds;
+        let memory: f64 = fleet.daemons.iter().map(DaemonProcess::memory_mb).sum();
+        report.memory_mb = memory / boxes;
         report.fairness_bound_units = bound_units(fleet);
     }
 }
--- a/dockgate-bench/src/scenario.rs
+++ b/dockgate-bench/src/scenario.rs
@@ -39,6 +39,8 @@
     pub delay: Duration,
     /// Whether the added latency is probed.
     pub probe: bool,
+    /// Configuration changes that an operator makes a second.
+    pub changes_per_second: f64,
     /// Settings handed to every daemon, as lines of `[schedule]`.
     pub schedule: Vec<(String, String)>,
 }
@@ -213,6 +215,7 @@
         delay: Duration::from_secs_f64(
             take_number(section, "delay_ms", 1.0, 0.0..=1_000.0) / 1_000.0,
         ),
+        changes_per_second: take_number(section, "changes_per_second", 0.0, 0.0..=100.0),
         probe: section.take_text("probe").as_deref() == Some("yes"),
         schedule: section.take_prefixed("schedule.", "a setting of [schedule]"),
     }
--- /dev/null
+++ b/dockgate-bench/src/slopes.rs
@@ -0,0 +1,165 @@
+//! How the cost of control grows: one size is varied at a time, and lines are fitted.
+
+mod axis;
+mod fit;
+
+pub use axis::SlopeAxis;
+pub use fit::LineFit;
+
+use crate::error::BenchError;
+use crate::report::ArmReport;
+use crate::run::{RunOptions, run_scenario};
+use crate::scenario::BenchScenario;
+use comfy_table::Table;
+use comfy_table::presets::ASCII_MARKDOWN;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One measured point.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlopePoint {
+    /// The size.
+    pub size: f64,
+    /// What was measured, by name.
+    pub measured: BTreeMap<String, f64>,
+}
+
+/// One axis with its points and lines.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlopeReport {
+    /// What was varied.
+    pub axis: String,
+    /// The points.
+    pub points: Vec<SlopePoint>,
+    /// The fitted lines, by what was measured.
+    pub fits: BTreeMap<String, LineFit>,
+}
+
+/// The measures that slopes are fitted to.
+fn measures(report: &ArmReport) -> BTreeMap<String, f64> {
+    [
+        (
+            "idle_node_bytes_per_second",
+            report.idle_control_bytes_per_node_second,
+        ),
+        (
+            "node_bytes_per_second",
+            report.control_bytes_per_node_second,
+        ),
+        (
+            "control_bytes_per_request",
+            report.control_bytes_per_request,
+        ),
+        ("control_core_fraction", report.control_core_fraction),
+        ("process_core_fraction", report.process_core_fraction),
+        ("memory_mb", report.memory_mb),
+        (
+            "platform_reads_per_second",
+            report.platform_reads_per_second,
+        ),
+        (
+            "platform_writes_per_second",
+            report.platform_writes_per_second,
+        ),
+        ("config_in_force_ms_p99", report.config_in_force_ms.p99),
+        ("requests", report.requests as f64),
+    ]
+    .into_iter()
+    .map(|(name, value)| (name.to_owned(), value))
+    .collect()
+}
+
+/// Measures every axis, or only those named.
+///
+/// # Errors
+///
+/// Returns what could not be started.
+pub async fn run_slopes(
+    only: &[String],
+    seconds: f64,
+    seed: u64,
+) -> Result<Vec<SlopeReport>, BenchError> {
+    let options = RunOptions {
+        seed,
+        seconds,
+        warm_up: Duration::from_secs(2),
+        keep_logs: None,
+    };
+    let mut reports = Vec::new();
+    for axis in SlopeAxis::ALL {
+        if only.is_empty() || only.iter().any(|name| name == axis.name()) {
+            reports.push(run_axis(axis, &options).await?);
+        }
+    }
+    Ok(reports)
+}
+
+async fn run_axis(axis: SlopeAxis, options: &RunOptions) -> Result<SlopeReport, BenchError> {
+    let mut points = Vec::new();
+    for size in axis.sizes() {
+        let name = format!("{}-{size}", axis.name());
+        let scenario = BenchScenario::parse(&name, &name, &axis.scenario(*size))?;
+        let measured = run_scenario(&scenario, options).await?;
+        println!("measured {name}");
+        points.push(SlopePoint {
+            size: *size as f64,
+            measured: measures(&measured.main),
+        });
+    }
+    Ok(SlopeReport {
+        axis: axis.name().to_owned(),
+        fits: fit_all(&points),
+        points,
+    })
+}
+
+fn fit_all(points: &[SlopePoint]) -> BTreeMap<String, LineFit> {
+    let names = points.first().map(|point| point.measured.keys().cloned());
+    names
+        .into_iter()
+        .flatten()
+        .map(|name| {
+            let pairs: Vec<(f64, f64)> = points
+                .iter()
+                .map(|point| (point.size, point.measured[&name]))
+                .collect();
+            (name, LineFit::of(&pairs))
+        })
+        .collect()
+}
+
+impl SlopeReport {
+    /// Prints the points and the lines.
+    pub fn print(&self) {
+        println!("\n{}", self.axis);
+        let mut table = Table::new();
+        let sizes = self.points.iter().map(|point| point.size.to_string());
+        let header = std::iter::once(String::new())
+            .chain(sizes)
+            .chain(["slope", "error", "at zero", "bends at"].map(str::to_owned));
+        table.load_style(ASCII_MARKDOWN).set_header(header);
+        for (name, fit) in &self.fits {
+            let values = self.points.iter().map(|point| number(point.measured[name]));
+            let bends = fit
+                .bends_at
+                .map_or_else(|| "-".to_owned(), |size| size.to_string());
+            let line = [
+                number(fit.slope),
+                number(fit.error),
+                number(fit.at_zero),
+                bends,
+            ];
+            table.add_row(std::iter::once(name.clone()).chain(values).chain(line));
+        }
+        println!("{table}");
+    }
+}
+
+fn number(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        _ => format!("{value:.5}"),
+    }
+}
--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -70,6 +70,7 @@
     store: Mutex<KeyStore>,
     changed: watch::Sender<u64>,
     boxes: Mutex<Vec<BoxEntry>>,
+    boxes_changed: watch::Sender<u64>,
     reads: AtomicU64,
     writes: AtomicU64,
     out: AtomicBool,
@@ -99,6 +100,7 @@
             store: Mutex::default(),
             changed: watch::channel(0).0,
             boxes: Mutex::default(),
+            boxes_changed: watch::channel(1).0,
             reads: AtomicU64::new(0),
             writes: AtomicU64::new(0),
             out: AtomicBool::new(false),
@@ -114,6 +116,9 @@
     /// Sets the list of boxes.
     pub fn set_boxes(&self, boxes: Vec<BoxEntry>) {
         *locked(&self.state.boxes) = boxes;
+        self.state
+            .boxes_changed
+            .send_modify(|revision| *revision += 1);
     }
 
     /// Changes what the list says of one box.
@@ -122,6 +127,9 @@
         for entry in boxes.iter_mut().filter(|entry| entry.name == name) {
             entry.state = state;
         }
+        self.state
+            .boxes_changed
+            .send_modify(|revision| *revision += 1);
     }
 
     /// Begins or ends an outage: every call is cut off unanswered and has no effect.
@@ -176,7 +184,7 @@
         (&Method::GET, None) if path == routes::BOXES => {
             state.reads.fetch_add(1, Ordering::Relaxed);
             let domain = query.strip_prefix("domain=").unwrap_or_default();
-            Ok(answer(StatusCode::OK, list_boxes(&state, domain)))
+            read_boxes(&state, domain, &parts.headers).await
         }
         (&Method::POST, None) if path == routes::LEASES => {
             state.writes.fetch_add(1, Ordering::Relaxed);
@@ -208,11 +216,8 @@
     headers: &HeaderMap,
 ) -> Result<Response<StandInBody>, BrokenOff> {
     let since = revision_of(headers, header::IF_NONE_MATCH);
-    let wait = headers.get(routes::WAIT_MS);
-    let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
-    let wait = Duration::from_millis(wait.unwrap_or(0));
     let mut changed = state.changed.subscribe();
-    let deadline = tokio::time::Instant::now() + wait;
+    let deadline = wait_until(headers);
     loop {
         changed.borrow_and_update();
         let value = {
@@ -239,6 +244,37 @@
     }
 }
 
+/// Returns until when a watch waits.
+fn wait_until(headers: &HeaderMap) -> tokio::time::Instant {
+    let wait = headers.get(routes::WAIT_MS);
+    let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
+    tokio::time::Instant::now() + Duration::from_millis(wait.unwrap_or(0))
+}
+
+async fn read_boxes(
+    state: &PlatformState,
+    domain: &str,
+    headers: &HeaderMap,
+) -> Result<Response<StandInBody>, BrokenOff> {
+    let since = revision_of(headers, header::IF_NONE_MATCH);
+    let mut changed = state.boxes_changed.subscribe();
+    let deadline = wait_until(headers);
+    loop {
+        let revision = *changed.borrow_and_update();
+        if since != Some(revision) {
+            let list = list_boxes(state, domain);
+            return Ok(with_tag(answer(StatusCode::OK, list), revision));
+        }
+        let waited = tokio::time::timeout_at(deadline, changed.changed()).await;
+        if state.out.load(Ordering::Acquire) {
+            return Err(BrokenOff);
+        }
+        if waited.is_err() {
+            return Ok(answer(StatusCode::NOT_MODIFIED, ""));
+        }
+    }
+}
+
 fn with_tag(mut response: Response<StandInBody>, revision: u64) -> Response<StandInBody> {
     if let Ok(tag) = HeaderValue::from_str(&format!("\"{revision}\"")) {
         response.headers_mut().insert(header::ETAG, tag);
--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -1,6 +1,7 @@
 //! Focused tests of failures: real daemons as processes, small stand-ins around them.
 
 use bytes::Bytes;
+use dockgate_bench::caller::{AnswerCheck, CheckVerdict};
 use dockgate_bench::fleet::{BenchFleet, DaemonProcess, workspace_key};
 use dockgate_bench::scenario::{BenchArm, BenchScenario};
 use dockgate_core::{ConfigChange, KindSpec, Outcome};
@@ -276,7 +277,7 @@
 }
 
 #[tokio::test]
-async fn a_long_log_is_snapshotted_and_a_box_that_restarts_reads_it_all() {
+async fn a_long_log_is_snapshotted_and_a_box_that_restarts_learns_it_even_without_the_platform() {
     let mut fleet = start().await;
     for number in 0..70 {
         let spec = KindSpec {
@@ -291,13 +292,14 @@
     let (head, _) = ConfigStore::new(client).head().await.unwrap();
     assert!(head.snapshot > 0 && head.entries.len() < 70);
 
-    fleet.daemons[1].kill();
-    fleet.daemons[1].restart().unwrap();
-    fleet.daemons[1]
-        .wait_for("readyz", Duration::from_secs(20))
-        .await
-        .unwrap();
-    assert_eq!(fleet.shown(1).await.unwrap().version, newest.version);
+    for out in [false, true] {
+        fleet.platform.set_out(out);
+        fleet.daemons[1].kill();
+        fleet.daemons[1].restart().unwrap();
+        let ready = fleet.daemons[1].wait_for("readyz", Duration::from_secs(20));
+        ready.await.unwrap();
+        assert_eq!(fleet.shown(1).await.unwrap().version, newest.version);
+    }
     fleet.stop().await;
 }
 
@@ -328,3 +330,31 @@
     assert!(!answer.contains("alive"), "{answer}");
     fleet.stop().await;
 }
+
+#[tokio::test]
+async fn a_stream_whose_server_dies_is_continued_and_the_caller_sees_one_answer() {
+    let mut fleet = start().await;
+    let daemon = &fleet.daemons[0];
+    let tokens = 200;
+    // Two streams fill one server each, so that one of them runs on the server that dies.
+    let streams = ["x", "y", "z", "w"].map(|nonce| {
+        let body = chat("chat", tokens, nonce, true);
+        let call = send(request(daemon, "/v1/chat/completions", &body));
+        tokio::spawn(async move { text_of(call.await).await })
+    });
+    for _ in 0..1_000 {
+        if fleet.tallies["chat"].running() == 4 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let dying = fleet.servers.iter().find(|server| server.name == "chat-0");
+    dying.unwrap().standin.kill();
+    for (nonce, stream) in ["x", "y", "z", "w"].iter().zip(streams) {
+        let answer = stream.await.unwrap();
+        let mut check = AnswerCheck::new((*nonce).to_owned(), tokens);
+        check.feed(answer.as_bytes());
+        assert_eq!(check.verdict(), CheckVerdict::Whole, "{answer}");
+    }
+    fleet.stop().await;
+}
--- a/dockgate-core/src/config/declaration.rs
+++ b/dockgate-core/src/config/declaration.rs
@@ -148,11 +148,13 @@
         slot_ms_weight: take_weight(section, "slot_ms_weight", 1.0),
     };
     let models = section.take_list("models");
+    let resumes = take_flag(section, "resumes", false);
     Some(PoolSpec {
         name: section.name.clone(),
         kind: kind?,
         cost,
         models,
+        resumes,
     })
 }
 
--- a/dockgate-core/src/config/spec.rs
+++ b/dockgate-core/src/config/spec.rs
@@ -62,6 +62,9 @@
     pub cost: CostRule,
     /// The models that its engines serve.
     pub models: Vec<String>,
+    /// Whether its engines resume a stream by `resume_from`, the number of tokens already sent.
+    #[serde(default)]
+    pub resumes: bool,
 }
 
 /// A server: one model engine or plain service.
--- a/dockgate-core/src/entry.rs
+++ b/dockgate-core/src/entry.rs
@@ -342,6 +342,7 @@
             priority: 0,
             deadline_ms: 1_000,
             since_ms,
+            resumed: false,
         }
     }
 
--- a/dockgate-core/src/fair/ledger.rs
+++ b/dockgate-core/src/fair/ledger.rs
@@ -98,6 +98,15 @@
         account.last_active_ms = now_ms;
     }
 
+    /// Returns the workspaces that had work in a pool a moment ago.
+    pub fn active(&self, pool: PoolKey, now_ms: u64) -> impl Iterator<Item = WorkspaceKey> {
+        let range = (pool, WorkspaceKey(0))..=(pool, WorkspaceKey(u32::MAX));
+        self.accounts
+            .range(range)
+            .filter(move |(_, account)| account.last_active_ms + Self::ACTIVE_FOR_MS >= now_ms)
+            .map(|((_, workspace), _)| *workspace)
+    }
+
     /// Keeps the level of an account where it was when its share changes.
     pub fn change_share(&mut self, workspace: WorkspaceKey, old: u32, new: u32) {
         for ((_, key), account) in &mut self.accounts {
--- a/dockgate-core/src/grants.rs
+++ b/dockgate-core/src/grants.rs
@@ -14,6 +14,10 @@
     pub workspace: WorkspaceKey,
     /// The server.
     pub server: ServerKey,
+    /// When it was given, in milliseconds.
+    pub since_ms: u64,
+    /// Whether its entry has been asked to pause it.
+    pub asked_to_pause: bool,
     /// Service units charged so far.
     pub charged: f64,
     /// When it lapses unless the entry reports on it, in milliseconds.
@@ -44,6 +48,13 @@
             .filter(|grant| grant.entry == entry)
     }
 
+    /// Notes that a grant's entry is asked to pause it.
+    pub fn mark_asked(&mut self, id: GrantId) -> Option<HeldGrant> {
+        let grant = self.grants.get_mut(&id)?;
+        grant.asked_to_pause = true;
+        Some(*grant)
+    }
+
     /// Takes a grant out.
     pub fn remove(&mut self, id: GrantId) -> Option<HeldGrant> {
         self.grants.remove(&id)
--- a/dockgate-core/src/lib.rs
+++ b/dockgate-core/src/lib.rs
@@ -44,8 +44,8 @@
 pub use plan::{ConfigPlan, PlanEffect, PlanId, ShareEffect};
 pub use queue::{QueueError, RequestQueue, RequestRank, WaitingRequest};
 pub use scheduler::{
-    AdoptedGrant, GrantOffer, OrderMode, ScheduleRule, SeekDemand, ServerSign, SettleReport,
-    SlotScheduler, SlotServer,
+    AdoptedGrant, GrantOffer, OrderMode, PauseRule, ScheduleRule, SeekDemand, ServerSign,
+    SettleReport, SlotScheduler, SlotServer,
 };
 pub use seek::{SeekBook, SeekUpdate};
 pub use topology::{FleetTopology, LiveBox};
--- a/dockgate-core/src/queue.rs
+++ b/dockgate-core/src/queue.rs
@@ -10,6 +10,8 @@
 /// The order inside a workspace: higher priority, then earlier deadline, then older.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestRank {
+    /// False for the rest of an answer that was paused or lost its server: it goes first.
+    fresh: bool,
     /// Nine minus the priority, so that a higher priority sorts first.
     urgency: u8,
     /// The deadline in milliseconds.
@@ -35,6 +37,8 @@
     pub deadline_ms: u64,
     /// When it was queued, in milliseconds.
     pub since_ms: u64,
+    /// Whether it is the rest of an answer that has begun.
+    pub resumed: bool,
 }
 
 impl WaitingRequest {
@@ -43,6 +47,7 @@
     /// Returns its place in the order.
     pub const fn rank(&self) -> RequestRank {
         RequestRank {
+            fresh: !self.resumed,
             urgency: Self::TOP_PRIORITY.saturating_sub(self.priority),
             deadline_ms: self.deadline_ms,
             since_ms: self.since_ms,
@@ -168,6 +173,7 @@
             priority,
             deadline_ms,
             since_ms: id,
+            resumed: false,
         }
     }
 
@@ -189,6 +195,21 @@
         assert!(queue.is_empty());
     }
 
+    #[test]
+    fn the_rest_of_an_answer_goes_before_everything_else() {
+        let mut queue = RequestQueue::default();
+        queue.push(request(1, 1, 9, 10), 10).unwrap();
+        let rest = WaitingRequest {
+            resumed: true,
+            ..request(2, 1, 0, 99)
+        };
+        queue.push(rest, 10).unwrap();
+        assert_eq!(
+            queue.pop(POOL, WorkspaceKey(1)).map(|request| request.id),
+            Some(2)
+        );
+    }
+
     #[test]
     fn a_flood_fills_its_own_queue_only() {
         let mut queue = RequestQueue::default();
--- a/dockgate-core/src/scheduler.rs
+++ b/dockgate-core/src/scheduler.rs
@@ -6,11 +6,13 @@
 
 mod demand;
 mod health;
+mod pausing;
 mod rate;
 mod slots;
 
 pub use demand::SeekDemand;
 pub use health::ServerSign;
+pub use pausing::PauseRule;
 pub use slots::SlotServer;
 
 use crate::fair::{FairLedger, FairQueue, LedgerReport, OrderRule};
@@ -18,6 +20,7 @@
 use crate::ids::{BoxKey, GrantId, Incarnation, PoolKey, ServerKey, WorkspaceKey};
 use crate::invariant::check_invariant;
 use demand::DemandBook;
+use pausing::{LevelGap, PauseBudget};
 use rate::RateMeter;
 use slots::SlotTable;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -41,6 +44,11 @@
     pub mode: OrderMode,
     /// What the order key adds.
     pub order: OrderRule,
+    /// When streams are paused.
+    pub pause: PauseRule,
+    /// How much younger a request at an entry of this scheduler's own domain may be and still go
+    /// first, in milliseconds: a slot turns over faster there.
+    pub locality_ms: u64,
     /// How long a grant lasts without a sign of the entry, in milliseconds.
     pub grant_ttl_ms: u64,
     /// How long a newly owned server is left alone while entries report what runs on it, in
@@ -106,6 +114,9 @@
     slots: SlotTable,
     grants: GrantTable,
     expired: u64,
+    near: HashSet<BoxKey>,
+    pause_budget: PauseBudget,
+    paused: u64,
 }
 
 impl SlotScheduler {
@@ -126,6 +137,9 @@
             slots: SlotTable::default(),
             grants: GrantTable::default(),
             expired: 0,
+            near: HashSet::new(),
+            pause_budget: PauseBudget::default(),
+            paused: 0,
         }
     }
 
@@ -147,6 +161,11 @@
         self.reorder_all();
     }
 
+    /// Sets the entries of this scheduler's own failure domain.
+    pub fn set_near(&mut self, near: HashSet<BoxKey>) {
+        self.near = near;
+    }
+
     /// Sets the servers that this box owns; grants on the others are forgotten, their charges stay.
     pub fn set_servers(&mut self, servers: &[SlotServer], now_ms: u64) {
         let ready_ms = now_ms + self.rule.adopt_ms;
@@ -206,6 +225,8 @@
             pool: adopted.pool,
             workspace: adopted.workspace,
             server: adopted.server,
+            since_ms: now_ms,
+            asked_to_pause: false,
             charged: adopted.charged,
             expires_ms: now_ms + self.rule.grant_ttl_ms,
         };
@@ -281,7 +302,16 @@
     fn grant_one(&mut self, pool: PoolKey, now_ms: u64) -> Option<GrantOffer> {
         let server = self.slots.pick(pool, now_ms)?;
         let workspace = self.queues.get(&pool)?.first()?;
-        let entry = self.demand.take(pool, workspace)?;
+        let (near, locality_ms) = (&self.near, self.rule.locality_ms);
+        let handicap = |entry: BoxKey| {
+            if near.contains(&entry) {
+                0
+            } else {
+                locality_ms
+            }
+        };
+        let entry = self.demand.take(pool, workspace, handicap)?;
+        self.pause_budget.earn(&self.rule.pause);
         self.raise_floor(pool, workspace);
         self.counter = self.counter.wrapping_add(1);
         let id = GrantId::new(self.incarnation, self.counter);
@@ -290,6 +320,8 @@
             pool,
             workspace,
             server,
+            since_ms: now_ms,
+            asked_to_pause: false,
             charged: 0.0,
             expires_ms: now_ms + self.rule.grant_ttl_ms,
         };
@@ -307,6 +339,55 @@
         })
     }
 
+    /// Picks the streams to be paused now: their entries, and their grants.
+    ///
+    /// A stream is paused where every slot is taken, and its workspace is further ahead of the one
+    /// that waits furthest behind than the rule allows; within a budget, and asked for once.
+    pub fn pauses(&mut self, now_ms: u64) -> Vec<(BoxKey, GrantId)> {
+        if self.rule.pause.gap_s <= 0.0 {
+            return Vec::new();
+        }
+        let pools: Vec<PoolKey> = self.queues.keys().copied().collect();
+        pools
+            .into_iter()
+            .filter_map(|pool| self.pause_one(pool, now_ms))
+            .collect()
+    }
+
+    fn pause_one(&mut self, pool: PoolKey, now_ms: u64) -> Option<(BoxKey, GrantId)> {
+        let behind = self.queues.get(&pool)?.first()?;
+        if !self.pause_budget.allows(now_ms) || self.slots.pick(pool, now_ms).is_some() {
+            return None;
+        }
+        let level_of = |workspace| {
+            let share = self.share(workspace);
+            self.ledger.level(pool, workspace, share)
+        };
+        let gap = LevelGap {
+            pool,
+            behind: level_of(behind),
+            allowed: self.rule.pause.gap_s * self.fair_rate(pool, now_ms),
+        };
+        let id = gap.pick(self.grants.iter(), level_of, &self.rule.pause, now_ms)?;
+        let grant = self.grants.mark_asked(id)?;
+        self.pause_budget.spend(now_ms);
+        self.paused += 1;
+        Some((grant.entry, id))
+    }
+
+    /// Returns what a backlogged workspace gets a second for a share of one, over the fleet.
+    fn fair_rate(&self, pool: PoolKey, now_ms: u64) -> f64 {
+        let shares: u32 = self
+            .ledger
+            .active(pool, now_ms)
+            .map(|workspace| self.share(workspace))
+            .sum();
+        let own = self.slots.slots_of(pool);
+        let schedulers = self.schedulers.get(&pool).copied().unwrap_or(1);
+        let rate = self.rates.get(&pool).map_or(0.0, RateMeter::rate);
+        f64::from(own) * f64::from(schedulers) * rate / f64::from(shares.max(1))
+    }
+
     /// Raises the level to which workspaces that come back from idle are lifted.
     fn raise_floor(&mut self, pool: PoolKey, workspace: WorkspaceKey) {
         let share = self.share(workspace);
@@ -374,6 +455,11 @@
         self.expired
     }
 
+    /// Returns how many streams were asked to pause.
+    pub const fn paused_streams(&self) -> u64 {
+        self.paused
+    }
+
     /// Returns how many slots are held beyond capacity, as when two boxes own a server.
     pub fn overcommitted_slots(&self) -> u32 {
         self.slots.overcommitted()
--- a/dockgate-core/src/scheduler/demand.rs
+++ b/dockgate-core/src/scheduler/demand.rs
@@ -57,16 +57,22 @@
         })
     }
 
-    /// Takes one request of an account: at the entry where the oldest waits.
+    /// Takes one request of an account: at the entry where the oldest waits, after a handicap in
+    /// milliseconds for each entry.
     ///
     /// Taking it where most wait would starve an entry whose queue only shrinks, such as that of a
     /// box that is stopping.
-    pub(super) fn take(&mut self, pool: PoolKey, workspace: WorkspaceKey) -> Option<BoxKey> {
+    pub(super) fn take(
+        &mut self,
+        pool: PoolKey,
+        workspace: WorkspaceKey,
+        handicap: impl Fn(BoxKey) -> u64,
+    ) -> Option<BoxKey> {
         let entries = self.accounts.get_mut(&(pool, workspace))?;
         let (entry, demand) = entries
             .iter_mut()
             .filter(|(_, demand)| demand.waiting > 0)
-            .min_by_key(|(_, demand)| demand.oldest_ms)?;
+            .min_by_key(|(entry, demand)| demand.oldest_ms + handicap(**entry))?;
         // The next request is assumed to be younger by an equal part of the queue's age.
         let spread = demand.told_ms.saturating_sub(demand.oldest_ms);
         demand.oldest_ms += spread / u64::from(demand.waiting);
--- a/dockgate-core/src/scheduler/slots.rs
+++ b/dockgate-core/src/scheduler/slots.rs
@@ -155,6 +155,15 @@
             .sum()
     }
 
+    /// Returns the declared slots of a pool.
+    pub(super) fn slots_of(&self, pool: PoolKey) -> u32 {
+        let servers = self.servers.values();
+        servers
+            .filter(|server| server.pool == pool)
+            .map(|server| server.slots)
+            .sum()
+    }
+
     /// Returns how many servers are resting after failures.
     pub(super) fn resting(&self, now_ms: u64) -> usize {
         let servers = self.servers.values();
--- a/dockgate-core/src/scheduler/tests.rs
+++ b/dockgate-core/src/scheduler/tests.rs
@@ -10,6 +10,12 @@
     ScheduleRule {
         mode,
         order: OrderRule { horizon_s: 3.0 },
+        pause: PauseRule {
+            gap_s: 1.0,
+            least_run_ms: 1_000,
+            budget: 1.0,
+        },
+        locality_ms: 250,
         grant_ttl_ms: 5_000,
         adopt_ms: 0,
     }
@@ -170,6 +176,48 @@
     assert_eq!(entries, [BoxKey(200)]);
 }
 
+#[test]
+fn a_near_entry_goes_first_unless_a_far_one_waits_much_longer() {
+    let far = BoxKey(200);
+    for (age_ms, expected) in [(200, ENTRY), (300, far)] {
+        let mut scheduler = scheduler(OrderMode::Fair, 1, 1);
+        scheduler.set_near([ENTRY].into());
+        let mut older = seek(1, 1);
+        older.age_ms = age_ms;
+        scheduler.seek(far, older, 1_000);
+        scheduler.seek(ENTRY, seek(1, 1), 1_000);
+        assert_eq!(scheduler.schedule(1_000)[0].entry, expected);
+    }
+}
+
+#[test]
+fn the_stream_of_the_workspace_furthest_ahead_is_paused_once() {
+    let mut scheduler = scheduler(OrderMode::Fair, 1, 2);
+    scheduler.seek(ENTRY, seek(1, 2), 1);
+    let running = scheduler.schedule(1);
+    for now in [1_001, 2_001, 3_001] {
+        for (index, grant) in running.iter().enumerate() {
+            let cost = now as f64 / 10.0 + index as f64;
+            scheduler.settle(ENTRY, settle(grant.id, cost, false), now);
+        }
+        scheduler.tick(now);
+    }
+    assert_eq!(scheduler.pauses(3_001), [], "nobody else waits");
+    scheduler.seek(ENTRY, seek(2, 1), 3_001);
+    let paused = scheduler.pauses(3_001);
+    assert_eq!(paused.len(), 1);
+    assert_eq!(
+        scheduler.pauses(3_002),
+        [],
+        "not two within a tenth of a second"
+    );
+    assert_ne!(
+        scheduler.pauses(3_200),
+        paused,
+        "and no stream is asked twice"
+    );
+}
+
 #[test]
 fn strangers_are_refused() {
     let mut scheduler = scheduler(OrderMode::Fair, 1, 1);
@@ -268,7 +316,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(200) })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn invariants_hold_over_random_steps(steps in prop::collection::vec(step(), 1..200)) {
--- a/dockgate-platform/src/client.rs
+++ b/dockgate-platform/src/client.rs
@@ -163,9 +163,7 @@
         since: u64,
         wait: Duration,
     ) -> Result<Option<StoredValue>, PlatformError> {
-        let mut headers = HeaderMap::new();
-        headers.insert(header::IF_NONE_MATCH, tag_of(since));
-        headers.insert(routes::WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
+        let headers = watch_headers(since, wait);
         self.read("watch", key, headers, wait + WATCH_GRACE).await
     }
 
@@ -244,23 +242,44 @@
         }
     }
 
-    /// Reads the list of boxes, as seen from a failure domain.
+    /// Waits until the list of boxes, as seen from a failure domain, has another revision than
+    /// `since` (0 for never read), and reads it with its revision.
+    ///
+    /// Returns `None` where nothing changed within `wait`.
     ///
     /// # Errors
     ///
     /// Returns an error where the service gives no answer.
-    pub async fn boxes(&self, domain: &str) -> Result<Vec<BoxRecord>, PlatformError> {
+    pub async fn watch_boxes(
+        &self,
+        domain: &str,
+        since: u64,
+        wait: Duration,
+    ) -> Result<Option<(Vec<BoxRecord>, u64)>, PlatformError> {
         const STEP: &str = "boxes";
         let path = format!("{}?domain={domain}", routes::BOXES);
-        let request = self.request(STEP, Method::GET, &path, HeaderMap::new(), Bytes::new())?;
-        let answer = self.call(STEP, request, self.timeout).await?;
+        let headers = watch_headers(since, wait);
+        let request = self.request(STEP, Method::GET, &path, headers, Bytes::new())?;
+        let answer = self.call(STEP, request, wait + WATCH_GRACE).await?;
         match answer.status {
-            StatusCode::OK => parse(STEP, routes::BOXES, &answer.body),
+            StatusCode::OK => {
+                let records = parse(STEP, routes::BOXES, &answer.body)?;
+                Ok(Some((records, answer.revision())))
+            }
+            StatusCode::NOT_MODIFIED => Ok(None),
             status => self.refuse(STEP, status),
         }
     }
 }
 
+/// Makes the headers with which a read waits for another revision.
+fn watch_headers(since: u64, wait: Duration) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::IF_NONE_MATCH, tag_of(since));
+    headers.insert(routes::WAIT_MS, HeaderValue::from(wait.as_millis() as u64));
+    headers
+}
+
 fn tag_of(revision: u64) -> HeaderValue {
     HeaderValue::from_str(&format!("\"{revision}\"")).unwrap_or(HeaderValue::from_static("\"0\""))
 }
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -39,6 +39,9 @@
     /// Entry to scheduler: the server could not be reached or was lost, and the cost so far.
     #[serde(rename = "e")]
     Lost(GrantId, u64),
+    /// Scheduler to entry: the slot of this grant is wanted by a workspace further behind.
+    #[serde(rename = "z")]
+    Pause(GrantId),
     /// Entry to scheduler: a request that runs on a server which the scheduler now owns.
     #[serde(rename = "a")]
     Adopt(GrantId, PoolKey, WorkspaceKey, ServerKey, u64),
@@ -63,6 +66,7 @@
             Self::Settle(..) => "settle",
             Self::Refused(_) => "refused",
             Self::Lost(..) => "lost",
+            Self::Pause(_) => "pause",
             Self::Adopt(..) => "adopt",
             Self::Free(..) => "free",
             Self::Ledger(_) => "ledger",
--- a/dockgate/src/caller.rs
+++ b/dockgate/src/caller.rs
@@ -7,6 +7,7 @@
 mod meter;
 mod refusal;
 mod server_client;
+mod stream;
 
 use crate::config_keeper::ConfigCell;
 use crate::dispatch::DispatchHandle;
@@ -214,10 +215,10 @@
         }
         let call = classifier.classify(id, request).await?;
         let context = AttemptContext {
-            settings: &self.settings,
-            cell: &self.cell,
-            dispatch: &self.dispatch,
-            client: &self.client,
+            settings: self.settings.clone(),
+            cell: self.cell.clone(),
+            dispatch: self.dispatch.clone(),
+            client: self.client.clone(),
         };
         context.run(call, in_flight).await
     }
--- a/dockgate/src/caller/answer.rs
+++ b/dockgate/src/caller/answer.rs
@@ -1,6 +1,5 @@
 //! Passes an answer on to the caller while its cost is measured and reported.
 
-use super::meter::StreamMeter;
 use super::{BodyError, InFlight};
 use crate::clock::now_ms;
 use crate::dispatch::DispatchHandle;
@@ -28,6 +27,10 @@
         Silent(server: String) {
             display("server {}: answer: nothing came in time", server)
         }
+        /// The answer was paused, and no slot came free for its rest.
+        NotResumed(server: String) {
+            display("server {}: answer: its rest found no slot", server)
+        }
         /// The connection to the server broke.
         Lost(server: String, cause: hyper::Error) {
             display("server {}: answer: {}", server, cause)
@@ -76,18 +79,9 @@
     }
 }
 
-/// How the cost of an answer is found.
-pub(super) enum AnswerMeter {
-    /// By the events of a stream.
-    Stream(StreamMeter),
-    /// By the time for which the slot is held.
-    SlotTime,
-}
-
-/// The body of an answer on its way to the caller.
+/// The body of a plain service's answer on its way to the caller.
 pub(super) struct MeteredBody {
     inner: Incoming,
-    meter: AnswerMeter,
     rule: CostRule,
     running: RunningGrant,
     label: AnswerLabel,
@@ -111,7 +105,6 @@
 impl MeteredBody {
     pub(super) fn new(
         inner: Incoming,
-        meter: AnswerMeter,
         rule: CostRule,
         running: RunningGrant,
         label: AnswerLabel,
@@ -122,7 +115,6 @@
         let progress_every_ms = times.progress_every.as_millis() as u64;
         Self {
             inner,
-            meter,
             rule,
             running,
             label,
@@ -136,11 +128,8 @@
         }
     }
 
-    fn take_in(&mut self, bytes: &Bytes) {
+    fn take_in(&mut self) {
         let now = now_ms();
-        if let AnswerMeter::Stream(meter) = &mut self.meter {
-            meter.feed(bytes);
-        }
         self.running.cost = self.cost(now);
         if now >= self.progress_due_ms {
             self.progress_due_ms = now + self.progress_every_ms;
@@ -152,26 +141,12 @@
     }
 
     fn cost(&self, now: u64) -> f64 {
-        match &self.meter {
-            AnswerMeter::Stream(meter) => meter.cost(&self.rule),
-            AnswerMeter::SlotTime => (now - self.granted_ms) as f64 * self.rule.slot_ms_weight,
-        }
+        (now - self.granted_ms) as f64 * self.rule.slot_ms_weight
     }
 
-    /// Ends the answer; a stream without its end mark is not whole.
-    fn end(&mut self) -> Option<AnswerError> {
+    fn end(&mut self) {
         self.running.cost = self.cost(now_ms());
-        let whole = match &self.meter {
-            AnswerMeter::Stream(meter) => meter.is_done(),
-            AnswerMeter::SlotTime => true,
-        };
-        match whole {
-            true => {
-                self.outcome = Some("ok");
-                None
-            }
-            false => Some(self.fail(AnswerError::Truncated(self.label.server.clone()))),
-        }
+        self.outcome = Some("ok");
     }
 
     fn fail(&mut self, error: AnswerError) -> AnswerError {
@@ -193,19 +168,16 @@
         let server = self.label.server.clone();
         match Pin::new(&mut self.inner).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
-                if let Some(bytes) = frame.data_ref() {
-                    self.take_in(bytes);
-                }
+                self.take_in();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cause))) => {
                 let error = self.fail(AnswerError::Lost(server, cause));
                 Poll::Ready(Some(Err(error.into())))
             }
-            Poll::Ready(None) if self.outcome.is_some() => Poll::Ready(None),
             Poll::Ready(None) => {
-                let error = self.end();
-                Poll::Ready(error.map(|error| Err(error.into())))
+                self.end();
+                Poll::Ready(None)
             }
             Poll::Pending => {
                 std::task::ready!(self.timer.as_mut().poll(context));
@@ -218,10 +190,7 @@
 
 impl Drop for MeteredBody {
     fn drop(&mut self) {
-        let whole = match &self.meter {
-            AnswerMeter::Stream(meter) => meter.is_done(),
-            AnswerMeter::SlotTime => self.inner.is_end_stream(),
-        };
+        let whole = self.inner.is_end_stream();
         let outcome = match self.outcome {
             Some(outcome) => outcome,
             // hyper may drop a body of known length without asking for its end.
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -1,22 +1,23 @@
 //! Runs a request: waits for a slot, sends it to the server, and tries again where that is allowed.
 
-use super::answer::{AnswerLabel, AnswerMeter, AnswerTimes, MeteredBody, RunningGrant};
+use super::answer::{AnswerLabel, AnswerTimes, MeteredBody, RunningGrant};
 use super::classify::CallerCall;
 use super::hop::clean_response;
-use super::meter::{StreamMeter, whole_cost};
+use super::meter::whole_cost;
 use super::refusal::Refusal;
 use super::server_client::{CallFailure, ServerClient};
+use super::stream::{StreamPump, StreamSegment, can_resume, resumed_body};
 use super::{AnswerBody, InFlight, full_body};
 use crate::clock::now_ms;
 use crate::config_keeper::ConfigCell;
-use crate::dispatch::{BindReply, DispatchHandle};
+use crate::dispatch::{BindReply, BoundSlot, DispatchHandle};
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
 use crate::settings::DaemonSettings;
 use bytes::Bytes;
 use dockgate_core::{
-    AttemptState, AttemptTrail, CostRule, FleetConfig, GrantOffer, QueueError, RetryVerdict,
-    ServerSign, ServerSpec, WaitingRequest,
+    AttemptState, AttemptTrail, CostRule, FleetConfig, GrantOffer, PoolSpec, QueueError,
+    RetryVerdict, ServerSign, ServerSpec, WaitingRequest,
 };
 use dockgate_proto::{RefusalCode, RequestStep, headers};
 use http::header::CONTENT_TYPE;
@@ -24,7 +25,9 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use std::fmt::Display;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::oneshot;
 
 /// The largest answer that is not streamed, in bytes.
 const MOST_ANSWER_BYTES: usize = 64 << 20;
@@ -33,12 +36,25 @@
 /// After how many seconds a refused caller does well to come again.
 const RETRY_AFTER_S: u32 = 1;
 
+/// How often the rest of an answer is sent to a server before it is given up.
+const MOST_RESUMES: u32 = 5;
+
+/// What a slot is wanted for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SlotWait {
+    /// A request that has not been answered yet.
+    First,
+    /// The rest of an answer that has begun.
+    Rest,
+}
+
 /// What an attempt needs of the daemon.
-pub(super) struct AttemptContext<'a> {
-    pub(super) settings: &'a DaemonSettings,
-    pub(super) cell: &'a ConfigCell,
-    pub(super) dispatch: &'a DispatchHandle,
-    pub(super) client: &'a ServerClient,
+#[derive(Clone)]
+pub(super) struct AttemptContext {
+    pub(super) settings: Arc<DaemonSettings>,
+    pub(super) cell: ConfigCell,
+    pub(super) dispatch: DispatchHandle,
+    pub(super) client: ServerClient,
 }
 
 /// An attempt that gave no answer, and how far it had come.
@@ -48,14 +64,16 @@
 }
 
 /// A bound attempt.
-struct BoundAttempt {
+pub(super) struct BoundAttempt {
     grant: GrantOffer,
+    /// Whether its pool's engines resume streams.
+    pub(super) resumes: bool,
     server: ServerSpec,
     rule: CostRule,
     number: u32,
 }
 
-impl AttemptContext<'_> {
+impl AttemptContext {
     /// Runs a request until it has an answer or may not be tried again.
     pub(super) async fn run(
         &self,
@@ -68,13 +86,13 @@
         let mut in_flight = Some(in_flight);
         let mut trail = AttemptTrail::default();
         loop {
-            let slot = self.wait_for_slot(&call).await;
-            let grant = slot.map_err(|refusal| {
+            let slot = self.wait_for_slot(&call, SlotWait::First).await;
+            let slot = slot.map_err(|refusal| {
                 let outcome = trail.outcome(AttemptState::Queued, call.repeatable);
                 refusal.with_outcome(outcome)
             })?;
-            let loss = match self.bound_attempt(&call, grant, number) {
-                Ok(attempt) => match self.send(&call, &attempt, &mut in_flight).await {
+            let loss = match self.bound_attempt(&call, slot.grant, number) {
+                Ok(attempt) => match self.send(&call, &attempt, slot.pause, &mut in_flight).await {
                     Ok(response) => return Ok(response),
                     Err(loss) => loss,
                 },
@@ -101,14 +119,43 @@
         }
     }
 
-    async fn wait_for_slot(&self, call: &CallerCall) -> Result<GrantOffer, Refusal> {
+    /// Continues an answer of which `events` have been passed on; gives up without a slot.
+    pub(super) async fn resume(&self, call: &CallerCall, events: u64) -> Option<StreamSegment> {
+        let mut rest = call.clone();
+        rest.body = resumed_body(&call.body, events);
+        for number in 1..=MOST_RESUMES {
+            let slot = self.wait_for_slot(&rest, SlotWait::Rest).await.ok()?;
+            let Ok(attempt) = self.bound_attempt(&rest, slot.grant, number) else {
+                continue;
+            };
+            if let Ok((response, running)) = self.exchange(&rest, &attempt).await {
+                return Some(StreamSegment {
+                    body: response.into_body(),
+                    running,
+                    pause: slot.pause,
+                    rule: attempt.rule,
+                    server: attempt.server.name,
+                });
+            }
+            let pause = rand::random_range(RETRY_MS);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        None
+    }
+
+    async fn wait_for_slot(&self, call: &CallerCall, wait: SlotWait) -> Result<BoundSlot, Refusal> {
         let asked_ms = now_ms();
+        let patience = self.settings.limits.queue_timeout.as_millis() as u64;
         let request = WaitingRequest {
             id: 0,
             pool: call.pool,
             workspace: call.workspace,
             priority: call.priority,
-            deadline_ms: call.deadline_ms,
+            deadline_ms: match wait {
+                SlotWait::First => call.deadline_ms,
+                SlotWait::Rest => asked_ms + patience,
+            },
+            resumed: wait == SlotWait::Rest,
             // A request that comes back keeps its age, and so its place.
             since_ms: call.started_ms,
         };
@@ -120,7 +167,7 @@
             .with_label_values(&[&call.pool_name])
             .observe(Duration::from_millis(waited).as_secs_f64());
         let refusal = match reply {
-            BindReply::Bound(grant) => return Ok(grant),
+            BindReply::Bound(slot) => return Ok(slot),
             BindReply::Refused(error @ QueueError::Full(_)) => Refusal::not_run(
                 RefusalCode::QueueFull,
                 RequestStep::Queue,
@@ -143,7 +190,7 @@
     ) -> Result<BoundAttempt, AttemptLoss> {
         let config = self.cell.current();
         let found = find_server(&config, call, grant);
-        let Some((server, rule)) = found else {
+        let Some((server, pool)) = found else {
             self.dispatch.finish(grant.id, 0.0, ServerSign::Answered);
             return Err(AttemptLoss {
                 state: AttemptState::Bound,
@@ -163,17 +210,42 @@
         Ok(BoundAttempt {
             grant,
             server,
-            rule,
+            rule: pool.cost,
+            resumes: pool.resumes,
             number,
         })
     }
 
+    /// Sends the request and passes the answer on.
     async fn send(
         &self,
         call: &CallerCall,
         attempt: &BoundAttempt,
+        pause: oneshot::Receiver<()>,
         in_flight: &mut Option<InFlight>,
     ) -> Result<Response<AnswerBody>, AttemptLoss> {
+        let (response, running) = self.exchange(call, attempt).await?;
+        let label = AnswerLabel {
+            request: call.id.clone(),
+            workspace: call.workspace_name.clone(),
+            server: attempt.server.name.clone(),
+            started_ms: call.started_ms,
+        };
+        match (call.engine, is_event_stream(&response)) {
+            (true, true) => {
+                Ok(self.pass_stream(call, attempt, response, running, pause, label, in_flight))
+            }
+            (true, false) => self.pass_whole(attempt, response, running, &label).await,
+            (false, _) => Ok(self.pass_on(attempt, response, running, label, in_flight)),
+        }
+    }
+
+    /// Sends the request and waits for the head of an answer that can be used.
+    async fn exchange(
+        &self,
+        call: &CallerCall,
+        attempt: &BoundAttempt,
+    ) -> Result<(Response<Incoming>, RunningGrant), AttemptLoss> {
         let mut running = RunningGrant {
             grant: attempt.grant.id,
             dispatch: self.dispatch.clone(),
@@ -211,16 +283,47 @@
             }
             _ => running.sign = ServerSign::Answered,
         }
-        let label = AnswerLabel {
-            request: call.id.clone(),
-            workspace: call.workspace_name.clone(),
-            server: name.clone(),
-            started_ms: call.started_ms,
+        Ok((response, running))
+    }
+
+    /// Passes a stream on, over as many attempts as it takes.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "what the stream takes over from its attempt"
+    )]
+    fn pass_stream(
+        &self,
+        call: &CallerCall,
+        attempt: &BoundAttempt,
+        response: Response<Incoming>,
+        running: RunningGrant,
+        pause: oneshot::Receiver<()>,
+        label: AnswerLabel,
+        in_flight: &mut Option<InFlight>,
+    ) -> Response<AnswerBody> {
+        let (mut parts, body) = response.into_parts();
+        clean_response(&mut parts.headers);
+        let segment = StreamSegment {
+            body,
+            running,
+            pause,
+            rule: attempt.rule,
+            server: attempt.server.name.clone(),
         };
-        match is_event_stream(&response) || !call.engine {
-            true => Ok(self.pass_on(call, attempt, response, running, label, in_flight)),
-            false => self.pass_whole(attempt, response, running, &label).await,
-        }
+        let body = match in_flight.take() {
+            Some(in_flight) => {
+                let pump = StreamPump {
+                    context: self.clone(),
+                    call: call.clone(),
+                    label,
+                    in_flight,
+                    resumes: can_resume(call, attempt),
+                };
+                pump.start(segment)
+            }
+            None => full_body(Bytes::new()),
+        };
+        Response::from_parts(parts, body)
     }
 
     fn server_request(
@@ -254,17 +357,12 @@
     /// Passes an answer on piece by piece.
     fn pass_on(
         &self,
-        call: &CallerCall,
         attempt: &BoundAttempt,
         response: Response<Incoming>,
         running: RunningGrant,
         label: AnswerLabel,
         in_flight: &mut Option<InFlight>,
     ) -> Response<AnswerBody> {
-        let meter = match call.engine {
-            true => AnswerMeter::Stream(StreamMeter::default()),
-            false => AnswerMeter::SlotTime,
-        };
         let times = AnswerTimes {
             silence: self.settings.limits.answer_timeout,
             progress_every: self.settings.schedule.progress_every,
@@ -274,7 +372,7 @@
         let body = match in_flight.take() {
             Some(in_flight) => {
                 let rule = attempt.rule;
-                MeteredBody::new(body, meter, rule, running, label, &times, in_flight).boxed()
+                MeteredBody::new(body, rule, running, label, &times, in_flight).boxed()
             }
             None => full_body(Bytes::new()),
         };
@@ -326,10 +424,10 @@
     config: &FleetConfig,
     call: &CallerCall,
     grant: GrantOffer,
-) -> Option<(ServerSpec, CostRule)> {
+) -> Option<(ServerSpec, PoolSpec)> {
     let server = config.servers.get(grant.server)?;
     let pool = config.pools.get(call.pool)?;
-    Some((server.clone(), pool.cost))
+    Some((server.clone(), pool.clone()))
 }
 
 fn is_event_stream(response: &Response<Incoming>) -> bool {
--- a/dockgate/src/caller/classify.rs
+++ b/dockgate/src/caller/classify.rs
@@ -26,7 +26,7 @@
 }
 
 /// A request that has been read and checked.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct CallerCall {
     pub(super) id: String,
     pub(super) workspace: WorkspaceKey,
--- a/dockgate/src/caller/meter.rs
+++ b/dockgate/src/caller/meter.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns how many events have passed, the end mark not counted.
+    pub(super) const fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Tells whether the end mark has passed.
     pub(super) const fn is_done(&self) -> bool {
         self.done
--- a/dockgate/src/config_keeper.rs
+++ b/dockgate/src/config_keeper.rs
@@ -1,6 +1,7 @@
 //! Keeps the accepted configuration in force: strictly in order, never back.
 
 use crate::logging::{LogEvent, log_event};
+use crate::members::RETRY_MS;
 use crate::metrics::METRICS;
 use dockgate_core::FleetConfig;
 use dockgate_platform::{ConfigHead, ConfigStore, PlatformError};
@@ -9,9 +10,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long to wait after the platform's service failed, in milliseconds.
-const RETRY_MS: std::ops::Range<u64> = 200..600;
-
 /// The configuration in force on this box; readers swap in a newer one, never an older.
 #[derive(Debug, Clone)]
 pub(crate) struct ConfigCell {
--- a/dockgate/src/daemon.rs
+++ b/dockgate/src/daemon.rs
@@ -63,11 +63,13 @@
         store.clone(),
         settings.platform.watch,
     ));
+    // The list replaces the seeds as soon as it can be read.
+    dispatch.set_members(settings.seeds.clone());
     tokio::spawn(follow_members(
         client,
         settings.domain.clone(),
         BoxKey::from_name(&settings.name),
-        settings.platform.boxes_every,
+        settings.platform.watch,
         dispatch.clone(),
     ));
 
--- a/dockgate/src/dispatch.rs
+++ b/dockgate/src/dispatch.rs
@@ -9,5 +9,5 @@
 mod messages;
 
 pub(crate) use actor::DispatchActor;
-pub(crate) use handle::{BindReply, DispatchHandle};
+pub(crate) use handle::{BindReply, BoundSlot, DispatchHandle};
 pub(crate) use messages::{LinkFailure, PeerBatch, PeerHello};
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -1,10 +1,10 @@
 //! The control actor itself.
 
-use super::handle::{BindReply, DispatchHandle};
+use super::handle::{BindReply, BoundSlot, DispatchHandle};
 use super::links::{PeerLink, PeerLinks};
 use super::messages::{
     Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
-    Progress, SetConfig, SetMembers, Status, StatusAnswer, Tick,
+    Progress, SetConfig, SetMembers, Started, Status, StatusAnswer, Tick,
 };
 use crate::clock::now_ms;
 use crate::config_keeper::ConfigCell;
@@ -37,6 +37,8 @@
     entry: EntryState,
     scheduler: SlotScheduler,
     waiting: HashMap<u64, oneshot::Sender<BindReply>>,
+    /// By grant, how to tell a running request that its slot is wanted.
+    pauses: HashMap<GrantId, oneshot::Sender<()>>,
     links: PeerLinks,
     handle: Option<DispatchHandle>,
     live: Vec<LiveBox>,
@@ -62,6 +64,8 @@
         let rule = ScheduleRule {
             mode: schedule.mode,
             order: schedule.order,
+            pause: schedule.pause,
+            locality_ms: schedule.locality.as_millis() as u64,
             grant_ttl_ms: schedule.grant_ttl.as_millis() as u64,
             adopt_ms: schedule.adopt.as_millis() as u64,
         };
@@ -82,6 +86,7 @@
             topology: FleetTopology::default(),
             entry,
             waiting: HashMap::new(),
+            pauses: HashMap::new(),
             links: PeerLinks::default(),
             handle: None,
             has_ledger: false,
@@ -93,12 +98,7 @@
     /// Starts the actor.
     pub(crate) fn spawn(self) -> DispatchHandle {
         let address = xtra::spawn_tokio(self, xtra::Mailbox::unbounded());
-        let handle = DispatchHandle::new(address.clone());
-        let started = handle.clone();
-        tokio::spawn(async move {
-            let _ = address.send(Started(started)).await;
-        });
-        handle
+        DispatchHandle::new(address)
     }
 
     /// Carries out the entry's actions and gives out free slots until nothing is left to do.
@@ -164,8 +164,11 @@
 
     /// Hands a grant to the request that waits; a request that has gone gives it back.
     fn bind(&mut self, id: u64, grant: GrantOffer) {
+        let (wanted, pause) = oneshot::channel();
+        self.pauses.insert(grant.id, wanted);
         let reply = self.waiting.remove(&id);
-        let sent = reply.map(|reply| reply.send(BindReply::Bound(grant)));
+        let slot = BoundSlot { grant, pause };
+        let sent = reply.map(|reply| reply.send(BindReply::Bound(slot)));
         if !matches!(sent, Some(Ok(()))) {
             self.finish(grant.id, 0.0, ServerSign::Answered);
         }
@@ -188,11 +191,33 @@
     }
 
     fn finish(&mut self, id: GrantId, cost: f64, sign: ServerSign) {
+        self.pauses.remove(&id);
         if let Some(scheduler) = self.entry.finish(id) {
             self.settle(scheduler, id, cost, Some(sign), now_ms());
         }
     }
 
+    /// Tells a running request that its slot is wanted; one that cannot be paused goes on.
+    fn pause(&mut self, id: GrantId) {
+        if let Some(wanted) = self.pauses.remove(&id) {
+            let _ = wanted.send(());
+        }
+    }
+
+    /// Asks the entries of streams that run too far ahead to pause them.
+    fn ask_for_pauses(&mut self, now: u64) {
+        for (entry, id) in self.scheduler.pauses(now) {
+            log_event(&LogEvent::PauseAsked {
+                grant: id.to_string(),
+                entry: entry.to_string(),
+            });
+            match entry == self.me.key {
+                true => self.pause(id),
+                false => self.send(entry, PeerMessage::Pause(id)),
+            }
+        }
+    }
+
     /// Sends to a peer: in the answer to its batch if one is being handled, else by the link.
     fn send(&mut self, to: BoxKey, message: PeerMessage) {
         match &mut self.answering {
@@ -251,6 +276,10 @@
                 };
                 self.scheduler.adopt(from, adopted, now)
             }
+            PeerMessage::Pause(id) => {
+                self.pause(id);
+                true
+            }
             PeerMessage::Free(pool, free) => {
                 self.entry.note_free(from, pool, free);
                 true
@@ -298,6 +327,11 @@
         self.live = self.links.live_boxes(&self.me, suspect_ms);
         self.topology = FleetTopology::new(&self.config, &self.live);
         let mine = self.topology.servers_of(self.me.key);
+        let near = self
+            .live
+            .iter()
+            .filter(|live| live.domain == self.me.domain);
+        self.scheduler.set_near(near.map(|live| live.key).collect());
         log_event(&LogEvent::Owned {
             servers: mine.len(),
             boxes: self.live.len(),
@@ -416,9 +450,6 @@
     }
 }
 
-/// Gives the actor a handle on itself.
-struct Started(DispatchHandle);
-
 impl Actor for DispatchActor {
     type Stop = ();
 
@@ -619,6 +650,7 @@
     let actions = actor.entry.tick(now);
     actor.scheduler.tick(now);
     actor.pump(actions);
+    actor.ask_for_pauses(now);
     actor.rebuild_if_suspects_changed();
     if now >= actor.report_due_ms {
         let every = actor.settings.schedule.report_every.as_millis() as u64;
--- a/dockgate/src/dispatch/handle.rs
+++ b/dockgate/src/dispatch/handle.rs
@@ -3,7 +3,7 @@
 use super::actor::DispatchActor;
 use super::messages::{
     Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
-    Progress, SetConfig, SetMembers, Status, StatusAnswer, Tick,
+    Progress, SetConfig, SetMembers, Started, Status, StatusAnswer, Tick,
 };
 use crate::config_keeper::ConfigCell;
 use crate::members::MemberBox;
@@ -19,11 +19,20 @@
 /// How often the control actor looks at the time.
 const TICK: Duration = Duration::from_millis(5);
 
+/// A slot that a request may use.
+#[derive(Debug)]
+pub(crate) struct BoundSlot {
+    /// The grant.
+    pub(crate) grant: GrantOffer,
+    /// Tells when the scheduler wants the slot back.
+    pub(crate) pause: oneshot::Receiver<()>,
+}
+
 /// What becomes of a queued request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug)]
 pub(crate) enum BindReply {
-    /// It may use this grant.
-    Bound(GrantOffer),
+    /// It may use this slot.
+    Bound(BoundSlot),
     /// The queue of its workspace is full.
     Refused(QueueError),
     /// Its deadline has passed.
@@ -48,8 +57,9 @@
     fn drop(&mut self) {
         // A grant that came while the caller went away is given back.
         match self.receiver.try_recv() {
-            Ok(BindReply::Bound(grant)) => {
-                self.dispatch.finish(grant.id, 0.0, ServerSign::Answered);
+            Ok(BindReply::Bound(slot)) => {
+                self.dispatch
+                    .finish(slot.grant.id, 0.0, ServerSign::Answered);
             }
             Ok(_) => {}
             Err(_) => self.dispatch.tell(Cancel(self.id)),
@@ -71,6 +81,7 @@
             address,
             next_id: Arc::new(AtomicU64::new(1)),
         };
+        handle.tell(Started(handle.clone()));
         let clock = handle.clone();
         tokio::spawn(async move {
             let mut interval = tokio::time::interval(TICK);
--- a/dockgate/src/dispatch/messages.rs
+++ b/dockgate/src/dispatch/messages.rs
@@ -7,7 +7,10 @@
 use std::sync::Arc;
 use tokio::sync::oneshot;
 
-use super::handle::BindReply;
+use super::handle::{BindReply, DispatchHandle};
+
+/// Gives the actor a handle on itself; the first message that it gets.
+pub(super) struct Started(pub(super) DispatchHandle);
 
 /// Queues a request.
 pub(super) struct Enqueue {
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -79,6 +79,8 @@
         entry: String,
         free_after: u32,
     },
+    /// A running stream was asked to give its slot up for a while.
+    PauseAsked { grant: String, entry: String },
     /// A configuration came into force.
     Configured { version: u64, source: &'a str },
     /// The servers that this box schedules changed.
--- a/dockgate/src/members.rs
+++ b/dockgate/src/members.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// How long to wait after the platform's service failed, in milliseconds.
+pub(crate) const RETRY_MS: std::ops::Range<u64> = 200..600;
+
 /// Another box of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct MemberBox {
@@ -33,28 +36,32 @@
     }
 }
 
-/// Reads the list again and again, and hands changes to the dispatcher; the last list stands while
-/// the platform's service is out.
+/// Watches the list, and hands changes to the dispatcher; the last list stands while the platform's
+/// service is out.
+///
+/// A watch and not a poll: at 380 boxes the list is some 40 KB, and reading it every two seconds
+/// would cost more than all that a node may send.
 pub(crate) async fn follow_members(
     client: PlatformClient,
     domain: String,
     me: BoxKey,
-    every: Duration,
+    wait: Duration,
     dispatch: DispatchHandle,
 ) {
-    let mut last = None;
+    let mut revision = 0;
     loop {
-        match client.boxes(&domain).await {
-            Ok(records) => {
+        match client.watch_boxes(&domain, revision, wait).await {
+            Ok(Some((records, seen))) => {
+                revision = seen;
                 let others = records.into_iter().map(MemberBox::from);
-                let members: Vec<MemberBox> = others.filter(|member| member.key != me).collect();
-                if last.as_ref() != Some(&members) {
-                    dispatch.set_members(members.clone());
-                    last = Some(members);
-                }
+                dispatch.set_members(others.filter(|member| member.key != me).collect());
+            }
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!("{error}");
+                let pause = rand::random_range(RETRY_MS);
+                tokio::time::sleep(Duration::from_millis(pause)).await;
             }
-            Err(error) => log::warn!("{error}"),
         }
-        tokio::time::sleep(every).await;
     }
 }
--- a/dockgate/src/metrics.rs
+++ b/dockgate/src/metrics.rs
@@ -20,6 +20,8 @@
     pub(crate) wait: HistogramVec,
     /// Attempts sent to a second server.
     pub(crate) retries: IntCounter,
+    /// Streams that gave their slot up for a while.
+    pub(crate) pauses: IntCounter,
     /// Grants given out by this scheduler.
     pub(crate) grants: IntCounter,
     /// Grants that came when nothing waited any more.
@@ -97,6 +99,10 @@
             ),
             wait,
             retries: counter("dockgate_retries_total", "Attempts sent to a second server"),
+            pauses: counter(
+                "dockgate_pauses_total",
+                "Streams that gave their slot up for a while",
+            ),
             grants: counter(
                 "dockgate_grants_total",
                 "Grants given out by this scheduler",
--- a/dockgate/src/settings.rs
+++ b/dockgate/src/settings.rs
@@ -1,8 +1,11 @@
 //! Settings of the daemon: an INI file, overridden by environment and flags.
 
 use crate::error::DaemonError;
+use crate::members::MemberBox;
 use clap::Parser;
-use dockgate_core::{IniDocument, IniProblem, IniProblems, OrderMode, OrderRule, SectionReader};
+use dockgate_core::{
+    BoxKey, IniDocument, IniProblem, IniProblems, OrderMode, OrderRule, PauseRule, SectionReader,
+};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -53,6 +56,8 @@
     pub(crate) listen: ListenSettings,
     /// How the platform's service is reached.
     pub(crate) platform: PlatformSettings,
+    /// Boxes to be asked while the platform's list has never been read.
+    pub(crate) seeds: Vec<MemberBox>,
     /// Secrets, read from files.
     pub(crate) secrets: SecretSettings,
     /// Limits towards callers.
@@ -83,8 +88,6 @@
     pub(crate) timeout: Duration,
     /// How long a watch waits.
     pub(crate) watch: Duration,
-    /// How often the list of boxes is read.
-    pub(crate) boxes_every: Duration,
 }
 
 /// What proves who is who.
@@ -136,6 +139,10 @@
     pub(crate) mode: OrderMode,
     /// What the order key adds.
     pub(crate) order: OrderRule,
+    /// When streams are paused.
+    pub(crate) pause: PauseRule,
+    /// How much younger a request at an entry of the scheduler's domain may be and still go first.
+    pub(crate) locality: Duration,
     /// How often service given is reported to other schedulers.
     pub(crate) report_every: Duration,
     /// How long a grant lasts without a sign of its entry.
@@ -204,6 +211,8 @@
     }
 }
 
+/// The section of a box that is known from the settings.
+const SEED: &str = "seed";
 /// Sections of a settings file, in the order of their use.
 const SECTIONS: [&str; 6] = ["box", "listen", "platform", "secrets", "limits", "schedule"];
 
@@ -214,13 +223,19 @@
 ) -> Result<DaemonSettings, IniProblems> {
     let mut document = IniDocument::parse(file, text)?;
     let mut sections = document.take_sections();
+    let (mut seeds, mut rest): (Vec<_>, Vec<_>) = std::mem::take(&mut sections)
+        .into_iter()
+        .partition(|section| section.kind == SEED && !section.name.is_empty());
+    std::mem::swap(&mut sections, &mut rest);
     for section in &sections {
         if !SECTIONS.contains(&section.kind.as_str()) || !section.name.is_empty() {
             let allowed = SECTIONS.join("], [");
-            let message = format!("unknown section; allowed: [{allowed}]");
+            let message = format!("unknown section; allowed: [{allowed}], [{SEED} NAME]");
             document.report(section.line, message);
         }
     }
+    let members: Vec<MemberBox> = seeds.iter_mut().filter_map(read_seed).collect();
+    seeds.into_iter().for_each(|seed| document.close(seed));
     let mut section = |kind: &str| -> SectionReader {
         let found = sections.iter().position(|section| section.kind == kind);
         found.map_or_else(
@@ -248,7 +263,22 @@
     }
     document.finish()?;
     // A required key that is missing has been reported by now.
-    settings.ok_or_else(|| IniProblems::Invalid(Vec::new()))
+    let mut settings = settings.ok_or_else(|| IniProblems::Invalid(Vec::new()))?;
+    settings.seeds = members;
+    Ok(settings)
+}
+
+/// Reads `[seed NAME]`: another box, known before the platform's list has been read.
+fn read_seed(section: &mut SectionReader) -> Option<MemberBox> {
+    let domain = section.take_required("domain", "the box's failure domain");
+    let address = section.take_required("address", ADDRESS);
+    Some(MemberBox {
+        key: BoxKey::from_name(&section.name),
+        name: section.name.clone(),
+        domain: domain?,
+        address: address?,
+        leaving: false,
+    })
 }
 
 fn read_all(
@@ -275,6 +305,7 @@
         domain: domain?,
         listen: listen?,
         platform: platform?,
+        seeds: Vec::new(),
         secrets: SecretSettings::default(),
         limits,
         schedule,
@@ -342,7 +373,6 @@
     Some(PlatformSettings {
         timeout: take_ms(section, "timeout_ms", 2_000, 10, 60_000),
         watch: take_ms(section, "watch_ms", 20_000, 100, 300_000),
-        boxes_every: take_ms(section, "boxes_every_ms", 2_000, 50, 60_000),
         address: address?,
     })
 }
@@ -383,12 +413,30 @@
         "a number of seconds from 0 to 600",
         |horizon| (0.0..=600.0).contains(horizon),
     );
+    let pause_gap_s = section.take_checked(
+        "pause_gap_s",
+        1.0,
+        "a number of seconds from 0 to 600; 0 never pauses",
+        |gap| (0.0..=600.0).contains(gap),
+    );
+    let pause_budget = section.take_checked(
+        "pause_budget",
+        0.03,
+        "a part of all grants from 0 to 1",
+        |part| (0.0..=1.0).contains(part),
+    );
     ScheduleSettings {
+        pause: PauseRule {
+            gap_s: pause_gap_s,
+            least_run_ms: take_ms(section, "pause_after_ms", 2_000, 0, 600_000).as_millis() as u64,
+            budget: pause_budget,
+        },
+        locality: take_ms(section, "locality_ms", 250, 0, 60_000),
         mode,
         order: OrderRule { horizon_s },
         report_every: take_ms(section, "report_every_ms", 1_000, 10, 60_000),
         grant_ttl: take_ms(section, "grant_ttl_ms", 5_000, 100, 600_000),
-        progress_every: take_ms(section, "progress_every_ms", 1_000, 10, 60_000),
+        progress_every: take_ms(section, "progress_every_ms", 500, 10, 60_000),
         adopt: take_ms(section, "adopt_ms", 300, 0, 60_000),
         widen: take_ms(section, "widen_ms", 5, 1, 10_000),
         width: take_count(section, "width", 16, 1, 10_000),
--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -231,6 +231,9 @@
     /// A model that it serves; may be given several times.
     #[arg(long)]
     pub(crate) model: Vec<String>,
+    /// Whether its engines resume streams: yes or no.
+    #[arg(long)]
+    pub(crate) resumes: Option<String>,
     /// Service units for a token of the prompt.
     #[arg(long)]
     pub(crate) input_weight: Option<String>,
--- a/dockgatectl/src/change.rs
+++ b/dockgatectl/src/change.rs
@@ -131,6 +131,8 @@
     let models = join(&flags.model, || {
         old.map(|old| old.models.clone()).unwrap_or_default()
     });
+    let resumes = flags.resumes.clone();
+    let resumes = resumes.or(old.map(|old| yes_or_no(old.resumes)));
     let input = weight(&flags.input_weight, old.map(|old| old.cost.input_weight));
     let output = weight(&flags.output_weight, old.map(|old| old.cost.output_weight));
     let slot = weight(
@@ -140,6 +142,7 @@
     let declaration = SectionText::new("pool", name)
         .set("kind", kind.as_deref())
         .set("models", models.as_deref())
+        .set("resumes", resumes.as_deref())
         .set("input_weight", input.as_deref())
         .set("output_weight", output.as_deref())
         .set("slot_ms_weight", slot.as_deref())
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,7 +1,11 @@
 //! Chores that CI and developers run: `cargo xtask ci`.
 
+mod docs;
+
 use clap::{Parser, Subcommand};
+use docs::check_docs;
 use std::process::{Command, ExitCode};
+use std::time::Instant;
 
 /// Chores of the dockgate workspace.
 #[derive(Debug, Parser)]
@@ -25,6 +29,17 @@
     Test,
     /// Runs a short fleet with a fixed seed.
     Fleet,
+    /// Repeats the randomised tests with ever new seeds, for a night.
+    Soak {
+        /// The first seed; each round takes the next.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// For how many seconds.
+        #[arg(long, default_value_t = 28_800)]
+        seconds: u64,
+    },
+    /// Checks that what the docs name exists.
+    CheckDocs,
 }
 
 /// One command to be run.
@@ -80,6 +95,7 @@
     fn steps(self) -> Vec<ChoreStep> {
         match self {
             Self::Ci => vec![FMT, LINT, DOCS, BUILD, TEST, FLEET],
+            Self::Soak { .. } | Self::CheckDocs => Vec::new(),
             Self::Fmt => vec![FMT],
             Self::Lint => vec![LINT],
             Self::Docs => vec![DOCS],
@@ -89,6 +105,35 @@
     }
 }
 
+/// Repeats the randomised tests; stops at the first failure and names its seed.
+fn soak(first: u64, seconds: u64) -> bool {
+    const CASES: &str = "2000";
+    let started = Instant::now();
+    for seed in first.. {
+        if started.elapsed().as_secs() >= seconds {
+            eprintln!("xtask: {} rounds passed", seed - first);
+            return true;
+        }
+        let status = Command::new("cargo")
+            .args([
+                "test",
+                "--quiet",
+                "--release",
+                "--package",
+                "dockgate-core",
+                "--lib",
+            ])
+            .env("PROPTEST_RNG_SEED", seed.to_string())
+            .env("PROPTEST_CASES", CASES)
+            .status();
+        if !status.is_ok_and(|status| status.success()) {
+            eprintln!("xtask: seed {seed} failed");
+            return false;
+        }
+    }
+    true
+}
+
 /// Runs a step; returns whether it succeeded.
 fn run(step: &ChoreStep) -> bool {
     eprintln!("xtask: {} {}", step.program, step.args.join(" "));
@@ -108,7 +153,13 @@
 
 fn main() -> ExitCode {
     let args = XtaskArgs::parse();
-    match args.chore.steps().iter().all(run) {
+    let passed = match args.chore {
+        XtaskChore::Soak { seed, seconds } => soak(seed, seconds),
+        XtaskChore::CheckDocs => check_docs(),
+        XtaskChore::Ci => check_docs() && args.chore.steps().iter().all(run),
+        _ => args.chore.steps().iter().all(run),
+    };
+    match passed {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
