--- a/dockgate-core/src/queue.rs
+++ b/dockgate-core/src/queue.rs
@@ -5,7 +5,7 @@
 
 use crate::ids::{PoolKey, WorkspaceKey};
 use quick_error::quick_error;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The order inside a workspace: higher priority, then earlier deadline, then older.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -74,6 +74,10 @@
 pub struct RequestQueue {
     queues: HashMap<AccountKey, BTreeMap<RequestRank, WaitingRequest>>,
     index: HashMap<u64, (AccountKey, RequestRank)>,
+    /// By deadline, so that a look for expired requests costs nothing while there are none.
+    deadlines: BTreeSet<(u64, u64)>,
+    /// By account and age, so that the oldest is found without a scan.
+    ages: BTreeSet<(AccountKey, u64, u64)>,
     lengths: HashMap<WorkspaceKey, usize>,
 }
 
@@ -93,6 +97,8 @@
         let queue = self.queues.entry(account).or_default();
         queue.insert(request.rank(), request);
         self.index.insert(request.id, (account, request.rank()));
+        self.deadlines.insert((request.deadline_ms, request.id));
+        self.ages.insert((account, request.since_ms, request.id));
         Ok(())
     }
 
@@ -111,6 +117,8 @@
         if queue.is_empty() {
             self.queues.remove(&account);
         }
+        self.deadlines.remove(&(request.deadline_ms, request.id));
+        self.ages.remove(&(account, request.since_ms, request.id));
         if let Some(length) = self.lengths.get_mut(&request.workspace) {
             *length -= 1;
         }
@@ -124,17 +132,18 @@
 
     /// Returns when the oldest request of an account was queued, in milliseconds.
     pub fn oldest_ms(&self, pool: PoolKey, workspace: WorkspaceKey) -> Option<u64> {
-        let queue = self.queues.get(&(pool, workspace))?;
-        queue.values().map(|request| request.since_ms).min()
+        let account = (pool, workspace);
+        let mut aged = self
+            .ages
+            .range((account, 0, 0)..=(account, u64::MAX, u64::MAX));
+        aged.next().map(|(_, since_ms, _)| *since_ms)
     }
 
     /// Returns the ids of the requests whose deadline has passed.
     pub fn expired(&self, now_ms: u64) -> Vec<u64> {
-        self.queues
-            .values()
-            .flat_map(BTreeMap::values)
-            .filter(|request| request.deadline_ms <= now_ms)
-            .map(|request| request.id)
+        self.deadlines
+            .range(..=(now_ms, u64::MAX))
+            .map(|(_, id)| *id)
             .collect()
     }
 
--- a/dockgate-core/src/scheduler.rs
+++ b/dockgate-core/src/scheduler.rs
@@ -281,10 +281,13 @@
             self.slots.release(grant.server, grant.workspace);
             self.refresh(grant.pool, grant.workspace);
         }
+        let mut rates_changed = false;
         for (pool, held) in self.slots.held_by_pool() {
-            self.rates.entry(pool).or_default().advance(now_ms, held);
+            rates_changed |= self.rates.entry(pool).or_default().advance(now_ms, held);
+        }
+        if rates_changed {
+            self.reorder_all();
         }
-        self.reorder_all();
     }
 
     /// Gives every free slot to the workspace furthest behind that waits for it.
@@ -344,7 +347,8 @@
     /// A stream is paused where every slot is taken, and its workspace is further ahead of the one
     /// that waits furthest behind than the rule allows; within a budget, and asked for once.
     pub fn pauses(&mut self, now_ms: u64) -> Vec<(BoxKey, GrantId)> {
-        if self.rule.pause.gap_s <= 0.0 {
+        // The baselines of measurements have no such lever.
+        if self.rule.pause.gap_s <= 0.0 || self.rule.mode != OrderMode::Fair {
             return Vec::new();
         }
         let pools: Vec<PoolKey> = self.queues.keys().copied().collect();
--- a/dockgate-core/src/scheduler/rate.rs
+++ b/dockgate-core/src/scheduler/rate.rs
@@ -19,11 +19,11 @@
         self.units += units;
     }
 
-    /// Closes the window if it is long enough; `held` slots were held in it.
-    pub(super) fn advance(&mut self, now_ms: u64, held: u32) {
+    /// Closes the window if it is long enough, and tells whether it was; `held` slots were held in it.
+    pub(super) fn advance(&mut self, now_ms: u64, held: u32) -> bool {
         let elapsed = now_ms.saturating_sub(self.last_ms);
         if elapsed < Self::WINDOW_MS {
-            return;
+            return false;
         }
         if held > 0 && self.last_ms > 0 {
             let slot_seconds = f64::from(held) * elapsed as f64 / 1_000.0;
@@ -35,6 +35,7 @@
         }
         self.units = 0.0;
         self.last_ms = now_ms;
+        true
     }
 
     /// Returns service units a second for one held slot.
--- a/dockgate-platform/src/store.rs
+++ b/dockgate-platform/src/store.rs
@@ -15,9 +15,9 @@
 const SNAPSHOT: &str = "config/snapshot/";
 const PLAN: &str = "plan/";
 /// The most entries that the head holds; a daemon further behind starts from the snapshot.
-const MOST_ENTRIES: usize = 64;
+const MOST_ENTRIES: usize = 24;
 /// How many entries stay in the head when a snapshot is made.
-const KEPT_ENTRIES: usize = 32;
+const KEPT_ENTRIES: usize = 8;
 /// The size of a part of a snapshot, in bytes, below the largest value of the service.
 const PART_BYTES: usize = 512 << 10;
 
--- a/dockgate/src/caller/answer.rs
+++ b/dockgate/src/caller/answer.rs
@@ -53,6 +53,10 @@
     }
 }
 
+/// After how many periods the cost of an answer is reported first: most end before that, and their
+/// settle says all.
+pub(super) const FIRST_PROGRESS: u64 = 3;
+
 /// Whose answer it is, for the line at its end.
 pub(super) struct AnswerLabel {
     pub(super) request: String,
@@ -120,7 +124,7 @@
             label,
             granted_ms: now,
             progress_every_ms,
-            progress_due_ms: now + progress_every_ms,
+            progress_due_ms: now + progress_every_ms * FIRST_PROGRESS,
             silence: times.silence,
             timer: Box::pin(tokio::time::sleep(times.silence)),
             outcome: None,
--- a/dockgate/src/caller/stream.rs
+++ b/dockgate/src/caller/stream.rs
@@ -4,7 +4,7 @@
 //! is continued on the next grant from the last whole event that was passed on. The caller sees one
 //! answer. Only repeatable requests to pools whose engines resume streams are continued.
 
-use super::answer::{AnswerError, AnswerLabel, RunningGrant};
+use super::answer::{AnswerError, AnswerLabel, FIRST_PROGRESS, RunningGrant};
 use super::attempt::{AttemptContext, BoundAttempt};
 use super::classify::CallerCall;
 use super::meter::StreamMeter;
@@ -131,7 +131,7 @@
         let mut pending = BytesMut::new();
         let silence = self.context.settings.limits.answer_timeout;
         let every = self.context.settings.schedule.progress_every.as_millis() as u64;
-        let mut due_ms = now_ms() + every;
+        let mut due_ms = now_ms() + every * FIRST_PROGRESS;
         let may_pause = self.resumes && progress.pauses < MOST_PAUSES;
         let before = progress.cost;
         let end = loop {
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -110,7 +110,7 @@
                 self.act(action, now);
             }
             for grant in self.scheduler.schedule(now) {
-                self.log_grant(&grant, now);
+                self.log_grant(&grant);
                 match grant.entry == self.me.key {
                     true => actions.extend(self.entry.offer(self.me.key, grant)),
                     false => self.send(grant.entry, grant_message(&grant)),
@@ -402,16 +402,14 @@
         METRICS.links.set(self.links.linked_count() as i64);
     }
 
-    fn log_grant(&self, grant: &GrantOffer, now: u64) {
+    fn log_grant(&self, grant: &GrantOffer) {
         METRICS.grants.inc();
-        let free = self.scheduler.free_slots(now);
         log_event(&LogEvent::Granted {
             grant: grant.id.to_string(),
             pool: grant.pool.0,
             workspace: grant.workspace.0,
             server: grant.server.0,
             entry: grant.entry.to_string(),
-            free_after: free.get(&grant.pool).copied().unwrap_or(0),
         });
     }
 
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -77,7 +77,6 @@
         workspace: u32,
         server: u32,
         entry: String,
-        free_after: u32,
     },
     /// A running stream was asked to give its slot up for a while.
     PauseAsked { grant: String, entry: String },
