refactor(daemon): put what the control actor does on each message into its own file

No behaviour changes but one default: pause_gap_s is 2 instead of 1, since at 1 s steady short answers were paused 0.87 times a second, which costs idle slots.

--- a/dockgate/src/dispatch.rs
+++ b/dockgate/src/dispatch.rs
@@ -5,6 +5,7 @@
 
 mod actor;
 mod handle;
+mod handlers;
 mod links;
 mod messages;
 
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -2,10 +2,6 @@
 
 use super::handle::{BindReply, BoundSlot, DispatchHandle};
 use super::links::{PeerLink, PeerLinks};
-use super::messages::{
-    Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
-    Progress, SetConfig, SetMembers, Started, Status, StatusAnswer, Tick,
-};
 use crate::clock::now_ms;
 use crate::config_keeper::ConfigCell;
 use crate::link::{LinkSender, LinkTask};
@@ -16,36 +12,34 @@
 use dockgate_core::{
     AdoptedGrant, BoxKey, EntryAction, EntryState, FleetConfig, FleetTopology, GrantId, GrantOffer,
     Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, ServerSign, SettleReport,
-    SlotScheduler, WaitingRequest,
+    SlotScheduler,
 };
-use dockgate_proto::operator::PeerStatus;
-use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
+use dockgate_proto::PeerMessage;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
-use std::time::Instant;
 use tokio::sync::oneshot;
-use xtra::{Actor, Context, Handler};
+use xtra::Actor;
 
 /// Holds the state of the entry and the scheduler of one box.
 pub(crate) struct DispatchActor {
-    settings: Arc<DaemonSettings>,
-    me: LiveBox,
-    incarnation: Incarnation,
-    cell: ConfigCell,
-    config: Arc<FleetConfig>,
-    topology: FleetTopology,
-    entry: EntryState,
-    scheduler: SlotScheduler,
-    waiting: HashMap<u64, oneshot::Sender<BindReply>>,
+    pub(super) settings: Arc<DaemonSettings>,
+    pub(super) me: LiveBox,
+    pub(super) incarnation: Incarnation,
+    pub(super) cell: ConfigCell,
+    pub(super) config: Arc<FleetConfig>,
+    pub(super) topology: FleetTopology,
+    pub(super) entry: EntryState,
+    pub(super) scheduler: SlotScheduler,
+    pub(super) waiting: HashMap<u64, oneshot::Sender<BindReply>>,
     /// By grant, how to tell a running request that its slot is wanted.
-    pauses: HashMap<GrantId, oneshot::Sender<()>>,
-    links: PeerLinks,
-    handle: Option<DispatchHandle>,
-    live: Vec<LiveBox>,
-    has_ledger: bool,
-    report_due_ms: u64,
+    pub(super) pauses: HashMap<GrantId, oneshot::Sender<()>>,
+    pub(super) links: PeerLinks,
+    pub(super) handle: Option<DispatchHandle>,
+    pub(super) live: Vec<LiveBox>,
+    pub(super) has_ledger: bool,
+    pub(super) report_due_ms: u64,
     /// The peer whose batch is being handled, and what it is answered.
-    answering: Option<(BoxKey, Vec<PeerMessage>)>,
+    pub(super) answering: Option<(BoxKey, Vec<PeerMessage>)>,
 }
 
 impl DispatchActor {
@@ -102,7 +96,7 @@
     }
 
     /// Carries out the entry's actions and gives out free slots until nothing is left to do.
-    fn pump(&mut self, actions: Vec<EntryAction>) {
+    pub(super) fn pump(&mut self, actions: Vec<EntryAction>) {
         let now = now_ms();
         let mut actions = VecDeque::from(actions);
         loop {
@@ -122,7 +116,7 @@
         }
     }
 
-    fn act(&mut self, action: EntryAction, now: u64) {
+    pub(super) fn act(&mut self, action: EntryAction, now: u64) {
         match action {
             EntryAction::Seek(seek) => {
                 let age = self.entry.age_ms(seek.pool, seek.workspace, now);
@@ -147,7 +141,7 @@
         }
     }
 
-    fn seek(&mut self, to: BoxKey, demand: SeekDemand, now: u64) {
+    pub(super) fn seek(&mut self, to: BoxKey, demand: SeekDemand, now: u64) {
         if to == self.me.key {
             self.scheduler.seek(to, demand, now);
             return;
@@ -163,7 +157,7 @@
     }
 
     /// Hands a grant to the request that waits; a request that has gone gives it back.
-    fn bind(&mut self, id: u64, grant: GrantOffer) {
+    pub(super) fn bind(&mut self, id: u64, grant: GrantOffer) {
         let (wanted, pause) = oneshot::channel();
         self.pauses.insert(grant.id, wanted);
         let reply = self.waiting.remove(&id);
@@ -174,7 +168,14 @@
         }
     }
 
-    fn settle(&mut self, to: BoxKey, id: GrantId, cost: f64, ended: Option<ServerSign>, now: u64) {
+    pub(super) fn settle(
+        &mut self,
+        to: BoxKey,
+        id: GrantId,
+        cost: f64,
+        ended: Option<ServerSign>,
+        now: u64,
+    ) {
         if to == self.me.key {
             let report = SettleReport { id, cost, ended };
             self.scheduler.settle(to, report, now);
@@ -190,7 +191,7 @@
         self.send(to, message);
     }
 
-    fn finish(&mut self, id: GrantId, cost: f64, sign: ServerSign) {
+    pub(super) fn finish(&mut self, id: GrantId, cost: f64, sign: ServerSign) {
         self.pauses.remove(&id);
         if let Some(scheduler) = self.entry.finish(id) {
             self.settle(scheduler, id, cost, Some(sign), now_ms());
@@ -198,14 +199,14 @@
     }
 
     /// Tells a running request that its slot is wanted; one that cannot be paused goes on.
-    fn pause(&mut self, id: GrantId) {
+    pub(super) fn pause(&mut self, id: GrantId) {
         if let Some(wanted) = self.pauses.remove(&id) {
             let _ = wanted.send(());
         }
     }
 
     /// Asks the entries of streams that run too far ahead to pause them.
-    fn ask_for_pauses(&mut self, now: u64) {
+    pub(super) fn ask_for_pauses(&mut self, now: u64) {
         for (entry, id) in self.scheduler.pauses(now) {
             log_event(&LogEvent::PauseAsked {
                 grant: id.to_string(),
@@ -219,7 +220,7 @@
     }
 
     /// Sends to a peer: in the answer to its batch if one is being handled, else by the link.
-    fn send(&mut self, to: BoxKey, message: PeerMessage) {
+    pub(super) fn send(&mut self, to: BoxKey, message: PeerMessage) {
         match &mut self.answering {
             Some((peer, answer)) if *peer == to => answer.push(message),
             _ => self.links.send(to, message),
@@ -227,7 +228,12 @@
     }
 
     /// Takes one message of a peer in; the entry's reactions are returned.
-    fn receive(&mut self, from: BoxKey, message: PeerMessage, now: u64) -> Vec<EntryAction> {
+    pub(super) fn receive(
+        &mut self,
+        from: BoxKey,
+        message: PeerMessage,
+        now: u64,
+    ) -> Vec<EntryAction> {
         let step = message.step();
         let known = match message {
             PeerMessage::Seek(pool, workspace, waiting, seen, age_ms) => {
@@ -307,7 +313,7 @@
         Vec::new()
     }
 
-    fn receive_all(&mut self, from: BoxKey, messages: Vec<PeerMessage>) {
+    pub(super) fn receive_all(&mut self, from: BoxKey, messages: Vec<PeerMessage>) {
         let now = now_ms();
         let mut actions = Vec::new();
         for message in messages {
@@ -316,13 +322,13 @@
         self.pump(actions);
     }
 
-    fn free_messages(&mut self, to: BoxKey) -> Vec<PeerMessage> {
+    pub(super) fn free_messages(&mut self, to: BoxKey) -> Vec<PeerMessage> {
         let free = self.scheduler.free_slots(now_ms());
         self.links.free_news(to, &free)
     }
 
     /// Works out anew who schedules what, after the boxes or the configuration changed.
-    fn rebuild(&mut self) {
+    pub(super) fn rebuild(&mut self) {
         let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
         self.live = self.links.live_boxes(&self.me, suspect_ms);
         self.topology = FleetTopology::new(&self.config, &self.live);
@@ -354,7 +360,7 @@
     }
 
     /// Rebuilds if a box has become suspect, or is no more.
-    fn rebuild_if_suspects_changed(&mut self) {
+    pub(super) fn rebuild_if_suspects_changed(&mut self) {
         let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
         let live = self.links.live_boxes(&self.me, suspect_ms);
         if live == self.live {
@@ -373,7 +379,7 @@
     }
 
     /// Tells every other scheduler what was given here, and every entry what is free.
-    fn report(&mut self) {
+    pub(super) fn report(&mut self) {
         let report = self.scheduler.take_report();
         let free = self.scheduler.free_slots(now_ms());
         for key in self.links.keys() {
@@ -389,7 +395,7 @@
         }
     }
 
-    fn update_metrics(&self) {
+    pub(super) fn update_metrics(&self) {
         METRICS.waiting.set(self.entry.waiting() as i64);
         METRICS.running.set(self.entry.running_count() as i64);
         METRICS.overgrants.set(self.entry.overgranted() as i64);
@@ -402,7 +408,7 @@
         METRICS.links.set(self.links.linked_count() as i64);
     }
 
-    fn log_grant(&self, grant: &GrantOffer) {
+    pub(super) fn log_grant(&self, grant: &GrantOffer) {
         METRICS.grants.inc();
         log_event(&LogEvent::Granted {
             grant: grant.id.to_string(),
@@ -413,7 +419,7 @@
         });
     }
 
-    fn add_member(&mut self, member: MemberBox) {
+    pub(super) fn add_member(&mut self, member: MemberBox) {
         let Some(handle) = self.handle.clone() else {
             return;
         };
@@ -429,7 +435,7 @@
         self.links.insert(PeerLink::new(member, sender));
     }
 
-    fn remove_member(&mut self, key: BoxKey) {
+    pub(super) fn remove_member(&mut self, key: BoxKey) {
         self.links.remove(key);
         self.entry.disconnect(key);
         self.scheduler.forget_box(key);
@@ -440,7 +446,11 @@
     PeerMessage::Grant(grant.id, grant.pool, grant.workspace, grant.server)
 }
 
-const fn settle_report(id: GrantId, cost: u64, ended: Option<ServerSign>) -> SettleReport {
+pub(super) const fn settle_report(
+    id: GrantId,
+    cost: u64,
+    ended: Option<ServerSign>,
+) -> SettleReport {
     SettleReport {
         id,
         cost: cost as f64,
@@ -453,236 +463,3 @@
 
     async fn stopped(self) {}
 }
-
-/// Implements a handler that takes no time to speak of, and counts what it takes.
-macro_rules! handle {
-    ($message:ty, $return:ty, |$actor:ident, $name:ident| $body:block) => {
-        impl Handler<$message> for DispatchActor {
-            type Return = $return;
-
-            async fn handle(&mut self, $name: $message, _: &mut Context<Self>) -> $return {
-                let started = Instant::now();
-                let $actor = self;
-                let outcome = $body;
-                let busy = started.elapsed().as_micros() as u64;
-                METRICS.control_busy_us.inc_by(busy);
-                outcome
-            }
-        }
-    };
-}
-
-handle!(Started, (), |actor, started| {
-    actor.handle = Some(started.0);
-});
-
-handle!(Enqueue, (), |actor, message| {
-    let Enqueue {
-        request,
-        limit,
-        reply,
-    } = message;
-    let WaitingRequest { id, .. } = request;
-    match actor.entry.enqueue(request, limit) {
-        Ok(actions) => {
-            actor.waiting.insert(id, reply);
-            actor.pump(actions);
-        }
-        Err(error) => drop(reply.send(BindReply::Refused(error))),
-    }
-});
-
-handle!(Cancel, (), |actor, message| {
-    actor.waiting.remove(&message.0);
-    actor.entry.cancel(message.0);
-});
-
-handle!(Progress, (), |actor, message| {
-    let Progress(id, cost) = message;
-    if let Some(scheduler) = actor.entry.progress(id, cost) {
-        actor.settle(scheduler, id, cost, None, now_ms());
-    }
-});
-
-handle!(Finish, (), |actor, message| {
-    let Finish(id, cost, sign) = message;
-    actor.finish(id, cost, sign);
-    actor.pump(Vec::new());
-});
-
-handle!(PeerBatch, Option<Vec<PeerMessage>>, |actor, batch| {
-    if actor.links.is_linked(batch.from) {
-        actor.answering = Some((batch.from, Vec::new()));
-        if let Some(link) = actor.links.get_mut(batch.from) {
-            link.note_heard();
-        }
-        actor.receive_all(batch.from, batch.messages);
-        let free = actor.free_messages(batch.from);
-        let answer = actor.answering.take().map(|(_, answer)| answer);
-        answer.map(|mut answer| {
-            answer.extend(free);
-            answer
-        })
-    } else {
-        // Grants could not be sent back, so that the peer had better come again.
-        None
-    }
-});
-
-handle!(PeerHello, HelloReply, |actor, hello| {
-    let PeerHello { from, request } = hello;
-    actor.receive_all(from, request.settles);
-    actor.scheduler.forget_box(from);
-    actor.receive_all(from, request.adopts);
-    actor.links.forget_told(from);
-    let ledger = match request.wants_ledger {
-        true => actor.scheduler.full_reports(),
-        false => Vec::new(),
-    };
-    HelloReply {
-        incarnation: actor.incarnation,
-        config_version: actor.config.version,
-        ledger,
-        free: actor.free_messages(from),
-    }
-});
-
-handle!(PrepareHello, HelloRequest, |actor, message| {
-    let peer = message.0;
-    let adopts = actor.entry.running_at(peer).into_iter();
-    let settles = actor.links.get_mut(peer).map(|link| link.settles.clone());
-    HelloRequest {
-        settles: settles.unwrap_or_default(),
-        adopts: adopts.map(PeerMessage::from).collect(),
-        wants_ledger: !actor.has_ledger,
-    }
-});
-
-handle!(LinkUp, (), |actor, message| {
-    let LinkUp(peer, reply) = message;
-    let now = now_ms();
-    if let Some(link) = actor.links.get_mut(peer) {
-        link.linked = true;
-        link.changed_ms = now;
-        link.note_heard();
-        link.settles.clear();
-        log_event(&LogEvent::Link {
-            peer: &link.member.name,
-            up: true,
-            reason: String::new(),
-        });
-    }
-    actor.entry.connect(peer);
-    for report in &reply.ledger {
-        actor.has_ledger = true;
-        actor.scheduler.merge(report, now);
-    }
-    actor.receive_all(peer, reply.free);
-    actor.rebuild_if_suspects_changed();
-});
-
-handle!(LinkFailure, (), |actor, failure| {
-    let LinkFailure {
-        peer,
-        undelivered,
-        reason,
-    } = failure;
-    let suspect_ms = actor.settings.schedule.suspect.as_millis() as u64;
-    if let Some(link) = actor.links.get_mut(peer)
-        && link.close(suspect_ms)
-    {
-        log_event(&LogEvent::Link {
-            peer: &link.member.name,
-            up: false,
-            reason,
-        });
-    }
-    actor.entry.disconnect(peer);
-    actor.scheduler.forget_demand(peer);
-    for message in undelivered {
-        match message {
-            // The peer may not have seen the grant: its slot is free again.
-            PeerMessage::Grant(id, ..) => {
-                let report = settle_report(id, 0, Some(ServerSign::Answered));
-                actor.scheduler.settle(peer, report, now_ms());
-            }
-            message => actor.links.send(peer, message),
-        }
-    }
-    actor.pump(Vec::new());
-});
-
-handle!(SetMembers, (), |actor, message| {
-    let members = message.0;
-    for key in actor.links.keys() {
-        if !members.iter().any(|member| member.key == key) {
-            actor.remove_member(key);
-        }
-    }
-    for member in members {
-        match actor.links.get_mut(member.key) {
-            Some(link) if link.member.address == member.address => {
-                link.member.leaving |= member.leaving;
-            }
-            Some(_) => {
-                actor.remove_member(member.key);
-                actor.add_member(member);
-            }
-            None => actor.add_member(member),
-        }
-    }
-    actor.rebuild();
-});
-
-handle!(SetConfig, (), |actor, message| {
-    let config = message.0;
-    let shares = config.workspaces.iter();
-    let shares = shares.map(|(key, workspace)| (key, workspace.share));
-    actor.scheduler.set_shares(shares.collect());
-    actor.config = config;
-    actor.rebuild();
-});
-
-handle!(Tick, (), |actor, _message| {
-    let now = now_ms();
-    let actions = actor.entry.tick(now);
-    actor.scheduler.tick(now);
-    actor.pump(actions);
-    actor.ask_for_pauses(now);
-    actor.rebuild_if_suspects_changed();
-    if now >= actor.report_due_ms {
-        let every = actor.settings.schedule.report_every.as_millis() as u64;
-        actor.report_due_ms = now + every;
-        actor.report();
-        actor.update_metrics();
-    }
-});
-
-handle!(Leave, (), |actor, _message| {
-    actor.me.schedules = false;
-    for key in actor.links.keys() {
-        actor.links.send(key, PeerMessage::Leaving);
-    }
-    actor.rebuild();
-});
-
-handle!(Status, StatusAnswer, |actor, _message| {
-    let peers = actor.links.iter().map(|link| PeerStatus {
-        name: link.member.name.clone(),
-        domain: link.member.domain.clone(),
-        linked: link.linked,
-        leaving: link.member.leaving,
-    });
-    StatusAnswer {
-        name: actor.settings.name.clone(),
-        domain: actor.settings.domain.clone(),
-        config_version: actor.config.version,
-        platform_reachable: actor.cell.platform_reachable(),
-        waiting: actor.entry.waiting(),
-        running: actor.entry.running_count(),
-        servers: actor.scheduler.server_count(),
-        held: actor.scheduler.held_grants(),
-        invariant_violations: dockgate_core::invariant_violations(),
-        peers: peers.collect(),
-    }
-});
--- /dev/null
+++ b/dockgate/src/dispatch/handlers.rs
@@ -0,0 +1,249 @@
+//! What the control actor does on each message.
+
+use super::actor::{DispatchActor, settle_report};
+use super::handle::BindReply;
+use super::messages::{
+    Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
+    Progress, SetConfig, SetMembers, Started, Status, StatusAnswer, Tick,
+};
+use crate::clock::now_ms;
+use crate::logging::{LogEvent, log_event};
+use crate::metrics::METRICS;
+use dockgate_core::{ServerSign, WaitingRequest};
+use dockgate_proto::operator::PeerStatus;
+use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
+use std::time::Instant;
+use xtra::{Context, Handler};
+
+/// Implements a handler that takes no time to speak of, and counts what it takes.
+macro_rules! handle {
+    ($message:ty, $return:ty, |$actor:ident, $name:ident| $body:block) => {
+        impl Handler<$message> for DispatchActor {
+            type Return = $return;
+
+            async fn handle(&mut self, $name: $message, _: &mut Context<Self>) -> $return {
+                let started = Instant::now();
+                let $actor = self;
+                let outcome = $body;
+                let busy = started.elapsed().as_micros() as u64;
+                METRICS.control_busy_us.inc_by(busy);
+                outcome
+            }
+        }
+    };
+}
+
+handle!(Started, (), |actor, started| {
+    actor.handle = Some(started.0);
+});
+
+handle!(Enqueue, (), |actor, message| {
+    let Enqueue {
+        request,
+        limit,
+        reply,
+    } = message;
+    let WaitingRequest { id, .. } = request;
+    match actor.entry.enqueue(request, limit) {
+        Ok(actions) => {
+            actor.waiting.insert(id, reply);
+            actor.pump(actions);
+        }
+        Err(error) => drop(reply.send(BindReply::Refused(error))),
+    }
+});
+
+handle!(Cancel, (), |actor, message| {
+    actor.waiting.remove(&message.0);
+    actor.entry.cancel(message.0);
+});
+
+handle!(Progress, (), |actor, message| {
+    let Progress(id, cost) = message;
+    if let Some(scheduler) = actor.entry.progress(id, cost) {
+        actor.settle(scheduler, id, cost, None, now_ms());
+    }
+});
+
+handle!(Finish, (), |actor, message| {
+    let Finish(id, cost, sign) = message;
+    actor.finish(id, cost, sign);
+    actor.pump(Vec::new());
+});
+
+handle!(PeerBatch, Option<Vec<PeerMessage>>, |actor, batch| {
+    if actor.links.is_linked(batch.from) {
+        actor.answering = Some((batch.from, Vec::new()));
+        if let Some(link) = actor.links.get_mut(batch.from) {
+            link.note_heard();
+        }
+        actor.receive_all(batch.from, batch.messages);
+        let free = actor.free_messages(batch.from);
+        let answer = actor.answering.take().map(|(_, answer)| answer);
+        answer.map(|mut answer| {
+            answer.extend(free);
+            answer
+        })
+    } else {
+        // Grants could not be sent back, so that the peer had better come again.
+        None
+    }
+});
+
+handle!(PeerHello, HelloReply, |actor, hello| {
+    let PeerHello { from, request } = hello;
+    actor.receive_all(from, request.settles);
+    actor.scheduler.forget_box(from);
+    actor.receive_all(from, request.adopts);
+    actor.links.forget_told(from);
+    let ledger = match request.wants_ledger {
+        true => actor.scheduler.full_reports(),
+        false => Vec::new(),
+    };
+    HelloReply {
+        incarnation: actor.incarnation,
+        config_version: actor.config.version,
+        ledger,
+        free: actor.free_messages(from),
+    }
+});
+
+handle!(PrepareHello, HelloRequest, |actor, message| {
+    let peer = message.0;
+    let adopts = actor.entry.running_at(peer).into_iter();
+    let settles = actor.links.get_mut(peer).map(|link| link.settles.clone());
+    HelloRequest {
+        settles: settles.unwrap_or_default(),
+        adopts: adopts.map(PeerMessage::from).collect(),
+        wants_ledger: !actor.has_ledger,
+    }
+});
+
+handle!(LinkUp, (), |actor, message| {
+    let LinkUp(peer, reply) = message;
+    let now = now_ms();
+    if let Some(link) = actor.links.get_mut(peer) {
+        link.linked = true;
+        link.changed_ms = now;
+        link.note_heard();
+        link.settles.clear();
+        log_event(&LogEvent::Link {
+            peer: &link.member.name,
+            up: true,
+            reason: String::new(),
+        });
+    }
+    actor.entry.connect(peer);
+    for report in &reply.ledger {
+        actor.has_ledger = true;
+        actor.scheduler.merge(report, now);
+    }
+    actor.receive_all(peer, reply.free);
+    actor.rebuild_if_suspects_changed();
+});
+
+handle!(LinkFailure, (), |actor, failure| {
+    let LinkFailure {
+        peer,
+        undelivered,
+        reason,
+    } = failure;
+    let suspect_ms = actor.settings.schedule.suspect.as_millis() as u64;
+    if let Some(link) = actor.links.get_mut(peer)
+        && link.close(suspect_ms)
+    {
+        log_event(&LogEvent::Link {
+            peer: &link.member.name,
+            up: false,
+            reason,
+        });
+    }
+    actor.entry.disconnect(peer);
+    actor.scheduler.forget_demand(peer);
+    for message in undelivered {
+        match message {
+            // The peer may not have seen the grant: its slot is free again.
+            PeerMessage::Grant(id, ..) => {
+                let report = settle_report(id, 0, Some(ServerSign::Answered));
+                actor.scheduler.settle(peer, report, now_ms());
+            }
+            message => actor.links.send(peer, message),
+        }
+    }
+    actor.pump(Vec::new());
+});
+
+handle!(SetMembers, (), |actor, message| {
+    let members = message.0;
+    for key in actor.links.keys() {
+        if !members.iter().any(|member| member.key == key) {
+            actor.remove_member(key);
+        }
+    }
+    for member in members {
+        match actor.links.get_mut(member.key) {
+            Some(link) if link.member.address == member.address => {
+                link.member.leaving |= member.leaving;
+            }
+            Some(_) => {
+                actor.remove_member(member.key);
+                actor.add_member(member);
+            }
+            None => actor.add_member(member),
+        }
+    }
+    actor.rebuild();
+});
+
+handle!(SetConfig, (), |actor, message| {
+    let config = message.0;
+    let shares = config.workspaces.iter();
+    let shares = shares.map(|(key, workspace)| (key, workspace.share));
+    actor.scheduler.set_shares(shares.collect());
+    actor.config = config;
+    actor.rebuild();
+});
+
+handle!(Tick, (), |actor, _message| {
+    let now = now_ms();
+    let actions = actor.entry.tick(now);
+    actor.scheduler.tick(now);
+    actor.pump(actions);
+    actor.ask_for_pauses(now);
+    actor.rebuild_if_suspects_changed();
+    if now >= actor.report_due_ms {
+        let every = actor.settings.schedule.report_every.as_millis() as u64;
+        actor.report_due_ms = now + every;
+        actor.report();
+        actor.update_metrics();
+    }
+});
+
+handle!(Leave, (), |actor, _message| {
+    actor.me.schedules = false;
+    for key in actor.links.keys() {
+        actor.links.send(key, PeerMessage::Leaving);
+    }
+    actor.rebuild();
+});
+
+handle!(Status, StatusAnswer, |actor, _message| {
+    let peers = actor.links.iter().map(|link| PeerStatus {
+        name: link.member.name.clone(),
+        domain: link.member.domain.clone(),
+        linked: link.linked,
+        leaving: link.member.leaving,
+    });
+    StatusAnswer {
+        name: actor.settings.name.clone(),
+        domain: actor.settings.domain.clone(),
+        config_version: actor.config.version,
+        platform_reachable: actor.cell.platform_reachable(),
+        waiting: actor.entry.waiting(),
+        running: actor.entry.running_count(),
+        servers: actor.scheduler.server_count(),
+        held: actor.scheduler.held_grants(),
+        invariant_violations: dockgate_core::invariant_violations(),
+        peers: peers.collect(),
+    }
+});
--- a/dockgate/src/settings.rs
+++ b/dockgate/src/settings.rs
@@ -415,7 +415,7 @@
     );
     let pause_gap_s = section.take_checked(
         "pause_gap_s",
-        1.0,
+        2.0,
         "a number of seconds from 0 to 600; 0 never pauses",
         |gap| (0.0..=600.0).contains(gap),
     );
