--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -303,9 +303,11 @@
         for daemon in &self.daemons {
             daemon.terminate();
         }
-        for daemon in &mut self.daemons {
-            daemon.wait_or_kill(Duration::from_secs(5)).await;
-        }
+        let stopped = self
+            .daemons
+            .iter_mut()
+            .map(|daemon| daemon.wait_or_kill(Duration::from_secs(5)));
+        futures::future::join_all(stopped).await;
     }
 
     /// Returns the folder in which settings and logs stand.
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -123,19 +123,27 @@
     pub(super) async fn resume(&self, call: &CallerCall, events: u64) -> Option<StreamSegment> {
         let mut rest = call.clone();
         rest.body = resumed_body(&call.body, events);
-        for number in 1..=MOST_RESUMES {
+        let mut sent = 0;
+        for number in 1.. {
             let slot = self.wait_for_slot(&rest, SlotWait::Rest).await.ok()?;
             let Ok(attempt) = self.bound_attempt(&rest, slot.grant, number) else {
                 continue;
             };
-            if let Ok((response, running)) = self.exchange(&rest, &attempt).await {
-                return Some(StreamSegment {
-                    body: response.into_body(),
-                    running,
-                    pause: slot.pause,
-                    rule: attempt.rule,
-                    server: attempt.server.name,
-                });
+            match self.exchange(&rest, &attempt).await {
+                Ok((response, running)) => {
+                    return Some(StreamSegment {
+                        body: response.into_body(),
+                        running,
+                        pause: slot.pause,
+                        rule: attempt.rule,
+                        server: attempt.server.name,
+                    });
+                }
+                // A server that refused has cost nothing: the rest waits for the next slot.
+                Err(loss) => sent += u32::from(loss.state == AttemptState::Sent),
+            }
+            if sent >= MOST_RESUMES {
+                return None;
             }
             let pause = rand::random_range(RETRY_MS);
             tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -159,7 +167,12 @@
             // A request that comes back keeps its age, and so its place.
             since_ms: call.started_ms,
         };
-        let ticket = self.dispatch.enqueue(request, call.queue_limit);
+        // An answer that has begun is not refused for those that have not.
+        let limit = match wait {
+            SlotWait::First => call.queue_limit,
+            SlotWait::Rest => usize::MAX,
+        };
+        let ticket = self.dispatch.enqueue(request, limit);
         let reply = ticket.wait().await;
         let waited = now_ms() - asked_ms;
         METRICS
