--- a/dockgate-bench/src/demo.rs
+++ b/dockgate-bench/src/demo.rs
@@ -66,12 +66,24 @@
         first.log_path().display()
     );
     println!("Ctrl-C ends it.");
-    // Without a signal handler there is nothing to wait for.
-    let _ = tokio::signal::ctrl_c().await;
+    wait_for_end().await;
     fleet.stop().await;
     Ok(())
 }
 
+/// Waits for Ctrl-C or SIGTERM, so that the daemons are stopped either way.
+async fn wait_for_end() {
+    use tokio::signal::unix::{SignalKind, signal};
+    // Without a signal handler there is nothing to wait for.
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 fn program_path(name: &str) -> String {
     let here = std::env::current_exe().unwrap_or_default();
     let folder = here.parent().unwrap_or(Path::new(""));
