refactor: take out what nothing calls, and derive live boxes in one place

Cause, from reading the whole change again: four public functions were never called (EntryState::drain, RequestQueue::ids, FairQueue::contains, FairLedger::source_count); every caller's connection made a graceful-shutdown watcher that nothing ever triggered, since the stop waits for requests in flight by itself; and the time after which a box is passed over was worked out from the settings in three places. Behaviour and tests are unchanged.

Looked at and left: the error enums of three programs and the argument structs share shape only; the scenarios of the demo and of the tests differ in what they need. Still to be mended: the secrets are read by a second parse of the settings file.

Nothing measured.

--- a/dockgate-core/src/entry.rs
+++ b/dockgate-core/src/entry.rs
@@ -287,15 +287,6 @@
         self.running.len()
     }
 
-    /// Empties the queue, as at an orderly stop; returns the requests.
-    pub fn drain(&mut self) -> Vec<u64> {
-        let ids = self.queue.ids();
-        for id in &ids {
-            self.queue.remove(*id);
-        }
-        ids
-    }
-
     /// Returns how many requests wait.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/dockgate-core/src/fair/ledger.rs
+++ b/dockgate-core/src/fair/ledger.rs
@@ -186,11 +186,6 @@
         }
         reports
     }
-
-    /// Returns how many sources are remembered.
-    pub fn source_count(&self) -> usize {
-        self.sources.len()
-    }
 }
 
 #[cfg(test)]
--- a/dockgate-core/src/fair/order.rs
+++ b/dockgate-core/src/fair/order.rs
@@ -52,11 +52,6 @@
         self.order.first().map(|(_, workspace)| *workspace)
     }
 
-    /// Tells whether a workspace is in the queue.
-    pub fn contains(&self, workspace: WorkspaceKey) -> bool {
-        self.keys.contains_key(&workspace)
-    }
-
     /// Returns how many workspaces wait.
     pub fn len(&self) -> usize {
         self.order.len()
--- a/dockgate-core/src/queue.rs
+++ b/dockgate-core/src/queue.rs
@@ -152,11 +152,6 @@
         self.queues.keys().copied()
     }
 
-    /// Returns the ids of every request that waits.
-    pub fn ids(&self) -> Vec<u64> {
-        self.index.keys().copied().collect()
-    }
-
     /// Returns how many requests wait in all.
     pub fn len(&self) -> usize {
         self.index.len()
--- a/dockgate/src/caller.rs
+++ b/dockgate/src/caller.rs
@@ -27,7 +27,6 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
 use refusal::Refusal;
 use server_client::ServerClient;
 use std::convert::Infallible;
@@ -150,8 +149,7 @@
             async move { Ok::<_, Infallible>(door.answer(request).await) }
         });
         let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
-        let graceful = GracefulShutdown::new();
-        if let Err(error) = graceful.watch(connection).await {
+        if let Err(error) = connection.await {
             log::debug!("callers: connection: {error}");
         }
     }
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -327,10 +327,19 @@
         self.links.free_news(to, &free)
     }
 
+    /// Returns how long a link may be closed before its box is passed over, in milliseconds.
+    pub(super) fn suspect_ms(&self) -> u64 {
+        self.settings.schedule.suspect.as_millis() as u64
+    }
+
+    /// Lists the boxes that count as alive now, this one included.
+    fn live_now(&self) -> Vec<LiveBox> {
+        self.links.live_boxes(&self.me, self.suspect_ms())
+    }
+
     /// Works out anew who schedules what, after the boxes or the configuration changed.
     pub(super) fn rebuild(&mut self) {
-        let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
-        self.live = self.links.live_boxes(&self.me, suspect_ms);
+        self.live = self.live_now();
         self.topology = FleetTopology::new(&self.config, &self.live);
         let mine = self.topology.servers_of(self.me.key);
         let near = self
@@ -361,8 +370,7 @@
 
     /// Rebuilds if a box has become suspect, or is no more.
     pub(super) fn rebuild_if_suspects_changed(&mut self) {
-        let suspect_ms = self.settings.schedule.suspect.as_millis() as u64;
-        let live = self.links.live_boxes(&self.me, suspect_ms);
+        let live = self.live_now();
         if live == self.live {
             return;
         }
--- a/dockgate/src/dispatch/handlers.rs
+++ b/dockgate/src/dispatch/handlers.rs
@@ -148,7 +148,7 @@
         undelivered,
         reason,
     } = failure;
-    let suspect_ms = actor.settings.schedule.suspect.as_millis() as u64;
+    let suspect_ms = actor.suspect_ms();
     if let Some(link) = actor.links.get_mut(peer)
         && link.close(suspect_ms)
     {
