feat(core): decide routes, engine admission, shares and retries for routed requests

Pure decisions for requests that are routed by host and path: route table, endpoint records with revisions, a model of an engine's backlog, memory and prompt cache, admission by predicted first event, max-min shares over a sliding window, and a retry budget that is divided by the boxes the fleet could have.

A property test found that a removal which arrived before its record was forgotten, so that the late record brought a dead endpoint back; removals of unknown endpoints are now remembered as well.

--- /dev/null
+++ b/dockgate-core/src/gateway.rs
@@ -0,0 +1,44 @@
+//! Decisions for requests that are routed by host and path to the endpoints of a service.
+//!
+//! A service is either *plain* (an application with a few places) or a set of *model engines* that
+//! batch, cache prompts and serve in order of arrival. Everything here is fed with events and the
+//! time; the daemon around it does the I/O.
+//!
+//! ```
+//! use dockgate_core::gateway::{PromptPart, PromptShape};
+//!
+//! let prompt = PromptShape {
+//!     model: "m".to_owned(),
+//!     input: 1_210,
+//!     output: 80,
+//!     parts: vec![PromptPart { id: 7, tokens: 800 }, PromptPart { id: 9, tokens: 410 }],
+//! };
+//! assert_eq!(prompt.shared_tokens(), 800);
+//! ```
+
+mod admission;
+mod endpoint_book;
+mod endpoint_health;
+mod engine_book;
+mod engine_load;
+mod home_order;
+mod prefix_cache;
+mod prompt_shape;
+mod retry_budget;
+mod route_table;
+mod share_window;
+
+pub use admission::{AdmissionRule, EngineVerdict};
+pub use endpoint_book::{EndpointBook, EndpointChange, EndpointEntry};
+pub use endpoint_health::{EndpointHealth, EndpointSign};
+pub use engine_book::{EngineAsk, EngineBook, RunKey};
+pub use engine_load::{EngineLoad, EngineRun};
+pub use home_order::{home_order, name_hash, owner_of_endpoint};
+pub use prefix_cache::PrefixCache;
+pub use prompt_shape::{PromptPart, PromptShape};
+pub use retry_budget::{RetryBudget, RetryRule};
+pub use route_table::{
+    AnswerForm, EndpointId, EndpointRecord, EndpointState, EngineSpec, GatewayLimits, RouteConfig,
+    RouteSpec, RouteTable, ServiceSpec, ServiceWeight, WorkspaceKeys,
+};
+pub use share_window::{ShareLevel, ShareRow, ShareWindow};
--- /dev/null
+++ b/dockgate-core/src/gateway/admission.rs
@@ -0,0 +1,101 @@
+//! Whether an engine takes one more prompt now.
+//!
+//! Engines serve in order of arrival, so what is admitted too early makes all that follows late.
+//! A prompt is admitted if its first event is predicted to be in time, and if the memory of all
+//! running prompts leaves room for the cache.
+
+use super::engine_book::EngineAsk;
+use super::engine_load::EngineLoad;
+use super::share_window::ShareLevel;
+use serde::{Deserialize, Serialize};
+
+/// The settings of admission.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AdmissionRule {
+    /// Up to which part of its objective a prompt may wait at its first home, while a second one
+    /// may be better.
+    pub first_part: f64,
+    /// Up to which part of its objective a prompt may wait anywhere.
+    pub most_part: f64,
+    /// The same for a workspace that has had its share: only where next to nothing waits.
+    pub beyond_share_part: f64,
+    /// Up to which part of an engine's memory prompts may run; the rest is left to the cache.
+    pub memory_part: f64,
+}
+
+impl Default for AdmissionRule {
+    /// Figures of `docs/decisions/0009-admission.md`.
+    fn default() -> Self {
+        Self {
+            first_part: 0.5,
+            most_part: 0.8,
+            beyond_share_part: 0.2,
+            memory_part: 0.6,
+        }
+    }
+}
+
+/// The answer to an ask.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EngineVerdict {
+    /// It is admitted; its first event is predicted after this many milliseconds.
+    Granted(u32),
+    /// It is not; its first event would have come after this many milliseconds.
+    Declined(u32),
+}
+
+impl EngineVerdict {
+    /// Returns the predicted time to the first event, in milliseconds.
+    pub const fn first_event_ms(self) -> u32 {
+        match self {
+            Self::Granted(first_ms) | Self::Declined(first_ms) => first_ms,
+        }
+    }
+}
+
+impl AdmissionRule {
+    /// What a prompt that finds no memory would wait at least, in milliseconds: about one run.
+    const NO_ROOM_MS: f64 = 1_000.0;
+
+    /// Decides on one ask; `last` is true where no other engine is left to be asked.
+    ///
+    /// `others` says how many boxes send to this engine unseen: 0 where this box decides for it.
+    pub fn decide(
+        &self,
+        load: &EngineLoad,
+        ask: &EngineAsk,
+        level: ShareLevel,
+        last: bool,
+        others: u32,
+        now_ms: u64,
+    ) -> EngineVerdict {
+        let unseen = f64::from(others + 1);
+        let first_ms = load.first_event_ms(ask, now_ms);
+        let backlog_ms = first_ms * unseen;
+        let part = match last {
+            _ if level.is_beyond() => self.beyond_share_part,
+            true => self.most_part,
+            false => self.first_part,
+        };
+        // A prompt with a longer objective may not fill the engine for those with a shorter one.
+        let limit_ms = f64::from(ask.objective_ms.min(ask.shortest_ms)) * part;
+        let room = self.has_room(load, ask, unseen);
+        match room {
+            true if backlog_ms <= limit_ms => EngineVerdict::Granted(first_ms as u32),
+            true => EngineVerdict::Declined(first_ms as u32),
+            false => EngineVerdict::Declined((first_ms + Self::NO_ROOM_MS) as u32),
+        }
+    }
+
+    /// Tells whether slots and memory allow one more; a prompt of any size may run alone.
+    fn has_room(&self, load: &EngineLoad, ask: &EngineAsk, unseen: f64) -> bool {
+        let spec = load.spec();
+        let slots = load.runs() as f64 * unseen < f64::from(spec.slots);
+        let memory = load.memory() as f64 * unseen + f64::from(ask.memory());
+        let fits = memory <= spec.memory as f64 * self.memory_part;
+        slots && (fits || load.runs() == 0)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -0,0 +1,102 @@
+use super::*;
+use crate::gateway::{EngineSpec, PromptPart, RunKey};
+use crate::ids::BoxKey;
+
+const SPEC: EngineSpec = EngineSpec {
+    slots: 4,
+    memory: 100_000,
+};
+
+fn ask(id: u64, input: u32) -> EngineAsk {
+    EngineAsk {
+        workspace: 1,
+        objective_ms: 1_000,
+        shortest_ms: 600,
+        input,
+        output: 50,
+        parts: vec![PromptPart { id, tokens: input }],
+    }
+}
+
+fn load_with(runs: u32, input: u32) -> EngineLoad {
+    let mut load = EngineLoad::new(SPEC);
+    for number in 0..runs {
+        let key = RunKey {
+            entry: BoxKey(1),
+            number,
+        };
+        load.place(key, &ask(u64::from(number), input), 1_000);
+    }
+    load
+}
+
+fn granted(load: &EngineLoad, ask: &EngineAsk, level: ShareLevel, last: bool, others: u32) -> bool {
+    let verdict = AdmissionRule::default().decide(load, ask, level, last, others, 1_000);
+    matches!(verdict, EngineVerdict::Granted(_))
+}
+
+#[test]
+fn a_workspace_beyond_its_share_is_served_only_where_nothing_waits() {
+    let busy = load_with(1, 6_800);
+    assert!(granted(&busy, &ask(9, 500), ShareLevel::WITHIN, false, 0));
+    assert!(!granted(&busy, &ask(9, 500), ShareLevel::BEYOND, true, 0));
+    assert!(granted(
+        &load_with(0, 0),
+        &ask(9, 500),
+        ShareLevel::BEYOND,
+        true,
+        0
+    ));
+}
+
+#[test]
+fn the_first_home_is_left_sooner_than_the_last_resort() {
+    let busy = load_with(2, 5_000);
+    assert!(!granted(
+        &busy,
+        &ask(9, 2_000),
+        ShareLevel::WITHIN,
+        false,
+        0
+    ));
+    assert!(granted(&busy, &ask(9, 2_000), ShareLevel::WITHIN, true, 0));
+}
+
+#[test]
+fn boxes_that_decide_unseen_divide_the_engine() {
+    let busy = load_with(1, 3_000);
+    assert!(granted(&busy, &ask(9, 500), ShareLevel::WITHIN, false, 0));
+    assert!(!granted(&busy, &ask(9, 500), ShareLevel::WITHIN, false, 5));
+}
+
+#[test]
+fn memory_is_left_to_the_cache_but_a_large_prompt_may_run_alone() {
+    assert!(!granted(
+        &load_with(1, 1_000),
+        &ask(9, 60_000),
+        ShareLevel::WITHIN,
+        true,
+        0
+    ));
+    let mut large = ask(9, 70_000);
+    large.objective_ms = 6_000;
+    large.shortest_ms = 6_000;
+    assert!(granted(
+        &load_with(0, 0),
+        &large,
+        ShareLevel::WITHIN,
+        true,
+        0
+    ));
+}
+
+#[test]
+fn slots_are_never_exceeded() {
+    assert!(!granted(
+        &load_with(4, 10),
+        &ask(9, 10),
+        ShareLevel::WITHIN,
+        true,
+        0
+    ));
+}
--- /dev/null
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -0,0 +1,227 @@
+//! The endpoints that this box knows of, and how far it trusts each.
+//!
+//! Records come from the platform's store, or from another box that reaches it. Each carries the
+//! store's revision, and an older one never replaces a newer one. Records of endpoints that live may
+//! lapse while the store is away; they are kept for a moment after its return, since the endpoints
+//! need that long to write them again.
+
+use super::endpoint_health::{EndpointHealth, EndpointSign};
+use super::route_table::{EndpointId, EndpointRecord, EndpointState};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// One endpoint as this box sees it.
+#[derive(Debug, Clone)]
+pub struct EndpointEntry {
+    /// What it says of itself.
+    pub record: EndpointRecord,
+    /// The store's revision of the record.
+    pub revision: u64,
+    /// How far it is trusted.
+    pub health: EndpointHealth,
+    /// Requests of this box that it has.
+    pub in_flight: u32,
+    /// Until when it is kept although its record has lapsed.
+    lapses_ms: Option<u64>,
+}
+
+/// A record that was written or removed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndpointChange {
+    /// It was written at this revision.
+    Put(EndpointRecord, u64),
+    /// It was removed at this revision.
+    Removed(EndpointId, u64),
+}
+
+/// The endpoints of all services.
+#[derive(Debug, Default)]
+pub struct EndpointBook {
+    endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    /// Revisions at which endpoints were removed, so that a late record does not bring one back.
+    removed: HashMap<EndpointId, u64>,
+    revision: u64,
+}
+
+impl EndpointBook {
+    /// How many removed endpoints are remembered.
+    const MOST_REMOVED: usize = 4_096;
+
+    /// Returns the store's revision up to which the records are known.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Takes a change in; returns whether it changed what is believed.
+    ///
+    /// `kept_until_ms` is set while the store has just come back: a record removed now may lapse
+    /// only because its endpoint could not renew it.
+    pub fn apply(&mut self, change: EndpointChange, kept_until_ms: Option<u64>) -> bool {
+        match change {
+            EndpointChange::Put(record, revision) => self.put(record, revision),
+            EndpointChange::Removed(id, revision) => self.remove(id, revision, kept_until_ms),
+        }
+    }
+
+    /// Notes up to which revision of the store all changes are known.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
+    fn put(&mut self, record: EndpointRecord, revision: u64) -> bool {
+        let id = record.key();
+        if self
+            .removed
+            .get(&id)
+            .is_some_and(|removed| *removed >= revision)
+        {
+            return false;
+        }
+        match self.endpoints.get_mut(&id) {
+            Some(known) if known.revision >= revision => false,
+            Some(known) => {
+                let changed = known.record != record || known.lapses_ms.is_some();
+                known.record = record;
+                known.revision = revision;
+                known.lapses_ms = None;
+                changed
+            }
+            None => {
+                let entry = EndpointEntry {
+                    record,
+                    revision,
+                    health: EndpointHealth::default(),
+                    in_flight: 0,
+                    lapses_ms: None,
+                };
+                self.endpoints.insert(id, entry);
+                true
+            }
+        }
+    }
+
+    fn remove(&mut self, id: EndpointId, revision: u64, kept_until_ms: Option<u64>) -> bool {
+        let Some(known) = self.endpoints.get_mut(&id) else {
+            // Its record may still be on the way.
+            self.bury(id, revision);
+            return false;
+        };
+        // One that was draining is not expected back.
+        match kept_until_ms {
+            _ if known.revision >= revision => false,
+            Some(until_ms) if known.record.state == EndpointState::Ready => {
+                known.lapses_ms.get_or_insert(until_ms);
+                known.revision = revision;
+                false
+            }
+            _ => {
+                self.endpoints.remove(&id);
+                self.bury(id, revision);
+                true
+            }
+        }
+    }
+
+    fn bury(&mut self, id: EndpointId, revision: u64) {
+        if self.removed.len() >= Self::MOST_REMOVED {
+            self.removed.clear();
+        }
+        let removed = self.removed.entry(id).or_default();
+        *removed = revision.max(*removed);
+    }
+
+    /// Takes a whole listing in, made at `revision`; returns whether it changed
+    /// what is believed.
+    pub fn replace(
+        &mut self,
+        records: Vec<(EndpointRecord, u64)>,
+        revision: u64,
+        kept_until_ms: Option<u64>,
+    ) -> bool {
+        let listed: Vec<EndpointId> = records.iter().map(|(record, _)| record.key()).collect();
+        let mut changed = false;
+        for (record, revision) in records {
+            changed |= self.put(record, revision);
+        }
+        let missing: Vec<EndpointId> = self
+            .endpoints
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .copied()
+            .collect();
+        for id in missing {
+            changed |= self.remove(id, revision, kept_until_ms);
+        }
+        self.advance(revision);
+        changed
+    }
+
+    /// Forgets the endpoints whose records lapsed and did not come back; returns their ids.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointId> {
+        let lapsed = self.endpoints.iter();
+        let lapsed: Vec<(EndpointId, u64)> = lapsed
+            .filter(|(_, entry)| entry.lapses_ms.is_some_and(|until| until <= now_ms))
+            .map(|(id, entry)| (*id, entry.revision))
+            .collect();
+        for (id, revision) in &lapsed {
+            self.endpoints.remove(id);
+            self.bury(*id, *revision);
+        }
+        lapsed.into_iter().map(|(id, _)| id).collect()
+    }
+
+    /// Finds an endpoint.
+    pub fn get(&self, id: EndpointId) -> Option<&EndpointEntry> {
+        self.endpoints.get(&id)
+    }
+
+    /// Lists all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointId, &EndpointEntry)> {
+        self.endpoints.iter().map(|(id, entry)| (*id, entry))
+    }
+
+    /// Lists the endpoints of a service that may get work now.
+    pub fn open<'a>(
+        &'a self,
+        service: &'a str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (EndpointId, &'a EndpointEntry)> {
+        self.ready(service)
+            .filter(move |(_, entry)| entry.health.is_open(now_ms))
+    }
+
+    /// Lists the endpoints of a service that take work, also those that rest after failures.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (EndpointId, &'a EndpointEntry)> {
+        self.iter().filter(move |(_, entry)| {
+            entry.record.service == service && entry.record.state == EndpointState::Ready
+        })
+    }
+
+    /// Notes that a request is sent to an endpoint.
+    pub fn note_sent(&mut self, id: EndpointId, now_ms: u64) {
+        if let Some(entry) = self.endpoints.get_mut(&id) {
+            entry.in_flight += 1;
+            entry.health.note_sent(now_ms);
+        }
+    }
+
+    /// Notes that a request has left an endpoint.
+    pub fn note_left(&mut self, id: EndpointId) {
+        if let Some(entry) = self.endpoints.get_mut(&id) {
+            entry.in_flight = entry.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes what was seen of an endpoint.
+    pub fn note_sign(&mut self, id: EndpointId, sign: EndpointSign, now_ms: u64) {
+        if let Some(entry) = self.endpoints.get_mut(&id) {
+            entry.health.note(sign, now_ms);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -0,0 +1,80 @@
+use super::*;
+use proptest::prelude::*;
+
+fn record(id: &str, state: EndpointState) -> EndpointRecord {
+    EndpointRecord {
+        id: id.to_owned(),
+        service: "x".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 4,
+        state,
+        warmup_ms: 0,
+    }
+}
+
+fn put(id: &str, revision: u64) -> EndpointChange {
+    EndpointChange::Put(record(id, EndpointState::Ready), revision)
+}
+
+#[test]
+fn an_older_record_never_replaces_a_newer_one() {
+    let mut book = EndpointBook::default();
+    assert!(book.apply(
+        EndpointChange::Put(record("e", EndpointState::Draining), 9),
+        None
+    ));
+    assert!(!book.apply(put("e", 8), None));
+    assert_eq!(book.ready("x").count(), 0);
+}
+
+#[test]
+fn a_removed_endpoint_is_not_brought_back_by_a_late_record() {
+    let mut book = EndpointBook::default();
+    book.apply(put("e", 3), None);
+    let id = EndpointId::from_name("e");
+    assert!(book.apply(EndpointChange::Removed(id, 5), None));
+    assert!(!book.apply(put("e", 4), None));
+    assert!(book.apply(put("e", 6), None));
+}
+
+#[test]
+fn a_record_that_lapsed_while_the_store_was_away_is_kept_for_a_moment() {
+    let mut book = EndpointBook::default();
+    book.apply(put("back", 3), None);
+    book.apply(put("gone", 3), None);
+    book.replace(Vec::new(), 10, Some(2_000));
+    assert_eq!(book.ready("x").count(), 2);
+    book.apply(put("back", 11), None);
+    assert_eq!(book.expire(1_999), Vec::new());
+    assert_eq!(book.expire(2_000), vec![EndpointId::from_name("gone")]);
+    assert_eq!(book.ready("x").count(), 1);
+}
+
+#[test]
+fn an_endpoint_that_was_draining_is_gone_at_once() {
+    let mut book = EndpointBook::default();
+    book.apply(
+        EndpointChange::Put(record("e", EndpointState::Draining), 3),
+        None,
+    );
+    book.replace(Vec::new(), 10, Some(2_000));
+    assert_eq!(book.iter().count(), 0);
+}
+
+proptest! {
+    /// Whatever the order in which changes of one endpoint arrive, the newest decides.
+    #[test]
+    fn the_newest_change_decides(order in Just((1_u64..9).collect::<Vec<_>>()).prop_shuffle()) {
+        let mut book = EndpointBook::default();
+        let id = EndpointId::from_name("e");
+        for revision in &order {
+            let change = match revision % 4 {
+                0 => EndpointChange::Removed(id, *revision),
+                _ => put("e", *revision),
+            };
+            book.apply(change, None);
+        }
+        prop_assert!(book.get(id).is_none(), "revision 8 removed it");
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -0,0 +1,106 @@
+//! The loads of all engines that this box knows something of.
+//!
+//! For the engines that it decides for, a box hears of every run; for the others it knows just its
+//! own. The same book serves both, so that a box can decide for any engine when its owner is away.
+
+use super::engine_load::EngineLoad;
+use super::prompt_shape::{PromptPart, PromptShape};
+use super::route_table::{EndpointId, EngineSpec};
+use crate::ids::BoxKey;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Names one run: the box that sent it, and that box's own counter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RunKey {
+    /// The box that holds the caller.
+    pub entry: BoxKey,
+    /// Its counter.
+    pub number: u32,
+}
+
+/// What an engine is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineAsk {
+    /// The workspace, as a hash of its name.
+    pub workspace: u64,
+    /// Within how many milliseconds from now the first event is in time.
+    pub objective_ms: u32,
+    /// The shortest such time among the routes of the service.
+    pub shortest_ms: u32,
+    /// Tokens of the prompt.
+    pub input: u32,
+    /// Tokens expected to be made.
+    pub output: u32,
+    /// The parts of the prompt.
+    pub parts: Vec<PromptPart>,
+}
+
+impl EngineAsk {
+    /// Makes the ask for a prompt.
+    pub fn new(workspace: u64, prompt: &PromptShape, objective_ms: u32, shortest_ms: u32) -> Self {
+        Self {
+            workspace,
+            objective_ms,
+            shortest_ms,
+            input: prompt.input,
+            output: prompt.output,
+            parts: prompt.parts.clone(),
+        }
+    }
+
+    /// Returns the tokens of memory that the run takes when it has made all its output.
+    pub const fn memory(&self) -> u32 {
+        self.input + self.output
+    }
+}
+
+/// The loads of engines by endpoint.
+#[derive(Debug, Default)]
+pub struct EngineBook {
+    loads: BTreeMap<EndpointId, EngineLoad>,
+}
+
+impl EngineBook {
+    /// Returns the load of an engine; one that is new has none.
+    pub fn load_mut(&mut self, endpoint: EndpointId, spec: EngineSpec) -> &mut EngineLoad {
+        let load = self
+            .loads
+            .entry(endpoint)
+            .or_insert_with(|| EngineLoad::new(spec));
+        load.set_spec(spec);
+        load
+    }
+
+    /// Returns the load of an engine, if anything is known of it.
+    pub fn get(&self, endpoint: EndpointId) -> Option<&EngineLoad> {
+        self.loads.get(&endpoint)
+    }
+
+    /// Notes the first event of a run.
+    pub fn start(&mut self, endpoint: EndpointId, key: RunKey, now_ms: u64) {
+        if let Some(load) = self.loads.get_mut(&endpoint) {
+            load.start(key, now_ms);
+        }
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, endpoint: EndpointId, key: RunKey) {
+        if let Some(load) = self.loads.get_mut(&endpoint) {
+            load.end(key);
+        }
+    }
+
+    /// Forgets the engines that are gone, the runs that `gone` tells of, and those that lapsed.
+    pub fn retain(
+        &mut self,
+        now_ms: u64,
+        known: impl Fn(EndpointId) -> bool,
+        gone: impl Fn(RunKey) -> bool + Copy,
+    ) {
+        self.loads.retain(|endpoint, _| known(*endpoint));
+        for load in self.loads.values_mut() {
+            load.retain(now_ms, gone);
+        }
+    }
+}
--- a/dockgate-core/src/lib.rs
+++ b/dockgate-core/src/lib.rs
@@ -18,6 +18,7 @@
 mod config;
 mod entry;
 mod fair;
+pub mod gateway;
 mod grants;
 mod ids;
 mod ini;
