feat: graded levels beyond a share, long prompts, an orderly stop and reload

SIGHUP ended the process; settings are now read again. - FAIR: among workspaces beyond their share, idle room went to whoever asked most. The part of the objective that such a prompt may wait now falls with the square of how far beyond it is. - Sizes: prompts too long to be read within their objective were always refused; they are read where little waits.

Ruled out: the owner's view being stale (the breaches show with all boxes in touch).

--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -226,7 +226,7 @@
             let process = DaemonProcess::start(plan, &entries, self.folder.path())?;
             self.daemons.push(process);
         }
-        self.platform.set_boxes(entries);
+        self.platform.set_boxes(&entries);
         Ok(())
     }
 
--- a/dockgate-bench/src/fleet/daemon.rs
+++ b/dockgate-bench/src/fleet/daemon.rs
@@ -115,12 +115,13 @@
         let failed = |cause| BenchError::Io("start", self.plan.name.clone(), cause);
         let file = File::options().create(true).append(true).open(&log);
         let file = file.map_err(failed)?;
+        let errors = file.try_clone().map_err(failed)?;
         let child = Command::new(program()?)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(file)
+            .stdout(file)
+            .stderr(errors)
             .spawn()
             .map_err(failed)?;
         self.child = Some(child);
--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -1,48 +1,30 @@
-//! A stand-in for the platform: key-value service, leases, watches, and the list of boxes.
+//! A stand-in for the platform: its key-value store with leases, watches and a history.
+
+mod key_store;
 
 use super::http::{BrokenOff, StandInBody, answer, serve};
 use crate::error::BenchError;
 use bytes::Bytes;
-use dockgate_platform::{BoxRecord, BoxState, LeaseGrant, LeaseRequest, routes};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
+use dockgate_platform::{
+    BoxRecord, BoxState, LeaseRequest, WireCommit, WireKeyAnswer, WireTxn, routes,
+};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use key_store::{KeyStore, StoreRefusal};
 use serde::Serialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// The largest value that is stored, in bytes.
-const MOST_VALUE: usize = 1 << 20;
-
-#[derive(Debug, Clone)]
-struct KeyValue {
-    bytes: Bytes,
-    revision: u64,
-    lease: Option<u64>,
-}
-
-#[derive(Debug, Default)]
-struct KeyStore {
-    keys: BTreeMap<String, KeyValue>,
-    leases: HashMap<u64, Instant>,
-    revision: u64,
-    lease: u64,
-}
-
-impl KeyStore {
-    fn expire(&mut self) {
-        let now = Instant::now();
-        self.leases.retain(|_, until| *until > now);
-        let leases = &self.leases;
-        self.keys
-            .retain(|_, value| value.lease.is_none_or(|lease| leases.contains_key(&lease)));
-    }
-}
+/// The largest value that is stored, in bytes, as it is written in base64.
+const MOST_BODY: usize = 2 << 20;
+/// How often a waiting watch looks for leases that have ended.
+const EXPIRE: Duration = Duration::from_millis(100);
 
 /// A box as the platform lists it.
 #[derive(Debug, Clone)]
@@ -57,6 +39,18 @@
     pub state: BoxState,
 }
 
+impl BoxEntry {
+    fn record(&self) -> Option<BoxRecord> {
+        Some(BoxRecord {
+            name: self.name.clone(),
+            domain: self.domain.clone(),
+            peer_address: *self.peer_addresses.get(&self.domain)?,
+            addresses_from: self.peer_addresses.clone().into_iter().collect(),
+            state: self.state,
+        })
+    }
+}
+
 /// Calls counted so far.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct PlatformCalls {
@@ -69,8 +63,6 @@
 struct PlatformState {
     store: Mutex<KeyStore>,
     changed: watch::Sender<u64>,
-    boxes: Mutex<Vec<BoxEntry>>,
-    boxes_changed: watch::Sender<u64>,
     reads: AtomicU64,
     writes: AtomicU64,
     out: AtomicBool,
@@ -78,8 +70,19 @@
     slow_ms: AtomicU64,
 }
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+impl PlatformState {
+    fn store(&self) -> MutexGuard<'_, KeyStore> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the store, and wakes the watches.
+    fn change<T>(&self, change: impl FnOnce(&mut KeyStore) -> T) -> T {
+        let mut store = self.store();
+        store.expire();
+        let result = change(&mut store);
+        self.changed.send_replace(store.revision());
+        result
+    }
 }
 
 /// The platform's service on a loopback port.
@@ -99,8 +102,6 @@
         let state = Arc::new(PlatformState {
             store: Mutex::default(),
             changed: watch::channel(0).0,
-            boxes: Mutex::default(),
-            boxes_changed: watch::channel(1).0,
             reads: AtomicU64::new(0),
             writes: AtomicU64::new(0),
             out: AtomicBool::new(false),
@@ -113,23 +114,40 @@
         Ok(Self { address, state })
     }
 
-    /// Sets the list of boxes.
-    pub fn set_boxes(&self, boxes: Vec<BoxEntry>) {
-        *locked(&self.state.boxes) = boxes;
-        self.state
-            .boxes_changed
-            .send_modify(|revision| *revision += 1);
+    /// Writes a key, as the platform's own programs do.
+    pub fn set(&self, key: &str, value: impl Into<Bytes>) {
+        let value = value.into();
+        self.state.change(|store| store.write(key, value, 0));
     }
 
-    /// Changes what the list says of one box.
-    pub fn set_box_state(&self, name: &str, state: BoxState) {
-        let mut boxes = locked(&self.state.boxes);
-        for entry in boxes.iter_mut().filter(|entry| entry.name == name) {
-            entry.state = state;
+    /// Removes a key, as the platform's own programs do.
+    pub fn remove(&self, key: &str) {
+        self.state.change(|store| store.remove(key));
+    }
+
+    /// Forgets all changes so far, so that watches must list anew.
+    pub fn forget_history(&self) {
+        self.state.change(KeyStore::forget_history);
+    }
+
+    /// Writes the records of boxes.
+    pub fn set_boxes(&self, boxes: &[BoxEntry]) {
+        for record in boxes.iter().filter_map(BoxEntry::record) {
+            self.set(&record.key(), record.encode());
         }
-        self.state
-            .boxes_changed
-            .send_modify(|revision| *revision += 1);
+    }
+
+    /// Changes what the record of one box says.
+    pub fn set_box_state(&self, name: &str, state: BoxState) {
+        self.state.change(|store| {
+            let key = format!("{}{name}", dockgate_platform::BOXES);
+            let item = store.get(&key).cloned();
+            let known = item.and_then(|item| BoxRecord::decode(&key, &item.value.0).ok());
+            if let Some(known) = known {
+                let record = BoxRecord { state, ..known };
+                store.write(&key, record.encode(), 0);
+            }
+        });
     }
 
     /// Begins or ends an outage: every call is cut off unanswered and has no effect.
@@ -157,6 +175,24 @@
     }
 }
 
+/// The query of a call, by name.
+struct CallQuery<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> CallQuery<'a> {
+    fn parse(query: &'a str) -> Self {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        Self(pairs.collect())
+    }
+
+    fn text(&self, name: &str) -> &'a str {
+        self.0.get(name).copied().unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.text(name).parse().unwrap_or_default()
+    }
+}
+
 async fn handle(
     state: Arc<PlatformState>,
     request: Request<Incoming>,
@@ -170,25 +206,25 @@
     if state.out.load(Ordering::Acquire) {
         return Err(BrokenOff);
     }
-    let path = parts.uri.path();
-    let query = parts.uri.query().unwrap_or_default();
-    match (&parts.method, path.strip_prefix(routes::KEYS)) {
-        (&Method::GET, Some(key)) => {
-            state.reads.fetch_add(1, Ordering::Relaxed);
-            read(&state, key, &parts.headers).await
-        }
-        (&Method::PUT, Some(key)) => {
-            state.writes.fetch_add(1, Ordering::Relaxed);
-            reply(&state, write(&state, key, &parts.headers, body))
-        }
-        (&Method::GET, None) if path == routes::BOXES => {
-            state.reads.fetch_add(1, Ordering::Relaxed);
-            let domain = query.strip_prefix("domain=").unwrap_or_default();
-            read_boxes(&state, domain, &parts.headers).await
+    let query = CallQuery::parse(parts.uri.query().unwrap_or_default());
+    let counter = match parts.method {
+        Method::GET => &state.reads,
+        _ => &state.writes,
+    };
+    counter.fetch_add(1, Ordering::Relaxed);
+    match (&parts.method, parts.uri.path()) {
+        (&Method::GET, routes::KEY) => Ok(read(&state, &query)),
+        (&Method::GET, routes::RANGE) => Ok(range(&state, &query)),
+        (&Method::GET, routes::WATCH) => watch_changes(&state, &query).await,
+        (&Method::POST, routes::TXN) => reply(&state, transact(&state, &body)),
+        (&Method::POST, routes::LEASE) => reply(&state, grant_lease(&state, &body)),
+        (&Method::POST, path) if path.starts_with(routes::KEEP) => {
+            let lease = path[routes::KEEP.len()..].parse().unwrap_or_default();
+            reply(&state, found(state.change(|store| store.renew(lease))))
         }
-        (&Method::POST, None) if path == routes::LEASES => {
-            state.writes.fetch_add(1, Ordering::Relaxed);
-            reply(&state, grant_lease(&state, &body))
+        (&Method::DELETE, path) if path.starts_with(routes::END) => {
+            let lease = path[routes::END.len()..].parse().unwrap_or_default();
+            reply(&state, found(state.change(|store| store.end_lease(lease))))
         }
         _ => Ok(answer(StatusCode::NOT_FOUND, "no such path")),
     }
@@ -205,215 +241,95 @@
     }
 }
 
-fn revision_of(headers: &HeaderMap, name: header::HeaderName) -> Option<u64> {
-    let tag = headers.get(name)?.to_str().ok()?;
-    tag.trim_matches('"').parse().ok()
+fn json(status: StatusCode, body: &impl Serialize) -> Response<StandInBody> {
+    answer(status, serde_json::to_vec(body).unwrap_or_default())
 }
 
-async fn read(
-    state: &PlatformState,
-    key: &str,
-    headers: &HeaderMap,
-) -> Result<Response<StandInBody>, BrokenOff> {
-    let since = revision_of(headers, header::IF_NONE_MATCH);
-    let mut changed = state.changed.subscribe();
-    let deadline = wait_until(headers);
-    loop {
-        changed.borrow_and_update();
-        let value = {
-            let mut store = locked(&state.store);
-            store.expire();
-            store.keys.get(key).cloned()
-        };
-        let revision = value.as_ref().map_or(0, |value| value.revision);
-        let news = since.is_none_or(|since| since != revision);
-        match value {
-            Some(value) if news => {
-                return Ok(with_tag(answer(StatusCode::OK, value.bytes), revision));
-            }
-            _ if news => return Ok(answer(StatusCode::NOT_FOUND, "no such key")),
-            _ => {}
-        }
-        let waited = tokio::time::timeout_at(deadline, changed.changed()).await;
-        if state.out.load(Ordering::Acquire) {
-            return Err(BrokenOff);
-        }
-        if waited.is_err() {
-            return Ok(answer(StatusCode::NOT_MODIFIED, ""));
-        }
+fn found(found: bool) -> Response<StandInBody> {
+    match found {
+        true => answer(StatusCode::OK, "{}"),
+        false => answer(StatusCode::NOT_FOUND, "no such lease"),
     }
 }
 
-/// Returns until when a watch waits.
-fn wait_until(headers: &HeaderMap) -> tokio::time::Instant {
-    let wait = headers.get(routes::WAIT_MS);
-    let wait = wait.and_then(|wait| wait.to_str().ok()?.parse().ok());
-    tokio::time::Instant::now() + Duration::from_millis(wait.unwrap_or(0))
+fn read(state: &PlatformState, query: &CallQuery) -> Response<StandInBody> {
+    state.change(|store| match store.get(query.text("key_file")) {
+        Some(item) => {
+            let item = item.clone();
+            json(
+                StatusCode::OK,
+                &WireKeyAnswer {
+                    item,
+                    timestamp: store.revision(),
+                },
+            )
+        }
+        None => answer(StatusCode::NOT_FOUND, "no such key"),
+    })
+}
+
+fn range(state: &PlatformState, query: &CallQuery) -> Response<StandInBody> {
+    let page =
+        state.change(|store| store.page(query.text("path_prefix"), query.text("since_revision")));
+    json(StatusCode::OK, &page)
 }
 
-async fn read_boxes(
+async fn watch_changes(
     state: &PlatformState,
-    domain: &str,
-    headers: &HeaderMap,
+    query: &CallQuery<'_>,
 ) -> Result<Response<StandInBody>, BrokenOff> {
-    let since = revision_of(headers, header::IF_NONE_MATCH);
-    let mut changed = state.boxes_changed.subscribe();
-    let deadline = wait_until(headers);
+    let (prefix, since) = (query.text("path_prefix"), query.number("since_revision"));
+    let wait = Duration::from_millis(query.number("wait_ms"));
+    let deadline = tokio::time::Instant::now() + wait;
+    let mut changed = state.changed.subscribe();
     loop {
-        let revision = *changed.borrow_and_update();
-        if since != Some(revision) {
-            let list = list_boxes(state, domain);
-            return Ok(with_tag(answer(StatusCode::OK, list), revision));
+        changed.borrow_and_update();
+        let changes = {
+            let mut store = state.store();
+            store.expire();
+            store.changes(prefix, since)
+        };
+        let over = tokio::time::Instant::now() >= deadline;
+        match changes {
+            None => return Ok(answer(StatusCode::GONE, "that history is forgotten")),
+            Some(changes) if over || !changes.events.is_empty() => {
+                return Ok(json(StatusCode::OK, &changes));
+            }
+            Some(_) => {}
         }
-        let waited = tokio::time::timeout_at(deadline, changed.changed()).await;
+        let next = deadline.min(tokio::time::Instant::now() + EXPIRE);
+        // A change, the end of the wait, and a look at the leases are handled alike.
+        let _ = tokio::time::timeout_at(next, changed.changed()).await;
         if state.out.load(Ordering::Acquire) {
             return Err(BrokenOff);
         }
-        if waited.is_err() {
-            return Ok(answer(StatusCode::NOT_MODIFIED, ""));
-        }
-    }
-}
-
-fn with_tag(mut response: Response<StandInBody>, revision: u64) -> Response<StandInBody> {
-    if let Ok(tag) = HeaderValue::from_str(&format!("\"{revision}\"")) {
-        response.headers_mut().insert(header::ETAG, tag);
     }
-    response
 }
 
-fn write(
-    state: &PlatformState,
-    key: &str,
-    headers: &HeaderMap,
-    body: Bytes,
-) -> Response<StandInBody> {
-    if body.len() > MOST_VALUE {
+fn transact(state: &PlatformState, body: &[u8]) -> Response<StandInBody> {
+    if body.len() > MOST_BODY {
         return answer(StatusCode::PAYLOAD_TOO_LARGE, "the value is too large");
     }
-    let mut store = locked(&state.store);
-    store.expire();
-    let known = store.keys.get(key).map(|value| value.revision);
-    let absent = headers.contains_key(header::IF_NONE_MATCH);
-    let expected = revision_of(headers, header::IF_MATCH);
-    let conflict = (absent && known.is_some()) || (expected.is_some() && expected != known);
-    if conflict {
-        return answer(
-            StatusCode::PRECONDITION_FAILED,
-            "the condition does not hold",
-        );
-    }
-    let lease = headers.get(routes::LEASE);
-    let lease = lease.and_then(|lease| lease.to_str().ok()?.parse().ok());
-    if lease.is_some_and(|lease| !store.leases.contains_key(&lease)) {
-        return answer(StatusCode::PRECONDITION_FAILED, "the lease has lapsed");
-    }
-    store.revision += 1;
-    let revision = store.revision;
-    let value = KeyValue {
-        bytes: body,
-        revision,
-        lease,
+    let Ok(txn) = serde_json::from_slice::<WireTxn>(body) else {
+        return answer(StatusCode::BAD_REQUEST, "not a transaction");
     };
-    store.keys.insert(key.to_owned(), value);
-    drop(store);
-    state.changed.send_replace(revision);
-    with_tag(answer(StatusCode::OK, ""), revision)
+    match state.change(|store| store.transact(txn)) {
+        Ok(revision) => json(StatusCode::OK, &WireCommit { revision }),
+        Err(StoreRefusal::Conflict(entries)) => {
+            let body = serde_json::json!({ "entries": entries });
+            json(StatusCode::PRECONDITION_FAILED, &body)
+        }
+        Err(StoreRefusal::NoLease) => answer(StatusCode::NOT_FOUND, "no such lease"),
+    }
 }
 
 fn grant_lease(state: &PlatformState, body: &[u8]) -> Response<StandInBody> {
     let Ok(LeaseRequest { ttl_ms }) = serde_json::from_slice(body) else {
         return answer(StatusCode::BAD_REQUEST, "not a lease request");
     };
-    let mut store = locked(&state.store);
-    store.lease += 1;
-    let id = store.lease;
-    let until = Instant::now() + Duration::from_millis(ttl_ms);
-    store.leases.insert(id, until);
-    let grant = LeaseGrant { id, ttl_ms };
-    answer(
-        StatusCode::OK,
-        serde_json::to_vec(&grant).unwrap_or_default(),
-    )
-}
-
-fn list_boxes(state: &PlatformState, domain: &str) -> Vec<u8> {
-    let boxes = locked(&state.boxes);
-    let records: Vec<BoxRecord> = boxes
-        .iter()
-        .filter_map(|entry| {
-            Some(BoxRecord {
-                name: entry.name.clone(),
-                domain: entry.domain.clone(),
-                peer_address: *entry.peer_addresses.get(domain)?,
-                state: entry.state,
-            })
-        })
-        .collect();
-    serde_json::to_vec(&records).unwrap_or_default()
+    let grant = state.change(|store| store.grant_lease(ttl_ms));
+    json(StatusCode::OK, &grant)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use dockgate_platform::{PlatformClient, PutCondition, PutOutcome};
-
-    async fn pair() -> (PlatformStandIn, PlatformClient) {
-        let standin = PlatformStandIn::start().await.unwrap();
-        let client = PlatformClient::new(standin.address, Duration::from_secs(5));
-        (standin, client)
-    }
-
-    #[tokio::test]
-    async fn a_write_with_a_stale_condition_is_refused() {
-        let (_standin, client) = pair().await;
-        let put = async |text: &'static str, condition| {
-            let value = Bytes::from_static(text.as_bytes());
-            client.put("k", value, condition, None).await.unwrap()
-        };
-        let first = put("a", PutCondition::Absent).await;
-        assert_eq!(first, PutOutcome::Done(1));
-        assert_eq!(put("b", PutCondition::Absent).await, PutOutcome::Conflict);
-        assert_eq!(
-            put("b", PutCondition::Revision(1)).await,
-            PutOutcome::Done(2)
-        );
-        assert_eq!(
-            put("c", PutCondition::Revision(1)).await,
-            PutOutcome::Conflict
-        );
-        assert_eq!(client.get("k").await.unwrap().unwrap().bytes, "b");
-    }
-
-    #[tokio::test]
-    async fn a_watch_waits_for_a_change_and_a_lost_reply_has_taken_effect() {
-        let (standin, client) = pair().await;
-        let watching = client.clone();
-        let wait = Duration::from_secs(5);
-        let watch = tokio::spawn(async move { watching.watch("k", 0, wait).await });
-        standin.set_loses_replies(true);
-        let value = Bytes::from_static(b"v");
-        let lost = client.put("k", value, PutCondition::Absent, None).await;
-        assert!(lost.is_err());
-        assert_eq!(watch.await.unwrap().unwrap().unwrap().bytes, "v");
-        assert_eq!(
-            standin.calls(),
-            PlatformCalls {
-                reads: 1,
-                writes: 1
-            }
-        );
-    }
-
-    #[tokio::test]
-    async fn keys_go_with_their_lease() {
-        let (_standin, client) = pair().await;
-        let lease = client.lease(Duration::from_millis(1)).await.unwrap();
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        let value = Bytes::from_static(b"v");
-        let late = client
-            .put("k", value, PutCondition::Always, Some(lease.id))
-            .await;
-        assert_eq!(late.unwrap(), PutOutcome::Conflict);
-    }
-}
+mod tests;
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -10,7 +10,8 @@
 //! let prompt = PromptShape {
 //!     model: "m".to_owned(),
 //!     input: 1_210,
-//!     output: 80,
+//!     output: 60,
+//!     most_output: 80,
 //!     parts: vec![PromptPart { id: 7, tokens: 800 }, PromptPart { id: 9, tokens: 410 }],
 //! };
 //! assert_eq!(prompt.shared_tokens(), 800);
--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -17,8 +17,13 @@
     pub first_part: f64,
     /// Up to which part of its objective a prompt may wait anywhere.
     pub most_part: f64,
-    /// The same for a workspace that has had its share: only where next to nothing waits.
+    /// The same for a workspace that has just had its share: only where little waits. It falls with
+    /// the square of how many times its share a workspace has had, so that those beyond their share
+    /// come to the same level rather than to what they ask.
     pub beyond_share_part: f64,
+    /// Up to which part of its objective a prompt may wait that is too long to be read within it:
+    /// it will be late, so it may not make others late as well.
+    pub long_part: f64,
     /// Up to which part of an engine's memory prompts may run; the rest is left to the cache.
     pub memory_part: f64,
 }
@@ -29,7 +34,8 @@
         Self {
             first_part: 0.5,
             most_part: 0.8,
-            beyond_share_part: 0.2,
+            beyond_share_part: 0.25,
+            long_part: 0.2,
             memory_part: 0.6,
         }
     }
@@ -71,17 +77,21 @@
     ) -> EngineVerdict {
         let unseen = f64::from(others + 1);
         let first_ms = load.first_event_ms(ask, now_ms);
-        let backlog_ms = first_ms * unseen;
+        let backlog_ms = load.backlog_ms(now_ms) * unseen;
+        let own_ms = first_ms - load.backlog_ms(now_ms);
         let part = match last {
-            _ if level.is_beyond() => self.beyond_share_part,
+            _ if level.is_beyond() => self.beyond_share_part / level.times().powi(2),
             true => self.most_part,
             false => self.first_part,
         };
         // A prompt with a longer objective may not fill the engine for those with a shorter one.
-        let limit_ms = f64::from(ask.objective_ms.min(ask.shortest_ms)) * part;
+        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
+        let in_time = backlog_ms + own_ms <= objective_ms * part;
+        let is_long = own_ms > objective_ms * self.most_part - self.long_part * objective_ms;
+        let long = is_long && !level.is_beyond() && backlog_ms <= objective_ms * self.long_part;
         let room = self.has_room(load, ask, unseen);
         match room {
-            true if backlog_ms <= limit_ms => EngineVerdict::Granted(first_ms as u32),
+            true if in_time || long => EngineVerdict::Granted(first_ms as u32),
             true => EngineVerdict::Declined(first_ms as u32),
             false => EngineVerdict::Declined((first_ms + Self::NO_ROOM_MS) as u32),
         }
--- a/dockgate-core/src/gateway/admission/tests.rs
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -2,6 +2,7 @@
 use crate::gateway::{EngineSpec, PromptPart, RunKey};
 use crate::ids::BoxKey;
 
+const BEYOND: ShareLevel = ShareLevel::new(1.5);
 const SPEC: EngineSpec = EngineSpec {
     slots: 4,
     memory: 100_000,
@@ -39,14 +40,8 @@
 fn a_workspace_beyond_its_share_is_served_only_where_nothing_waits() {
     let busy = load_with(1, 6_800);
     assert!(granted(&busy, &ask(9, 500), ShareLevel::WITHIN, false, 0));
-    assert!(!granted(&busy, &ask(9, 500), ShareLevel::BEYOND, true, 0));
-    assert!(granted(
-        &load_with(0, 0),
-        &ask(9, 500),
-        ShareLevel::BEYOND,
-        true,
-        0
-    ));
+    assert!(!granted(&busy, &ask(9, 500), BEYOND, true, 0));
+    assert!(granted(&load_with(0, 0), &ask(9, 500), BEYOND, true, 0));
 }
 
 #[test]
@@ -100,3 +95,29 @@
         0
     ));
 }
+
+#[test]
+fn the_further_beyond_its_share_the_less_may_wait() {
+    let busy = load_with(1, 2_000);
+    assert!(granted(&busy, &ask(9, 500), ShareLevel::new(1.0), true, 0));
+    assert!(!granted(&busy, &ask(9, 500), ShareLevel::new(2.0), true, 0));
+}
+
+#[test]
+fn a_prompt_too_long_to_be_in_time_is_read_where_little_waits() {
+    assert!(granted(
+        &load_with(0, 0),
+        &ask(9, 30_000),
+        ShareLevel::WITHIN,
+        false,
+        0
+    ));
+    assert!(!granted(
+        &load_with(1, 10_000),
+        &ask(9, 30_000),
+        ShareLevel::WITHIN,
+        true,
+        0
+    ));
+    assert!(!granted(&load_with(0, 0), &ask(9, 30_000), BEYOND, true, 0));
+}
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -97,10 +97,14 @@
         ask.input.saturating_sub(self.cache.kept_tokens(&ask.parts))
     }
 
+    /// Returns for how many milliseconds the engine reads what it has.
+    pub fn backlog_ms(&self, now_ms: u64) -> f64 {
+        (self.read_until_ms - now_ms as f64).max(0.0)
+    }
+
     /// Predicts after how many milliseconds the first event of a prompt would come.
     pub fn first_event_ms(&self, ask: &EngineAsk, now_ms: u64) -> f64 {
-        let backlog = (self.read_until_ms - now_ms as f64).max(0.0);
-        backlog + self.read_ms(u64::from(self.unread_of(ask))) + Self::BASE_MS
+        self.backlog_ms(now_ms) + self.read_ms(u64::from(self.unread_of(ask))) + Self::BASE_MS
     }
 
     fn read_ms(&self, tokens: u64) -> f64 {
--- a/dockgate-core/src/gateway/prompt_shape.rs
+++ b/dockgate-core/src/gateway/prompt_shape.rs
@@ -20,6 +20,8 @@
     pub input: u32,
     /// Tokens expected to be made.
     pub output: u32,
+    /// The most tokens that may be made.
+    pub most_output: u32,
     /// The parts in order; the last belongs to this request or its session alone.
     pub parts: Vec<PromptPart>,
 }
@@ -27,6 +29,9 @@
 impl PromptShape {
     /// How many units a token that is made costs, against one that is read.
     const MADE_UNITS: u32 = 2;
+    /// How long making one token takes beside prompts that are read, in milliseconds: a step takes
+    /// 6 ms alone and 32 ms with a piece of a prompt.
+    const TOKEN_MS: u64 = 25;
 
     /// Returns the parts that other requests may share: all but the last.
     pub fn shared_parts(&self) -> &[PromptPart] {
@@ -44,6 +49,11 @@
         part.map(|part| part.id)
     }
 
+    /// Returns how long the answer may take from its first event to its last, in milliseconds.
+    pub const fn most_output_ms(&self) -> u64 {
+        self.most_output as u64 * Self::TOKEN_MS
+    }
+
     /// Returns the service units that fair shares are counted in.
     pub const fn units(&self) -> u64 {
         self.input as u64 + (self.output * Self::MADE_UNITS) as u64
--- a/dockgate-core/src/gateway/retry_budget.rs
+++ b/dockgate-core/src/gateway/retry_budget.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Sets the budget of the whole fleet; what was counted stays.
+    pub const fn set_rule(&mut self, rule: RetryRule) {
+        self.rule = rule;
+    }
+
     /// Sets the number of boxes that share the slack.
     pub fn set_boxes(&mut self, boxes: u32) {
         self.rule.boxes = boxes.max(1);
--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// One workspace's totals at one box since that box started, in service units.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,18 +19,26 @@
     pub given: u64,
 }
 
-/// Whether a workspace has had its share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ShareLevel(bool);
+/// How much of its share a workspace has had: 1 is all that it is owed.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct ShareLevel(f64);
 
 impl ShareLevel {
     /// It is owed more.
-    pub const WITHIN: Self = Self(false);
-    /// It has had what it is owed.
-    pub const BEYOND: Self = Self(true);
+    pub const WITHIN: Self = Self(0.0);
+
+    /// Makes the level of a workspace that has had this many times its share.
+    pub const fn new(times: f64) -> Self {
+        Self(times)
+    }
 
     /// Tells whether it has had what it is owed.
     pub const fn is_beyond(self) -> bool {
+        self.0 >= 1.0
+    }
+
+    /// Returns how many times its share it has had.
+    pub const fn times(self) -> f64 {
         self.0
     }
 }
@@ -78,7 +86,8 @@
     peers: HashMap<BoxKey, PeerSums>,
     total: ShareSums,
     samples: VecDeque<ShareSample>,
-    beyond: HashSet<u64>,
+    /// The levels of workspaces that ask for more than they are owed.
+    levels: HashMap<u64, f64>,
 }
 
 impl ShareWindow {
@@ -148,7 +157,8 @@
         }
     }
 
-    /// Takes a sample, and works out who has had its share of `units_per_s` in the last `window_ms`.
+    /// Takes a sample, and works out how much of its share of `units_per_s` each has
+    /// had in the last `window_ms`.
     pub fn tick(&mut self, now_ms: u64, window_ms: u64, units_per_s: f64) {
         let sample = ShareSample {
             at_ms: now_ms,
@@ -176,17 +186,20 @@
             .collect();
         let asked: Vec<f64> = recent.values().map(|sum| sum.asked as f64).collect();
         let level = max_min_level(&asked, units_per_s * elapsed_s);
-        self.beyond = recent
+        self.levels = recent
             .iter()
             .filter(|(_, sum)| sum.asked as f64 > level)
-            .filter(|(_, sum)| sum.given as f64 >= level * Self::MARGIN)
-            .map(|(workspace, _)| *workspace)
+            .map(|(workspace, sum)| {
+                let owed = (level * Self::MARGIN).max(1.0);
+                (*workspace, sum.given as f64 / owed)
+            })
             .collect();
     }
 
-    /// Tells whether a workspace has had its share.
+    /// Returns how much of its share a workspace has had.
     pub fn level(&self, workspace: u64) -> ShareLevel {
-        ShareLevel(self.beyond.contains(&workspace))
+        let level = self.levels.get(&workspace);
+        level.map_or(ShareLevel::WITHIN, |times| ShareLevel(*times))
     }
 }
 
--- a/dockgate-core/src/gateway/share_window/tests.rs
+++ b/dockgate-core/src/gateway/share_window/tests.rs
@@ -20,7 +20,8 @@
     window.note_asked(2, 50);
     window.note_given(2, 50);
     window.tick(3_000, 4_000, 100.0);
-    assert_eq!(window.level(1), ShareLevel::BEYOND);
+    assert!(window.level(1).is_beyond());
+    assert!(window.level(1).times() > 2.0, "it had 400 of about 150");
     assert_eq!(window.level(2), ShareLevel::WITHIN);
     window.tick(5_000, 4_000, 100.0);
     window.tick(9_000, 4_000, 100.0);
--- a/dockgate/src/config_keeper.rs
+++ b/dockgate/src/config_keeper.rs
@@ -108,6 +108,11 @@
         return Ok(revision);
     };
     cell.follow(store, &head).await?;
+    if seen == revision {
+        // The history was forgotten, and nothing has changed: there is no reason to hurry.
+        let pause = rand::random_range(RETRY_MS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
     Ok(seen)
 }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -16,6 +16,7 @@
 mod peer_state;
 mod readiness;
 mod refusal;
+mod reload;
 mod run_guard;
 mod settings;
 mod sockets;
@@ -29,6 +30,7 @@
 use events::{GatewayEvent, log_gateway};
 use front::CallerFront;
 use gateway_state::GatewayState;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
@@ -38,22 +40,22 @@
 /// For how long after its last answer a stopping daemon still takes what crosses the stop.
 const QUIET_BEFORE_END: Duration = Duration::from_millis(1_500);
 /// How much of the grace is kept for the end itself.
-const END_MARGIN: Duration = Duration::from_millis(700);
+const END_MARGIN: Duration = Duration::from_millis(400);
 
-/// Runs until the process is told to stop.
+/// Runs until the process is told to stop; `path` is the settings file, which may change.
 ///
 /// # Errors
 ///
 /// Returns an error where a socket cannot be opened.
-pub(crate) fn run(settings: GatewaySettings) -> Result<(), DaemonError> {
+pub(crate) fn run(settings: GatewaySettings, path: &Path) -> Result<(), DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(DaemonError::Runtime)?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, path))
 }
 
-async fn serve(settings: GatewaySettings) -> Result<(), DaemonError> {
+async fn serve(settings: GatewaySettings, path: &Path) -> Result<(), DaemonError> {
     let callers = sockets::listen("listen for callers", settings.listen.callers)?;
     let readiness = sockets::listen("listen for readiness", settings.listen.readiness)?;
     let state_listener = sockets::listen("listen for state", settings.listen.state)?;
@@ -69,6 +71,7 @@
 
     let state = Arc::new(GatewayState::new(settings, datagrams));
     start_tasks(&state, readiness, metrics, state_listener)?;
+    tokio::spawn(reload::follow_settings(state.clone(), path.to_owned()));
     let front = Arc::new(CallerFront::new(state.clone()));
     let accepting = tokio::spawn(front.clone().accept(callers));
     tokio::spawn(front.clone().sweep());
@@ -102,9 +105,9 @@
 /// Stops in order: not ready at once, goes on answering, and ends when nothing is open any more.
 async fn drain(state: &GatewayState, front: &CallerFront) {
     log_gateway(&GatewayEvent::Stopping { open: front.open() });
-    state.begin_stop();
-    peer_net::send_beat(state);
     let grace = state.settings().stop_grace.saturating_sub(END_MARGIN);
+    state.begin_stop(grace);
+    peer_net::send_beat(state);
     let ended = tokio::time::timeout(grace, async {
         while front.busy() > 0 || (front.open() > 0 && !front.is_quiet(QUIET_BEFORE_END)) {
             tokio::time::sleep(DRAIN_POLL).await;
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    EndpointId, EngineAsk, GatewayLimits, RouteSpec, RouteTable, ServiceSpec, WorkspaceKeys,
-    name_hash,
+    EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteSpec, RouteTable, ServiceSpec,
+    WorkspaceKeys, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -22,6 +22,9 @@
 /// When a box without a configuration, or without endpoints, is worth another try.
 const COME_BACK_SOON: Duration = Duration::from_millis(400);
 
+/// When a request that meets a box about to end should come back: at once, to another box.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// A request that is turned away before anything is decided.
 pub(super) struct TurnedAway {
     /// Its id, as far as it has one.
@@ -231,8 +234,11 @@
         .service_for(&head.id)
         .and_then(|name| table.service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
-    if state.is_ending() {
-        return Err(soon(RefusalReason::Stopping));
+    if !state.can_finish(expected_time(route, head)) {
+        return Err(CallRefusal {
+            reason: RefusalReason::Stopping,
+            retry_after: Some(COME_BACK_ELSEWHERE),
+        });
     }
     Ok(FoundRoute {
         route: route.clone(),
@@ -241,6 +247,13 @@
     })
 }
 
+/// Returns how long a request is likely to take.
+fn expected_time(route: &RouteSpec, head: &CallHead) -> Duration {
+    let output_ms = head.prompt.as_ref().map_or(0, PromptShape::most_output_ms);
+    let made = Duration::from_millis(output_ms);
+    (route.objective + made).min(head.budget.unwrap_or(route.timeout))
+}
+
 async fn read_body(
     body: Incoming,
     parts: &Parts,
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -49,7 +49,7 @@
     sign: EndpointSign,
     problem: String,
     /// What is passed on if it is not repeated.
-    answer: Option<Response<CallBody>>,
+    answer: Option<Box<Response<CallBody>>>,
     timed_out: bool,
 }
 
@@ -92,7 +92,7 @@
                 continue;
             }
             return match loss.answer.take() {
-                Some(answer) => Ok(answer),
+                Some(answer) => Ok(*answer),
                 None => Err(self.report(&tries, loss.state, loss.timed_out)),
             };
         }
@@ -154,10 +154,9 @@
         resumed: bool,
     ) -> Result<CallPlace, CallRefusal> {
         match (self.service().engine, self.engine_ask()) {
-            (Some(spec), Some(ask)) => {
+            (Some(_), Some(ask)) => {
                 let wish = EngineWish {
                     service: self.service(),
-                    spec,
                     prompt: self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
                     fallback_subject: name_hash(&self.head.id),
                     tried: &tries.endpoints,
@@ -303,7 +302,7 @@
     /// Tells whether the lines of this request are kept although it went well: one in so many.
     pub(in super::super) fn is_sampled(&self) -> bool {
         const ONE_IN: u64 = 16;
-        name_hash(&self.head.id) % ONE_IN == 0
+        name_hash(&self.head.id).is_multiple_of(ONE_IN)
     }
 
     fn log_sent(&self, place: &CallPlace, attempt: u32) {
@@ -429,7 +428,7 @@
             let problem = format!("status {}", parts.status);
             let loss = SendLoss::new(AttemptState::Sent, EndpointSign::Failed, problem);
             return Err(SendLoss {
-                answer: Some(response),
+                answer: Some(Box::new(response)),
                 ..loss
             });
         }
@@ -551,6 +550,7 @@
     model: String::new(),
     input: 0,
     output: 0,
+    most_output: 0,
     parts: Vec::new(),
 };
 
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -54,8 +54,6 @@
 pub(super) struct EngineWish<'a> {
     /// The service.
     pub(super) service: &'a ServiceSpec,
-    /// What its engines hold.
-    pub(super) spec: EngineSpec,
     /// The prompt.
     pub(super) prompt: &'a PromptShape,
     /// What names the subject where the prompt has no parts.
@@ -144,7 +142,7 @@
             beliefs
                 .engines
                 .load_mut(endpoint, spec)
-                .place(key, ask, now_ms())
+                .place(key, ask, now_ms());
         });
     }
 }
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -19,10 +19,11 @@
     Stopping { open: usize },
     /// It ends; `cut` requests were still being answered.
     Stopped { in_time: bool, cut: usize },
-    /// It was told to read its settings again.
+    /// It read its settings again, on a signal or as the file had changed.
     Reloaded {
+        signal: bool,
         changed: bool,
-        problem: Option<String>,
+        problem: Option<&'a str>,
     },
     /// A configuration came into force.
     RoutesInForce {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -13,7 +13,7 @@
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -55,14 +55,15 @@
 
 /// The shared state of a gateway.
 pub(super) struct GatewayState {
-    settings: GatewaySettings,
+    settings: ArcSwap<GatewaySettings>,
     incarnation: Incarnation,
     me: BoxKey,
     table: ArcSwap<RouteTable>,
     beliefs: Mutex<GatewayBeliefs>,
     counter: AtomicU32,
     stop: StopFlag,
-    end: StopFlag,
+    /// When the process ends, once it is stopping.
+    end_ms: AtomicU64,
     /// The datagram socket to the other boxes.
     pub(super) datagrams: UdpSocket,
     /// Connections to endpoints.
@@ -97,16 +98,24 @@
             // Numbers of an earlier life are not met again soon.
             counter: AtomicU32::new(rand::random()),
             stop: StopFlag::default(),
-            end: StopFlag::default(),
+            end_ms: AtomicU64::new(0),
             datagrams,
             pools: Arc::default(),
-            settings,
+            settings: ArcSwap::from_pointee(settings),
         }
     }
 
-    /// Returns the settings.
-    pub(super) const fn settings(&self) -> &GatewaySettings {
-        &self.settings
+    /// Returns the settings in force.
+    pub(super) fn settings(&self) -> Arc<GatewaySettings> {
+        self.settings.load_full()
+    }
+
+    /// Puts other settings in force; where the box listens stays as it was.
+    pub(super) fn set_settings(&self, settings: GatewaySettings) {
+        let listen = self.settings().listen;
+        self.with(|beliefs| beliefs.retries.set_rule(settings.retry_rule()));
+        self.settings
+            .store(Arc::new(GatewaySettings { listen, ..settings }));
     }
 
     /// Returns this life of the box.
@@ -134,7 +143,7 @@
 
     /// Makes a client of the store, with connections of its own.
     pub(super) fn store_client(&self) -> PlatformClient {
-        PlatformClient::new(self.settings.store, STORE_TIMEOUT)
+        PlatformClient::new(self.settings().store, STORE_TIMEOUT)
     }
 
     /// Returns the routes in force.
@@ -226,6 +235,7 @@
     /// Drops what has lapsed: endpoints, boxes, runs.
     pub(super) fn expire(&self, since_ms: u64) {
         let now = now_ms();
+        let most_boxes = self.settings().boxes;
         let (endpoints, boxes) = self.with(|beliefs| {
             let GatewayBeliefs {
                 endpoints,
@@ -237,7 +247,7 @@
             } = beliefs;
             let lapsed = endpoints.expire(now);
             let gone = fleet.expire(since_ms, now);
-            retries.set_boxes(self.settings.boxes.max(fleet.known_count()));
+            retries.set_boxes(most_boxes.max(fleet.known_count()));
             let me = self.me;
             let is_gone = |run: RunKey| match run.entry == me {
                 true => !runs.contains_key(&run.number),
@@ -261,8 +271,10 @@
         }
     }
 
-    /// Begins the orderly stop.
-    pub(super) fn begin_stop(&self) {
+    /// Begins the orderly stop: the process ends `within` this time.
+    pub(super) fn begin_stop(&self, within: Duration) {
+        let end_ms = now_ms() + within.as_millis() as u64;
+        self.end_ms.store(end_ms, Ordering::Release);
         self.stop.set();
         self.with(|beliefs| beliefs.fleet.set_leaving());
     }
@@ -272,14 +284,10 @@
         self.stop.is_set()
     }
 
-    /// Stops taking requests in: the process is about to end.
-    pub(super) fn begin_end(&self) {
-        self.end.set();
-    }
-
-    /// Tells whether no request is taken in any more.
-    pub(super) fn is_ending(&self) -> bool {
-        self.end.is_set()
+    /// Tells whether work of this length can end before the process does.
+    pub(super) fn can_finish(&self, takes: Duration) -> bool {
+        let ends_ms = now_ms() + takes.as_millis() as u64;
+        !self.is_stopping() || ends_ms < self.end_ms.load(Ordering::Acquire)
     }
 
     /// Tells whether callers may be sent here.
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -44,8 +44,8 @@
 
 /// Sends a beat to every box that is known, and to the seeds that were not heard yet.
 pub(super) fn send_beat(state: &GatewayState) {
-    let port = state.settings().listen.peers.port();
-    let own = state.settings().listen.peers;
+    let settings = state.settings();
+    let own = settings.listen.peers;
     let (beat, shares, addresses) = state.with(|beliefs| {
         let GatewayBeliefs { fleet, shares, .. } = beliefs;
         (
@@ -54,8 +54,9 @@
             fleet.addresses().collect::<Vec<SocketAddr>>(),
         )
     });
-    let seeds = state.settings().seeds.iter();
-    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
+    // A seed is where a box tells its state; datagrams have the same port on all boxes.
+    let seeds = settings.seeds.iter();
+    let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
     let unheard = seeds.filter(|seed| *seed != own && !addresses.contains(seed));
     let unheard: Vec<SocketAddr> = unheard.collect();
     let start = rand::random_range(0..addresses.len().max(1));
--- /dev/null
+++ b/dockgate/src/gateway/reload.rs
@@ -0,0 +1,62 @@
+//! Reads the settings again: on SIGHUP, and when the file has changed without one.
+
+use super::events::{GatewayEvent, log_gateway};
+use super::gateway_state::GatewayState;
+use super::settings::GatewaySettings;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// How often the file is looked at without a signal.
+const LOOK: Duration = Duration::from_secs(3);
+
+/// Waits for SIGHUP, or for ever where the system gives no handler.
+async fn hang_up(signals: &mut Option<Signal>) {
+    match signals {
+        Some(signals) => {
+            signals.recv().await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
+/// Follows the settings file until the process ends; what cannot be read changes nothing.
+pub(super) async fn follow_settings(state: Arc<GatewayState>, path: PathBuf) {
+    let mut signals = signal(SignalKind::hangup())
+        .inspect_err(|error| log::error!("listen for SIGHUP: {error}"))
+        .ok();
+    let mut last_problem = String::new();
+    loop {
+        let signal = tokio::select! {
+            () = hang_up(&mut signals) => true,
+            () = tokio::time::sleep(LOOK) => false,
+        };
+        let problem = match GatewaySettings::load(&path) {
+            Ok(settings) => {
+                let changed = settings != *state.settings();
+                if changed {
+                    state.set_settings(settings);
+                }
+                if changed || signal {
+                    log_gateway(&GatewayEvent::Reloaded {
+                        signal,
+                        changed,
+                        problem: None,
+                    });
+                }
+                String::new()
+            }
+            Err(error) => error.to_string(),
+        };
+        if !problem.is_empty() && (signal || problem != last_problem) {
+            let problem = Some(problem.as_str());
+            log_gateway(&GatewayEvent::Reloaded {
+                signal,
+                changed: false,
+                problem,
+            });
+        }
+        last_problem = problem;
+    }
+}
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -14,7 +14,7 @@
 const SECTIONS: [&str; 5] = ["box", "listen", "platform", SECTION, "admission"];
 
 /// Where a gateway listens.
-#[derive(Debug, Clone, Copy, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub(crate) struct GatewayListen {
     /// For callers.
     pub(crate) callers: SocketAddr,
@@ -29,7 +29,7 @@
 }
 
 /// The settings of a gateway.
-#[derive(Debug, Clone, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub(crate) struct GatewaySettings {
     /// The box's name.
     pub(crate) name: String,
@@ -196,6 +196,7 @@
         first_part: part("first_part", default.first_part),
         most_part: part("most_part", default.most_part),
         beyond_share_part: part("beyond_share_part", default.beyond_share_part),
+        long_part: part("long_part", default.long_part),
         memory_part: part("memory_part", default.memory_part),
     }
 }
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -47,7 +47,7 @@
         return Ok(());
     }
     logging::init(&settings.name);
-    gateway::run(settings)
+    gateway::run(settings, args.settings())
 }
 
 fn start_daemon(args: &DaemonArgs) -> Result<(), DaemonError> {
--- a/dockgate/src/metrics.rs
+++ b/dockgate/src/metrics.rs
@@ -1,5 +1,6 @@
 //! What the daemon counts, in the Prometheus text form.
 
+use crate::logging::dropped_lines;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -50,6 +51,8 @@
     pub(crate) exchanges: IntCounter,
     /// Open links to peers.
     pub(crate) links: IntGauge,
+    /// Log lines that were dropped.
+    pub(crate) dropped_lines: IntGauge,
     /// Processor time of the control actor, in microseconds.
     pub(crate) control_busy_us: IntCounter,
 }
@@ -155,6 +158,10 @@
             ),
             exchanges: counter("dockgate_exchanges_total", "Batches handed to peers"),
             links: gauge("dockgate_open_links", "Open links to peers"),
+            dropped_lines: gauge(
+                "dockgate_log_lines_dropped",
+                "Log lines dropped as the reader was too slow, since the start",
+            ),
             control_busy_us: counter(
                 "dockgate_control_busy_microseconds_total",
                 "Time spent in decisions by the control actor",
@@ -167,6 +174,7 @@
     pub(crate) fn render(&self) -> Vec<u8> {
         self.violations
             .set(dockgate_core::invariant_violations() as i64);
+        self.dropped_lines.set(dropped_lines() as i64);
         let mut text = Vec::new();
         // Writing to memory fails on a malformed metric only, which then is left out.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
