--- a/dockgate-bench/src/demo.rs
+++ b/dockgate-bench/src/demo.rs
@@ -13,13 +13,13 @@
 
 [pool small]
 kind = engine
-servers = 4
+endpoints = 4
 slots = 8
 tokens_per_second = 30
 
 [pool status]
 kind = service
-servers = 2
+endpoints = 2
 slots = 8
 
 [workspace accessibility]
--- a/dockgate-bench/src/fault.rs
+++ b/dockgate-bench/src/fault.rs
@@ -2,7 +2,7 @@
 
 use crate::caller::CallerClient;
 use crate::error::BenchError;
-use crate::fleet::{BenchFleet, BenchServer, ServerStandIn};
+use crate::fleet::{BenchEndpoint, BenchFleet, EndpointStandIn};
 use crate::scenario::{FaultKind, FaultPlan};
 use dockgate_core::ConfigChange;
 use dockgate_platform::BoxState;
@@ -12,7 +12,7 @@
 
 /// How much longer every call to a slow platform takes.
 const SLOW: Duration = Duration::from_millis(500);
-/// How long a retired server may still get new work.
+/// How long a retired endpoint may still get new work.
 const LEAVE_GRACE: Duration = Duration::from_secs(3);
 
 /// A fault that is to come, or is there.
@@ -117,15 +117,23 @@
         FaultKind::LostReplies => fleet.platform.set_loses_replies(true),
         FaultKind::PlatformSlow => fleet.platform.set_slow(SLOW),
         FaultKind::EngineDeath => {
-            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
-                server.standin.kill();
+            if let Some(endpoint) = fleet
+                .endpoints
+                .iter()
+                .find(|endpoint| endpoint.name == target)
+            {
+                endpoint.standin.kill();
             }
         }
         FaultKind::Retire => {
             let undo = fleet.retire(target).await?;
-            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
-                server.standin.set_leaving(Some(LEAVE_GRACE));
-                count_slots(fleet, server, -1);
+            if let Some(endpoint) = fleet
+                .endpoints
+                .iter()
+                .find(|endpoint| endpoint.name == target)
+            {
+                endpoint.standin.set_leaving(Some(LEAVE_GRACE));
+                count_slots(fleet, endpoint, -1);
             }
             return Ok(undo);
         }
@@ -159,9 +167,13 @@
         FaultKind::PlatformSlow => fleet.platform.set_slow(Duration::ZERO),
         FaultKind::EngineDeath => {}
         FaultKind::Retire => {
-            if let Some(server) = fleet.servers.iter().find(|server| server.name == target) {
-                server.standin.set_leaving(None);
-                count_slots(fleet, server, 1);
+            if let Some(endpoint) = fleet
+                .endpoints
+                .iter()
+                .find(|endpoint| endpoint.name == target)
+            {
+                endpoint.standin.set_leaving(None);
+                count_slots(fleet, endpoint, 1);
             }
             if let Some(change) = undo {
                 fleet.change(0, PlanIntent::Changes(vec![change])).await?;
@@ -171,10 +183,10 @@
     Ok(())
 }
 
-/// Takes a server's slots out of what could be used, or puts them back.
-fn count_slots(fleet: &BenchFleet, server: &BenchServer, sign: isize) {
-    if let Some(tally) = fleet.tallies.get(&server.pool) {
-        tally.add_slots(sign * server.slots as isize);
+/// Takes an endpoint's slots out of what could be used, or puts them back.
+fn count_slots(fleet: &BenchFleet, endpoint: &BenchEndpoint, sign: isize) {
+    if let Some(tally) = fleet.tallies.get(&endpoint.pool) {
+        tally.add_slots(sign * endpoint.slots as isize);
     }
 }
 
@@ -197,8 +209,8 @@
     }
 }
 
-impl ServerStandIn {
-    /// Notes that the server leaves; runs that start after the grace are counted.
+impl EndpointStandIn {
+    /// Notes that the endpoint leaves; runs that start after the grace are counted.
     pub fn set_leaving(&self, grace: Option<Duration>) {
         match self {
             Self::Engine(engine) => engine.leave.set(grace),
--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -24,15 +24,15 @@
 use std::time::Duration;
 use tempfile::TempDir;
 
-/// A server's stand-in.
-pub enum ServerStandIn {
+/// An endpoint's stand-in.
+pub enum EndpointStandIn {
     /// A model engine.
     Engine(EngineStandIn),
     /// A plain service.
     Service(ServiceStandIn),
 }
 
-impl ServerStandIn {
+impl EndpointStandIn {
     fn address(&self) -> SocketAddr {
         match self {
             Self::Engine(engine) => engine.address,
@@ -49,8 +49,8 @@
     }
 }
 
-/// One server of the fleet.
-pub struct BenchServer {
+/// One endpoint of the fleet.
+pub struct BenchEndpoint {
     /// Its name.
     pub name: String,
     /// Its pool.
@@ -60,7 +60,7 @@
     /// Its slots.
     pub slots: usize,
     /// The stand-in.
-    pub standin: ServerStandIn,
+    pub standin: EndpointStandIn,
     /// Relays from the other domains.
     pub relays: HashMap<String, LinkRelay>,
 }
@@ -71,8 +71,8 @@
     pub scenario: BenchScenario,
     /// The platform.
     pub platform: PlatformStandIn,
-    /// The servers.
-    pub servers: Vec<BenchServer>,
+    /// The endpoints.
+    pub endpoints: Vec<BenchEndpoint>,
     /// Counts of each pool.
     pub tallies: BTreeMap<String, Arc<RunTally>>,
     /// The daemons.
@@ -117,7 +117,7 @@
         let mut fleet = Self {
             platform: PlatformStandIn::start().await?,
             scenario,
-            servers: Vec::new(),
+            endpoints: Vec::new(),
             tallies: BTreeMap::new(),
             daemons: Vec::new(),
             links: HashMap::new(),
@@ -126,7 +126,7 @@
             platform_bytes: ByteCount::default(),
             folder,
         };
-        fleet.start_servers().await?;
+        fleet.start_endpoints().await?;
         fleet.start_platform_links().await?;
         fleet.start_daemons(arm).await?;
         fleet.wait_until_listening().await?;
@@ -135,24 +135,24 @@
         Ok(fleet)
     }
 
-    async fn start_servers(&mut self) -> Result<(), BenchError> {
+    async fn start_endpoints(&mut self) -> Result<(), BenchError> {
         for pool in self.scenario.pools.clone() {
             let tally = Arc::new(RunTally::default());
             self.tallies.insert(pool.name.clone(), tally.clone());
-            for number in 0..pool.servers {
-                let server = self.start_server(&pool, number, tally.clone()).await?;
-                self.servers.push(server);
+            for number in 0..pool.endpoints {
+                let endpoint = self.start_endpoint(&pool, number, tally.clone()).await?;
+                self.endpoints.push(endpoint);
             }
         }
         Ok(())
     }
 
-    async fn start_server(
+    async fn start_endpoint(
         &self,
         pool: &PoolShape,
         number: usize,
         tally: Arc<RunTally>,
-    ) -> Result<BenchServer, BenchError> {
+    ) -> Result<BenchEndpoint, BenchError> {
         let domains = &self.scenario.fleet.domains;
         let domain = pool.domain.clone();
         let domain = domain.unwrap_or_else(|| domains[number % domains.len()].clone());
@@ -161,14 +161,14 @@
                 let slow = pool.slow_every > 0 && number.is_multiple_of(pool.slow_every);
                 let rate = pool.tokens_per_second * if slow { 0.5 } else { 1.0 };
                 let rule = EngineRule::new(pool.slots, rate);
-                ServerStandIn::Engine(EngineStandIn::start(rule, tally).await?)
+                EndpointStandIn::Engine(EngineStandIn::start(rule, tally).await?)
             }
             false => {
                 let rule = ServiceRule {
                     slots: pool.slots,
                     takes: Duration::from_millis(20),
                 };
-                ServerStandIn::Service(ServiceStandIn::start(rule, tally).await?)
+                EndpointStandIn::Service(ServiceStandIn::start(rule, tally).await?)
             }
         };
         let mut relays = HashMap::new();
@@ -177,7 +177,7 @@
             let relay = LinkRelay::start(standin.address(), delay, ByteCount::default()).await?;
             relays.insert(from.clone(), relay);
         }
-        Ok(BenchServer {
+        Ok(BenchEndpoint {
             name: format!("{}-{number}", pool.name),
             pool: pool.name.clone(),
             domain,
@@ -289,9 +289,9 @@
                 relay.set_cut(cut);
             }
         }
-        for server in &self.servers {
-            for (from, relay) in &server.relays {
-                if from == domain || server.domain == domain {
+        for endpoint in &self.endpoints {
+            for (from, relay) in &endpoint.relays {
+                if from == domain || endpoint.domain == domain {
                     relay.set_cut(cut);
                 }
             }
--- a/dockgate-bench/src/fleet/config.rs
+++ b/dockgate-bench/src/fleet/config.rs
@@ -55,18 +55,18 @@
                 let _ = writeln!(text, "models = {}\nresumes = yes", pool.name);
             }
         }
-        for server in &self.servers {
+        for endpoint in &self.endpoints {
             let _ = writeln!(
                 text,
-                "[server {}]\npool = {}\ndomain = {}\naddress = {}\nslots = {}\n\
+                "[endpoint {}]\npool = {}\ndomain = {}\naddress = {}\nslots = {}\n\
                  honest_refusal = yes",
-                server.name,
-                server.pool,
-                server.domain,
-                server.standin.address(),
-                server.slots
+                endpoint.name,
+                endpoint.pool,
+                endpoint.domain,
+                endpoint.standin.address(),
+                endpoint.slots
             );
-            for (from, relay) in &server.relays {
+            for (from, relay) in &endpoint.relays {
                 let _ = writeln!(text, "address.{from} = {}", relay.address);
             }
         }
@@ -109,17 +109,17 @@
         change_at(self.daemons[daemon].operators(), intent).await
     }
 
-    /// Retires a server, and returns the change that adds it again.
+    /// Retires an endpoint, and returns the change that adds it again.
     ///
     /// # Errors
     ///
     /// Returns what the daemon refused.
     pub async fn retire(&self, name: &str) -> Result<Option<ConfigChange>, BenchError> {
         let config = self.shown(0).await?;
-        let spec = config.servers.named(name).cloned();
-        let change = ConfigChange::RetireServer(name.to_owned());
+        let spec = config.endpoints.named(name).cloned();
+        let change = ConfigChange::RetireEndpoint(name.to_owned());
         self.change(0, PlanIntent::Changes(vec![change])).await?;
-        Ok(spec.map(ConfigChange::PutServer))
+        Ok(spec.map(ConfigChange::PutEndpoint))
     }
 
     /// Returns the configuration in force at a daemon.
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -29,7 +29,7 @@
     Demo,
     /// Measures how the cost of control grows, and fits lines.
     Slopes {
-        /// Only these axes: boxes, servers, workspaces, requests-per-second,
+        /// Only these axes: boxes, endpoints, workspaces, requests-per-second,
         /// changes-per-100-seconds, domains.
         #[arg(long)]
         axis: Vec<String>,
--- a/dockgate-bench/src/report.rs
+++ b/dockgate-bench/src/report.rs
@@ -121,7 +121,7 @@
     truncated_answers: u64,
     /// Requests cut off by a planned stop.
     cut_by_planned_stop: u64,
-    /// Runs that a leaving server started more than three seconds later.
+    /// Runs that a leaving endpoint started more than three seconds later.
     late_grants_to_leaving: u64,
     /// Boxes seen with an older configuration than before.
     config_reverts: u64,
--- a/dockgate-bench/src/run.rs
+++ b/dockgate-bench/src/run.rs
@@ -7,7 +7,7 @@
 use crate::caller::{BoxView, CallerClient, start_callers};
 use crate::error::BenchError;
 use crate::fault::FaultDriver;
-use crate::fleet::{BenchFleet, ServerStandIn};
+use crate::fleet::{BenchFleet, EndpointStandIn};
 use crate::report::{ArmReport, BenchReport};
 use crate::scenario::{Arrival, BenchArm, BenchScenario, EntryChoice, WorkspaceLoad};
 use churn::{ChurnStats, OperatorChurn};
@@ -175,10 +175,10 @@
     daemons
         .map(|daemon| {
             fleet
-                .servers
+                .endpoints
                 .iter()
-                .find_map(|server| match &server.standin {
-                    ServerStandIn::Service(service) if server.domain == daemon.domain() => {
+                .find_map(|endpoint| match &endpoint.standin {
+                    EndpointStandIn::Service(service) if endpoint.domain == daemon.domain() => {
                         Some(service.address)
                     }
                     _ => None,
--- a/dockgate-bench/src/run/measure.rs
+++ b/dockgate-bench/src/run/measure.rs
@@ -81,7 +81,7 @@
     let pools = fleet.scenario.pools.iter().filter(|pool| pool.engine);
     pools
         .map(|pool| {
-            let slots = (pool.servers * pool.slots) as f64;
+            let slots = (pool.endpoints * pool.slots) as f64;
             let loads = fleet.scenario.workspaces.iter();
             let sizes = loads.filter(|load| load.pool == pool.name);
             let largest = sizes.map(|load| load.sizes.largest()).max().unwrap_or(0);
@@ -103,9 +103,9 @@
     let doubled = once.iter().filter(|(pool, nonce)| runs(pool, nonce) > 1);
     report.duplicate_runs = doubled.count() as u64;
     let late = fleet
-        .servers
+        .endpoints
         .iter()
-        .map(|server| server.standin.late_starts());
+        .map(|endpoint| endpoint.standin.late_starts());
     report.late_grants_to_leaving = late.sum();
     let tallies = fleet.tallies.values();
     report.engine_refusals = tallies.clone().map(|tally| tally.refused()).sum();
--- a/dockgate-bench/src/scenario.rs
+++ b/dockgate-bench/src/scenario.rs
@@ -52,13 +52,13 @@
     pub name: String,
     /// Whether it is of engines.
     pub engine: bool,
-    /// How many servers.
-    pub servers: usize,
+    /// How many endpoints.
+    pub endpoints: usize,
     /// Slots of each.
     pub slots: usize,
     /// Tokens a second of a stream.
     pub tokens_per_second: f64,
-    /// Every n-th server is half as fast; zero for none.
+    /// Every n-th endpoint is half as fast; zero for none.
     pub slow_every: usize,
     /// Only in this domain, if it is set.
     pub domain: Option<String>,
@@ -85,7 +85,7 @@
     PlatformSlow,
     /// An engine dies.
     EngineDeath,
-    /// A server is retired by an operator, and added again at the end.
+    /// An endpoint is retired by an operator, and added again at the end.
     Retire,
 }
 
@@ -98,7 +98,7 @@
     pub lasts: Duration,
     /// What it is.
     pub kind: FaultKind,
-    /// What it befalls: a box, a domain or a server.
+    /// What it befalls: a box, a domain or an endpoint.
     pub target: String,
 }
 
@@ -226,7 +226,7 @@
     PoolShape {
         name: section.name.clone(),
         engine: kind.as_deref() == Some("engine"),
-        servers: take_number(section, "servers", 1.0, 1.0..=5_000.0) as usize,
+        endpoints: take_number(section, "endpoints", 1.0, 1.0..=5_000.0) as usize,
         slots: take_number(section, "slots", 16.0, 1.0..=4_096.0) as usize,
         tokens_per_second: take_number(section, "tokens_per_second", 30.0, 0.1..=100_000.0),
         slow_every: take_number(section, "slow_every", 0.0, 0.0..=1_000.0) as usize,
--- a/dockgate-bench/src/slopes/axis.rs
+++ b/dockgate-bench/src/slopes/axis.rs
@@ -7,8 +7,8 @@
 pub enum SlopeAxis {
     /// Boxes, in two domains, with little load.
     Boxes,
-    /// Servers, over four boxes.
-    Servers,
+    /// Endpoints, over four boxes.
+    Endpoints,
     /// Workspaces, a tenth of them backlogged, over four boxes.
     Workspaces,
     /// Requests a second over four boxes.
@@ -23,7 +23,7 @@
 struct SlopeShape {
     domains: usize,
     boxes_per_domain: usize,
-    servers: usize,
+    endpoints: usize,
     slots: usize,
     workspaces: usize,
     requests_per_second: f64,
@@ -35,7 +35,7 @@
     /// Every axis.
     pub const ALL: [Self; 6] = [
         Self::Boxes,
-        Self::Servers,
+        Self::Endpoints,
         Self::Workspaces,
         Self::Requests,
         Self::Changes,
@@ -46,7 +46,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Boxes => "boxes",
-            Self::Servers => "servers",
+            Self::Endpoints => "endpoints",
             Self::Workspaces => "workspaces",
             Self::Requests => "requests-per-second",
             Self::Changes => "changes-per-100-seconds",
@@ -58,7 +58,7 @@
     pub const fn sizes(self) -> &'static [usize] {
         match self {
             Self::Boxes => &[2, 4, 8, 16, 32],
-            Self::Servers => &[20, 200, 600, 1_500],
+            Self::Endpoints => &[20, 200, 600, 1_500],
             Self::Workspaces => &[16, 150, 500, 1_500],
             Self::Requests => &[20, 80, 160, 320],
             Self::Changes => &[0, 50, 200],
@@ -70,7 +70,7 @@
         let base = SlopeShape {
             domains: 2,
             boxes_per_domain: 2,
-            servers: 20,
+            endpoints: 20,
             slots: 16,
             workspaces: 16,
             requests_per_second: 20.0,
@@ -80,11 +80,11 @@
         match self {
             Self::Boxes => SlopeShape {
                 boxes_per_domain: size / 2,
-                servers: 32,
+                endpoints: 32,
                 ..base
             },
-            Self::Servers => SlopeShape {
-                servers: size,
+            Self::Endpoints => SlopeShape {
+                endpoints: size,
                 ..base
             },
             Self::Workspaces => SlopeShape {
@@ -94,7 +94,7 @@
             },
             Self::Requests => SlopeShape {
                 requests_per_second: size as f64,
-                servers: 40,
+                endpoints: 40,
                 ..base
             },
             Self::Changes => SlopeShape {
@@ -117,11 +117,11 @@
             .collect();
         let mut text = format!(
             "[fleet]\ndomains = {}\nboxes_per_domain = {}\nchanges_per_second = {}\n\
-             [pool chat]\nkind = engine\nservers = {}\nslots = {}\ntokens_per_second = 30\n",
+             [pool chat]\nkind = engine\nendpoints = {}\nslots = {}\ntokens_per_second = 30\n",
             domains.join(", "),
             shape.boxes_per_domain,
             shape.changes_per_second,
-            shape.servers,
+            shape.endpoints,
             shape.slots
         );
         let open = (shape.workspaces - shape.backlogged).min(16);
--- a/dockgate-bench/src/standin/http.rs
+++ b/dockgate-bench/src/standin/http.rs
@@ -1,4 +1,4 @@
-//! A small HTTP server for the stand-ins.
+//! A small HTTP endpoint for the stand-ins.
 
 use crate::error::BenchError;
 use bytes::Bytes;
@@ -18,7 +18,7 @@
 /// The body of a stand-in's answer.
 pub(super) type StandInBody = BoxBody<Bytes, BrokenOff>;
 
-/// Ends a connection without an answer, as a server that fails does.
+/// Ends a connection without an answer, as an endpoint that fails does.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct BrokenOff;
 
--- a/dockgate-bench/src/standin/tally.rs
+++ b/dockgate-bench/src/standin/tally.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// Counts runs that a leaving server starts too late.
+/// Counts runs that a leaving endpoint starts too late.
 #[derive(Debug, Default)]
 pub struct LeaveWatch {
     until: Mutex<Option<Instant>>,
@@ -13,7 +13,7 @@
 }
 
 impl LeaveWatch {
-    /// Notes that the server leaves, with the grace in which runs may still start.
+    /// Notes that the endpoint leaves, with the grace in which runs may still start.
     pub fn set(&self, grace: Option<Duration>) {
         *locked(&self.until) = grace.map(|grace| Instant::now() + grace);
     }
--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -23,12 +23,12 @@
 boxes_per_domain = 1
 [pool chat]
 kind = engine
-servers = 2
+endpoints = 2
 slots = 2
 tokens_per_second = 400
 [pool media]
 kind = service
-servers = 2
+endpoints = 2
 slots = 4
 [workspace captions]
 share = 2
@@ -207,7 +207,7 @@
 }
 
 #[tokio::test]
-async fn a_lost_server_costs_a_repeatable_request_a_retry_and_another_its_certainty() {
+async fn a_lost_endpoint_costs_a_repeatable_request_a_retry_and_another_its_certainty() {
     let mut fleet = start().await;
     let daemon = &fleet.daemons[0];
     let path = "/v1/chat/completions";
@@ -227,13 +227,13 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     assert_eq!(fleet.tallies["chat"].running(), 2);
-    // Whichever server they run on dies; the other one is left.
-    for server in fleet
-        .servers
+    // Whichever endpoint they run on dies; the other one is left.
+    for endpoint in fleet
+        .endpoints
         .iter()
-        .filter(|server| server.name == "chat-0")
+        .filter(|endpoint| endpoint.name == "chat-0")
     {
-        server.standin.kill();
+        endpoint.standin.kill();
     }
     let refused = once.await.unwrap();
     let answered = again.await.unwrap();
@@ -332,11 +332,11 @@
 }
 
 #[tokio::test]
-async fn a_stream_whose_server_dies_is_continued_and_the_caller_sees_one_answer() {
+async fn a_stream_whose_endpoint_dies_is_continued_and_the_caller_sees_one_answer() {
     let mut fleet = start().await;
     let daemon = &fleet.daemons[0];
     let tokens = 200;
-    // Two streams fill one server each, so that one of them runs on the server that dies.
+    // Two streams fill one endpoint each, so that one of them runs on the endpoint that dies.
     let streams = ["x", "y", "z", "w"].map(|nonce| {
         let body = chat("chat", tokens, nonce, true);
         let call = send(request(daemon, "/v1/chat/completions", &body));
@@ -348,7 +348,10 @@
         }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    let dying = fleet.servers.iter().find(|server| server.name == "chat-0");
+    let dying = fleet
+        .endpoints
+        .iter()
+        .find(|endpoint| endpoint.name == "chat-0");
     dying.unwrap().standin.kill();
     for (nonce, stream) in ["x", "y", "z", "w"].iter().zip(streams) {
         let answer = stream.await.unwrap();
--- a/dockgate-core/benches/decisions.rs
+++ b/dockgate-core/benches/decisions.rs
@@ -1,11 +1,11 @@
 //! The cost of a decision: pick, grant and settle together, and the merge of a ledger report, by the
-//! number of backlogged workspaces and of servers.
+//! number of backlogged workspaces and of endpoints.
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use dockgate_core::{
-    BoxKey, GrantOffer, Incarnation, LedgerReport, LedgerRow, OrderMode, OrderRule, PauseRule,
-    PoolKey, ScheduleRule, SeekDemand, ServerKey, ServerSign, SettleReport, SlotScheduler,
-    SlotServer, WorkspaceKey,
+    BoxKey, EndpointKey, GrantOffer, Incarnation, LedgerReport, LedgerRow, OrderMode, OrderRule,
+    PauseRule, PoolKey, ScheduleRule, SeekDemand, SettleReport, SlotEndpoint, SlotScheduler,
+    SlotSign, WorkspaceKey,
 };
 use std::hint::black_box;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 }
 
 /// Makes a scheduler whose slots are all taken, with every workspace backlogged.
-fn loaded(workspaces: u32, servers: u32) -> (SlotScheduler, Vec<GrantOffer>) {
+fn loaded(workspaces: u32, endpoints: u32) -> (SlotScheduler, Vec<GrantOffer>) {
     let rule = ScheduleRule {
         mode: OrderMode::Fair,
         order: OrderRule { horizon_s: 3.0 },
@@ -40,14 +40,14 @@
     };
     let mut scheduler = SlotScheduler::new(BoxKey(1), Incarnation(1), rule);
     scheduler.set_shares((1..=workspaces).map(|key| (WorkspaceKey(key), 1)).collect());
-    let servers: Vec<SlotServer> = (1..=servers)
-        .map(|key| SlotServer {
-            key: ServerKey(key),
+    let endpoints: Vec<SlotEndpoint> = (1..=endpoints)
+        .map(|key| SlotEndpoint {
+            key: EndpointKey(key),
             pool: POOL,
             slots: SLOTS,
         })
         .collect();
-    scheduler.set_servers(&servers, 0);
+    scheduler.set_endpoints(&endpoints, 0);
     for workspace in 1..=workspaces {
         scheduler.seek(ENTRY, seek(workspace), 1);
     }
@@ -57,9 +57,10 @@
 
 fn grant_and_settle(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("grant_and_settle");
-    for (workspaces, servers) in [(16, 32), (150, 32), (1_500, 32), (150, 320)] {
-        let (mut scheduler, mut held) = loaded(workspaces, servers);
-        let id = BenchmarkId::from_parameter(format!("{workspaces}-workspaces-{servers}-servers"));
+    for (workspaces, endpoints) in [(16, 32), (150, 32), (1_500, 32), (150, 320)] {
+        let (mut scheduler, mut held) = loaded(workspaces, endpoints);
+        let id =
+            BenchmarkId::from_parameter(format!("{workspaces}-workspaces-{endpoints}-endpoints"));
         let mut next = 0;
         group.bench_function(id, |bencher| {
             bencher.iter(|| {
@@ -67,7 +68,7 @@
                 let report = SettleReport {
                     id: held[next].id,
                     cost: 30.0,
-                    ended: Some(ServerSign::Answered),
+                    ended: Some(SlotSign::Answered),
                 };
                 black_box(scheduler.settle(ENTRY, report, 2));
                 let granted = scheduler.schedule(2);
--- a/dockgate-core/src/attempt.rs
+++ b/dockgate-core/src/attempt.rs
@@ -1,7 +1,7 @@
 //! What may be retried, and what may be said to the caller, after each step of an attempt.
 //!
 //! The whole rule stands in one state machine: `not_run` is legal only while no byte of the request
-//! has gone to a server, or on a refusal by a server that is declared honest about not having
+//! has gone to an endpoint, or on a refusal by an endpoint that is declared honest about not having
 //! started.
 //!
 //! ```
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
-    /// No server has run any part of the request.
+    /// No endpoint has run any part of the request.
     NotRun,
     /// The request ran and did not give a whole answer.
     Failed,
@@ -43,9 +43,9 @@
     Queued,
     /// Bound to a grant; connecting, nothing sent yet.
     Bound,
-    /// A server declared honest refused without starting.
+    /// An endpoint declared honest refused without starting.
     Refused,
-    /// At least one byte of the request may have reached a server.
+    /// At least one byte of the request may have reached an endpoint.
     Sent,
     /// Bytes of an answer have reached the caller.
     Streaming,
@@ -84,7 +84,7 @@
 
 /// What has been sent for one request over all its attempts.
 ///
-/// Once a byte of any attempt may have reached a server, no later refusal may say `not_run`.
+/// Once a byte of any attempt may have reached an endpoint, no later refusal may say `not_run`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AttemptTrail {
     sent: bool,
--- a/dockgate-core/src/config.rs
+++ b/dockgate-core/src/config.rs
@@ -10,9 +10,9 @@
 pub use change::{ChangeError, ConfigChange, ConfigEntry};
 pub use declaration::{Declaration, parse_declaration};
 pub use key_hash::KeyHash;
-pub use spec::{CostRule, KindSpec, PoolKind, PoolSpec, ServerSpec, WorkspaceSpec};
+pub use spec::{CostRule, EndpointSpec, KindSpec, PoolKind, PoolSpec, WorkspaceSpec};
 
-use crate::ids::{KindKey, PoolKey, ServerKey, WorkspaceKey};
+use crate::ids::{EndpointKey, KindKey, PoolKey, WorkspaceKey};
 use serde::{Deserialize, Serialize};
 
 /// The accepted configuration at one version.
@@ -22,10 +22,10 @@
     pub version: u64,
     /// The workspaces that share the fleet.
     pub workspaces: SpecArena<WorkspaceKey, WorkspaceSpec>,
-    /// The pools of servers.
+    /// The pools of endpoints.
     pub pools: SpecArena<PoolKey, PoolSpec>,
-    /// The servers.
-    pub servers: SpecArena<ServerKey, ServerSpec>,
+    /// The endpoints.
+    pub endpoints: SpecArena<EndpointKey, EndpointSpec>,
     /// The kinds of request.
     pub kinds: SpecArena<KindKey, KindSpec>,
 }
@@ -57,10 +57,13 @@
         (spec.kind == PoolKind::Service).then_some(key)
     }
 
-    /// Returns the servers of a pool.
-    pub fn servers_of(&self, pool: PoolKey) -> impl Iterator<Item = (ServerKey, &ServerSpec)> {
+    /// Returns the endpoints of a pool.
+    pub fn endpoints_of(
+        &self,
+        pool: PoolKey,
+    ) -> impl Iterator<Item = (EndpointKey, &EndpointSpec)> {
         let name = self.pools.get(pool).map(|spec| spec.name.as_str());
-        self.servers
+        self.endpoints
             .iter()
             .filter(move |(_, spec)| Some(spec.pool.as_str()) == name)
     }
--- a/dockgate-core/src/config/change.rs
+++ b/dockgate-core/src/config/change.rs
@@ -1,6 +1,6 @@
 //! Changes to the configuration, and their application in order.
 
-use super::spec::{KindSpec, PoolKind, PoolSpec, ServerSpec, WorkspaceSpec};
+use super::spec::{EndpointSpec, KindSpec, PoolKind, PoolSpec, WorkspaceSpec};
 use super::{FleetConfig, arena::NamedSpec};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -16,12 +16,12 @@
     RetireWorkspace(String),
     /// Adds or replaces a pool.
     PutPool(PoolSpec),
-    /// Removes a pool, which must have no servers left.
+    /// Removes a pool, which must have no endpoints left.
     RetirePool(String),
-    /// Adds or replaces a server.
-    PutServer(ServerSpec),
-    /// Removes a server: it gets no new work and finishes what it has.
-    RetireServer(String),
+    /// Adds or replaces an endpoint.
+    PutEndpoint(EndpointSpec),
+    /// Removes an endpoint: it gets no new work and finishes what it has.
+    RetireEndpoint(String),
     /// Adds or replaces a kind of request.
     PutKind(KindSpec),
     /// Removes a kind of request.
@@ -34,7 +34,7 @@
         match self {
             Self::PutWorkspace(_) | Self::RetireWorkspace(_) => "workspace",
             Self::PutPool(_) | Self::RetirePool(_) => "pool",
-            Self::PutServer(_) | Self::RetireServer(_) => "server",
+            Self::PutEndpoint(_) | Self::RetireEndpoint(_) => "endpoint",
             Self::PutKind(_) | Self::RetireKind(_) => "kind",
         }
     }
@@ -44,11 +44,11 @@
         match self {
             Self::PutWorkspace(spec) => spec.name(),
             Self::PutPool(spec) => spec.name(),
-            Self::PutServer(spec) => spec.name(),
+            Self::PutEndpoint(spec) => spec.name(),
             Self::PutKind(spec) => spec.name(),
             Self::RetireWorkspace(name)
             | Self::RetirePool(name)
-            | Self::RetireServer(name)
+            | Self::RetireEndpoint(name)
             | Self::RetireKind(name) => name,
         }
     }
@@ -77,13 +77,13 @@
         Missing(subject: &'static str, name: String) {
             display("there is no {} named {}", subject, name)
         }
-        /// A server names a pool that does not exist.
-        Dangling(server: String, pool: String) {
-            display("server {} names pool {}, which does not exist", server, pool)
+        /// An endpoint names a pool that does not exist.
+        Dangling(endpoint: String, pool: String) {
+            display("endpoint {} names pool {}, which does not exist", endpoint, pool)
         }
-        /// A pool is retired while it has servers.
-        PoolInUse(pool: String, server: String) {
-            display("pool {} still has server {}", pool, server)
+        /// A pool is retired while it has endpoints.
+        PoolInUse(pool: String, endpoint: String) {
+            display("pool {} still has endpoint {}", pool, endpoint)
         }
         /// Two engine pools serve the same model.
         ModelTwice(model: String) {
@@ -93,9 +93,9 @@
         KeyTwice(workspace: String) {
             display("workspace {} has a key that another workspace has too", workspace)
         }
-        /// Two servers have the same address.
-        AddressTwice(server: String) {
-            display("server {} has an address that another server has too", server)
+        /// Two endpoints have the same address.
+        AddressTwice(endpoint: String) {
+            display("endpoint {} has an address that another endpoint has too", endpoint)
         }
         /// An entry does not follow the version in force.
         Gap(have: u64, got: u64) {
@@ -138,14 +138,14 @@
         let found = match &change {
             ConfigChange::RetireWorkspace(name) => self.workspaces.remove(name),
             ConfigChange::RetirePool(name) => self.pools.remove(name),
-            ConfigChange::RetireServer(name) => self.servers.remove(name),
+            ConfigChange::RetireEndpoint(name) => self.endpoints.remove(name),
             ConfigChange::RetireKind(name) => self.kinds.remove(name),
             _ => true,
         };
         match change {
             ConfigChange::PutWorkspace(spec) => self.workspaces.put(spec),
             ConfigChange::PutPool(spec) => self.pools.put(spec),
-            ConfigChange::PutServer(spec) => self.servers.put(spec),
+            ConfigChange::PutEndpoint(spec) => self.endpoints.put(spec),
             ConfigChange::PutKind(spec) => self.kinds.put(spec),
             retire if !found => {
                 return Err(ChangeError::Missing(subject, retire.name().to_owned()));
@@ -156,20 +156,20 @@
     }
 
     fn check(&self) -> Result<(), ChangeError> {
-        self.check_servers()?;
+        self.check_endpoints()?;
         self.check_models()?;
         self.check_keys()
     }
 
-    fn check_servers(&self) -> Result<(), ChangeError> {
+    fn check_endpoints(&self) -> Result<(), ChangeError> {
         let mut addresses = HashSet::new();
-        for (_, server) in self.servers.iter() {
-            if self.pools.find(&server.pool).is_none() {
-                let (name, pool) = (server.name.clone(), server.pool.clone());
+        for (_, endpoint) in self.endpoints.iter() {
+            if self.pools.find(&endpoint.pool).is_none() {
+                let (name, pool) = (endpoint.name.clone(), endpoint.pool.clone());
                 return Err(ChangeError::Dangling(name, pool));
             }
-            if !addresses.insert(server.address) {
-                return Err(ChangeError::AddressTwice(server.name.clone()));
+            if !addresses.insert(endpoint.address) {
+                return Err(ChangeError::AddressTwice(endpoint.name.clone()));
             }
         }
         Ok(())
--- a/dockgate-core/src/config/declaration.rs
+++ b/dockgate-core/src/config/declaration.rs
@@ -9,7 +9,7 @@
 //! kind = engine
 //! models = small, large
 //!
-//! [server hwt-1]
+//! [endpoint hwt-1]
 //! pool = chat
 //! domain = half-way-tree
 //! address = 127.0.0.1:9001
@@ -20,7 +20,7 @@
 //! ```
 
 use super::spec::{
-    CostRule, KindSpec, PRIORITIES, PoolKind, PoolSpec, QUEUE_LIMITS, SHARES, SLOTS, ServerSpec,
+    CostRule, EndpointSpec, KindSpec, PRIORITIES, PoolKind, PoolSpec, QUEUE_LIMITS, SHARES, SLOTS,
     WorkspaceSpec,
 };
 use super::{ConfigChange, FleetConfig, KeyHash, SpecArena};
@@ -29,7 +29,7 @@
 use crate::ini::{IniDocument, IniProblems, SectionReader};
 use std::net::SocketAddr;
 
-const SECTIONS: &str = "[workspace NAME], [pool NAME], [server NAME] and [kind NAME]";
+const SECTIONS: &str = "[workspace NAME], [pool NAME], [endpoint NAME] and [kind NAME]";
 const ADDRESS: &str = "an IP number and a port, such as 10.0.0.7:8000 (names are not looked up)";
 const WEIGHT: &str = "a number from 0 to 1000000";
 const DEFAULT_QUEUE_LIMIT: u32 = 256;
@@ -43,8 +43,8 @@
     pub workspaces: Vec<WorkspaceSpec>,
     /// The pools.
     pub pools: Vec<PoolSpec>,
-    /// The servers.
-    pub servers: Vec<ServerSpec>,
+    /// The endpoints.
+    pub endpoints: Vec<EndpointSpec>,
     /// The kinds of request.
     pub kinds: Vec<KindSpec>,
 }
@@ -57,16 +57,16 @@
 pub fn parse_declaration(file: &str, text: &str) -> Result<Declaration, IniProblems> {
     let mut document = IniDocument::parse(file, text)?;
     let mut declaration = Declaration::default();
-    let mut server_lines = Vec::new();
+    let mut endpoint_lines = Vec::new();
     for mut section in document.take_sections() {
         match (section.kind.as_str(), section.name.is_empty()) {
             ("workspace", false) => declaration.workspaces.push(read_workspace(&mut section)),
             ("pool", false) => declaration.pools.extend(read_pool(&mut section)),
-            ("server", false) => {
-                server_lines.push((section.line, section.line_of("pool")));
-                match read_server(&mut section) {
-                    Some(server) => declaration.servers.push(server),
-                    None => drop(server_lines.pop()),
+            ("endpoint", false) => {
+                endpoint_lines.push((section.line, section.line_of("pool")));
+                match read_endpoint(&mut section) {
+                    Some(endpoint) => declaration.endpoints.push(endpoint),
+                    None => drop(endpoint_lines.pop()),
                 }
             }
             ("kind", false) => declaration.kinds.push(read_kind(&mut section)),
@@ -79,7 +79,7 @@
         }
         document.close(section);
     }
-    report_dangling(&declaration, &server_lines, &mut document);
+    report_dangling(&declaration, &endpoint_lines, &mut document);
     document.finish()?;
     Ok(declaration)
 }
@@ -90,10 +90,10 @@
     document: &mut IniDocument,
 ) {
     let names: Vec<&str> = declaration.pools.iter().map(NamedSpec::name).collect();
-    for (server, (_, line)) in declaration.servers.iter().zip(lines) {
-        if !names.contains(&server.pool.as_str()) {
+    for (endpoint, (_, line)) in declaration.endpoints.iter().zip(lines) {
+        if !names.contains(&endpoint.pool.as_str()) {
             let allowed = names.join(", ");
-            let message = format!("pool {} does not exist; declared: {allowed}", server.pool);
+            let message = format!("pool {} does not exist; declared: {allowed}", endpoint.pool);
             document.report(*line, message);
         }
     }
@@ -158,7 +158,7 @@
     })
 }
 
-fn read_server(section: &mut SectionReader) -> Option<ServerSpec> {
+fn read_endpoint(section: &mut SectionReader) -> Option<EndpointSpec> {
     let pool = section.take_required("pool", "the name of a pool");
     let domain = section.take_required("domain", "the name of a failure domain");
     let address: Option<SocketAddr> = section.take_required("address", ADDRESS);
@@ -170,7 +170,7 @@
         |slots| SLOTS.contains(slots),
     );
     let honest_refusal = take_flag(section, "honest_refusal", false);
-    Some(ServerSpec {
+    Some(EndpointSpec {
         name: section.name.clone(),
         pool: pool?,
         domain: domain?,
@@ -212,9 +212,9 @@
             &mut changes,
         );
         put_changed(
-            &self.servers,
-            &config.servers,
-            ConfigChange::PutServer,
+            &self.endpoints,
+            &config.endpoints,
+            ConfigChange::PutEndpoint,
             &mut changes,
         );
         put_changed(
@@ -229,8 +229,8 @@
             ConfigChange::PutKind,
             &mut changes,
         );
-        let retire = ConfigChange::RetireServer;
-        retire_absent(&self.servers, &config.servers, retire, &mut changes);
+        let retire = ConfigChange::RetireEndpoint;
+        retire_absent(&self.endpoints, &config.endpoints, retire, &mut changes);
         retire_absent(
             &self.pools,
             &config.pools,
@@ -281,7 +281,7 @@
     use yare::parameterized;
 
     const FLEET: &str = "[pool chat]\nkind = engine\nmodels = small\n\
-        [server a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\n\
+        [endpoint a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\n\
         [workspace w]\nshare = 3\n[kind quiz]\nrepeatable = no\n";
 
     #[test]
@@ -305,11 +305,11 @@
         unknown_section = { "[sever a]\n", "f:1: unknown section [sever a]; allowed: [workspace" },
         twice = { "[kind k]\n[kind k]\n", "f:2: [kind k] is already at line 1" },
         dangling = {
-            "[server a]\npool = x\ndomain = d\naddress = 127.0.0.1:1\n",
+            "[endpoint a]\npool = x\ndomain = d\naddress = 127.0.0.1:1\n",
             "f:2: pool x does not exist"
         },
         name_address = {
-            "[pool p]\nkind = engine\n[server a]\npool = p\ndomain = d\naddress = host:80\n",
+            "[pool p]\nkind = engine\n[endpoint a]\npool = p\ndomain = d\naddress = host:80\n",
             "f:6: address = host:80: must be an IP number"
         },
     )]
--- a/dockgate-core/src/config/spec.rs
+++ b/dockgate-core/src/config/spec.rs
@@ -1,4 +1,4 @@
-//! What operators declare: workspaces, pools, servers and kinds of request.
+//! What operators declare: workspaces, pools, endpoints and kinds of request.
 
 use super::arena::NamedSpec;
 use super::key_hash::KeyHash;
@@ -10,7 +10,7 @@
 pub(super) const SHARES: std::ops::RangeInclusive<u32> = 1..=10_000;
 /// The priorities that may be declared; higher goes first inside its workspace.
 pub(super) const PRIORITIES: std::ops::RangeInclusive<u8> = 0..=9;
-/// The slots that a server may have.
+/// The slots that an endpoint may have.
 pub(super) const SLOTS: std::ops::RangeInclusive<u32> = 1..=4_096;
 /// The longest queue of one workspace at one box.
 pub(super) const QUEUE_LIMITS: std::ops::RangeInclusive<u32> = 1..=100_000;
@@ -51,7 +51,7 @@
     pub slot_ms_weight: f64,
 }
 
-/// A pool: servers that can stand in for each other.
+/// A pool: endpoints that can stand in for each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PoolSpec {
     /// The name, one of its kind; for services also the path segment.
@@ -67,9 +67,9 @@
     pub resumes: bool,
 }
 
-/// A server: one model engine or plain service.
+/// An endpoint: one model engine or plain service.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ServerSpec {
+pub struct EndpointSpec {
     /// The name, one of its kind.
     pub name: String,
     /// The pool it belongs to.
@@ -86,8 +86,8 @@
     pub honest_refusal: bool,
 }
 
-impl ServerSpec {
-    /// Returns the address at which boxes of a failure domain reach this server.
+impl EndpointSpec {
+    /// Returns the address at which boxes of a failure domain reach this endpoint.
     pub fn address_from(&self, domain: &str) -> SocketAddr {
         self.domain_addresses
             .get(domain)
@@ -101,7 +101,7 @@
 pub struct KindSpec {
     /// The name, one of its kind.
     pub name: String,
-    /// Whether a request of this kind may be sent to a second server.
+    /// Whether a request of this kind may be sent to a second endpoint.
     pub repeatable: bool,
 }
 
@@ -115,4 +115,4 @@
     };
 }
 
-named_spec!(WorkspaceSpec, PoolSpec, ServerSpec, KindSpec);
+named_spec!(WorkspaceSpec, PoolSpec, EndpointSpec, KindSpec);
--- a/dockgate-core/src/entry.rs
+++ b/dockgate-core/src/entry.rs
@@ -3,7 +3,7 @@
 //! A request is bound late. While schedulers are known to have free slots, one of them is asked;
 //! what has waited a little is asked for at many, so that no slot idles while work waits.
 
-use crate::ids::{BoxKey, GrantId, PoolKey, ServerKey, WorkspaceKey};
+use crate::ids::{BoxKey, EndpointKey, GrantId, PoolKey, WorkspaceKey};
 use crate::queue::{QueueError, RequestQueue, WaitingRequest};
 use crate::scheduler::{AdoptedGrant, GrantOffer};
 use crate::seek::{SeekBook, SeekUpdate};
@@ -32,7 +32,7 @@
     Expire(u64),
 }
 
-/// A request that runs on a server.
+/// A request that runs on an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RunningRequest {
     /// The grant that it uses.
@@ -50,7 +50,7 @@
             id: self.grant.id,
             pool: self.grant.pool,
             workspace: self.grant.workspace,
-            server: self.grant.server,
+            endpoint: self.grant.endpoint,
             charged: self.cost,
         }
     }
@@ -255,14 +255,14 @@
         actions
     }
 
-    /// Reports what runs to the schedulers that own the servers now, where that has changed.
+    /// Reports what runs to the schedulers that own the endpoints now, where that has changed.
     pub fn reassign(
         &mut self,
-        owner_of: impl Fn(ServerKey) -> Option<BoxKey>,
+        owner_of: impl Fn(EndpointKey) -> Option<BoxKey>,
     ) -> Vec<(BoxKey, AdoptedGrant)> {
         let mut moved = Vec::new();
         for running in self.running.values_mut() {
-            match owner_of(running.grant.server) {
+            match owner_of(running.grant.endpoint) {
                 Some(owner) if owner != running.scheduler => {
                     running.scheduler = owner;
                     moved.push((owner, running.adopted()));
@@ -343,7 +343,7 @@
             id: GrantId::new(Incarnation(1), counter),
             pool: POOL,
             workspace: WORKSPACE,
-            server: ServerKey(4),
+            endpoint: EndpointKey(4),
         }
     }
 
--- a/dockgate-core/src/grants.rs
+++ b/dockgate-core/src/grants.rs
@@ -1,6 +1,6 @@
 //! The grants that a scheduler has given out and not seen settled.
 
-use crate::ids::{BoxKey, GrantId, PoolKey, ServerKey, WorkspaceKey};
+use crate::ids::{BoxKey, EndpointKey, GrantId, PoolKey, WorkspaceKey};
 use std::collections::HashMap;
 
 /// A slot given to an entry for one request of a workspace.
@@ -12,8 +12,8 @@
     pub pool: PoolKey,
     /// The workspace.
     pub workspace: WorkspaceKey,
-    /// The server.
-    pub server: ServerKey,
+    /// The endpoint.
+    pub endpoint: EndpointKey,
     /// When it was given, in milliseconds.
     pub since_ms: u64,
     /// Whether its entry has been asked to pause it.
--- a/dockgate-core/src/ids.rs
+++ b/dockgate-core/src/ids.rs
@@ -1,6 +1,6 @@
 //! Small `Copy` keys that name things in arenas and in messages between boxes.
 //!
-//! Workspaces, pools, servers and kinds get their key from the configuration when they are first
+//! Workspaces, pools, endpoints and kinds get their key from the configuration when they are first
 //! accepted; a key is never used again for something else, so a late message cannot be mistaken.
 
 use serde::{Deserialize, Serialize};
@@ -46,12 +46,12 @@
     WorkspaceKey
 );
 spec_key!(
-    /// Names a pool of servers.
+    /// Names a pool of endpoints.
     PoolKey
 );
 spec_key!(
-    /// Names a server.
-    ServerKey
+    /// Names an endpoint.
+    EndpointKey
 );
 spec_key!(
     /// Names a kind of request.
--- a/dockgate-core/src/lib.rs
+++ b/dockgate-core/src/lib.rs
@@ -32,21 +32,21 @@
 
 pub use attempt::{AttemptState, AttemptTrail, Outcome, RetryVerdict};
 pub use config::{
-    ChangeError, ConfigChange, ConfigEntry, CostRule, Declaration, FleetConfig, KeyHash, KindSpec,
-    PoolKind, PoolSpec, ServerSpec, SpecArena, WorkspaceSpec, parse_declaration,
+    ChangeError, ConfigChange, ConfigEntry, CostRule, Declaration, EndpointSpec, FleetConfig,
+    KeyHash, KindSpec, PoolKind, PoolSpec, SpecArena, WorkspaceSpec, parse_declaration,
 };
 pub use entry::{EntryAction, EntryState, RunningRequest, SeekRule};
 pub use fair::{FairLedger, FairQueue, LedgerReport, LedgerRow, OrderRule};
 pub use grants::{GrantTable, HeldGrant};
-pub use ids::{BoxKey, GrantId, Incarnation, KindKey, PoolKey, ServerKey, SpecKey, WorkspaceKey};
+pub use ids::{BoxKey, EndpointKey, GrantId, Incarnation, KindKey, PoolKey, SpecKey, WorkspaceKey};
 pub use ini::{IniDocument, IniProblem, IniProblems, SectionReader};
 pub use invariant::{check_invariant, invariant_violations, set_fatal_invariants};
 pub use placement::{owner_of, score_of};
 pub use plan::{ConfigPlan, PlanEffect, PlanId, ShareEffect};
 pub use queue::{QueueError, RequestQueue, RequestRank, WaitingRequest};
 pub use scheduler::{
-    AdoptedGrant, GrantOffer, OrderMode, PauseRule, ScheduleRule, SeekDemand, ServerSign,
-    SettleReport, SlotScheduler, SlotServer,
+    AdoptedGrant, GrantOffer, OrderMode, PauseRule, ScheduleRule, SeekDemand, SettleReport,
+    SlotEndpoint, SlotScheduler, SlotSign,
 };
 pub use seek::{SeekBook, SeekUpdate};
 pub use topology::{FleetTopology, LiveBox};
--- a/dockgate-core/src/plan.rs
+++ b/dockgate-core/src/plan.rs
@@ -32,7 +32,7 @@
 pub struct PlanEffect {
     /// Shares that move.
     pub shares: Vec<ShareEffect>,
-    /// Servers that get no new work and finish what they have.
+    /// Endpoints that get no new work and finish what they have.
     pub drained: Vec<String>,
     /// What would be refused afterwards and is not now.
     pub refused: Vec<String>,
@@ -66,7 +66,7 @@
             base: config.version,
             effect: PlanEffect {
                 shares: share_effects(config, &after),
-                drained: drained_servers(&changes, config),
+                drained: drained_endpoints(&changes, config),
                 refused: refused_requests(config, &after),
                 slots: (total_slots(config), total_slots(&after)),
             },
@@ -84,9 +84,9 @@
 
 fn total_slots(config: &FleetConfig) -> u64 {
     config
-        .servers
+        .endpoints
         .iter()
-        .map(|(_, server)| u64::from(server.slots))
+        .map(|(_, endpoint)| u64::from(endpoint.slots))
         .sum()
 }
 
@@ -118,11 +118,11 @@
         .collect()
 }
 
-fn drained_servers(changes: &[ConfigChange], config: &FleetConfig) -> Vec<String> {
+fn drained_endpoints(changes: &[ConfigChange], config: &FleetConfig) -> Vec<String> {
     let drains = |change: &&ConfigChange| match change {
-        ConfigChange::RetireServer(_) => true,
-        ConfigChange::PutServer(spec) => config
-            .servers
+        ConfigChange::RetireEndpoint(_) => true,
+        ConfigChange::PutEndpoint(spec) => config
+            .endpoints
             .named(&spec.name)
             .is_some_and(|old| old.pool != spec.pool || old.address != spec.address),
         _ => false,
@@ -139,8 +139,8 @@
     let pools = before
         .pools
         .iter()
-        .filter(|(key, _)| before.servers_of(*key).next().is_some())
-        .filter(|(key, _)| after.servers_of(*key).next().is_none())
+        .filter(|(key, _)| before.endpoints_of(*key).next().is_some())
+        .filter(|(key, _)| after.endpoints_of(*key).next().is_none())
         .map(|(_, pool)| format!("every request for pool {}", pool.name));
     let workspaces = before
         .workspaces
@@ -156,7 +156,7 @@
     use crate::parse_declaration;
 
     const FLEET: &str = "[pool chat]\nkind = engine\nmodels = small\n\
-        [server a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\nslots = 8\n\
+        [endpoint a]\npool = chat\ndomain = hall-a\naddress = 127.0.0.1:9000\nslots = 8\n\
         [workspace w]\nshare = 3\n[workspace v]\n";
 
     #[test]
@@ -165,7 +165,7 @@
         let changes = parse_declaration("f", FLEET).unwrap().changes_from(&empty);
         let config = empty.apply(&changes).unwrap();
         let changes = vec![
-            ConfigChange::RetireServer("a".into()),
+            ConfigChange::RetireEndpoint("a".into()),
             ConfigChange::RetireWorkspace("v".into()),
         ];
         let plan = ConfigPlan::new(&config, changes.clone()).unwrap();
--- a/dockgate-core/src/queue.rs
+++ b/dockgate-core/src/queue.rs
@@ -10,7 +10,7 @@
 /// The order inside a workspace: higher priority, then earlier deadline, then older.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestRank {
-    /// False for the rest of an answer that was paused or lost its server: it goes first.
+    /// False for the rest of an answer that was paused or lost its endpoint: it goes first.
     fresh: bool,
     /// Nine minus the priority, so that a higher priority sorts first.
     urgency: u8,
--- a/dockgate-core/src/scheduler.rs
+++ b/dockgate-core/src/scheduler.rs
@@ -1,7 +1,7 @@
-//! Which workspace gets each free slot of the servers that this box schedules.
+//! Which workspace gets each free slot of the endpoints that this box schedules.
 //!
 //! A plain state machine: seeks, settles and reports go in, grants come out. Two schedulers that
-//! both think they own a server are tolerated; the server's own limit and the settles of both
+//! both think they own an endpoint are tolerated; the endpoint's own limit and the settles of both
 //! entries keep the promises, and `overcommitted_slots` shows it.
 
 mod demand;
@@ -11,13 +11,13 @@
 mod slots;
 
 pub use demand::SeekDemand;
-pub use health::ServerSign;
+pub use health::SlotSign;
 pub use pausing::PauseRule;
-pub use slots::SlotServer;
+pub use slots::SlotEndpoint;
 
 use crate::fair::{FairLedger, FairQueue, LedgerReport, OrderRule};
 use crate::grants::{GrantTable, HeldGrant};
-use crate::ids::{BoxKey, GrantId, Incarnation, PoolKey, ServerKey, WorkspaceKey};
+use crate::ids::{BoxKey, EndpointKey, GrantId, Incarnation, PoolKey, WorkspaceKey};
 use crate::invariant::check_invariant;
 use demand::DemandBook;
 use pausing::{LevelGap, PauseBudget};
@@ -51,7 +51,7 @@
     pub locality_ms: u64,
     /// How long a grant lasts without a sign of the entry, in milliseconds.
     pub grant_ttl_ms: u64,
-    /// How long a newly owned server is left alone while entries report what runs on it, in
+    /// How long a newly owned endpoint is left alone while entries report what runs on it, in
     /// milliseconds.
     pub adopt_ms: u64,
 }
@@ -67,11 +67,11 @@
     pub pool: PoolKey,
     /// The workspace.
     pub workspace: WorkspaceKey,
-    /// The server.
-    pub server: ServerKey,
+    /// The endpoint.
+    pub endpoint: EndpointKey,
 }
 
-/// A running request that an entry reports to the scheduler that now owns its server.
+/// A running request that an entry reports to the scheduler that now owns its endpoint.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdoptedGrant {
     /// The grant, as the former scheduler named it.
@@ -80,8 +80,8 @@
     pub pool: PoolKey,
     /// The workspace.
     pub workspace: WorkspaceKey,
-    /// The server.
-    pub server: ServerKey,
+    /// The endpoint.
+    pub endpoint: EndpointKey,
     /// The service units that the former scheduler was told of.
     pub charged: f64,
 }
@@ -94,10 +94,10 @@
     /// The cost so far, in service units.
     pub cost: f64,
     /// How the request ended, if it has.
-    pub ended: Option<ServerSign>,
+    pub ended: Option<SlotSign>,
 }
 
-/// Decides who gets the slots of the servers that this box owns.
+/// Decides who gets the slots of the endpoints that this box owns.
 #[derive(Debug)]
 pub struct SlotScheduler {
     me: BoxKey,
@@ -120,7 +120,7 @@
 }
 
 impl SlotScheduler {
-    /// Makes a scheduler with no servers and no memory.
+    /// Makes a scheduler with no endpoints and no memory.
     pub fn new(me: BoxKey, incarnation: Incarnation, rule: ScheduleRule) -> Self {
         Self {
             me,
@@ -166,14 +166,14 @@
         self.near = near;
     }
 
-    /// Sets the servers that this box owns; grants on the others are forgotten, their charges stay.
-    pub fn set_servers(&mut self, servers: &[SlotServer], now_ms: u64) {
+    /// Sets the endpoints that this box owns; grants on the others are forgotten, their charges stay.
+    pub fn set_endpoints(&mut self, endpoints: &[SlotEndpoint], now_ms: u64) {
         let ready_ms = now_ms + self.rule.adopt_ms;
-        let kept: HashSet<ServerKey> = servers.iter().map(|server| server.key).collect();
-        self.slots.replace(servers, ready_ms);
+        let kept: HashSet<EndpointKey> = endpoints.iter().map(|endpoint| endpoint.key).collect();
+        self.slots.replace(endpoints, ready_ms);
         let gone = self
             .grants
-            .remove_where(|grant| !kept.contains(&grant.server));
+            .remove_where(|grant| !kept.contains(&grant.endpoint));
         for grant in gone {
             self.slots.drop_held(grant.pool, grant.workspace);
             self.refresh(grant.pool, grant.workspace);
@@ -208,8 +208,8 @@
         self.rates.entry(grant.pool).or_default().add_units(news);
         if let Some(sign) = settle.ended {
             self.grants.remove(settle.id);
-            self.slots.release(grant.server, grant.workspace);
-            self.slots.note(grant.server, sign, now_ms);
+            self.slots.release(grant.endpoint, grant.workspace);
+            self.slots.note(grant.endpoint, sign, now_ms);
         }
         self.refresh(grant.pool, grant.workspace);
         true
@@ -217,21 +217,21 @@
 
     /// Takes a running request over from a scheduler that is gone.
     pub fn adopt(&mut self, entry: BoxKey, adopted: AdoptedGrant, now_ms: u64) -> bool {
-        if !self.slots.owns(adopted.server) || self.grants.contains(adopted.id) {
+        if !self.slots.owns(adopted.endpoint) || self.grants.contains(adopted.id) {
             return false;
         }
         let grant = HeldGrant {
             entry,
             pool: adopted.pool,
             workspace: adopted.workspace,
-            server: adopted.server,
+            endpoint: adopted.endpoint,
             since_ms: now_ms,
             asked_to_pause: false,
             charged: adopted.charged,
             expires_ms: now_ms + self.rule.grant_ttl_ms,
         };
         self.grants.insert(adopted.id, grant);
-        self.slots.take(adopted.server, adopted.workspace);
+        self.slots.take(adopted.endpoint, adopted.workspace);
         self.refresh(adopted.pool, adopted.workspace);
         true
     }
@@ -248,7 +248,7 @@
     pub fn forget_box(&mut self, entry: BoxKey) {
         self.forget_demand(entry);
         for grant in self.grants.remove_where(|grant| grant.entry == entry) {
-            self.slots.release(grant.server, grant.workspace);
+            self.slots.release(grant.endpoint, grant.workspace);
             self.refresh(grant.pool, grant.workspace);
         }
     }
@@ -278,7 +278,7 @@
     pub fn tick(&mut self, now_ms: u64) {
         for grant in self.grants.remove_where(|grant| grant.expires_ms <= now_ms) {
             self.expired += 1;
-            self.slots.release(grant.server, grant.workspace);
+            self.slots.release(grant.endpoint, grant.workspace);
             self.refresh(grant.pool, grant.workspace);
         }
         let mut rates_changed = false;
@@ -303,7 +303,7 @@
     }
 
     fn grant_one(&mut self, pool: PoolKey, now_ms: u64) -> Option<GrantOffer> {
-        let server = self.slots.pick(pool, now_ms)?;
+        let endpoint = self.slots.pick(pool, now_ms)?;
         let workspace = self.queues.get(&pool)?.first()?;
         let (near, locality_ms) = (&self.near, self.rule.locality_ms);
         let handicap = |entry: BoxKey| {
@@ -322,15 +322,15 @@
             entry,
             pool,
             workspace,
-            server,
+            endpoint,
             since_ms: now_ms,
             asked_to_pause: false,
             charged: 0.0,
             expires_ms: now_ms + self.rule.grant_ttl_ms,
         };
         check_invariant("a grant id is new", self.grants.insert(id, grant));
-        self.slots.granted(server, now_ms);
-        let free = self.slots.take(server, workspace);
+        self.slots.granted(endpoint, now_ms);
+        let free = self.slots.take(endpoint, workspace);
         check_invariant("slots never above capacity", free);
         self.refresh(pool, workspace);
         Some(GrantOffer {
@@ -338,7 +338,7 @@
             id,
             pool,
             workspace,
-            server,
+            endpoint,
         })
     }
 
@@ -464,18 +464,18 @@
         self.paused
     }
 
-    /// Returns how many slots are held beyond capacity, as when two boxes own a server.
+    /// Returns how many slots are held beyond capacity, as when two boxes own an endpoint.
     pub fn overcommitted_slots(&self) -> u32 {
         self.slots.overcommitted()
     }
 
-    /// Returns how many servers get no new work for a while, after failures.
-    pub fn resting_servers(&self, now_ms: u64) -> usize {
+    /// Returns how many endpoints get no new work for a while, after failures.
+    pub fn resting_endpoints(&self, now_ms: u64) -> usize {
         self.slots.resting(now_ms)
     }
 
-    /// Returns the servers that this box schedules.
-    pub fn server_count(&self) -> usize {
+    /// Returns the endpoints that this box schedules.
+    pub fn endpoint_count(&self) -> usize {
         self.slots.len()
     }
 
--- a/dockgate-core/src/scheduler/health.rs
+++ b/dockgate-core/src/scheduler/health.rs
@@ -1,8 +1,8 @@
-//! How far a server is trusted with new work: circuit breaking with probes, and learned slots.
+//! How far an endpoint is trusted with new work: circuit breaking with probes, and learned slots.
 
-/// What an entry saw of a server when a request ended.
+/// What an entry saw of an endpoint when a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ServerSign {
+pub enum SlotSign {
     /// It answered.
     Answered,
     /// It refused, as it is full.
@@ -11,9 +11,9 @@
     Lost,
 }
 
-/// The trust in one server.
+/// The trust in one endpoint.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct ServerHealth {
+pub(super) struct SlotHealth {
     failures: u32,
     closed_until_ms: u64,
     /// Slots that it was seen to have, where that is fewer than it is declared to have.
@@ -23,12 +23,12 @@
     refusals: u32,
 }
 
-impl ServerHealth {
-    /// How long a server rests after its first failure, in milliseconds; doubles with each more.
+impl SlotHealth {
+    /// How long an endpoint rests after its first failure, in milliseconds; doubles with each more.
     const REST_MS: u64 = 100;
     /// The longest rest, in milliseconds.
     const MOST_REST_MS: u64 = 5_000;
-    /// How long a full server rests, in milliseconds.
+    /// How long a full endpoint rests, in milliseconds.
     const FULL_REST_MS: u64 = 20;
     /// After how many milliseconds without a refusal one slot more is tried, then two, then four;
     /// doubles with every refusal in a row.
@@ -38,7 +38,7 @@
     /// The most doublings.
     const MOST_DOUBLINGS: u32 = 6;
 
-    /// Tells whether the server may get new work now.
+    /// Tells whether the endpoint may get new work now.
     pub(super) const fn is_open(&self, now_ms: u64) -> bool {
         now_ms >= self.closed_until_ms
     }
@@ -52,7 +52,7 @@
         })
     }
 
-    /// Notes new work: while it is doubted, a server gets one request at a time as a probe.
+    /// Notes new work: while it is doubted, an endpoint gets one request at a time as a probe.
     pub(super) fn granted(&mut self, now_ms: u64) {
         if self.failures > 0 {
             self.closed_until_ms = now_ms + self.rest_ms();
@@ -60,13 +60,13 @@
     }
 
     /// Notes how a request ended; `held` slots are still held.
-    pub(super) fn note(&mut self, sign: ServerSign, held: u32, now_ms: u64) {
+    pub(super) fn note(&mut self, sign: SlotSign, held: u32, now_ms: u64) {
         match sign {
-            ServerSign::Answered => {
+            SlotSign::Answered => {
                 self.failures = 0;
                 self.closed_until_ms = 0;
             }
-            ServerSign::Full => {
+            SlotSign::Full => {
                 let since = now_ms.saturating_sub(self.learned_ms);
                 self.refusals = match since {
                     since if since > Self::CALM_MS => 0,
@@ -78,7 +78,7 @@
                 self.learned_ms = now_ms;
                 self.closed_until_ms = now_ms + Self::FULL_REST_MS;
             }
-            ServerSign::Lost => {
+            SlotSign::Lost => {
                 self.failures = self.failures.saturating_add(1);
                 self.closed_until_ms = now_ms + self.rest_ms();
             }
@@ -100,25 +100,25 @@
     use super::*;
 
     #[test]
-    fn a_failing_server_is_probed_ever_less_and_trusted_after_one_answer() {
-        let mut health = ServerHealth::default();
-        health.note(ServerSign::Lost, 0, 0);
+    fn a_failing_endpoint_is_probed_ever_less_and_trusted_after_one_answer() {
+        let mut health = SlotHealth::default();
+        health.note(SlotSign::Lost, 0, 0);
         assert!(!health.is_open(99));
         assert!(health.is_open(100));
         health.granted(100);
         assert!(!health.is_open(150), "one probe at a time");
-        health.note(ServerSign::Lost, 0, 160);
+        health.note(SlotSign::Lost, 0, 160);
         assert!(!health.is_open(359));
         assert!(health.is_open(360));
         health.granted(360);
-        health.note(ServerSign::Answered, 0, 400);
+        health.note(SlotSign::Answered, 0, 400);
         assert!(health.is_open(400));
     }
 
     #[test]
-    fn a_full_server_is_believed_and_tried_again_ever_more_boldly() {
-        let mut health = ServerHealth::default();
-        health.note(ServerSign::Full, 3, 10_000);
+    fn a_full_endpoint_is_believed_and_tried_again_ever_more_boldly() {
+        let mut health = SlotHealth::default();
+        health.note(SlotSign::Full, 3, 10_000);
         assert_eq!(health.slots(16, 10_000), 3);
         assert!(!health.is_open(10_010));
         assert!(health.is_open(10_020));
@@ -126,7 +126,7 @@
         assert_eq!(health.slots(16, 10_150), 10);
         assert_eq!(health.slots(16, 10_200), 16);
         for _ in 0..16 {
-            health.note(ServerSign::Full, 3, 10_200);
+            health.note(SlotSign::Full, 3, 10_200);
         }
         assert_eq!(
             health.slots(16, 10_250),
--- a/dockgate-core/src/scheduler/slots.rs
+++ b/dockgate-core/src/scheduler/slots.rs
@@ -1,15 +1,15 @@
-//! The slots of the servers that one scheduler owns.
+//! The slots of the endpoints that one scheduler owns.
 
-use super::health::{ServerHealth, ServerSign};
-use crate::ids::{PoolKey, ServerKey, WorkspaceKey};
+use super::health::{SlotHealth, SlotSign};
+use crate::ids::{EndpointKey, PoolKey, WorkspaceKey};
 use crate::invariant::check_invariant;
 use std::collections::{BTreeMap, HashMap};
 
-/// A server as its scheduler sees it.
+/// An endpoint as its scheduler sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SlotServer {
-    /// The server.
-    pub key: ServerKey,
+pub struct SlotEndpoint {
+    /// The endpoint.
+    pub key: EndpointKey,
     /// Its pool.
     pub pool: PoolKey,
     /// How many requests it runs at once.
@@ -17,15 +17,15 @@
 }
 
 #[derive(Debug, Clone, Copy)]
-struct ServerSlots {
+struct EndpointSlots {
     pool: PoolKey,
     slots: u32,
     held: u32,
     ready_ms: u64,
-    health: ServerHealth,
+    health: SlotHealth,
 }
 
-impl ServerSlots {
+impl EndpointSlots {
     fn free(&self, now_ms: u64) -> u32 {
         match now_ms < self.ready_ms || !self.health.is_open(now_ms) {
             true => 0,
@@ -37,42 +37,42 @@
     }
 }
 
-/// Counts the slots held on each server and by each workspace.
+/// Counts the slots held on each endpoint and by each workspace.
 #[derive(Debug, Default)]
 pub(super) struct SlotTable {
-    servers: BTreeMap<ServerKey, ServerSlots>,
+    endpoints: BTreeMap<EndpointKey, EndpointSlots>,
     held: HashMap<(PoolKey, WorkspaceKey), u32>,
 }
 
 impl SlotTable {
-    /// Takes a new set of servers; known ones keep their counts, new ones wait until `ready_ms`.
+    /// Takes a new set of endpoints; known ones keep their counts, new ones wait until `ready_ms`.
     ///
-    /// The caller releases nothing for servers that are gone: their counts go here.
-    pub(super) fn replace(&mut self, servers: &[SlotServer], ready_ms: u64) {
-        let old = std::mem::take(&mut self.servers);
-        for server in servers {
-            let known = old.get(&server.key);
-            let slots = ServerSlots {
-                pool: server.pool,
-                slots: server.slots,
+    /// The caller releases nothing for endpoints that are gone: their counts go here.
+    pub(super) fn replace(&mut self, endpoints: &[SlotEndpoint], ready_ms: u64) {
+        let old = std::mem::take(&mut self.endpoints);
+        for endpoint in endpoints {
+            let known = old.get(&endpoint.key);
+            let slots = EndpointSlots {
+                pool: endpoint.pool,
+                slots: endpoint.slots,
                 held: known.map_or(0, |known| known.held),
                 ready_ms: known.map_or(ready_ms, |known| known.ready_ms),
                 health: known.map(|known| known.health).unwrap_or_default(),
             };
-            self.servers.insert(server.key, slots);
+            self.endpoints.insert(endpoint.key, slots);
         }
     }
 
-    /// Tells whether a server is owned here.
-    pub(super) fn owns(&self, server: ServerKey) -> bool {
-        self.servers.contains_key(&server)
+    /// Tells whether an endpoint is owned here.
+    pub(super) fn owns(&self, endpoint: EndpointKey) -> bool {
+        self.endpoints.contains_key(&endpoint)
     }
 
-    /// Picks the server of a pool with the smallest part of its slots held.
-    pub(super) fn pick(&self, pool: PoolKey, now_ms: u64) -> Option<ServerKey> {
-        self.servers
+    /// Picks the endpoint of a pool with the smallest part of its slots held.
+    pub(super) fn pick(&self, pool: PoolKey, now_ms: u64) -> Option<EndpointKey> {
+        self.endpoints
             .iter()
-            .filter(|(_, server)| server.pool == pool && server.free(now_ms) > 0)
+            .filter(|(_, endpoint)| endpoint.pool == pool && endpoint.free(now_ms) > 0)
             .min_by(|(_, a), (_, b)| {
                 (u64::from(a.held) * u64::from(b.slots))
                     .cmp(&(u64::from(b.held) * u64::from(a.slots)))
@@ -80,23 +80,23 @@
             .map(|(key, _)| *key)
     }
 
-    /// Notes that a server gets new work.
-    pub(super) fn granted(&mut self, server: ServerKey, now_ms: u64) {
-        if let Some(slots) = self.servers.get_mut(&server) {
+    /// Notes that an endpoint gets new work.
+    pub(super) fn granted(&mut self, endpoint: EndpointKey, now_ms: u64) {
+        if let Some(slots) = self.endpoints.get_mut(&endpoint) {
             slots.health.granted(now_ms);
         }
     }
 
-    /// Notes how a request on a server ended, after its slot was released.
-    pub(super) fn note(&mut self, server: ServerKey, sign: ServerSign, now_ms: u64) {
-        if let Some(slots) = self.servers.get_mut(&server) {
+    /// Notes how a request on an endpoint ended, after its slot was released.
+    pub(super) fn note(&mut self, endpoint: EndpointKey, sign: SlotSign, now_ms: u64) {
+        if let Some(slots) = self.endpoints.get_mut(&endpoint) {
             slots.health.note(sign, slots.held, now_ms);
         }
     }
 
     /// Holds a slot for a workspace; returns false beyond capacity.
-    pub(super) fn take(&mut self, server: ServerKey, workspace: WorkspaceKey) -> bool {
-        let Some(slots) = self.servers.get_mut(&server) else {
+    pub(super) fn take(&mut self, endpoint: EndpointKey, workspace: WorkspaceKey) -> bool {
+        let Some(slots) = self.endpoints.get_mut(&endpoint) else {
             return false;
         };
         slots.held += 1;
@@ -105,8 +105,8 @@
     }
 
     /// Frees a slot of a workspace.
-    pub(super) fn release(&mut self, server: ServerKey, workspace: WorkspaceKey) {
-        let Some(slots) = self.servers.get_mut(&server) else {
+    pub(super) fn release(&mut self, endpoint: EndpointKey, workspace: WorkspaceKey) {
+        let Some(slots) = self.endpoints.get_mut(&endpoint) else {
             return;
         };
         let pool = slots.pool;
@@ -131,49 +131,49 @@
 
     /// Returns the slots held in each pool.
     pub(super) fn held_by_pool(&self) -> BTreeMap<PoolKey, u32> {
-        self.sum_by_pool(|server| server.held)
+        self.sum_by_pool(|endpoint| endpoint.held)
     }
 
     /// Returns the free slots of each pool.
     pub(super) fn free_by_pool(&self, now_ms: u64) -> BTreeMap<PoolKey, u32> {
-        self.sum_by_pool(|server| server.free(now_ms))
+        self.sum_by_pool(|endpoint| endpoint.free(now_ms))
     }
 
-    fn sum_by_pool(&self, count: impl Fn(&ServerSlots) -> u32) -> BTreeMap<PoolKey, u32> {
+    fn sum_by_pool(&self, count: impl Fn(&EndpointSlots) -> u32) -> BTreeMap<PoolKey, u32> {
         let mut sums = BTreeMap::new();
-        for server in self.servers.values() {
-            *sums.entry(server.pool).or_default() += count(server);
+        for endpoint in self.endpoints.values() {
+            *sums.entry(endpoint.pool).or_default() += count(endpoint);
         }
         sums
     }
 
     /// Returns how many slots are held beyond capacity.
     pub(super) fn overcommitted(&self) -> u32 {
-        self.servers
+        self.endpoints
             .values()
-            .map(|server| server.held.saturating_sub(server.slots))
+            .map(|endpoint| endpoint.held.saturating_sub(endpoint.slots))
             .sum()
     }
 
     /// Returns the declared slots of a pool.
     pub(super) fn slots_of(&self, pool: PoolKey) -> u32 {
-        let servers = self.servers.values();
-        servers
-            .filter(|server| server.pool == pool)
-            .map(|server| server.slots)
+        let endpoints = self.endpoints.values();
+        endpoints
+            .filter(|endpoint| endpoint.pool == pool)
+            .map(|endpoint| endpoint.slots)
             .sum()
     }
 
-    /// Returns how many servers are resting after failures.
+    /// Returns how many endpoints are resting after failures.
     pub(super) fn resting(&self, now_ms: u64) -> usize {
-        let servers = self.servers.values();
-        servers
-            .filter(|server| !server.health.is_open(now_ms))
+        let endpoints = self.endpoints.values();
+        endpoints
+            .filter(|endpoint| !endpoint.health.is_open(now_ms))
             .count()
     }
 
-    /// Returns how many servers are owned.
+    /// Returns how many endpoints are owned.
     pub(super) fn len(&self) -> usize {
-        self.servers.len()
+        self.endpoints.len()
     }
 }
--- a/dockgate-core/src/scheduler/tests.rs
+++ b/dockgate-core/src/scheduler/tests.rs
@@ -21,17 +21,17 @@
     }
 }
 
-fn scheduler(mode: OrderMode, servers: u32, slots: u32) -> SlotScheduler {
+fn scheduler(mode: OrderMode, endpoints: u32, slots: u32) -> SlotScheduler {
     let mut scheduler = SlotScheduler::new(BoxKey(1), Incarnation(1), rule(mode));
     scheduler.set_shares((1..=4).map(|key| (WorkspaceKey(key), key)).collect());
-    let servers: Vec<SlotServer> = (1..=servers)
-        .map(|key| SlotServer {
-            key: ServerKey(key),
+    let endpoints: Vec<SlotEndpoint> = (1..=endpoints)
+        .map(|key| SlotEndpoint {
+            key: EndpointKey(key),
             pool: POOL,
             slots,
         })
         .collect();
-    scheduler.set_servers(&servers, 0);
+    scheduler.set_endpoints(&endpoints, 0);
     scheduler
 }
 
@@ -46,7 +46,7 @@
 }
 
 fn settle(id: GrantId, cost: f64, done: bool) -> SettleReport {
-    let ended = done.then_some(ServerSign::Answered);
+    let ended = done.then_some(SlotSign::Answered);
     SettleReport { id, cost, ended }
 }
 
@@ -95,19 +95,19 @@
     rule.adopt_ms = 200;
     let mut scheduler = SlotScheduler::new(BoxKey(1), Incarnation(2), rule);
     scheduler.set_shares([(WorkspaceKey(1), 1)].into());
-    let server = SlotServer {
-        key: ServerKey(1),
+    let endpoint = SlotEndpoint {
+        key: EndpointKey(1),
         pool: POOL,
         slots: 2,
     };
-    scheduler.set_servers(&[server], 0);
+    scheduler.set_endpoints(&[endpoint], 0);
     scheduler.seek(ENTRY, seek(1, 5), 0);
     assert_eq!(scheduler.schedule(100), []);
     let adopted = AdoptedGrant {
         id: GrantId::new(Incarnation(1), 9),
         pool: POOL,
         workspace: WorkspaceKey(1),
-        server: ServerKey(1),
+        endpoint: EndpointKey(1),
         charged: 40.0,
     };
     assert!(scheduler.adopt(ENTRY, adopted, 100));
@@ -136,7 +136,7 @@
 }
 
 #[test]
-fn a_dead_server_does_not_swallow_the_queue() {
+fn a_dead_endpoint_does_not_swallow_the_queue() {
     let mut scheduler = scheduler(OrderMode::Fair, 2, 1);
     let mut lost = 0;
     for now in 0..1_000 {
@@ -144,11 +144,11 @@
         demand.seen = u32::MAX / 4;
         scheduler.seek(ENTRY, demand, now);
         for grant in scheduler.schedule(now) {
-            let dead = grant.server == ServerKey(1);
+            let dead = grant.endpoint == EndpointKey(1);
             let sign = if dead {
-                ServerSign::Lost
+                SlotSign::Lost
             } else {
-                ServerSign::Answered
+                SlotSign::Answered
             };
             lost += u32::from(dead);
             let mut report = settle(grant.id, 1.0, true);
@@ -236,7 +236,7 @@
     Settled(usize),
     Report(u32, u64),
     LoseEntry(u32),
-    Servers(u32),
+    Endpoints(u32),
     Share(u32, u32),
     Wait(u64),
 }
@@ -248,7 +248,7 @@
         1 => (0usize..64).prop_map(Step::Settled),
         1 => (1u32..5, 0u64..5_000).prop_map(|(w, u)| Step::Report(w, u)),
         1 => (0u32..3).prop_map(Step::LoseEntry),
-        1 => (0u32..5).prop_map(Step::Servers),
+        1 => (0u32..5).prop_map(Step::Endpoints),
         1 => (1u32..5, 1u32..50).prop_map(|(w, s)| Step::Share(w, s)),
         2 => (1u64..4_000).prop_map(Step::Wait),
     ]
@@ -287,15 +287,15 @@
                 scheduler.merge(&report, now);
             }
             Step::LoseEntry(entry) => scheduler.forget_box(BoxKey(entry)),
-            Step::Servers(count) => {
-                let servers: Vec<SlotServer> = (1..=count)
-                    .map(|key| SlotServer {
-                        key: ServerKey(key),
+            Step::Endpoints(count) => {
+                let endpoints: Vec<SlotEndpoint> = (1..=count)
+                    .map(|key| SlotEndpoint {
+                        key: EndpointKey(key),
                         pool: POOL,
                         slots: 2,
                     })
                     .collect();
-                scheduler.set_servers(&servers, now);
+                scheduler.set_endpoints(&endpoints, now);
             }
             Step::Share(workspace, share) => {
                 shares.insert(WorkspaceKey(workspace), share);
--- a/dockgate-core/src/topology.rs
+++ b/dockgate-core/src/topology.rs
@@ -1,9 +1,9 @@
-//! Which box schedules which server, and whom to ask for a pool, as one box sees the fleet.
+//! Which box schedules which endpoint, and whom to ask for a pool, as one box sees the fleet.
 
 use crate::config::FleetConfig;
-use crate::ids::{BoxKey, PoolKey, ServerKey};
+use crate::ids::{BoxKey, EndpointKey, PoolKey};
 use crate::placement::owner_of;
-use crate::scheduler::SlotServer;
+use crate::scheduler::SlotEndpoint;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A box that is seen alive.
@@ -13,21 +13,21 @@
     pub key: BoxKey,
     /// Its failure domain.
     pub domain: String,
-    /// Whether it may schedule servers; a leaving box may not.
+    /// Whether it may schedule endpoints; a leaving box may not.
     pub schedules: bool,
 }
 
-/// The owners of all servers, worked out from a configuration and the boxes seen alive.
+/// The owners of all endpoints, worked out from a configuration and the boxes seen alive.
 #[derive(Debug, Clone, Default)]
 pub struct FleetTopology {
-    owners: HashMap<ServerKey, BoxKey>,
-    servers: Vec<SlotServer>,
+    owners: HashMap<EndpointKey, BoxKey>,
+    endpoints: Vec<SlotEndpoint>,
     schedulers: BTreeMap<PoolKey, BTreeSet<BoxKey>>,
     domains: HashMap<BoxKey, String>,
 }
 
 impl FleetTopology {
-    /// Gives every server to a box of its own failure domain.
+    /// Gives every endpoint to a box of its own failure domain.
     pub fn new(config: &FleetConfig, boxes: &[LiveBox]) -> Self {
         let mut by_domain: HashMap<&str, Vec<BoxKey>> = HashMap::new();
         for live in boxes.iter().filter(|live| live.schedules) {
@@ -40,38 +40,38 @@
                 .collect(),
             ..Self::default()
         };
-        for (key, server) in config.servers.iter() {
-            let candidates = by_domain.get(server.domain.as_str());
+        for (key, endpoint) in config.endpoints.iter() {
+            let candidates = by_domain.get(endpoint.domain.as_str());
             let owner = candidates.and_then(|boxes| owner_of(key, boxes));
-            let pool = config.pools.find(&server.pool);
+            let pool = config.pools.find(&endpoint.pool);
             if let (Some(owner), Some(pool)) = (owner, pool) {
-                topology.add(key, pool, server.slots, owner);
+                topology.add(key, pool, endpoint.slots, owner);
             }
         }
         topology
     }
 
-    fn add(&mut self, key: ServerKey, pool: PoolKey, slots: u32, owner: BoxKey) {
+    fn add(&mut self, key: EndpointKey, pool: PoolKey, slots: u32, owner: BoxKey) {
         self.owners.insert(key, owner);
         self.schedulers.entry(pool).or_default().insert(owner);
-        self.servers.push(SlotServer { key, pool, slots });
+        self.endpoints.push(SlotEndpoint { key, pool, slots });
     }
 
-    /// Returns the box that schedules a server.
-    pub fn owner(&self, server: ServerKey) -> Option<BoxKey> {
-        self.owners.get(&server).copied()
+    /// Returns the box that schedules an endpoint.
+    pub fn owner(&self, endpoint: EndpointKey) -> Option<BoxKey> {
+        self.owners.get(&endpoint).copied()
     }
 
-    /// Returns the servers that a box schedules.
-    pub fn servers_of(&self, owner: BoxKey) -> Vec<SlotServer> {
-        self.servers
+    /// Returns the endpoints that a box schedules.
+    pub fn endpoints_of(&self, owner: BoxKey) -> Vec<SlotEndpoint> {
+        self.endpoints
             .iter()
-            .filter(|server| self.owner(server.key) == Some(owner))
+            .filter(|endpoint| self.owner(endpoint.key) == Some(owner))
             .copied()
             .collect()
     }
 
-    /// Returns how many boxes schedule servers of each pool.
+    /// Returns how many boxes schedule endpoints of each pool.
     pub fn scheduler_counts(&self) -> HashMap<PoolKey, u32> {
         self.schedulers
             .iter()
@@ -105,11 +105,11 @@
 
     fn config() -> FleetConfig {
         let mut text = String::from("[pool p]\nkind = service\n");
-        for server in 0..12 {
-            let domain = ["a", "b"][server % 2];
+        for endpoint in 0..12 {
+            let domain = ["a", "b"][endpoint % 2];
             text += &format!(
-                "[server s{server}]\npool = p\ndomain = {domain}\naddress = 127.0.0.1:{}\n",
-                9000 + server
+                "[endpoint s{endpoint}]\npool = p\ndomain = {domain}\naddress = 127.0.0.1:{}\n",
+                9000 + endpoint
             );
         }
         let empty = FleetConfig::default();
@@ -126,24 +126,24 @@
     }
 
     #[test]
-    fn servers_are_scheduled_in_their_own_domain() {
+    fn endpoints_are_scheduled_in_their_own_domain() {
         let boxes = [live(1, "a", true), live(2, "a", false), live(3, "b", true)];
         let topology = FleetTopology::new(&config(), &boxes);
-        assert_eq!(topology.servers_of(BoxKey(1)).len(), 6);
-        assert_eq!(topology.servers_of(BoxKey(2)).len(), 0);
+        assert_eq!(topology.endpoints_of(BoxKey(1)).len(), 6);
+        assert_eq!(topology.endpoints_of(BoxKey(2)).len(), 0);
         let asked = topology.schedulers_from(BoxKey(2));
         assert_eq!(asked[&PoolKey(1)], [BoxKey(1), BoxKey(3)]);
     }
 
     #[test]
-    fn a_domain_without_boxes_leaves_its_servers_unscheduled() {
+    fn a_domain_without_boxes_leaves_its_endpoints_unscheduled() {
         let topology = FleetTopology::new(&config(), &[live(1, "a", true)]);
         assert_eq!(topology.scheduler_counts()[&PoolKey(1)], 1);
-        let owned = topology.servers_of(BoxKey(1));
+        let owned = topology.endpoints_of(BoxKey(1));
         assert!(
             owned
                 .iter()
-                .all(|server| topology.owner(server.key) == Some(BoxKey(1)))
+                .all(|endpoint| topology.owner(endpoint.key) == Some(BoxKey(1)))
         );
         assert_eq!(owned.len(), 6);
     }
--- a/dockgate-proto/src/headers.rs
+++ b/dockgate-proto/src/headers.rs
@@ -10,9 +10,9 @@
 pub const DEADLINE_MS: &str = "dockgate-deadline-ms";
 /// The key under which a request that may not be repeated is claimed.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-/// The id of an attempt, sent to servers.
+/// The id of an attempt, sent to endpoints.
 pub const ATTEMPT_ID: &str = "dockgate-attempt-id";
-/// The workspace on whose behalf a server is called, sent to servers.
+/// The workspace on whose behalf an endpoint is called, sent to endpoints.
 pub const WORKSPACE: &str = "dockgate-workspace";
 /// The name of the box that calls a peer.
 pub const PEER_BOX: &str = "dockgate-box";
--- a/dockgate-proto/src/lib.rs
+++ b/dockgate-proto/src/lib.rs
@@ -4,10 +4,10 @@
 //! [`operator`]; callers get [`RefusalBody`] as the body of every refusal.
 //!
 //! ```
-//! use dockgate_core::{GrantId, PoolKey, ServerKey, WorkspaceKey};
+//! use dockgate_core::{GrantId, PoolKey, EndpointKey, WorkspaceKey};
 //! use dockgate_proto::PeerMessage;
 //!
-//! let grant = PeerMessage::Grant(GrantId(7), PoolKey(1), WorkspaceKey(2), ServerKey(3));
+//! let grant = PeerMessage::Grant(GrantId(7), PoolKey(1), WorkspaceKey(2), EndpointKey(3));
 //! assert_eq!(serde_json::to_string(&grant)?, r#"{"g":[7,1,2,3]}"#);
 //! # Ok::<(), serde_json::Error>(())
 //! ```
--- a/dockgate-proto/src/operator.rs
+++ b/dockgate-proto/src/operator.rs
@@ -116,8 +116,8 @@
     pub waiting: usize,
     /// Requests running from here.
     pub running: usize,
-    /// Servers that this box schedules.
-    pub servers: usize,
+    /// Endpoints that this box schedules.
+    pub endpoints: usize,
     /// Slots held on them.
     pub held: usize,
     /// Violations of invariants since the start.
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -3,7 +3,8 @@
 //! The forms are short on purpose: control traffic is one of the three things that users measure.
 
 use dockgate_core::{
-    AdoptedGrant, FleetConfig, GrantId, Incarnation, LedgerReport, PoolKey, ServerKey, WorkspaceKey,
+    AdoptedGrant, EndpointKey, FleetConfig, GrantId, Incarnation, LedgerReport, PoolKey,
+    WorkspaceKey,
 };
 use serde::{Deserialize, Serialize};
 
@@ -27,34 +28,34 @@
     /// milliseconds the oldest has waited.
     #[serde(rename = "s")]
     Seek(PoolKey, WorkspaceKey, u32, u32, u32),
-    /// Scheduler to entry: a slot on a server for one request.
+    /// Scheduler to entry: a slot on an endpoint for one request.
     #[serde(rename = "g")]
-    Grant(GrantId, PoolKey, WorkspaceKey, ServerKey),
+    Grant(GrantId, PoolKey, WorkspaceKey, EndpointKey),
     /// Entry to scheduler: the cost so far of a request that goes on, in service units.
     #[serde(rename = "p")]
     Progress(GrantId, u64),
     /// Entry to scheduler: the cost of a request that has ended, in service units.
     #[serde(rename = "t")]
     Settle(GrantId, u64),
-    /// Entry to scheduler: the server refused, as it is full.
+    /// Entry to scheduler: the endpoint refused, as it is full.
     #[serde(rename = "r")]
     Refused(GrantId),
-    /// Entry to scheduler: the server could not be reached or was lost, and the cost so far.
+    /// Entry to scheduler: the endpoint could not be reached or was lost, and the cost so far.
     #[serde(rename = "e")]
     Lost(GrantId, u64),
     /// Scheduler to entry: the slot of this grant is wanted by a workspace further behind.
     #[serde(rename = "z")]
     Pause(GrantId),
-    /// Entry to scheduler: a request that runs on a server which the scheduler now owns.
+    /// Entry to scheduler: a request that runs on an endpoint which the scheduler now owns.
     #[serde(rename = "a")]
-    Adopt(GrantId, PoolKey, WorkspaceKey, ServerKey, u64),
+    Adopt(GrantId, PoolKey, WorkspaceKey, EndpointKey, u64),
     /// Scheduler to entries: free slots of a pool.
     #[serde(rename = "f")]
     Free(PoolKey, u32),
     /// Scheduler to scheduler: service given.
     #[serde(rename = "l")]
     Ledger(LedgerReport),
-    /// To all: the sender is about to stop and schedules no server any more.
+    /// To all: the sender is about to stop and schedules no endpoint any more.
     #[serde(rename = "b")]
     Leaving,
 }
@@ -84,7 +85,7 @@
             grant.id,
             grant.pool,
             grant.workspace,
-            grant.server,
+            grant.endpoint,
             grant.charged as u64,
         )
     }
@@ -98,7 +99,7 @@
 pub struct HelloRequest {
     /// Settles that an earlier link did not deliver.
     pub settles: Vec<PeerMessage>,
-    /// What runs on servers that the receiver schedules.
+    /// What runs on endpoints that the receiver schedules.
     pub adopts: Vec<PeerMessage>,
     /// Whether the sender has no memory yet and wants every sum of service.
     pub wants_ledger: bool,
--- a/dockgate-proto/src/refusal.rs
+++ b/dockgate-proto/src/refusal.rs
@@ -1,4 +1,4 @@
-//! What a caller is told when it gets no answer from a server.
+//! What a caller is told when it gets no answer from an endpoint.
 
 use dockgate_core::Outcome;
 use http::StatusCode;
@@ -12,9 +12,9 @@
     Accept,
     /// Waiting for a slot.
     Queue,
-    /// Connecting to the server.
+    /// Connecting to the endpoint.
     Connect,
-    /// Sending to the server.
+    /// Sending to the endpoint.
     Send,
     /// Waiting for, or passing on, the answer.
     Answer,
@@ -74,10 +74,10 @@
     NotReady = "not_ready", SERVICE_UNAVAILABLE;
     /// The box is stopping.
     Stopping = "stopping", SERVICE_UNAVAILABLE;
-    /// The server could not be reached or refused, and the retries are used up.
-    ServerUnavailable = "server_unavailable", BAD_GATEWAY;
-    /// The server was lost after the request had been sent.
-    ServerLost = "server_lost", BAD_GATEWAY;
+    /// The endpoint could not be reached or refused, and the retries are used up.
+    EndpointUnavailable = "endpoint_unavailable", BAD_GATEWAY;
+    /// The endpoint was lost after the request had been sent.
+    EndpointLost = "endpoint_lost", BAD_GATEWAY;
 }
 
 /// The JSON body of every refusal.
--- a/dockgate/src/caller.rs
+++ b/dockgate/src/caller.rs
@@ -3,10 +3,10 @@
 mod answer;
 mod attempt;
 mod classify;
+mod endpoint_client;
 mod hop;
 mod meter;
 mod refusal;
-mod server_client;
 mod stream;
 
 use crate::config_keeper::ConfigCell;
@@ -20,6 +20,7 @@
 use classify::Classifier;
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::headers;
+use endpoint_client::EndpointClient;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -28,7 +29,6 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use refusal::Refusal;
-use server_client::ServerClient;
 use std::convert::Infallible;
 use std::error::Error;
 use std::sync::Arc;
@@ -69,7 +69,7 @@
     settings: Arc<DaemonSettings>,
     cell: ConfigCell,
     dispatch: DispatchHandle,
-    client: ServerClient,
+    client: EndpointClient,
     stop: StopFlag,
     /// The part of every request id that tells this life of this box.
     id_prefix: String,
@@ -86,7 +86,7 @@
         incarnation: Incarnation,
         stop: StopFlag,
     ) -> Self {
-        let client = ServerClient::new(settings.limits.connect_timeout);
+        let client = EndpointClient::new(settings.limits.connect_timeout);
         let id_prefix = format!(
             "{}-{:08x}",
             BoxKey::from_name(&settings.name),
--- a/dockgate/src/caller/answer.rs
+++ b/dockgate/src/caller/answer.rs
@@ -6,7 +6,7 @@
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
 use bytes::Bytes;
-use dockgate_core::{CostRule, GrantId, ServerSign};
+use dockgate_core::{CostRule, GrantId, SlotSign};
 use hyper::body::{Body, Frame, Incoming};
 use quick_error::quick_error;
 use std::future::Future;
@@ -19,21 +19,21 @@
     /// Why an answer ends before it is whole; the caller's connection is cut, so that it can tell.
     #[derive(Debug)]
     pub enum AnswerError {
-        /// The server ended the stream without its end mark.
-        Truncated(server: String) {
-            display("server {}: answer: the stream ended without its end mark", server)
+        /// The endpoint ended the stream without its end mark.
+        Truncated(endpoint: String) {
+            display("endpoint {}: answer: the stream ended without its end mark", endpoint)
         }
-        /// The server was silent for too long.
-        Silent(server: String) {
-            display("server {}: answer: nothing came in time", server)
+        /// The endpoint was silent for too long.
+        Silent(endpoint: String) {
+            display("endpoint {}: answer: nothing came in time", endpoint)
         }
         /// The answer was paused, and no slot came free for its rest.
-        NotResumed(server: String) {
-            display("server {}: answer: its rest found no slot", server)
+        NotResumed(endpoint: String) {
+            display("endpoint {}: answer: its rest found no slot", endpoint)
         }
-        /// The connection to the server broke.
-        Lost(server: String, cause: hyper::Error) {
-            display("server {}: answer: {}", server, cause)
+        /// The connection to the endpoint broke.
+        Lost(endpoint: String, cause: hyper::Error) {
+            display("endpoint {}: answer: {}", endpoint, cause)
         }
     }
 }
@@ -43,8 +43,8 @@
     pub(super) grant: GrantId,
     pub(super) dispatch: DispatchHandle,
     pub(super) cost: f64,
-    /// What was seen of the server.
-    pub(super) sign: ServerSign,
+    /// What was seen of the endpoint.
+    pub(super) sign: SlotSign,
 }
 
 impl Drop for RunningGrant {
@@ -61,12 +61,12 @@
 pub(super) struct AnswerLabel {
     pub(super) request: String,
     pub(super) workspace: String,
-    pub(super) server: String,
+    pub(super) endpoint: String,
     pub(super) started_ms: u64,
 }
 
 impl AnswerLabel {
-    /// Logs and counts the end of a request that reached a server.
+    /// Logs and counts the end of a request that reached an endpoint.
     pub(super) fn log_end(&self, outcome: &str, cost: f64) {
         METRICS
             .requests
@@ -100,7 +100,7 @@
 
 /// Times that bound an answer.
 pub(super) struct AnswerTimes {
-    /// How long the server may be silent.
+    /// How long the endpoint may be silent.
     pub(super) silence: Duration,
     /// How often the cost is reported.
     pub(super) progress_every: Duration,
@@ -156,7 +156,7 @@
     fn fail(&mut self, error: AnswerError) -> AnswerError {
         log::warn!("{error}");
         self.outcome = Some("failed");
-        self.running.sign = ServerSign::Lost;
+        self.running.sign = SlotSign::Lost;
         error
     }
 }
@@ -169,14 +169,14 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let server = self.label.server.clone();
+        let endpoint = self.label.endpoint.clone();
         match Pin::new(&mut self.inner).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 self.take_in();
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cause))) => {
-                let error = self.fail(AnswerError::Lost(server, cause));
+                let error = self.fail(AnswerError::Lost(endpoint, cause));
                 Poll::Ready(Some(Err(error.into())))
             }
             Poll::Ready(None) => {
@@ -185,7 +185,7 @@
             }
             Poll::Pending => {
                 std::task::ready!(self.timer.as_mut().poll(context));
-                let error = self.fail(AnswerError::Silent(server));
+                let error = self.fail(AnswerError::Silent(endpoint));
                 Poll::Ready(Some(Err(error.into())))
             }
         }
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -1,11 +1,11 @@
-//! Runs a request: waits for a slot, sends it to the server, and tries again where that is allowed.
+//! Runs a request: waits for a slot, sends it to the endpoint, and tries again where that is allowed.
 
 use super::answer::{AnswerLabel, AnswerTimes, MeteredBody, RunningGrant};
 use super::classify::CallerCall;
+use super::endpoint_client::{CallFailure, EndpointClient};
 use super::hop::clean_response;
 use super::meter::whole_cost;
 use super::refusal::Refusal;
-use super::server_client::{CallFailure, ServerClient};
 use super::stream::{StreamPump, StreamSegment, can_resume, resumed_body};
 use super::{AnswerBody, InFlight, full_body};
 use crate::clock::now_ms;
@@ -16,8 +16,8 @@
 use crate::settings::DaemonSettings;
 use bytes::Bytes;
 use dockgate_core::{
-    AttemptState, AttemptTrail, CostRule, FleetConfig, GrantOffer, PoolSpec, QueueError,
-    RetryVerdict, ServerSign, ServerSpec, WaitingRequest,
+    AttemptState, AttemptTrail, CostRule, EndpointSpec, FleetConfig, GrantOffer, PoolSpec,
+    QueueError, RetryVerdict, SlotSign, WaitingRequest,
 };
 use dockgate_proto::{RefusalCode, RequestStep, headers};
 use http::header::CONTENT_TYPE;
@@ -36,7 +36,7 @@
 /// After how many seconds a refused caller does well to come again.
 const RETRY_AFTER_S: u32 = 1;
 
-/// How often the rest of an answer is sent to a server before it is given up.
+/// How often the rest of an answer is sent to an endpoint before it is given up.
 const MOST_RESUMES: u32 = 5;
 
 /// What a slot is wanted for.
@@ -54,7 +54,7 @@
     pub(super) settings: Arc<DaemonSettings>,
     pub(super) cell: ConfigCell,
     pub(super) dispatch: DispatchHandle,
-    pub(super) client: ServerClient,
+    pub(super) client: EndpointClient,
 }
 
 /// An attempt that gave no answer, and how far it had come.
@@ -68,7 +68,7 @@
     grant: GrantOffer,
     /// Whether its pool's engines resume streams.
     pub(super) resumes: bool,
-    server: ServerSpec,
+    endpoint: EndpointSpec,
     rule: CostRule,
     number: u32,
 }
@@ -136,10 +136,10 @@
                         running,
                         pause: slot.pause,
                         rule: attempt.rule,
-                        server: attempt.server.name,
+                        endpoint: attempt.endpoint.name,
                     });
                 }
-                // A server that refused has cost nothing: the rest waits for the next slot.
+                // An endpoint that refused has cost nothing: the rest waits for the next slot.
                 Err(loss) => sent += u32::from(loss.state == AttemptState::Sent),
             }
             if sent >= MOST_RESUMES {
@@ -194,7 +194,7 @@
         Err(refusal.retry_after(RETRY_AFTER_S).of(&call.workspace_name))
     }
 
-    /// Looks the granted server up; one that has just been retired is given back unused.
+    /// Looks the granted endpoint up; one that has just been retired is given back unused.
     fn bound_attempt(
         &self,
         call: &CallerCall,
@@ -202,19 +202,19 @@
         number: u32,
     ) -> Result<BoundAttempt, AttemptLoss> {
         let config = self.cell.current();
-        let found = find_server(&config, call, grant);
-        let Some((server, pool)) = found else {
-            self.dispatch.finish(grant.id, 0.0, ServerSign::Answered);
+        let found = find_endpoint(&config, call, grant);
+        let Some((endpoint, pool)) = found else {
+            self.dispatch.finish(grant.id, 0.0, SlotSign::Answered);
             return Err(AttemptLoss {
                 state: AttemptState::Bound,
-                message: "the granted server is no longer configured".to_owned(),
+                message: "the granted endpoint is no longer configured".to_owned(),
             });
         };
         log_event(&LogEvent::Routed {
             request: &call.id,
             workspace: &call.workspace_name,
             pool: &call.pool_name,
-            server: &server.name,
+            endpoint: &endpoint.name,
             scheduler: grant.entry.to_string(),
             grant: grant.id.to_string(),
             attempt: number,
@@ -222,7 +222,7 @@
         });
         Ok(BoundAttempt {
             grant,
-            server,
+            endpoint,
             rule: pool.cost,
             resumes: pool.resumes,
             number,
@@ -241,7 +241,7 @@
         let label = AnswerLabel {
             request: call.id.clone(),
             workspace: call.workspace_name.clone(),
-            server: attempt.server.name.clone(),
+            endpoint: attempt.endpoint.name.clone(),
             started_ms: call.started_ms,
         };
         match (call.engine, is_event_stream(&response)) {
@@ -263,12 +263,12 @@
             grant: attempt.grant.id,
             dispatch: self.dispatch.clone(),
             cost: 0.0,
-            // Until it has answered, an attempt that ends has lost its server.
-            sign: ServerSign::Lost,
+            // Until it has answered, an attempt that ends has lost its endpoint.
+            sign: SlotSign::Lost,
         };
-        let request = self.server_request(call, attempt)?;
+        let request = self.endpoint_request(call, attempt)?;
         let limit = self.settings.limits.answer_timeout;
-        let name = &attempt.server.name;
+        let name = &attempt.endpoint.name;
         let response = match tokio::time::timeout(limit, self.client.call(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(CallFailure::NotSent(cause))) => {
@@ -284,17 +284,17 @@
         };
         match response.status() {
             status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
-                if attempt.server.honest_refusal =>
+                if attempt.endpoint.honest_refusal =>
             {
-                running.sign = ServerSign::Full;
+                running.sign = SlotSign::Full;
                 return Err(loss(AttemptState::Refused, name, status.to_string()));
             }
             StatusCode::SERVICE_UNAVAILABLE if call.repeatable => {
-                running.sign = ServerSign::Full;
+                running.sign = SlotSign::Full;
                 let cause = "it is unavailable".to_owned();
                 return Err(loss(AttemptState::Sent, name, cause));
             }
-            _ => running.sign = ServerSign::Answered,
+            _ => running.sign = SlotSign::Answered,
         }
         Ok((response, running))
     }
@@ -321,7 +321,7 @@
             running,
             pause,
             rule: attempt.rule,
-            server: attempt.server.name.clone(),
+            endpoint: attempt.endpoint.name.clone(),
         };
         let body = match in_flight.take() {
             Some(in_flight) => {
@@ -339,18 +339,23 @@
         Response::from_parts(parts, body)
     }
 
-    fn server_request(
+    fn endpoint_request(
         &self,
         call: &CallerCall,
         attempt: &BoundAttempt,
     ) -> Result<Request<Full<Bytes>>, AttemptLoss> {
-        let address = attempt.server.address_from(&self.settings.domain);
+        let address = attempt.endpoint.address_from(&self.settings.domain);
         let built = Request::builder()
             .method(call.method.clone())
             .uri(format!("http://{address}{}", call.path))
             .body(Full::new(call.body.clone()));
-        let mut request = built
-            .map_err(|error| loss(AttemptState::Bound, &attempt.server.name, error.to_string()))?;
+        let mut request = built.map_err(|error| {
+            loss(
+                AttemptState::Bound,
+                &attempt.endpoint.name,
+                error.to_string(),
+            )
+        })?;
         *request.headers_mut() = call.headers.clone();
         let id = format!("{}.{}", call.id, attempt.number);
         let own = [
@@ -401,17 +406,17 @@
         label: &AnswerLabel,
     ) -> Result<Response<AnswerBody>, AttemptLoss> {
         let (mut parts, body) = response.into_parts();
-        let name = &attempt.server.name;
+        let name = &attempt.endpoint.name;
         let limit = self.settings.limits.answer_timeout;
         let collected = Limited::new(body, MOST_ANSWER_BYTES).collect();
         let body = match tokio::time::timeout(limit, collected).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
-                running.sign = ServerSign::Lost;
+                running.sign = SlotSign::Lost;
                 return Err(loss(AttemptState::Sent, name, error));
             }
             Err(_) => {
-                running.sign = ServerSign::Lost;
+                running.sign = SlotSign::Lost;
                 let cause = "the answer did not end in time".to_owned();
                 return Err(loss(AttemptState::Sent, name, cause));
             }
@@ -426,21 +431,21 @@
     }
 }
 
-fn loss(state: AttemptState, server: &str, cause: impl Display) -> AttemptLoss {
+fn loss(state: AttemptState, endpoint: &str, cause: impl Display) -> AttemptLoss {
     AttemptLoss {
         state,
-        message: format!("server {server}: {cause}"),
+        message: format!("endpoint {endpoint}: {cause}"),
     }
 }
 
-fn find_server(
+fn find_endpoint(
     config: &FleetConfig,
     call: &CallerCall,
     grant: GrantOffer,
-) -> Option<(ServerSpec, PoolSpec)> {
-    let server = config.servers.get(grant.server)?;
+) -> Option<(EndpointSpec, PoolSpec)> {
+    let endpoint = config.endpoints.get(grant.endpoint)?;
     let pool = config.pools.get(call.pool)?;
-    Some((server.clone(), pool.clone()))
+    Some((endpoint.clone(), pool.clone()))
 }
 
 fn is_event_stream(response: &Response<Incoming>) -> bool {
--- a/dockgate/src/caller/classify.rs
+++ b/dockgate/src/caller/classify.rs
@@ -135,7 +135,7 @@
         })
     }
 
-    /// Tells whether the kind that a request names may be sent to a second server.
+    /// Tells whether the kind that a request names may be sent to a second endpoint.
     fn repeatable(&self, headers: &HeaderMap) -> Result<bool, Refusal> {
         let Some(name) = headers.get(headers::KIND) else {
             return Ok(true);
--- a/dockgate/src/caller/server_client.rs
+++ b/dockgate/src/caller/endpoint_client.rs
@@ -10,7 +10,7 @@
 use std::error::Error as _;
 use std::time::Duration;
 
-/// How long an idle connection to a server is kept.
+/// How long an idle connection to an endpoint is kept.
 const IDLE: Duration = Duration::from_secs(30);
 
 /// What went wrong before any part of an answer came.
@@ -18,17 +18,17 @@
 pub(super) enum CallFailure {
     /// No byte of the request has left this box.
     NotSent(String),
-    /// The request may have reached the server.
+    /// The request may have reached the endpoint.
     Lost(String),
 }
 
 /// A pooled HTTP client without hidden retries.
 #[derive(Debug, Clone)]
-pub(super) struct ServerClient {
+pub(super) struct EndpointClient {
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-impl ServerClient {
+impl EndpointClient {
     pub(super) fn new(connect_timeout: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
--- a/dockgate/src/caller/hop.rs
+++ b/dockgate/src/caller/hop.rs
@@ -13,7 +13,7 @@
     header::UPGRADE,
     HeaderName::from_static("keep-alive"),
 ];
-/// Prefix of dockgate's own headers, which callers must not send on to servers.
+/// Prefix of dockgate's own headers, which callers must not send on to endpoints.
 const OWN_PREFIX: &str = "dockgate-";
 
 /// Removes the headers that belong to one connection, with those named in `Connection`.
@@ -30,7 +30,7 @@
     }
 }
 
-/// Prepares a caller's headers for a server: its key, its framing and our own headers stay here.
+/// Prepares a caller's headers for an endpoint: its key, its framing and our own headers stay here.
 pub(super) fn clean_request(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
     let own: Vec<HeaderName> = headers
@@ -49,7 +49,7 @@
     }
 }
 
-/// Prepares a server's headers for the caller.
+/// Prepares an endpoint's headers for the caller.
 pub(super) fn clean_response(headers: &mut HeaderMap) {
     strip_hop_by_hop(headers);
     headers.remove(header::CONTENT_LENGTH);
--- a/dockgate/src/caller/meter.rs
+++ b/dockgate/src/caller/meter.rs
@@ -24,7 +24,7 @@
     usage: Option<ChatUsage>,
 }
 
-/// Follows a stream of server-sent events without keeping it.
+/// Follows a stream of endpoint-sent events without keeping it.
 #[derive(Debug, Default)]
 pub(super) struct StreamMeter {
     line: Vec<u8>,
--- a/dockgate/src/caller/refusal.rs
+++ b/dockgate/src/caller/refusal.rs
@@ -5,7 +5,7 @@
 use dockgate_proto::{RefusalBody, RefusalCode, RequestStep};
 use http::{HeaderValue, Response, header};
 
-/// A request that gets no answer from a server.
+/// A request that gets no answer from an endpoint.
 #[derive(Debug, Clone)]
 pub(super) struct Refusal {
     pub(super) code: RefusalCode,
@@ -47,10 +47,10 @@
     pub(super) fn after_attempt(state: AttemptState, message: String) -> Self {
         let (code, step) = match state {
             AttemptState::Queued => (RefusalCode::DeadlinePassed, RequestStep::Queue),
-            AttemptState::Bound => (RefusalCode::ServerUnavailable, RequestStep::Connect),
-            AttemptState::Refused => (RefusalCode::ServerUnavailable, RequestStep::Send),
+            AttemptState::Bound => (RefusalCode::EndpointUnavailable, RequestStep::Connect),
+            AttemptState::Refused => (RefusalCode::EndpointUnavailable, RequestStep::Send),
             AttemptState::Sent | AttemptState::Streaming => {
-                (RefusalCode::ServerLost, RequestStep::Answer)
+                (RefusalCode::EndpointLost, RequestStep::Answer)
             }
         };
         Self::not_run(code, step, message)
--- a/dockgate/src/caller/stream.rs
+++ b/dockgate/src/caller/stream.rs
@@ -1,6 +1,6 @@
 //! Streams an answer to its caller over as many attempts as it takes.
 //!
-//! A stream whose server is lost, or that is paused to give its slot to a workspace further behind,
+//! A stream whose endpoint is lost, or that is paused to give its slot to a workspace further behind,
 //! is continued on the next grant from the last whole event that was passed on. The caller sees one
 //! answer. Only repeatable requests to pools whose engines resume streams are continued.
 
@@ -12,7 +12,7 @@
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use bytes::{Bytes, BytesMut};
-use dockgate_core::{CostRule, ServerSign};
+use dockgate_core::{CostRule, SlotSign};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use std::time::Duration;
@@ -20,7 +20,7 @@
 
 /// Pieces of an answer that may wait for a slow caller.
 const PIECES: usize = 8;
-/// How often one answer may be continued after its server was lost.
+/// How often one answer may be continued after its endpoint was lost.
 const MOST_LOSSES: u32 = 5;
 /// How often one answer may be paused.
 const MOST_PAUSES: u32 = 5;
@@ -31,7 +31,7 @@
     pub(super) running: RunningGrant,
     pub(super) pause: oneshot::Receiver<()>,
     pub(super) rule: CostRule,
-    pub(super) server: String,
+    pub(super) endpoint: String,
 }
 
 /// How a segment ended.
@@ -42,7 +42,7 @@
     CallerGone,
     /// The scheduler wants the slot for another workspace.
     Paused,
-    /// The server was lost.
+    /// The endpoint was lost.
     Lost(AnswerError),
 }
 
@@ -52,7 +52,7 @@
     pub(super) call: CallerCall,
     pub(super) label: AnswerLabel,
     pub(super) in_flight: InFlight,
-    /// Whether the rest may be asked of another server.
+    /// Whether the rest may be asked of another endpoint.
     pub(super) resumes: bool,
 }
 
@@ -107,8 +107,8 @@
             match next {
                 Some(next) => segment = next,
                 None => {
-                    let server = self.label.server.clone();
-                    let error = error.unwrap_or(AnswerError::NotResumed(server));
+                    let endpoint = self.label.endpoint.clone();
+                    let error = error.unwrap_or(AnswerError::NotResumed(endpoint));
                     log::warn!("request {}: {error}", self.call.id);
                     // The caller's connection is cut, so that it sees that this is not the whole.
                     let _ = sender.send(Err(error.into())).await;
@@ -144,16 +144,16 @@
                 SegmentFrame::Data(bytes) => bytes,
                 SegmentFrame::End if meter.is_done() => break SegmentEnd::Whole,
                 SegmentFrame::End => {
-                    let server = segment.server.clone();
-                    break SegmentEnd::Lost(AnswerError::Truncated(server));
+                    let endpoint = segment.endpoint.clone();
+                    break SegmentEnd::Lost(AnswerError::Truncated(endpoint));
                 }
                 SegmentFrame::Silent => {
-                    let server = segment.server.clone();
-                    break SegmentEnd::Lost(AnswerError::Silent(server));
+                    let endpoint = segment.endpoint.clone();
+                    break SegmentEnd::Lost(AnswerError::Silent(endpoint));
                 }
                 SegmentFrame::Broken(cause) => {
-                    let server = segment.server.clone();
-                    break SegmentEnd::Lost(AnswerError::Lost(server, cause));
+                    let endpoint = segment.endpoint.clone();
+                    break SegmentEnd::Lost(AnswerError::Lost(endpoint, cause));
                 }
             };
             pending.extend_from_slice(&bytes);
@@ -172,7 +172,7 @@
             }
         };
         if matches!(end, SegmentEnd::Lost(_)) {
-            segment.running.sign = ServerSign::Lost;
+            segment.running.sign = SlotSign::Lost;
         }
         progress.events += meter.events();
         progress.cost = before + meter.cost(&segment.rule);
--- a/dockgate/src/daemon.rs
+++ b/dockgate/src/daemon.rs
@@ -99,7 +99,7 @@
     Ok(())
 }
 
-/// Stops in order: not ready, servers handed over, requests in flight finished.
+/// Stops in order: not ready, endpoints handed over, requests in flight finished.
 async fn drain(
     settings: &DaemonSettings,
     dispatch: &DispatchHandle,
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -11,8 +11,8 @@
 use crate::settings::DaemonSettings;
 use dockgate_core::{
     AdoptedGrant, BoxKey, EntryAction, EntryState, FleetConfig, FleetTopology, GrantId, GrantOffer,
-    Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, ServerSign, SettleReport,
-    SlotScheduler,
+    Incarnation, LiveBox, ScheduleRule, SeekDemand, SeekRule, SettleReport, SlotScheduler,
+    SlotSign,
 };
 use dockgate_proto::PeerMessage;
 use std::collections::{HashMap, VecDeque};
@@ -131,7 +131,7 @@
             }
             EntryAction::Bind(id, grant) => self.bind(id, grant),
             EntryAction::Return(to, id) => {
-                self.settle(to, id, 0.0, Some(ServerSign::Answered), now);
+                self.settle(to, id, 0.0, Some(SlotSign::Answered), now);
             }
             EntryAction::Expire(id) => {
                 if let Some(reply) = self.waiting.remove(&id) {
@@ -164,7 +164,7 @@
         let slot = BoundSlot { grant, pause };
         let sent = reply.map(|reply| reply.send(BindReply::Bound(slot)));
         if !matches!(sent, Some(Ok(()))) {
-            self.finish(grant.id, 0.0, ServerSign::Answered);
+            self.finish(grant.id, 0.0, SlotSign::Answered);
         }
     }
 
@@ -173,7 +173,7 @@
         to: BoxKey,
         id: GrantId,
         cost: f64,
-        ended: Option<ServerSign>,
+        ended: Option<SlotSign>,
         now: u64,
     ) {
         if to == self.me.key {
@@ -184,14 +184,14 @@
         let cost = cost as u64;
         let message = match ended {
             None => PeerMessage::Progress(id, cost),
-            Some(ServerSign::Answered) => PeerMessage::Settle(id, cost),
-            Some(ServerSign::Full) => PeerMessage::Refused(id),
-            Some(ServerSign::Lost) => PeerMessage::Lost(id, cost),
+            Some(SlotSign::Answered) => PeerMessage::Settle(id, cost),
+            Some(SlotSign::Full) => PeerMessage::Refused(id),
+            Some(SlotSign::Lost) => PeerMessage::Lost(id, cost),
         };
         self.send(to, message);
     }
 
-    pub(super) fn finish(&mut self, id: GrantId, cost: f64, sign: ServerSign) {
+    pub(super) fn finish(&mut self, id: GrantId, cost: f64, sign: SlotSign) {
         self.pauses.remove(&id);
         if let Some(scheduler) = self.entry.finish(id) {
             self.settle(scheduler, id, cost, Some(sign), now_ms());
@@ -246,13 +246,13 @@
                 };
                 self.scheduler.seek(from, demand, now)
             }
-            PeerMessage::Grant(id, pool, workspace, server) => {
+            PeerMessage::Grant(id, pool, workspace, endpoint) => {
                 let grant = GrantOffer {
                     entry: self.me.key,
                     id,
                     pool,
                     workspace,
-                    server,
+                    endpoint,
                 };
                 return self.entry.offer(from, grant);
             }
@@ -261,23 +261,23 @@
                 self.scheduler.settle(from, report, now)
             }
             PeerMessage::Settle(id, cost) => {
-                let report = settle_report(id, cost, Some(ServerSign::Answered));
+                let report = settle_report(id, cost, Some(SlotSign::Answered));
                 self.scheduler.settle(from, report, now)
             }
             PeerMessage::Refused(id) => {
-                let report = settle_report(id, 0, Some(ServerSign::Full));
+                let report = settle_report(id, 0, Some(SlotSign::Full));
                 self.scheduler.settle(from, report, now)
             }
             PeerMessage::Lost(id, cost) => {
-                let report = settle_report(id, cost, Some(ServerSign::Lost));
+                let report = settle_report(id, cost, Some(SlotSign::Lost));
                 self.scheduler.settle(from, report, now)
             }
-            PeerMessage::Adopt(id, pool, workspace, server, charged) => {
+            PeerMessage::Adopt(id, pool, workspace, endpoint, charged) => {
                 let adopted = AdoptedGrant {
                     id,
                     pool,
                     workspace,
-                    server,
+                    endpoint,
                     charged: charged as f64,
                 };
                 self.scheduler.adopt(from, adopted, now)
@@ -341,24 +341,24 @@
     pub(super) fn rebuild(&mut self) {
         self.live = self.live_now();
         self.topology = FleetTopology::new(&self.config, &self.live);
-        let mine = self.topology.servers_of(self.me.key);
+        let mine = self.topology.endpoints_of(self.me.key);
         let near = self
             .live
             .iter()
             .filter(|live| live.domain == self.me.domain);
         self.scheduler.set_near(near.map(|live| live.key).collect());
         log_event(&LogEvent::Owned {
-            servers: mine.len(),
+            endpoints: mine.len(),
             boxes: self.live.len(),
         });
-        METRICS.servers.set(mine.len() as i64);
-        self.scheduler.set_servers(&mine, now_ms());
+        METRICS.endpoints.set(mine.len() as i64);
+        self.scheduler.set_endpoints(&mine, now_ms());
         self.scheduler
             .set_schedulers(self.topology.scheduler_counts());
         self.entry
             .set_schedulers(self.topology.schedulers_from(self.me.key));
         let topology = &self.topology;
-        let moved = self.entry.reassign(|server| topology.owner(server));
+        let moved = self.entry.reassign(|endpoint| topology.owner(endpoint));
         for (owner, adopted) in moved {
             match owner == self.me.key {
                 true => drop(self.scheduler.adopt(owner, adopted, now_ms())),
@@ -375,7 +375,7 @@
             return;
         }
         // What a box ran that cannot be reached for long was cut off with it, or soon will be; a
-        // server that is still busy refuses, which costs a retry and no promise.
+        // endpoint that is still busy refuses, which costs a retry and no promise.
         let lost = self
             .live
             .iter()
@@ -411,7 +411,7 @@
         METRICS.expired_grants.set(expired as i64);
         let overcommitted = self.scheduler.overcommitted_slots();
         METRICS.overcommitted.set(i64::from(overcommitted));
-        let resting = self.scheduler.resting_servers(now_ms());
+        let resting = self.scheduler.resting_endpoints(now_ms());
         METRICS.resting.set(resting as i64);
         METRICS.links.set(self.links.linked_count() as i64);
     }
@@ -422,7 +422,7 @@
             grant: grant.id.to_string(),
             pool: grant.pool.0,
             workspace: grant.workspace.0,
-            server: grant.server.0,
+            endpoint: grant.endpoint.0,
             entry: grant.entry.to_string(),
         });
     }
@@ -451,14 +451,10 @@
 }
 
 fn grant_message(grant: &GrantOffer) -> PeerMessage {
-    PeerMessage::Grant(grant.id, grant.pool, grant.workspace, grant.server)
+    PeerMessage::Grant(grant.id, grant.pool, grant.workspace, grant.endpoint)
 }
 
-pub(super) const fn settle_report(
-    id: GrantId,
-    cost: u64,
-    ended: Option<ServerSign>,
-) -> SettleReport {
+pub(super) const fn settle_report(id: GrantId, cost: u64, ended: Option<SlotSign>) -> SettleReport {
     SettleReport {
         id,
         cost: cost as f64,
--- a/dockgate/src/dispatch/handle.rs
+++ b/dockgate/src/dispatch/handle.rs
@@ -7,7 +7,7 @@
 };
 use crate::config_keeper::ConfigCell;
 use crate::members::MemberBox;
-use dockgate_core::{BoxKey, GrantId, GrantOffer, QueueError, ServerSign, WaitingRequest};
+use dockgate_core::{BoxKey, GrantId, GrantOffer, QueueError, SlotSign, WaitingRequest};
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
 use futures::FutureExt;
 use std::sync::Arc;
@@ -58,8 +58,7 @@
         // A grant that came while the caller went away is given back.
         match self.receiver.try_recv() {
             Ok(BindReply::Bound(slot)) => {
-                self.dispatch
-                    .finish(slot.grant.id, 0.0, ServerSign::Answered);
+                self.dispatch.finish(slot.grant.id, 0.0, SlotSign::Answered);
             }
             Ok(_) => {}
             Err(_) => self.dispatch.tell(Cancel(self.id)),
@@ -140,7 +139,7 @@
     }
 
     /// Ends a running request.
-    pub(crate) fn finish(&self, grant: GrantId, cost: f64, sign: ServerSign) {
+    pub(crate) fn finish(&self, grant: GrantId, cost: f64, sign: SlotSign) {
         self.tell(Finish(grant, cost, sign));
     }
 
@@ -174,7 +173,7 @@
         self.tell(SetMembers(members));
     }
 
-    /// Hands the servers over to other boxes.
+    /// Hands the endpoints over to other boxes.
     pub(crate) async fn leave(&self) {
         let _ = self.address.send(Leave).await;
     }
--- a/dockgate/src/dispatch/handlers.rs
+++ b/dockgate/src/dispatch/handlers.rs
@@ -9,7 +9,7 @@
 use crate::clock::now_ms;
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
-use dockgate_core::{ServerSign, WaitingRequest};
+use dockgate_core::{SlotSign, WaitingRequest};
 use dockgate_proto::operator::PeerStatus;
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
 use std::time::Instant;
@@ -164,7 +164,7 @@
         match message {
             // The peer may not have seen the grant: its slot is free again.
             PeerMessage::Grant(id, ..) => {
-                let report = settle_report(id, 0, Some(ServerSign::Answered));
+                let report = settle_report(id, 0, Some(SlotSign::Answered));
                 actor.scheduler.settle(peer, report, now_ms());
             }
             message => actor.links.send(peer, message),
@@ -241,7 +241,7 @@
         platform_reachable: actor.cell.platform_reachable(),
         waiting: actor.entry.waiting(),
         running: actor.entry.running_count(),
-        servers: actor.scheduler.server_count(),
+        endpoints: actor.scheduler.endpoint_count(),
         held: actor.scheduler.held_grants(),
         invariant_violations: dockgate_core::invariant_violations(),
         peers: peers.collect(),
--- a/dockgate/src/dispatch/links.rs
+++ b/dockgate/src/dispatch/links.rs
@@ -117,7 +117,7 @@
     fn keep(link: &mut PeerLink, message: &PeerMessage) {
         let settle = match *message {
             PeerMessage::Settle(id, cost) => PeerMessage::Settle(id, cost),
-            // What was lost with the link says nothing of the server any more.
+            // What was lost with the link says nothing of the endpoint any more.
             PeerMessage::Lost(id, cost) => PeerMessage::Settle(id, cost),
             PeerMessage::Refused(id) => PeerMessage::Settle(id, 0),
             _ => return,
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -61,12 +61,12 @@
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(crate) enum LogEvent<'a> {
-    /// A request was bound to a server.
+    /// A request was bound to an endpoint.
     Routed {
         request: &'a str,
         workspace: &'a str,
         pool: &'a str,
-        server: &'a str,
+        endpoint: &'a str,
         scheduler: String,
         grant: String,
         attempt: u32,
@@ -86,15 +86,15 @@
         grant: String,
         pool: u32,
         workspace: u32,
-        server: u32,
+        endpoint: u32,
         entry: String,
     },
     /// A running stream was asked to give its slot up for a while.
     PauseAsked { grant: String, entry: String },
     /// A configuration came into force.
     Configured { version: u64, source: &'a str },
-    /// The servers that this box schedules changed.
-    Owned { servers: usize, boxes: usize },
+    /// The endpoints that this box schedules changed.
+    Owned { endpoints: usize, boxes: usize },
     /// A link to a peer opened or closed.
     Link {
         peer: &'a str,
--- a/dockgate/src/metrics.rs
+++ b/dockgate/src/metrics.rs
@@ -19,7 +19,7 @@
     pub(crate) requests: IntCounterVec,
     /// Time spent waiting for a slot, by pool.
     pub(crate) wait: HistogramVec,
-    /// Attempts sent to a second server.
+    /// Attempts sent to a second endpoint.
     pub(crate) retries: IntCounter,
     /// Streams that gave their slot up for a while.
     pub(crate) pauses: IntCounter,
@@ -29,15 +29,15 @@
     pub(crate) overgrants: IntGauge,
     /// Grants that lapsed without a sign of their entry.
     pub(crate) expired_grants: IntGauge,
-    /// Slots held beyond capacity, as when two boxes own a server.
+    /// Slots held beyond capacity, as when two boxes own an endpoint.
     pub(crate) overcommitted: IntGauge,
     /// Requests waiting here.
     pub(crate) waiting: IntGauge,
     /// Requests running from here.
     pub(crate) running: IntGauge,
-    /// Servers that this box schedules.
-    pub(crate) servers: IntGauge,
-    /// Servers that get no new work for a while, after failures.
+    /// Endpoints that this box schedules.
+    pub(crate) endpoints: IntGauge,
+    /// Endpoints that get no new work for a while, after failures.
     pub(crate) resting: IntGauge,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
@@ -101,7 +101,10 @@
                 &["outcome", "step"],
             ),
             wait,
-            retries: counter("dockgate_retries_total", "Attempts sent to a second server"),
+            retries: counter(
+                "dockgate_retries_total",
+                "Attempts sent to a second endpoint",
+            ),
             pauses: counter(
                 "dockgate_pauses_total",
                 "Streams that gave their slot up for a while",
@@ -120,7 +123,7 @@
             ),
             overcommitted: gauge(
                 "dockgate_overcommitted_slots",
-                "Slots held beyond capacity on the servers scheduled here",
+                "Slots held beyond capacity on the endpoints scheduled here",
             ),
             waiting: gauge(
                 "dockgate_waiting_requests",
@@ -130,13 +133,13 @@
                 "dockgate_running_requests",
                 "Requests running from this entry",
             ),
-            servers: gauge(
-                "dockgate_scheduled_servers",
-                "Servers scheduled by this box",
+            endpoints: gauge(
+                "dockgate_scheduled_endpoints",
+                "Endpoints scheduled by this box",
             ),
             resting: gauge(
-                "dockgate_resting_servers",
-                "Servers scheduled here that get no new work for a while, after failures",
+                "dockgate_resting_endpoints",
+                "Endpoints scheduled here that get no new work for a while, after failures",
             ),
             config_version: gauge(
                 "dockgate_config_version",
--- a/dockgate/src/settings.rs
+++ b/dockgate/src/settings.rs
@@ -105,7 +105,7 @@
     }
 }
 
-/// Limits towards callers and servers.
+/// Limits towards callers and endpoints.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LimitSettings {
     /// Connections of callers at once.
@@ -120,9 +120,9 @@
     pub(crate) body_timeout: Duration,
     /// How long a request waits for a slot where the caller names no deadline.
     pub(crate) queue_timeout: Duration,
-    /// How long connecting to a server may take.
+    /// How long connecting to an endpoint may take.
     pub(crate) connect_timeout: Duration,
-    /// How long a server may be silent before or inside an answer.
+    /// How long an endpoint may be silent before or inside an answer.
     pub(crate) answer_timeout: Duration,
     /// Attempts for one request.
     pub(crate) attempts: u32,
@@ -149,7 +149,7 @@
     pub(crate) grant_ttl: Duration,
     /// How often the cost of a running request is reported.
     pub(crate) progress_every: Duration,
-    /// How long a newly owned server is left alone.
+    /// How long a newly owned endpoint is left alone.
     pub(crate) adopt: Duration,
     /// How long a request may wait on the first scheduler asked.
     pub(crate) widen: Duration,
--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -107,11 +107,11 @@
         #[arg(long, global = true)]
         yes: bool,
     },
-    /// Adds, changes or retires a server.
-    Server {
+    /// Adds, changes or retires an endpoint.
+    Endpoint {
         /// What to do with it.
         #[command(subcommand)]
-        verb: ServerVerb,
+        verb: EndpointVerb,
         /// Commits without a further question.
         #[arg(long, global = true)]
         yes: bool,
@@ -144,8 +144,8 @@
     Workspaces,
     /// The pools.
     Pools,
-    /// The servers.
-    Servers,
+    /// The endpoints.
+    Endpoints,
     /// The kinds of request.
     Kinds,
 }
@@ -172,13 +172,13 @@
     Retire(NameFlag),
 }
 
-/// What to do with a server.
+/// What to do with an endpoint.
 #[derive(Debug, Subcommand)]
-pub(crate) enum ServerVerb {
+pub(crate) enum EndpointVerb {
     /// Adds one.
-    Add(ServerFlags),
+    Add(EndpointFlags),
     /// Changes one; what is not named stays.
-    Set(ServerFlags),
+    Set(EndpointFlags),
     /// Retires one: it gets no new work and finishes what it has.
     Retire(NameFlag),
 }
@@ -245,9 +245,9 @@
     pub(crate) slot_ms_weight: Option<String>,
 }
 
-/// The fields of a server.
+/// The fields of an endpoint.
 #[derive(Debug, Args)]
-pub(crate) struct ServerFlags {
+pub(crate) struct EndpointFlags {
     /// The name.
     pub(crate) name: String,
     /// Its pool.
@@ -275,7 +275,7 @@
 pub(crate) struct KindFlags {
     /// The name.
     pub(crate) name: String,
-    /// Whether a request of it may be sent to a second server: yes or no.
+    /// Whether a request of it may be sent to a second endpoint: yes or no.
     #[arg(long)]
     pub(crate) repeatable: Option<String>,
 }
--- a/dockgatectl/src/change.rs
+++ b/dockgatectl/src/change.rs
@@ -1,7 +1,7 @@
 //! Turns single commands into changes, by the same rules as declaration files.
 
 use crate::args::{
-    KindFlags, KindVerb, PoolFlags, PoolVerb, ServerFlags, ServerVerb, WorkspaceFlags,
+    EndpointFlags, EndpointVerb, KindFlags, KindVerb, PoolFlags, PoolVerb, WorkspaceFlags,
     WorkspaceVerb,
 };
 use crate::error::CtlError;
@@ -150,23 +150,23 @@
     take_first(declaration.pools).map(ConfigChange::PutPool)
 }
 
-/// Turns a server command into a change.
+/// Turns an endpoint command into a change.
 ///
 /// # Errors
 ///
 /// Returns what is wrong with the flags.
-pub(crate) fn server_change(
+pub(crate) fn endpoint_change(
     config: &FleetConfig,
-    verb: &ServerVerb,
+    verb: &EndpointVerb,
 ) -> Result<ConfigChange, CtlError> {
     let (flags, exists) = match verb {
-        ServerVerb::Add(flags) => (flags, false),
-        ServerVerb::Set(flags) => (flags, true),
-        ServerVerb::Retire(flag) => return Ok(ConfigChange::RetireServer(flag.name.clone())),
+        EndpointVerb::Add(flags) => (flags, false),
+        EndpointVerb::Set(flags) => (flags, true),
+        EndpointVerb::Retire(flag) => return Ok(ConfigChange::RetireEndpoint(flag.name.clone())),
     };
-    let ServerFlags { name, .. } = flags;
-    let old = config.servers.named(name);
-    check_exists("server", name, old.is_some(), exists)?;
+    let EndpointFlags { name, .. } = flags;
+    let old = config.endpoints.named(name);
+    check_exists("endpoint", name, old.is_some(), exists)?;
     let pool = flags.pool.clone().or(old.map(|old| old.pool.clone()));
     let pool_name = pool.clone().unwrap_or_default();
     let domain = flags.domain.clone().or(old.map(|old| old.domain.clone()));
@@ -177,13 +177,13 @@
     let slots = flags.slots.clone().or(old.map(|old| old.slots.to_string()));
     let honest = flags.honest_refusal.clone();
     let honest = honest.or(old.map(|old| yes_or_no(old.honest_refusal)));
-    let mut section = SectionText::new("server", name)
+    let mut section = SectionText::new("endpoint", name)
         .set("pool", pool.as_deref())
         .set("domain", domain.as_deref())
         .set("address", address.as_deref())
         .set("slots", slots.as_deref())
         .set("honest_refusal", honest.as_deref());
-    for (from, address) in server_addresses(flags, old)? {
+    for (from, address) in endpoint_addresses(flags, old)? {
         section = section.set(&format!("address.{from}"), Some(&address));
     }
     // The pool is looked up by the daemon; here it only has to be declared.
@@ -195,13 +195,13 @@
     if !pool_name.is_empty() {
         section.0 += &format!("[pool {pool_name}]\nkind = {kind}\n");
     }
-    take_first(section.parse()?.servers).map(ConfigChange::PutServer)
+    take_first(section.parse()?.endpoints).map(ConfigChange::PutEndpoint)
 }
 
-/// Returns the other addresses of a server: those in the flags, else those it has.
-fn server_addresses(
-    flags: &ServerFlags,
-    old: Option<&dockgate_core::ServerSpec>,
+/// Returns the other addresses of an endpoint: those in the flags, else those it has.
+fn endpoint_addresses(
+    flags: &EndpointFlags,
+    old: Option<&dockgate_core::EndpointSpec>,
 ) -> Result<Vec<(String, String)>, CtlError> {
     if flags.address_from.is_empty() {
         let known = old
--- a/dockgatectl/src/main.rs
+++ b/dockgatectl/src/main.rs
@@ -69,8 +69,8 @@
             let change = change::pool_change(&client.show().await?, verb)?;
             change_fleet(args, &client, &renderer, single(change), *yes).await?;
         }
-        CtlCommand::Server { verb, yes } => {
-            let change = change::server_change(&client.show().await?, verb)?;
+        CtlCommand::Endpoint { verb, yes } => {
+            let change = change::endpoint_change(&client.show().await?, verb)?;
             change_fleet(args, &client, &renderer, single(change), *yes).await?;
         }
         CtlCommand::Kind { verb, yes } => {
--- a/dockgatectl/src/render.rs
+++ b/dockgatectl/src/render.rs
@@ -80,8 +80,8 @@
             if wanted(ShowSubject::Pools) {
                 print_pools(config);
             }
-            if wanted(ShowSubject::Servers) {
-                print_servers(config);
+            if wanted(ShowSubject::Endpoints) {
+                print_endpoints(config);
             }
             if wanted(ShowSubject::Kinds) {
                 print_kinds(config);
@@ -106,8 +106,8 @@
                 status.waiting, status.running
             );
             println!(
-                "schedules {} servers, {} slots held",
-                status.servers, status.held
+                "schedules {} endpoints, {} slots held",
+                status.endpoints, status.held
             );
             println!("invariant violations: {}", status.invariant_violations);
             let mut rows = table(&["peer", "domain", "link", "state"]);
@@ -166,8 +166,8 @@
         println!("{rows}");
     }
     println!("slots: {} before, {} after", effect.slots.0, effect.slots.1);
-    for server in &effect.drained {
-        println!("drains: {server}");
+    for endpoint in &effect.drained {
+        println!("drains: {endpoint}");
     }
     for refused in &effect.refused {
         println!("will be refused: {refused}");
@@ -196,18 +196,18 @@
 }
 
 fn print_pools(config: &FleetConfig) {
-    let mut rows = table(&["pool", "kind", "models", "servers"]);
+    let mut rows = table(&["pool", "kind", "models", "endpoints"]);
     for (key, spec) in config.pools.iter() {
         let kind = format!("{:?}", spec.kind).to_lowercase();
-        let servers = config.servers_of(key).count().to_string();
-        rows.add_row([&spec.name, &kind, &spec.models.join(", "), &servers]);
+        let endpoints = config.endpoints_of(key).count().to_string();
+        rows.add_row([&spec.name, &kind, &spec.models.join(", "), &endpoints]);
     }
     println!("{rows}");
 }
 
-fn print_servers(config: &FleetConfig) {
-    let mut rows = table(&["server", "pool", "domain", "address", "slots"]);
-    for (_, spec) in config.servers.iter() {
+fn print_endpoints(config: &FleetConfig) {
+    let mut rows = table(&["endpoint", "pool", "domain", "address", "slots"]);
+    for (_, spec) in config.endpoints.iter() {
         let (address, slots) = (spec.address.to_string(), spec.slots.to_string());
         rows.add_row([&spec.name, &spec.pool, &spec.domain, &address, &slots]);
     }
