--- a/dockgate-core/src/attempt.rs
+++ b/dockgate-core/src/attempt.rs
@@ -106,39 +106,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use yare::parameterized;
-
-    #[parameterized(
-        queued = { AttemptState::Queued, false, RetryVerdict::Retry },
-        bound = { AttemptState::Bound, false, RetryVerdict::Retry },
-        refused = { AttemptState::Refused, false, RetryVerdict::Retry },
-        sent_repeatable = { AttemptState::Sent, true, RetryVerdict::Retry },
-        sent_once = { AttemptState::Sent, false, RetryVerdict::Report(Outcome::Unknown) },
-        streaming = { AttemptState::Streaming, true, RetryVerdict::Report(Outcome::Failed) },
-        streaming_once = { AttemptState::Streaming, false, RetryVerdict::Report(Outcome::Unknown) },
-    )]
-    fn verdict_with_budget(state: AttemptState, repeatable: bool, verdict: RetryVerdict) {
-        assert_eq!(state.after_loss(repeatable, true), verdict);
-    }
-
-    #[test]
-    fn a_request_that_was_sent_once_is_never_called_not_run() {
-        let mut trail = AttemptTrail::default();
-        trail.note(AttemptState::Refused);
-        assert_eq!(trail.outcome(AttemptState::Queued, true), Outcome::NotRun);
-        trail.note(AttemptState::Sent);
-        trail.note(AttemptState::Bound);
-        assert_eq!(trail.outcome(AttemptState::Queued, true), Outcome::Failed);
-    }
-
-    #[test]
-    fn not_run_is_never_said_after_sending() {
-        for state in [AttemptState::Sent, AttemptState::Streaming] {
-            for repeatable in [true, false] {
-                assert_ne!(state.outcome(repeatable), Outcome::NotRun);
-            }
-        }
-    }
-}
+mod tests;
--- a/dockgate-core/src/ids.rs
+++ b/dockgate-core/src/ids.rs
@@ -117,13 +117,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn grant_id_tells_its_incarnation() {
-        let id = GrantId::new(Incarnation(7), u32::MAX);
-        assert!(id.is_from(Incarnation(7)));
-        assert!(!id.is_from(Incarnation(8)));
-    }
-}
+mod tests;
--- /dev/null
+++ b/dockgate-core/src/placement/tests.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+#[test]
+fn losing_a_box_moves_only_its_own_endpoints() {
+    let boxes: Vec<BoxKey> = (0..8).map(BoxKey).collect();
+    let fewer = &boxes[..7];
+    for endpoint in (0..200).map(EndpointKey) {
+        let before = owner_of(endpoint, &boxes);
+        let after = owner_of(endpoint, fewer);
+        assert!(before == after || before == Some(BoxKey(7)));
+    }
+}
--- /dev/null
+++ b/dockgate-core/src/scheduler/health/tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+#[test]
+fn a_failing_endpoint_is_probed_ever_less_and_trusted_after_one_answer() {
+    let mut health = SlotHealth::default();
+    health.note(SlotSign::Lost, 0, 0);
+    assert!(!health.is_open(99));
+    assert!(health.is_open(100));
+    health.granted(100);
+    assert!(!health.is_open(150), "one probe at a time");
+    health.note(SlotSign::Lost, 0, 160);
+    assert!(!health.is_open(359));
+    assert!(health.is_open(360));
+    health.granted(360);
+    health.note(SlotSign::Answered, 0, 400);
+    assert!(health.is_open(400));
+}
+
+#[test]
+fn a_full_endpoint_is_believed_and_tried_again_ever_more_boldly() {
+    let mut health = SlotHealth::default();
+    health.note(SlotSign::Full, 3, 10_000);
+    assert_eq!(health.slots(16, 10_000), 3);
+    assert!(!health.is_open(10_010));
+    assert!(health.is_open(10_020));
+    assert_eq!(health.slots(16, 10_050), 4);
+    assert_eq!(health.slots(16, 10_150), 10);
+    assert_eq!(health.slots(16, 10_200), 16);
+    for _ in 0..16 {
+        health.note(SlotSign::Full, 3, 10_200);
+    }
+    assert_eq!(
+        health.slots(16, 10_250),
+        3,
+        "it waits longer after a second sign"
+    );
+    assert_eq!(
+        health.slots(16, 10_300),
+        4,
+        "but not for every refusal of a burst"
+    );
+}
--- /dev/null
+++ b/dockgate/src/caller/hop/tests.rs
@@ -0,0 +1,21 @@
+use super::*;
+use http::HeaderValue;
+
+#[test]
+fn what_ends_here_is_not_passed_on() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "close, x-secret"),
+        ("x-secret", "1"),
+        ("transfer-encoding", "chunked"),
+        ("authorization", "Bearer key"),
+        ("dockgate-workspace", "another"),
+        ("accept", "text/plain"),
+    ] {
+        let name: HeaderName = name.parse().unwrap();
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    clean_request(&mut headers);
+    assert_eq!(headers.len(), 1);
+    assert!(headers.contains_key(header::ACCEPT));
+}
