feat: metrics of the gateway, names in endpoint lines, and dockgatectl explain

Counters and histograms by service: outcomes, time to the decision and to the first event, tokens believed cached, resumed streams, missed verdicts, calls to the store; gauges of endpoints by state, live boxes, unread tokens, memory, ages of routes and endpoints.

--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -30,8 +30,8 @@
 pub enum EndpointChange {
     /// It was written at this revision.
     Put(EndpointRecord, u64),
-    /// It was removed at this revision.
-    Removed(EndpointId, u64),
+    /// The record of this lifetime id was removed at this revision.
+    Removed(String, u64),
 }
 
 /// The endpoints of all services.
@@ -65,7 +65,7 @@
             }
             EndpointChange::Removed(id, revision) => {
                 self.advance(revision);
-                self.remove(id, revision, kept_until_ms)
+                self.remove(EndpointId::from_name(&id), revision, kept_until_ms)
             }
         }
     }
@@ -162,18 +162,19 @@
         changed
     }
 
-    /// Forgets the endpoints whose records lapsed and did not come back; returns their ids.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointId> {
-        let lapsed = self.endpoints.iter();
-        let lapsed: Vec<(EndpointId, u64)> = lapsed
-            .filter(|(_, entry)| entry.lapses_ms.is_some_and(|until| until <= now_ms))
-            .map(|(id, entry)| (*id, entry.revision))
-            .collect();
-        for (id, revision) in &lapsed {
-            self.endpoints.remove(id);
-            self.bury(*id, *revision);
+    /// Forgets the endpoints whose records lapsed and did not come back; returns their
+    /// lifetime ids.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<String> {
+        let is_over = |entry: &EndpointEntry| entry.lapses_ms.is_some_and(|until| until <= now_ms);
+        let entries = self.endpoints.iter().filter(|(_, entry)| is_over(entry));
+        let lapsed: Vec<(EndpointId, u64)> =
+            entries.map(|(id, entry)| (*id, entry.revision)).collect();
+        let mut names = Vec::new();
+        for (id, revision) in lapsed {
+            names.extend(self.endpoints.remove(&id).map(|entry| entry.record.id));
+            self.bury(id, revision);
         }
-        lapsed.into_iter().map(|(id, _)| id).collect()
+        names
     }
 
     /// Finds an endpoint.
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -32,8 +32,7 @@
 fn a_removed_endpoint_is_not_brought_back_by_a_late_record() {
     let mut book = EndpointBook::default();
     book.apply(put("e", 3), None);
-    let id = EndpointId::from_name("e");
-    assert!(book.apply(EndpointChange::Removed(id, 5), None));
+    assert!(book.apply(EndpointChange::Removed("e".to_owned(), 5), None));
     assert!(!book.apply(put("e", 4), None));
     assert!(book.apply(put("e", 6), None));
 }
@@ -46,8 +45,8 @@
     book.replace(Vec::new(), 10, Some(2_000));
     assert_eq!(book.ready("x").count(), 2);
     book.apply(put("back", 11), None);
-    assert_eq!(book.expire(1_999), Vec::new());
-    assert_eq!(book.expire(2_000), vec![EndpointId::from_name("gone")]);
+    assert!(book.expire(1_999).is_empty());
+    assert_eq!(book.expire(2_000), ["gone"]);
     assert_eq!(book.ready("x").count(), 1);
 }
 
@@ -70,7 +69,7 @@
         let id = EndpointId::from_name("e");
         for revision in &order {
             let change = match revision % 4 {
-                0 => EndpointChange::Removed(id, *revision),
+                0 => EndpointChange::Removed("e".to_owned(), *revision),
                 _ => put("e", *revision),
             };
             book.apply(change, None);
--- a/dockgate-core/src/gateway/engine_book.rs
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -77,6 +77,11 @@
         self.loads.get(&endpoint)
     }
 
+    /// Lists the loads of all engines.
+    pub fn iter(&self) -> impl Iterator<Item = &EngineLoad> {
+        self.loads.values()
+    }
+
     /// Notes the first event of a run.
     pub fn start(&mut self, endpoint: EndpointId, key: RunKey, now_ms: u64) {
         if let Some(load) = self.loads.get_mut(&endpoint) {
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -11,6 +11,7 @@
 mod events;
 mod follow;
 mod front;
+mod gateway_metrics;
 mod gateway_state;
 mod peer_net;
 mod peer_state;
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -5,9 +5,9 @@
 
 use super::call_body::CallBody;
 use super::events::{GatewayEvent, log_gateway};
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::refusal::{RefusalReason, refusal_response};
-use crate::metrics::METRICS;
 use admitted::admit;
 pub(super) use admitted::{AdmittedCall, CallTries};
 use http::{Request, Response};
@@ -48,7 +48,7 @@
         }
         Err(turned_away) => {
             let reason = turned_away.refusal.reason;
-            count(reason.as_str());
+            GATEWAY_METRICS.note_outcome("", reason.as_str());
             log_gateway(&GatewayEvent::Refused {
                 request: &turned_away.id,
                 route: "",
@@ -69,16 +69,9 @@
     time.map(|time| time.as_millis() as u64)
 }
 
-fn count(outcome: &'static str) {
-    METRICS
-        .requests
-        .with_label_values(&[outcome, "gateway"])
-        .inc();
-}
-
 fn refuse(call: &AdmittedCall, refusal: &CallRefusal) -> Response<CallBody> {
     let reason = refusal.reason;
-    count(reason.as_str());
+    GATEWAY_METRICS.note_outcome(&call.service().name, reason.as_str());
     log_gateway(&GatewayEvent::Refused {
         request: &call.head.id,
         route: &call.route().name,
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -4,10 +4,11 @@
 use super::super::engine_seek::{EngineWish, NoPlace, connection_limit, find_engine};
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, log_gateway};
+use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
-use super::{AdmittedCall, CallRefusal, CallTries, count};
+use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use bytes::Bytes;
@@ -277,6 +278,10 @@
     ) -> Result<Response<CallBody>, SendLoss> {
         let name = place.target.name.clone();
         let attempt = tries.sent + 1;
+        let decided = GATEWAY_METRICS
+            .decision
+            .with_label_values(&[&self.service().name]);
+        decided.observe(self.age().as_secs_f64());
         let expected_ms = place.expected_ms;
         if self.is_sampled() || attempt > 1 {
             self.log_sent(&place, attempt);
@@ -446,7 +451,8 @@
         events: u64,
         tries: &CallTries,
     ) {
-        count("answered");
+        GATEWAY_METRICS.note_outcome(&self.service().name, "answered");
+        GATEWAY_METRICS.note_first_event(&self.service().name, first);
         let late = first > self.route().objective;
         if self.is_sampled() || late || tries.sent > 1 {
             log_gateway(&GatewayEvent::Answered {
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -4,6 +4,7 @@
 //! that engine knows all that is there, so its verdict is worth a round trip of two milliseconds;
 //! where it does not answer in time, the entry decides alone on what it sent there itself.
 
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use super::peer_net::{placed, send_to};
 use super::run_guard::RunGuard;
@@ -129,6 +130,7 @@
         let load = beliefs.engines.load_mut(endpoint, spec);
         let verdict = rule.decide(load, ask, level, last, others, now);
         if matches!(verdict, EngineVerdict::Granted(_)) {
+            GATEWAY_METRICS.note_admitted(ask.input, load.unread_of(ask));
             load.place(key, ask, now);
         }
         Some(verdict)
@@ -184,6 +186,7 @@
                 decided_by,
             });
         }
+        GATEWAY_METRICS.missed_verdicts.inc();
         let others = state.with(|beliefs| beliefs.fleet.live_count(now_ms())) - 1;
         let verdict = decide_here(state, endpoint, key, ask, last, others)?;
         if matches!(verdict, EngineVerdict::Granted(_)) {
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -3,6 +3,7 @@
 use super::call::{AdmittedCall, CallTries};
 use super::call_body::{BrokenAnswer, CallBody};
 use super::events::{GatewayEvent, log_gateway};
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::run_guard::RunGuard;
 use super::upstream::UsedConnection;
 use bytes::Bytes;
@@ -219,6 +220,7 @@
         self.splitter = EventSplitter::default();
         let reason = match self.resume().await {
             Ok(source) => {
+                GATEWAY_METRICS.resumed.inc();
                 log_gateway(&GatewayEvent::Resumed {
                     request: &self.call.head.id,
                     endpoint: &source.name,
@@ -230,6 +232,7 @@
             }
             Err(reason) => reason,
         };
+        GATEWAY_METRICS.note_outcome(&self.call.service().name, "broken_off");
         log_gateway(&GatewayEvent::BrokenOff {
             request: &self.call.head.id,
             endpoint: &name,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -2,12 +2,8 @@
 
 use super::settings::GatewaySettings;
 use crate::logging::log_line;
-use dockgate_core::gateway::{EndpointChange, EndpointId, EndpointState};
-use serde::{Serialize, Serializer};
-
-fn as_text<S: Serializer>(id: &EndpointId, serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.collect_str(id)
-}
+use dockgate_core::gateway::{EndpointChange, EndpointState};
+use serde::Serialize;
 
 /// Something that happened in a gateway.
 #[derive(Debug, Serialize)]
@@ -50,11 +46,7 @@
         source: &'a str,
     },
     /// An endpoint is gone.
-    EndpointGone {
-        #[serde(serialize_with = "as_text")]
-        endpoint: EndpointId,
-        source: &'a str,
-    },
+    EndpointGone { endpoint: &'a str, source: &'a str },
     /// The endpoints were listed whole, and something differed from what was believed.
     EndpointsListed {
         count: usize,
@@ -155,7 +147,7 @@
                 source,
             },
             EndpointChange::Removed(id, _) => Self::EndpointGone {
-                endpoint: *id,
+                endpoint: id,
                 source,
             },
         }
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 //! own; one whose history is lost lists anew and compares. What is known stays in force meanwhile.
 
 use super::events::{GatewayEvent, log_gateway};
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
 use dockgate_core::gateway::EndpointChange;
@@ -50,6 +51,7 @@
     }
 
     fn lost(&mut self, error: &PlatformError) {
+        self.count("failed");
         if self.lost_ms.is_none() {
             self.lost_ms = Some(now_ms());
             let problem = error.to_string();
@@ -60,7 +62,15 @@
         }
     }
 
+    fn count(&self, outcome: &str) {
+        GATEWAY_METRICS
+            .store_calls
+            .with_label_values(&[self.step, outcome])
+            .inc();
+    }
+
     fn answered(&mut self) {
+        self.count("answered");
         if let Some(lost_ms) = self.lost_ms.take() {
             let now = now_ms();
             self.back_ms = Some(now);
--- /dev/null
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -0,0 +1,188 @@
+//! What a gateway counts beside the daemon's own metrics.
+
+use super::gateway_state::GatewayState;
+use crate::clock::now_ms;
+use crate::metrics::METRICS;
+use dockgate_core::gateway::EndpointState;
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+};
+use std::sync::LazyLock;
+use std::time::Duration;
+
+/// Upper bounds of the buckets of times, in seconds: around the objectives of 0.1 to 1 s, and the
+/// 10 ms within which a refusal is usual.
+const SECONDS: [f64; 11] = [0.002, 0.005, 0.01, 0.03, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 6.0];
+
+/// Every metric of the gateway.
+pub(super) struct GatewayMetrics {
+    /// Requests that ended, by service and outcome.
+    pub(super) outcomes: IntCounterVec,
+    /// Time from arrival to the first event, or to a whole answer, by service.
+    pub(super) first_event: HistogramVec,
+    /// Time from arrival to the decision where a request goes, by service.
+    pub(super) decision: HistogramVec,
+    /// Tokens of admitted prompts, by whether they were believed to be cached.
+    prompt_tokens: IntCounterVec,
+    /// Streams that went on at another endpoint.
+    pub(super) resumed: IntCounter,
+    /// Verdicts that did not come in time.
+    pub(super) missed_verdicts: IntCounter,
+    /// Calls to the store, by what is followed and outcome.
+    pub(super) store_calls: IntCounterVec,
+    endpoints: IntGaugeVec,
+    boxes: IntGauge,
+    unread: IntGauge,
+    memory: IntGauge,
+    config_age_ms: IntGauge,
+    endpoints_age_ms: IntGauge,
+    connections: IntGauge,
+}
+
+/// The gateway's metrics.
+pub(super) static GATEWAY_METRICS: LazyLock<GatewayMetrics> = LazyLock::new(GatewayMetrics::new);
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    let metric = IntCounter::new(name, help).expect("a constant name is valid");
+    METRICS.add(metric.clone());
+    metric
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let metric = IntCounterVec::new(Opts::new(name, help), labels);
+    let metric = metric.expect("a constant name is valid");
+    METRICS.add(metric.clone());
+    metric
+}
+
+fn gauge(name: &str, help: &str) -> IntGauge {
+    let metric = IntGauge::new(name, help).expect("a constant name is valid");
+    METRICS.add(metric.clone());
+    metric
+}
+
+fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    let metric = HistogramVec::new(options, labels).expect("a constant name is valid");
+    METRICS.add(metric.clone());
+    metric
+}
+
+impl GatewayMetrics {
+    fn new() -> Self {
+        let endpoints = Opts::new("dockgate_endpoints", "Endpoints known, by state");
+        let endpoints = IntGaugeVec::new(endpoints, &["state"]).expect("a constant name is valid");
+        METRICS.add(endpoints.clone());
+        Self {
+            endpoints,
+            outcomes: counters(
+                "dockgate_gateway_requests_total",
+                "Requests that ended, by service and outcome",
+                &["service", "outcome"],
+            ),
+            first_event: histograms(
+                "dockgate_first_event_seconds",
+                "Time from arrival to the first event or whole answer, by service",
+                &["service"],
+            ),
+            decision: histograms(
+                "dockgate_decision_seconds",
+                "Time from arrival to the decision where a request goes, by service",
+                &["service"],
+            ),
+            prompt_tokens: counters(
+                "dockgate_prompt_tokens_total",
+                "Tokens of admitted prompts, by whether they were believed to be cached",
+                &["cached"],
+            ),
+            resumed: counter(
+                "dockgate_streams_resumed_total",
+                "Streams that went on at another endpoint",
+            ),
+            missed_verdicts: counter(
+                "dockgate_missed_verdicts_total",
+                "Seeks that the deciding box did not answer in time",
+            ),
+            store_calls: counters(
+                "dockgate_store_calls_total",
+                "Calls to the platform's store, by what is followed and outcome",
+                &["followed", "outcome"],
+            ),
+            boxes: gauge(
+                "dockgate_boxes_live",
+                "Boxes that are heard, this one included",
+            ),
+            unread: gauge(
+                "dockgate_engine_unread_tokens",
+                "Prompt tokens believed unread at the engines that this box knows of",
+            ),
+            memory: gauge(
+                "dockgate_engine_memory_tokens",
+                "Tokens of memory believed taken at the engines that this box knows of",
+            ),
+            config_age_ms: gauge(
+                "dockgate_config_age_ms",
+                "Time since the configuration in force came, in milliseconds",
+            ),
+            endpoints_age_ms: gauge(
+                "dockgate_endpoints_age_ms",
+                "Time since the last news of an endpoint, in milliseconds",
+            ),
+            connections: gauge(
+                "dockgate_endpoint_connections",
+                "Open connections to endpoints",
+            ),
+        }
+    }
+
+    /// Counts a request that ended.
+    pub(super) fn note_outcome(&self, service: &str, outcome: &str) {
+        self.outcomes.with_label_values(&[service, outcome]).inc();
+    }
+
+    /// Counts the time to a first event or whole answer.
+    pub(super) fn note_first_event(&self, service: &str, after: Duration) {
+        self.first_event
+            .with_label_values(&[service])
+            .observe(after.as_secs_f64());
+    }
+
+    /// Counts the tokens of a prompt that was admitted, of which so many are to be read.
+    pub(super) fn note_admitted(&self, input: u32, unread: u32) {
+        let tokens = |cached: &str| self.prompt_tokens.with_label_values(&[cached]);
+        tokens("no").inc_by(u64::from(unread));
+        tokens("yes").inc_by(u64::from(input.saturating_sub(unread)));
+    }
+
+    /// Reads what is believed now into the gauges.
+    pub(super) fn read(&self, state: &GatewayState) {
+        let now = now_ms();
+        let age = |since_ms: u64| now.saturating_sub(since_ms) as i64;
+        self.connections.set(state.pools.open() as i64);
+        self.config_age_ms.set(age(state.config_since_ms()));
+        self.endpoints_age_ms.set(age(state.endpoints_since_ms()));
+        state.with(|beliefs| {
+            self.boxes.set(i64::from(beliefs.fleet.live_count(now)));
+            let (mut ready, mut draining, mut resting) = (0, 0, 0);
+            for (_, entry) in beliefs.endpoints.iter() {
+                match entry.record.state {
+                    EndpointState::Draining => draining += 1,
+                    EndpointState::Ready if entry.health.is_open(now) => ready += 1,
+                    EndpointState::Ready => resting += 1,
+                }
+            }
+            for (name, count) in [
+                ("ready", ready),
+                ("draining", draining),
+                ("resting", resting),
+            ] {
+                self.endpoints.with_label_values(&[name]).set(count);
+            }
+            let loads = || beliefs.engines.iter();
+            self.unread
+                .set(loads().map(|load| load.unread() as i64).sum());
+            self.memory
+                .set(loads().map(|load| load.memory() as i64).sum());
+        });
+    }
+}
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -4,6 +4,7 @@
 use super::settings::GatewaySettings;
 use super::upstream::EndpointPools;
 use crate::clock::now_ms;
+use crate::metrics::METRICS;
 use crate::stop::StopFlag;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
@@ -61,6 +62,10 @@
     table: ArcSwap<RouteTable>,
     beliefs: Mutex<GatewayBeliefs>,
     counter: AtomicU32,
+    /// When the configuration in force came.
+    config_ms: AtomicU64,
+    /// When the last news of an endpoint came.
+    endpoints_ms: AtomicU64,
     stop: StopFlag,
     /// When the process ends, once it is stopping.
     end_ms: AtomicU64,
@@ -97,6 +102,8 @@
             beliefs: Mutex::new(beliefs),
             // Numbers of an earlier life are not met again soon.
             counter: AtomicU32::new(rand::random()),
+            config_ms: AtomicU64::new(now_ms()),
+            endpoints_ms: AtomicU64::new(now_ms()),
             stop: StopFlag::default(),
             end_ms: AtomicU64::new(0),
             datagrams,
@@ -151,6 +158,16 @@
         self.table.load_full()
     }
 
+    /// Returns when the configuration in force came.
+    pub(super) fn config_since_ms(&self) -> u64 {
+        self.config_ms.load(Ordering::Relaxed)
+    }
+
+    /// Returns when the last news of an endpoint came.
+    pub(super) fn endpoints_since_ms(&self) -> u64 {
+        self.endpoints_ms.load(Ordering::Relaxed)
+    }
+
     /// Reads or changes what is believed; must not wait inside.
     pub(super) fn with<T>(&self, change: impl FnOnce(&mut GatewayBeliefs) -> T) -> T {
         // No decision leaves its state half changed, so a panic elsewhere spoils nothing.
@@ -166,6 +183,8 @@
         }
         let (routes, workspaces) = (config.routes.len(), config.workspaces.len());
         self.table.store(Arc::new(RouteTable::new(config)));
+        self.config_ms.store(now_ms(), Ordering::Relaxed);
+        METRICS.config_version.set(new as i64);
         log_gateway(&GatewayEvent::RoutesInForce {
             old,
             version: new,
@@ -189,6 +208,9 @@
             let changed = changes.filter(|change| endpoints.apply(change.clone(), kept_until_ms));
             changed.collect()
         });
+        if !changed.is_empty() {
+            self.endpoints_ms.store(now_ms(), Ordering::Relaxed);
+        }
         for change in &changed {
             log_gateway(&GatewayEvent::endpoint(change, source));
         }
@@ -207,6 +229,7 @@
         let changed =
             self.with(|beliefs| beliefs.endpoints.replace(records, revision, kept_until_ms));
         if changed {
+            self.endpoints_ms.store(now_ms(), Ordering::Relaxed);
             log_gateway(&GatewayEvent::EndpointsListed {
                 count,
                 revision,
@@ -257,9 +280,9 @@
             let names: Vec<String> = gone.iter().map(|key| fleet.name(*key).to_owned()).collect();
             (lapsed, names)
         });
-        for id in &endpoints {
+        for endpoint in &endpoints {
             log_gateway(&GatewayEvent::EndpointGone {
-                endpoint: *id,
+                endpoint,
                 source: "lapsed",
             });
         }
--- a/dockgate/src/metrics.rs
+++ b/dockgate/src/metrics.rs
@@ -173,7 +173,18 @@
         }
     }
 
-    /// Writes every metric as text.
+    /// Adds a metric of another part of the daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics where two metrics have the same name, which is a fault of the program.
+    pub(crate) fn add(&self, metric: impl prometheus::core::Collector + Clone + 'static) {
+        self.registry
+            .register(Box::new(metric))
+            .expect("names differ");
+    }
+
+    /// Returns all metrics in the text form.
     pub(crate) fn render(&self) -> Vec<u8> {
         self.violations
             .set(dockgate_core::invariant_violations() as i64);
--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -56,6 +56,13 @@
 /// What to do.
 #[derive(Debug, Subcommand)]
 pub(crate) enum CtlCommand {
+    /// Tells one request's story from the logs of the boxes.
+    Explain {
+        /// The request's id.
+        id: String,
+        /// Log files of any boxes; standard input where none is named.
+        logs: Vec<PathBuf>,
+    },
     /// Works out what a declaration file would change, and keeps the plan for `confirm`.
     Plan {
         /// The declaration file.
--- a/dockgatectl/src/main.rs
+++ b/dockgatectl/src/main.rs
@@ -7,6 +7,7 @@
 mod change;
 mod client;
 mod error;
+mod explain;
 mod render;
 
 use args::{CtlArgs, CtlCommand};
@@ -43,6 +44,7 @@
             clap_complete::generate(*shell, &mut command, "dockgatectl", &mut std::io::stdout());
             return Ok(());
         }
+        CtlCommand::Explain { id, logs } => return explain::print_story(id, logs),
         _ => {}
     }
     let client = OperatorClient::new(args.operator, &args.token_file, args.timeout_s)?;
@@ -77,7 +79,9 @@
             let change = change::kind_change(&client.show().await?, verb)?;
             change_fleet(args, &client, &renderer, single(change), *yes).await?;
         }
-        CtlCommand::HashKey { .. } | CtlCommand::Completions { .. } => {}
+        CtlCommand::HashKey { .. }
+        | CtlCommand::Completions { .. }
+        | CtlCommand::Explain { .. } => {}
     }
     Ok(())
 }
