fix(core): tell sums over the window with each beat, not totals since the start

A box that had just begun divided a fraction of a window's capacity, and took all that its peers had ever done for news of the moment. Change: each beat carries the sender's sums over the window; a report replaces the one before.

--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -1,14 +1,16 @@
 //! What each workspace asked for and was given over the whole fleet in the last few seconds.
 //!
-//! Every box counts what it admits and tells the others its running totals, so that a report that
-//! is lost, late or doubled changes nothing in the end. Where more is asked than the endpoints make,
-//! a workspace is owed its max-min share: what it asks, or an equal level with all who ask for more.
+//! Every box counts what it admits and tells the others its own sums over the window with each beat.
+//! A report replaces the one before, so that one that is lost or doubled changes nothing, and a box
+//! that has just begun knows from one beat of each other box what a whole window has seen. Where
+//! more is asked than the endpoints make, a workspace is owed its max-min share: what it asks, or an
+//! equal level with all who ask for more.
 
-use crate::ids::{BoxKey, Incarnation};
+use crate::ids::BoxKey;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-/// One workspace's totals at one box since that box started, in service units.
+/// One workspace's sums at one box over the last window, in service units.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShareRow {
     /// The workspace, as a hash of its name.
@@ -68,9 +70,9 @@
 type ShareSums = BTreeMap<u64, ShareSum>;
 
 #[derive(Debug, Clone, Default)]
-struct PeerSums {
-    incarnation: Incarnation,
+struct PeerReport {
     sums: ShareSums,
+    heard_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -80,12 +82,14 @@
 }
 
 /// Adds up service over boxes and over a sliding window.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ShareWindow {
+    window_ms: u64,
+    /// What was counted here since the start.
     own: ShareSums,
-    peers: HashMap<BoxKey, PeerSums>,
-    total: ShareSums,
+    /// Earlier states of `own`, oldest first; the first one is a window old.
     samples: VecDeque<ShareSample>,
+    peers: HashMap<BoxKey, PeerReport>,
     /// The levels of workspaces that ask for more than they are owed.
     levels: HashMap<u64, f64>,
 }
@@ -94,77 +98,84 @@
     /// How much above its level a workspace may get before it counts as beyond it: reports of other
     /// boxes are a moment old, and a window that slides ends elsewhere for each observer.
     const MARGIN: f64 = 1.15;
+    /// How long a box's last report counts, in milliseconds: a few beats.
+    const REPORT_MS: u64 = 2_000;
+
+    /// Makes a window in which nothing was counted.
+    pub fn new(window_ms: u64) -> Self {
+        Self {
+            window_ms,
+            own: ShareSums::new(),
+            samples: VecDeque::new(),
+            peers: HashMap::new(),
+            levels: HashMap::new(),
+        }
+    }
+
+    /// Sets the length of the window, in milliseconds.
+    pub const fn set_window(&mut self, window_ms: u64) {
+        self.window_ms = window_ms;
+    }
 
     /// Counts a request of a workspace.
     pub fn note_asked(&mut self, workspace: u64, units: u64) {
-        self.add(
-            workspace,
-            ShareSum {
-                asked: units,
-                given: 0,
-            },
-        );
+        self.own.entry(workspace).or_default().asked += units;
     }
 
     /// Counts a request of a workspace that was admitted.
     pub fn note_given(&mut self, workspace: u64, units: u64) {
-        self.add(
-            workspace,
-            ShareSum {
-                asked: 0,
-                given: units,
-            },
-        );
+        self.own.entry(workspace).or_default().given += units;
     }
 
-    fn add(&mut self, workspace: u64, sum: ShareSum) {
-        for sums in [&mut self.own, &mut self.total] {
-            let known = sums.entry(workspace).or_default();
-            *known = known.plus(sum);
-        }
+    /// Returns what was counted here within the window.
+    fn recent(&self) -> ShareSums {
+        let earlier = self.samples.front().map(|first| &first.sums);
+        let recent = self.own.iter().map(|(workspace, sum)| {
+            let earlier = earlier.and_then(|sums| sums.get(workspace));
+            (*workspace, sum.minus(earlier.copied().unwrap_or_default()))
+        });
+        recent
+            .filter(|(_, sum)| *sum != ShareSum::default())
+            .collect()
     }
 
-    /// Returns this box's totals, for the others.
+    /// Returns this box's sums over the window, for the others.
     pub fn rows(&self) -> Vec<ShareRow> {
-        let rows = self.own.iter();
-        rows.map(|(workspace, sum)| ShareRow {
-            workspace: *workspace,
+        let recent = self.recent().into_iter();
+        let rows = recent.map(|(workspace, sum)| ShareRow {
+            workspace,
             asked: sum.asked,
             given: sum.given,
-        })
-        .collect()
+        });
+        rows.collect()
     }
 
-    /// Merges another box's totals; what is older than known changes nothing.
-    pub fn merge(&mut self, peer: BoxKey, incarnation: Incarnation, rows: &[ShareRow]) {
-        let known = self.peers.entry(peer).or_default();
-        if known.incarnation != incarnation {
-            *known = PeerSums {
-                incarnation,
-                sums: ShareSums::new(),
-            };
-        }
-        for row in rows {
-            let new = ShareSum {
-                asked: row.asked,
-                given: row.given,
-            };
-            let old = known.sums.entry(row.workspace).or_default();
-            let total = self.total.entry(row.workspace).or_default();
-            *total = total.plus(new.minus(*old));
-            old.asked = old.asked.max(new.asked);
-            old.given = old.given.max(new.given);
-        }
+    /// Takes another box's sums in.
+    pub fn merge(&mut self, peer: BoxKey, rows: &[ShareRow], now_ms: u64) {
+        let sums = rows.iter().map(|row| {
+            (
+                row.workspace,
+                ShareSum {
+                    asked: row.asked,
+                    given: row.given,
+                },
+            )
+        });
+        let report = PeerReport {
+            sums: sums.collect(),
+            heard_ms: now_ms,
+        };
+        self.peers.insert(peer, report);
     }
 
-    /// Takes a sample, and works out how much of its share of `units_per_s` each has
-    /// had in the last `window_ms`.
-    pub fn tick(&mut self, now_ms: u64, window_ms: u64, units_per_s: f64) {
-        let sample = ShareSample {
+    /// Takes a sample, and works out how much of its share of `units_per_s` each has had within the
+    /// window.
+    pub fn tick(&mut self, now_ms: u64, units_per_s: f64) {
+        self.samples.push_back(ShareSample {
             at_ms: now_ms,
-            sums: self.total.clone(),
-        };
-        self.samples.push_back(sample);
+            sums: self.own.clone(),
+        });
+        let window_ms = self.window_ms;
         while self
             .samples
             .get(1)
@@ -172,27 +183,19 @@
         {
             self.samples.pop_front();
         }
-        let Some(first) = self.samples.front() else {
-            return;
-        };
-        let elapsed_s = now_ms.saturating_sub(first.at_ms) as f64 / 1_000.0;
-        let recent: BTreeMap<u64, ShareSum> = self
-            .total
-            .iter()
-            .map(|(workspace, sum)| {
-                let earlier = first.sums.get(workspace).copied().unwrap_or_default();
-                (*workspace, sum.minus(earlier))
-            })
-            .collect();
-        let asked: Vec<f64> = recent.values().map(|sum| sum.asked as f64).collect();
-        let level = max_min_level(&asked, units_per_s * elapsed_s);
-        self.levels = recent
-            .iter()
-            .filter(|(_, sum)| sum.asked as f64 > level)
-            .map(|(workspace, sum)| {
-                let owed = (level * Self::MARGIN).max(1.0);
-                (*workspace, sum.given as f64 / owed)
-            })
+        self.peers
+            .retain(|_, report| report.heard_ms + Self::REPORT_MS > now_ms);
+        let mut total = self.recent();
+        for (workspace, sum) in self.peers.values().flat_map(|report| &report.sums) {
+            let known = total.entry(*workspace).or_default();
+            *known = known.plus(*sum);
+        }
+        let asked: Vec<f64> = total.values().map(|sum| sum.asked as f64).collect();
+        let level = max_min_level(&asked, units_per_s * window_ms as f64 / 1_000.0);
+        let greedy = total.iter().filter(|(_, sum)| sum.asked as f64 > level);
+        let owed = (level * Self::MARGIN).max(1.0);
+        self.levels = greedy
+            .map(|(workspace, sum)| (*workspace, sum.given as f64 / owed))
             .collect();
     }
 
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What boxes that route requests say to each other, in datagrams.
 //!
 //! Each message stands by itself and may be lost, doubled or late: a seek without an answer is
-//! decided by the entry alone, totals replace totals, and a run that is never heard of again lapses.
+//! decided by the entry alone, sums replace sums, and a run that is never heard of again lapses.
 
 use dockgate_core::gateway::{
     BoxBeat, EndpointId, EndpointRecord, EngineAsk, EngineVerdict, RouteConfig, ShareRow,
@@ -28,7 +28,7 @@
     Beat {
         /// What it says of itself.
         beat: BoxBeat,
-        /// What its workspaces asked for and were given since it started.
+        /// What its workspaces asked for and were given within the window.
         shares: Vec<ShareRow>,
         /// Where a few other boxes take datagrams.
         known: Vec<SocketAddr>,
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -89,7 +89,7 @@
         let beliefs = GatewayBeliefs {
             endpoints: EndpointBook::default(),
             engines: EngineBook::default(),
-            shares: ShareWindow::default(),
+            shares: ShareWindow::new(settings.share_window.as_millis() as u64),
             retries: RetryBudget::new(settings.retry_rule()),
             fleet: FleetView::new(own),
             runs: HashMap::new(),
@@ -120,7 +120,12 @@
     /// Puts other settings in force; where the box listens stays as it was.
     pub(super) fn set_settings(&self, settings: GatewaySettings) {
         let listen = self.settings().listen;
-        self.with(|beliefs| beliefs.retries.set_rule(settings.retry_rule()));
+        self.with(|beliefs| {
+            beliefs.retries.set_rule(settings.retry_rule());
+            beliefs
+                .shares
+                .set_window(settings.share_window.as_millis() as u64);
+        });
         self.settings
             .store(Arc::new(GatewaySettings { listen, ..settings }));
     }
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -83,13 +83,12 @@
         tokio::time::sleep(BEAT).await;
         send_beat(&state);
         let now = now_ms();
-        let window_ms = state.settings().share_window.as_millis() as u64;
         let units_per_s = match state.table().config().limits.units_per_s {
             // Without a stated rate nobody is ever beyond a share.
             rate if rate > 0.0 => rate,
             _ => f64::INFINITY,
         };
-        state.with(|beliefs| beliefs.shares.tick(now, window_ms, units_per_s));
+        state.with(|beliefs| beliefs.shares.tick(now, units_per_s));
         state.expire(since_ms);
         report_moved_runs(&state);
         since_ms = now;
@@ -172,7 +171,7 @@
         } => {
             let (name, domain) = (beat.name.clone(), beat.domain.clone());
             let news = state.with(|beliefs| {
-                beliefs.shares.merge(peer, incarnation, &shares);
+                beliefs.shares.merge(peer, &shares, now);
                 beliefs.fleet.hear(beat, incarnation, now)
             });
             if news {
