feat: tell the box that comes to decide for an engine what runs and was read there

Change: entries tell a new owner, or a new life of one, their running prompts and the shared parts that they had read there lately; runs of a life that has ended are forgotten.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -32,7 +32,7 @@
     /// Figures of `docs/decisions/0009-admission.md`.
     fn default() -> Self {
         Self {
-            first_part: 0.4,
+            first_part: 0.6,
             most_part: 0.6,
             beyond_share_part: 0.7,
             long_part: 0.2,
--- a/dockgate-core/src/gateway/engine_book.rs
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -96,6 +96,13 @@
         }
     }
 
+    /// Ends all runs of a box that remembers none of them.
+    pub fn forget_entry(&mut self, entry: BoxKey, now_ms: u64) {
+        for load in self.loads.values_mut() {
+            load.retain(now_ms, |run| run.entry == entry);
+        }
+    }
+
     /// Forgets the engines that are gone, the runs that `gone` tells of, and those that lapsed.
     pub fn retain(
         &mut self,
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -6,6 +6,7 @@
 
 use super::engine_book::{EngineAsk, RunKey};
 use super::prefix_cache::PrefixCache;
+use super::prompt_shape::PromptPart;
 use super::route_table::EngineSpec;
 use std::collections::HashMap;
 
@@ -128,8 +129,13 @@
         self.memory += u64::from(run.memory);
         let begin = self.read_until_ms.max(now_ms as f64);
         self.read_until_ms = begin + self.read_ms(u64::from(unread));
+        self.note_cached(&ask.parts);
+    }
+
+    /// Notes that parts are in the cache, as another box saw.
+    pub fn note_cached(&mut self, parts: &[PromptPart]) {
         let capacity = self.spec.memory.saturating_sub(self.memory);
-        self.cache.note_read(&ask.parts, capacity);
+        self.cache.note_read(parts, capacity);
     }
 
     /// Notes the first event of a request.
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// What a beat says of its sender.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BoxNews {
+    /// It was heard a moment ago.
+    None,
+    /// It was not heard for a while, or never.
+    Back,
+    /// It has begun anew and remembers nothing.
+    NewLife,
+}
+
 #[derive(Debug, Clone)]
 struct SeenBox {
     beat: BoxBeat,
@@ -87,15 +98,18 @@
     }
 
     /// Takes a beat in; returns whether the box was not seen alive before.
-    pub fn hear(&mut self, beat: BoxBeat, incarnation: Incarnation, now_ms: u64) -> bool {
+    pub fn hear(&mut self, beat: BoxBeat, incarnation: Incarnation, now_ms: u64) -> BoxNews {
         let key = beat.key();
         if key == self.me() {
-            return false;
+            return BoxNews::None;
         }
         let before = self.others.get(&key);
-        let news = before.is_none_or(|seen| {
-            seen.incarnation != incarnation || seen.heard_ms + Self::GONE_AFTER_MS < now_ms
-        });
+        let news = match before {
+            None => BoxNews::Back,
+            Some(seen) if seen.incarnation != incarnation => BoxNews::NewLife,
+            Some(seen) if seen.heard_ms + Self::GONE_AFTER_MS < now_ms => BoxNews::Back,
+            Some(_) => BoxNews::None,
+        };
         self.others.insert(
             key,
             SeenBox {
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -49,14 +49,20 @@
 #[test]
 fn a_box_that_falls_silent_is_gone_once_and_new_when_it_is_heard_again() {
     let mut view = view();
-    assert!(!view.hear(beat("a2", "a"), Incarnation(1), 1_500));
+    assert_eq!(
+        view.hear(beat("a2", "a"), Incarnation(1), 1_500),
+        BoxNews::None
+    );
     assert_eq!(view.expire(2_000, 2_200), vec![BoxKey::from_name("b1")]);
     assert_eq!(view.expire(2_200, 2_400), Vec::new());
     assert_eq!(view.live_count(2_400), 2);
-    assert!(view.hear(beat("b1", "b"), Incarnation(1), 2_500));
-    assert!(
+    assert_eq!(
+        view.hear(beat("b1", "b"), Incarnation(1), 2_500),
+        BoxNews::Back
+    );
+    assert_eq!(
         view.hear(beat("a2", "a"), Incarnation(2), 2_500),
-        "another life"
+        BoxNews::NewLife
     );
 }
 
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -4,7 +4,8 @@
 //! decided by the entry alone, sums replace sums, and a run that is never heard of again lapses.
 
 use dockgate_core::gateway::{
-    BoxBeat, EndpointId, EndpointRecord, EngineAsk, EngineVerdict, RouteConfig, ShareRow,
+    BoxBeat, EndpointId, EndpointRecord, EngineAsk, EngineVerdict, PromptPart, RouteConfig,
+    ShareRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
@@ -64,6 +65,13 @@
         /// Whether its first event was seen.
         started: bool,
     },
+    /// Entry to owner: these shared parts were read at the endpoint lately.
+    Read {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The shared parts of a prompt.
+        parts: Vec<PromptPart>,
+    },
     /// Entry to owner: the first event of a run was seen.
     Started {
         /// The entry's counter.
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -27,6 +27,7 @@
 pub(crate) use settings::{GatewaySettings, is_gateway};
 
 use crate::error::DaemonError;
+use crate::logging::drain_lines;
 use crate::stop::wait_for_signal;
 use events::{GatewayEvent, log_gateway};
 use front::CallerFront;
@@ -40,6 +41,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// For how long after its last answer a stopping daemon still takes what crosses the stop.
 const QUIET_BEFORE_END: Duration = Duration::from_millis(1_500);
+/// How long the last log lines may take to be written.
+const LAST_LINES: Duration = Duration::from_millis(200);
 /// How much of the grace is kept for the end itself.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
@@ -120,4 +123,5 @@
         in_time: ended.is_ok(),
         cut,
     });
+    drain_lines(LAST_LINES);
 }
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -4,7 +4,7 @@
 mod sending;
 
 use super::call_body::CallBody;
-use super::events::{GatewayEvent, log_gateway};
+use super::events::{AskedEngine, GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::refusal::{RefusalReason, refusal_response};
@@ -22,6 +22,22 @@
     pub(super) reason: RefusalReason,
     /// When the caller should come back, where that makes sense.
     pub(super) retry_after: Option<Duration>,
+    /// The engines that were asked, for prompts.
+    pub(super) asked: Vec<AskedEngine>,
+    /// How many times its share the workspace has had, for prompts.
+    pub(super) share: Option<f64>,
+}
+
+impl CallRefusal {
+    /// Refuses a request that may come back after a time.
+    pub(super) const fn come_back(reason: RefusalReason, after: Duration) -> Self {
+        Self {
+            reason,
+            retry_after: Some(after),
+            asked: Vec::new(),
+            share: None,
+        }
+    }
 }
 
 impl From<RefusalReason> for CallRefusal {
@@ -29,6 +45,8 @@
         Self {
             reason,
             retry_after: None,
+            asked: Vec::new(),
+            share: None,
         }
     }
 }
@@ -58,7 +76,11 @@
                 ran: reason.outcome().as_str(),
                 waited_ms: 0,
                 retry_after_ms: millis(turned_away.refusal.retry_after),
+                asked: &[],
+                share: None,
                 config: turned_away.config,
+                config_age_ms: turned_away.config_age_ms,
+                endpoints_age_ms: turned_away.endpoints_age_ms,
             });
             refusal_response(&turned_away.id, reason, turned_away.refusal.retry_after)
         }
@@ -81,7 +103,11 @@
         ran: reason.outcome().as_str(),
         waited_ms: call.age().as_millis() as u64,
         retry_after_ms: millis(refusal.retry_after),
+        asked: &refusal.asked,
+        share: refusal.share,
         config: call.config_version(),
+        config_age_ms: call.state.config_age_ms(),
+        endpoints_age_ms: call.state.endpoints_age_ms(),
     });
     refusal_response(&call.head.id, reason, refusal.retry_after)
 }
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -33,6 +33,10 @@
     pub(super) refusal: CallRefusal,
     /// The version of the configuration that decided.
     pub(super) config: u64,
+    /// How old that configuration is here.
+    pub(super) config_age_ms: u64,
+    /// How old the last news of an endpoint is here.
+    pub(super) endpoints_age_ms: u64,
 }
 
 /// What was tried for a request.
@@ -148,10 +152,13 @@
     let (parts, body) = request.into_parts();
     let table = state.table();
     let config = table.config().version;
+    let (config_age_ms, endpoints_age_ms) = (state.config_age_ms(), state.endpoints_age_ms());
     let turned_away = |id: &str, refusal: CallRefusal| TurnedAway {
         id: id.to_owned(),
         refusal,
         config,
+        config_age_ms,
+        endpoints_age_ms,
     };
     let head = decode_call(&parts.headers)
         .map_err(|problem| turned_away("", RefusalReason::BadHead(problem).into()))?;
@@ -216,10 +223,7 @@
     head: &CallHead,
     uri: &Uri,
 ) -> Result<FoundRoute, CallRefusal> {
-    let soon = |reason| CallRefusal {
-        reason,
-        retry_after: Some(COME_BACK_SOON),
-    };
+    let soon = |reason| CallRefusal::come_back(reason, COME_BACK_SOON);
     if table.config().version == 0 {
         return Err(soon(RefusalReason::NoConfiguration));
     }
@@ -235,10 +239,10 @@
         .and_then(|name| table.service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
     if !state.can_finish(expected_time(route, head)) {
-        return Err(CallRefusal {
-            reason: RefusalReason::Stopping,
-            retry_after: Some(COME_BACK_ELSEWHERE),
-        });
+        return Err(CallRefusal::come_back(
+            RefusalReason::Stopping,
+            COME_BACK_ELSEWHERE,
+        ));
     }
     Ok(FoundRoute {
         route: route.clone(),
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -139,8 +139,8 @@
         };
         let retry_after = (outcome == dockgate_core::Outcome::NotRun).then_some(COME_BACK);
         CallRefusal {
-            reason,
             retry_after,
+            ..reason.into()
         }
     }
 
@@ -180,11 +180,8 @@
     }
 
     fn refuse_prompt(&self, none: NoPlace, workspace: u64) -> CallRefusal {
-        let Some(first_ms) = none.first_event_ms else {
-            return CallRefusal {
-                reason: RefusalReason::NoEndpoint,
-                retry_after: Some(COME_BACK),
-            };
+        let Some(first_ms) = none.first_event_ms() else {
+            return CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK);
         };
         let level = self.state.with(|beliefs| beliefs.shares.level(workspace));
         let backlog = Duration::from_millis(u64::from(first_ms));
@@ -194,6 +191,8 @@
                 false => RefusalReason::WouldBeLate,
             },
             retry_after: Some(return_time(level, backlog, self.left(), rand::random())),
+            asked: none.asked,
+            share: Some(level.times()),
         }
     }
 
@@ -237,10 +236,8 @@
                 connections: connection_limit(self.service(), boxes),
             })
         });
-        let target = target.ok_or(CallRefusal {
-            reason: RefusalReason::NoEndpoint,
-            retry_after: Some(COME_BACK),
-        })?;
+        let target =
+            target.ok_or_else(|| CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK))?;
         let guard = RunGuard::plain(&self.state, target.id);
         Ok(CallPlace {
             target,
@@ -321,7 +318,9 @@
             expected_ms: place.expected_ms,
             decided_by: &place.decided_by,
             config: self.config_version(),
+            config_age_ms: self.state.config_age_ms(),
             revision,
+            endpoints_age_ms: self.state.endpoints_age_ms(),
         });
     }
 
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -4,6 +4,7 @@
 //! that engine knows all that is there, so its verdict is worth a round trip of two milliseconds;
 //! where it does not answer in time, the entry decides alone on what it sent there itself.
 
+use super::events::AskedEngine;
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use super::peer_net::{placed, send_to};
@@ -12,8 +13,8 @@
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
-    EndpointEntry, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptShape, RunKey,
-    ServiceSpec, home_order,
+    EndpointEntry, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
+    RunKey, ServiceSpec, home_order,
 };
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
@@ -44,10 +45,25 @@
 }
 
 /// A prompt that no engine takes in time.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct NoPlace {
-    /// The shortest predicted time to a first event, where there is any engine.
-    pub(super) first_event_ms: Option<u32>,
+    /// The engines that were asked last, in order.
+    pub(super) asked: Vec<AskedEngine>,
+}
+
+impl NoPlace {
+    /// Returns the shortest predicted time to a first event, where there is any engine.
+    pub(super) fn first_event_ms(&self) -> Option<u32> {
+        self.asked.iter().map(|asked| asked.first_event_ms).min()
+    }
+
+    fn note(&mut self, home: &HomeEngine, asked: AskedHome) {
+        self.asked.push(AskedEngine {
+            endpoint: home.target.name.clone(),
+            first_event_ms: asked.verdict.first_event_ms(),
+            decided_by: asked.decided_by,
+        });
+    }
 }
 
 /// What is asked for.
@@ -149,6 +165,13 @@
     }
 }
 
+/// Notes what an engine is known to have cached.
+pub(super) fn note_cached_here(state: &GatewayState, endpoint: EndpointId, parts: &[PromptPart]) {
+    if let Some(spec) = spec_of(state, endpoint) {
+        state.with(|beliefs| beliefs.engines.load_mut(endpoint, spec).note_cached(parts));
+    }
+}
+
 /// Returns what an engine holds, if it is known.
 fn spec_of(state: &GatewayState, endpoint: EndpointId) -> Option<EngineSpec> {
     let table = state.table();
@@ -267,20 +290,15 @@
     declined.sort_by_key(|(first_ms, _)| *first_ms);
     let rest = homes.iter().skip(FIRST_HOMES.min(asked));
     let order: Vec<&HomeEngine> = declined.iter().map(|(_, home)| *home).chain(rest).collect();
-    let mut shortest = declined.first().map(|(first_ms, _)| *first_ms);
+    let mut none = NoPlace::default();
     for home in order {
         match ask_home(state, home, ask, true).await {
             Some(asked) if is_granted(&asked) => return Ok(take(state, home, asked, ask)),
-            Some(asked) => {
-                let first_ms = asked.verdict.first_event_ms();
-                shortest = Some(shortest.map_or(first_ms, |known| known.min(first_ms)));
-            }
+            Some(asked) => none.note(home, asked),
             None => {}
         }
     }
-    Err(NoPlace {
-        first_event_ms: shortest,
-    })
+    Err(none)
 }
 
 /// Places a prompt whose stream goes on, whatever waits there: most of it is done already.
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -5,6 +5,17 @@
 use dockgate_core::gateway::{EndpointChange, EndpointState};
 use serde::Serialize;
 
+/// An engine that was asked to take a prompt and declined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(super) struct AskedEngine {
+    /// Its lifetime id.
+    pub(super) endpoint: String,
+    /// After how many milliseconds the first event would have come.
+    pub(super) first_event_ms: u32,
+    /// The box that decided, or that the entry did alone.
+    pub(super) decided_by: String,
+}
+
 /// Something that happened in a gateway.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -75,7 +86,9 @@
         /// Who decided: the owner's name, or this box alone.
         decided_by: &'a str,
         config: u64,
+        config_age_ms: u64,
         revision: u64,
+        endpoints_age_ms: u64,
     },
     /// A send to an endpoint gave no answer that can be passed on.
     SendFailed {
@@ -105,7 +118,13 @@
         ran: &'a str,
         waited_ms: u64,
         retry_after_ms: Option<u64>,
+        /// For prompts: the engines that were asked, and what each predicted.
+        asked: &'a [AskedEngine],
+        /// For prompts: how many times its share the workspace has had.
+        share: Option<f64>,
         config: u64,
+        config_age_ms: u64,
+        endpoints_age_ms: u64,
     },
     /// A request was answered.
     Answered {
@@ -158,3 +177,6 @@
 pub(super) fn log_gateway(event: &GatewayEvent) {
     log_line(event);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate/src/gateway/events/tests.rs
@@ -0,0 +1,62 @@
+use super::*;
+use yare::parameterized;
+
+/// What operators and `dockgatectl explain` rely on: the fields of each line, by name.
+#[parameterized(
+    sent = {
+        GatewayEvent::Sent {
+            request: "r", route: "x", workspace: "w", endpoint: "e", attempt: 1,
+            expected_ms: Some(40), decided_by: "b", config: 3, config_age_ms: 10, revision: 7,
+            endpoints_age_ms: 20,
+        },
+        "attempt config config_age_ms decided_by endpoint endpoints_age_ms event expected_ms \
+         request revision route workspace"
+    },
+    send_failed = {
+        GatewayEvent::SendFailed {
+            request: "r", endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
+            expected_ms: None, took_ms: 5,
+        },
+        "attempt endpoint event expected_ms problem ran request took_ms"
+    },
+    refused = {
+        GatewayEvent::Refused {
+            request: "r", route: "x", workspace: "w", status: 503, reason: "would_be_late",
+            ran: "not_run", waited_ms: 4, retry_after_ms: Some(300), asked: &[], share: Some(0.4),
+            config: 3, config_age_ms: 10, endpoints_age_ms: 20,
+        },
+        "asked config config_age_ms endpoints_age_ms event ran reason request retry_after_ms route \
+         share status waited_ms workspace"
+    },
+    answered = {
+        GatewayEvent::Answered {
+            request: "r", route: "x", endpoint: "e", status: 200, first_ms: 3, took_ms: 9,
+            events: 4, attempts: 1,
+        },
+        "attempts endpoint event events first_ms request route status took_ms"
+    },
+    broken_off = {
+        GatewayEvent::BrokenOff { request: "r", endpoint: "e", events: 2, took_ms: 9, reason: "p" },
+        "endpoint event events reason request took_ms"
+    },
+    resumed = {
+        GatewayEvent::Resumed { request: "r", endpoint: "e", after_event: 2, problem: "p" },
+        "after_event endpoint event problem request"
+    },
+    routes = {
+        GatewayEvent::RoutesInForce {
+            old: 1, version: 2, source: "store", routes: 3, workspaces: 4,
+        },
+        "event old routes source version workspaces"
+    },
+    store_back = {
+        GatewayEvent::StoreBack { step: "op", away_ms: 4 },
+        "away_ms event step"
+    },
+)]
+fn each_line_has_its_fields(event: GatewayEvent<'_>, fields: &str) {
+    let value = serde_json::to_value(&event).unwrap();
+    let names: Vec<&String> = value.as_object().unwrap().keys().collect();
+    let expected: Vec<&str> = fields.split_whitespace().collect();
+    assert_eq!(names, expected);
+}
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -157,10 +157,9 @@
     /// Reads what is believed now into the gauges.
     pub(super) fn read(&self, state: &GatewayState) {
         let now = now_ms();
-        let age = |since_ms: u64| now.saturating_sub(since_ms) as i64;
         self.connections.set(state.pools.open() as i64);
-        self.config_age_ms.set(age(state.config_since_ms()));
-        self.endpoints_age_ms.set(age(state.endpoints_since_ms()));
+        self.config_age_ms.set(state.config_age_ms() as i64);
+        self.endpoints_age_ms.set(state.endpoints_age_ms() as i64);
         state.with(|beliefs| {
             self.boxes.set(i64::from(beliefs.fleet.live_count(now)));
             let (mut ready, mut draining, mut resting) = (0, 0, 0);
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -9,7 +9,7 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     BoxBeat, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk, EngineBook,
-    EngineVerdict, FleetView, RetryBudget, RouteConfig, RouteTable, RunKey, ShareWindow,
+    EngineVerdict, FleetView, ReadLog, RetryBudget, RouteConfig, RouteTable, RunKey, ShareWindow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -50,6 +50,8 @@
     pub(super) fleet: FleetView,
     /// This box's prompts at engines, by its own counter.
     pub(super) runs: HashMap<u32, PlacedRun>,
+    /// What this box had read at engines lately.
+    pub(super) reads: ReadLog,
     /// Seeks that wait for a verdict, by the same counter.
     pub(super) seeks: HashMap<u32, oneshot::Sender<EngineVerdict>>,
 }
@@ -93,6 +95,7 @@
             retries: RetryBudget::new(settings.retry_rule()),
             fleet: FleetView::new(own),
             runs: HashMap::new(),
+            reads: ReadLog::default(),
             seeks: HashMap::new(),
         };
         Self {
@@ -163,14 +166,14 @@
         self.table.load_full()
     }
 
-    /// Returns when the configuration in force came.
-    pub(super) fn config_since_ms(&self) -> u64 {
-        self.config_ms.load(Ordering::Relaxed)
+    /// Returns for how long the configuration has been in force here, in milliseconds.
+    pub(super) fn config_age_ms(&self) -> u64 {
+        now_ms().saturating_sub(self.config_ms.load(Ordering::Relaxed))
     }
 
-    /// Returns when the last news of an endpoint came.
-    pub(super) fn endpoints_since_ms(&self) -> u64 {
-        self.endpoints_ms.load(Ordering::Relaxed)
+    /// Returns how old the last news of an endpoint is here, in milliseconds.
+    pub(super) fn endpoints_age_ms(&self) -> u64 {
+        now_ms().saturating_sub(self.endpoints_ms.load(Ordering::Relaxed))
     }
 
     /// Reads or changes what is believed; must not wait inside.
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -8,7 +8,7 @@
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use dockgate_core::BoxKey;
-use dockgate_core::gateway::{EndpointId, EngineAsk, EngineVerdict, RunKey};
+use dockgate_core::gateway::{BoxNews, DueReads, EndpointId, EngineAsk, EngineVerdict, RunKey};
 use dockgate_proto::{GatewayDatagram, GatewayMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -90,35 +90,48 @@
         };
         state.with(|beliefs| beliefs.shares.tick(now, units_per_s));
         state.expire(since_ms);
-        report_moved_runs(&state);
+        report_engines(&state, |owner, told| owner != told);
         since_ms = now;
     }
 }
 
-/// Tells the boxes that now decide for an engine which of this box's prompts are there.
-fn report_moved_runs(state: &GatewayState) {
+/// Tells the boxes that decide for an engine what this box has there and had read there, where they
+/// may not know: `is_due` is given the box that decides now and the one that was told.
+fn report_engines(state: &GatewayState, is_due: impl Fn(BoxKey, BoxKey) -> bool + Copy) {
     let now = now_ms();
-    let moved = state.with(|beliefs| {
+    let (runs, reads) = state.with(|beliefs| {
         let GatewayBeliefs {
             endpoints,
             fleet,
             runs,
+            reads,
             ..
         } = beliefs;
-        let mut moved = Vec::new();
+        let owner_of = |endpoint: EndpointId| {
+            let entry = endpoints.get(endpoint)?;
+            Some(fleet.owner(endpoint, &entry.record.domain, now))
+        };
+        let mut due = Vec::new();
         for (number, run) in runs.iter_mut() {
-            let Some(entry) = endpoints.get(run.endpoint) else {
-                continue;
-            };
-            let owner = fleet.owner(run.endpoint, &entry.record.domain, now);
-            if owner != run.owner {
+            let owner = owner_of(run.endpoint).filter(|owner| is_due(*owner, run.owner));
+            if let Some(owner) = owner {
                 run.owner = owner;
-                moved.push((owner, placed(*number, run.endpoint, &run.ask, run.started)));
+                due.push((owner, placed(*number, run.endpoint, &run.ask, run.started)));
             }
         }
-        moved
+        (due, reads.take_due(owner_of, is_due))
+    });
+    let reads = reads.into_iter().map(|due| {
+        let DueReads {
+            owner,
+            endpoint,
+            parts,
+        } = due;
+        (owner, GatewayMessage::Read { endpoint, parts })
     });
-    for (owner, message) in moved.into_iter().filter(|(owner, _)| *owner != state.me()) {
+    // What was read goes first: it is older than what runs.
+    let others = reads.chain(runs).filter(|(owner, _)| *owner != state.me());
+    for (owner, message) in others {
         send_to(state, owner, message);
     }
 }
@@ -174,13 +187,18 @@
                 beliefs.shares.merge(peer, &shares, now);
                 beliefs.fleet.hear(beat, incarnation, now)
             });
-            if news {
+            if news == BoxNews::NewLife {
+                state.with(|beliefs| beliefs.engines.forget_entry(peer, now));
+            }
+            if news != BoxNews::None {
                 log_gateway(&GatewayEvent::BoxSeen {
                     peer: &name,
                     domain: &domain,
                 });
-                // Answered at once, so that it need not wait for the next beat.
+                // Answered at once, so that it need not wait for the next beat; a new life of a box
+                // has no memory of what runs where.
                 send_beat(state);
+                report_engines(state, |_, told| told == peer);
             }
             meet(state, &known);
         }
@@ -234,6 +252,9 @@
                 state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
             }
         }
+        GatewayMessage::Read { endpoint, parts } => {
+            super::engine_seek::note_cached_here(state, endpoint, &parts);
+        }
         GatewayMessage::Started { run, endpoint } => {
             let key = RunKey {
                 entry: peer,
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -2,7 +2,7 @@
 
 mod line_writer;
 
-pub(crate) use line_writer::dropped_lines;
+pub(crate) use line_writer::{drain_lines, dropped_lines};
 
 use crate::clock::unix_ms;
 use env_logger::{Builder, Env, Target};
--- a/dockgate/src/logging/line_writer.rs
+++ b/dockgate/src/logging/line_writer.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
 
 /// How many lines wait at most; more are dropped and counted. At 300 bytes each, 600 KB.
 const MOST_LINES: usize = 2_048;
@@ -10,6 +11,17 @@
 const MOST_TOGETHER: usize = 256;
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Lines that were taken and not written yet.
+static PENDING: AtomicU64 = AtomicU64::new(0);
+
+/// Waits until what was logged is written, or the time is over.
+pub(crate) fn drain_lines(within: Duration) {
+    const LOOK: Duration = Duration::from_millis(2);
+    let started = Instant::now();
+    while PENDING.load(Ordering::Acquire) > 0 && started.elapsed() < within {
+        std::thread::sleep(LOOK);
+    }
+}
 
 /// Returns how many lines were dropped since the start.
 pub(crate) fn dropped_lines() -> u64 {
@@ -37,9 +49,11 @@
 
 impl Write for LineWriter {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        PENDING.fetch_add(1, Ordering::AcqRel);
         match self.0.try_send(bytes.to_vec()) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                PENDING.fetch_sub(1, Ordering::AcqRel);
                 DROPPED.fetch_add(1, Ordering::Relaxed);
             }
         }
@@ -55,8 +69,10 @@
 fn write_lines(receiver: &Receiver<Vec<u8>>, mut target: impl Write) {
     let mut told = 0;
     while let Ok(mut bytes) = receiver.recv() {
+        let mut count = 1;
         for line in receiver.try_iter().take(MOST_TOGETHER) {
             bytes.extend(line);
+            count += 1;
         }
         let dropped = dropped_lines();
         if dropped > told {
@@ -75,6 +91,7 @@
         {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
+        PENDING.fetch_sub(count, Ordering::AcqRel);
     }
 }
 
--- a/dockgatectl/src/explain.rs
+++ b/dockgatectl/src/explain.rs
@@ -51,6 +51,18 @@
             .unwrap_or_default()
     }
 
+    /// Returns the endpoints that the line names: its own, and those that were asked.
+    fn endpoints(&self) -> Vec<&str> {
+        let asked = self.event.get("asked").and_then(Value::as_array);
+        let asked = asked
+            .into_iter()
+            .flatten()
+            .filter_map(|asked| asked.get("endpoint")?.as_str());
+        std::iter::once(self.text("endpoint"))
+            .chain(asked)
+            .collect()
+    }
+
     fn kind(&self) -> &str {
         self.text("event")
     }
@@ -85,7 +97,7 @@
     let first = own.first()?.at_ms;
     let last = own.last()?.at_ms;
     let boxes: BTreeSet<&str> = own.iter().map(|line| line.box_name.as_str()).collect();
-    let endpoints: BTreeSet<&str> = own.iter().map(|line| line.text("endpoint")).collect();
+    let endpoints: BTreeSet<&str> = own.iter().flat_map(|line| line.endpoints()).collect();
     let mut believed: BTreeMap<(&str, &str, &str), &StoryLine> = BTreeMap::new();
     for line in lines.iter().filter(|line| line.at_ms <= last) {
         let (box_name, kind) = (line.box_name.as_str(), line.kind());
