fix(daemon): end connections with their answers when there are many, close the longest at rest

Ruled out: processor (0.06 cores) and memory (87 MB). Change: above half of the connections that there may be, answers end them; at 95 of 100 the longest at rest are closed. Test: callers_that_rest_do_not_keep_others_out, which failed before (run).

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -233,7 +233,7 @@
             "[box]\nname = box-{index}\ndomain = a\n\n[listen]\ncallers = {ip}:{CALLERS}\n\
              readiness = {ip}:{READINESS}\nstate = {ip}:{STATE}\npeers = {ip}:{PEERS}\n\
              metrics = {ip}:{METRICS}\n\n[platform]\nstore = {}\n\n[gateway]\nseeds = {}\n\
-             stop_grace_s = 4\nboxes = {}\n",
+             stop_grace_s = 4\nboxes = {}\ndescriptors = 300\n",
             self.store.address,
             seeds.join(","),
             seeds.len(),
--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -459,3 +459,20 @@
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(fleet.runs_of("r1"), 0);
 }
+
+#[tokio::test]
+async fn callers_that_rest_do_not_keep_others_out() {
+    let fleet = start(1, &["plain"]).await;
+    let address = fleet.gateways[0].callers();
+    // The settings allow 300 descriptors, of which callers have 100.
+    let mut resting = Vec::new();
+    for number in 0..100 {
+        let mut sender = connect(address).await;
+        let sent = sender.send_request(request("/again/x", &format!("r{number}"), None));
+        assert_eq!(sent.await.unwrap().status(), StatusCode::OK);
+        resting.push(sender);
+    }
+    let late = call(&fleet, request("/again/x", "late", None));
+    let late = tokio::time::timeout(Duration::from_secs(10), late).await;
+    assert_eq!(late.expect("it is taken").status(), StatusCode::OK);
+}
--- a/dockgate/src/gateway/front.rs
+++ b/dockgate/src/gateway/front.rs
@@ -23,7 +23,12 @@
 
 /// Descriptors kept for everything but callers: files, listeners, connections to endpoints, the
 /// store and other boxes.
-const OTHER_DESCRIPTORS: usize = 1_500;
+const OTHER_DESCRIPTORS: usize = 900;
+/// Above this part of the connections that there may be, answers end their connections: callers that
+/// come seldom must not keep others out.
+const CROWDED_PART: f64 = 0.5;
+/// Above this part, connections that rest are closed, the longest at rest first, down to it.
+const FULL_PART: f64 = 0.95;
 /// How long to wait when no connection can be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How often overdue connections are looked for.
@@ -74,16 +79,21 @@
         now_ms().saturating_sub(answered) > since.as_millis() as u64
     }
 
+    /// Returns how many connections there may be.
+    fn most(&self) -> usize {
+        let descriptors = self.state.settings().descriptors;
+        descriptors.saturating_sub(OTHER_DESCRIPTORS).max(100)
+    }
+
+    /// Tells whether connections are better ended with their answers.
+    fn is_crowded(&self) -> bool {
+        self.open() as f64 > self.most() as f64 * CROWDED_PART
+    }
+
     /// Accepts connections until the process ends.
     pub(super) async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let most = self
-            .state
-            .settings()
-            .descriptors
-            .saturating_sub(OTHER_DESCRIPTORS)
-            .max(100);
         loop {
-            if self.open() >= most {
+            if self.open() >= self.most() {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
@@ -120,8 +130,9 @@
             async move {
                 let stopping = state.clone();
                 let response = serve_call(state, request).await;
+                let ends = stopping.is_stopping() || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
-                Ok::<_, Infallible>(finish(&stopping, response, busy))
+                Ok::<_, Infallible>(finish(ends, response, busy))
             }
         });
         let served = Builder::new()
@@ -137,6 +148,25 @@
         }
     }
 
+    /// Closes the connections that have rested longest, where there are nearly too many.
+    fn make_room(&self) {
+        let surplus = self
+            .open()
+            .saturating_sub((self.most() as f64 * FULL_PART) as usize);
+        if surplus == 0 {
+            return;
+        }
+        let connections = self.locked();
+        let mut resting: Vec<&Arc<ConnectionState>> = connections
+            .values()
+            .filter(|connection| !connection.is_busy())
+            .collect();
+        resting.sort_by_key(|connection| connection.used_ms());
+        for connection in resting.into_iter().take(surplus) {
+            connection.close.notify_one();
+        }
+    }
+
     /// Closes overdue connections until the process ends.
     pub(super) async fn sweep(self: Arc<Self>) {
         loop {
@@ -152,6 +182,7 @@
                     connection.close.notify_one();
                 }
             }
+            self.make_room();
         }
     }
 }
@@ -172,13 +203,9 @@
     }
 }
 
-/// Says that the connection ends, where the daemon is stopping.
-fn finish(
-    state: &GatewayState,
-    mut response: Response<CallBody>,
-    busy: BusyGuard,
-) -> Response<BusyBody> {
-    if state.is_stopping() {
+/// Says that the connection ends with this answer, where it does.
+fn finish(ends: bool, mut response: Response<CallBody>, busy: BusyGuard) -> Response<BusyBody> {
+    if ends {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Returns when the connection was last used.
+    pub(super) fn used_ms(&self) -> u64 {
+        self.used_ms.load(Ordering::Relaxed)
+    }
+
     /// Tells whether a request is being answered.
     pub(super) fn is_busy(&self) -> bool {
         self.busy.load(Ordering::Relaxed) > 0
