--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -6,7 +6,7 @@
 pub(crate) use config::change_at;
 pub use config::workspace_key;
 pub use daemon::{DaemonProcess, is_ready};
-pub(crate) use daemon::{daemon_program, metric_at};
+pub(crate) use daemon::{daemon_program, fetch, metric_at};
 
 use crate::error::BenchError;
 use crate::relay::{ByteCount, LinkRelay};
--- a/dockgate-bench/src/fleet/daemon.rs
+++ b/dockgate-bench/src/fleet/daemon.rs
@@ -362,7 +362,7 @@
 }
 
 /// Fetches a path; the answer with its head as text.
-async fn fetch(address: SocketAddr, path: &str) -> Option<String> {
+pub(crate) async fn fetch(address: SocketAddr, path: &str) -> Option<String> {
     let fetched = async {
         let mut stream = TcpStream::connect(address).await.ok()?;
         let request = format!("GET /{path} HTTP/1.1\r\nhost: bench\r\nconnection: close\r\n\r\n");
--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -1,6 +1,7 @@
 //! Gateways as real processes on loopback, with stand-ins of the platform and of endpoints.
 
 use crate::error::BenchError;
+use crate::fleet::{daemon_program, fetch};
 use crate::standin::{PlatformStandIn, RoutedStandIn};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -11,8 +12,6 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
 const CALLERS: u16 = 7_101;
 const READINESS: u16 = 7_102;
@@ -63,7 +62,7 @@
             .open(&self.log)
             .map_err(failed)?;
         let errors = log.try_clone().map_err(failed)?;
-        let child = Command::new(crate::fleet::daemon_program()?)
+        let child = Command::new(daemon_program()?)
             .arg("--settings")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -105,15 +104,13 @@
 
     /// Tells whether it says that it is ready.
     pub async fn is_ready(&self) -> bool {
-        let answer = fetch(self.at(READINESS), "/-/readyz").await;
+        let answer = fetch(self.at(READINESS), "-/readyz").await;
         answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
     }
 
     /// Returns what it counts.
     pub async fn metrics(&self) -> String {
-        fetch(self.at(METRICS), "/metrics")
-            .await
-            .unwrap_or_default()
+        fetch(self.at(METRICS), "metrics").await.unwrap_or_default()
     }
 }
 
@@ -123,21 +120,6 @@
     }
 }
 
-async fn fetch(address: SocketAddr, path: &str) -> Option<String> {
-    let fetched = async {
-        let mut stream = TcpStream::connect(address).await.ok()?;
-        let request = format!("GET {path} HTTP/1.1\r\nhost: bench\r\nconnection: close\r\n\r\n");
-        stream.write_all(request.as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        Some(answer)
-    };
-    tokio::time::timeout(Duration::from_secs(2), fetched)
-        .await
-        .ok()
-        .flatten()
-}
-
 /// Waits until something holds.
 ///
 /// # Panics
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 mod admitted;
+mod placing;
 mod sending;
 
 use super::call_body::CallBody;
--- /dev/null
+++ b/dockgate/src/gateway/call/placing.rs
@@ -0,0 +1,140 @@
+//! Where a request goes next: an endpoint of a plain service, or an engine for a prompt.
+
+use super::super::engine_seek::{EngineWish, NoPlace, connection_limit, find_engine};
+use super::super::refusal::RefusalReason;
+use super::super::run_guard::RunGuard;
+use super::super::upstream::EndpointTarget;
+use super::{AdmittedCall, CallRefusal, CallTries};
+use crate::clock::now_ms;
+use dockgate_core::gateway::{EndpointEntry, PromptShape, name_hash, return_time};
+use std::time::Duration;
+
+/// What an endpoint of another failure domain counts more than one of the own, in parts of its
+/// slots: a local one that is a third full is as good as an idle one elsewhere.
+const FAR_HANDICAP: f64 = 0.35;
+/// What an endpoint that fails often counts more, in parts of its slots.
+const DOUBT_HANDICAP: f64 = 3.0;
+/// When a request that found no endpoint is worth another try.
+pub(super) const COME_BACK: Duration = Duration::from_millis(300);
+
+/// A prompt that says nothing of itself.
+static EMPTY_PROMPT: PromptShape = PromptShape {
+    model: String::new(),
+    input: 0,
+    output: 0,
+    most_output: 0,
+    parts: Vec::new(),
+};
+
+/// Where a request goes next.
+pub(super) struct CallPlace {
+    pub(super) target: EndpointTarget,
+    pub(super) guard: RunGuard,
+    pub(super) expected_ms: Option<u32>,
+    pub(super) decided_by: String,
+}
+
+impl AdmittedCall {
+    /// Finds the endpoint that the request goes to next.
+    ///
+    /// # Errors
+    ///
+    /// Returns what to tell the caller where there is none.
+    pub(super) async fn find_place(
+        &self,
+        tries: &CallTries,
+        resumed: bool,
+    ) -> Result<CallPlace, CallRefusal> {
+        match (self.service().engine, self.engine_ask()) {
+            (Some(_), Some(ask)) => {
+                let wish = EngineWish {
+                    service: self.service(),
+                    prompt: self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
+                    fallback_subject: name_hash(&self.head.id),
+                    tried: &tries.endpoints,
+                    resumed,
+                };
+                let found = find_engine(&self.state, wish, &ask).await;
+                let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace))?;
+                let units = wish.prompt.units();
+                self.state
+                    .with(|beliefs| beliefs.shares.note_given(ask.workspace, units));
+                Ok(CallPlace {
+                    target: found.target,
+                    guard: found.guard,
+                    expected_ms: Some(found.expected_ms),
+                    decided_by: found.decided_by,
+                })
+            }
+            _ => self.find_plain(tries),
+        }
+    }
+
+    fn refuse_prompt(&self, none: NoPlace, workspace: u64) -> CallRefusal {
+        let Some(first_ms) = none.first_event_ms() else {
+            return CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK);
+        };
+        let level = self.state.with(|beliefs| beliefs.shares.level(workspace));
+        let backlog = Duration::from_millis(u64::from(first_ms));
+        CallRefusal {
+            reason: match level.is_beyond() {
+                true => RefusalReason::BeyondShare,
+                false => RefusalReason::WouldBeLate,
+            },
+            retry_after: Some(return_time(level, backlog, self.left(), rand::random())),
+            asked: none.asked,
+            share: Some(level.times()),
+        }
+    }
+
+    /// Picks the endpoint of a plain service with the smallest part of its slots taken.
+    fn find_plain(&self, tries: &CallTries) -> Result<CallPlace, CallRefusal> {
+        let now = now_ms();
+        let own_domain = &self.state.settings().domain;
+        let load = |entry: &EndpointEntry| {
+            let held = f64::from(entry.in_flight) / f64::from(entry.record.slots.max(1));
+            let far = if entry.record.domain == *own_domain {
+                0.0
+            } else {
+                FAR_HANDICAP
+            };
+            let doubt = if entry.health.is_doubtful() {
+                DOUBT_HANDICAP
+            } else {
+                0.0
+            };
+            held + far + doubt
+        };
+        let name = &self.service().name;
+        let target = self.state.with(|beliefs| {
+            let fresh = |id| !tries.endpoints.contains(&id);
+            let open = beliefs
+                .endpoints
+                .open(name, now)
+                .filter(|(id, _)| fresh(*id));
+            let best = open.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
+            // Where all rest after failures, one of them is still better than none.
+            let resting = || {
+                let ready = beliefs.endpoints.ready(name).filter(|(id, _)| fresh(*id));
+                ready.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
+            };
+            let (id, entry) = best.or_else(resting)?;
+            let boxes = beliefs.fleet.live_count(now);
+            Some(EndpointTarget {
+                id,
+                name: entry.record.id.clone(),
+                address: entry.record.address,
+                connections: connection_limit(self.service(), boxes),
+            })
+        });
+        let target =
+            target.ok_or_else(|| CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK))?;
+        let guard = RunGuard::plain(&self.state, target.id);
+        Ok(CallPlace {
+            target,
+            guard,
+            expected_ms: None,
+            decided_by: "entry".to_owned(),
+        })
+    }
+}
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -1,21 +1,18 @@
 //! Sends a request to endpoints until one answers, or nothing more may be tried.
 
 use super::super::call_body::{CallBody, whole_body};
-use super::super::engine_seek::{EngineWish, NoPlace, connection_limit, find_engine};
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::refusal::RefusalReason;
-use super::super::run_guard::RunGuard;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
+use super::placing::{COME_BACK, CallPlace};
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use bytes::Bytes;
-use dockgate_core::gateway::{
-    AnswerForm, AnswerVerdict, EndpointEntry, EndpointSign, name_hash, return_time,
-};
-use dockgate_core::{AttemptState, RetryVerdict};
+use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointSign, name_hash};
+use dockgate_core::{AttemptState, Outcome, RetryVerdict};
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -25,25 +22,10 @@
 
 /// How many endpoints may be tried that could not be reached, on top of those it was sent to.
 const MOST_UNREACHED: usize = 4;
-/// What an endpoint of another failure domain counts more than one of the own, in parts of its
-/// slots: a local one that is a third full is as good as an idle one elsewhere.
-const FAR_HANDICAP: f64 = 0.35;
-/// What an endpoint that fails often counts more, in parts of its slots.
-const DOUBT_HANDICAP: f64 = 3.0;
-/// When a request that found no endpoint is worth another try.
-const COME_BACK: Duration = Duration::from_millis(300);
 /// How much longer than its objective a repeatable prompt waits for a first event before it is tried
 /// elsewhere: an engine that is silent for so long is lost or overloaded.
 const FIRST_EVENT_PATIENCE: f64 = 1.4;
 
-/// Where a request goes next.
-pub(in super::super) struct CallPlace {
-    target: EndpointTarget,
-    guard: RunGuard,
-    expected_ms: Option<u32>,
-    decided_by: String,
-}
-
 /// Why a send gave no answer that can be passed on.
 struct SendLoss {
     state: AttemptState,
@@ -130,123 +112,21 @@
     fn report(&self, tries: &CallTries, state: AttemptState, timed_out: bool) -> CallRefusal {
         let outcome = tries.trail.outcome(state, self.route().may_repeat());
         let reason = match (outcome, state) {
-            (dockgate_core::Outcome::NotRun, AttemptState::Refused) => RefusalReason::EndpointsFull,
-            (dockgate_core::Outcome::NotRun, AttemptState::Queued) => RefusalReason::EndpointsFull,
-            (dockgate_core::Outcome::NotRun, _) if timed_out => RefusalReason::TimedOutUnsent,
-            (dockgate_core::Outcome::NotRun, _) => RefusalReason::Unreachable,
+            (Outcome::NotRun, AttemptState::Refused | AttemptState::Queued) => {
+                RefusalReason::EndpointsFull
+            }
+            (Outcome::NotRun, _) if timed_out => RefusalReason::TimedOutUnsent,
+            (Outcome::NotRun, _) => RefusalReason::Unreachable,
             _ if timed_out => RefusalReason::TimedOut,
             _ => RefusalReason::Lost,
         };
-        let retry_after = (outcome == dockgate_core::Outcome::NotRun).then_some(COME_BACK);
+        let retry_after = (outcome == Outcome::NotRun).then_some(COME_BACK);
         CallRefusal {
             retry_after,
             ..reason.into()
         }
     }
 
-    /// Finds the endpoint that the request goes to next.
-    ///
-    /// # Errors
-    ///
-    /// Returns what to tell the caller where there is none.
-    pub(in super::super) async fn find_place(
-        &self,
-        tries: &CallTries,
-        resumed: bool,
-    ) -> Result<CallPlace, CallRefusal> {
-        match (self.service().engine, self.engine_ask()) {
-            (Some(_), Some(ask)) => {
-                let wish = EngineWish {
-                    service: self.service(),
-                    prompt: self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
-                    fallback_subject: name_hash(&self.head.id),
-                    tried: &tries.endpoints,
-                    resumed,
-                };
-                let found = find_engine(&self.state, wish, &ask).await;
-                let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace))?;
-                let units = wish.prompt.units();
-                self.state
-                    .with(|beliefs| beliefs.shares.note_given(ask.workspace, units));
-                Ok(CallPlace {
-                    target: found.target,
-                    guard: found.guard,
-                    expected_ms: Some(found.expected_ms),
-                    decided_by: found.decided_by,
-                })
-            }
-            _ => self.find_plain(tries),
-        }
-    }
-
-    fn refuse_prompt(&self, none: NoPlace, workspace: u64) -> CallRefusal {
-        let Some(first_ms) = none.first_event_ms() else {
-            return CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK);
-        };
-        let level = self.state.with(|beliefs| beliefs.shares.level(workspace));
-        let backlog = Duration::from_millis(u64::from(first_ms));
-        CallRefusal {
-            reason: match level.is_beyond() {
-                true => RefusalReason::BeyondShare,
-                false => RefusalReason::WouldBeLate,
-            },
-            retry_after: Some(return_time(level, backlog, self.left(), rand::random())),
-            asked: none.asked,
-            share: Some(level.times()),
-        }
-    }
-
-    /// Picks the endpoint of a plain service with the smallest part of its slots taken.
-    fn find_plain(&self, tries: &CallTries) -> Result<CallPlace, CallRefusal> {
-        let now = now_ms();
-        let own_domain = &self.state.settings().domain;
-        let load = |entry: &EndpointEntry| {
-            let held = f64::from(entry.in_flight) / f64::from(entry.record.slots.max(1));
-            let far = if entry.record.domain == *own_domain {
-                0.0
-            } else {
-                FAR_HANDICAP
-            };
-            let doubt = if entry.health.is_doubtful() {
-                DOUBT_HANDICAP
-            } else {
-                0.0
-            };
-            held + far + doubt
-        };
-        let name = &self.service().name;
-        let target = self.state.with(|beliefs| {
-            let fresh = |id| !tries.endpoints.contains(&id);
-            let open = beliefs
-                .endpoints
-                .open(name, now)
-                .filter(|(id, _)| fresh(*id));
-            let best = open.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
-            // Where all rest after failures, one of them is still better than none.
-            let resting = || {
-                let ready = beliefs.endpoints.ready(name).filter(|(id, _)| fresh(*id));
-                ready.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
-            };
-            let (id, entry) = best.or_else(resting)?;
-            let boxes = beliefs.fleet.live_count(now);
-            Some(EndpointTarget {
-                id,
-                name: entry.record.id.clone(),
-                address: entry.record.address,
-                connections: connection_limit(self.service(), boxes),
-            })
-        });
-        let target =
-            target.ok_or_else(|| CallRefusal::come_back(RefusalReason::NoEndpoint, COME_BACK))?;
-        let guard = RunGuard::plain(&self.state, target.id);
-        Ok(CallPlace {
-            target,
-            guard,
-            expected_ms: None,
-            decided_by: "entry".to_owned(),
-        })
-    }
-
     /// Makes the request for an endpoint.
     fn request_for(
         &self,
@@ -550,15 +430,6 @@
     }
 }
 
-/// A prompt that says nothing of itself.
-static EMPTY_PROMPT: dockgate_core::gateway::PromptShape = dockgate_core::gateway::PromptShape {
-    model: String::new(),
-    input: 0,
-    output: 0,
-    most_output: 0,
-    parts: Vec::new(),
-};
-
 /// An answer whose head was judged.
 struct JudgedAnswer {
     parts: http::response::Parts,
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -3,12 +3,15 @@
 //! Datagrams need no connection that a partition leaves hanging, and each message stands by itself;
 //! a verdict that does not come in time is replaced by the entry's own.
 
+use super::engine_seek::{decide_here, note_cached_here, place_here};
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
-use dockgate_core::BoxKey;
-use dockgate_core::gateway::{BoxNews, DueReads, EndpointId, EngineAsk, EngineVerdict, RunKey};
+use dockgate_core::gateway::{
+    BoxBeat, BoxNews, DueReads, EndpointId, EngineAsk, EngineVerdict, RunKey,
+};
+use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -182,24 +185,8 @@
             shares,
             known,
         } => {
-            let (name, domain) = (beat.name.clone(), beat.domain.clone());
-            let news = state.with(|beliefs| {
-                beliefs.shares.merge(peer, &shares, now);
-                beliefs.fleet.hear(beat, incarnation, now)
-            });
-            if news == BoxNews::NewLife {
-                state.with(|beliefs| beliefs.engines.forget_entry(peer, now));
-            }
-            if news != BoxNews::None {
-                log_gateway(&GatewayEvent::BoxSeen {
-                    peer: &name,
-                    domain: &domain,
-                });
-                // Answered at once, so that it need not wait for the next beat; a new life of a box
-                // has no memory of what runs where.
-                send_beat(state);
-                report_engines(state, |_, told| told == peer);
-            }
+            state.with(|beliefs| beliefs.shares.merge(peer, &shares, now));
+            hear(state, beat, incarnation);
             meet(state, &known);
         }
         GatewayMessage::Seek {
@@ -212,7 +199,7 @@
                 entry: peer,
                 number: run,
             };
-            let verdict = super::engine_seek::decide_here(state, endpoint, key, &ask, last, 0);
+            let verdict = decide_here(state, endpoint, key, &ask, last, 0);
             if let Some(verdict) = verdict {
                 send_datagram(
                     state,
@@ -247,13 +234,13 @@
                 entry: peer,
                 number: run,
             };
-            super::engine_seek::place_here(state, endpoint, key, &ask);
+            place_here(state, endpoint, key, &ask);
             if started {
                 state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
             }
         }
         GatewayMessage::Read { endpoint, parts } => {
-            super::engine_seek::note_cached_here(state, endpoint, &parts);
+            note_cached_here(state, endpoint, &parts);
         }
         GatewayMessage::Started { run, endpoint } => {
             let key = RunKey {
@@ -272,6 +259,27 @@
     }
 }
 
+/// Takes in that a box lives; one that was not heard a moment ago is told what it may not know.
+fn hear(state: &GatewayState, beat: BoxBeat, incarnation: Incarnation) {
+    let now = now_ms();
+    let peer = beat.key();
+    let (name, domain) = (beat.name.clone(), beat.domain.clone());
+    let news = state.with(|beliefs| beliefs.fleet.hear(beat, incarnation, now));
+    match news {
+        BoxNews::None => return,
+        BoxNews::Back => {}
+        BoxNews::NewLife => state.with(|beliefs| beliefs.engines.forget_entry(peer, now)),
+    }
+    log_gateway(&GatewayEvent::BoxSeen {
+        peer: &name,
+        domain: &domain,
+    });
+    // Answered at once, so that it need not wait for the next beat; a new life of a box has no
+    // memory of what runs where.
+    send_beat(state);
+    report_engines(state, |_, told| told == peer);
+}
+
 /// Says hello to boxes that others know and this one does not.
 fn meet(state: &GatewayState, known: &[SocketAddr]) {
     let own = state.settings().listen.peers;
