fix(daemon): do not close a connection before its task has run

Ruled out: crowding and overdue heads (all 1,522 had never been used). Test: tracked_io/tests.rs; the state had no mark at all before.

--- a/dockgate/src/gateway/front.rs
+++ b/dockgate/src/gateway/front.rs
@@ -113,7 +113,7 @@
             return;
         }
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
-        let connection = Arc::new(ConnectionState::default());
+        let connection = Arc::new(ConnectionState::new());
         self.locked().insert(number, connection.clone());
         tokio::spawn(async move {
             self.serve(stream, &connection).await;
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 /// What is known of one caller's connection.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ConnectionState {
     /// When it was last used, in milliseconds of the daemon's clock.
     used_ms: AtomicU64,
@@ -24,6 +24,16 @@
 }
 
 impl ConnectionState {
+    /// Makes the state of a connection that has just been accepted.
+    pub(super) fn new() -> Self {
+        Self {
+            used_ms: AtomicU64::new(now_ms()),
+            busy: AtomicU32::new(0),
+            partial: AtomicBool::new(false),
+            close: Notify::new(),
+        }
+    }
+
     /// Notes that a request is whole.
     pub(super) fn begin(&self) {
         self.partial.store(false, Ordering::Relaxed);
@@ -71,8 +81,7 @@
 }
 
 impl TrackedIo {
-    pub(super) fn new(stream: TcpStream, state: Arc<ConnectionState>) -> Self {
-        state.used_ms.store(now_ms(), Ordering::Relaxed);
+    pub(super) const fn new(stream: TcpStream, state: Arc<ConnectionState>) -> Self {
         Self { stream, state }
     }
 }
@@ -121,3 +130,6 @@
         self.stream.is_write_vectored()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate/src/gateway/tracked_io/tests.rs
@@ -0,0 +1,26 @@
+use super::*;
+
+const HEAD_MS: u64 = 3_000;
+const IDLE_MS: u64 = 15_000;
+
+#[test]
+fn a_connection_is_not_overdue_before_its_task_has_run() {
+    // The clock counts from the start of the process, which may be long ago.
+    let born_ms = now_ms();
+    let state = ConnectionState::new();
+    assert!(state.used_ms() >= born_ms);
+    assert!(!state.is_overdue(born_ms + IDLE_MS - 1, HEAD_MS, IDLE_MS));
+}
+
+#[test]
+fn rest_and_half_a_head_are_bounded_and_work_is_not() {
+    let state = ConnectionState::new();
+    let now = now_ms();
+    assert!(state.is_overdue(now + IDLE_MS + 100, HEAD_MS, IDLE_MS));
+    state.note_read();
+    assert!(state.is_overdue(now + HEAD_MS + 100, HEAD_MS, IDLE_MS));
+    state.begin();
+    assert!(!state.is_overdue(now + 10 * IDLE_MS, HEAD_MS, IDLE_MS));
+    state.end();
+    assert!(!state.is_overdue(now_ms() + HEAD_MS + 100, HEAD_MS, IDLE_MS));
+}
