fix(core): try an endpoint again that was doubted and gets nothing

Doubt now ends 1.5 s after a failure; one more failure renews it. Test: an_endpoint_that_gets_nothing_is_tried_again (the old query had no time to tell). Asking a home is split into its three cases.

--- a/dockgate-core/src/gateway/endpoint_health.rs
+++ b/dockgate-core/src/gateway/endpoint_health.rs
@@ -2,8 +2,8 @@
 //!
 //! An endpoint that failed rests, longer with each failure in a row; after that one request at a
 //! time probes it. Failures that come between answers are seen by their ratio: an endpoint that
-//! fails a good part of what it gets is given a smaller part of the work, but never none, so that
-//! it is seen to recover.
+//! fails a good part of what it gets is left to others to replace for a moment after each failure,
+//! and then tried again, so that it is seen to recover.
 
 /// What was seen of an endpoint when a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,6 +26,7 @@
     probing: bool,
     /// Moving share of requests that failed, 0 to 1.
     failed_part: f64,
+    failed_ms: u64,
 }
 
 impl EndpointHealth {
@@ -42,15 +43,18 @@
     const NEWEST_WEIGHT: f64 = 0.15;
     /// Above this share of failures an endpoint counts as doubtful.
     const DOUBTFUL_PART: f64 = 0.25;
+    /// For how long after a failure, in milliseconds: what fails half of the time does so for
+    /// seconds, and must not be passed over for the rest of the day.
+    const DOUBT_MS: u64 = 1_500;
 
     /// Tells whether the endpoint may get work now.
     pub const fn is_open(&self, now_ms: u64) -> bool {
         now_ms >= self.closed_until_ms
     }
 
-    /// Tells whether it fails so often that others go first.
-    pub fn is_doubtful(&self) -> bool {
-        self.failed_part > Self::DOUBTFUL_PART
+    /// Tells whether it failed a moment ago, and fails so often that others go first.
+    pub fn is_doubtful(&self, now_ms: u64) -> bool {
+        self.failed_part > Self::DOUBTFUL_PART && now_ms < self.failed_ms + Self::DOUBT_MS
     }
 
     /// Notes that a request is sent; while the endpoint is doubted, it is the only one for a while.
@@ -83,6 +87,7 @@
 
     fn fail(&mut self, rest_ms: u64, now_ms: u64) {
         self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+        self.failed_ms = now_ms;
         self.close(now_ms + self.rest_ms(rest_ms));
     }
 
--- a/dockgate-core/src/gateway/endpoint_health/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_health/tests.rs
@@ -21,11 +21,26 @@
         let sign = [EndpointSign::Failed, EndpointSign::Answered][at % 2];
         health.note(sign, at as u64);
     }
-    assert!(health.is_doubtful());
+    assert!(health.is_doubtful(20));
     for at in 20..40 {
         health.note(EndpointSign::Answered, at);
     }
-    assert!(!health.is_doubtful());
+    assert!(!health.is_doubtful(40));
+}
+
+#[test]
+fn an_endpoint_that_gets_nothing_is_tried_again() {
+    let mut health = EndpointHealth::default();
+    for at in 0..20 {
+        health.note(EndpointSign::Failed, at);
+    }
+    assert!(health.is_doubtful(1_000));
+    assert!(
+        !health.is_doubtful(2_000),
+        "others would be chosen before it for ever"
+    );
+    health.note(EndpointSign::Failed, 2_001);
+    assert!(health.is_doubtful(2_002), "one more failure is enough");
 }
 
 #[test]
@@ -34,5 +49,5 @@
     health.note(EndpointSign::Full, 100);
     assert!(!health.is_open(110));
     assert!(health.is_open(115));
-    assert!(!health.is_doubtful());
+    assert!(!health.is_doubtful(115));
 }
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -98,7 +98,7 @@
             } else {
                 FAR_HANDICAP
             };
-            let doubt = if entry.health.is_doubtful() {
+            let doubt = if entry.health.is_doubtful(now) {
                 DOUBT_HANDICAP
             } else {
                 0.0
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -96,7 +96,7 @@
 fn homes(beliefs: &GatewayBeliefs, state: &GatewayState, wish: &EngineWish) -> Vec<HomeEngine> {
     let now = now_ms();
     let name = &wish.service.name;
-    let usable = |entry: &EndpointEntry| !entry.health.is_doubtful();
+    let usable = |entry: &EndpointEntry| !entry.health.is_doubtful(now);
     let open = beliefs.endpoints.open(name, now);
     let open = open.filter(|(id, _)| !wish.tried.contains(id));
     let mut engines: Vec<(EndpointId, &EndpointEntry)> = open.collect();
@@ -188,6 +188,7 @@
     decided_by: String,
 }
 
+/// Asks for one home: its owner, or this box where the owner does not answer in time.
 async fn ask_home(
     state: &GatewayState,
     home: &HomeEngine,
@@ -195,37 +196,58 @@
     last: bool,
 ) -> Option<AskedHome> {
     let number = state.next_run();
-    let key = state.own_run(number);
-    let endpoint = home.target.id;
-    if home.owner != state.me() {
-        if let Some(verdict) = ask_owner(state, home, number, ask, last).await {
-            if matches!(verdict, EngineVerdict::Granted(_)) {
-                place_here(state, endpoint, key, ask);
-            }
-            let decided_by = state.with(|beliefs| beliefs.fleet.name(home.owner).to_owned());
-            return Some(AskedHome {
-                verdict,
-                number,
-                decided_by,
-            });
-        }
-        GATEWAY_METRICS.missed_verdicts.inc();
-        let others = state.with(|beliefs| beliefs.fleet.live_count(now_ms())) - 1;
-        let verdict = decide_here(state, endpoint, key, ask, last, others)?;
+    if home.owner == state.me() {
+        let decided_by = state.settings().name.clone();
+        return ask_here(state, home, ask, last, 0, number, decided_by);
+    }
+    if let Some(verdict) = ask_owner(state, home, number, ask, last).await {
         if matches!(verdict, EngineVerdict::Granted(_)) {
-            send_to(state, home.owner, placed(number, endpoint, ask, false));
+            place_here(state, home.target.id, state.own_run(number), ask);
         }
+        let decided_by = state.with(|beliefs| beliefs.fleet.name(home.owner).to_owned());
         return Some(AskedHome {
             verdict,
             number,
-            decided_by: "entry alone".to_owned(),
+            decided_by,
         });
     }
-    let verdict = decide_here(state, endpoint, key, ask, last, 0)?;
+    GATEWAY_METRICS.missed_verdicts.inc();
+    let others = state.with(|beliefs| beliefs.fleet.live_count(now_ms())) - 1;
+    let asked = ask_here(
+        state,
+        home,
+        ask,
+        last,
+        others,
+        number,
+        "entry alone".to_owned(),
+    )?;
+    if is_granted(&asked) {
+        send_to(
+            state,
+            home.owner,
+            placed(number, home.target.id, ask, false),
+        );
+    }
+    Some(asked)
+}
+
+/// Decides for one home with what this box believes.
+fn ask_here(
+    state: &GatewayState,
+    home: &HomeEngine,
+    ask: &EngineAsk,
+    last: bool,
+    others: u32,
+    number: u32,
+    decided_by: String,
+) -> Option<AskedHome> {
+    let key = state.own_run(number);
+    let verdict = decide_here(state, home.target.id, key, ask, last, others)?;
     Some(AskedHome {
         verdict,
         number,
-        decided_by: state.settings().name.clone(),
+        decided_by,
     })
 }
 
