refactor: take out a field nothing reads, and build a beat and a run's key in one place

From reading the change once more: EndpointHealth kept whether it was probing and never asked; RetryBudget looked a service up twice; the beat was put together in two places, the key of a peer's run in four.

--- a/dockgate-core/src/gateway/endpoint_health.rs
+++ b/dockgate-core/src/gateway/endpoint_health.rs
@@ -23,7 +23,6 @@
 pub struct EndpointHealth {
     failures_in_a_row: u32,
     closed_until_ms: u64,
-    probing: bool,
     /// Moving share of requests that failed, 0 to 1.
     failed_part: f64,
     failed_ms: u64,
@@ -60,7 +59,6 @@
     /// Notes that a request is sent; while the endpoint is doubted, it is the only one for a while.
     pub fn note_sent(&mut self, now_ms: u64) {
         if self.failures_in_a_row > 0 {
-            self.probing = true;
             self.closed_until_ms = now_ms + self.rest_ms(Self::REST_MS);
         }
     }
@@ -77,7 +75,6 @@
             EndpointSign::Answered => {
                 self.failures_in_a_row = 0;
                 self.closed_until_ms = 0;
-                self.probing = false;
             }
             EndpointSign::Full => self.close(now_ms + Self::FULL_REST_MS),
             EndpointSign::Failed => self.fail(Self::REST_MS, now_ms),
--- a/dockgate-core/src/gateway/retry_budget.rs
+++ b/dockgate-core/src/gateway/retry_budget.rs
@@ -84,10 +84,6 @@
     }
 
     fn window(&mut self, service: &str, now_ms: u64) -> &mut ServiceWindow {
-        if !self.services.contains_key(service) {
-            self.services
-                .insert(service.to_owned(), ServiceWindow::default());
-        }
         let before_ms = now_ms.saturating_sub(self.rule.window_ms);
         let window = self.services.entry(service.to_owned()).or_default();
         window.expire(before_ms);
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -49,14 +49,7 @@
 pub(super) fn send_beat(state: &GatewayState) {
     let settings = state.settings();
     let own = settings.listen.peers;
-    let (beat, shares, addresses) = state.with(|beliefs| {
-        let GatewayBeliefs { fleet, shares, .. } = beliefs;
-        (
-            fleet.own().clone(),
-            shares.rows(),
-            fleet.addresses().collect::<Vec<SocketAddr>>(),
-        )
-    });
+    let addresses: Vec<SocketAddr> = state.with(|beliefs| beliefs.fleet.addresses().collect());
     // A seed is where a box tells its state; datagrams have the same port on all boxes.
     let seeds = settings.seeds.iter();
     let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), own.port()));
@@ -68,17 +61,21 @@
         .cycle()
         .skip(start)
         .take(MOST_KNOWN.min(addresses.len()));
-    let known: Vec<SocketAddr> = known.copied().collect();
+    let message = own_beat(state, known.copied().collect());
     for address in addresses.iter().chain(&unheard) {
-        let message = GatewayMessage::Beat {
-            beat: beat.clone(),
-            shares: shares.clone(),
-            known: known.clone(),
-        };
-        send_datagram(state, *address, message);
+        send_datagram(state, *address, message.clone());
     }
 }
 
+/// Makes this box's beat; `known` is where a few other boxes take datagrams.
+fn own_beat(state: &GatewayState, known: Vec<SocketAddr>) -> GatewayMessage {
+    state.with(|beliefs| GatewayMessage::Beat {
+        beat: beliefs.fleet.own().clone(),
+        shares: beliefs.shares.rows(),
+        known,
+    })
+}
+
 /// Says again and again that this box lives, and lets lapse what has to.
 pub(super) async fn beat(state: Arc<GatewayState>) {
     let mut since_ms = now_ms();
@@ -179,6 +176,10 @@
         message,
     } = datagram;
     let now = now_ms();
+    let run_of = |number| RunKey {
+        entry: peer,
+        number,
+    };
     match message {
         GatewayMessage::Beat {
             beat,
@@ -195,10 +196,7 @@
             ask,
             last,
         } => {
-            let key = RunKey {
-                entry: peer,
-                number: run,
-            };
+            let key = run_of(run);
             let verdict = decide_here(state, endpoint, key, &ask, last, 0);
             if let Some(verdict) = verdict {
                 send_datagram(
@@ -230,10 +228,7 @@
             ask,
             started,
         } => {
-            let key = RunKey {
-                entry: peer,
-                number: run,
-            };
+            let key = run_of(run);
             place_here(state, endpoint, key, &ask);
             if started {
                 state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
@@ -243,17 +238,11 @@
             note_cached_here(state, endpoint, &parts);
         }
         GatewayMessage::Started { run, endpoint } => {
-            let key = RunKey {
-                entry: peer,
-                number: run,
-            };
+            let key = run_of(run);
             state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
         }
         GatewayMessage::Ended { run, endpoint } => {
-            let key = RunKey {
-                entry: peer,
-                number: run,
-            };
+            let key = run_of(run);
             state.with(|beliefs| beliefs.engines.end(endpoint, key));
         }
     }
@@ -293,13 +282,8 @@
     if strangers.is_empty() {
         return;
     }
-    let (beat, shares) = state.with(|beliefs| (beliefs.fleet.own().clone(), beliefs.shares.rows()));
+    let message = own_beat(state, Vec::new());
     for address in strangers {
-        let message = GatewayMessage::Beat {
-            beat: beat.clone(),
-            shares: shares.clone(),
-            known: Vec::new(),
-        };
-        send_datagram(state, address, message);
+        send_datagram(state, address, message.clone());
     }
 }
