--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -18,8 +18,8 @@
     /// Up to which part of its objective a prompt may wait anywhere.
     pub most_part: f64,
     /// The same for a workspace that has just had its share: only where little waits. It falls with
-    /// the square of how many times its share a workspace has had, so that those beyond their share
-    /// come to the same level rather than to what they ask.
+    /// the square of how many times its share a workspace has had and of its lead, so that those
+    /// beyond their share come to the same level rather than to what they ask.
     pub beyond_share_part: f64,
     /// Up to which part of its objective a prompt may wait that is too long to be read within it:
     /// it will be late, so it may not make others late as well.
@@ -80,7 +80,7 @@
         let backlog_ms = load.backlog_ms(now_ms) * unseen;
         let own_ms = first_ms - load.backlog_ms(now_ms);
         let part = match last {
-            _ if level.is_beyond() => self.beyond_share_part / level.times().powi(2),
+            _ if level.is_beyond() => self.beyond_share_part / level.pressure().powi(2),
             true => self.most_part,
             false => self.first_part,
         };
--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -21,27 +21,44 @@
     pub given: u64,
 }
 
-/// How much of its share a workspace has had: 1 is all that it is owed.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
-pub struct ShareLevel(f64);
+/// How much of its share a workspace has had, and how it fares among those that ask for more.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareLevel {
+    /// Given over owed: 1 is all that it is owed.
+    times: f64,
+    /// How far it is ahead of the others beyond their share: 1 is even with them.
+    lead: f64,
+}
 
 impl ShareLevel {
     /// It is owed more.
-    pub const WITHIN: Self = Self(0.0);
+    pub const WITHIN: Self = Self::new(0.0);
 
-    /// Makes the level of a workspace that has had this many times its share.
+    /// Makes the level of a workspace that has had this many times its share, even with others.
     pub const fn new(times: f64) -> Self {
-        Self(times)
+        Self { times, lead: 1.0 }
+    }
+
+    /// Sets how far it is ahead of the others beyond their share.
+    #[must_use]
+    pub const fn lead(mut self, lead: f64) -> Self {
+        self.lead = lead;
+        self
     }
 
     /// Tells whether it has had what it is owed.
     pub const fn is_beyond(self) -> bool {
-        self.0 >= 1.0
+        self.times >= 1.0
     }
 
     /// Returns how many times its share it has had.
     pub const fn times(self) -> f64 {
-        self.0
+        self.times
+    }
+
+    /// Returns what holds it back: how far it is beyond its share, and ahead of others beyond theirs.
+    pub const fn pressure(self) -> f64 {
+        self.times * self.lead
     }
 }
 
@@ -91,7 +108,7 @@
     samples: VecDeque<ShareSample>,
     peers: HashMap<BoxKey, PeerReport>,
     /// The levels of workspaces that ask for more than they are owed.
-    levels: HashMap<u64, f64>,
+    levels: HashMap<u64, ShareLevel>,
 }
 
 impl ShareWindow {
@@ -192,20 +209,38 @@
         }
         let asked: Vec<f64> = total.values().map(|sum| sum.asked as f64).collect();
         let level = max_min_level(&asked, units_per_s * window_ms as f64 / 1_000.0);
-        let greedy = total.iter().filter(|(_, sum)| sum.asked as f64 > level);
-        let owed = (level * Self::MARGIN).max(1.0);
-        self.levels = greedy
-            .map(|(workspace, sum)| (*workspace, sum.given as f64 / owed))
-            .collect();
+        total.retain(|_, sum| sum.asked as f64 > level);
+        self.levels = greedy_levels(&total, (level * Self::MARGIN).max(1.0));
     }
 
     /// Returns how much of its share a workspace has had.
     pub fn level(&self, workspace: u64) -> ShareLevel {
         let level = self.levels.get(&workspace);
-        level.map_or(ShareLevel::WITHIN, |times| ShareLevel(*times))
+        level.copied().unwrap_or(ShareLevel::WITHIN)
     }
 }
 
+/// Returns the levels of the workspaces that ask for more than the `owed` units of their share.
+///
+/// More is given in all than the stated rate, so most of them are beyond their share. Among
+/// themselves each should have the same part of what it could have at most: what it asked for, or
+/// what the best served of them got.
+fn greedy_levels(greedy: &ShareSums, owed: f64) -> HashMap<u64, ShareLevel> {
+    /// One that got nothing is as far behind as one that got this part.
+    const LEAST_PART: f64 = 0.05;
+    let best = greedy.values().map(|sum| sum.given).max().unwrap_or(0);
+    let most = |sum: &ShareSum| best.min(sum.asked).max(1) as f64;
+    let given: f64 = greedy.values().map(|sum| sum.given as f64).sum();
+    let even = given / greedy.values().map(most).sum::<f64>();
+    let level = |sum: &ShareSum| {
+        let part = sum.given as f64 / most(sum);
+        let lead = part.max(LEAST_PART) / even.max(LEAST_PART);
+        ShareLevel::new(sum.given as f64 / owed).lead(lead)
+    };
+    let greedy = greedy.iter();
+    greedy.map(|(name, sum)| (*name, level(sum))).collect()
+}
+
 /// Returns the level up to which everyone is served when `capacity` is divided by max-min.
 fn max_min_level(asked: &[f64], capacity: f64) -> f64 {
     let mut asked = asked.to_vec();
--- a/dockgate-core/src/gateway/share_window/tests.rs
+++ b/dockgate-core/src/gateway/share_window/tests.rs
@@ -44,6 +44,55 @@
     assert!(!window.level(1).is_beyond(), "400 are owed in a window");
 }
 
+/// Makes the levels of workspaces that asked for and were given so much, of a rate of 100 a second.
+fn levels_of(sums: &[(u64, u64)]) -> Vec<ShareLevel> {
+    let mut window = window();
+    for (workspace, (asked, given)) in (0..).zip(sums) {
+        window.note_asked(workspace, *asked);
+        window.note_given(workspace, *given);
+    }
+    window.tick(3_000, 100.0);
+    (0..)
+        .zip(sums)
+        .map(|(workspace, _)| window.level(workspace))
+        .collect()
+}
+
+/// On a day of the users' bench two workspaces were both at some 1.7 times their share, and one got
+/// less than half of what the other did: the square of the times alone lets that stand.
+#[test]
+fn of_two_beyond_their_share_the_one_behind_goes_first() {
+    let levels = levels_of(&[(1_000, 250), (2_000, 500)]);
+    assert!(levels.iter().all(|level| level.is_beyond()));
+    let ahead = levels[1].pressure() / levels[0].pressure();
+    assert!(
+        ahead > 3.9,
+        "twice as much given holds back four times, not {ahead}"
+    );
+}
+
+#[test]
+fn one_that_asks_for_less_than_the_best_served_got_is_measured_by_what_it_asked() {
+    let levels = levels_of(&[(400, 300), (2_000, 600)]);
+    let times = levels[1].times() / levels[0].times();
+    let pressure = levels[1].pressure() / levels[0].pressure();
+    assert!(
+        (1.3..1.4).contains(&(pressure / times)),
+        "three quarters: {levels:?}"
+    );
+}
+
+#[parameterized(
+    alone = { &[(2_000, 800)] },
+    even = { &[(2_000, 800), (3_000, 800)] },
+    nothing_given = { &[(2_000, 0), (3_000, 0)] },
+)]
+fn who_is_even_with_the_others_is_held_back_by_its_share_alone(sums: &[(u64, u64)]) {
+    for level in levels_of(sums) {
+        assert!((level.pressure() - level.times()).abs() < 1e-9, "{level:?}");
+    }
+}
+
 #[test]
 fn a_box_that_has_just_begun_learns_a_whole_window_from_one_report() {
     let mut window = window();
@@ -63,6 +112,20 @@
 }
 
 proptest! {
+    /// Whoever had more, of two that ask without end, is held back more; nobody is held back by
+    /// something that is no number.
+    #[test]
+    fn pressure_follows_what_was_given(given in prop::collection::vec(0_u64..5_000, 1..20)) {
+        let sums: Vec<(u64, u64)> = given.iter().map(|given| (10_000, *given)).collect();
+        let levels = levels_of(&sums);
+        for (level, had) in levels.iter().zip(&given) {
+            prop_assert!(level.pressure().is_finite());
+            for (other, more) in levels.iter().zip(&given) {
+                prop_assert!(more < had || other.pressure() >= level.pressure());
+            }
+        }
+    }
+
     /// Reports that are lost or doubled change nothing once one comes through.
     #[test]
     fn levels_survive_bad_delivery(
