fix(daemon): let one box use as many connections to an endpoint as its slots need

Ruled out: the endpoint's own limit (no reset seen there). Now idle connections are divided evenly, those in use are bounded by the endpoint's slots; test one_box_can_use_all_slots_of_an_endpoint fails on the old rule.

--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -1,9 +1,9 @@
 //! Where a request goes next: an endpoint of a plain service, or an engine for a prompt.
 
-use super::super::engine_seek::{EngineWish, NoPlace, connection_limit, find_engine};
+use super::super::engine_seek::{EngineWish, NoPlace, find_engine};
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
-use super::super::upstream::EndpointTarget;
+use super::super::upstream::{ConnectionLimits, EndpointTarget};
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{EndpointEntry, PromptShape, name_hash, return_time};
@@ -124,7 +124,11 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
-                connections: connection_limit(self.service(), boxes),
+                limits: ConnectionLimits::new(
+                    self.service().connections,
+                    entry.record.slots,
+                    boxes,
+                ),
             })
         });
         let target =
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -9,7 +9,7 @@
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use super::peer_net::{placed, send_to};
 use super::run_guard::RunGuard;
-use super::upstream::EndpointTarget;
+use super::upstream::{ConnectionLimits, EndpointTarget};
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
@@ -87,12 +87,6 @@
     owner: BoxKey,
 }
 
-/// Returns the most connections that this box may have to one endpoint.
-pub(super) fn connection_limit(service: &ServiceSpec, live_boxes: u32) -> usize {
-    // A tenth is left for boxes that are not seen.
-    (service.connections * 9 / 10 / live_boxes.max(2) as usize).max(1)
-}
-
 fn homes(beliefs: &GatewayBeliefs, state: &GatewayState, wish: &EngineWish) -> Vec<HomeEngine> {
     let now = now_ms();
     let name = &wish.service.name;
@@ -111,7 +105,7 @@
     }
     let subject = wish.prompt.subject().unwrap_or(wish.fallback_subject);
     let order = home_order(subject, engines.iter().map(|(id, _)| *id));
-    let connections = connection_limit(wish.service, beliefs.fleet.live_count(now));
+    let boxes = beliefs.fleet.live_count(now);
     let homes = order.into_iter().take(MOST_HOMES).filter_map(|id| {
         let entry = beliefs.endpoints.get(id)?;
         Some(HomeEngine {
@@ -119,7 +113,7 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
-                connections,
+                limits: ConnectionLimits::new(wish.service.connections, entry.record.slots, boxes),
             },
             owner: beliefs.fleet.owner(id, &entry.record.domain, now),
         })
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -32,8 +32,41 @@
     pub(super) name: String,
     /// Where it listens.
     pub(super) address: SocketAddr,
-    /// The most connections that this box may have to it.
-    pub(super) connections: usize,
+    /// How many connections this box may have to it.
+    pub(super) limits: ConnectionLimits,
+}
+
+/// How many connections one box may have to one endpoint.
+///
+/// All boxes together may not have more than the endpoint takes. Those that rest are divided evenly;
+/// those in use go where the work is: callers of a large workspace may all be at one box, and what
+/// is in use is bounded by the endpoint's slots, whoever sends it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ConnectionLimits {
+    /// Up to this many a connection may rest after its answer.
+    resting: usize,
+    /// Up to this many a connection may be opened.
+    open: usize,
+}
+
+impl ConnectionLimits {
+    /// The part of what an endpoint takes that boxes divide evenly: the rest is left for slots in
+    /// use beyond an even part, and for boxes that are not seen.
+    const EVEN_PART: f64 = 0.8;
+    /// How many connections a box may use at least, in slots of the endpoint: as many as it runs
+    /// and as many as wait there.
+    const LEAST_SLOTS: usize = 2;
+
+    /// Divides what an endpoint with `slots` slots takes among the boxes that live.
+    pub(super) fn new(most: usize, slots: u32, live_boxes: u32) -> Self {
+        let even = most as f64 * Self::EVEN_PART / f64::from(live_boxes.max(2));
+        let resting = (even as usize).max(1);
+        let used = (slots as usize * Self::LEAST_SLOTS).min(most);
+        Self {
+            resting,
+            open: resting.max(used),
+        }
+    }
 }
 
 /// Why no head of an answer came.
@@ -104,7 +137,7 @@
     fn reserve(&self, target: &EndpointTarget) -> bool {
         let mut pools = self.locked();
         let pool = pools.entry(target.id).or_default();
-        let free = pool.open < target.connections;
+        let free = pool.open < target.limits.open;
         if free {
             pool.open += 1;
         }
@@ -117,9 +150,30 @@
         }
     }
 
-    fn rest(&self, id: EndpointId, sender: SendRequest<Full<Bytes>>, until_ms: u64) {
-        if let Some(pool) = self.locked().get_mut(&id) {
-            pool.resting.push(RestingConnection { sender, until_ms });
+    /// Keeps a connection for the next request, or closes it where there are more than may rest.
+    fn rest(&self, target: PoolKey, sender: SendRequest<Full<Bytes>>, until_ms: u64) {
+        match self.locked().get_mut(&target.id) {
+            Some(pool) if pool.open <= target.resting => {
+                pool.resting.push(RestingConnection { sender, until_ms });
+            }
+            Some(pool) => pool.open = pool.open.saturating_sub(1),
+            None => {}
+        }
+    }
+}
+
+/// Which pool a connection belongs to, and how many may rest there.
+#[derive(Debug, Clone, Copy)]
+struct PoolKey {
+    id: EndpointId,
+    resting: usize,
+}
+
+impl From<&EndpointTarget> for PoolKey {
+    fn from(target: &EndpointTarget) -> Self {
+        Self {
+            id: target.id,
+            resting: target.limits.resting,
         }
     }
 }
@@ -127,7 +181,7 @@
 /// A connection that is in use; closes when it is dropped.
 pub(super) struct UsedConnection {
     pools: Arc<EndpointPools>,
-    id: EndpointId,
+    pool: PoolKey,
     sender: Option<SendRequest<Full<Bytes>>>,
 }
 
@@ -144,9 +198,9 @@
         match sender {
             Some(sender) => {
                 let until_ms = now_ms() + rest.as_millis() as u64;
-                self.pools.rest(self.id, sender, until_ms);
+                self.pools.rest(self.pool, sender, until_ms);
             }
-            None => self.pools.release(self.id),
+            None => self.pools.release(self.pool.id),
         }
     }
 }
@@ -154,7 +208,7 @@
 impl Drop for UsedConnection {
     fn drop(&mut self) {
         if self.sender.take().is_some() {
-            self.pools.release(self.id);
+            self.pools.release(self.pool.id);
         }
     }
 }
@@ -191,7 +245,7 @@
     reservation.2 = true;
     Ok(UsedConnection {
         pools: pools.clone(),
-        id: target.id,
+        pool: target.into(),
         sender: Some(sender),
     })
 }
@@ -213,7 +267,7 @@
     while let Some(sender) = pools.take_resting(target.id) {
         let resting = UsedConnection {
             pools: pools.clone(),
-            id: target.id,
+            pool: target.into(),
             sender: Some(sender),
         };
         match exchange(resting, request).await {
@@ -262,3 +316,6 @@
     let cause = std::error::Error::source(error);
     cause.map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
 }
+
+#[cfg(test)]
+mod tests;
