feat: a box that is short of processor refuses what would be late and sends its callers elsewhere

Cause: on the grown sites all callers of a large workspace may reach one box of 0.12 cores. Now a timer's delay, three times in a row above 120 ms, makes the box not ready, its answers end their connections, and what would wait past half of its objective is refused at once.

--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -538,3 +538,27 @@
     let response = call(&fleet, request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
 }
+
+/// On a day of 64 boxes one small box had all callers of its failure domain, and each request waited
+/// there for seconds while the boxes beside it were idle.
+#[tokio::test]
+async fn a_box_that_is_short_of_processor_sends_its_callers_elsewhere_and_takes_them_again() {
+    let fleet = start(1, &["plain"]).await;
+    let gateway = &fleet.gateways[0];
+    wait_until("the box says that it is overloaded", async || {
+        // It gets a twentieth of the time.
+        gateway.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        gateway.signal(Signal::SIGCONT);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        gateway.logged().contains("\"overloaded\"")
+    })
+    .await;
+    assert!(!gateway.is_ready().await);
+    let response = call(&fleet, request("/again/x", "r1", None)).await;
+    assert_eq!(response.headers()["connection"], "close");
+    wait_until("the box has caught up", async || gateway.is_ready().await).await;
+    assert!(gateway.logged().contains("\"caught_up\""));
+    let response = call(&fleet, request("/again/x", "r2", None)).await;
+    assert!(!response.headers().contains_key("connection"));
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -13,6 +13,7 @@
 mod front;
 mod gateway_metrics;
 mod gateway_state;
+mod overload;
 mod peer_net;
 mod peer_state;
 mod readiness;
@@ -98,6 +99,7 @@
     tokio::spawn(follow::follow_endpoints(state.clone()));
     tokio::spawn(peer_net::receive(state.clone()));
     tokio::spawn(peer_net::beat(state.clone()));
+    tokio::spawn(overload::watch_lag(state.clone()));
     tokio::spawn(peer_state::ask_better_informed(state.clone()));
     let (stop, server) = jsonrpsee::server::stop_channel();
     // The door serves until the process ends.
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -19,7 +19,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// When a box without a configuration, or without endpoints, is worth another try.
+/// When a box without a configuration, without endpoints or short of processor is worth another
+/// try: by then callers may be sent to another one.
 const COME_BACK_SOON: Duration = Duration::from_millis(400);
 
 /// When a request that meets a box about to end should come back: at once, to another box.
@@ -238,6 +239,13 @@
         .service_for(&head.id)
         .and_then(|name| table.service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
+    let objective_ms = route.objective.as_millis() as u64;
+    if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
+        return Err(CallRefusal::come_back(
+            RefusalReason::Overloaded,
+            COME_BACK_SOON,
+        ));
+    }
     if !state.can_finish(expected_time(route, head)) {
         return Err(CallRefusal::come_back(
             RefusalReason::Stopping,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -70,6 +70,10 @@
     StoreBack { step: &'a str, away_ms: u64 },
     /// The store has forgotten changes; what is there is listed anew.
     StoreHistoryLost { what: &'a str, since: u64 },
+    /// Work has waited too long for the processor; callers are asked to go elsewhere.
+    Overloaded { lag_ms: u64 },
+    /// It does not any more.
+    CaughtUp { lag_ms: u64, for_ms: u64 },
     /// A box is heard that was not before.
     BoxSeen { peer: &'a str, domain: &'a str },
     /// A box has fallen silent.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -49,6 +49,8 @@
         },
         "event old routes source version workspaces"
     },
+    overloaded = { GatewayEvent::Overloaded { lag_ms: 300 }, "event lag_ms" },
+    caught_up = { GatewayEvent::CaughtUp { lag_ms: 3, for_ms: 4_000 }, "event for_ms lag_ms" },
     store_back = {
         GatewayEvent::StoreBack { step: "op", away_ms: 4 },
         "away_ms event step"
--- a/dockgate/src/gateway/front.rs
+++ b/dockgate/src/gateway/front.rs
@@ -130,7 +130,7 @@
             async move {
                 let stopping = state.clone();
                 let response = serve_call(state, request).await;
-                let ends = stopping.is_stopping() || self.is_crowded();
+                let ends = stopping.is_stopping() || stopping.is_overloaded() || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
                 Ok::<_, Infallible>(finish(ends, response, busy))
             }
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -9,7 +9,8 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     BoxBeat, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk, EngineBook,
-    EngineVerdict, FleetView, ReadLog, RetryBudget, RouteConfig, RouteTable, RunKey, ShareWindow,
+    EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable, RunKey,
+    ShareWindow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -52,6 +53,8 @@
     pub(super) runs: HashMap<u32, PlacedRun>,
     /// What this box had read at engines lately.
     pub(super) reads: ReadLog,
+    /// Whether this box keeps up with its work.
+    pub(super) lag: LoopLag,
     /// Seeks that wait for a verdict, by the same counter.
     pub(super) seeks: HashMap<u32, oneshot::Sender<EngineVerdict>>,
 }
@@ -96,6 +99,7 @@
             fleet: FleetView::new(own),
             runs: HashMap::new(),
             reads: ReadLog::default(),
+            lag: LoopLag::default(),
             seeks: HashMap::new(),
         };
         Self {
@@ -321,9 +325,17 @@
         !self.is_stopping() || ends_ms < self.end_ms.load(Ordering::Acquire)
     }
 
+    /// Tells whether callers are better served by another box.
+    pub(super) fn is_overloaded(&self) -> bool {
+        self.with(|beliefs| beliefs.lag.is_overloaded())
+    }
+
     /// Tells whether callers may be sent here.
     pub(super) fn is_ready(&self) -> bool {
         let configured = self.table.load().config().version > 0;
-        configured && !self.is_stopping() && self.with(|b| b.endpoints.iter().next().is_some())
+        let able = self.with(|beliefs| {
+            beliefs.endpoints.iter().next().is_some() && !beliefs.lag.is_overloaded()
+        });
+        configured && able && !self.is_stopping()
     }
 }
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -25,6 +25,8 @@
     NoConfiguration,
     /// This box is about to end.
     Stopping,
+    /// This box has more work than processor.
+    Overloaded,
     /// The service has no endpoint that takes work.
     NoEndpoint,
     /// No engine would begin in time.
@@ -55,6 +57,7 @@
             Self::BadKey => "bad_key",
             Self::NoConfiguration => "no_configuration",
             Self::Stopping => "stopping",
+            Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
             Self::WouldBeLate => "would_be_late",
             Self::BeyondShare => "beyond_share",
@@ -77,6 +80,7 @@
             Self::BeyondShare => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::Stopping
+            | Self::Overloaded
             | Self::NoEndpoint
             | Self::WouldBeLate
             | Self::EndpointsFull
