fix(daemon): read a request's body before refusing it for want of processor

An answer that leaves a body unread may be lost with its connection, and a refusal that says not run must reach its caller.

--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -173,6 +173,12 @@
         service,
         workspace,
     } = found;
+    // After the body: an answer that leaves a body unread may be lost with its connection.
+    let objective_ms = route.objective.as_millis() as u64;
+    if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
+        let refusal = CallRefusal::come_back(RefusalReason::Overloaded, COME_BACK_SOON);
+        return Err(turned_away(&head.id, refusal));
+    }
     let budget = head.budget.unwrap_or(route.timeout).min(route.timeout);
     note_arrival(&state, &head, &service, workspace.as_ref());
     Ok(AdmittedCall {
@@ -239,13 +245,6 @@
         .service_for(&head.id)
         .and_then(|name| table.service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
-    let objective_ms = route.objective.as_millis() as u64;
-    if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
-        return Err(CallRefusal::come_back(
-            RefusalReason::Overloaded,
-            COME_BACK_SOON,
-        ));
-    }
     if !state.can_finish(expected_time(route, head)) {
         return Err(CallRefusal::come_back(
             RefusalReason::Stopping,
