perf: ask each home of a prompt once

Cause: what a box spends on a refusal is seeks: the first two homes were asked, then both again as a last resort, then the third; since both parts are 0.6 the second question had the same answer, five datagrams and wake-ups for three.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -12,10 +12,7 @@
 /// The settings of admission.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdmissionRule {
-    /// Up to which part of its objective a prompt may wait at its first home, while a second one
-    /// may be better.
-    pub first_part: f64,
-    /// Up to which part of its objective a prompt may wait anywhere.
+    /// Up to which part of its objective a prompt may wait.
     pub most_part: f64,
     /// The same for a workspace that has just had its share: only where little waits. It falls with
     /// the square of how many times its share a workspace has had and of its lead, so that those
@@ -32,7 +29,6 @@
     /// Figures of `docs/decisions/0009-admission.md`.
     fn default() -> Self {
         Self {
-            first_part: 0.6,
             most_part: 0.6,
             beyond_share_part: 0.7,
             long_part: 0.2,
@@ -63,7 +59,7 @@
     /// What a prompt that finds no memory would wait at least, in milliseconds: about one run.
     const NO_ROOM_MS: f64 = 1_000.0;
 
-    /// Decides on one ask; `last` is true where no other engine is left to be asked.
+    /// Decides on one ask.
     ///
     /// `others` says how many boxes send to this engine unseen: 0 where this box decides for it.
     pub fn decide(
@@ -71,7 +67,6 @@
         load: &EngineLoad,
         ask: &EngineAsk,
         level: ShareLevel,
-        last: bool,
         others: u32,
         now_ms: u64,
     ) -> EngineVerdict {
@@ -79,10 +74,9 @@
         let first_ms = load.first_event_ms(ask, now_ms);
         let backlog_ms = load.backlog_ms(now_ms) * unseen;
         let own_ms = first_ms - load.backlog_ms(now_ms);
-        let part = match last {
-            _ if level.is_beyond() => self.beyond_share_part / level.pressure().powi(2),
-            true => self.most_part,
-            false => self.first_part,
+        let part = match level.is_beyond() {
+            true => self.beyond_share_part / level.pressure().powi(2),
+            false => self.most_part,
         };
         // A prompt with a longer objective may not fill the engine for those with a shorter one.
         let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -42,8 +42,6 @@
         endpoint: EndpointId,
         /// The prompt.
         ask: EngineAsk,
-        /// Whether no other endpoint is left to be asked.
-        last: bool,
     },
     /// Owner to entry: the answer to a seek.
     Verdict {
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -26,8 +26,8 @@
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(60);
 /// How many homes a prompt has. More make the same parts be read at more places.
 const MOST_HOMES: usize = 3;
-/// How many homes are asked before a longer wait is accepted at any.
-const FIRST_HOMES: usize = 2;
+/// How many engines the box's own failure domain must have for short prompts to stay there.
+const LEAST_NEAR: usize = 2;
 /// A prompt with fewer shared tokens than this has its homes in the box's own failure domain:
 /// reading them again takes a few milliseconds, and bytes between domains cost more.
 const NEAR_BELOW_TOKENS: u32 = 1_500;
@@ -99,7 +99,7 @@
     }
     if wish.prompt.shared_tokens() < NEAR_BELOW_TOKENS {
         let near = |entry: &EndpointEntry| entry.record.domain == state.settings().domain;
-        if engines.iter().filter(|(_, entry)| near(entry)).count() >= FIRST_HOMES {
+        if engines.iter().filter(|(_, entry)| near(entry)).count() >= LEAST_NEAR {
             engines.retain(|(_, entry)| near(entry));
         }
     }
@@ -129,7 +129,6 @@
     endpoint: EndpointId,
     key: RunKey,
     ask: &EngineAsk,
-    last: bool,
     others: u32,
 ) -> Option<EngineVerdict> {
     let now = now_ms();
@@ -138,7 +137,7 @@
     state.with(|beliefs| {
         let level = beliefs.shares.level(ask.workspace);
         let load = beliefs.engines.load_mut(endpoint, spec);
-        let verdict = rule.decide(load, ask, level, last, others, now);
+        let verdict = rule.decide(load, ask, level, others, now);
         if matches!(verdict, EngineVerdict::Granted(_)) {
             GATEWAY_METRICS.note_admitted(ask.input, load.unread_of(ask));
             load.place(key, ask, now);
@@ -183,18 +182,13 @@
 }
 
 /// Asks for one home: its owner, or this box where the owner does not answer in time.
-async fn ask_home(
-    state: &GatewayState,
-    home: &HomeEngine,
-    ask: &EngineAsk,
-    last: bool,
-) -> Option<AskedHome> {
+async fn ask_home(state: &GatewayState, home: &HomeEngine, ask: &EngineAsk) -> Option<AskedHome> {
     let number = state.next_run();
     if home.owner == state.me() {
         let decided_by = state.settings().name.clone();
-        return ask_here(state, home, ask, last, 0, number, decided_by);
+        return ask_here(state, home, ask, 0, number, decided_by);
     }
-    if let Some(verdict) = ask_owner(state, home, number, ask, last).await {
+    if let Some(verdict) = ask_owner(state, home, number, ask).await {
         if matches!(verdict, EngineVerdict::Granted(_)) {
             place_here(state, home.target.id, state.own_run(number), ask);
         }
@@ -207,15 +201,7 @@
     }
     GATEWAY_METRICS.missed_verdicts.inc();
     let others = state.with(|beliefs| beliefs.fleet.live_count(now_ms())) - 1;
-    let asked = ask_here(
-        state,
-        home,
-        ask,
-        last,
-        others,
-        number,
-        "entry alone".to_owned(),
-    )?;
+    let asked = ask_here(state, home, ask, others, number, "entry alone".to_owned())?;
     if is_granted(&asked) {
         send_to(
             state,
@@ -231,13 +217,12 @@
     state: &GatewayState,
     home: &HomeEngine,
     ask: &EngineAsk,
-    last: bool,
     others: u32,
     number: u32,
     decided_by: String,
 ) -> Option<AskedHome> {
     let key = state.own_run(number);
-    let verdict = decide_here(state, home.target.id, key, ask, last, others)?;
+    let verdict = decide_here(state, home.target.id, key, ask, others)?;
     Some(AskedHome {
         verdict,
         number,
@@ -251,7 +236,6 @@
     home: &HomeEngine,
     run: u32,
     ask: &EngineAsk,
-    last: bool,
 ) -> Option<EngineVerdict> {
     let (sender, verdict) = oneshot::channel();
     state.with(|beliefs| beliefs.seeks.insert(run, sender));
@@ -260,7 +244,6 @@
         run,
         endpoint: home.target.id,
         ask: ask.clone(),
-        last,
     };
     send_to(state, home.owner, seek);
     let verdict = tokio::time::timeout(VERDICT_TIMEOUT, verdict).await;
@@ -293,22 +276,9 @@
     if let Some(home) = homes.first().filter(|_| wish.resumed) {
         return Ok(force(state, home, ask));
     }
-    let mut declined: Vec<(u32, &HomeEngine)> = Vec::new();
-    for home in homes.iter().take(FIRST_HOMES) {
-        match ask_home(state, home, ask, false).await {
-            Some(asked) if is_granted(&asked) => return Ok(take(state, home, asked, ask)),
-            Some(asked) => declined.push((asked.verdict.first_event_ms(), home)),
-            None => {}
-        }
-    }
-    // The homes that were not asked yet go by their order, behind those that nearly had room.
-    let asked = declined.len();
-    declined.sort_by_key(|(first_ms, _)| *first_ms);
-    let rest = homes.iter().skip(FIRST_HOMES.min(asked));
-    let order: Vec<&HomeEngine> = declined.iter().map(|(_, home)| *home).chain(rest).collect();
     let mut none = NoPlace::default();
-    for home in order {
-        match ask_home(state, home, ask, true).await {
+    for home in &homes {
+        match ask_home(state, home, ask).await {
             Some(asked) if is_granted(&asked) => return Ok(take(state, home, asked, ask)),
             Some(asked) => none.note(home, asked),
             None => {}
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -190,14 +190,9 @@
             hear(state, beat, incarnation);
             meet(state, &known);
         }
-        GatewayMessage::Seek {
-            run,
-            endpoint,
-            ask,
-            last,
-        } => {
+        GatewayMessage::Seek { run, endpoint, ask } => {
             let key = run_of(run);
-            let verdict = decide_here(state, endpoint, key, &ask, last, 0);
+            let verdict = decide_here(state, endpoint, key, &ask, 0);
             if let Some(verdict) = verdict {
                 send_datagram(
                     state,
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -197,7 +197,6 @@
         section.take_checked(key, default, PART, |value| (0.0..=2.0).contains(value))
     };
     AdmissionRule {
-        first_part: part("first_part", default.first_part),
         most_part: part("most_part", default.most_part),
         beyond_share_part: part("beyond_share_part", default.beyond_share_part),
         long_part: part("long_part", default.long_part),
