perf(core): decline a flood without a question where the entry knows enough

What the entry knows alone (its own runs at the engine, the part of the prompt that no other shares) is the least that the first event takes; where that is too late, the owner would decline as well: a property test compares the two.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -74,10 +74,7 @@
         let first_ms = load.first_event_ms(ask, now_ms);
         let backlog_ms = load.backlog_ms(now_ms) * unseen;
         let own_ms = first_ms - load.backlog_ms(now_ms);
-        let part = match level.is_beyond() {
-            true => self.beyond_share_part / level.pressure().powi(2),
-            false => self.most_part,
-        };
+        let part = self.part(level);
         // A prompt with a longer objective may not fill the engine for those with a shorter one.
         let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
         let in_time = backlog_ms + own_ms <= objective_ms * part;
@@ -91,6 +88,33 @@
         }
     }
 
+    /// Returns up to which part of its objective a prompt may wait.
+    fn part(&self, level: ShareLevel) -> f64 {
+        match level.is_beyond() {
+            true => self.beyond_share_part / level.pressure().powi(2),
+            false => self.most_part,
+        }
+    }
+
+    /// Returns after how many milliseconds a first event comes at least that is too late for a
+    /// workspace beyond its share, whatever else the engine is busy with; none where whoever decides
+    /// for the engine has to be asked.
+    ///
+    /// A flood is refused many times for each prompt that is admitted, and each question costs the
+    /// box a datagram and a wake-up: what it knows alone is enough for most.
+    pub fn hopeless_ms(
+        &self,
+        load: &EngineLoad,
+        ask: &EngineAsk,
+        level: ShareLevel,
+        now_ms: u64,
+    ) -> Option<f64> {
+        let first_ms = load.least_first_event_ms(ask, now_ms);
+        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
+        let hopeless = level.is_beyond() && first_ms > objective_ms * self.part(level);
+        hopeless.then_some(first_ms)
+    }
+
     /// Tells whether slots and memory allow one more; a prompt of any size may run alone.
     fn has_room(&self, load: &EngineLoad, ask: &EngineAsk, unseen: f64) -> bool {
         let spec = load.spec();
--- a/dockgate-core/src/gateway/admission/tests.rs
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::gateway::{EngineSpec, PromptPart, RunKey};
 use crate::ids::BoxKey;
+use proptest::prelude::*;
 
 const BEYOND: ShareLevel = ShareLevel::new(1.5);
 const SPEC: EngineSpec = EngineSpec {
@@ -123,3 +124,66 @@
     ));
     assert!(!granted(&load_with(0, 0), &ask(9, 30_000), BEYOND, 0));
 }
+
+/// Has a box that knows all of an engine, and one that knows only some of its runs, decide.
+fn two_views(all: u32, own: u32, input: u32, kept: bool) -> (EngineLoad, EngineLoad, EngineAsk) {
+    let mut ask = ask(9, input);
+    ask.parts = vec![
+        PromptPart {
+            id: 500,
+            tokens: input / 2,
+        },
+        PromptPart {
+            id: 501,
+            tokens: input - input / 2,
+        },
+    ];
+    let (mut owner, mut entry) = (EngineLoad::new(SPEC), EngineLoad::new(SPEC));
+    if kept {
+        owner.note_cached(&ask.parts[..1]);
+    }
+    for number in 0..all {
+        let key = RunKey {
+            entry: BoxKey(1),
+            number,
+        };
+        let run = self::ask(u64::from(number), 1_000);
+        owner.place(key, &run, 1_000);
+        if number < own {
+            entry.place(key, &run, 1_000);
+        }
+    }
+    (owner, entry, ask)
+}
+
+#[test]
+fn a_flood_is_refused_without_a_question_where_its_own_part_takes_too_long() {
+    let (_, entry, ask) = two_views(0, 0, 6_000, true);
+    // Half of the prompt is its own: 88 ms beside the 20 of any, of an objective of 600.
+    let hopeless = |times| RULE.hopeless_ms(&entry, &ask, ShareLevel::new(times), 1_000);
+    assert_eq!(
+        hopeless(0.9),
+        None,
+        "a workspace within its share has its engines asked"
+    );
+    assert_eq!(hopeless(1.05), None);
+    assert!(hopeless(2.0).is_some());
+}
+
+proptest! {
+    /// What a box declines alone, the box that knows the engine would have declined as well.
+    #[test]
+    fn a_box_declines_alone_only_what_the_owner_would(
+        all in 0_u32..4,
+        own in 0_u32..4,
+        input in 100_u32..20_000,
+        times in 0.5_f64..4.0,
+        kept: bool,
+    ) {
+        let (owner, entry, ask) = two_views(all, own.min(all), input, kept);
+        let level = ShareLevel::new(times);
+        if RULE.hopeless_ms(&entry, &ask, level, 1_000).is_some() {
+            prop_assert!(!granted(&owner, &ask, level, 0));
+        }
+    }
+}
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -98,6 +98,13 @@
         ask.input.saturating_sub(self.cache.kept_tokens(&ask.parts))
     }
 
+    /// Returns how many tokens of a prompt it would have to read if it kept all that other prompts
+    /// share: the least that a box can say which sees only its own part of the engine.
+    pub fn least_unread_of(&self, ask: &EngineAsk) -> u32 {
+        let own = ask.parts.last().map_or(0, |part| part.tokens);
+        own.min(self.unread_of(ask))
+    }
+
     /// Returns for how many milliseconds the engine reads what it has.
     pub fn backlog_ms(&self, now_ms: u64) -> f64 {
         (self.read_until_ms - now_ms as f64).max(0.0)
@@ -108,6 +115,13 @@
         self.backlog_ms(now_ms) + self.read_ms(u64::from(self.unread_of(ask))) + Self::BASE_MS
     }
 
+    /// Returns the least time to the first event of a prompt, in milliseconds, by what this box alone
+    /// has sent there.
+    pub fn least_first_event_ms(&self, ask: &EngineAsk, now_ms: u64) -> f64 {
+        let read_ms = self.read_ms(u64::from(self.least_unread_of(ask)));
+        self.backlog_ms(now_ms) + read_ms + Self::BASE_MS
+    }
+
     fn read_ms(&self, tokens: u64) -> f64 {
         tokens as f64 / Self::READ_PER_MS * self.slowness
     }
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -188,6 +188,9 @@
         let decided_by = state.settings().name.clone();
         return ask_here(state, home, ask, 0, number, decided_by);
     }
+    if let Some(asked) = decline_here(state, home, ask, number) {
+        return Some(asked);
+    }
     if let Some(verdict) = ask_owner(state, home, number, ask).await {
         if matches!(verdict, EngineVerdict::Granted(_)) {
             place_here(state, home.target.id, state.own_run(number), ask);
@@ -212,6 +215,29 @@
     Some(asked)
 }
 
+/// Declines for the owner of a home where what this box knows is enough.
+fn decline_here(
+    state: &GatewayState,
+    home: &HomeEngine,
+    ask: &EngineAsk,
+    number: u32,
+) -> Option<AskedHome> {
+    let settings = state.settings();
+    let spec = spec_of(state, home.target.id)?;
+    let first_ms = state.with(|beliefs| {
+        let level = beliefs.shares.level(ask.workspace);
+        let load = beliefs.engines.load_mut(home.target.id, spec);
+        let rule = settings.admission;
+        rule.hopeless_ms(load, ask, level, now_ms())
+    })?;
+    GATEWAY_METRICS.declined_alone.inc();
+    Some(AskedHome {
+        verdict: EngineVerdict::Declined(first_ms as u32),
+        number,
+        decided_by: settings.name.clone(),
+    })
+}
+
 /// Decides for one home with what this box believes.
 fn ask_here(
     state: &GatewayState,
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -28,6 +28,8 @@
     pub(super) resumed: IntCounter,
     /// Verdicts that did not come in time.
     pub(super) missed_verdicts: IntCounter,
+    /// Prompts that were declined for one engine without asking the box that decides for it.
+    pub(super) declined_alone: IntCounter,
     /// Calls to the store, by what is followed and outcome.
     pub(super) store_calls: IntCounterVec,
     endpoints: IntGaugeVec,
@@ -103,6 +105,10 @@
                 "dockgate_missed_verdicts_total",
                 "Seeks that the deciding box did not answer in time",
             ),
+            declined_alone: counter(
+                "dockgate_declined_alone_total",
+                "Prompts declined for one engine without asking the box that decides",
+            ),
             store_calls: counters(
                 "dockgate_store_calls_total",
                 "Calls to the platform's store, by what is followed and outcome",
