test: a randomised soak of gateways with overlapping faults, checked by callers and endpoints

Checked: whole answers of one's own, streams in order and not looking whole when cut, at most one run of what may run once and two of the rest, refusals that are true and say when to come back, service when all is undone.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -133,6 +133,43 @@
     }
 }
 
+/// Makes a configuration. Routes: `/once/` may run once, `/again/` may be repeated, `/live/` streams and may be resumed,
+/// `/draft/` streams and may not.
+#[must_use]
+pub fn route_config(version: u64, keys: &str) -> String {
+    let route = |name: &str, kind: &str, service: &str, more: &str| {
+        format!(
+            r#"{{"name":"{name}","host":"h.example","path_prefix":"/{name}/","type":"{kind}",
+            "service":"{service}","timeout_ms":4000,"target_latency_ms":500,"priority":1{more}}}"#
+        )
+    };
+    let routes = [
+        route("once", "non_idempotent", "plain", r#","max_attempts":1"#),
+        route("again", "idempotent", "plain", r#","max_attempts":2"#),
+        route(
+            "live",
+            "streaming",
+            "model",
+            r#","max_attempts":2,"resumable":true"#,
+        ),
+        route(
+            "draft",
+            "streaming",
+            "model",
+            r#","max_attempts":1,"resumable":false"#,
+        ),
+    ]
+    .join(",");
+    format!(
+        r#"{{"version":{version},"routes":[{routes}],
+        "services":[{{"name":"plain","max_connections":100}},
+          {{"name":"model","max_connections":100,
+            "engine":{{"capacity":8,"kv_capacity_tokens":100000}}}}],
+        "limits":{{"max_body_bytes":10000}},
+        "tenants":[{{"name":"captions","api_keys":[{keys}]}}]}}"#
+    )
+}
+
 /// A fleet of gateways.
 pub struct GatewayFleet {
     /// The platform's store.
--- /dev/null
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -0,0 +1,156 @@
+//! A randomised soak of gateways: real processes, callers that never stop, faults that overlap.
+//!
+//! The seed decides the faults and their times; what callers and endpoints saw is checked as it is
+//! seen, and once more when all is over. A fault is undone by itself, so that any number may stand
+//! at once.
+
+mod soak_caller;
+mod soak_fault;
+
+use crate::error::BenchError;
+use crate::gateway_fleet::{GatewayFleet, GatewayProcess, route_config, wait_until};
+use crate::standin::RoutedStandIn;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use soak_caller::{SoakCall, SoakRoute, keep_calling};
+use soak_fault::FaultField;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// How many gateways run.
+const GATEWAYS: usize = 3;
+/// The service of each endpoint.
+const SERVICES: [&str; 5] = ["plain", "plain", "model", "model", "model"];
+/// How many callers there are.
+const CALLERS: usize = 9;
+/// How often the next fault may begin.
+const STEP: Duration = Duration::from_millis(50);
+
+/// What to run.
+#[derive(Debug, Clone, Copy)]
+pub struct SoakOptions {
+    /// Decides the faults and the requests.
+    pub seed: u64,
+    /// For how long faults are caused.
+    pub lasts: Duration,
+}
+
+/// What came of a run.
+#[derive(Debug, Clone, Default)]
+pub struct SoakReport {
+    /// Requests made.
+    pub calls: usize,
+    /// Those that got their whole answer.
+    pub answered: usize,
+    /// Those that were refused as not run.
+    pub refused: usize,
+    /// The faults, in order.
+    pub faults: Vec<String>,
+    /// What was promised and not kept.
+    pub broken: Vec<String>,
+}
+
+/// Runs one seed.
+///
+/// # Errors
+///
+/// Returns an error where a stand-in or a gateway cannot be started.
+pub async fn run_soak(options: SoakOptions) -> Result<SoakReport, BenchError> {
+    let mut fleet = GatewayFleet::start(GATEWAYS, &SERVICES, &route_config(1, KEYS)).await?;
+    let over = Arc::new(AtomicBool::new(false));
+    let addresses: Vec<_> = fleet.gateways.iter().map(GatewayProcess::callers).collect();
+    let callers = (0..CALLERS as u64).map(|number| {
+        let draw = StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number);
+        tokio::spawn(keep_calling(number, draw, addresses.clone(), over.clone()))
+    });
+    let callers: Vec<_> = callers.collect();
+
+    let mut field = FaultField::new(options.seed);
+    let started = Instant::now();
+    while started.elapsed() < options.lasts {
+        field.step(&mut fleet).await?;
+        tokio::time::sleep(STEP).await;
+    }
+    field.undo_all(&mut fleet).await?;
+    for gateway in &fleet.gateways {
+        wait_until("a gateway is ready again", async || {
+            gateway.is_ready().await
+        })
+        .await;
+    }
+    // What callers ask from here on is asked of a fleet that is whole.
+    tokio::time::sleep(SETTLED).await;
+    over.store(true, Ordering::Release);
+    let (mut calls, mut broken) = (Vec::new(), Vec::new());
+    for caller in callers {
+        match caller.await {
+            Ok(made) => calls.extend(made),
+            Err(error) => broken.push(format!("a caller ended: {error}")),
+        }
+    }
+    Ok(report(&fleet, &calls, field, broken))
+}
+
+/// The keys that callers use.
+pub(crate) const KEYS: &str = r#""k1","k2""#;
+/// For how long callers go on when all faults are undone.
+const SETTLED: Duration = Duration::from_secs(2);
+
+/// Checks what endpoints ran against what callers were told.
+fn report(
+    fleet: &GatewayFleet,
+    calls: &[SoakCall],
+    field: FaultField,
+    mut broken: Vec<String>,
+) -> SoakReport {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for run in fleet.endpoints.iter().flat_map(RoutedStandIn::ran) {
+        *runs.entry(run.id).or_default() += 1;
+    }
+    for call in calls {
+        let ran = runs.get(&call.id).copied().unwrap_or(0);
+        let most = call.route.most_runs();
+        broken.extend(
+            call.broken
+                .iter()
+                .map(|what| format!("{}: {what}", call.id)),
+        );
+        if call.refused && ran > 0 {
+            broken.push(format!(
+                "{}: refused as not run, and ran {ran} times",
+                call.id
+            ));
+        }
+        if ran > most {
+            broken.push(format!("{}: ran {ran} times of {most}", call.id));
+        }
+        runs.remove(&call.id);
+    }
+    broken.extend(
+        runs.keys()
+            .map(|id| format!("{id}: ran, and nobody asked for it")),
+    );
+    let late = calls.iter().filter(|call| call.is_last).collect::<Vec<_>>();
+    if !late.iter().any(|call| call.answered) {
+        broken.push("nothing is answered after all faults were undone".to_owned());
+    }
+    SoakReport {
+        calls: calls.len(),
+        answered: calls.iter().filter(|call| call.answered).count(),
+        refused: calls.iter().filter(|call| call.refused).count(),
+        faults: field.told,
+        broken,
+    }
+}
+
+impl SoakRoute {
+    /// Returns how many endpoints may run one request of it.
+    const fn most_runs(self) -> usize {
+        match self {
+            Self::Once | Self::Draft => 1,
+            Self::Again | Self::Live => 2,
+        }
+    }
+}
--- a/dockgate-bench/src/lib.rs
+++ b/dockgate-bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod gap;
 pub mod gateway_fleet;
+pub mod gateway_soak;
 pub mod relay;
 pub mod report;
 pub mod run;
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -3,13 +3,16 @@
 use clap::{Parser, Subcommand};
 use dockgate_bench::demo::run_demo;
 use dockgate_bench::error::BenchError;
+use dockgate_bench::gateway_soak::{SoakOptions, run_soak};
 use dockgate_bench::report::BenchReport;
 use dockgate_bench::run::{RunOptions, WARM_UP, run_scenario};
 use dockgate_bench::scenario::BenchScenario;
 use dockgate_bench::slopes::{SlopeReport, run_slopes};
 use serde::Serialize;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Exit code of a run in which a promise was broken.
 const EXIT_BROKEN: u8 = 3;
@@ -43,6 +46,18 @@
         #[arg(long)]
         report: Option<PathBuf>,
     },
+    /// Causes random faults to a fleet of gateways, and checks what callers and endpoints see.
+    Soak {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many seeds, one after the other.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Seconds of faults for each.
+        #[arg(long, default_value_t = 8)]
+        seconds: u64,
+    },
     /// Runs a scenario and reports what was measured.
     Run {
         /// The scenario file.
@@ -104,6 +119,11 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        BenchCommand::Soak {
+            seed,
+            seeds,
+            seconds,
+        } => soak(seed..seed + seeds, Duration::from_secs(seconds)).await,
         BenchCommand::Run {
             scenario,
             seed,
@@ -136,6 +156,30 @@
     }
 }
 
+/// Runs one seed after the other; says of each what was seen.
+async fn soak(seeds: Range<u64>, lasts: Duration) -> Result<ExitCode, BenchError> {
+    let mut code = ExitCode::SUCCESS;
+    for seed in seeds {
+        let seen = run_soak(SoakOptions { seed, lasts }).await?;
+        println!(
+            "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} promises broken",
+            seen.faults.len(),
+            seen.calls,
+            seen.answered,
+            seen.refused,
+            seen.broken.len(),
+        );
+        if !seen.broken.is_empty() {
+            seen.faults.iter().for_each(|fault| println!("  {fault}"));
+            seen.broken
+                .iter()
+                .for_each(|what| println!("  broken: {what}"));
+            code = ExitCode::from(EXIT_BROKEN);
+        }
+    }
+    Ok(code)
+}
+
 fn write_report(path: &Path, report: &impl Serialize) -> Result<(), BenchError> {
     let text = serde_json::to_string_pretty(report).unwrap_or_default();
     std::fs::write(path, text)
--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -3,7 +3,7 @@
 //! Each test causes one kind of failure, and looks at it from callers and endpoints.
 
 use bytes::Bytes;
-use dockgate_bench::gateway_fleet::{GatewayFleet, wait_until};
+use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
 use dockgate_bench::standin::EndpointManner;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -17,46 +17,10 @@
 use tokio::net::TcpStream;
 use yare::parameterized;
 
-/// Routes: `/once/` may run once, `/again/` may be repeated, `/live/` streams and may be resumed,
-/// `/draft/` streams and may not.
-fn config(version: u64, keys: &str) -> String {
-    let route = |name: &str, kind: &str, service: &str, more: &str| {
-        format!(
-            r#"{{"name":"{name}","host":"h.example","path_prefix":"/{name}/","type":"{kind}",
-            "service":"{service}","timeout_ms":4000,"target_latency_ms":500,"priority":1{more}}}"#
-        )
-    };
-    let routes = [
-        route("once", "non_idempotent", "plain", r#","max_attempts":1"#),
-        route("again", "idempotent", "plain", r#","max_attempts":2"#),
-        route(
-            "live",
-            "streaming",
-            "model",
-            r#","max_attempts":2,"resumable":true"#,
-        ),
-        route(
-            "draft",
-            "streaming",
-            "model",
-            r#","max_attempts":1,"resumable":false"#,
-        ),
-    ]
-    .join(",");
-    format!(
-        r#"{{"version":{version},"routes":[{routes}],
-        "services":[{{"name":"plain","max_connections":100}},
-          {{"name":"model","max_connections":100,
-            "engine":{{"capacity":8,"kv_capacity_tokens":100000}}}}],
-        "limits":{{"max_body_bytes":10000}},
-        "tenants":[{{"name":"captions","api_keys":[{keys}]}}]}}"#
-    )
-}
-
 const KEYS: &str = r#""k1","k2""#;
 
 async fn start(gateways: usize, services: &[&str]) -> GatewayFleet {
-    GatewayFleet::start(gateways, services, &config(3, KEYS))
+    GatewayFleet::start(gateways, services, &route_config(3, KEYS))
         .await
         .unwrap()
 }
@@ -386,7 +350,7 @@
 #[tokio::test]
 async fn a_key_that_is_taken_away_stays_away() {
     let fleet = start(2, &["plain"]).await;
-    fleet.store.set("op/config", config(9, r#""k2""#));
+    fleet.store.set("op/config", route_config(9, r#""k2""#));
     for gateway in &fleet.gateways {
         wait_until("the version is in force", async || {
             gateway.logged().contains(r#""old":3,"version":9"#)
@@ -394,7 +358,7 @@
         .await;
     }
     // An older version that is read late must not bring it back.
-    fleet.store.set("op/config", config(5, KEYS));
+    fleet.store.set("op/config", route_config(5, KEYS));
     fleet.store.forget_history();
     tokio::time::sleep(Duration::from_millis(500)).await;
     let response = call(&fleet, request("/once/x", "r1", None)).await;
@@ -529,7 +493,7 @@
 async fn a_slow_store_delays_a_change_and_loses_none() {
     let fleet = start(1, &["plain"]).await;
     fleet.store.set_slow(Duration::from_millis(400));
-    fleet.store.set("op/config", config(9, r#""k2""#));
+    fleet.store.set("op/config", route_config(9, r#""k2""#));
     let gateway = &fleet.gateways[0];
     wait_until("the version is in force", async || {
         gateway.logged().contains(r#""version":9"#)
--- /dev/null
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -0,0 +1,20 @@
+//! A short seeded run of the soak of gateways, and each seed that ever failed.
+
+use dockgate_bench::gateway_soak::{SoakOptions, run_soak};
+use std::time::Duration;
+use yare::parameterized;
+
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+)]
+fn no_promise_breaks(seed: u64) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let options = SoakOptions {
+        seed,
+        lasts: Duration::from_secs(5),
+    };
+    let seen = runtime.block_on(run_soak(options)).unwrap();
+    assert!(seen.answered > 0, "{seen:?}");
+    assert!(seen.broken.is_empty(), "{seen:#?}");
+}
