fix(daemon): a SIGHUP while a gateway starts does not end it

Ruled out: the restart (the log ends before its first line), the port (free). The runtime now listens before anything is read, and a signal that comes meanwhile is kept, so that the settings are read again. Test: a pipe in place of the settings holds the start while the signal comes; it fails on the old code.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -4,8 +4,10 @@
 use crate::fleet::{daemon_program, fetch};
 use crate::standin::{PlatformStandIn, RoutedStandIn};
 use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::stat::Mode;
+use nix::unistd::{Pid, mkfifo};
 use std::fs::File;
+use std::io::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -74,6 +76,29 @@
         Ok(())
     }
 
+    /// Starts it anew, and sends it a signal while it waits for the first byte of its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it cannot be started.
+    pub fn restart_signalled(&mut self, signal: Signal) -> Result<(), BenchError> {
+        let settings = self.settings.clone();
+        let failed = |cause| BenchError::Io("hold", settings.display().to_string(), cause);
+        let kept = settings.with_extension("kept");
+        std::fs::rename(&settings, &kept).map_err(failed)?;
+        let text = std::fs::read(&kept).map_err(failed)?;
+        mkfifo(&settings, Mode::S_IRUSR | Mode::S_IWUSR).map_err(|cause| failed(cause.into()))?;
+        self.restart()?;
+        // Opens when the process reads; a signal is dealt with before the read goes on.
+        let mut pipe = File::options()
+            .write(true)
+            .open(&settings)
+            .map_err(failed)?;
+        self.signal(signal);
+        std::fs::rename(&kept, &settings).map_err(failed)?;
+        pipe.write_all(&text).map_err(failed)
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -526,3 +526,14 @@
     let response = call(&fleet, request("/again/x", "r2", None)).await;
     assert!(!response.headers().contains_key("connection"));
 }
+
+/// Found by the soak, seed 126: a box that was reloaded while it started had ended for good.
+#[tokio::test]
+async fn a_signal_to_reload_while_a_box_starts_does_not_end_it() {
+    let mut fleet = start(1, &["plain"]).await;
+    let gateway = &mut fleet.gateways[0];
+    gateway.kill();
+    gateway.restart_signalled(Signal::SIGHUP).unwrap();
+    wait_until("the box is ready", async || gateway.is_ready().await).await;
+    assert!(!gateway.has_ended());
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod front;
 mod gateway_metrics;
+mod gateway_runtime;
 mod gateway_state;
 mod overload;
 mod peer_net;
@@ -25,6 +26,7 @@
 mod tracked_io;
 mod upstream;
 
+pub(crate) use gateway_runtime::GatewayRuntime;
 pub(crate) use settings::{GatewaySettings, is_gateway};
 
 use crate::error::DaemonError;
@@ -37,6 +39,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::Signal;
 
 /// How often the daemon looks whether its last request has been answered.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -52,15 +55,20 @@
 /// # Errors
 ///
 /// Returns an error where a socket cannot be opened.
-pub(crate) fn run(settings: GatewaySettings, path: &Path) -> Result<(), DaemonError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(DaemonError::Runtime)?;
-    runtime.block_on(serve(settings, path))
+pub(crate) fn run(
+    runtime: GatewayRuntime,
+    settings: GatewaySettings,
+    path: &Path,
+) -> Result<(), DaemonError> {
+    let GatewayRuntime { runtime, reloads } = runtime;
+    runtime.block_on(serve(settings, path, reloads))
 }
 
-async fn serve(settings: GatewaySettings, path: &Path) -> Result<(), DaemonError> {
+async fn serve(
+    settings: GatewaySettings,
+    path: &Path,
+    reloads: Option<Signal>,
+) -> Result<(), DaemonError> {
     let callers = sockets::listen("listen for callers", settings.listen.callers)?;
     let readiness = sockets::listen("listen for readiness", settings.listen.readiness)?;
     let state_listener = sockets::listen("listen for state", settings.listen.state)?;
@@ -76,7 +84,11 @@
 
     let state = Arc::new(GatewayState::new(settings, datagrams));
     start_tasks(&state, readiness, metrics, state_listener)?;
-    tokio::spawn(reload::follow_settings(state.clone(), path.to_owned()));
+    tokio::spawn(reload::follow_settings(
+        state.clone(),
+        path.to_owned(),
+        reloads,
+    ));
     let front = Arc::new(CallerFront::new(state.clone()));
     let accepting = tokio::spawn(front.clone().accept(callers));
     tokio::spawn(front.clone().sweep());
--- a/dockgate/src/gateway/reload.rs
+++ b/dockgate/src/gateway/reload.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 /// How often the file is looked at without a signal.
 const LOOK: Duration = Duration::from_secs(3);
@@ -22,10 +22,11 @@
 }
 
 /// Follows the settings file until the process ends; what cannot be read changes nothing.
-pub(super) async fn follow_settings(state: Arc<GatewayState>, path: PathBuf) {
-    let mut signals = signal(SignalKind::hangup())
-        .inspect_err(|error| log::error!("listen for SIGHUP: {error}"))
-        .ok();
+pub(super) async fn follow_settings(
+    state: Arc<GatewayState>,
+    path: PathBuf,
+    mut signals: Option<Signal>,
+) {
     let mut last_problem = String::new();
     loop {
         let signal = tokio::select! {
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -21,16 +21,17 @@
 
 use clap::Parser;
 use error::DaemonError;
-use gateway::GatewaySettings;
+use gateway::{GatewayRuntime, GatewaySettings};
 use settings::DaemonArgs;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let args = DaemonArgs::parse();
-    let started = match gateway::is_gateway(args.settings()) {
-        true => start_gateway(&args),
-        false => start_daemon(&args),
-    };
+    let started =
+        GatewayRuntime::new().and_then(|runtime| match gateway::is_gateway(args.settings()) {
+            true => start_gateway(&args, runtime),
+            false => start_daemon(&args),
+        });
     match started {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -40,14 +41,14 @@
     }
 }
 
-fn start_gateway(args: &DaemonArgs) -> Result<(), DaemonError> {
+fn start_gateway(args: &DaemonArgs, runtime: GatewayRuntime) -> Result<(), DaemonError> {
     let settings = GatewaySettings::load(args.settings())?;
     if args.check {
         println!("settings are valid");
         return Ok(());
     }
     logging::init(&settings.name);
-    gateway::run(settings, args.settings())
+    gateway::run(runtime, settings, args.settings())
 }
 
 fn start_daemon(args: &DaemonArgs) -> Result<(), DaemonError> {
