--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -145,7 +145,7 @@
                     Some(FaultEnd::Restart(box_at)),
                 )
             }
-            3 => {
+            3 if fleet.gateways[box_at].listens_for(Signal::SIGHUP) => {
                 fleet.gateways[box_at].signal(Signal::SIGHUP);
                 (format!("reload box {box_at}"), lasts, None)
             }
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -7,7 +7,8 @@
 #[parameterized(
     first = { 1 },
     second = { 2 },
-    // A box that was reloaded while it started ended: a pipe in place of its settings shows it now.
+    // A SIGHUP met a box that was starting, and ended it. What a box can do about that is tested with
+    // a pipe in place of its settings; the soak no longer sends one before the program runs.
     reloaded_while_starting = { 126 },
 )]
 fn no_promise_breaks(seed: u64) {
