--- a/platform/src/store.rs
+++ b/dockgate-config/src/config_store.rs
@@ -4,12 +4,12 @@
 //! compare-and-swap of it, so that a daemon that dies between steps leaves nothing half done, and a
 //! watcher needs one read for one change. A snapshot is written before the head that names it.
 
-use crate::client::{
-    PlatformClient, PutCondition, PutOutcome, StoreEvent, StoredValue, WatchOutcome, parse,
-};
-use crate::error::PlatformError;
 use bytes::Bytes;
 use dockgate_core::{ConfigEntry, ConfigPlan, FleetConfig};
+use dockgate_platform::{
+    PlatformClient, PlatformError, PutCondition, PutOutcome, StoreEvent, StoredValue, WatchOutcome,
+    parse_value,
+};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -133,7 +133,7 @@
             })?;
             bytes.extend_from_slice(&value.bytes);
         }
-        parse(STEP, SNAPSHOT, &bytes)
+        parse_value(STEP, SNAPSHOT, &bytes)
     }
 
     /// Keeps a plan for confirmation.
@@ -160,7 +160,7 @@
         let key = format!("{PLAN}{id}");
         let value = self.client.get(&key).await?;
         value
-            .map(|value| parse("read plan", &key, &value.bytes))
+            .map(|value| parse_value("read plan", &key, &value.bytes))
             .transpose()
     }
 
@@ -258,7 +258,10 @@
 }
 
 fn parse_head(value: &StoredValue) -> Result<(ConfigHead, u64), PlatformError> {
-    Ok((parse("read head", HEAD, &value.bytes)?, value.revision))
+    Ok((
+        parse_value("read head", HEAD, &value.bytes)?,
+        value.revision,
+    ))
 }
 
 /// Applies entries strictly in order.
--- a/dockgate/src/config_keeper.rs
+++ b/dockgate/src/config_keeper.rs
@@ -3,8 +3,9 @@
 use crate::logging::{LogEvent, log_event};
 use crate::members::RETRY_MS;
 use crate::metrics::METRICS;
+use dockgate_config::{ConfigHead, ConfigStore};
 use dockgate_core::FleetConfig;
-use dockgate_platform::{ConfigHead, ConfigStore, PlatformError};
+use dockgate_platform::PlatformError;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
--- a/dockgate/src/operator_door.rs
+++ b/dockgate/src/operator_door.rs
@@ -5,8 +5,9 @@
 use crate::dispatch::DispatchHandle;
 use crate::door::{RpcDoor, has_secret};
 use crate::error::DaemonError;
+use dockgate_config::{CommitOutcome, ConfigHead, ConfigStore};
 use dockgate_core::{ConfigPlan, parse_declaration};
-use dockgate_platform::{CommitOutcome, ConfigHead, ConfigStore, PlatformError};
+use dockgate_platform::PlatformError;
 use dockgate_proto::operator::{
     self, ConfirmReply, ConfirmRequest, HistoryRequest, PlanIntent, PlanReply, PlanRequest,
     StaleDetail, codes,
