--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -4,15 +4,15 @@
 //! seen, and once more when all is over. A fault is undone by itself, so that any number may stand
 //! at once.
 
-mod soak_caller;
+mod caller_standin;
 mod soak_fault;
 
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, route_config};
 use crate::standin::RoutedStandIn;
+use caller_standin::{SoakCall, SoakRoute, keep_calling};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use soak_caller::{SoakCall, SoakRoute, keep_calling};
 use soak_fault::FaultField;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -32,6 +32,11 @@
 /// How often the next fault may begin.
 const STEP: Duration = Duration::from_millis(50);
 
+/// The keys that callers use.
+pub(crate) const KEYS: &str = r#""k1","k2""#;
+/// For how long callers go on when all faults are undone.
+const SETTLED: Duration = Duration::from_secs(2);
+
 /// What to run.
 #[derive(Debug, Clone, Copy)]
 pub struct SoakOptions {
@@ -92,11 +97,6 @@
     Ok(report(&fleet, &calls, field, broken))
 }
 
-/// The keys that callers use.
-pub(crate) const KEYS: &str = r#""k1","k2""#;
-/// For how long callers go on when all faults are undone.
-const SETTLED: Duration = Duration::from_secs(2);
-
 /// Waits until every gateway is ready; says of each that is not in time what it logged last.
 async fn unready(fleet: &GatewayFleet) -> Vec<String> {
     let started = Instant::now();
--- a/dockgate-bench/src/gateway_soak/soak_caller.rs
+++ b/dockgate-bench/src/gateway_soak/caller_standin.rs
@@ -1,4 +1,5 @@
-//! A caller that makes one request after another, and checks each answer.
+//! A stand-in of a caller on the users' platform: it makes one request after another, and checks each
+//! answer against the published protocol.
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
