fix(bench): a test fleet claims its loopback network

Cause: networks were drawn from the process id, so that two processes beside each other (a soak and the tests) could draw the same and a gateway found its ports taken: three of six runs of the gateway's tests beside three soaks lost one of 34. Ruled out: the product (each failing test passed alone and in the runs between).

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -8,10 +8,9 @@
 use nix::unistd::{Pid, mkfifo};
 use std::fs::File;
 use std::io::Write;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -25,12 +24,35 @@
 /// How often it is looked at.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Returns a loopback network of this fleet's own, so that fleets beside each other do not meet.
-fn fleet_network() -> u8 {
-    static NEXT: AtomicU8 = AtomicU8::new(0);
-    let offset = NEXT.fetch_add(1, Ordering::Relaxed);
-    let base = (std::process::id() % 200) as u8;
-    20 + (base.wrapping_add(offset.wrapping_mul(11))) % 200
+/// Where a fleet claims its loopback network.
+const CLAIM: u16 = 7_100;
+
+/// A loopback network of a fleet's own, so that fleets beside each other do not meet, be they of this
+/// process or of another.
+struct FleetNetwork {
+    number: u8,
+    /// Held for as long as the fleet lives.
+    _claim: TcpListener,
+}
+
+impl FleetNetwork {
+    /// Claims a network that no other fleet has.
+    fn claim() -> Result<Self, BenchError> {
+        const NUMBERS: std::ops::Range<u8> = 20..220;
+        let first = rand::random_range(NUMBERS);
+        let numbers = (first..NUMBERS.end).chain(NUMBERS.start..first);
+        let claimed = numbers.filter_map(|number| {
+            let claim = TcpListener::bind((Ipv4Addr::new(127, number, 0, 1), CLAIM)).ok()?;
+            Some(Self {
+                number,
+                _claim: claim,
+            })
+        });
+        claimed.into_iter().next().ok_or_else(|| {
+            let cause = std::io::Error::other("all are in use");
+            BenchError::Io("claim", "a loopback network".to_owned(), cause)
+        })
+    }
 }
 
 /// One gateway.
@@ -215,6 +237,7 @@
     pub gateways: Vec<GatewayProcess>,
     /// The endpoints, each in failure domain `a`.
     pub endpoints: Vec<RoutedStandIn>,
+    network: FleetNetwork,
     folder: TempDir,
 }
 
@@ -235,6 +258,7 @@
             store: PlatformStandIn::start().await?,
             gateways: Vec::new(),
             endpoints: Vec::new(),
+            network: FleetNetwork::claim()?,
             folder,
         };
         fleet
@@ -245,7 +269,7 @@
                 .add_endpoint(&format!("life-{index}"), service)
                 .await?;
         }
-        let network = fleet_network();
+        let network = fleet.network.number;
         let ips: Vec<Ipv4Addr> = (1..=gateways as u8)
             .map(|number| Ipv4Addr::new(127, network, 0, number))
             .collect();
