feat(daemon): at most 200 lines about requests a second, beside those of sampled ones

Cause: each refusal wrote a line, without a bound but the reader's speed; a box that has a flood of thousands a second spent its processor on that. What a box believes and all lines of one request in sixteen are always written; the rest up to the rate, and lines_held_back with a metric tell the others.

--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -537,3 +537,42 @@
     wait_until("the box is ready", async || gateway.is_ready().await).await;
     assert!(!gateway.has_ended());
 }
+
+#[tokio::test]
+async fn a_flood_of_refusals_is_no_flood_of_lines() {
+    const FLOOD: u64 = 3_000;
+    /// Above what the page for operators states, as a second may be begun on each side.
+    const MOST_A_SECOND: u64 = 200;
+    let fleet = start(1, &["plain"]).await;
+    let gateway = &fleet.gateways[0];
+    let mut sender = connect(gateway.callers()).await;
+    let begun = std::time::Instant::now();
+    for number in 0..FLOOD {
+        let response = sender
+            .send_request(request("/nowhere/x", &format!("f{number}"), None))
+            .await
+            .unwrap();
+        assert_eq!(response.status(), StatusCode::NOT_FOUND);
+        text(response).await;
+        sender.ready().await.unwrap();
+    }
+    let seconds = begun.elapsed().as_secs() + 2;
+    let logged = gateway.logged();
+    let lines = logged.matches("\"no_route\"").count() as u64;
+    // One request in sixteen is sampled, give or take.
+    assert!(
+        lines <= MOST_A_SECOND * seconds + FLOOD / 10,
+        "{lines} lines"
+    );
+    assert!(lines >= MOST_A_SECOND, "{lines} lines");
+    let counted = gateway.metrics().await;
+    let held_back: u64 = counted
+        .lines()
+        .find_map(|line| line.strip_prefix("dockgate_log_lines_held_back_total "))
+        .and_then(|count| count.parse().ok())
+        .unwrap();
+    wait_until("the lines are written", async || {
+        gateway.logged().matches("\"no_route\"").count() as u64 + held_back == FLOOD
+    })
+    .await;
+}
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -2,7 +2,7 @@
 
 use super::super::call_body::{CallBody, whole_body};
 use super::super::event_stream::{EventStream, StreamSource};
-use super::super::events::{GatewayEvent, log_gateway};
+use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
@@ -11,7 +11,7 @@
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use bytes::Bytes;
-use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointSign, name_hash};
+use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointSign};
 use dockgate_core::{AttemptState, Outcome, RetryVerdict};
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -183,8 +183,7 @@
 
     /// Tells whether the lines of this request are kept although it went well: one in so many.
     pub(in super::super) fn is_sampled(&self) -> bool {
-        const ONE_IN: u64 = 16;
-        name_hash(&self.head.id).is_multiple_of(ONE_IN)
+        is_sampled(&self.head.id)
     }
 
     fn log_sent(&self, place: &CallPlace, attempt: u32) {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -1,9 +1,12 @@
 //! What a gateway logs: one typed line for each decision, with what decided it.
 
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::settings::GatewaySettings;
-use crate::logging::log_line;
-use dockgate_core::gateway::{EndpointChange, EndpointState};
+use crate::clock::now_ms;
+use crate::logging::{LineBudget, log_line};
+use dockgate_core::gateway::{EndpointChange, EndpointState, name_hash};
 use serde::Serialize;
+use std::sync::{Mutex, PoisonError};
 
 /// An engine that was asked to take a prompt and declined.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -78,6 +81,8 @@
     BoxSeen { peer: &'a str, domain: &'a str },
     /// A box has fallen silent.
     BoxGone { peer: &'a str },
+    /// So many lines about requests were not written, as there were too many in a second.
+    LinesHeldBack { count: u64 },
     /// A request was sent to an endpoint.
     Sent {
         request: &'a str,
@@ -175,10 +180,46 @@
             },
         }
     }
+
+    /// Returns the id of the request that the event is about.
+    const fn request(&self) -> Option<&'a str> {
+        match self {
+            Self::Sent { request, .. }
+            | Self::SendFailed { request, .. }
+            | Self::Resumed { request, .. }
+            | Self::Refused { request, .. }
+            | Self::Answered { request, .. }
+            | Self::BrokenOff { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+}
+
+/// Tells whether all lines of a request are kept, however it goes and however many there are: one in
+/// so many, by its id, so that all boxes keep the same.
+pub(super) fn is_sampled(request: &str) -> bool {
+    const ONE_IN: u64 = 16;
+    name_hash(request).is_multiple_of(ONE_IN)
 }
 
 /// Writes an event as one line.
+///
+/// What a box believes is always written, and so is all about a sampled request; lines about others
+/// are written up to a rate, and beyond it counted.
 pub(super) fn log_gateway(event: &GatewayEvent) {
+    static BUDGET: Mutex<LineBudget> = Mutex::new(LineBudget::new());
+    let limited = event.request().is_some_and(|request| !is_sampled(request));
+    let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
+    if limited && !budget.take(now_ms()) {
+        GATEWAY_METRICS.lines_held_back.inc();
+        return;
+    }
+    if limited {
+        let count = budget.take_held_back();
+        if count > 0 {
+            log_line(&GatewayEvent::LinesHeldBack { count });
+        }
+    }
     log_line(event);
 }
 
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -51,6 +51,7 @@
     },
     overloaded = { GatewayEvent::Overloaded { lag_ms: 300 }, "event lag_ms" },
     caught_up = { GatewayEvent::CaughtUp { lag_ms: 3, for_ms: 4_000 }, "event for_ms lag_ms" },
+    held_back = { GatewayEvent::LinesHeldBack { count: 3 }, "count event" },
     store_back = {
         GatewayEvent::StoreBack { step: "op", away_ms: 4 },
         "away_ms event step"
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -30,6 +30,8 @@
     pub(super) missed_verdicts: IntCounter,
     /// Prompts that were declined for one engine without asking the box that decides for it.
     pub(super) declined_alone: IntCounter,
+    /// Lines about requests that were not written, as there were too many.
+    pub(super) lines_held_back: IntCounter,
     /// Calls to the store, by what is followed and outcome.
     pub(super) store_calls: IntCounterVec,
     endpoints: IntGaugeVec,
@@ -109,6 +111,10 @@
                 "dockgate_declined_alone_total",
                 "Prompts declined for one engine without asking the box that decides",
             ),
+            lines_held_back: counter(
+                "dockgate_log_lines_held_back_total",
+                "Lines about requests that were not written, as there were too many in a second",
+            ),
             store_calls: counters(
                 "dockgate_store_calls_total",
                 "Calls to the platform's store, by what is followed and outcome",
--- a/dockgate/src/logging.rs
+++ b/dockgate/src/logging.rs
@@ -1,7 +1,9 @@
 //! Logs as JSON lines: one object a line, and one line for each decision.
 
+mod line_budget;
 mod line_writer;
 
+pub(crate) use line_budget::LineBudget;
 pub(crate) use line_writer::{drain_lines, dropped_lines};
 
 use crate::clock::unix_ms;
