fix(core): one behind others beyond their share waits no longer than one within; lead to the third power

Cause, seen on reading the change: a lead below one made the part of the objective that a workspace beyond its share may wait larger than that of one within, up to past the objective. The new test fails without the bound; those of the lead are stricter by its third power.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -15,8 +15,8 @@
     /// Up to which part of its objective a prompt may wait.
     pub most_part: f64,
     /// The same for a workspace that has just had its share: only where little waits. It falls with
-    /// the square of how many times its share a workspace has had and of its lead, so that those
-    /// beyond their share come to the same level rather than to what they ask.
+    /// how many times its share a workspace has had and with its lead, so that those beyond
+    /// their share come to the same level rather than to what they ask.
     pub beyond_share_part: f64,
     /// Up to which part of its objective a prompt may wait that is too long to be read within it:
     /// it will be late, so it may not make others late as well.
@@ -91,7 +91,7 @@
     /// Returns up to which part of its objective a prompt may wait.
     fn part(&self, level: ShareLevel) -> f64 {
         match level.is_beyond() {
-            true => self.beyond_share_part / level.pressure().powi(2),
+            true => (self.beyond_share_part / level.pressure()).min(self.most_part),
             false => self.most_part,
         }
     }
--- a/dockgate-core/src/gateway/admission/tests.rs
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -156,6 +156,13 @@
     (owner, entry, ask)
 }
 
+#[test]
+fn one_far_behind_others_beyond_their_share_waits_no_longer_than_one_within() {
+    let (busy, behind) = (load_with(3, 5_000), ShareLevel::new(1.1).lead(0.1));
+    assert!(!granted(&busy, &ask(9, 2_000), ShareLevel::WITHIN, 0));
+    assert!(!granted(&busy, &ask(9, 2_000), behind, 0));
+}
+
 #[test]
 fn a_flood_is_refused_without_a_question_where_its_own_part_takes_too_long() {
     let (_, entry, ask) = two_views(0, 0, 6_000, true);
--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -56,9 +56,10 @@
         self.times
     }
 
-    /// Returns what holds it back: how far it is beyond its share, and ahead of others beyond theirs.
-    pub const fn pressure(self) -> f64 {
-        self.times * self.lead
+    /// Returns what holds it back: the square of how far it is beyond its share, times the third
+    /// power of its lead over others beyond theirs (`docs/decisions/0009-admission.md`).
+    pub fn pressure(self) -> f64 {
+        self.times.powi(2) * self.lead.powi(3)
     }
 }
 
--- a/dockgate-core/src/gateway/share_window/tests.rs
+++ b/dockgate-core/src/gateway/share_window/tests.rs
@@ -65,9 +65,10 @@
     let levels = levels_of(&[(1_000, 250), (2_000, 500)]);
     assert!(levels.iter().all(|level| level.is_beyond()));
     let ahead = levels[1].pressure() / levels[0].pressure();
+    // The square of the times alone is four.
     assert!(
-        ahead > 3.9,
-        "twice as much given holds back four times, not {ahead}"
+        ahead > 30.0,
+        "twice as much given holds back 32 times, not {ahead}"
     );
 }
 
@@ -76,10 +77,8 @@
     let levels = levels_of(&[(400, 300), (2_000, 600)]);
     let times = levels[1].times() / levels[0].times();
     let pressure = levels[1].pressure() / levels[0].pressure();
-    assert!(
-        (1.3..1.4).contains(&(pressure / times)),
-        "three quarters: {levels:?}"
-    );
+    let lead = (pressure / times.powi(2)).cbrt();
+    assert!((1.3..1.4).contains(&lead), "three quarters: {levels:?}");
 }
 
 #[parameterized(
@@ -89,7 +88,10 @@
 )]
 fn who_is_even_with_the_others_is_held_back_by_its_share_alone(sums: &[(u64, u64)]) {
     for level in levels_of(sums) {
-        assert!((level.pressure() - level.times()).abs() < 1e-9, "{level:?}");
+        assert!(
+            (level.pressure() - level.times().powi(2)).abs() < 1e-9,
+            "{level:?}"
+        );
     }
 }
 
