feat(core): learn how fast each engine reads: a fixed time, a time a token, a time a pair

Hypothesis: one factor over assumed constants (34 tokens a millisecond, 20 ms beside reading) cannot follow engines of other makes. Change: recursive least squares with forgetting over three unknowns, an engine each, from the first events that the deciding box sees; an engine of a kind begins with what the last one of its kind taught; entries are told speed and backlog with each verdict. What waits is read in order after what came before; an engine that is silent keeps its backlog.

--- a/dockgate-core/src/gateway/admission/tests.rs
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::gateway::{EngineSpec, PromptPart, RunKey};
+use crate::gateway::{EngineSpec, PromptPart, ReadSpeed, RunKey};
 use crate::ids::BoxKey;
 use proptest::prelude::*;
 
@@ -9,11 +9,19 @@
     memory: 100_000,
 };
 
+/// 20 ms for every first event, 34 tokens a millisecond, no time for pairs.
+const SPEED: ReadSpeed = ReadSpeed {
+    fixed_us: 20_000,
+    kilotoken_us: 29_412,
+    megapair_us: 0,
+};
+
 fn ask(id: u64, input: u32) -> EngineAsk {
     EngineAsk {
         workspace: 1,
         objective_ms: 1_000,
         shortest_ms: 600,
+        budget_ms: 6_000,
         input,
         output: 50,
         parts: vec![PromptPart { id, tokens: input }],
@@ -21,7 +29,7 @@
 }
 
 fn load_with(runs: u32, input: u32) -> EngineLoad {
-    let mut load = EngineLoad::new(SPEC);
+    let mut load = EngineLoad::new(SPEC, SPEED.into());
     for number in 0..runs {
         let key = RunKey {
             entry: BoxKey(1),
@@ -138,7 +146,10 @@
             tokens: input - input / 2,
         },
     ];
-    let (mut owner, mut entry) = (EngineLoad::new(SPEC), EngineLoad::new(SPEC));
+    let (mut owner, mut entry) = (
+        EngineLoad::new(SPEC, SPEED.into()),
+        EngineLoad::new(SPEC, SPEED.into()),
+    );
     if kept {
         owner.note_cached(&ask.parts[..1]);
     }
--- a/dockgate-core/src/gateway/engine_book.rs
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -5,10 +5,11 @@
 
 use super::engine_load::EngineLoad;
 use super::prompt_shape::{PromptPart, PromptShape};
+use super::read_model::{ReadModel, ReadSpeed};
 use super::route_table::{EndpointId, EngineSpec};
 use crate::ids::BoxKey;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Names one run: the box that sent it, and that box's own counter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -28,6 +29,8 @@
     pub objective_ms: u32,
     /// The shortest such time among the routes of the service.
     pub shortest_ms: u32,
+    /// How long the caller waits at most.
+    pub budget_ms: u32,
     /// Tokens of the prompt.
     pub input: u32,
     /// Tokens expected to be made.
@@ -36,13 +39,25 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// How long a caller and others of its service wait, in milliseconds from now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AskTimes {
+    /// Within which the first event is in time.
+    pub objective_ms: u32,
+    /// The shortest such time among the routes of the service.
+    pub shortest_ms: u32,
+    /// Until the caller leaves.
+    pub budget_ms: u32,
+}
+
 impl EngineAsk {
-    /// Makes the ask for a prompt.
-    pub fn new(workspace: u64, prompt: &PromptShape, objective_ms: u32, shortest_ms: u32) -> Self {
+    /// Makes the ask for a prompt of a caller that has this long.
+    pub fn new(workspace: u64, prompt: &PromptShape, times: AskTimes) -> Self {
         Self {
             workspace,
-            objective_ms,
-            shortest_ms,
+            objective_ms: times.objective_ms,
+            shortest_ms: times.shortest_ms,
+            budget_ms: times.budget_ms,
             input: prompt.input,
             output: prompt.output,
             parts: prompt.parts.clone(),
@@ -59,15 +74,19 @@
 #[derive(Debug, Default)]
 pub struct EngineBook {
     loads: BTreeMap<EndpointId, EngineLoad>,
+    /// How fast an engine of each kind was when its last first event was learned from: where an
+    /// engine of the same kind begins.
+    kinds: HashMap<EngineSpec, ReadSpeed>,
 }
 
 impl EngineBook {
     /// Returns the load of an engine; one that is new has none.
     pub fn load_mut(&mut self, endpoint: EndpointId, spec: EngineSpec) -> &mut EngineLoad {
-        let load = self
-            .loads
-            .entry(endpoint)
-            .or_insert_with(|| EngineLoad::new(spec));
+        let kind = self.kinds.get(&spec).copied();
+        let load = self.loads.entry(endpoint).or_insert_with(|| {
+            let model = kind.map_or_else(ReadModel::default, ReadModel::from);
+            EngineLoad::new(spec, model)
+        });
         load.set_spec(spec);
         load
     }
@@ -82,10 +101,14 @@
         self.loads.values()
     }
 
-    /// Notes the first event of a run.
-    pub fn start(&mut self, endpoint: EndpointId, key: RunKey, now_ms: u64) {
-        if let Some(load) = self.loads.get_mut(&endpoint) {
-            load.start(key, now_ms);
+    /// Notes the first event of a run; `learns` where this box hears of every run at the engine.
+    pub fn start(&mut self, endpoint: EndpointId, key: RunKey, now_ms: u64, learns: bool) {
+        let Some(load) = self.loads.get_mut(&endpoint) else {
+            return;
+        };
+        load.start(key, now_ms, learns);
+        if learns {
+            self.kinds.insert(load.spec(), load.model().speed());
         }
     }
 
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -2,25 +2,26 @@
 //!
 //! An engine reads prompts in order of arrival, piece by piece between the tokens that it makes.
 //! So the wait for a first event is the reading of all that was admitted before, and of the own
-//! prompt less what is cached. How fast an engine really reads is learned from first events.
+//! prompt less what is cached, and a time that every first event takes ([`ReadModel`]).
 
 use super::engine_book::{EngineAsk, RunKey};
 use super::prefix_cache::PrefixCache;
 use super::prompt_shape::PromptPart;
+use super::read_model::{PromptWork, ReadModel, ReadSample, ReadSpeed};
 use super::route_table::EngineSpec;
 use std::collections::HashMap;
 
 /// One request at an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineRun {
-    /// Tokens of its prompt that were not cached, as believed when it was placed.
-    pub unread: u32,
+    /// What the engine has to read of its prompt, as believed when it was placed.
+    pub work: PromptWork,
     /// Tokens of memory that it takes when it has made all its output.
     pub memory: u32,
     /// When it was placed.
     pub placed_ms: u64,
-    /// When its first event was expected.
-    pub expected_ms: u64,
+    /// Until when its caller waits.
+    pub until_ms: u64,
     /// Whether its first event was seen.
     pub started: bool,
 }
@@ -29,41 +30,35 @@
 #[derive(Debug, Clone)]
 pub struct EngineLoad {
     spec: EngineSpec,
+    model: ReadModel,
     runs: HashMap<RunKey, EngineRun>,
+    /// Runs without a first event, in the order in which they were placed: what is to be read.
+    waiting: Vec<RunKey>,
     cache: PrefixCache,
-    /// Until when the engine is believed to read what it has.
-    read_until_ms: f64,
-    /// How much longer reading takes than assumed: learned.
-    slowness: f64,
-    unread: u64,
+    /// When the last first event was seen.
+    last_first_ms: f64,
+    /// Until when the box that decides for the engine said that it reads what it has.
+    told_until_ms: f64,
     memory: u64,
 }
 
 impl EngineLoad {
-    /// Prompt tokens that an engine of ordinary speed reads in a millisecond, until learned better.
-    /// Below the 38 to 43 that the sites state, since made tokens take their part of each step.
-    const READ_PER_MS: f64 = 34.0;
-    /// What a first event takes beside reading, in milliseconds: two hops, one step begun before
-    /// and one of its own.
-    const BASE_MS: f64 = 20.0;
-    /// The weight of the newest first event in what is learned.
-    const NEWEST_WEIGHT: f64 = 0.08;
-    /// Bounds of what is learned: an engine six times as slow is a failing one.
-    const SLOWNESS: std::ops::RangeInclusive<f64> = 0.6..=6.0;
-    /// A run without a first event for this long is no longer counted, in milliseconds.
-    const MOST_UNSTARTED_MS: u64 = 6_500;
-    /// A run is no longer counted after this long, in milliseconds: the longest time budget.
-    const MOST_RUN_MS: u64 = 16_000;
-
-    /// Makes an engine that nothing is known of.
-    pub fn new(spec: EngineSpec) -> Self {
+    /// A run without a first event no longer counts as waiting when one that was placed so much later
+    /// has its first event, in milliseconds: engines read in order of arrival, and two that are placed
+    /// at nearly the same time may arrive in the other order. A bound.
+    const OVERTAKEN_MS: u64 = 30;
+
+    /// Makes an engine of which nothing is known but what it can hold, and how fast others of its
+    /// kind are.
+    pub fn new(spec: EngineSpec, model: ReadModel) -> Self {
         Self {
             spec,
+            model,
             runs: HashMap::new(),
+            waiting: Vec::new(),
             cache: PrefixCache::default(),
-            read_until_ms: 0.0,
-            slowness: 1.0,
-            unread: 0,
+            last_first_ms: f64::NEG_INFINITY,
+            told_until_ms: f64::NEG_INFINITY,
             memory: 0,
         }
     }
@@ -78,6 +73,11 @@
         self.spec
     }
 
+    /// Returns how fast the engine reads, as learned.
+    pub const fn model(&self) -> &ReadModel {
+        &self.model
+    }
+
     /// Returns how many requests it has.
     pub fn runs(&self) -> usize {
         self.runs.len()
@@ -89,60 +89,76 @@
     }
 
     /// Returns the prompt tokens that it has not read yet.
-    pub const fn unread(&self) -> u64 {
-        self.unread
+    pub fn unread(&self) -> u64 {
+        self.waiting_runs()
+            .map(|run| u64::from(run.work.tokens()))
+            .sum()
+    }
+
+    fn waiting_runs(&self) -> impl Iterator<Item = &EngineRun> {
+        self.waiting.iter().filter_map(|key| self.runs.get(key))
     }
 
-    /// Returns how many tokens of a prompt it would have to read.
-    pub fn unread_of(&self, ask: &EngineAsk) -> u32 {
-        ask.input.saturating_sub(self.cache.kept_tokens(&ask.parts))
+    /// Returns what it would have to read of a prompt.
+    pub fn work_of(&self, ask: &EngineAsk) -> PromptWork {
+        let kept = self.cache.kept_tokens(&ask.parts).min(ask.input);
+        PromptWork::new(kept, ask.input - kept)
     }
 
-    /// Returns how many tokens of a prompt it would have to read if it kept all that other prompts
-    /// share: the least that a box can say which sees only its own part of the engine.
-    pub fn least_unread_of(&self, ask: &EngineAsk) -> u32 {
+    /// Returns what it would have to read of a prompt if it kept all that other prompts share: the
+    /// least that a box can say which sees only its own part of the engine.
+    fn least_work_of(&self, ask: &EngineAsk) -> PromptWork {
         let own = ask.parts.last().map_or(0, |part| part.tokens);
-        own.min(self.unread_of(ask))
+        let unread = own.min(self.work_of(ask).tokens());
+        PromptWork::new(ask.input.saturating_sub(unread), unread)
     }
 
     /// Returns for how many milliseconds the engine reads what it has.
+    ///
+    /// Each waiting prompt is read after those before it. One whose first event is overdue has not
+    /// been read yet, whatever was expected: an engine that is silent keeps its backlog.
     pub fn backlog_ms(&self, now_ms: u64) -> f64 {
-        (self.read_until_ms - now_ms as f64).max(0.0)
+        let now = now_ms as f64;
+        let fixed_ms = self.model.fixed_ms();
+        let read_until = self.last_first_ms - fixed_ms;
+        let read_until = self.waiting_runs().fold(read_until, |read_until, run| {
+            let begun = read_until.max(run.placed_ms as f64);
+            let read = begun + self.model.read_ms(run.work);
+            read.max(now - fixed_ms)
+        });
+        (read_until.max(self.told_until_ms) - now).max(0.0)
     }
 
     /// Predicts after how many milliseconds the first event of a prompt would come.
     pub fn first_event_ms(&self, ask: &EngineAsk, now_ms: u64) -> f64 {
-        self.backlog_ms(now_ms) + self.read_ms(u64::from(self.unread_of(ask))) + Self::BASE_MS
+        self.backlog_ms(now_ms) + self.model.first_event_ms(self.work_of(ask))
     }
 
     /// Returns the least time to the first event of a prompt, in milliseconds, by what this box alone
-    /// has sent there.
+    /// has sent there and was told.
     pub fn least_first_event_ms(&self, ask: &EngineAsk, now_ms: u64) -> f64 {
-        let read_ms = self.read_ms(u64::from(self.least_unread_of(ask)));
-        self.backlog_ms(now_ms) + read_ms + Self::BASE_MS
+        self.backlog_ms(now_ms) + self.model.first_event_ms(self.least_work_of(ask))
     }
 
-    fn read_ms(&self, tokens: u64) -> f64 {
-        tokens as f64 / Self::READ_PER_MS * self.slowness
+    /// Takes in what the box that decides for the engine says of it.
+    pub fn hear(&mut self, backlog_ms: u32, speed: ReadSpeed, now_ms: u64) {
+        self.model = speed.into();
+        self.told_until_ms = now_ms as f64 + f64::from(backlog_ms);
     }
 
     /// Places a request.
     pub fn place(&mut self, key: RunKey, ask: &EngineAsk, now_ms: u64) {
         self.end(key);
-        let unread = self.unread_of(ask);
-        let first_ms = self.first_event_ms(ask, now_ms);
         let run = EngineRun {
-            unread,
+            work: self.work_of(ask),
             memory: ask.memory(),
             placed_ms: now_ms,
-            expected_ms: now_ms + first_ms as u64,
+            until_ms: now_ms + u64::from(ask.budget_ms),
             started: false,
         };
         self.runs.insert(key, run);
-        self.unread += u64::from(unread);
+        self.waiting.push(key);
         self.memory += u64::from(run.memory);
-        let begin = self.read_until_ms.max(now_ms as f64);
-        self.read_until_ms = begin + self.read_ms(u64::from(unread));
         self.note_cached(&ask.parts);
     }
 
@@ -153,51 +169,57 @@
     }
 
     /// Notes the first event of a request.
-    pub fn start(&mut self, key: RunKey, now_ms: u64) {
+    ///
+    /// Only a box that hears of every run at the engine `learns` from it: to others, an engine that is
+    /// busy with the runs of other boxes looks slow.
+    pub fn start(&mut self, key: RunKey, now_ms: u64, learns: bool) {
         let Some(run) = self.runs.get_mut(&key).filter(|run| !run.started) else {
             return;
         };
         run.started = true;
         let run = *run;
-        self.unread -= u64::from(run.unread);
-        self.learn(&run, now_ms);
-        // All that was admitted before has been read by now.
-        self.read_until_ms = now_ms as f64 + self.read_ms(self.unread);
+        let is_first = self.waiting.first() == Some(&key);
+        if learns && is_first {
+            self.learn(&run, now_ms as f64);
+        }
+        self.waiting.retain(|waiting| *waiting != key);
+        self.drop_overtaken(run.placed_ms);
+        self.last_first_ms = self.last_first_ms.max(now_ms as f64);
     }
 
-    fn learn(&mut self, run: &EngineRun, now_ms: u64) {
-        let expected = (run.expected_ms.saturating_sub(run.placed_ms)) as f64 - Self::BASE_MS;
-        let seen = now_ms.saturating_sub(run.placed_ms) as f64 - Self::BASE_MS;
-        // Short waits say nothing of the speed of reading.
-        if expected < 1.5 * Self::BASE_MS {
-            return;
-        }
-        let factor = (seen.max(1.0) / expected).clamp(0.5, 2.0);
-        let slowness = self.slowness * (1.0 + (factor - 1.0) * Self::NEWEST_WEIGHT);
-        self.slowness = slowness.clamp(*Self::SLOWNESS.start(), *Self::SLOWNESS.end());
+    fn learn(&mut self, run: &EngineRun, now: f64) {
+        let placed = run.placed_ms as f64;
+        let was_idle = self.last_first_ms - self.model.fixed_ms() <= placed;
+        let since = if was_idle { placed } else { self.last_first_ms };
+        self.model.learn(ReadSample {
+            work: run.work,
+            took_ms: now - since,
+            was_idle,
+        });
+    }
+
+    /// Counts what was placed well before a run that has its first event as read.
+    fn drop_overtaken(&mut self, placed_ms: u64) {
+        let runs = &self.runs;
+        self.waiting.retain(|key| {
+            runs.get(key)
+                .is_some_and(|run| run.placed_ms + Self::OVERTAKEN_MS >= placed_ms)
+        });
     }
 
     /// Ends a request; one that is not known changes nothing.
     pub fn end(&mut self, key: RunKey) {
-        let Some(run) = self.runs.remove(&key) else {
-            return;
-        };
-        self.memory -= u64::from(run.memory);
-        if !run.started {
-            self.unread -= u64::from(run.unread);
-            self.read_until_ms -= self.read_ms(u64::from(run.unread));
+        if let Some(run) = self.runs.remove(&key) {
+            self.memory -= u64::from(run.memory);
+            self.waiting.retain(|waiting| *waiting != key);
         }
     }
 
-    /// Ends every request that `gone` tells of, and what has been there too long.
+    /// Ends every request that `gone` tells of, and those whose callers do not wait any more.
     pub fn retain(&mut self, now_ms: u64, gone: impl Fn(RunKey) -> bool) {
-        let lapsed = |run: &EngineRun| match run.started {
-            true => run.placed_ms + Self::MOST_RUN_MS < now_ms,
-            false => run.placed_ms + Self::MOST_UNSTARTED_MS < now_ms,
-        };
         let runs = self.runs.iter();
         let ended: Vec<RunKey> = runs
-            .filter(|(key, run)| gone(**key) || lapsed(run))
+            .filter(|(key, run)| gone(**key) || run.until_ms < now_ms)
             .map(|(key, _)| *key)
             .collect();
         for key in ended {
--- a/dockgate-core/src/gateway/engine_load/tests.rs
+++ b/dockgate-core/src/gateway/engine_load/tests.rs
@@ -3,6 +3,17 @@
 use crate::ids::BoxKey;
 use proptest::prelude::*;
 
+/// 20 ms for every first event, 34 tokens a millisecond, no time for pairs.
+const SPEED: ReadSpeed = ReadSpeed {
+    fixed_us: 20_000,
+    kilotoken_us: 29_412,
+    megapair_us: 0,
+};
+
+fn engine() -> EngineLoad {
+    EngineLoad::new(SPEC, SPEED.into())
+}
+
 const SPEC: EngineSpec = EngineSpec {
     slots: 64,
     memory: 232_000,
@@ -14,6 +25,7 @@
         workspace: 1,
         objective_ms: 600,
         shortest_ms: 600,
+        budget_ms: 6_000,
         input,
         output: 50,
         parts: vec![
@@ -38,7 +50,7 @@
 
 #[test]
 fn a_prompt_waits_for_what_was_placed_before_it() {
-    let mut load = EngineLoad::new(SPEC);
+    let mut load = engine();
     let alone = load.first_event_ms(&ask(1, 1, 6_800), 1_000);
     assert!(
         (alone - 220.0).abs() < 1.0,
@@ -52,16 +64,28 @@
         (cached - 320.0).abs() < 1.0,
         "half of it is shared: {cached}"
     );
-    let later = load.first_event_ms(&ask(2, 2, 6_800), 1_200);
-    assert!((later - 220.0).abs() < 1.0, "time passes: {later}");
+    let later = load.first_event_ms(&ask(2, 2, 6_800), 1_180);
+    assert!((later - 240.0).abs() < 1.0, "time passes: {later}");
+}
+
+#[test]
+fn an_engine_that_is_silent_keeps_its_backlog() {
+    let mut load = engine();
+    load.place(key(1), &ask(1, 1, 6_800), 1_000);
+    load.place(key(2), &ask(2, 2, 6_800), 1_000);
+    let behind = load.first_event_ms(&ask(3, 3, 6_800), 3_000);
+    assert!(
+        behind > 380.0,
+        "neither has been read, whatever was expected: {behind}"
+    );
 }
 
 #[test]
 fn a_first_event_that_is_late_keeps_the_backlog_and_teaches_the_speed() {
-    let mut load = EngineLoad::new(SPEC);
+    let mut load = engine();
     load.place(key(1), &ask(1, 1, 6_800), 1_000);
     load.place(key(2), &ask(2, 2, 6_800), 1_000);
-    load.start(key(1), 1_800);
+    load.start(key(1), 1_800, true);
     let behind = load.first_event_ms(&ask(3, 3, 6_800), 1_800);
     assert!(
         behind > 420.0,
@@ -70,9 +94,34 @@
     assert_eq!(load.unread(), 6_800);
 }
 
+#[test]
+fn a_box_that_sees_a_part_of_the_engine_does_not_learn_its_speed_but_is_told() {
+    let mut load = engine();
+    load.place(key(1), &ask(1, 1, 6_800), 1_000);
+    load.start(key(1), 1_900, false);
+    assert_eq!(load.model().speed(), SPEED, "others were read meanwhile");
+    let speed = ReadSpeed {
+        fixed_us: 50_000,
+        ..SPEED
+    };
+    load.hear(300, speed, 2_000);
+    let first = load.first_event_ms(&ask(2, 2, 6_800), 2_100);
+    assert!((first - 450.0).abs() < 1.0, "200 + 50 + 200 ms: {first}");
+}
+
+#[test]
+fn a_run_that_is_overtaken_was_read() {
+    let mut load = engine();
+    load.place(key(1), &ask(1, 1, 6_800), 1_000);
+    load.place(key(2), &ask(2, 2, 6_800), 1_200);
+    load.start(key(2), 1_450, true);
+    assert_eq!(load.unread(), 0, "engines read in order of arrival");
+    assert_eq!(load.runs(), 2, "what became of the first is not known");
+}
+
 #[test]
 fn a_run_that_is_never_heard_of_again_is_forgotten() {
-    let mut load = EngineLoad::new(SPEC);
+    let mut load = engine();
     load.place(key(1), &ask(1, 1, 6_800), 1_000);
     load.retain(2_000, |_| false);
     assert_eq!(load.runs(), 1);
@@ -84,24 +133,25 @@
     /// Sums stay those of the runs, in whatever order messages come, doubled or lost.
     #[test]
     fn sums_stay_true(events in prop::collection::vec((0_u32..12, 0_u8..4, 1_u32..20_000), 1..400)) {
-        let mut load = EngineLoad::new(SPEC);
+        let mut load = engine();
         let mut now_ms = 1_000;
         for (number, event, input) in events {
             now_ms += 37;
             match event {
                 0 | 1 => load.place(key(number), &ask(u64::from(number), 7, input), now_ms),
-                2 => load.start(key(number), now_ms),
+                2 => load.start(key(number), now_ms, true),
                 _ => load.end(key(number)),
             }
-            let unread: u64 = load
-                .runs
-                .values()
-                .filter(|run| !run.started)
-                .map(|run| u64::from(run.unread))
-                .sum();
+            let unstarted = load.runs.iter().filter(|(_, run)| !run.started);
+            let unstarted: Vec<RunKey> = unstarted.map(|(key, _)| *key).collect();
+            prop_assert!(load.waiting.iter().all(|key| unstarted.contains(key)));
+            let mut once = load.waiting.clone();
+            once.sort_unstable();
+            once.dedup();
+            prop_assert_eq!(once.len(), load.waiting.len());
             let memory: u64 = load.runs.values().map(|run| u64::from(run.memory)).sum();
-            prop_assert_eq!((unread, memory), (load.unread, load.memory));
-            prop_assert!(EngineLoad::SLOWNESS.contains(&load.slowness));
+            prop_assert_eq!(memory, load.memory);
+            prop_assert!(load.backlog_ms(now_ms).is_finite());
         }
     }
 }
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -139,7 +139,7 @@
 }
 
 /// What a model engine can hold.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests at once.
     pub slots: u32,
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -4,8 +4,8 @@
 //! decided by the entry alone, sums replace sums, and a run that is never heard of again lapses.
 
 use dockgate_core::gateway::{
-    BoxBeat, EndpointId, EndpointRecord, EngineAsk, EngineVerdict, PromptPart, RouteConfig,
-    ShareRow,
+    BoxBeat, EndpointId, EndpointRecord, EngineAsk, EngineVerdict, PromptPart, ReadSpeed,
+    RouteConfig, ShareRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
@@ -51,6 +51,10 @@
         endpoint: EndpointId,
         /// The answer.
         verdict: EngineVerdict,
+        /// For how many milliseconds the engine reads what it has, this prompt included.
+        backlog_ms: u32,
+        /// How fast the engine reads.
+        speed: ReadSpeed,
     },
     /// Entry to owner: a prompt is at the endpoint that was not granted by this owner.
     Placed {
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteSpec, RouteTable, ServiceSpec,
-    WorkspaceKeys, name_hash,
+    AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteSpec, RouteTable,
+    ServiceSpec, WorkspaceKeys, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -131,12 +131,13 @@
             .min();
         let objective = self.objective_left();
         let as_ms = |time: Duration| time.as_millis() as u32;
-        Some(EngineAsk::new(
-            name_hash(self.workspace_name()),
-            prompt,
-            as_ms(objective),
-            as_ms(shortest.unwrap_or(objective)),
-        ))
+        let times = AskTimes {
+            objective_ms: as_ms(objective),
+            shortest_ms: as_ms(shortest.unwrap_or(objective)),
+            budget_ms: as_ms(self.left()),
+        };
+        let workspace = name_hash(self.workspace_name());
+        Some(EngineAsk::new(workspace, prompt, times))
     }
 }
 
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -14,7 +14,7 @@
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
     EndpointEntry, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
-    RunKey, ServiceSpec, home_order,
+    ReadSpeed, RunKey, ServiceSpec, home_order,
 };
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
@@ -139,7 +139,7 @@
         let load = beliefs.engines.load_mut(endpoint, spec);
         let verdict = rule.decide(load, ask, level, others, now);
         if matches!(verdict, EngineVerdict::Granted(_)) {
-            GATEWAY_METRICS.note_admitted(ask.input, load.unread_of(ask));
+            GATEWAY_METRICS.note_admitted(ask.input, load.work_of(ask).tokens());
             load.place(key, ask, now);
         }
         Some(verdict)
@@ -165,6 +165,22 @@
     }
 }
 
+/// Takes in what the box that decides for an engine says of it.
+pub(super) fn hear_engine(
+    state: &GatewayState,
+    endpoint: EndpointId,
+    backlog_ms: u32,
+    speed: ReadSpeed,
+) {
+    if let Some(spec) = spec_of(state, endpoint) {
+        let now = now_ms();
+        state.with(|beliefs| {
+            let load = beliefs.engines.load_mut(endpoint, spec);
+            load.hear(backlog_ms, speed, now);
+        });
+    }
+}
+
 /// Returns what an engine holds, if it is known.
 fn spec_of(state: &GatewayState, endpoint: EndpointId) -> Option<EngineSpec> {
     let table = state.table();
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -3,7 +3,7 @@
 //! Datagrams need no connection that a partition leaves hanging, and each message stands by itself;
 //! a verdict that does not come in time is replaced by the entry's own.
 
-use super::engine_seek::{decide_here, note_cached_here, place_here};
+use super::engine_seek::{decide_here, hear_engine, note_cached_here, place_here};
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use crate::clock::now_ms;
@@ -192,24 +192,18 @@
         }
         GatewayMessage::Seek { run, endpoint, ask } => {
             let key = run_of(run);
-            let verdict = decide_here(state, endpoint, key, &ask, 0);
-            if let Some(verdict) = verdict {
-                send_datagram(
-                    state,
-                    from,
-                    GatewayMessage::Verdict {
-                        run,
-                        endpoint,
-                        verdict,
-                    },
-                );
+            if let Some(verdict) = answer_seek(state, run, endpoint, key, &ask) {
+                send_datagram(state, from, verdict);
             }
         }
         GatewayMessage::Verdict {
             run,
             endpoint,
             verdict,
+            backlog_ms,
+            speed,
         } => {
+            hear_engine(state, endpoint, backlog_ms, speed);
             let waiting = state.with(|beliefs| beliefs.seeks.remove(&run));
             let taken = waiting.is_some_and(|waiting| waiting.send(verdict).is_ok());
             // Too late: the prompt has gone elsewhere by now.
@@ -226,7 +220,7 @@
             let key = run_of(run);
             place_here(state, endpoint, key, &ask);
             if started {
-                state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
+                state.with(|beliefs| beliefs.engines.start(endpoint, key, now, true));
             }
         }
         GatewayMessage::Read { endpoint, parts } => {
@@ -234,7 +228,7 @@
         }
         GatewayMessage::Started { run, endpoint } => {
             let key = run_of(run);
-            state.with(|beliefs| beliefs.engines.start(endpoint, key, now));
+            state.with(|beliefs| beliefs.engines.start(endpoint, key, now, true));
         }
         GatewayMessage::Ended { run, endpoint } => {
             let key = run_of(run);
@@ -243,6 +237,27 @@
     }
 }
 
+/// Decides on another box's seek, and makes the answer with what that box may want to know.
+fn answer_seek(
+    state: &GatewayState,
+    run: u32,
+    endpoint: EndpointId,
+    key: RunKey,
+    ask: &EngineAsk,
+) -> Option<GatewayMessage> {
+    let verdict = decide_here(state, endpoint, key, ask, 0)?;
+    state.with(|beliefs| {
+        let load = beliefs.engines.get(endpoint)?;
+        Some(GatewayMessage::Verdict {
+            run,
+            endpoint,
+            verdict,
+            backlog_ms: load.backlog_ms(now_ms()) as u32,
+            speed: load.model().speed(),
+        })
+    })
+}
+
 /// Takes in that a box lives; one that was not heard a moment ago is told what it may not know.
 fn hear(state: &GatewayState, beat: BoxBeat, incarnation: Incarnation) {
     let now = now_ms();
--- a/dockgate/src/gateway/run_guard.rs
+++ b/dockgate/src/gateway/run_guard.rs
@@ -71,11 +71,16 @@
         self.note(EndpointSign::Answered);
         let Some(number) = self.number else { return };
         let key = self.state.own_run(number);
+        let me = self.state.me();
         let owner = self.state.with(|beliefs| {
-            beliefs.engines.start(self.endpoint, key, now_ms());
-            let run = beliefs.runs.get_mut(&number)?;
-            run.started = true;
-            Some(run.owner)
+            let run = beliefs.runs.get_mut(&number);
+            let owner = run.map(|run| {
+                run.started = true;
+                run.owner
+            });
+            let decides = owner == Some(me);
+            beliefs.engines.start(self.endpoint, key, now_ms(), decides);
+            owner
         });
         self.tell(
             owner,
