feat(core): what every first event takes does not count against a workspace beyond its share

Change: the parts of admission apply to waiting and reading alone, within what the fixed part leaves; figures of the parts unchanged.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -14,9 +14,9 @@
 pub struct AdmissionRule {
     /// Up to which part of its objective a prompt may wait.
     pub most_part: f64,
-    /// The same for a workspace that has just had its share: only where little waits. It falls with
-    /// how many times its share a workspace has had and with its lead, so that those beyond
-    /// their share come to the same level rather than to what they ask.
+    /// The part of that time that a workspace beyond its share has, divided by its pressure: those
+    /// beyond their share come to the same level rather than to what they ask, and what they ask
+    /// beyond it goes to prompts that take little.
     pub beyond_share_part: f64,
     /// Up to which part of its objective a prompt may wait that is too long to be read within it:
     /// it will be late, so it may not make others late as well.
@@ -58,6 +58,9 @@
 impl AdmissionRule {
     /// What a prompt that finds no memory would wait at least, in milliseconds: about one run.
     const NO_ROOM_MS: f64 = 1_000.0;
+    /// The part of an objective for reading where what every first event takes leaves less: an engine
+    /// that is late with all is still better than none. A bound.
+    const LEAST_PART: f64 = 0.1;
 
     /// Decides on one ask.
     ///
@@ -71,15 +74,14 @@
         now_ms: u64,
     ) -> EngineVerdict {
         let unseen = f64::from(others + 1);
+        let wait_ms = load.backlog_ms(now_ms) * unseen;
+        let read_ms = load.model().read_ms(load.work_of(ask));
         let first_ms = load.first_event_ms(ask, now_ms);
-        let backlog_ms = load.backlog_ms(now_ms) * unseen;
-        let own_ms = first_ms - load.backlog_ms(now_ms);
-        let part = self.part(level);
-        // A prompt with a longer objective may not fill the engine for those with a shorter one.
-        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
-        let in_time = backlog_ms + own_ms <= objective_ms * part;
-        let is_long = own_ms > objective_ms * self.most_part - self.long_part * objective_ms;
-        let long = is_long && !level.is_beyond() && backlog_ms <= objective_ms * self.long_part;
+        let most_ms = self.most_ms(load, ask);
+        let in_time = wait_ms + read_ms <= most_ms * self.ease(level);
+        let long_ms = f64::from(ask.objective_ms.min(ask.shortest_ms)) * self.long_part;
+        let is_long = read_ms > most_ms - long_ms;
+        let long = is_long && !level.is_beyond() && wait_ms <= long_ms;
         let room = self.has_room(load, ask, unseen);
         match room {
             true if in_time || long => EngineVerdict::Granted(first_ms as u32),
@@ -88,11 +90,21 @@
         }
     }
 
-    /// Returns up to which part of its objective a prompt may wait.
-    fn part(&self, level: ShareLevel) -> f64 {
+    /// Returns for how many milliseconds the engine may read before and for a prompt within its share.
+    ///
+    /// A prompt with a longer objective may not fill the engine for those with a shorter one, so the
+    /// shortest of the service counts. What every first event takes is no fault of the load.
+    fn most_ms(&self, load: &EngineLoad, ask: &EngineAsk) -> f64 {
+        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
+        let most_ms = objective_ms * self.most_part - load.model().fixed_ms();
+        most_ms.max(objective_ms * Self::LEAST_PART)
+    }
+
+    /// Returns the part of the time within a share that a workspace has.
+    fn ease(&self, level: ShareLevel) -> f64 {
         match level.is_beyond() {
-            true => (self.beyond_share_part / level.pressure()).min(self.most_part),
-            false => self.most_part,
+            true => (self.beyond_share_part / level.pressure()).min(1.0),
+            false => 1.0,
         }
     }
 
@@ -110,8 +122,9 @@
         now_ms: u64,
     ) -> Option<f64> {
         let first_ms = load.least_first_event_ms(ask, now_ms);
-        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
-        let hopeless = level.is_beyond() && first_ms > objective_ms * self.part(level);
+        let read_ms = first_ms - load.model().fixed_ms();
+        let most_ms = self.most_ms(load, ask) * self.ease(level);
+        let hopeless = level.is_beyond() && read_ms > most_ms;
         hopeless.then_some(first_ms)
     }
 
--- a/dockgate-core/src/gateway/admission/tests.rs
+++ b/dockgate-core/src/gateway/admission/tests.rs
@@ -78,6 +78,22 @@
     ));
 }
 
+#[test]
+fn what_every_first_event_takes_is_not_held_against_a_workspace_beyond_its_share() {
+    let slow_start = ReadSpeed {
+        fixed_us: 150_000,
+        ..SPEED
+    };
+    let idle = EngineLoad::new(SPEC, slow_start.into());
+    assert!(granted(&idle, &ask(9, 500), ShareLevel::new(1.2), 0));
+    let all_late = ReadSpeed {
+        fixed_us: 700_000,
+        ..SPEED
+    };
+    let idle = EngineLoad::new(SPEC, all_late.into());
+    assert!(granted(&idle, &ask(9, 500), ShareLevel::WITHIN, 0));
+}
+
 #[test]
 fn boxes_that_decide_unseen_divide_the_engine() {
     let busy = load_with(1, 3_000);
