feat(daemon): a failure domain that is cut off gets nothing until it is seen to answer

Change: two silent endpoints of a domain make it cut off; boxes that all fell silent make it suspected, and connections are opened to find out, so that no request has to. A refused connection is an answer. Resting connections there are closed at once. Ruled out: endpoint health alone (each of the engines rests by itself, and is tried again after 0.4 to 1.2 s).

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -19,6 +19,7 @@
 
 mod admission;
 mod answer_rule;
+mod domain_reach;
 mod endpoint_book;
 mod endpoint_health;
 mod engine_book;
@@ -38,6 +39,7 @@
 
 pub use admission::{AdmissionRule, EngineVerdict};
 pub use answer_rule::{AnswerOwner, AnswerSigns, AnswerVerdict};
+pub use domain_reach::DomainReach;
 pub use endpoint_book::{EndpointBook, EndpointChange, EndpointEntry};
 pub use endpoint_health::{EndpointHealth, EndpointSign};
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
--- /dev/null
+++ b/dockgate-core/src/gateway/domain_reach.rs
@@ -0,0 +1,61 @@
+//! Which failure domains cannot be reached from this box.
+//!
+//! A link that is cut says nothing: each try at an endpoint behind it costs a request the time of a
+//! connection that does not open. Two endpoints of a domain that both stay silent, with none of the
+//! domain answering since, make the whole domain one that gets nothing until it is seen to answer.
+//! An endpoint that refuses a connection has answered: it is down, its domain is not.
+//!
+//! ```
+//! use dockgate_core::gateway::{DomainReach, EndpointId};
+//!
+//! let mut reach = DomainReach::default();
+//! reach.note_silent("hall-a", EndpointId(1));
+//! assert!(!reach.is_cut("hall-a"));
+//! reach.note_silent("hall-a", EndpointId(2));
+//! assert!(reach.is_cut("hall-a"));
+//! reach.note_answer("hall-a");
+//! assert!(!reach.is_cut("hall-a"));
+//! ```
+
+use super::route_table::EndpointId;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The failure domains with endpoints that were silent lately.
+#[derive(Debug, Clone, Default)]
+pub struct DomainReach {
+    silent: BTreeMap<String, BTreeSet<EndpointId>>,
+}
+
+impl DomainReach {
+    /// How many endpoints of a domain must be silent: one alone may be down.
+    const CUT_AT: usize = 2;
+
+    /// Notes that a connection to an endpoint did not open, and was not refused either.
+    pub fn note_silent(&mut self, domain: &str, endpoint: EndpointId) {
+        let silent = self.silent.entry(domain.to_owned()).or_default();
+        silent.insert(endpoint);
+    }
+
+    /// Notes that an endpoint of a domain was heard.
+    pub fn note_answer(&mut self, domain: &str) {
+        self.silent.remove(domain);
+    }
+
+    /// Tells whether nothing of a domain can be reached.
+    pub fn is_cut(&self, domain: &str) -> bool {
+        let silent = self.silent.get(domain);
+        silent.is_some_and(|silent| silent.len() >= Self::CUT_AT)
+    }
+
+    /// Lists the domains of which nothing can be reached.
+    pub fn cut(&self) -> impl Iterator<Item = &str> {
+        let cut = |(_, silent): &(&String, &BTreeSet<EndpointId>)| silent.len() >= Self::CUT_AT;
+        self.silent
+            .iter()
+            .filter(cut)
+            .map(|(domain, _)| domain.as_str())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -5,6 +5,7 @@
 //! lapse while the store is away; they are kept for a moment after its return, since the endpoints
 //! need that long to write them again.
 
+use super::domain_reach::DomainReach;
 use super::endpoint_health::{EndpointHealth, EndpointSign};
 use super::route_table::{EndpointId, EndpointRecord, EndpointState};
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,7 @@
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
     /// Revisions at which endpoints were removed, so that a late record does not bring one back.
     removed: HashMap<EndpointId, u64>,
+    reach: DomainReach,
     revision: u64,
 }
 
@@ -193,8 +195,9 @@
         service: &'a str,
         now_ms: u64,
     ) -> impl Iterator<Item = (EndpointId, &'a EndpointEntry)> {
-        self.ready(service)
-            .filter(move |(_, entry)| entry.health.is_open(now_ms))
+        self.ready(service).filter(move |(_, entry)| {
+            entry.health.is_open(now_ms) && !self.reach.is_cut(&entry.record.domain)
+        })
     }
 
     /// Lists the endpoints of a service that take work, also those that rest after failures.
@@ -224,8 +227,33 @@
 
     /// Notes what was seen of an endpoint.
     pub fn note_sign(&mut self, id: EndpointId, sign: EndpointSign, now_ms: u64) {
-        if let Some(entry) = self.endpoints.get_mut(&id) {
-            entry.health.note(sign, now_ms);
+        let Some(entry) = self.endpoints.get_mut(&id) else {
+            return;
+        };
+        entry.health.note(sign, now_ms);
+        match sign {
+            EndpointSign::Silent => self.reach.note_silent(&entry.record.domain, id),
+            // A connection that was open may break off long after a link was cut.
+            EndpointSign::Failed => {}
+            EndpointSign::Answered | EndpointSign::Full | EndpointSign::Unreachable => {
+                self.reach.note_answer(&entry.record.domain);
+            }
+        }
+    }
+
+    /// Returns which failure domains cannot be reached.
+    pub const fn reach(&self) -> &DomainReach {
+        &self.reach
+    }
+
+    /// Notes what came of a try to reach a failure domain through one of its endpoints.
+    pub fn note_reach(&mut self, id: EndpointId, answered: bool) {
+        let Some(entry) = self.endpoints.get(&id) else {
+            return;
+        };
+        match answered {
+            true => self.reach.note_answer(&entry.record.domain),
+            false => self.reach.note_silent(&entry.record.domain, id),
         }
     }
 }
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -77,3 +77,27 @@
         prop_assert!(book.get(id).is_none(), "revision 8 removed it");
     }
 }
+
+#[test]
+fn a_domain_that_is_cut_off_gets_nothing_until_one_of_its_endpoints_answers() {
+    let mut book = EndpointBook::default();
+    for (revision, id) in ["e", "f", "g"].into_iter().enumerate() {
+        book.apply(put(id, revision as u64 + 1), None);
+    }
+    let [e, f, g] = ["e", "f", "g"].map(EndpointId::from_name);
+    book.note_sign(e, EndpointSign::Silent, 1_000);
+    assert_eq!(book.open("x", 1_000).count(), 2, "one alone may be down");
+    book.note_sign(f, EndpointSign::Unreachable, 1_000);
+    book.note_sign(f, EndpointSign::Silent, 1_000);
+    assert_eq!(
+        book.open("x", 1_000).count(),
+        1,
+        "what refuses has answered"
+    );
+    book.note_reach(e, false);
+    assert_eq!(book.open("x", 1_000).count(), 0);
+    assert_eq!(book.ready("x").count(), 3, "the last resort");
+    book.note_reach(g, true);
+    let open: Vec<EndpointId> = book.open("x", 60_000).map(|(id, _)| id).collect();
+    assert_eq!(open.len(), 3, "those that were silent are tried again");
+}
--- a/dockgate-core/src/gateway/endpoint_health.rs
+++ b/dockgate-core/src/gateway/endpoint_health.rs
@@ -14,8 +14,10 @@
     Full,
     /// It failed, broke off, or went silent.
     Failed,
-    /// It could not be reached.
+    /// It could not be reached: it refused a connection, or another one answered in its place.
     Unreachable,
+    /// It could not be reached, and said nothing at all.
+    Silent,
 }
 
 /// The trust in one endpoint.
@@ -67,7 +69,7 @@
     pub fn note(&mut self, sign: EndpointSign, now_ms: u64) {
         let failed = match sign {
             EndpointSign::Answered => 0.0,
-            EndpointSign::Failed | EndpointSign::Unreachable => 1.0,
+            EndpointSign::Failed | EndpointSign::Unreachable | EndpointSign::Silent => 1.0,
             EndpointSign::Full => self.failed_part,
         };
         self.failed_part += (failed - self.failed_part) * Self::NEWEST_WEIGHT;
@@ -78,7 +80,9 @@
             }
             EndpointSign::Full => self.close(now_ms + Self::FULL_REST_MS),
             EndpointSign::Failed => self.fail(Self::REST_MS, now_ms),
-            EndpointSign::Unreachable => self.fail(Self::UNREACHABLE_REST_MS, now_ms),
+            EndpointSign::Unreachable | EndpointSign::Silent => {
+                self.fail(Self::UNREACHABLE_REST_MS, now_ms);
+            }
         }
     }
 
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -8,7 +8,7 @@
 use super::route_table::EndpointId;
 use crate::ids::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 /// What a box says of itself with every beat.
@@ -65,6 +65,9 @@
 impl FleetView {
     /// After how long without a beat a box counts as gone, in milliseconds: three beats and a bit.
     pub const GONE_AFTER_MS: u64 = 1_100;
+    /// After how long without a beat of any of its boxes a failure domain is looked after, in
+    /// milliseconds: two beats and a bit.
+    const SUSPECT_AFTER_MS: u64 = 650;
     /// After how long without a beat a box is forgotten, in milliseconds.
     const FORGET_AFTER_MS: u64 = 60_000;
 
@@ -193,6 +196,21 @@
             .unwrap_or(self.me())
     }
 
+    /// Lists the other failure domains whose boxes were all heard before and are all silent now.
+    pub fn silent_domains(&self, now_ms: u64) -> BTreeSet<String> {
+        let others = self.others.values();
+        let others =
+            others.filter(|seen| !seen.beat.leaving && seen.beat.domain != self.own.domain);
+        let (silent, heard): (Vec<_>, Vec<_>) =
+            others.partition(|seen| seen.heard_ms + Self::SUSPECT_AFTER_MS < now_ms);
+        let mut domains: BTreeSet<String> =
+            silent.iter().map(|seen| seen.beat.domain.clone()).collect();
+        for seen in heard {
+            domains.remove(&seen.beat.domain);
+        }
+        domains
+    }
+
     /// Finds a box that knows a newer configuration, or newer endpoints, than this one.
     pub fn better_informed(&self, now_ms: u64) -> Option<SocketAddr> {
         let own = &self.own;
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -79,3 +79,17 @@
     view.set_known(4, 0);
     assert_eq!(view.better_informed(1_100), None);
 }
+
+#[test]
+fn a_domain_is_silent_when_none_of_its_boxes_is_heard() {
+    let mut view = view();
+    view.hear(beat("b2", "b"), Incarnation(1), 1_500);
+    assert!(view.silent_domains(1_800).is_empty(), "one of two is heard");
+    assert_eq!(
+        view.silent_domains(2_300).len(),
+        1,
+        "the own domain is none"
+    );
+    view.hear(beat("b1", "b"), Incarnation(1), 2_300);
+    assert!(view.silent_domains(2_300).is_empty());
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -6,6 +6,7 @@
 
 mod call;
 mod call_body;
+mod domain_watch;
 mod engine_seek;
 mod event_stream;
 mod events;
@@ -112,6 +113,7 @@
     tokio::spawn(peer_net::receive(state.clone()));
     tokio::spawn(peer_net::beat(state.clone()));
     tokio::spawn(overload::watch_lag(state.clone()));
+    tokio::spawn(domain_watch::watch_domains(state.clone()));
     tokio::spawn(peer_state::ask_better_informed(state.clone()));
     let (stop, server) = jsonrpsee::server::stop_channel();
     // The door serves until the process ends.
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -223,6 +223,9 @@
             SendFailure::Unreachable(problem) => {
                 SendLoss::new(AttemptState::Bound, EndpointSign::Unreachable, problem)
             }
+            SendFailure::Silent(problem) => {
+                SendLoss::new(AttemptState::Bound, EndpointSign::Silent, problem)
+            }
             SendFailure::NoConnection => SendLoss::new(
                 AttemptState::Bound,
                 EndpointSign::Full,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -81,6 +81,10 @@
     BoxSeen { peer: &'a str, domain: &'a str },
     /// A box has fallen silent.
     BoxGone { peer: &'a str },
+    /// No endpoint of a failure domain can be reached; it gets nothing until one answers.
+    DomainCut { domain: &'a str },
+    /// A failure domain is reached again.
+    DomainBack { domain: &'a str, for_ms: u64 },
     /// So many lines about requests were not written, as there were too many in a second.
     LinesHeldBack { count: u64 },
     /// A request was sent to an endpoint.
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -74,6 +75,8 @@
 pub(super) enum SendFailure {
     /// The endpoint cannot be reached; nothing was sent.
     Unreachable(String),
+    /// A connection to the endpoint did not open in time; nothing was sent.
+    Silent(String),
     /// This box has as many connections there as it may; nothing was sent.
     NoConnection,
     /// The request may have reached the endpoint.
@@ -113,6 +116,17 @@
         });
     }
 
+    /// Closes the resting connections to some endpoints: what is sent on one whose link is cut is lost.
+    pub(super) fn drop_resting(&self, endpoints: &[EndpointId]) {
+        let mut pools = self.locked();
+        for id in endpoints {
+            if let Some(pool) = pools.get_mut(id) {
+                pool.open = pool.open.saturating_sub(pool.resting.len());
+                pool.resting.clear();
+            }
+        }
+    }
+
     /// Returns how many connections are open.
     pub(super) fn open(&self) -> usize {
         self.locked().values().map(|pool| pool.open).sum()
@@ -233,7 +247,10 @@
     let unreachable = |problem: String| SendFailure::Unreachable(problem);
     let stream = connect(target.address, CONNECT_TIMEOUT)
         .await
-        .map_err(|error| unreachable(error.to_string()))?;
+        .map_err(|error| match error.kind() {
+            ErrorKind::TimedOut => SendFailure::Silent(error.to_string()),
+            _ => unreachable(error.to_string()),
+        })?;
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
