feat(core): a box whose flood comes back with its callers stays away longer

Change: the least time doubles from 3 to at most 24 s where a box is overloaded again within 10 s of catching up.

--- a/dockgate-core/src/gateway/loop_lag.rs
+++ b/dockgate-core/src/gateway/loop_lag.rs
@@ -23,12 +23,21 @@
     next: usize,
     /// Since when the box is overloaded, and until when it says so at least.
     overload: Option<Overload>,
+    /// When it caught up last, and for how long it had to say so before.
+    last: Option<PastOverload>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Overload {
     since_ms: u64,
     until_ms: u64,
+    hold_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PastOverload {
+    ended_ms: u64,
+    hold_ms: u64,
 }
 
 /// What a sample changed.
@@ -54,6 +63,12 @@
     /// For how long it asks for callers to be sent elsewhere, in milliseconds: whoever sends them
     /// looks once a second, and acts on the second answer.
     const HOLD_MS: u64 = 3_000;
+    /// The longest such time, in milliseconds. A flood comes back with the callers, so the time
+    /// doubles where the box is overloaded again soon after; a box that is gone for longer than a
+    /// flood lasts leaves the others its work for nothing.
+    const MOST_HOLD_MS: u64 = 24_000;
+    /// Within which time of the last overload a new one is the same flood, in milliseconds.
+    const RELAPSE_MS: u64 = 10_000;
     /// Up to which part of its objective a request may wait for the processor before it is refused.
     const MOST_PART: f64 = 0.5;
 
@@ -64,18 +79,24 @@
         let lag_ms = self.lag_ms();
         match &mut self.overload {
             Some(overload) if lag_ms >= Self::OVERLOADED_MS => {
-                overload.until_ms = now_ms + Self::HOLD_MS;
+                overload.until_ms = now_ms + overload.hold_ms;
                 LagChange::None
             }
             Some(overload) if lag_ms < Self::CAUGHT_UP_MS && overload.until_ms <= now_ms => {
                 let for_ms = now_ms - overload.since_ms;
+                self.last = Some(PastOverload {
+                    ended_ms: now_ms,
+                    hold_ms: overload.hold_ms,
+                });
                 self.overload = None;
                 LagChange::CaughtUp(for_ms)
             }
             None if lag_ms >= Self::OVERLOADED_MS => {
+                let hold_ms = self.hold_ms(now_ms);
                 self.overload = Some(Overload {
                     since_ms: now_ms,
-                    until_ms: now_ms + Self::HOLD_MS,
+                    until_ms: now_ms + hold_ms,
+                    hold_ms,
                 });
                 LagChange::Overloaded
             }
@@ -83,6 +104,16 @@
         }
     }
 
+    /// Returns for how long an overload that begins now is told at least, in milliseconds.
+    fn hold_ms(&self, now_ms: u64) -> u64 {
+        match self.last {
+            Some(last) if now_ms < last.ended_ms + Self::RELAPSE_MS => {
+                (last.hold_ms * 2).min(Self::MOST_HOLD_MS)
+            }
+            _ => Self::HOLD_MS,
+        }
+    }
+
     /// Returns for how many milliseconds work waits for the processor.
     pub fn lag_ms(&self) -> u64 {
         self.late_ms.iter().copied().min().unwrap_or(0)
