feat(daemon): two boxes of each failure domain follow the store for all

Change: of the boxes of a domain, in the order of their keys, two that reach the store follow it; the others ask a better informed one, each another, near ones first. A box that begins to follow keeps lapsed records as after an outage. Weighed: one box a domain (its freeze leaves the domain blind until its beats are missed), changes in the beats themselves (lost ones would need an order of their own), longer waits between calls (staler for all).

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -36,6 +36,7 @@
 mod return_time;
 mod route_table;
 mod share_window;
+mod store_duty;
 
 pub use admission::{AdmissionRule, EngineVerdict};
 pub use answer_rule::{AnswerOwner, AnswerSigns, AnswerVerdict};
@@ -59,3 +60,4 @@
     RouteSpec, RouteTable, ServiceSpec, ServiceWeight, WorkspaceKeys,
 };
 pub use share_window::{ShareLevel, ShareRow, ShareWindow};
+pub use store_duty::{StoreDuty, StoreWatchers};
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -4,8 +4,9 @@
 //! one box of its own failure domain, by rendezvous among those that are heard. Two boxes that see
 //! the fleet differently may both decide; that costs quality for a moment, and never a promise.
 
-use super::home_order::owner_of_endpoint;
+use super::home_order::{owner_of_endpoint, pair_score};
 use super::route_table::EndpointId;
+use super::store_duty::StoreWatchers;
 use crate::ids::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -28,6 +29,8 @@
     pub config_version: u64,
     /// The store's revision up to which it knows the endpoints.
     pub endpoint_revision: u64,
+    /// Whether it follows the store and reached it the last time.
+    pub reaches_store: bool,
 }
 
 impl BoxBeat {
@@ -95,6 +98,26 @@
         self.own.endpoint_revision = endpoint_revision;
     }
 
+    /// Sets whether this box follows the store and reached it the last time.
+    pub const fn set_reaches_store(&mut self, reaches: bool) {
+        self.own.reaches_store = reaches;
+    }
+
+    /// Counts the other boxes of the own failure domain that go before this one in following the
+    /// store: those that reach it, then the others, each by their keys.
+    pub fn store_watchers(&self, now_ms: u64) -> StoreWatchers {
+        let me = self.me();
+        let near = self
+            .live(now_ms)
+            .filter(|(_, seen)| !seen.beat.leaving && seen.beat.domain == self.own.domain);
+        let before = near.filter(|(key, _)| *key < me);
+        let reaching: Vec<bool> = before.map(|(_, seen)| seen.beat.reaches_store).collect();
+        StoreWatchers {
+            reaching: reaching.iter().filter(|reaches| **reaches).count(),
+            before: reaching.len(),
+        }
+    }
+
     /// Notes that this box is about to stop.
     pub const fn set_leaving(&mut self) {
         self.own.leaving = true;
@@ -212,14 +235,21 @@
     }
 
     /// Finds a box that knows a newer configuration, or newer endpoints, than this one.
+    ///
+    /// Of several that know the same, boxes of one domain ask different ones, near ones first, so that
+    /// a change which two boxes saw is not asked of one of them by all others.
     pub fn better_informed(&self, now_ms: u64) -> Option<SocketAddr> {
         let own = &self.own;
         let better = self.live(now_ms).filter(|(_, seen)| {
             seen.beat.config_version > own.config_version
                 || seen.beat.endpoint_revision > own.endpoint_revision
         });
-        let best =
-            better.max_by_key(|(_, seen)| (seen.beat.config_version, seen.beat.endpoint_revision));
+        let me = self.me();
+        let best = better.max_by_key(|(key, seen)| {
+            let near = seen.beat.domain == own.domain;
+            let known = (seen.beat.config_version, seen.beat.endpoint_revision);
+            (known, near, pair_score(me, *key))
+        });
         best.map(|(_, seen)| seen.beat.state_address)
     }
 }
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::StoreDuty;
 
 fn beat(name: &str, domain: &str) -> BoxBeat {
     BoxBeat {
@@ -9,6 +10,7 @@
         leaving: false,
         config_version: 0,
         endpoint_revision: 0,
+        reaches_store: false,
     }
 }
 
@@ -93,3 +95,43 @@
     view.hear(beat("b1", "b"), Incarnation(1), 2_300);
     assert!(view.silent_domains(2_300).is_empty());
 }
+
+#[test]
+fn two_boxes_of_a_domain_follow_the_store_for_all() {
+    let names = ["a1", "a2", "a3", "a4", "a5"];
+    let due = |name: &str| {
+        let mut view = FleetView::new(beat(name, "a"));
+        for other in names.into_iter().filter(|other| *other != name) {
+            let reaching = BoxBeat {
+                reaches_store: true,
+                ..beat(other, "a")
+            };
+            view.hear(reaching, Incarnation(1), 1_000);
+        }
+        // Boxes of other domains follow it for their own.
+        view.hear(beat("b1", "b"), Incarnation(1), 1_000);
+        StoreDuty::default().is_due(view.store_watchers(1_000), 1_000)
+    };
+    assert_eq!(names.into_iter().filter(|name| due(name)).count(), 2);
+}
+
+#[test]
+fn boxes_that_lack_a_change_ask_different_ones_of_their_domain() {
+    let asked = |name: &str| {
+        let mut view = FleetView::new(beat(name, "a"));
+        for (index, other) in ["a7", "a8", "b7", "b8"].into_iter().enumerate() {
+            let informed = BoxBeat {
+                config_version: 5,
+                state_address: SocketAddr::from(([10, 0, 0, index as u8], 7_500)),
+                ..beat(other, &other[..1])
+            };
+            view.hear(informed, Incarnation(1), 1_000);
+        }
+        view.better_informed(1_000).unwrap()
+    };
+    let asked: BTreeSet<SocketAddr> = (0..20)
+        .map(|number| asked(&format!("a-{number}")))
+        .collect();
+    let near = [0, 1].map(|index| SocketAddr::from(([10, 0, 0, index], 7_500)));
+    assert_eq!(asked, BTreeSet::from(near));
+}
--- a/dockgate-core/src/gateway/home_order.rs
+++ b/dockgate-core/src/gateway/home_order.rs
@@ -23,6 +23,11 @@
     homes
 }
 
+/// Scores a pair of boxes, so that each box has an order of the others that is its own.
+pub fn pair_score(one: BoxKey, other: BoxKey) -> u64 {
+    score(u64::from(one.0), u64::from(other.0))
+}
+
 /// Picks the box that decides for an endpoint among `boxes`, or none where there are no boxes.
 pub fn owner_of_endpoint(
     endpoint: EndpointId,
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -1,6 +1,7 @@
 //! Follows the routes and the endpoints in the platform's store.
 //!
-//! Each is listed once and then watched. A watch that fails is made anew on a connection of its
+//! A few boxes of each failure domain do so for all ([`dockgate_core::gateway::StoreDuty`]); the others
+//! learn from them what has changed. Each key is listed once and then watched. A watch that fails is made anew on a connection of its
 //! own; one whose history is lost lists anew and compares. What is known stays in force meanwhile.
 
 use super::events::{GatewayEvent, log_gateway};
@@ -9,8 +10,8 @@
 use crate::clock::now_ms;
 use dockgate_core::gateway::EndpointChange;
 use dockgate_platform::{
-    ENDPOINTS, PlatformClient, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue,
-    WatchOutcome, decode_endpoint, decode_endpoint_event, decode_routes,
+    ENDPOINTS, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue, WatchOutcome,
+    decode_endpoint, decode_endpoint_event, decode_routes,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
 /// Within which time of the store's return endpoints that live have written their records again; one
 /// that is still missing then is gone (the users' notes on their store).
 const RECORDS_BACK: Duration = Duration::from_secs(2);
+/// How often a box that does not follow the store looks whether it has to.
+const DUTY_LOOK: Duration = Duration::from_millis(150);
 /// How much sooner than the bound for a draining endpoint a lapsed record is given up: it may have
 /// been removed because its endpoint left in just the moment in which the store came back, and what
 /// is under way to it then must still arrive within the bound.
@@ -52,6 +55,11 @@
         }
     }
 
+    /// Notes that this box follows the store from now on: whether that was away is not known.
+    fn begin(&mut self) {
+        self.back_ms = Some(now_ms());
+    }
+
     fn lost(&mut self, error: &PlatformError) {
         self.count("failed");
         if self.lost_ms.is_none() {
@@ -96,9 +104,21 @@
     tokio::time::sleep(Duration::from_millis(pause)).await;
 }
 
+/// Waits until this box has to follow the store; returns whether it had to wait.
+async fn wait_for_duty(state: &GatewayState, step: &'static str) -> bool {
+    if state.follows_store() {
+        return false;
+    }
+    state.note_store(step, false);
+    while !state.follows_store() {
+        tokio::time::sleep(DUTY_LOOK).await;
+    }
+    true
+}
+
 /// Lists and watches the keys that `contact` names until the process ends.
 async fn follow<L, C>(
-    client: PlatformClient,
+    state: &GatewayState,
     mut contact: StoreContact,
     pause: Duration,
     mut listed: L,
@@ -107,8 +127,12 @@
     L: FnMut(&StoreContact, StoreListing),
     C: FnMut(&StoreContact, Vec<StoreEvent>),
 {
+    let client = state.store_client();
     let prefix = contact.step;
     loop {
+        if wait_for_duty(state, prefix).await {
+            contact.begin();
+        }
         let mut since = match client.list(prefix).await {
             Ok(listing) => {
                 contact.answered();
@@ -118,16 +142,19 @@
             }
             Err(error) => {
                 contact.lost(&error);
+                state.note_store(prefix, false);
                 pause_after_failure().await;
                 continue;
             }
         };
-        loop {
+        state.note_store(prefix, true);
+        while state.follows_store() {
             match client.watch(prefix, since, WATCH).await {
                 Ok(WatchOutcome::Changes(events, revision)) => {
                     contact.answered();
                     since = revision;
                     changed(&contact, events);
+                    state.note_store(prefix, true);
                     tokio::time::sleep(pause).await;
                 }
                 Ok(WatchOutcome::HistoryLost) => {
@@ -140,6 +167,7 @@
                 }
                 Err(error) => {
                     contact.lost(&error);
+                    state.note_store(prefix, false);
                     pause_after_failure().await;
                 }
             }
@@ -178,7 +206,7 @@
         newest.into_iter().for_each(|value| offer(&state, value));
     };
     let contact = StoreContact::new(ROUTES, state.settings().drain);
-    follow(state.store_client(), contact, ROUTES_PAUSE, listed, changed).await;
+    follow(&state, contact, ROUTES_PAUSE, listed, changed).await;
 }
 
 /// Follows the endpoints.
@@ -213,14 +241,7 @@
         state.apply_endpoints(changes, contact.kept_until_ms(), "store");
     };
     let contact = StoreContact::new(ENDPOINTS, state.settings().drain);
-    follow(
-        state.store_client(),
-        contact,
-        ENDPOINTS_PAUSE,
-        listed,
-        changed,
-    )
-    .await;
+    follow(&state, contact, ENDPOINTS_PAUSE, listed, changed).await;
 }
 
 #[cfg(test)]
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -10,11 +10,11 @@
 use dockgate_core::gateway::{
     BoxBeat, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk, EngineBook,
     EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable, RunKey,
-    ShareWindow,
+    ShareWindow, StoreDuty,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -57,6 +57,10 @@
     pub(super) lag: LoopLag,
     /// Seeks that wait for a verdict, by the same counter.
     pub(super) seeks: HashMap<u32, oneshot::Sender<EngineVerdict>>,
+    /// Whether this box follows the store by itself.
+    pub(super) store: StoreDuty,
+    /// What it follows there and was answered the last time.
+    pub(super) reached: BTreeSet<&'static str>,
 }
 
 /// The shared state of a gateway.
@@ -90,6 +94,7 @@
             leaving: false,
             config_version: 0,
             endpoint_revision: 0,
+            reaches_store: false,
         };
         let beliefs = GatewayBeliefs {
             endpoints: EndpointBook::default(),
@@ -101,6 +106,8 @@
             reads: ReadLog::default(),
             lag: LoopLag::default(),
             seeks: HashMap::new(),
+            store: StoreDuty::default(),
+            reached: BTreeSet::new(),
         };
         Self {
             me: BoxKey::from_name(&settings.name),
@@ -165,6 +172,29 @@
         PlatformClient::new(self.settings().store, STORE_TIMEOUT)
     }
 
+    /// Tells whether this box has to follow the store by itself now.
+    pub(super) fn follows_store(&self) -> bool {
+        let now = now_ms();
+        self.with(|beliefs| {
+            let others = beliefs.fleet.store_watchers(now);
+            beliefs.store.is_due(others, now)
+        })
+    }
+
+    /// Notes whether the store answered about what `step` names, for the other boxes to know.
+    pub(super) fn note_store(&self, step: &'static str, answered: bool) {
+        /// Routes and endpoints.
+        const FOLLOWED: usize = 2;
+        self.with(|beliefs| {
+            match answered {
+                true => beliefs.reached.insert(step),
+                false => beliefs.reached.remove(step),
+            };
+            let reaches = beliefs.reached.len() == FOLLOWED;
+            beliefs.fleet.set_reaches_store(reaches);
+        });
+    }
+
     /// Returns the routes in force.
     pub(super) fn table(&self) -> Arc<RouteTable> {
         self.table.load_full()
--- a/dockgate/src/gateway/peer_net/tests.rs
+++ b/dockgate/src/gateway/peer_net/tests.rs
@@ -52,6 +52,7 @@
         leaving: false,
         config_version: 0,
         endpoint_revision: 0,
+        reaches_store: false,
     };
     state.with(|beliefs| beliefs.fleet.hear(beat, Incarnation(1), now_ms()));
     announce(&state).await;
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -76,8 +76,9 @@
             continue;
         };
         looks += 1;
-        // A box that knows nothing yet has no reason to wait.
-        if looks < PATIENCE_LOOKS && state.table().config().version > 0 {
+        // A box that knows nothing yet, or does not follow the store, has no watch to wait for.
+        let waits = state.table().config().version > 0 && state.follows_store();
+        if waits && looks < PATIENCE_LOOKS {
             continue;
         }
         if let Err(error) = ask(&state, peer).await {
