fix(daemon): a repeatable request leaves an endpoint that does not begin to answer

Cause: the patience for a first event began with the head of the answer, and counted from the request's arrival: an endpoint behind a connection that had gone silent kept a repeatable request until its route's time was over, and a second send had no patience left at all. Change: patience counts from each send, before the head as well; the last attempt that is allowed, and what may run once, wait for all of their time.

Also: a box that was overloaded stays away for 12 s at least, 48 s at most, as its flood came back 3.4 s after the 3 s it had before.

--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -216,6 +216,7 @@
     encoded = { EndpointManner::Encoded },
     fails = { EndpointManner::Fails },
     full = { EndpointManner::Full },
+    silent = { EndpointManner::Silent },
 )]
 #[test_macro(tokio::test)]
 async fn a_repeatable_request_goes_to_another_endpoint(manner: EndpointManner) {
@@ -256,6 +257,21 @@
     assert!(resumed > 0, "some began at the endpoint that cuts");
 }
 
+#[tokio::test]
+async fn a_stream_that_does_not_begin_is_tried_elsewhere() {
+    let fleet = start(1, &["model", "model"]).await;
+    fleet.endpoints[0].set_manner(EndpointManner::Silent);
+    let mut repeated = 0;
+    for number in 0..8 {
+        let id = format!("r{number}");
+        let response = call(&fleet, request("/live/x", &id, Some(9))).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(text(response).await, all_events(9));
+        repeated += fleet.runs_of(&id) - 1;
+    }
+    assert!(repeated > 0, "some were sent to the silent endpoint");
+}
+
 #[tokio::test]
 async fn a_stream_that_may_not_be_resumed_looks_cut_short() {
     let fleet = start(1, &["model"]).await;
--- a/dockgate-core/src/gateway/loop_lag.rs
+++ b/dockgate-core/src/gateway/loop_lag.rs
@@ -60,13 +60,13 @@
     const OVERLOADED_MS: u64 = 120;
     /// Below which delay it has caught up, in milliseconds.
     const CAUGHT_UP_MS: u64 = 30;
-    /// For how long it asks for callers to be sent elsewhere, in milliseconds: whoever sends them
-    /// looks once a second, and acts on the second answer.
-    const HOLD_MS: u64 = 3_000;
-    /// The longest such time, in milliseconds. A flood comes back with the callers, so the time
-    /// doubles where the box is overloaded again soon after; a box that is gone for longer than a
-    /// flood lasts leaves the others its work for nothing.
-    const MOST_HOLD_MS: u64 = 24_000;
+    /// For how long it asks for callers to be sent elsewhere, in milliseconds. Whoever sends them looks
+    /// once a second and acts on the second answer, and a flood comes back with the callers: with
+    /// 3 s, a box of 0.12 cores was overloaded again 3.4 s later, five times in 63 s.
+    const HOLD_MS: u64 = 12_000;
+    /// The longest such time, in milliseconds: it doubles where the box is overloaded again soon
+    /// after. A bound, so that a box is not lost to the others for good.
+    const MOST_HOLD_MS: u64 = 48_000;
     /// Within which time of the last overload a new one is the same flood, in milliseconds.
     const RELAPSE_MS: u64 = 10_000;
     /// Up to which part of its objective a request may wait for the processor before it is refused.
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -19,12 +19,14 @@
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How many endpoints may be tried that could not be reached, on top of those it was sent to.
 const MOST_UNREACHED: usize = 4;
-/// How much longer than its objective a repeatable prompt waits for a first event before it is tried
-/// elsewhere: an engine that is silent for so long is lost or overloaded.
-const FIRST_EVENT_PATIENCE: f64 = 1.4;
+/// How many times its objective a repeatable request waits for an answer to begin, beside what was
+/// expected, before it is tried elsewhere: an endpoint that is silent for so long is lost, overloaded,
+/// or behind a connection that says nothing any more. A bound.
+const ANSWER_PATIENCE: f64 = 1.4;
 
 /// Why a send gave no answer that can be passed on.
 struct SendLoss {
@@ -127,6 +129,18 @@
         }
     }
 
+    /// Returns how long the next send waits for an answer to begin: what may not be tried elsewhere
+    /// after it waits for all of its time.
+    fn patience(&self, expected_ms: Option<u32>, tries: &CallTries) -> Duration {
+        let is_last = tries.sent + 1 >= self.route().attempts;
+        if is_last || !self.route().may_repeat() {
+            return self.left();
+        }
+        let expected = Duration::from_millis(u64::from(expected_ms.unwrap_or(0)));
+        let patience = self.route().objective.mul_f64(ANSWER_PATIENCE) + expected;
+        patience.min(self.left())
+    }
+
     /// Makes the request for an endpoint.
     fn request_for(
         &self,
@@ -213,11 +227,12 @@
     ) -> Result<JudgedAnswer, SendLoss> {
         let request = self.request_for(&place.target, last_event);
         let sent = send(&self.state.pools, &place.target, request);
-        let sent = tokio::time::timeout_at(self.deadline(), sent).await;
+        let patience = self.patience(place.expected_ms, tries);
+        let sent = tokio::time::timeout(patience, sent).await;
         let sent = sent.map_err(|_| {
             tries.sent += 1;
             let mut loss = SendLoss::new(AttemptState::Sent, EndpointSign::Failed, "timed out");
-            loss.timed_out = true;
+            loss.timed_out = self.left().is_zero();
             loss
         })?;
         let (response, connection) = sent.map_err(|failure| match failure {
@@ -355,6 +370,8 @@
         place: CallPlace,
         tries: &mut CallTries,
     ) -> Result<Response<CallBody>, SendLoss> {
+        // Before the send, as the attempt counts from there on.
+        let first_until = Instant::now() + self.patience(place.expected_ms, tries);
         let answer = self.exchange(&place, tries, None).await;
         let answer = answer.inspect_err(|loss| place.guard.note(loss.sign))?;
         if !answer.parts.status.is_success() {
@@ -367,15 +384,6 @@
             head,
             ..
         } = answer;
-        let may_repeat = self.route().may_repeat();
-        let patience = match may_repeat {
-            true => {
-                let objective = self.route().objective.mul_f64(FIRST_EVENT_PATIENCE);
-                let expected = Duration::from_millis(u64::from(place.expected_ms.unwrap_or(0)));
-                objective + expected
-            }
-            false => self.left(),
-        };
         let name = place.target.name.clone();
         place.guard.note(EndpointSign::Answered);
         let source = StreamSource {
@@ -385,7 +393,7 @@
             head,
             guard: place.guard,
         };
-        let first_patience = patience.saturating_sub(self.age());
+        let first_patience = first_until.saturating_duration_since(Instant::now());
         let mut stream = EventStream::new(self.clone(), tries.clone(), source, parts.status);
         match stream.read_first(first_patience).await {
             Ok(()) => Ok(pass_on(parts.status, &parts.headers, stream.into_body())),
