revert: a flooded box stays away for 3 s again

The hypothesis was that a flood that comes back with its callers is kept away by a longer time (3 s doubled up to 24 s; then 12 s at least, 48 s at most). Cause of the failure: the platform sends the same callers to another box by its hash, and most are of 0.12 cores as well; two more boxes were overloaded in turn. Conclusion: reverted; what a refusal costs the box is what binds.

--- a/dockgate-core/src/gateway/loop_lag.rs
+++ b/dockgate-core/src/gateway/loop_lag.rs
@@ -23,21 +23,12 @@
     next: usize,
     /// Since when the box is overloaded, and until when it says so at least.
     overload: Option<Overload>,
-    /// When it caught up last, and for how long it had to say so before.
-    last: Option<PastOverload>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Overload {
     since_ms: u64,
     until_ms: u64,
-    hold_ms: u64,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct PastOverload {
-    ended_ms: u64,
-    hold_ms: u64,
 }
 
 /// What a sample changed.
@@ -60,15 +51,9 @@
     const OVERLOADED_MS: u64 = 120;
     /// Below which delay it has caught up, in milliseconds.
     const CAUGHT_UP_MS: u64 = 30;
-    /// For how long it asks for callers to be sent elsewhere, in milliseconds. Whoever sends them looks
-    /// once a second and acts on the second answer, and a flood comes back with the callers: with
-    /// 3 s, a box of 0.12 cores was overloaded again 3.4 s later, five times in 63 s.
-    const HOLD_MS: u64 = 12_000;
-    /// The longest such time, in milliseconds: it doubles where the box is overloaded again soon
-    /// after. A bound, so that a box is not lost to the others for good.
-    const MOST_HOLD_MS: u64 = 48_000;
-    /// Within which time of the last overload a new one is the same flood, in milliseconds.
-    const RELAPSE_MS: u64 = 10_000;
+    /// For how long it asks for callers to be sent elsewhere, in milliseconds: whoever sends them
+    /// looks once a second, and acts on the second answer.
+    const HOLD_MS: u64 = 3_000;
     /// Up to which part of its objective a request may wait for the processor before it is refused.
     const MOST_PART: f64 = 0.5;
 
@@ -79,24 +64,18 @@
         let lag_ms = self.lag_ms();
         match &mut self.overload {
             Some(overload) if lag_ms >= Self::OVERLOADED_MS => {
-                overload.until_ms = now_ms + overload.hold_ms;
+                overload.until_ms = now_ms + Self::HOLD_MS;
                 LagChange::None
             }
             Some(overload) if lag_ms < Self::CAUGHT_UP_MS && overload.until_ms <= now_ms => {
                 let for_ms = now_ms - overload.since_ms;
-                self.last = Some(PastOverload {
-                    ended_ms: now_ms,
-                    hold_ms: overload.hold_ms,
-                });
                 self.overload = None;
                 LagChange::CaughtUp(for_ms)
             }
             None if lag_ms >= Self::OVERLOADED_MS => {
-                let hold_ms = self.hold_ms(now_ms);
                 self.overload = Some(Overload {
                     since_ms: now_ms,
-                    until_ms: now_ms + hold_ms,
-                    hold_ms,
+                    until_ms: now_ms + Self::HOLD_MS,
                 });
                 LagChange::Overloaded
             }
@@ -104,16 +83,6 @@
         }
     }
 
-    /// Returns for how long an overload that begins now is told at least, in milliseconds.
-    fn hold_ms(&self, now_ms: u64) -> u64 {
-        match self.last {
-            Some(last) if now_ms < last.ended_ms + Self::RELAPSE_MS => {
-                (last.hold_ms * 2).min(Self::MOST_HOLD_MS)
-            }
-            _ => Self::HOLD_MS,
-        }
-    }
-
     /// Returns for how many milliseconds work waits for the processor.
     pub fn lag_ms(&self) -> u64 {
         self.late_ms.iter().copied().min().unwrap_or(0)
