feat(ctl): losses: refusals by reason, lateness of first events, failures at endpoints

From the logs of all boxes, for on-call engineers: why requests were refused and what the engines had predicted, how late first events came against what was expected, and what failed at endpoints. The log reader is shared with explain.

--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -63,6 +63,11 @@
         /// Log files of any boxes; standard input where none is named.
         logs: Vec<PathBuf>,
     },
+    /// Shows where requests were lost, and how late first events came against what was expected.
+    Losses {
+        /// Log files of any boxes; standard input where none is named.
+        logs: Vec<PathBuf>,
+    },
     /// Works out what a declaration file would change, and keeps the plan for `confirm`.
     Plan {
         /// The declaration file.
--- a/dockgatectl/src/explain.rs
+++ b/dockgatectl/src/explain.rs
@@ -1,13 +1,11 @@
 //! One request's story, put together from the logs of all boxes.
 //!
-//! Logs may come from several files in any order, cut at their ends, and mixed with other text; a
-//! line counts if a JSON object with an event stands in it. Besides the request's own lines, the
+//! Besides the request's own lines, the
 //! story shows what each box concerned had last learned of routes, store and endpoints before it.
 
 use crate::error::CtlError;
-use serde_json::{Map, Value};
+use crate::story_line::{StoryLine, read_lines};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::Read;
 use std::path::PathBuf;
 
 /// Events that tell what a box believed; the last one of each kind and subject is shown.
@@ -23,70 +21,6 @@
     "stopping",
 ];
 
-/// One line of a box's log.
-#[derive(Debug, Clone, PartialEq)]
-struct StoryLine {
-    at_ms: u64,
-    box_name: String,
-    event: Map<String, Value>,
-}
-
-impl StoryLine {
-    /// Reads a line; text before the object is passed over.
-    fn parse(line: &str) -> Option<Self> {
-        let start = line.find('{')?;
-        let value: Value = serde_json::from_str(line[start..].trim_end()).ok()?;
-        let event = value.get("event")?.as_object()?.clone();
-        Some(Self {
-            at_ms: value.get("at_ms")?.as_u64()?,
-            box_name: value.get("box")?.as_str()?.to_owned(),
-            event,
-        })
-    }
-
-    fn text(&self, name: &str) -> &str {
-        self.event
-            .get(name)
-            .and_then(Value::as_str)
-            .unwrap_or_default()
-    }
-
-    /// Returns the endpoints that the line names: its own, and those that were asked.
-    fn endpoints(&self) -> Vec<&str> {
-        let asked = self.event.get("asked").and_then(Value::as_array);
-        let asked = asked
-            .into_iter()
-            .flatten()
-            .filter_map(|asked| asked.get("endpoint")?.as_str());
-        std::iter::once(self.text("endpoint"))
-            .chain(asked)
-            .collect()
-    }
-
-    fn kind(&self) -> &str {
-        self.text("event")
-    }
-
-    /// Writes the line for people: time, box, event, and its fields in order.
-    fn render(&self, since_ms: u64) -> String {
-        let offset = self.at_ms as i64 - since_ms as i64;
-        let fields = self.event.iter().filter(|(name, _)| *name != "event");
-        let fields: Vec<String> = fields
-            .filter(|(_, value)| !value.is_null())
-            .map(|(name, value)| match value {
-                Value::String(text) => format!("{name}={text}"),
-                other => format!("{name}={other}"),
-            })
-            .collect();
-        format!(
-            "{offset:>+8} ms  {:<24} {:<18} {}",
-            self.box_name,
-            self.kind(),
-            fields.join(" ")
-        )
-    }
-}
-
 /// Tells the story of a request from lines of logs; none where no line names it.
 fn explain(id: &str, lines: &[StoryLine]) -> Option<String> {
     let mut own: Vec<&StoryLine> = lines
@@ -125,30 +59,13 @@
     Some(story)
 }
 
-fn read_logs(files: &[PathBuf]) -> Result<String, CtlError> {
-    let mut text = String::new();
-    if files.is_empty() {
-        let read = std::io::stdin().read_to_string(&mut text);
-        read.map_err(|cause| CtlError::File("read", "standard input".to_owned(), cause))?;
-    }
-    for file in files {
-        let name = file.display().to_string();
-        let bytes = std::fs::read(file).map_err(|cause| CtlError::File("read", name, cause))?;
-        // A log that was cut inside a character is still worth reading.
-        text.push_str(&String::from_utf8_lossy(&bytes));
-        text.push('\n');
-    }
-    Ok(text)
-}
-
 /// Prints the story of a request.
 ///
 /// # Errors
 ///
 /// Returns an error where a file cannot be read, or no line names the request.
 pub(crate) fn print_story(id: &str, files: &[PathBuf]) -> Result<(), CtlError> {
-    let text = read_logs(files)?;
-    let lines: Vec<StoryLine> = text.lines().filter_map(StoryLine::parse).collect();
+    let lines = read_lines(files)?;
     let story = explain(id, &lines).ok_or_else(|| {
         CtlError::Intent(format!(
             "{} lines with events, none of which names {id}",
--- a/dockgatectl/src/main.rs
+++ b/dockgatectl/src/main.rs
@@ -8,7 +8,9 @@
 mod client;
 mod error;
 mod explain;
+mod losses;
 mod render;
+mod story_line;
 
 use args::{CtlArgs, CtlCommand};
 use clap::{CommandFactory, Parser};
@@ -45,6 +47,7 @@
             return Ok(());
         }
         CtlCommand::Explain { id, logs } => return explain::print_story(id, logs),
+        CtlCommand::Losses { logs } => return losses::print_losses(logs),
         _ => {}
     }
     let client = OperatorClient::new(args.operator, &args.token_file, args.timeout_s)?;
@@ -81,7 +84,8 @@
         }
         CtlCommand::HashKey { .. }
         | CtlCommand::Completions { .. }
-        | CtlCommand::Explain { .. } => {}
+        | CtlCommand::Explain { .. }
+        | CtlCommand::Losses { .. } => {}
     }
     Ok(())
 }
