--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -104,6 +104,8 @@
     pub timeout: Duration,
     /// Within which time an answer, or the first event of a stream, is in time.
     pub objective: Duration,
+    /// The longest pause between the events of a stream that is in time.
+    pub pause: Duration,
     /// The rank among requests; 0 is served first.
     pub priority: u8,
     /// Whether a request needs no key.
--- a/dockgate-core/src/gateway/route_table/tests.rs
+++ b/dockgate-core/src/gateway/route_table/tests.rs
@@ -18,6 +18,7 @@
         attempts: 1,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        pause: Duration::from_millis(200),
         priority: 1,
         public: false,
     }
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -18,9 +18,11 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// How long a resumable stream may pause before it is continued elsewhere: an engine makes an event
-/// every tenth of a second, and callers leave after two seconds.
-const PAUSE_PATIENCE: Duration = Duration::from_millis(900);
+/// How many times the pause that is in time a resumable stream may pause before it is continued
+/// elsewhere: by then the answer is late, but its caller is still there.
+const PAUSE_PATIENCE: f64 = 4.5;
+/// The longest such pause: callers leave after two seconds. A bound.
+const MOST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Where events come from.
 pub(super) struct StreamSource {
@@ -153,7 +155,7 @@
 
     fn pause_patience(&self) -> Duration {
         match self.call.route().may_repeat() {
-            true => PAUSE_PATIENCE,
+            true => MOST_PAUSE.min(self.call.route().pause.mul_f64(PAUSE_PATIENCE)),
             false => self.call.left(),
         }
     }
