refactor: work once what was worked twice on a request's way

Found on a last reading of the change; behaviour stays. - a prompt's backlog and work were worked out twice for each decision, the tightest objective in two places: one method of the ask; - the look at all engines for the fastest was made for every prompt, though only a flood beyond its share can be declined by it; the level is read once for a wish; - the patience of a send was worked out in two places: the exchange tells it; - what a sign says of a domain's reach goes through the one place that a probe uses, the threshold of a cut and the number of probes are one constant; - the loss report needs no writer that cannot fail; - a comment spoke of deployments.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -75,12 +75,13 @@
         now_ms: u64,
     ) -> EngineVerdict {
         let unseen = f64::from(others + 1);
-        let wait_ms = load.backlog_ms(now_ms) * unseen;
+        let backlog_ms = load.backlog_ms(now_ms);
+        let wait_ms = backlog_ms * unseen;
         let read_ms = load.model().read_ms(load.work_of(ask));
-        let first_ms = load.first_event_ms(ask, now_ms);
+        let first_ms = backlog_ms + load.model().fixed_ms() + read_ms;
         let most_ms = self.most_ms(load.model(), ask);
         let in_time = wait_ms + read_ms <= most_ms * self.ease(level);
-        let long_ms = f64::from(ask.objective_ms.min(ask.shortest_ms)) * self.long_part;
+        let long_ms = ask.tightest_ms() * self.long_part;
         let is_long = read_ms > most_ms - long_ms;
         let long = is_long && !level.is_beyond() && wait_ms <= long_ms;
         let room = self.has_room(load, ask, unseen);
@@ -96,7 +97,7 @@
     /// A prompt with a longer objective may not fill the engine for those with a shorter one, so the
     /// shortest of the service counts. What every first event takes is no fault of the load.
     fn most_ms(&self, model: &ReadModel, ask: &EngineAsk) -> f64 {
-        let objective_ms = f64::from(ask.objective_ms.min(ask.shortest_ms));
+        let objective_ms = ask.tightest_ms();
         let most_ms = objective_ms * self.most_part - model.fixed_ms();
         most_ms.max(objective_ms * Self::LEAST_PART)
     }
--- a/dockgate-core/src/gateway/domain_reach.rs
+++ b/dockgate-core/src/gateway/domain_reach.rs
@@ -28,7 +28,7 @@
 
 impl DomainReach {
     /// How many endpoints of a domain must be silent: one alone may be down.
-    const CUT_AT: usize = 2;
+    pub const CUT_AT: usize = 2;
 
     /// Notes that a connection to an endpoint did not open, and was not refused either.
     pub fn note_silent(&mut self, domain: &str, endpoint: EndpointId) {
@@ -49,11 +49,8 @@
 
     /// Lists the domains of which nothing can be reached.
     pub fn cut(&self) -> impl Iterator<Item = &str> {
-        let cut = |(_, silent): &(&String, &BTreeSet<EndpointId>)| silent.len() >= Self::CUT_AT;
-        self.silent
-            .iter()
-            .filter(cut)
-            .map(|(domain, _)| domain.as_str())
+        let domains = self.silent.keys().map(String::as_str);
+        domains.filter(|domain| self.is_cut(domain))
     }
 }
 
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -247,13 +247,9 @@
             return;
         };
         entry.health.note(sign, now_ms);
-        match sign {
-            EndpointSign::Silent => self.reach.note_silent(&entry.record.domain, id),
-            // A connection that was open may break off long after a link was cut.
-            EndpointSign::Failed => {}
-            EndpointSign::Answered | EndpointSign::Full | EndpointSign::Unreachable => {
-                self.reach.note_answer(&entry.record.domain);
-            }
+        // A connection that was open may break off long after a link was cut.
+        if sign != EndpointSign::Failed {
+            self.note_reach(id, sign != EndpointSign::Silent);
         }
     }
 
--- a/dockgate-core/src/gateway/engine_book.rs
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Returns the shorter of its own objective and the shortest of the service, in milliseconds.
+    pub fn tightest_ms(&self) -> f64 {
+        f64::from(self.objective_ms.min(self.shortest_ms))
+    }
+
     /// Returns what has to be read of the prompt if all that other prompts share is kept, and the pairs
     /// with what is kept count for nothing: the least that any engine reads.
     pub fn least_work(&self) -> PromptWork {
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -55,7 +55,7 @@
                     fallback_subject: name_hash(&self.head.id),
                     tried: &tries.endpoints,
                     resumed,
-                    is_within_share: !self.share_level(ask.workspace).is_beyond(),
+                    level: self.share_level(ask.workspace),
                 };
                 let found = find_engine(&self.state, wish, &ask).await;
                 let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace))?;
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -227,8 +227,9 @@
     ) -> Result<JudgedAnswer, SendLoss> {
         let request = self.request_for(&place.target, last_event);
         let sent = send(&self.state.pools, &place.target, request);
-        let patience = self.patience(place.expected_ms, tries);
-        let sent = tokio::time::timeout(patience, sent).await;
+        // The attempt counts from here on, so that the patience is that of this send.
+        let begins_until = Instant::now() + self.patience(place.expected_ms, tries);
+        let sent = tokio::time::timeout_at(begins_until, sent).await;
         let sent = sent.map_err(|_| {
             tries.sent += 1;
             let mut loss = SendLoss::new(AttemptState::Sent, EndpointSign::Failed, "timed out");
@@ -281,6 +282,7 @@
                     connection,
                     head,
                     verdict,
+                    begins_until,
                 })
             }
         }
@@ -309,6 +311,7 @@
             connection,
             head,
             verdict,
+            ..
         } = answer;
         let lost = |problem: String, timed_out: bool| SendLoss {
             timed_out,
@@ -370,8 +373,6 @@
         place: CallPlace,
         tries: &mut CallTries,
     ) -> Result<Response<CallBody>, SendLoss> {
-        // Before the send, as the attempt counts from there on.
-        let first_until = Instant::now() + self.patience(place.expected_ms, tries);
         let answer = self.exchange(&place, tries, None).await;
         let answer = answer.inspect_err(|loss| place.guard.note(loss.sign))?;
         if !answer.parts.status.is_success() {
@@ -382,6 +383,7 @@
             body,
             connection,
             head,
+            begins_until,
             ..
         } = answer;
         let name = place.target.name.clone();
@@ -393,7 +395,7 @@
             head,
             guard: place.guard,
         };
-        let first_patience = first_until.saturating_duration_since(Instant::now());
+        let first_patience = begins_until.saturating_duration_since(Instant::now());
         let mut stream = EventStream::new(self.clone(), tries.clone(), source, parts.status);
         match stream.read_first(first_patience).await {
             Ok(()) => Ok(pass_on(parts.status, &parts.headers, stream.into_body())),
@@ -448,6 +450,8 @@
     connection: UsedConnection,
     head: AnswerHead,
     verdict: AnswerVerdict,
+    /// Until when the send waits for the first event.
+    begins_until: Instant,
 }
 
 /// Reads the rest of a short answer, so that its connection can be kept.
--- a/dockgate/src/gateway/domain_watch.rs
+++ b/dockgate/src/gateway/domain_watch.rs
@@ -8,7 +8,7 @@
 use super::gateway_state::GatewayState;
 use super::sockets::connect;
 use crate::clock::now_ms;
-use dockgate_core::gateway::EndpointId;
+use dockgate_core::gateway::{DomainReach, EndpointId};
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -19,8 +19,6 @@
 const WATCH: Duration = Duration::from_millis(150);
 /// How long a connection may take to open: a hundred times the way between two domains.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// How many endpoints of a domain are tried at once: as many as must be silent for a cut.
-const PROBES: usize = 2;
 /// How long a domain that answered is left alone although its boxes are silent, in milliseconds.
 const ANSWERED_MS: u64 = 600;
 
@@ -132,7 +130,8 @@
     let endpoints = endpoints_of(state, domain);
     let start = rand::random_range(0..endpoints.len().max(1));
     let chosen = endpoints.iter().cycle().skip(start);
-    let chosen = chosen.take(PROBES.min(endpoints.len()));
+    // As many as must be silent for a cut.
+    let chosen = chosen.take(DomainReach::CUT_AT.min(endpoints.len()));
     state.with(|beliefs| {
         let probes = chosen.filter_map(|endpoint| {
             let entry = beliefs.endpoints.get(*endpoint)?;
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -14,7 +14,7 @@
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
     EndpointEntry, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
-    ReadSpeed, RunKey, ServiceSpec, home_order,
+    ReadSpeed, RunKey, ServiceSpec, ShareLevel, home_order,
 };
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
@@ -87,8 +87,8 @@
     pub(super) tried: &'a [EndpointId],
     /// Whether its stream goes on after an endpoint was lost.
     pub(super) resumed: bool,
-    /// Whether its workspace is owed more than it has had.
-    pub(super) is_within_share: bool,
+    /// How much of its share its workspace has had.
+    pub(super) level: ShareLevel,
 }
 
 #[derive(Debug, Clone)]
@@ -129,7 +129,7 @@
                 let entry = beliefs.endpoints.get(*id);
                 entry.is_some_and(|entry| entry.record.domain == state.settings().domain)
             };
-            let far_homes = if wish.is_within_share { FAR_HOMES } else { 0 };
+            let far_homes = if wish.level.is_beyond() { 0 } else { FAR_HOMES };
             order = near_first(order, is_near, far_homes);
         }
         false => order.truncate(SHARED_HOMES),
@@ -370,12 +370,13 @@
     wish: &EngineWish<'_>,
     ask: &EngineAsk,
 ) -> Option<u32> {
-    let spec = wish.service.engine.filter(|_| !wish.resumed)?;
+    // Only a flood is worth a look at all engines.
+    let is_open = wish.resumed || !wish.level.is_beyond();
+    let spec = wish.service.engine.filter(|_| !is_open)?;
     let rule = state.settings().admission;
     let first_ms = state.with(|beliefs| {
         let fastest = beliefs.engines.fastest(spec)?;
-        let level = beliefs.shares.level(ask.workspace);
-        rule.hopeless_anywhere_ms(&fastest, ask, level)
+        rule.hopeless_anywhere_ms(&fastest, ask, wish.level)
     })?;
     GATEWAY_METRICS.declined_alone.inc();
     Some(first_ms as u32)
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -162,7 +162,7 @@
     let store = platform.take_required("store", ADDRESS);
     let seeds = gateway.take_list("seeds");
     let descriptors = gateway.take_checked("descriptors", 4_096, "at least 300", |n| *n >= 300);
-    // The defaults are the bounds that the two sites state.
+    // Defaults for a file that is written by hand; the platform's template fills all of them.
     let stop_grace = take_seconds(gateway, "stop_grace_s", 8.0);
     let drain_ms = gateway.take_checked("drain_ms", 2_000, "at least 500", |ms| *ms >= 500);
     let share_window = take_seconds(gateway, "share_window_s", 4.0);
--- a/dockgatectl/src/losses.rs
+++ b/dockgatectl/src/losses.rs
@@ -8,7 +8,6 @@
 use crate::error::CtlError;
 use crate::story_line::{StoryLine, read_lines};
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::Write;
 use std::path::PathBuf;
 
 /// Upper ends of the bands of expected first events, in milliseconds; the last one is open.
@@ -112,12 +111,10 @@
 }
 
 fn losses(lines: &[StoryLine]) -> String {
-    let mut text = table("refused; shortest predicted wait, ms", refusals(lines));
+    let refused = table("refused; shortest predicted wait, ms", refusals(lines));
     let late = table("first events; later than expected, ms", lateness(lines));
     let failed = table("failed at endpoints; after, ms", failures(lines));
-    let written = write!(text, "\n{late}\n{failed}");
-    debug_assert!(written.is_ok(), "a string takes what is written");
-    text
+    format!("{refused}\n{late}\n{failed}")
 }
 
 /// Prints where requests were lost.
