--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -538,7 +538,11 @@
     let response = call(&fleet, request("/again/x", "r1", None)).await;
     assert_eq!(response.headers()["connection"], "close");
     wait_until("the box has caught up", async || gateway.is_ready().await).await;
-    assert!(gateway.logged().contains("\"caught_up\""));
+    // Lines are written a moment later, some together.
+    wait_until("the line is written", async || {
+        gateway.logged().contains("\"caught_up\"")
+    })
+    .await;
     let response = call(&fleet, request("/again/x", "r2", None)).await;
     assert!(!response.headers().contains_key("connection"));
 }
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -38,18 +38,19 @@
 mod route_table;
 mod share_window;
 mod store_duty;
+mod work_shed;
 
 pub use admission::{AdmissionRule, EngineVerdict};
 pub use answer_rule::{AnswerOwner, AnswerSigns, AnswerVerdict};
 pub use box_beat::{BoxBeat, BoxReport, BoxRow, BoxStanding, DigestScope, DomainKey, FleetDigest};
 pub use domain_reach::DomainReach;
-pub use endpoint_book::{EndpointBook, EndpointChange, EndpointEntry};
+pub use endpoint_book::{EndpointBook, EndpointChange, EndpointEntry, ReadyEndpoint};
 pub use endpoint_health::{EndpointHealth, EndpointSign};
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
 pub use engine_load::{EngineLoad, EngineRun};
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use fleet_view::{BoxNews, FleetView};
-pub use home_order::{home_order, name_hash, owner_of_endpoint};
+pub use home_order::{best_homes, name_hash, owner_of_endpoint};
 pub use loop_lag::{LagChange, LoopLag};
 pub use prefix_cache::PrefixCache;
 pub use prompt_shape::{PromptPart, PromptShape};
@@ -59,7 +60,9 @@
 pub use return_time::{ReturnCause, return_time};
 pub use route_table::{
     AnswerForm, EndpointId, EndpointRecord, EndpointState, EngineSpec, GatewayLimits, RouteConfig,
-    RouteSpec, RouteTable, ServiceSpec, ServiceWeight, WorkspaceKeys,
+    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ServiceWeight, WorkspaceKeys,
+    WorkspaceRef,
 };
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{StoreDuty, StoreWatchers};
+pub use work_shed::WorkShed;
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -5,6 +5,7 @@
 //! lapse while the store is away; they are kept for a moment after its return, since the endpoints
 //! need that long to write them again.
 
+use super::box_beat::DomainKey;
 use super::domain_reach::DomainReach;
 use super::endpoint_health::{EndpointHealth, EndpointSign};
 use super::route_table::{EndpointId, EndpointRecord, EndpointState};
@@ -33,6 +34,15 @@
     }
 }
 
+/// An endpoint that takes work, unless it rests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadyEndpoint {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Its failure domain.
+    pub domain: DomainKey,
+}
+
 /// A record that was written or removed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointChange {
@@ -46,6 +56,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointBook {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    /// Those that take work, by service: worked out with each change, looked up with each request.
+    ready: HashMap<String, Vec<ReadyEndpoint>>,
     /// Revisions at which endpoints were removed, so that a late record does not bring one back.
     removed: HashMap<EndpointId, u64>,
     reach: DomainReach,
@@ -67,7 +79,7 @@
     /// `kept_until_ms` is set while the store has just come back: a record removed now may lapse
     /// only because its endpoint could not renew it.
     pub fn apply(&mut self, change: EndpointChange, kept_until_ms: Option<u64>) -> bool {
-        match change {
+        let changed = match change {
             EndpointChange::Put(record, revision) => {
                 self.advance(revision);
                 self.put(record, revision)
@@ -76,6 +88,22 @@
                 self.advance(revision);
                 self.remove(EndpointId::from_name(&id), revision, kept_until_ms)
             }
+        };
+        if changed {
+            self.index();
+        }
+        changed
+    }
+
+    fn index(&mut self) {
+        self.ready.clear();
+        let entries = self.endpoints.iter();
+        for (id, entry) in entries.filter(|(_, entry)| entry.record.state == EndpointState::Ready) {
+            let service = self.ready.entry(entry.record.service.clone()).or_default();
+            service.push(ReadyEndpoint {
+                id: *id,
+                domain: DomainKey::from_name(&entry.record.domain),
+            });
         }
     }
 
@@ -168,6 +196,9 @@
         for id in missing {
             changed |= self.remove(id, revision, kept_until_ms);
         }
+        if changed {
+            self.index();
+        }
         changed
     }
 
@@ -192,6 +223,9 @@
             names.extend(self.endpoints.remove(&id).map(|entry| entry.record.id));
             self.bury(id, revision);
         }
+        if !names.is_empty() {
+            self.index();
+        }
         names
     }
 
@@ -205,25 +239,33 @@
         self.endpoints.iter().map(|(id, entry)| (*id, entry))
     }
 
-    /// Lists the endpoints of a service that may get work now.
-    pub fn open<'a>(
-        &'a self,
-        service: &'a str,
-        now_ms: u64,
-    ) -> impl Iterator<Item = (EndpointId, &'a EndpointEntry)> {
-        self.ready(service).filter(move |(_, entry)| {
-            entry.health.is_open(now_ms) && !self.reach.is_cut(&entry.record.domain)
-        })
+    /// Tells whether an endpoint may get work now, as far as it and its failure domain are trusted.
+    pub fn is_open(&self, entry: &EndpointEntry, now_ms: u64) -> bool {
+        entry.health.is_open(now_ms) && !self.reach.is_cut(&entry.record.domain)
     }
 
     /// Lists the endpoints of a service that take work, also those that rest after failures.
-    pub fn ready<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = (EndpointId, &'a EndpointEntry)> {
-        self.iter().filter(move |(_, entry)| {
-            entry.record.service == service && entry.record.state == EndpointState::Ready
-        })
+    pub fn ready(&self, service: &str) -> &[ReadyEndpoint] {
+        self.ready.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Lists the endpoints of a service that take work, with what is known of them.
+    pub fn ready_entries(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (EndpointId, &EndpointEntry)> {
+        let ready = self.ready(service).iter();
+        ready.filter_map(|ready| Some((ready.id, self.endpoints.get(&ready.id)?)))
+    }
+
+    /// Lists the endpoints of a service that may get work now.
+    pub fn open(
+        &self,
+        service: &str,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (EndpointId, &EndpointEntry)> {
+        let ready = self.ready_entries(service);
+        ready.filter(move |(_, entry)| self.is_open(entry, now_ms))
     }
 
     /// Notes that a request is sent to an endpoint.
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -25,7 +25,7 @@
         None
     ));
     assert!(!book.apply(put("e", 8), None));
-    assert_eq!(book.ready("x").count(), 0);
+    assert_eq!(book.ready("x").len(), 0);
 }
 
 #[test]
@@ -43,11 +43,11 @@
     book.apply(put("back", 3), None);
     book.apply(put("gone", 3), None);
     book.replace(Vec::new(), 10, Some(2_000));
-    assert_eq!(book.ready("x").count(), 2);
+    assert_eq!(book.ready("x").len(), 2);
     book.apply(put("back", 11), None);
     assert!(book.expire(1_999).is_empty());
     assert_eq!(book.expire(2_000), ["gone"]);
-    assert_eq!(book.ready("x").count(), 1);
+    assert_eq!(book.ready("x").len(), 1);
 }
 
 #[test]
@@ -78,6 +78,38 @@
     }
 }
 
+proptest! {
+    /// What is looked up for requests is what stands in the records, whatever came and went.
+    #[test]
+    fn what_takes_work_is_what_the_records_say(
+        changes in prop::collection::vec((0_usize..4, 0_u8..4, 0_u64..9, 1_u64..20), 1..60),
+    ) {
+        let mut book = EndpointBook::default();
+        for (name, kind, kept, revision) in changes {
+            let id = ["e", "f", "g", "h"][name];
+            let kept_until_ms = (kept > 5).then_some(kept * 100);
+            match kind {
+                0 => drop(book.apply(EndpointChange::Removed(id.to_owned(), revision), kept_until_ms)),
+                1 => {
+                    let draining = record(id, EndpointState::Draining);
+                    book.apply(EndpointChange::Put(draining, revision), kept_until_ms);
+                }
+                2 => {
+                    let listed = vec![(record(id, EndpointState::Ready), revision)];
+                    book.replace(listed, revision, kept_until_ms);
+                }
+                _ => drop(book.apply(put(id, revision), kept_until_ms)),
+            }
+            book.expire(revision * 40);
+            let ready: Vec<EndpointId> = book.ready("x").iter().map(|ready| ready.id).collect();
+            let entries = book.iter();
+            let entries = entries.filter(|(_, entry)| entry.record.state == EndpointState::Ready);
+            let stands: Vec<EndpointId> = entries.map(|(id, _)| id).collect();
+            prop_assert_eq!(ready, stands);
+        }
+    }
+}
+
 #[test]
 fn a_domain_that_is_cut_off_gets_nothing_until_one_of_its_endpoints_answers() {
     let mut book = EndpointBook::default();
@@ -96,7 +128,7 @@
     );
     book.note_reach(e, false);
     assert_eq!(book.open("x", 1_000).count(), 0);
-    assert_eq!(book.ready("x").count(), 3, "the last resort");
+    assert_eq!(book.ready("x").len(), 3, "the last resort");
     book.note_reach(g, true);
     let open: Vec<EndpointId> = book.open("x", 60_000).map(|(id, _)| id).collect();
     assert_eq!(open.len(), 3, "those that were silent are tried again");
@@ -119,5 +151,5 @@
     told.lapse(id, 1_010 + lapses_in_ms);
     assert!(told.expire(2_600).is_empty());
     assert_eq!(told.expire(2_610), ["e"]);
-    assert_eq!(told.ready("x").count(), 0);
+    assert_eq!(told.ready("x").len(), 0);
 }
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -554,6 +554,7 @@
         StoreWatchers {
             reaching: reaching.count(),
             before: before.len(),
+            is_heard: self.hears_own_domain(now_ms),
         }
     }
 
--- a/dockgate-core/src/gateway/home_order.rs
+++ b/dockgate-core/src/gateway/home_order.rs
@@ -16,11 +16,27 @@
     xxh3_64_with_seed(&item.to_le_bytes(), holder)
 }
 
-/// Orders endpoints by how much they are the home of a subject, best first.
-pub fn home_order(subject: u64, endpoints: impl Iterator<Item = EndpointId>) -> Vec<EndpointId> {
-    let mut homes: Vec<EndpointId> = endpoints.collect();
-    homes.sort_by_cached_key(|endpoint| std::cmp::Reverse((score(subject, endpoint.0), *endpoint)));
-    homes
+/// Picks the best homes of a subject among those that `accepts` tells, `count` at most, best first.
+///
+/// One pass without a sort; `accepts` is asked of just those that would be picked.
+pub fn best_homes(
+    subject: u64,
+    endpoints: impl Iterator<Item = EndpointId>,
+    count: usize,
+    accepts: impl Fn(EndpointId) -> bool,
+) -> Vec<EndpointId> {
+    let mut best: Vec<(u64, EndpointId)> = Vec::new();
+    for endpoint in endpoints {
+        let scored = (score(subject, endpoint.0), endpoint);
+        let is_better = best.len() < count || best.last().is_some_and(|last| scored > *last);
+        if count == 0 || !is_better || !accepts(endpoint) {
+            continue;
+        }
+        let place = best.partition_point(|kept| *kept > scored);
+        best.insert(place, scored);
+        best.truncate(count);
+    }
+    best.into_iter().map(|(_, endpoint)| endpoint).collect()
 }
 
 /// Scores a pair of boxes, so that each box has an order of the others that is its own.
--- a/dockgate-core/src/gateway/home_order/tests.rs
+++ b/dockgate-core/src/gateway/home_order/tests.rs
@@ -1,4 +1,27 @@
 use super::*;
+use proptest::prelude::*;
+
+fn home_order(subject: u64, endpoints: impl Iterator<Item = EndpointId>) -> Vec<EndpointId> {
+    best_homes(subject, endpoints, usize::MAX - 1, |_| true)
+}
+
+proptest! {
+    /// The best few that are accepted are those of the whole order.
+    #[test]
+    fn the_best_homes_are_the_first_of_the_whole_order(
+        subject in 0_u64..1_000,
+        endpoints in prop::collection::btree_set(0_u64..500, 0..60),
+        count in 0_usize..6,
+        refused in 1_u64..5,
+    ) {
+        let accepts = |endpoint: EndpointId| !endpoint.0.is_multiple_of(refused);
+        let ids = || endpoints.iter().copied().map(EndpointId);
+        let mut whole: Vec<EndpointId> = ids().filter(|id| accepts(*id)).collect();
+        whole.sort_by_key(|id| std::cmp::Reverse((score(subject, id.0), *id)));
+        whole.truncate(count);
+        prop_assert_eq!(best_homes(subject, ids(), count, accepts), whole);
+    }
+}
 
 #[test]
 fn an_endpoint_that_goes_moves_only_its_own_subjects() {
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -213,10 +213,24 @@
     pub limits: GatewayLimits,
 }
 
+/// Names a route in the table that found it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RouteKey(usize);
+
+/// Names a service in the table that found it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServiceKey(usize);
+
+/// Names a workspace in the table that found it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkspaceRef(usize);
+
 /// A configuration indexed for look-ups.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
     config: RouteConfig,
+    /// The shortest objective among the routes of each service.
+    tightest: Vec<Option<Duration>>,
     hosts: HashMap<String, Vec<usize>>,
     services: HashMap<String, usize>,
     keys: HashMap<String, usize>,
@@ -236,6 +250,9 @@
             // The first match is then the longest.
             routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
         }
+        let tightest = config.services.iter();
+        let tightest = tightest.map(|service| tightest_of(&config.routes, &service.name));
+        let tightest = tightest.collect();
         let services = config.services.iter().enumerate();
         let services = services
             .map(|(index, service)| (service.name.clone(), index))
@@ -248,6 +265,7 @@
             .collect();
         Self {
             config,
+            tightest,
             hosts,
             services,
             keys,
@@ -260,20 +278,31 @@
     }
 
     /// Finds the route of a host and path; a port behind the host is ignored.
-    pub fn route(&self, host: &str, path: &str) -> Option<&RouteSpec> {
+    pub fn find_route(&self, host: &str, path: &str) -> Option<RouteKey> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let routes = self.hosts.get(&name.to_ascii_lowercase())?;
-        let routes = routes.iter().map(|index| &self.config.routes[*index]);
-        routes
-            .into_iter()
-            .find(|route| path.starts_with(&route.prefix))
+        let fits = |index: &&usize| path.starts_with(&self.config.routes[**index].prefix);
+        routes.iter().find(fits).map(|index| RouteKey(*index))
+    }
+
+    /// Returns a route.
+    pub fn route(&self, key: RouteKey) -> &RouteSpec {
+        &self.config.routes[key.0]
     }
 
     /// Finds a service.
-    pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
-        self.services
-            .get(name)
-            .map(|index| &self.config.services[*index])
+    pub fn find_service(&self, name: &str) -> Option<ServiceKey> {
+        self.services.get(name).map(|index| ServiceKey(*index))
+    }
+
+    /// Returns a service.
+    pub fn service(&self, key: ServiceKey) -> &ServiceSpec {
+        &self.config.services[key.0]
+    }
+
+    /// Returns the shortest objective among the routes of a service, where any leads there.
+    pub fn tightest_objective(&self, key: ServiceKey) -> Option<Duration> {
+        self.tightest[key.0]
     }
 
     /// Tells whether requests need a key, unless their route is public.
@@ -282,12 +311,26 @@
     }
 
     /// Finds the workspace that holds a key.
-    pub fn workspace(&self, key: &str) -> Option<&WorkspaceKeys> {
-        self.keys
-            .get(key)
-            .map(|index| &self.config.workspaces[*index])
+    pub fn find_workspace(&self, key: &str) -> Option<WorkspaceRef> {
+        self.keys.get(key).map(|index| WorkspaceRef(*index))
+    }
+
+    /// Returns a workspace.
+    pub fn workspace(&self, key: WorkspaceRef) -> &WorkspaceKeys {
+        &self.config.workspaces[key.0]
     }
 }
 
+fn tightest_of(routes: &[RouteSpec], service: &str) -> Option<Duration> {
+    let leads_there = |route: &&RouteSpec| {
+        let choices = route.services.iter();
+        choices
+            .map(|choice| &choice.service)
+            .any(|name| name == service)
+    };
+    let routes = routes.iter().filter(leads_there);
+    routes.map(|route| route.objective).min()
+}
+
 #[cfg(test)]
 mod tests;
--- a/dockgate-core/src/gateway/route_table/tests.rs
+++ b/dockgate-core/src/gateway/route_table/tests.rs
@@ -51,7 +51,7 @@
 )]
 fn the_longest_prefix_of_the_host_wins(host: &str, path: &str, prefix: Option<&str>) {
     let table = table();
-    let found = table.route(host, path);
+    let found = table.find_route(host, path).map(|key| table.route(key));
     assert_eq!(found.map(|route| route.prefix.as_str()), prefix);
 }
 
@@ -60,17 +60,19 @@
     let table = table();
     assert!(table.needs_key());
     assert_eq!(
-        table.workspace("k2").map(|found| found.name.as_str()),
+        table
+            .find_workspace("k2")
+            .map(|found| table.workspace(found).name.as_str()),
         Some("captions")
     );
-    assert!(table.workspace("captions").is_none());
+    assert!(table.find_workspace("captions").is_none());
     assert!(!RouteTable::default().needs_key());
 }
 
 #[test]
 fn services_are_chosen_by_weight_and_always_alike_for_one_request() {
     let table = table();
-    let route = table.route("b.example", "/1").unwrap();
+    let route = table.route(table.find_route("b.example", "/1").unwrap());
     let ids: Vec<String> = (0..1_000).map(|id| format!("request-{id}")).collect();
     let first = ids
         .iter()
--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -8,6 +8,7 @@
 //! equal level with all who ask for more.
 
 use super::box_beat::DomainKey;
+use super::work_shed::max_min_level;
 use crate::ids::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -383,20 +384,5 @@
     greedy.map(|(name, sum)| (*name, level(sum))).collect()
 }
 
-/// Returns the level up to which everyone is served when `capacity` is divided by max-min.
-fn max_min_level(asked: &[f64], capacity: f64) -> f64 {
-    let mut asked = asked.to_vec();
-    asked.sort_by(f64::total_cmp);
-    let mut left = capacity;
-    for (index, ask) in asked.iter().enumerate() {
-        let even = left / (asked.len() - index) as f64;
-        if *ask > even {
-            return even;
-        }
-        left -= ask;
-    }
-    f64::INFINITY
-}
-
 #[cfg(test)]
 mod tests;
--- a/dockgate-core/src/gateway/share_window/tests.rs
+++ b/dockgate-core/src/gateway/share_window/tests.rs
@@ -2,15 +2,6 @@
 use proptest::prelude::*;
 use yare::parameterized;
 
-#[parameterized(
-    enough = { &[10.0, 20.0], 40.0, f64::INFINITY },
-    even = { &[50.0, 50.0], 40.0, 20.0 },
-    small_first = { &[5.0, 100.0, 100.0], 65.0, 30.0 },
-)]
-fn the_level_is_max_min(asked: &[f64], capacity: f64, level: f64) {
-    assert_eq!(max_min_level(asked, capacity), level);
-}
-
 const WINDOW_MS: u64 = 4_000;
 
 /// A box that tells its own sums for the `sequence`th time.
--- a/dockgate-core/src/gateway/store_duty.rs
+++ b/dockgate-core/src/gateway/store_duty.rs
@@ -9,10 +9,11 @@
 //! use dockgate_core::gateway::{StoreDuty, StoreWatchers};
 //!
 //! let mut duty = StoreDuty::default();
-//! let alone = StoreWatchers { reaching: 0, before: 0 };
-//! assert!(duty.is_due(alone, 1_000));
-//! let two_reach_it = StoreWatchers { reaching: 2, before: 5 };
-//! assert!(!duty.is_due(two_reach_it, 1_000));
+//! let alone = StoreWatchers { reaching: 0, before: 0, is_heard: false };
+//! assert!(!duty.is_due(alone, 1_000), "others may be about to be heard");
+//! assert!(duty.is_due(alone, 1_300));
+//! let two_reach_it = StoreWatchers { reaching: 2, before: 5, is_heard: true };
+//! assert!(!duty.is_due(two_reach_it, 1_300));
 //! ```
 
 /// The other boxes of the own failure domain that go before this one.
@@ -22,12 +23,16 @@
     pub reaching: usize,
     /// How many there are.
     pub before: usize,
+    /// Whether any other box of the domain is heard.
+    pub is_heard: bool,
 }
 
 /// Since when too few boxes of the own domain have reached the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreDuty {
     short_since_ms: Option<u64>,
+    /// When this box looked first.
+    began_ms: Option<u64>,
 }
 
 impl StoreDuty {
@@ -35,19 +40,29 @@
     const ENOUGH: usize = 2;
     /// How many more try with each step of [`Self::STEP_MS`] in which too few reach it.
     const STEP: usize = 2;
+    /// How many follow it at most: where it is away for all, each that tries is some calls a second. With
+    /// all of 60 boxes of a domain an outage of 10 s was answered by 500 calls a second. A bound.
+    const MOST: usize = 8;
+    /// For how long a box that has just begun waits to hear who goes before it, in milliseconds: 295 boxes
+    /// that started together made 1,400 calls before they had heard of each other. A few round trips.
+    const START_MS: u64 = 250;
     /// How long a step is, in milliseconds: two beats, within which a box that has begun to follow the
     /// store is heard to reach it.
     const STEP_MS: u64 = 600;
 
     /// Tells whether this box has to follow the store now.
     pub fn is_due(&mut self, others: StoreWatchers, now_ms: u64) -> bool {
+        let began_ms = *self.began_ms.get_or_insert(now_ms);
+        if !others.is_heard && now_ms < began_ms + Self::START_MS {
+            return false;
+        }
         if others.reaching >= Self::ENOUGH {
             self.short_since_ms = None;
             return false;
         }
         let since_ms = *self.short_since_ms.get_or_insert(now_ms);
         let steps = (now_ms.saturating_sub(since_ms) / Self::STEP_MS) as usize;
-        others.before < Self::ENOUGH + steps * Self::STEP
+        others.before < Self::MOST.min(Self::ENOUGH + steps * Self::STEP)
     }
 }
 
--- a/dockgate-core/src/gateway/store_duty/tests.rs
+++ b/dockgate-core/src/gateway/store_duty/tests.rs
@@ -1,7 +1,11 @@
 use super::*;
 
 const fn others(reaching: usize, before: usize) -> StoreWatchers {
-    StoreWatchers { reaching, before }
+    StoreWatchers {
+        reaching,
+        before,
+        is_heard: true,
+    }
 }
 
 #[test]
@@ -23,7 +27,26 @@
         };
         (0..30).filter(due).count()
     };
-    assert_eq!([1_000, 1_600, 2_200, 4_000].map(trying), [2, 4, 6, 12]);
+    assert_eq!(
+        [1_000, 1_600, 2_200, 4_000, 60_000].map(trying),
+        [2, 4, 6, 8, 8]
+    );
+}
+
+/// Before: each of 295 boxes that start together follows the store at once, 1,400 calls.
+#[test]
+fn a_box_that_has_just_begun_waits_to_hear_who_goes_before_it() {
+    let unheard = StoreWatchers {
+        is_heard: false,
+        ..others(0, 0)
+    };
+    let mut duty = StoreDuty::default();
+    assert!(!duty.is_due(unheard, 1_000));
+    assert!(!duty.is_due(others(0, 5), 1_100), "five go before it");
+    let mut alone = StoreDuty::default();
+    alone.is_due(unheard, 1_000);
+    assert!(alone.is_due(unheard, 1_250), "nobody else is there");
+    assert!(alone.is_due(unheard, 1_300));
 }
 
 #[test]
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteSpec, RouteTable,
-    ServiceSpec, WorkspaceKeys, name_hash,
+    AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteKey, RouteSpec, RouteTable,
+    ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -66,29 +66,27 @@
     /// The body.
     pub(in super::super) body: Bytes,
     table: Arc<RouteTable>,
-    route: RouteSpec,
-    service: ServiceSpec,
-    workspace: Option<WorkspaceKeys>,
+    route: RouteKey,
+    service: ServiceKey,
+    workspace: Option<WorkspaceRef>,
     arrived: Instant,
     deadline: Instant,
 }
 
 impl AdmittedCall {
     /// Returns its route.
-    pub(in super::super) const fn route(&self) -> &RouteSpec {
-        &self.route
+    pub(in super::super) fn route(&self) -> &RouteSpec {
+        self.table.route(self.route)
     }
 
     /// Returns the service that it goes to.
-    pub(in super::super) const fn service(&self) -> &ServiceSpec {
-        &self.service
+    pub(in super::super) fn service(&self) -> &ServiceSpec {
+        self.table.service(self.service)
     }
 
     /// Returns the name of its workspace, or nothing where it has none.
     pub(in super::super) fn workspace_name(&self) -> &str {
-        self.workspace
-            .as_ref()
-            .map_or("", |workspace| &workspace.name)
+        workspace_name(&self.table, self.workspace)
     }
 
     /// Returns how long its prompt is, where it has one.
@@ -118,22 +116,13 @@
 
     /// Returns how much of its objective is left.
     pub(in super::super) fn objective_left(&self) -> Duration {
-        self.route.objective.saturating_sub(self.age())
+        self.route().objective.saturating_sub(self.age())
     }
 
     /// Returns what an engine is asked to do, where the request has a prompt.
     pub(in super::super) fn engine_ask(&self) -> Option<EngineAsk> {
         let prompt = self.head.prompt.as_ref()?;
-        let shortest = self.table.config().routes.iter();
-        let shortest = shortest
-            .filter(|route| {
-                route
-                    .services
-                    .iter()
-                    .any(|s| s.service == self.service.name)
-            })
-            .map(|route| route.objective)
-            .min();
+        let shortest = self.table.tightest_objective(self.service);
         let objective = self.objective_left();
         let as_ms = |time: Duration| time.as_millis() as u32;
         let times = AskTimes {
@@ -180,13 +169,18 @@
         workspace,
     } = found;
     // After the body: an answer that leaves a body unread may be lost with its connection.
-    let objective_ms = route.objective.as_millis() as u64;
+    let route_spec = table.route(route);
+    let objective_ms = route_spec.objective.as_millis() as u64;
     if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::come_back(RefusalReason::Overloaded, COME_BACK_SOON);
         return Err(turned_away(&head.id, refusal));
     }
-    let budget = head.budget.unwrap_or(route.timeout).min(route.timeout);
-    note_arrival(&state, &head, &service, workspace.as_ref());
+    let key = name_hash(workspace_name(&table, workspace));
+    shed(&state, key).map_err(|refusal| turned_away(&head.id, refusal))?;
+    let timeout = route_spec.timeout;
+    let budget = head.budget.unwrap_or(timeout).min(timeout);
+    let name = workspace_name(&table, workspace);
+    note_arrival(&state, &head, table.service(service), name);
     Ok(AdmittedCall {
         state,
         deadline: arrived + budget,
@@ -203,17 +197,36 @@
     })
 }
 
-fn note_arrival(
-    state: &GatewayState,
-    head: &CallHead,
-    service: &ServiceSpec,
-    workspace: Option<&WorkspaceKeys>,
-) {
-    let name = workspace.map_or("", |workspace| workspace.name.as_str());
+/// Counts a request of a workspace.
+///
+/// # Errors
+///
+/// Returns a refusal where this box has no processor for it.
+fn shed(state: &GatewayState, workspace: u64) -> Result<(), CallRefusal> {
+    state.with(|beliefs| {
+        let shed = &mut beliefs.shed;
+        shed.note_request(workspace);
+        let part = shed.refused_part(workspace);
+        if part <= 0.0 || !rand::random_bool(part) {
+            return Ok(());
+        }
+        shed.note_refused();
+        let reason = match shed.is_avoided() {
+            true => RefusalReason::SentElsewhere,
+            false => RefusalReason::Overloaded,
+        };
+        let after = shed.return_time(rand::random());
+        Err(CallRefusal::come_back(reason, after))
+    })
+}
+
+fn note_arrival(state: &GatewayState, head: &CallHead, service: &ServiceSpec, workspace: &str) {
     state.with(|beliefs| {
         beliefs.retries.note_request(&service.name, now_ms());
         if let Some(prompt) = head.prompt.as_ref().filter(|_| service.engine.is_some()) {
-            beliefs.shares.note_asked(name_hash(name), prompt.units());
+            beliefs
+                .shares
+                .note_asked(name_hash(workspace), prompt.units());
         }
     });
 }
@@ -225,9 +238,14 @@
 }
 
 struct FoundRoute {
-    route: RouteSpec,
-    service: ServiceSpec,
-    workspace: Option<WorkspaceKeys>,
+    route: RouteKey,
+    service: ServiceKey,
+    workspace: Option<WorkspaceRef>,
+}
+
+/// Returns the name of a request's workspace, or nothing where it has none.
+fn workspace_name(table: &RouteTable, workspace: Option<WorkspaceRef>) -> &str {
+    workspace.map_or("", |workspace| &table.workspace(workspace).name)
 }
 
 fn find_route(
@@ -240,16 +258,18 @@
     if table.config().version == 0 {
         return Err(soon(RefusalReason::NoConfiguration));
     }
-    let route = table
-        .route(&head.host, uri.path())
+    let key = table
+        .find_route(&head.host, uri.path())
         .ok_or(RefusalReason::NoRoute)?;
-    let workspace = head.key.as_deref().and_then(|key| table.workspace(key));
+    let route = table.route(key);
+    let workspace = head.key.as_deref();
+    let workspace = workspace.and_then(|key| table.find_workspace(key));
     if workspace.is_none() && table.needs_key() && !route.public {
         return Err(RefusalReason::BadKey.into());
     }
     let service = route
         .service_for(&head.id)
-        .and_then(|name| table.service(name));
+        .and_then(|name| table.find_service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
     if !state.can_finish(expected_time(route, head)) {
         return Err(CallRefusal::come_back(
@@ -258,9 +278,9 @@
         ));
     }
     Ok(FoundRoute {
-        route: route.clone(),
-        service: service.clone(),
-        workspace: workspace.cloned(),
+        route: key,
+        service,
+        workspace,
     })
 }
 
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -125,7 +125,10 @@
             let best = open.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
             // Where all rest after failures, one of them is still better than none.
             let resting = || {
-                let ready = beliefs.endpoints.ready(name).filter(|(id, _)| fresh(*id));
+                let ready = beliefs
+                    .endpoints
+                    .ready_entries(name)
+                    .filter(|(id, _)| fresh(*id));
                 ready.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
             };
             let (id, entry) = best.or_else(resting)?;
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -13,8 +13,8 @@
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
-    EndpointEntry, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
-    ReadSpeed, RunKey, ServiceSpec, ShareLevel, home_order,
+    DomainKey, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
+    ReadSpeed, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel, best_homes,
 };
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
@@ -24,6 +24,11 @@
 /// How long a verdict may take: a round trip is about two milliseconds, but a box whose share of the
 /// processor is spent gets nothing for the rest of a tenth of a second.
 const VERDICT_TIMEOUT: Duration = Duration::from_millis(60);
+/// As how many other boxes, that may all send to an engine whose decider does not answer, count at most:
+/// as many as there are in a small fleet, where it was measured. With all of 295 boxes nearly every
+/// prompt is declined that has to be decided on alone, since each box sends a 295th of what there is.
+/// A bound.
+const MOST_UNSEEN: u32 = 5;
 /// How many homes a prompt with much that others share has. More make the same parts be read at more
 /// places: with two, a sixth fewer shared tokens are read again than with three; with one, 4 in 100
 /// requests more are refused (loaded days of three deployments).
@@ -97,42 +102,54 @@
     owner: BoxKey,
 }
 
-/// Puts the homes of the own failure domain first, and `far_homes` of the others behind them; where
-/// the own domain has few engines, others take their place.
-fn near_first(
-    order: Vec<EndpointId>,
-    is_near: impl Fn(&EndpointId) -> bool,
-    far_homes: usize,
+/// Picks the homes of a prompt, best first: `near` tells of the own failure domain.
+///
+/// The homes of a prompt with little that others share are in the own domain first, and some of the
+/// others behind them; where the own domain has few engines, others take their place.
+fn pick_homes(
+    wish: &EngineWish,
+    ready: &[ReadyEndpoint],
+    near: DomainKey,
+    accepts: impl Fn(EndpointId) -> bool,
 ) -> Vec<EndpointId> {
-    let (near, far): (Vec<EndpointId>, Vec<EndpointId>) = order.into_iter().partition(is_near);
-    let near = near.into_iter().take(NEAR_HOMES);
-    let missing = NEAR_HOMES - near.len();
-    near.chain(far.into_iter().take(missing + far_homes))
-        .collect()
+    let subject = wish.prompt.subject().unwrap_or(wish.fallback_subject);
+    if wish.prompt.shared_tokens() >= NEAR_BELOW_TOKENS {
+        let all = ready.iter().map(|ready| ready.id);
+        return best_homes(subject, all, SHARED_HOMES, accepts);
+    }
+    let of_domain = |is_near: bool| {
+        let ready = ready.iter();
+        let ready = ready.filter(move |ready| (ready.domain == near) == is_near);
+        ready.map(|ready| ready.id)
+    };
+    let mut homes = best_homes(subject, of_domain(true), NEAR_HOMES, &accepts);
+    let far_homes = if wish.level.is_beyond() { 0 } else { FAR_HOMES };
+    let missing = NEAR_HOMES - homes.len();
+    homes.extend(best_homes(
+        subject,
+        of_domain(false),
+        missing + far_homes,
+        &accepts,
+    ));
+    homes
 }
 
-fn homes(beliefs: &GatewayBeliefs, state: &GatewayState, wish: &EngineWish) -> Vec<HomeEngine> {
+fn homes(beliefs: &GatewayBeliefs, wish: &EngineWish) -> Vec<HomeEngine> {
     let now = now_ms();
-    let name = &wish.service.name;
-    let usable = |entry: &EndpointEntry| !entry.health.is_doubtful(now);
-    let open = beliefs.endpoints.open(name, now);
-    let open = open.filter(|(id, _)| !wish.tried.contains(id));
-    let mut engines: Vec<(EndpointId, &EndpointEntry)> = open.collect();
-    if engines.iter().any(|(_, entry)| usable(entry)) {
-        engines.retain(|(_, entry)| usable(entry));
-    }
-    let subject = wish.prompt.subject().unwrap_or(wish.fallback_subject);
-    let mut order = home_order(subject, engines.iter().map(|(id, _)| *id));
-    match wish.prompt.shared_tokens() < NEAR_BELOW_TOKENS {
-        true => {
-            let is_near = |id: &EndpointId| {
-                let entry = beliefs.endpoints.get(*id);
-                entry.is_some_and(|entry| entry.record.domain == state.settings().domain)
-            };
-            let far_homes = if wish.level.is_beyond() { 0 } else { FAR_HOMES };
-            order = near_first(order, is_near, far_homes);
-        }
-        false => order.truncate(SHARED_HOMES),
+    let ready = beliefs.endpoints.ready(&wish.service.name);
+    let near = DomainKey::from_name(&beliefs.fleet.own().domain);
+    let entry = |id: EndpointId| beliefs.endpoints.get(id);
+    let is_open = |id: EndpointId| {
+        let open = entry(id).is_some_and(|entry| beliefs.endpoints.is_open(entry, now));
+        open && !wish.tried.contains(&id)
+    };
+    let is_usable = |id: EndpointId| {
+        let doubtful = entry(id).is_none_or(|entry| entry.health.is_doubtful(now));
+        is_open(id) && !doubtful
+    };
+    let mut order = pick_homes(wish, ready, near, is_usable);
+    if order.is_empty() {
+        order = pick_homes(wish, ready, near, is_open);
     }
     let boxes = beliefs.fleet.live_count(now);
     let homes = order.into_iter().filter_map(|id| {
@@ -230,7 +247,8 @@
     let table = state.table();
     state.with(|beliefs| {
         let entry = beliefs.endpoints.get(endpoint)?;
-        table.service(&entry.record.service)?.engine
+        let service = table.find_service(&entry.record.service)?;
+        table.service(service).engine
     })
 }
 
@@ -264,6 +282,7 @@
     }
     GATEWAY_METRICS.missed_verdicts.inc();
     let others = state.with(|beliefs| beliefs.fleet.live_count(now_ms())) - 1;
+    let others = others.min(MOST_UNSEEN);
     let asked = ask_here(state, home, ask, others, number, "entry alone".to_owned())?;
     if is_granted(&asked) {
         send_to(
@@ -364,7 +383,7 @@
             ..NoPlace::default()
         });
     }
-    let homes = state.with(|beliefs| homes(beliefs, state, &wish));
+    let homes = state.with(|beliefs| homes(beliefs, &wish));
     if let Some(home) = homes.first().filter(|_| wish.resumed) {
         return Ok(force(state, home, ask));
     }
--- a/dockgate/src/gateway/engine_seek/tests.rs
+++ b/dockgate/src/gateway/engine_seek/tests.rs
@@ -10,9 +10,48 @@
     none_at_all = { &[], &[], 1, &[] },
 )]
 fn homes_of_the_own_domain_go_first(near: &[u64], far: &[u64], far_homes: usize, homes: &[u64]) {
-    // Far engines stand between the near ones in the order of the subject.
-    let order = far.iter().chain(near).map(|id| EndpointId(*id));
-    let found = near_first(order.collect(), |id| near.contains(&id.0), far_homes);
-    let found: Vec<u64> = found.iter().map(|id| id.0).collect();
-    assert_eq!(found, homes);
+    // The order of a subject is by its scores: the parameters name engines by their place in it.
+    let service = ServiceSpec {
+        name: "x".to_owned(),
+        connections: 100,
+        engine: None,
+    };
+    let prompt = PromptShape {
+        model: String::new(),
+        input: 100,
+        output: 10,
+        most_output: 10,
+        parts: Vec::new(),
+    };
+    let beyond = ShareLevel::new(2.0);
+    let wish = EngineWish {
+        service: &service,
+        prompt: &prompt,
+        fallback_subject: 7,
+        tried: &[],
+        resumed: false,
+        level: if far_homes == 0 {
+            beyond
+        } else {
+            ShareLevel::WITHIN
+        },
+    };
+    let all = (0..100).map(EndpointId);
+    let order = best_homes(7, all, 100, |_| true);
+    // Places named from 9 down are those of the far engines, the best one first.
+    let engine_at = |place: &u64| match far.contains(place) {
+        true => order[(10 - *place) as usize],
+        false => order[(*place + 10) as usize],
+    };
+    let of_domain = |places: &[u64], domain: u32| -> Vec<ReadyEndpoint> {
+        let ready = places.iter().map(|place| ReadyEndpoint {
+            id: engine_at(place),
+            domain: DomainKey(domain),
+        });
+        ready.collect()
+    };
+    let ready = [of_domain(near, 1), of_domain(far, 2)].concat();
+    let found = pick_homes(&wish, &ready, DomainKey(1), |_| true);
+    let expected: Vec<EndpointId> = homes.iter().map(engine_at).collect();
+    assert_eq!(found, expected);
 }
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -6,15 +6,16 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::run_guard::RunGuard;
 use super::upstream::UsedConnection;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dockgate_core::gateway::{EndpointSign, EventSplitter};
 use dockgate_core::{AttemptState, RetryVerdict};
 use dockgate_platform::AnswerHead;
-use futures::stream;
+use futures::{FutureExt, stream};
 use http::StatusCode;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -44,6 +45,19 @@
     Lost(&'static str),
 }
 
+/// Lets the tasks that are ready go first, without a look at the system.
+async fn let_others_run() {
+    let mut has_run = false;
+    std::future::poll_fn(|context| {
+        if std::mem::replace(&mut has_run, true) {
+            return Poll::Ready(());
+        }
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// A stream on its way to a caller.
 pub(super) struct EventStream {
     call: Arc<AdmittedCall>,
@@ -52,6 +66,8 @@
     splitter: EventSplitter,
     /// Whole events that were read and not passed on yet.
     ready: Option<Bytes>,
+    /// What came behind them.
+    after: Option<StreamStep>,
     ended: bool,
     last_event: Option<u64>,
     events: u64,
@@ -73,6 +89,7 @@
             source: Some(source),
             splitter: EventSplitter::default(),
             ready: None,
+            after: None,
             ended: false,
             events: 0,
             status,
@@ -124,8 +141,12 @@
             if self.ended {
                 return self.finish();
             }
-            match self.read(self.pause_patience()).await {
-                StreamStep::Events(bytes) => self.ready = Some(bytes),
+            let step = match self.after.take() {
+                Some(step) => step,
+                None => self.read(self.pause_patience()).await,
+            };
+            match step {
+                StreamStep::Events(bytes) => self.ready = Some(self.read_ready(bytes).await),
                 StreamStep::End => self.ended = true,
                 StreamStep::Lost(problem) => {
                     if let Err(broken) = self.go_on(problem).await {
@@ -167,28 +188,54 @@
             let Some(source) = self.source.as_mut() else {
                 return StreamStep::Lost("no endpoint");
             };
-            let frame = match tokio::time::timeout_at(until, source.body.frame()).await {
-                Err(_) => return StreamStep::Lost("silent for too long"),
-                Ok(None) if self.splitter.is_inside() => {
-                    return StreamStep::Lost("ended inside an event");
-                }
-                Ok(None) => return StreamStep::End,
-                Ok(Some(Err(_))) => return StreamStep::Lost("broke off"),
-                Ok(Some(Ok(frame))) => frame,
+            let Ok(frame) = tokio::time::timeout_at(until, source.body.frame()).await else {
+                return StreamStep::Lost("silent for too long");
             };
-            let Ok(data) = frame.into_data() else {
+            let Some(step) = self.step_of(frame) else {
                 continue;
             };
-            match self.take_in(&data) {
-                Ok(bytes) if bytes.is_empty() => {}
-                Ok(bytes) => {
-                    if let Some(source) = self.source.as_mut() {
-                        source.guard.start();
-                    }
-                    return StreamStep::Events(bytes);
-                }
-                Err(problem) => return StreamStep::Lost(problem),
+            if let (StreamStep::Events(_), Some(source)) = (&step, self.source.as_mut()) {
+                source.guard.start();
             }
+            return step;
+        }
+    }
+
+    /// Adds the whole events that have arrived already, and notes what follows where that has: what goes
+    /// out together takes one call in place of several.
+    async fn read_ready(&mut self, first: Bytes) -> Bytes {
+        let mut bytes = BytesMut::from(first);
+        while self.after.is_none() {
+            let Some(source) = self.source.as_mut() else {
+                break;
+            };
+            // The connection hands over one piece at a time, whenever its task runs.
+            let_others_run().await;
+            let Some(frame) = source.body.frame().now_or_never() else {
+                break;
+            };
+            match self.step_of(frame) {
+                Some(StreamStep::Events(more)) => bytes.extend_from_slice(&more),
+                step => self.after = step,
+            }
+        }
+        bytes.freeze()
+    }
+
+    /// Tells what a piece of the answer comes to, or nothing where no event is whole yet.
+    fn step_of(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Option<StreamStep> {
+        let data = match frame {
+            None if self.splitter.is_inside() => {
+                return Some(StreamStep::Lost("ended inside an event"));
+            }
+            None => return Some(StreamStep::End),
+            Some(Err(_)) => return Some(StreamStep::Lost("broke off")),
+            Some(Ok(frame)) => frame.into_data().ok()?,
+        };
+        match self.take_in(&data) {
+            Ok(bytes) if bytes.is_empty() => None,
+            Ok(bytes) => Some(StreamStep::Events(bytes)),
+            Err(problem) => Some(StreamStep::Lost(problem)),
         }
     }
 
--- a/dockgate/src/gateway/front.rs
+++ b/dockgate/src/gateway/front.rs
@@ -3,7 +3,7 @@
 use super::call::serve_call;
 use super::call_body::CallBody;
 use super::gateway_state::GatewayState;
-use super::sockets::prepare;
+use super::sockets::{is_prepared, prepare};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
 use bytes::Bytes;
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -42,6 +42,8 @@
     connections: Mutex<HashMap<u64, Arc<ConnectionState>>>,
     counter: AtomicU64,
     answered_ms: AtomicU64,
+    /// Whether connections take over the options of the listener, once the first one has shown it.
+    inherits: OnceLock<bool>,
 }
 
 impl CallerFront {
@@ -51,6 +53,7 @@
             connections: Mutex::default(),
             counter: AtomicU64::new(0),
             answered_ms: AtomicU64::new(now_ms()),
+            inherits: OnceLock::new(),
         }
     }
 
@@ -108,7 +111,8 @@
     }
 
     fn enter(self: Arc<Self>, stream: TcpStream) {
-        if let Err(error) = prepare(&stream) {
+        let is_ready = *self.inherits.get_or_init(|| is_prepared(&stream));
+        if !is_ready && let Err(error) = prepare(&stream) {
             log::debug!("prepare a caller's connection: {error}");
             return;
         }
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -38,6 +38,7 @@
     datagram_bytes: IntCounterVec,
     endpoints: IntGaugeVec,
     coordinates: IntGauge,
+    taken_part: IntGauge,
     boxes: IntGauge,
     unread: IntGauge,
     memory: IntGauge,
@@ -137,6 +138,10 @@
                 "dockgate_coordinates",
                 "Whether this box coordinates its failure domain: 1 or 0",
             ),
+            taken_part: gauge(
+                "dockgate_taken_part",
+                "Of a thousand requests, how many this box has processor for",
+            ),
             boxes: gauge(
                 "dockgate_boxes_live",
                 "Boxes that are heard, this one included",
@@ -200,6 +205,8 @@
         state.with(|beliefs| {
             let coordinates = beliefs.fleet.coordinates(now);
             self.coordinates.set(i64::from(coordinates));
+            let taken_part = beliefs.shed.taken_part();
+            self.taken_part.set((taken_part * 1_000.0) as i64);
             self.boxes.set(i64::from(beliefs.fleet.live_count(now)));
             let (mut ready, mut draining, mut resting) = (0, 0, 0);
             for (_, entry) in beliefs.endpoints.iter() {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -11,7 +11,7 @@
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk,
     EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable,
-    RunKey, ShareWindow, StoreDuty,
+    RunKey, ShareWindow, StoreDuty, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -58,6 +58,8 @@
     pub(super) reads: ReadLog,
     /// Whether this box keeps up with its work.
     pub(super) lag: LoopLag,
+    /// Which part of its requests this box takes.
+    pub(super) shed: WorkShed,
     /// Seeks that wait for a verdict, by the same counter.
     pub(super) seeks: HashMap<u32, oneshot::Sender<EngineVerdict>>,
     /// Whether this box follows the store by itself.
@@ -102,6 +104,7 @@
             runs: HashMap::new(),
             reads: ReadLog::default(),
             lag: LoopLag::default(),
+            shed: WorkShed::default(),
             seeks: HashMap::new(),
             store: StoreDuty::default(),
             reached: BTreeSet::new(),
@@ -362,7 +365,8 @@
     pub(super) fn is_ready(&self) -> bool {
         let configured = self.table.load().config().version > 0;
         let able = self.with(|beliefs| {
-            beliefs.endpoints.iter().next().is_some() && !beliefs.lag.is_overloaded()
+            let is_busy = beliefs.lag.is_overloaded() || beliefs.shed.is_away(now_ms());
+            beliefs.endpoints.iter().next().is_some() && !is_busy
         });
         configured && able && !self.is_stopping()
     }
--- a/dockgate/src/gateway/overload.rs
+++ b/dockgate/src/gateway/overload.rs
@@ -3,23 +3,53 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
-use dockgate_core::gateway::LagChange;
+use dockgate_core::gateway::{LagChange, WorkShed};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::runtime::Handle;
 use tokio::time::Instant;
 
-/// How often the delay is measured: each time is a wake-up, and overload takes three.
-const SAMPLE: Duration = Duration::from_millis(100);
+/// How often work and delay are measured: each time is a wake-up, and overload takes three.
+const SAMPLE: Duration = Duration::from_millis(WorkShed::SAMPLE_MS);
+
+/// For how long the one thread had work, as of some moment.
+#[derive(Debug, Clone, Copy)]
+struct WorkMark {
+    at: Instant,
+    busy: Duration,
+}
+
+impl WorkMark {
+    fn now() -> Self {
+        Self {
+            at: Instant::now(),
+            busy: Handle::current().metrics().worker_total_busy_duration(0),
+        }
+    }
+
+    /// Returns the part of the time since an earlier mark in which there was work, 0 to 1.
+    fn busy_part_since(&self, earlier: &Self) -> f64 {
+        let busy = self.busy.saturating_sub(earlier.busy);
+        let passed = self.at.saturating_duration_since(earlier.at);
+        (busy.as_secs_f64() / passed.as_secs_f64().max(f64::EPSILON)).min(1.0)
+    }
+}
 
 /// Measures how late a timer fires until the process ends: everything runs on one thread, so all
 /// that is ready waits as long as the timer does.
 pub(super) async fn watch_lag(state: Arc<GatewayState>) {
+    let mut before = WorkMark::now();
     loop {
         let due = Instant::now() + SAMPLE;
         tokio::time::sleep_until(due).await;
         let late_ms = due.elapsed().as_millis() as u64;
+        let mark = WorkMark::now();
+        let busy_part = mark.busy_part_since(&before);
+        before = mark;
         let (change, lag_ms) = state.with(|beliefs| {
-            let change = beliefs.lag.note(late_ms, now_ms());
+            let now = now_ms();
+            beliefs.shed.note_work(busy_part, late_ms, now);
+            let change = beliefs.lag.note(late_ms, now);
             (change, beliefs.lag.lag_ms())
         });
         match change {
--- a/dockgate/src/gateway/readiness.rs
+++ b/dockgate/src/gateway/readiness.rs
@@ -54,9 +54,13 @@
 
 /// Tells whether callers may be sent here.
 pub(super) async fn serve_readiness(state: Arc<GatewayState>, listener: TcpListener) {
-    serve_small(listener, move |_| match state.is_ready() {
-        true => small(StatusCode::OK, ""),
-        false => small(StatusCode::SERVICE_UNAVAILABLE, ""),
+    serve_small(listener, move |_| {
+        let is_ready = state.is_ready();
+        state.with(|beliefs| beliefs.shed.note_told(is_ready));
+        match is_ready {
+            true => small(StatusCode::OK, ""),
+            false => small(StatusCode::SERVICE_UNAVAILABLE, ""),
+        }
     })
     .await;
 }
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -27,6 +27,8 @@
     Stopping,
     /// This box has more work than processor.
     Overloaded,
+    /// This box has more work than processor, and its callers' next connections go to another one.
+    SentElsewhere,
     /// The service has no endpoint that takes work.
     NoEndpoint,
     /// No engine would begin in time.
@@ -58,6 +60,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
+            Self::SentElsewhere => "sent_elsewhere",
             Self::NoEndpoint => "no_endpoint",
             Self::WouldBeLate => "would_be_late",
             Self::BeyondShare => "beyond_share",
@@ -81,6 +84,7 @@
             Self::NoConfiguration
             | Self::Stopping
             | Self::Overloaded
+            | Self::SentElsewhere
             | Self::NoEndpoint
             | Self::WouldBeLate
             | Self::EndpointsFull
@@ -112,5 +116,9 @@
     *response.headers_mut() = encode_refusal(id, retry_after);
     let plain = HeaderValue::from_static("text/plain");
     response.headers_mut().insert(header::CONTENT_TYPE, plain);
+    if reason == RefusalReason::SentElsewhere {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
     response
 }
--- a/dockgate/src/gateway/sockets.rs
+++ b/dockgate/src/gateway/sockets.rs
@@ -16,7 +16,7 @@
 /// How long a connection rests before it is probed.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 
-/// Opens a listener.
+/// Opens a listener; what it accepts has its options on most systems ([`is_prepared`]).
 ///
 /// # Errors
 ///
@@ -25,6 +25,7 @@
     let open = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
+        set_options(&SockRef::from(&socket))?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
@@ -37,8 +38,11 @@
 ///
 /// Returns an error where the system refuses an option.
 pub(super) fn prepare(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
+    set_options(&SockRef::from(stream))
+}
+
+fn set_options(socket: &SockRef<'_>) -> io::Result<()> {
+    socket.set_tcp_nodelay(true)?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(Duration::from_secs(1));
@@ -48,6 +52,20 @@
     Ok(())
 }
 
+/// Tells whether a connection has all that [`prepare`] sets, as it has where an accepted one takes over
+/// the options of its listener: six calls fewer for each caller that connects.
+pub(super) fn is_prepared(stream: &TcpStream) -> bool {
+    let socket = SockRef::from(stream);
+    #[cfg(target_os = "linux")]
+    let gives_up = matches!(socket.tcp_user_timeout(), Ok(Some(after)) if after == UNACKNOWLEDGED);
+    #[cfg(not(target_os = "linux"))]
+    let gives_up = true;
+    let probes = matches!(socket.tcp_keepalive_time(), Ok(after) if after == PROBE_AFTER);
+    let probes = probes && matches!(socket.keepalive(), Ok(true));
+    let prompt = matches!(socket.tcp_nodelay(), Ok(true));
+    gives_up && probes && prompt
+}
+
 /// Opens a connection to an endpoint.
 ///
 /// # Errors
@@ -60,3 +78,6 @@
     prepare(&stream)?;
     Ok(stream)
 }
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/logging/line_writer.rs
+++ b/dockgate/src/logging/line_writer.rs
@@ -7,6 +7,9 @@
 
 /// How many lines wait at most; more are dropped and counted. At 300 bytes each, 600 KB.
 const MOST_LINES: usize = 2_048;
+/// How long the thread waits for more lines after the first one. A box has a part of one core: with a
+/// wake-up and a call for each line, 200 lines a second took 3 in 100 of a small box's processor.
+const GATHER: Duration = Duration::from_millis(20);
 /// How many lines are written with one call at most.
 const MOST_TOGETHER: usize = 256;
 
@@ -69,6 +72,7 @@
 fn write_lines(receiver: &Receiver<Vec<u8>>, mut target: impl Write) {
     let mut told = 0;
     while let Ok(mut bytes) = receiver.recv() {
+        std::thread::sleep(GATHER);
         let mut count = 1;
         for line in receiver.try_iter().take(MOST_TOGETHER) {
             bytes.extend(line);
