--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -260,8 +260,7 @@
         total
     }
 
-    /// Adds up the own failure domain and what is told of the others: of each the most that a teller
-    /// adds up, since one that has just begun to coordinate does not know all yet.
+    /// Adds up the own failure domain and what is told of the others.
     fn counted_sums(&self, now_ms: u64) -> ShareSums {
         let mut total = self.domain_sums(now_ms);
         let mut domains: BTreeMap<DomainKey, &PeerReport> = BTreeMap::new();
@@ -269,10 +268,8 @@
             let ShareScope::Domain(domain) = scope else {
                 continue;
             };
-            let most = domains.entry(domain).or_insert(report);
-            if report.asked() > most.asked() {
-                *most = report;
-            }
+            let best = domains.entry(domain).or_insert(report);
+            *best = fuller(best, report);
         }
         for report in domains.values() {
             add(&mut total, &report.sums);
@@ -280,17 +277,15 @@
         total
     }
 
-    /// Returns the sums of the fleet: those that this box adds up, or those of a coordinator that
-    /// knows of more.
+    /// Returns the sums of the fleet: those that this box adds up, which are the newest, or those of a
+    /// coordinator that knows of clearly more.
     fn fleet_sums(&self, now_ms: u64) -> ShareSums {
         let counted = self.counted_sums(now_ms);
         let fleet = self.fresh(now_ms);
         let fleet = fleet.filter(|(scope, _)| *scope == ShareScope::Fleet);
-        let told = fleet
-            .map(|(_, report)| report)
-            .max_by_key(|report| report.asked());
+        let told = fleet.map(|(_, report)| report).reduce(fuller);
         let here: u64 = counted.values().map(|sum| sum.asked).sum();
-        match told.filter(|told| told.asked() > here) {
+        match told.filter(|told| is_clearly_more(told.asked(), here)) {
             Some(told) => told.sums.clone(),
             None => counted,
         }
@@ -329,6 +324,26 @@
     }
 }
 
+/// Tells whether one sum is so much larger that the other one lacks boxes: sums that are a beat or two
+/// apart differ as well, and the newer one is better then.
+fn is_clearly_more(one: u64, other: u64) -> bool {
+    const CLEARLY: f64 = 1.25;
+    one as f64 > other as f64 * CLEARLY
+}
+
+/// Returns the newer of two reports of the same boxes, unless it lacks some: its teller may have just
+/// begun to coordinate.
+fn fuller<'a>(one: &'a PeerReport, other: &'a PeerReport) -> &'a PeerReport {
+    let (older, newer) = match one.heard_ms <= other.heard_ms {
+        true => (one, other),
+        false => (other, one),
+    };
+    match is_clearly_more(older.asked(), newer.asked()) {
+        true => older,
+        false => newer,
+    }
+}
+
 fn add(total: &mut ShareSums, sums: &ShareSums) {
     for (workspace, sum) in sums {
         let known = total.entry(*workspace).or_default();
