--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -6,13 +6,15 @@
 //! domain, by rendezvous. Two boxes that see the fleet differently may both decide, or both take
 //! themselves for coordinators; that costs quality for a moment, and never a promise.
 
-use super::box_beat::{
-    BoxBeat, BoxReport, BoxRow, BoxStanding, DigestScope, DomainKey, FleetDigest,
-};
+mod digest;
+mod seen_box;
+
+use super::box_beat::{BoxBeat, BoxStanding, DomainKey};
 use super::home_order::{owner_of_endpoint, pair_score};
 use super::route_table::EndpointId;
 use super::store_duty::StoreWatchers;
 use crate::ids::{BoxKey, Incarnation};
+use seen_box::{BoxSign, SeenBox};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -28,66 +30,6 @@
     NewLife,
 }
 
-/// One sign of life of a box, by whatever way.
-#[derive(Debug, Clone)]
-struct BoxSign {
-    key: BoxKey,
-    domain: DomainKey,
-    incarnation: Incarnation,
-    sequence: u32,
-    at_ms: u64,
-    address: Option<SocketAddr>,
-    standing: BoxStanding,
-    beat: Option<BoxBeat>,
-}
-
-impl BoxSign {
-    fn of_beat(beat: BoxBeat, incarnation: Incarnation, at_ms: u64) -> Self {
-        Self {
-            key: beat.key(),
-            domain: DomainKey::from_name(&beat.domain),
-            incarnation,
-            sequence: beat.sequence,
-            at_ms,
-            address: Some(beat.address),
-            standing: beat.standing,
-            beat: Some(beat),
-        }
-    }
-
-    const fn of_row(row: &BoxRow, domain: DomainKey, now_ms: u64) -> Self {
-        Self {
-            key: row.key,
-            domain,
-            incarnation: row.incarnation,
-            sequence: row.sequence,
-            at_ms: now_ms.saturating_sub(row.age_ms as u64),
-            address: row.address,
-            standing: row.standing,
-            beat: None,
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-struct SeenBox {
-    domain: DomainKey,
-    incarnation: Incarnation,
-    sequence: u32,
-    heard_ms: u64,
-    address: Option<SocketAddr>,
-    standing: BoxStanding,
-    /// What it said of itself, where that was told in full.
-    beat: Option<BoxBeat>,
-}
-
-impl SeenBox {
-    /// Tells whether it was heard of a moment ago, so that it may be spoken to.
-    const fn is_heard(&self, now_ms: u64) -> bool {
-        self.heard_ms + FleetView::GONE_AFTER_MS >= now_ms
-    }
-}
-
 /// How many boxes another box counts.
 #[derive(Debug, Clone, Copy)]
 struct ToldCount {
@@ -195,46 +137,6 @@
         news
     }
 
-    /// Takes a digest in; returns the boxes that it brings news of, the sender among them.
-    pub fn hear_digest(
-        &mut self,
-        digest: FleetDigest,
-        incarnation: Incarnation,
-        now_ms: u64,
-    ) -> Vec<(BoxKey, BoxNews)> {
-        let sender = digest.sender.key();
-        let count = ToldCount {
-            live: digest.live,
-            known: digest.known,
-            at_ms: now_ms,
-        };
-        self.told.insert(sender, count);
-        let domain = DomainKey::from_name(&digest.sender.domain);
-        self.note_domain(&digest.sender.domain);
-        let mut signs = vec![BoxSign::of_beat(digest.sender, incarnation, now_ms)];
-        for report in digest.coordinators {
-            self.note_domain(&report.beat.domain);
-            let at_ms = now_ms.saturating_sub(u64::from(report.age_ms));
-            signs.push(BoxSign::of_beat(report.beat, report.incarnation, at_ms));
-        }
-        let rows = digest.members.iter();
-        signs.extend(rows.map(|row| BoxSign::of_row(row, domain, now_ms)));
-        let mut changed = Vec::new();
-        let mut moves = false;
-        for sign in signs {
-            let key = sign.key;
-            let (news, moved) = self.note(sign, now_ms);
-            moves |= moved;
-            if news != BoxNews::None {
-                changed.push((key, news));
-            }
-        }
-        if moves {
-            self.rank();
-        }
-        changed
-    }
-
     fn note_domain(&mut self, name: &str) {
         let key = DomainKey::from_name(name);
         self.domains.entry(key).or_insert_with(|| name.to_owned());
@@ -487,49 +389,6 @@
             .any(|(_, seen)| seen.domain == self.own_domain)
     }
 
-    /// Makes what this box passes on of the fleet.
-    pub fn digest(&self, scope: DigestScope, now_ms: u64) -> FleetDigest {
-        // Each coordinator of a domain tells others of itself.
-        let (tells_all, lists) = match scope {
-            DigestScope::Near => (true, true),
-            DigestScope::Far => (false, false),
-            DigestScope::FarList => (false, true),
-            DigestScope::Welcome => (true, false),
-        };
-        let domains = self.ranks.keys().filter(|_| tells_all);
-        let coordinators = domains.flat_map(|domain| self.coordinators_of(*domain, now_ms));
-        let reports = coordinators.filter_map(|key| {
-            let seen = self.others.get(&key)?;
-            let report = BoxReport {
-                incarnation: seen.incarnation,
-                age_ms: age_ms(seen, now_ms),
-                beat: seen.beat.clone()?,
-            };
-            Some((key, report))
-        });
-        let reports: BTreeMap<BoxKey, BoxReport> = reports.collect();
-        let members = self.live(now_ms).filter(|(key, seen)| {
-            lists && seen.domain == self.own_domain && !reports.contains_key(key)
-        });
-        let members = members.map(|(key, seen)| BoxRow {
-            key,
-            incarnation: seen.incarnation,
-            sequence: seen.sequence,
-            age_ms: age_ms(seen, now_ms),
-            address: seen.address.filter(|_| scope == DigestScope::Near),
-            standing: seen.standing,
-        });
-        let members = members.collect();
-        FleetDigest {
-            scope,
-            sender: self.own.clone(),
-            coordinators: reports.into_values().collect(),
-            members,
-            live: self.seen_count(now_ms),
-            known: self.remembered_count(),
-        }
-    }
-
     /// Picks the box that decides for an endpoint: a coordinator of its domain, else any that is heard.
     pub fn owner(&self, endpoint: EndpointId, domain: &str, now_ms: u64) -> BoxKey {
         let near = self.coordinators(domain, now_ms);
@@ -595,10 +454,6 @@
     }
 }
 
-const fn age_ms(seen: &SeenBox, now_ms: u64) -> u32 {
-    now_ms.saturating_sub(seen.heard_ms) as u32
-}
-
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
--- a/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
@@ -1,6 +1,7 @@
 //! Whole fleets without a network: what boxes say is lost, late and doubled, and boxes die, begin anew
 //! and are cut off meanwhile.
 
+use super::super::box_beat::{DigestScope, FleetDigest};
 use super::*;
 use proptest::prelude::*;
 
