fix(daemon): a refusal for want of processor names its route and workspace

Cause: seen in the logs of the floods: lines of such refusals had neither, so nobody could tell from them whose flood it was.

--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -70,8 +70,8 @@
             GATEWAY_METRICS.note_outcome("", reason.as_str());
             log_gateway(&GatewayEvent::Refused {
                 request: &turned_away.id,
-                route: "",
-                workspace: "",
+                route: &turned_away.route,
+                workspace: &turned_away.workspace,
                 tokens: None,
                 status: reason.status().as_u16(),
                 reason: reason.as_str(),
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -30,6 +30,10 @@
 pub(super) struct TurnedAway {
     /// Its id, as far as it has one.
     pub(super) id: String,
+    /// Its route, as far as that was found.
+    pub(super) route: String,
+    /// Its workspace, as far as that was found.
+    pub(super) workspace: String,
     /// Why.
     pub(super) refusal: CallRefusal,
     /// The version of the configuration that decided.
@@ -151,6 +155,8 @@
     let (config_age_ms, endpoints_age_ms) = (state.config_age_ms(), state.endpoints_age_ms());
     let turned_away = |id: &str, refusal: CallRefusal| TurnedAway {
         id: id.to_owned(),
+        route: String::new(),
+        workspace: String::new(),
         refusal,
         config,
         config_age_ms,
@@ -171,15 +177,19 @@
     // After the body: an answer that leaves a body unread may be lost with its connection.
     let route_spec = table.route(route);
     let objective_ms = route_spec.objective.as_millis() as u64;
+    let name = workspace_name(&table, workspace);
+    let found_away = |refusal: CallRefusal| TurnedAway {
+        route: route_spec.name.clone(),
+        workspace: name.to_owned(),
+        ..turned_away(&head.id, refusal)
+    };
     if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::come_back(RefusalReason::Overloaded, COME_BACK_SOON);
-        return Err(turned_away(&head.id, refusal));
+        return Err(found_away(refusal));
     }
-    let key = name_hash(workspace_name(&table, workspace));
-    shed(&state, key).map_err(|refusal| turned_away(&head.id, refusal))?;
+    shed(&state, name_hash(name)).map_err(found_away)?;
     let timeout = route_spec.timeout;
     let budget = head.budget.unwrap_or(timeout).min(timeout);
-    let name = workspace_name(&table, workspace);
     note_arrival(&state, &head, table.service(service), name);
     Ok(AdmittedCall {
         state,
