refactor: no digest is made where none is sent, no beat copied that is replaced

Read once more: each box that does not coordinate summed shares and made a digest for other domains with every beat and threw it away, and each sign of life copied the beat that it replaced.

--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -171,7 +171,6 @@
                 || (seen.address.is_none() && sign.address.is_some())
         });
         let known = seen.filter(|_| news != BoxNews::NewLife);
-        let known = known.and_then(|seen| seen.beat.clone());
         let address = sign.address.or_else(|| seen.and_then(|seen| seen.address));
         let seen = SeenBox {
             domain: sign.domain,
@@ -180,7 +179,9 @@
             heard_ms: sign.at_ms,
             address,
             standing: sign.standing,
-            beat: sign.beat.or(known),
+            beat: sign
+                .beat
+                .or_else(|| known.and_then(|seen| seen.beat.clone())),
         };
         self.others.insert(sign.key, seen);
         (news, moved)
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -91,17 +91,17 @@
 /// Tells the coordinators of the other domains what this one knows of its own.
 fn send_far_digests(state: &GatewayState, scope: DigestScope) {
     let now = now_ms();
-    let (targets, message) = state.with(|beliefs| {
-        let targets = match beliefs.fleet.coordinates(now) {
-            true => beliefs.fleet.far_coordinators(now),
-            false => Vec::new(),
-        };
+    let due = state.with(|beliefs| {
+        if !beliefs.fleet.coordinates(now) {
+            return None;
+        }
+        let targets = beliefs.fleet.far_coordinators(now);
         let shares = beliefs.shares.domain_rows(now);
-        (targets, own_digest(beliefs, scope, shares, now))
+        Some((targets, own_digest(beliefs, scope, shares, now)))
     });
-    if targets.is_empty() {
+    let Some((targets, message)) = due.filter(|(targets, _)| !targets.is_empty()) else {
         return;
-    }
+    };
     let Some(message) = encode(state, message) else {
         return;
     };
