--- /dev/null
+++ b/dockgate-bench/src/gateway_caller.rs
@@ -0,0 +1,87 @@
+//! A caller of gateways for tests: one request on a connection of its own.
+
+use crate::gateway_fleet::GatewayProcess;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+
+/// Connects to a gateway.
+///
+/// # Panics
+///
+/// Panics where nobody listens.
+pub async fn connect(address: SocketAddr) -> SendRequest<Full<Bytes>> {
+    let stream = TcpStream::connect(address).await.expect("somebody listens");
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .expect("a client needs no answer to begin");
+    tokio::spawn(connection);
+    sender
+}
+
+/// Makes a request with `x-token-usage`, which a stream's stand-in takes its events from.
+///
+/// # Panics
+///
+/// Panics where the path or the id cannot stand in a request.
+#[must_use]
+pub fn request(path: &str, id: &str, events: Option<u64>) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "h.example")
+        .header("authorization", "Token k1")
+        .header("x-request-id", id)
+        .header("x-tenant", "forged")
+        .header("x-deadline-ms", "3000");
+    if let Some(events) = events {
+        builder = builder
+            .header("x-model", "m")
+            .header("x-token-usage", format!("500,{events}"))
+            // Each request has a subject of its own, so that all endpoints get some.
+            .header(
+                "x-prefix-hash",
+                format!("a{}:400,b2:100", id.trim_start_matches('r')),
+            );
+    }
+    builder
+        .body(Full::new(Bytes::from_static(b"hello")))
+        .expect("path and id are plain")
+}
+
+/// Sends a request to a gateway.
+///
+/// # Panics
+///
+/// Panics where it is not answered.
+pub async fn call(gateway: &GatewayProcess, request: Request<Full<Bytes>>) -> Response<Incoming> {
+    let mut sender = connect(gateway.callers()).await;
+    sender
+        .send_request(request)
+        .await
+        .expect("the gateway answers")
+}
+
+/// Reads a whole answer.
+///
+/// # Panics
+///
+/// Panics where it is cut off, or is no text.
+pub async fn text(response: Response<Incoming>) -> String {
+    let body = response.into_body().collect().await;
+    let body = body.expect("the answer is whole").to_bytes();
+    String::from_utf8(body.to_vec()).expect("stand-ins answer with text")
+}
+
+/// Returns the events of a whole stream.
+#[must_use]
+pub fn all_events(count: u64) -> String {
+    (1..=count)
+        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
+        .collect()
+}
--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -2,7 +2,8 @@
 
 use crate::error::BenchError;
 use crate::fleet::{daemon_program, fetch};
-use crate::standin::{PlatformStandIn, RoutedStandIn};
+use crate::standin::{PeerStandIn, PlatformStandIn, RoutedStandIn, StoreDoor};
+use dockgate_proto::StateAnswer;
 use nix::sys::signal::{Signal, kill};
 use nix::sys::stat::Mode;
 use nix::unistd::{Pid, mkfifo};
@@ -233,6 +234,8 @@
 pub struct GatewayFleet {
     /// The platform's store.
     pub store: PlatformStandIn,
+    /// Where each gateway reaches the store.
+    pub doors: Vec<StoreDoor>,
     /// The gateways.
     pub gateways: Vec<GatewayProcess>,
     /// The endpoints, each in failure domain `a`.
@@ -256,6 +259,7 @@
             .map_err(|cause| BenchError::Io("make", "a folder".to_owned(), cause))?;
         let mut fleet = Self {
             store: PlatformStandIn::start().await?,
+            doors: Vec::new(),
             gateways: Vec::new(),
             endpoints: Vec::new(),
             network: FleetNetwork::claim()?,
@@ -274,7 +278,9 @@
             .map(|number| Ipv4Addr::new(127, network, 0, number))
             .collect();
         for (index, ip) in ips.iter().enumerate() {
-            let process = fleet.start_gateway(index, *ip, &ips)?;
+            let door = fleet.store.open_door().await?;
+            let process = fleet.start_gateway(index, *ip, &ips, door.address)?;
+            fleet.doors.push(door);
             fleet.gateways.push(process);
         }
         for gateway in &fleet.gateways {
@@ -302,19 +308,32 @@
         Ok(())
     }
 
+    /// Starts a box beside the first gateway, to which it says that it knows what is in `answer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where it cannot listen.
+    pub async fn start_peer(&self, answer: StateAnswer) -> Result<PeerStandIn, BenchError> {
+        const HOST: u8 = 200;
+        let ip = IpAddr::from([127, self.network.number, 0, HOST]);
+        let own = SocketAddr::new(ip, PEERS);
+        let to = self.gateways[0].at(PEERS);
+        PeerStandIn::start(own, SocketAddr::new(ip, STATE), to, answer).await
+    }
+
     fn start_gateway(
         &self,
         index: usize,
         ip: Ipv4Addr,
         seeds: &[Ipv4Addr],
+        store: SocketAddr,
     ) -> Result<GatewayProcess, BenchError> {
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("{seed}:{STATE}")).collect();
         let text = format!(
             "[box]\nname = box-{index}\ndomain = a\n\n[listen]\ncallers = {ip}:{CALLERS}\n\
              readiness = {ip}:{READINESS}\nstate = {ip}:{STATE}\npeers = {ip}:{PEERS}\n\
-             metrics = {ip}:{METRICS}\n\n[platform]\nstore = {}\n\n[gateway]\nseeds = {}\n\
+             metrics = {ip}:{METRICS}\n\n[platform]\nstore = {store}\n\n[gateway]\nseeds = {}\n\
              stop_grace_s = 4\nboxes = {}\ndescriptors = 300\n",
-            self.store.address,
             seeds.join(","),
             seeds.len(),
         );
--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -2,13 +2,15 @@
 
 mod engine;
 mod http;
+mod peer;
 mod platform;
 mod routed;
 mod service;
 mod tally;
 
 pub use engine::{EngineRule, EngineStandIn, answer_token};
-pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn};
+pub use peer::PeerStandIn;
+pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreDoor};
 pub use routed::{EndpointManner, RoutedStandIn, SeenRequest};
 pub use service::{ServiceRule, ServiceStandIn};
 pub use tally::{LeaveWatch, RunTally, TallySample};
--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform: its key-value store with leases, watches and a history.
 
 mod key_store;
+mod store_door;
 
 use super::http::{BrokenOff, StandInBody, answer, serve};
 use crate::error::BenchError;
@@ -18,9 +19,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use store_door::DoorState;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+pub use store_door::StoreDoor;
+
 /// The largest value that is stored, in bytes, as it is written in base64.
 const MOST_BODY: usize = 2 << 20;
 /// How often a waiting watch looks for leases that have ended.
@@ -108,12 +112,20 @@
             loses_replies: AtomicBool::new(false),
             slow_ms: AtomicU64::new(0),
         });
-        let handler = state.clone();
-        let handle = move |request| handle(handler.clone(), request);
-        let address = serve(handle, CancellationToken::new()).await?;
+        let door = open_door(&state).await?;
+        let address = door.address;
         Ok(Self { address, state })
     }
 
+    /// Opens a further address, which can fall silent by itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no port is free.
+    pub async fn open_door(&self) -> Result<StoreDoor, BenchError> {
+        open_door(&self.state).await
+    }
+
     /// Writes a key, as the platform's own programs do.
     pub fn set(&self, key: &str, value: impl Into<Bytes>) {
         let value = value.into();
@@ -193,8 +205,26 @@
     }
 }
 
+async fn open_door(state: &Arc<PlatformState>) -> Result<StoreDoor, BenchError> {
+    let (state, door) = (state.clone(), DoorState::new());
+    let met = door.clone();
+    let handle = move |request| {
+        let (state, door) = (state.clone(), met.clone());
+        async move {
+            let answer = handle(state, &door, request).await;
+            door.pass(answer).await
+        }
+    };
+    let address = serve(handle, CancellationToken::new()).await?;
+    Ok(StoreDoor {
+        address,
+        state: door,
+    })
+}
+
 async fn handle(
     state: Arc<PlatformState>,
+    door: &DoorState,
     request: Request<Incoming>,
 ) -> Result<Response<StandInBody>, BrokenOff> {
     let (parts, body) = request.into_parts();
@@ -215,7 +245,12 @@
     match (&parts.method, parts.uri.path()) {
         (&Method::GET, routes::KEY) => Ok(read(&state, &query)),
         (&Method::GET, routes::RANGE) => Ok(range(&state, &query)),
-        (&Method::GET, routes::WATCH) => watch_changes(&state, &query).await,
+        (&Method::GET, routes::WATCH) => {
+            if query.text("path_prefix") == dockgate_platform::ENDPOINTS {
+                door.note_watch(Duration::from_millis(query.number("wait_ms")));
+            }
+            watch_changes(&state, &query).await
+        }
         (&Method::POST, routes::TXN) => reply(&state, transact(&state, &body)),
         (&Method::POST, routes::LEASE) => reply(&state, grant_lease(&state, &body)),
         (&Method::POST, path) if path.starts_with(routes::KEEP) => {
--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -3,15 +3,12 @@
 //! Each test causes one kind of failure, and looks at it from callers and endpoints.
 
 use bytes::Bytes;
+use dockgate_bench::gateway_caller::{all_events, call, connect, request, text};
 use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
 use dockgate_bench::standin::EndpointManner;
-use http::{Request, Response, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
-use hyper_util::rt::TokioIo;
 use nix::sys::signal::Signal;
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -25,58 +22,10 @@
         .unwrap()
 }
 
-async fn connect(address: SocketAddr) -> SendRequest<Full<Bytes>> {
-    let stream = TcpStream::connect(address).await.unwrap();
-    let (sender, connection) = handshake(TokioIo::new(stream)).await.unwrap();
-    tokio::spawn(connection);
-    sender
-}
-
-/// Makes a request with `x-token-usage`, which a stream's stand-in takes its events from.
-fn request(path: &str, id: &str, events: Option<u64>) -> Request<Full<Bytes>> {
-    let mut builder = Request::builder()
-        .method("POST")
-        .uri(path)
-        .header("host", "h.example")
-        .header("authorization", "Token k1")
-        .header("x-request-id", id)
-        .header("x-tenant", "forged")
-        .header("x-deadline-ms", "3000");
-    if let Some(events) = events {
-        builder = builder
-            .header("x-model", "m")
-            .header("x-token-usage", format!("500,{events}"))
-            // Each request has a subject of its own, so that all endpoints get some.
-            .header(
-                "x-prefix-hash",
-                format!("a{}:400,b2:100", id.trim_start_matches('r')),
-            );
-    }
-    builder
-        .body(Full::new(Bytes::from_static(b"hello")))
-        .unwrap()
-}
-
-async fn call(fleet: &GatewayFleet, request: Request<Full<Bytes>>) -> Response<Incoming> {
-    let mut sender = connect(fleet.gateways[0].callers()).await;
-    sender.send_request(request).await.unwrap()
-}
-
-async fn text(response: Response<Incoming>) -> String {
-    let body = response.into_body().collect().await.unwrap().to_bytes();
-    String::from_utf8(body.to_vec()).unwrap()
-}
-
-fn all_events(count: u64) -> String {
-    (1..=count)
-        .map(|id| format!("id: {id}\ndata: token {id}\n\n"))
-        .collect()
-}
-
 #[tokio::test]
 async fn a_request_reaches_an_endpoint_unchanged_and_its_answer_comes_back_whole() {
     let fleet = start(1, &["plain"]).await;
-    let response = call(&fleet, request("/again/x?y=1", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/again/x?y=1", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::OK);
     assert_eq!(response.headers()["x-request-id"], "r1");
     assert_eq!(
@@ -102,7 +51,11 @@
 async fn a_stream_passes_every_event_once_and_in_order() {
     let fleet = start(2, &["model", "model"]).await;
     for number in 0..8 {
-        let response = call(&fleet, request("/live/x", &format!("r{number}"), Some(12))).await;
+        let response = call(
+            &fleet.gateways[0],
+            request("/live/x", &format!("r{number}"), Some(12)),
+        )
+        .await;
         assert_eq!(response.status(), StatusCode::OK);
         assert_eq!(text(response).await, all_events(12));
     }
@@ -126,15 +79,18 @@
         (request("/oncex", "r3", None), StatusCode::NOT_FOUND),
     ];
     for (request, status) in cases {
-        assert_eq!(call(&fleet, request).await.status(), status);
+        assert_eq!(call(&fleet.gateways[0], request).await.status(), status);
     }
     let mut no_id = request("/once/x", "r4", None);
     no_id.headers_mut().remove("x-request-id");
-    assert_eq!(call(&fleet, no_id).await.status(), StatusCode::BAD_REQUEST);
+    assert_eq!(
+        call(&fleet.gateways[0], no_id).await.status(),
+        StatusCode::BAD_REQUEST
+    );
     let mut large = request("/once/x", "r5", None);
     *large.body_mut() = Full::new(Bytes::from(vec![0; 10_001]));
     assert_eq!(
-        call(&fleet, large).await.status(),
+        call(&fleet.gateways[0], large).await.status(),
         StatusCode::PAYLOAD_TOO_LARGE
     );
     assert!(fleet.endpoints[0].ran().is_empty());
@@ -199,7 +155,7 @@
     for endpoint in &fleet.endpoints {
         endpoint.set_manner(manner);
     }
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(
         response.status(),
         StatusCode::BAD_GATEWAY,
@@ -223,7 +179,11 @@
     let fleet = start(1, &["plain", "plain"]).await;
     fleet.endpoints[0].set_manner(manner);
     for number in 0..6 {
-        let response = call(&fleet, request("/again/x", &format!("r{number}"), None)).await;
+        let response = call(
+            &fleet.gateways[0],
+            request("/again/x", &format!("r{number}"), None),
+        )
+        .await;
         assert_eq!(response.status(), StatusCode::OK);
         assert_eq!(
             response.headers()["x-request-id"],
@@ -237,7 +197,7 @@
 async fn a_refusal_is_true_and_says_when_to_come_back() {
     let fleet = start(1, &["plain"]).await;
     fleet.endpoints[0].set_manner(EndpointManner::Full);
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(response.headers().contains_key("retry-after"));
     assert_eq!(fleet.runs_of("r1"), 0);
@@ -250,7 +210,7 @@
     let mut resumed = 0;
     for number in 0..8 {
         let id = format!("r{number}");
-        let response = call(&fleet, request("/live/x", &id, Some(9))).await;
+        let response = call(&fleet.gateways[0], request("/live/x", &id, Some(9))).await;
         assert_eq!(text(response).await, all_events(9));
         resumed += fleet.runs_of(&id) - 1;
     }
@@ -264,7 +224,7 @@
     let mut repeated = 0;
     for number in 0..8 {
         let id = format!("r{number}");
-        let response = call(&fleet, request("/live/x", &id, Some(9))).await;
+        let response = call(&fleet.gateways[0], request("/live/x", &id, Some(9))).await;
         assert_eq!(response.status(), StatusCode::OK);
         assert_eq!(text(response).await, all_events(9));
         repeated += fleet.runs_of(&id) - 1;
@@ -276,7 +236,7 @@
 async fn a_stream_that_may_not_be_resumed_looks_cut_short() {
     let fleet = start(1, &["model"]).await;
     fleet.endpoints[0].set_manner(EndpointManner::CutsAfter(3));
-    let response = call(&fleet, request("/draft/x", "r1", Some(9))).await;
+    let response = call(&fleet.gateways[0], request("/draft/x", "r1", Some(9))).await;
     assert_eq!(response.status(), StatusCode::OK);
     assert!(
         response.into_body().collect().await.is_err(),
@@ -314,7 +274,7 @@
     short
         .headers_mut()
         .insert("x-deadline-ms", "300".parse().unwrap());
-    let response = call(&fleet, short).await;
+    let response = call(&fleet.gateways[0], short).await;
     assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT);
     assert_eq!(fleet.runs_of("r1"), 1);
 }
@@ -359,7 +319,7 @@
         gateway.logged().contains("reloaded")
     })
     .await;
-    let response = call(&fleet, request("/again/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/again/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::OK);
 }
 
@@ -377,7 +337,7 @@
     fleet.store.set("op/config", route_config(5, KEYS));
     fleet.store.forget_history();
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
 }
 
@@ -392,7 +352,7 @@
         gateway.logged().contains("unreadable")
     })
     .await;
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::OK);
 }
 
@@ -404,7 +364,7 @@
     fleet.gateways[0].restart().unwrap();
     let gateway = &fleet.gateways[0];
     wait_until("it is ready", async || gateway.is_ready().await).await;
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::OK);
 }
 
@@ -420,7 +380,11 @@
         .await;
     }
     for number in 0..6 {
-        let response = call(&fleet, request("/again/x", &format!("r{number}"), None)).await;
+        let response = call(
+            &fleet.gateways[0],
+            request("/again/x", &format!("r{number}"), None),
+        )
+        .await;
         assert_eq!(response.status(), StatusCode::OK);
     }
     assert!(fleet.endpoints[0].ran().is_empty());
@@ -435,7 +399,7 @@
     fleet.store.set("servers/life-9", value);
     let gateway = &fleet.gateways[0];
     wait_until("it is known", async || gateway.logged().contains("life-9")).await;
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(fleet.runs_of("r1"), 0);
 }
@@ -452,7 +416,7 @@
         assert_eq!(sent.await.unwrap().status(), StatusCode::OK);
         resting.push(sender);
     }
-    let late = call(&fleet, request("/again/x", "late", None));
+    let late = call(&fleet.gateways[0], request("/again/x", "late", None));
     let late = tokio::time::timeout(Duration::from_secs(10), late).await;
     assert_eq!(late.expect("it is taken").status(), StatusCode::OK);
 }
@@ -498,7 +462,7 @@
     wait_until("it is known", async || gateway.logged().contains("life-9")).await;
     for number in 0..5 {
         let id = format!("r{number}");
-        let response = call(&fleet, request("/again/x", &id, None)).await;
+        let response = call(&fleet.gateways[0], request("/again/x", &id, None)).await;
         assert_eq!(response.status(), StatusCode::OK);
         assert_eq!(response.headers()["x-request-id"], id.as_str());
         assert_eq!(text(response).await, "own");
@@ -515,7 +479,7 @@
         gateway.logged().contains(r#""version":9"#)
     })
     .await;
-    let response = call(&fleet, request("/once/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
 }
 
@@ -535,7 +499,7 @@
     })
     .await;
     assert!(!gateway.is_ready().await);
-    let response = call(&fleet, request("/again/x", "r1", None)).await;
+    let response = call(&fleet.gateways[0], request("/again/x", "r1", None)).await;
     assert_eq!(response.headers()["connection"], "close");
     wait_until("the box has caught up", async || gateway.is_ready().await).await;
     // Lines are written a moment later, some together.
@@ -543,7 +507,7 @@
         gateway.logged().contains("\"caught_up\"")
     })
     .await;
-    let response = call(&fleet, request("/again/x", "r2", None)).await;
+    let response = call(&fleet.gateways[0], request("/again/x", "r2", None)).await;
     assert!(!response.headers().contains_key("connection"));
 }
 
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -64,7 +64,7 @@
 }
 
 /// The endpoints of all services.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct EndpointBook {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
     /// Those that take work, by service: worked out with each change, looked up with each request.
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -149,3 +149,31 @@
     assert_eq!(told.expire(2_610), ["e"]);
     assert_eq!(told.ready("x").len(), 0);
 }
+
+/// Engines got prompts 4.4 s after they had left. Two failure domains had heard from the store that the
+/// engine's record was gone. The third was cut off just then; its boxes listed the store again 3 s
+/// later, missed the record, and kept it for two seconds more, as records that lapsed in an outage may
+/// come back. They told it on as newer than the removal, and dozens of boxes that had known better
+/// took it back: their logs had it gone twice, first by the store, then as lapsed.
+#[test]
+fn what_one_box_holds_in_doubt_undoes_nothing_that_is_certain_at_another() {
+    let mut doubting = EndpointBook::default();
+    doubting.apply(put("gone", 3), None);
+    doubting.apply(put("back", 4), None);
+    let mut certain = doubting.clone();
+    certain.apply(EndpointChange::Removed("gone".to_owned(), 5), None);
+    certain.apply(EndpointChange::Removed("back".to_owned(), 6), Some(2_600));
+    doubting.replace(Vec::new(), 7, Some(2_600));
+    certain.apply(put("back", 8), None);
+
+    certain.learn(doubting.tell(1_000), doubting.revision(), 1_000);
+    let known: Vec<&str> = certain.iter().map(|(_, entry)| &*entry.record.id).collect();
+    assert_eq!(known, ["back"], "what was removed stays so");
+    assert!(certain.expire(9_000).is_empty(), "what was written stays");
+    doubting.learn(certain.tell(1_100), certain.revision(), 1_100);
+    let known: Vec<&str> = doubting
+        .iter()
+        .map(|(_, entry)| &*entry.record.id)
+        .collect();
+    assert_eq!(known, ["back"], "who knows better ends the doubt");
+}
