fix: boxes ask each other for endpoints and for the configuration apart

Cause of the drain incident: a box that does not follow the store asked for all that it lacked in one answer within 0.8 s. While a configuration of 1.2 MB was told to 85 boxes, answers took longer; they were given up and asked for again, and the notice that an engine leaves was in the same answers.

Each kind of news has a question, a limit and a task of its own now. The limit doubles after an answer that did not come, up to 3.2 s, and another box is asked next; the configuration is encoded once for all that ask. A box that follows the store waits for its watch only while it has one that answers, and boxes of other domains are asked 0.35 s after those of the own one could have known.

Ruled out: a longer limit for both, which makes the notice wait longer still.

Before: the_notice_of_an_endpoint_that_leaves_does_not_wait_for_a_large_configuration waited 20 s in vain.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -42,7 +42,9 @@
 
 pub use admission::{AdmissionRule, EngineVerdict};
 pub use answer_rule::{AnswerOwner, AnswerSigns, AnswerVerdict};
-pub use box_beat::{BoxBeat, BoxReport, BoxRow, BoxStanding, DigestScope, DomainKey, FleetDigest};
+pub use box_beat::{
+    BoxBeat, BoxKnowledge, BoxReport, BoxRow, BoxStanding, DigestScope, DomainKey, FleetDigest,
+};
 pub use domain_reach::DomainReach;
 pub use endpoint_book::{
     EndpointBook, EndpointChange, EndpointEntry, ReadyEndpoint, ToldDoubt, ToldEndpoint,
@@ -51,7 +53,7 @@
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
 pub use engine_load::{EngineLoad, EngineRun};
 pub use event_splitter::{EventSplitter, SplitEvent};
-pub use fleet_view::{BoxNews, FleetView};
+pub use fleet_view::{BetterBox, BoxNews, FleetView};
 pub use home_order::{best_homes, name_hash, owner_of_endpoint};
 pub use loop_lag::{LagChange, LoopLag};
 pub use prefix_cache::PrefixCache;
--- a/dockgate-core/src/gateway/box_beat.rs
+++ b/dockgate-core/src/gateway/box_beat.rs
@@ -85,6 +85,25 @@
     }
 }
 
+/// What one box may know more of than another.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BoxKnowledge {
+    /// The configuration.
+    Config,
+    /// The endpoints.
+    Endpoints,
+}
+
+impl BoxKnowledge {
+    /// Returns the name, for logs and counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Endpoints => "endpoints",
+        }
+    }
+}
+
 /// What a box says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BoxBeat {
@@ -150,6 +169,14 @@
         self
     }
 
+    /// Returns how new its knowledge is: a version or a revision.
+    pub const fn known_of(&self, what: BoxKnowledge) -> u64 {
+        match what {
+            BoxKnowledge::Config => self.config_version,
+            BoxKnowledge::Endpoints => self.endpoint_revision,
+        }
+    }
+
     /// Returns the key of the box.
     pub fn key(&self) -> BoxKey {
         BoxKey::from_name(&self.name)
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -9,7 +9,7 @@
 mod digest;
 mod seen_box;
 
-use super::box_beat::{BoxBeat, BoxStanding, DomainKey};
+use super::box_beat::{BoxBeat, BoxKnowledge, BoxStanding, DomainKey};
 use super::home_order::{owner_of_endpoint, pair_score};
 use super::route_table::EndpointId;
 use super::store_duty::StoreWatchers;
@@ -30,6 +30,15 @@
     NewLife,
 }
 
+/// A box that knows more than this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BetterBox {
+    /// Where it tells what it knows.
+    pub state_address: SocketAddr,
+    /// Whether it is of the own failure domain.
+    pub is_near: bool,
+}
+
 /// How many boxes another box counts.
 #[derive(Debug, Clone, Copy)]
 struct ToldCount {
@@ -454,28 +463,33 @@
         names.cloned().collect()
     }
 
-    /// Finds a box that knows a newer configuration, or newer endpoints, than this one.
+    /// Finds a box that knows more of `what` than this one.
     ///
     /// One of the own domain that knows more goes before all others: its list crosses no link between
     /// domains, and what it lacks itself is asked for next. Of several that know the same, boxes of one
     /// domain ask different ones, so that a change which two boxes saw is not asked of one of them by
-    /// all others.
-    pub fn better_informed(&self, now_ms: u64) -> Option<SocketAddr> {
-        let own = &self.own;
+    /// all others. One to `avoid` is asked where nobody else knows more.
+    pub fn better_informed(
+        &self,
+        what: BoxKnowledge,
+        avoid: Option<SocketAddr>,
+        now_ms: u64,
+    ) -> Option<BetterBox> {
+        let own = self.own.known_of(what);
         let heard = self.others.iter();
         let heard = heard.filter(|(_, seen)| seen.is_heard(now_ms));
         let told = heard.filter_map(|(key, seen)| Some((*key, seen.beat.as_ref()?)));
-        let better = told.filter(|(_, beat)| {
-            beat.config_version > own.config_version
-                || beat.endpoint_revision > own.endpoint_revision
-        });
+        let better = told.filter(|(_, beat)| beat.known_of(what) > own);
         let me = self.me();
         let best = better.max_by_key(|(key, beat)| {
-            let near = beat.domain == own.domain;
-            let known = (beat.config_version, beat.endpoint_revision);
-            (near, known, pair_score(me, *key))
+            let answers = Some(beat.state_address) != avoid;
+            let near = beat.domain == self.own.domain;
+            (answers, near, beat.known_of(what), pair_score(me, *key))
         });
-        best.map(|(_, beat)| beat.state_address)
+        best.map(|(_, beat)| BetterBox {
+            state_address: beat.state_address,
+            is_near: beat.domain == self.own.domain,
+        })
     }
 }
 
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -73,12 +73,18 @@
 #[test]
 fn the_box_that_knows_most_is_asked() {
     let mut view = view();
-    assert_eq!(view.better_informed(1_000), None);
+    let better = |view: &FleetView, what: BoxKnowledge, now_ms: u64| {
+        let better = view.better_informed(what, None, now_ms);
+        better.map(|better| better.state_address)
+    };
+    assert_eq!(better(&view, BoxKnowledge::Config, 1_000), None);
     let newer = beat("b1", "b").sequence(2).known(4, 0);
     view.hear(newer.clone(), Incarnation(1), 1_100);
-    assert_eq!(view.better_informed(1_100), Some(newer.state_address));
+    let asked = Some(newer.state_address);
+    assert_eq!(better(&view, BoxKnowledge::Config, 1_100), asked);
+    assert_eq!(better(&view, BoxKnowledge::Endpoints, 1_100), None);
     view.set_known(4, 0);
-    assert_eq!(view.better_informed(1_100), None);
+    assert_eq!(better(&view, BoxKnowledge::Config, 1_100), None);
 }
 
 #[test]
@@ -121,7 +127,8 @@
             let informed = informed.state_address(state_address);
             view.hear(informed, Incarnation(1), 1_000);
         }
-        view.better_informed(1_000).unwrap()
+        let better = view.better_informed(BoxKnowledge::Config, None, 1_000);
+        better.unwrap().state_address
     };
     let asked: BTreeSet<SocketAddr> = (0..20)
         .map(|number| asked(&format!("a-{number}")))
@@ -135,11 +142,21 @@
 fn a_box_of_the_own_domain_is_asked_first_and_others_for_what_it_lacks() {
     let mut view = FleetView::new(beat("a1", "a"));
     let address = |index: u8| SocketAddr::from(([10, 0, 0, index], 7_500));
+    let asked = |view: &FleetView, avoid: Option<SocketAddr>| {
+        let better = view.better_informed(BoxKnowledge::Config, avoid, 1_000);
+        better.map(|better| better.state_address)
+    };
     let near = beat("a2", "a").known(5, 0).state_address(address(2));
     let far = beat("b1", "b").known(7, 0).state_address(address(3));
     view.hear(near, Incarnation(1), 1_000);
     view.hear(far, Incarnation(1), 1_000);
-    assert_eq!(view.better_informed(1_000), Some(address(2)));
+    assert_eq!(asked(&view, None), Some(address(2)));
+    let silent = Some(address(2));
+    assert_eq!(
+        asked(&view, silent),
+        Some(address(3)),
+        "one that gave no answer goes last"
+    );
     view.set_known(5, 0);
-    assert_eq!(view.better_informed(1_000), Some(address(3)));
+    assert_eq!(asked(&view, None), Some(address(3)));
 }
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -136,7 +136,10 @@
     }
 }
 
-/// Asks a box what it knows.
+/// Asks a box what it knows: the configuration or the endpoints, never both.
+///
+/// A notice that an endpoint leaves is some bytes and is due within seconds; a configuration may be a
+/// megabyte. In one answer the small one waits for the large one, and is lost with it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateRequest {
     /// The version of the configuration that the asking box has.
@@ -145,11 +148,32 @@
     pub endpoint_revision: u64,
 }
 
-/// What a box knows beyond the one that asks.
+impl StateRequest {
+    /// Newer than anything, so that it is not told.
+    const NOT_ASKED: u64 = u64::MAX;
+
+    /// Asks for a configuration that is newer than this version.
+    pub const fn config(version: u64) -> Self {
+        Self {
+            config_version: version,
+            endpoint_revision: Self::NOT_ASKED,
+        }
+    }
+
+    /// Asks for the endpoints, if more is known of them than up to this revision.
+    pub const fn endpoints(revision: u64) -> Self {
+        Self {
+            config_version: Self::NOT_ASKED,
+            endpoint_revision: revision,
+        }
+    }
+}
+
+/// What a box knows beyond the one that asks; `C` is the form of the configuration.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct StateAnswer {
+pub struct StateAnswer<C = RouteConfig> {
     /// Its configuration, if that is newer.
-    pub config: Option<RouteConfig>,
+    pub config: Option<C>,
     /// Its endpoints, if it knows newer ones.
     pub endpoints: Option<Vec<ToldEndpoint>>,
     /// The store's revision up to which it knows the endpoints.
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::error::DaemonError;
 use crate::logging::drain_lines;
 use crate::stop::wait_for_signal;
+use dockgate_core::gateway::BoxKnowledge;
 use events::{GatewayEvent, log_gateway};
 use front::CallerFront;
 use gateway_state::GatewayState;
@@ -117,7 +118,9 @@
     tokio::spawn(membership::beat(state.clone()));
     tokio::spawn(overload::watch_lag(state.clone()));
     tokio::spawn(domain_watch::watch_domains(state.clone()));
-    tokio::spawn(peer_state::ask_better_informed(state.clone()));
+    for what in [BoxKnowledge::Config, BoxKnowledge::Endpoints] {
+        tokio::spawn(peer_state::chase_news(state.clone(), what));
+    }
     let (stop, server) = jsonrpsee::server::stop_channel();
     // The door serves until the process ends.
     std::mem::forget(server);
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -15,6 +15,7 @@
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
+use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -68,12 +69,20 @@
     pub(super) reached: BTreeMap<&'static str, u64>,
 }
 
+/// A configuration in the form in which boxes tell it.
+struct EncodedConfig {
+    version: u64,
+    json: Box<RawValue>,
+}
+
 /// The shared state of a gateway.
 pub(super) struct GatewayState {
     settings: ArcSwap<GatewaySettings>,
     incarnation: Incarnation,
     me: BoxKey,
     table: ArcSwap<RouteTable>,
+    /// The configuration in force in the form in which it is told, from the first time that it is.
+    encoded: Mutex<Option<EncodedConfig>>,
     beliefs: Mutex<GatewayBeliefs>,
     counter: AtomicU32,
     /// When the configuration in force came.
@@ -113,6 +122,7 @@
             me: BoxKey::from_name(&settings.name),
             incarnation: Incarnation(rand::random()),
             table: ArcSwap::default(),
+            encoded: Mutex::new(None),
             beliefs: Mutex::new(beliefs),
             // Numbers of an earlier life are not met again soon.
             counter: AtomicU32::new(rand::random()),
@@ -181,6 +191,11 @@
         })
     }
 
+    /// Tells whether this box follows the store and was answered the last time.
+    pub(super) fn hears_store(&self) -> bool {
+        self.with(|beliefs| beliefs.fleet.own().standing.reaches_store)
+    }
+
     /// Notes whether the store answered about what `step` names, for the other boxes to know.
     pub(super) fn note_store(&self, step: &'static str, answered: bool) {
         /// Routes and endpoints.
@@ -203,6 +218,23 @@
         self.table.load_full()
     }
 
+    /// Returns the configuration in force in the form in which other boxes are told it.
+    ///
+    /// It is encoded once: a box that follows the store wrote 1.2 MB anew for each of 14 others, and was
+    /// 1.7 s late with the changes of endpoints meanwhile (one run).
+    pub(super) fn encoded_config(&self) -> Option<Box<RawValue>> {
+        let table = self.table();
+        let version = table.config().version;
+        let mut encoded = self.encoded.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_in_force = encoded.as_ref().is_some_and(|kept| kept.version == version);
+        if !is_in_force {
+            let json = to_raw_value(table.config())
+                .inspect_err(|error| log::error!("encode configuration {version}: {error}"));
+            *encoded = json.ok().map(|json| EncodedConfig { version, json });
+        }
+        encoded.as_ref().map(|kept| kept.json.clone())
+    }
+
     /// Returns for how long the configuration has been in force here, in milliseconds.
     pub(super) fn config_age_ms(&self) -> u64 {
         now_ms().saturating_sub(self.config_ms.load(Ordering::Relaxed))
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -2,6 +2,10 @@
 //!
 //! A box that the store turns away, or that has just begun while the store is out, learns routes
 //! and endpoints from a box that reaches it. Versions and revisions never go back.
+//!
+//! The two are asked for apart. They came in one answer with one limit once: while a configuration of
+//! 1.2 MB went to 85 boxes, 832 answers took longer than that, and 186 prompts reached engines more than
+//! 3 s after these had said that they leave, since the notice was in the same answers (one run).
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
@@ -9,6 +13,7 @@
 use crate::clock::now_ms;
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
+use dockgate_core::gateway::{BetterBox, BoxKnowledge};
 use dockgate_proto::{StateAnswer, StateRequest, methods};
 use http::{Extensions, HeaderMap};
 use jsonrpsee::RpcModule;
@@ -17,19 +22,29 @@
 use jsonrpsee::rpc_params;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::WsClientBuilder;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How often this box looks whether another one knows more. The watch of the store usually tells
 /// sooner; this bounds how long a watch whose answer was lost matters.
-const LOOK: Duration = Duration::from_millis(350);
+const LOOK: Duration = Duration::from_millis(150);
 /// The same for a box that has no configuration yet: it serves nobody until it has.
 const FIRST_LOOK: Duration = Duration::from_millis(40);
-/// How long another box must be ahead until it is asked: the own watch is usually on its way.
-const PATIENCE_LOOKS: u32 = 2;
-/// How long asking may take.
-const TIMEOUT: Duration = Duration::from_millis(800);
+/// How long others must be ahead until a box that follows the store asks, in milliseconds: its own watch
+/// is usually on its way, and pauses for 300 ms between changes.
+const WATCH_PATIENCE_MS: u64 = 700;
+/// How long a box of another domain must be ahead until it is asked, in milliseconds: a beat and a bit, in
+/// which those of the own domain usually know it too, and telling that costs no bytes between domains.
+const FAR_PATIENCE_MS: u64 = 350;
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_millis(800);
+/// How long an answer may take at first; twice as long after each one that did not come in time, since how
+/// large the news is, and how busy the other box, is not known before.
+const ANSWER: Duration = Duration::from_millis(800);
+/// How long an answer may take at most: a bound, beyond which the other box is taken for gone.
+const LONGEST_ANSWER: Duration = Duration::from_millis(3_200);
 
 /// Makes the door at which other boxes ask. Whoever reaches it may ask: the platform keeps others
 /// away from the boxes' own ports.
@@ -52,69 +67,124 @@
     })
 }
 
-fn answer(state: &GatewayState, request: StateRequest) -> StateAnswer {
-    let table = state.table();
-    let config = table.config();
+fn answer(state: &GatewayState, request: StateRequest) -> StateAnswer<Box<RawValue>> {
+    let newer = state.table().config().version > request.config_version;
+    let config = newer.then(|| state.encoded_config()).flatten();
     state.with(|beliefs| {
         let endpoints = &beliefs.endpoints;
         let newer = endpoints.revision() > request.endpoint_revision;
         StateAnswer {
-            config: (config.version > request.config_version).then(|| config.clone()),
+            config,
             endpoints: newer.then(|| endpoints.tell(now_ms())),
             endpoint_revision: endpoints.revision(),
         }
     })
 }
 
-/// Asks a box that knows more, until the process ends.
-pub(super) async fn ask_better_informed(state: Arc<GatewayState>) {
-    let mut looks = 0;
-    loop {
-        let look = match state.table().config().version {
-            0 => FIRST_LOOK,
-            _ => LOOK,
+/// Since when this box has known that others know more, and how it went to ask them.
+#[derive(Debug, Default)]
+struct NewsChase {
+    behind_since_ms: Option<u64>,
+    /// The last box that gave no answer.
+    silent: Option<SocketAddr>,
+    /// How many answers in a row did not come.
+    missed: u32,
+}
+
+impl NewsChase {
+    /// Returns which box to ask now, if any.
+    fn due(
+        &mut self,
+        better: Option<BetterBox>,
+        has_watch: bool,
+        now_ms: u64,
+    ) -> Option<BetterBox> {
+        let Some(better) = better else {
+            self.behind_since_ms = None;
+            return None;
         };
-        tokio::time::sleep(look).await;
-        let better = state.with(|beliefs| beliefs.fleet.better_informed(now_ms()));
-        let Some(peer) = better else {
-            looks = 0;
-            continue;
+        let behind_ms = now_ms - *self.behind_since_ms.get_or_insert(now_ms);
+        let patience_ms = match (has_watch, better.is_near) {
+            (true, _) => WATCH_PATIENCE_MS,
+            (false, false) => FAR_PATIENCE_MS,
+            (false, true) => 0,
         };
-        looks += 1;
-        // A box that knows nothing yet, or does not follow the store, has no watch to wait for.
-        let waits = state.table().config().version > 0 && state.follows_store();
-        if waits && looks < PATIENCE_LOOKS {
-            continue;
+        (behind_ms >= patience_ms).then_some(better)
+    }
+
+    /// Returns how long an answer may take.
+    fn limit(&self) -> Duration {
+        (ANSWER * (1 << self.missed.min(8))).min(LONGEST_ANSWER)
+    }
+
+    fn note(&mut self, peer: SocketAddr, answered: bool) {
+        match answered {
+            true => *self = Self::default(),
+            false => {
+                self.silent = Some(peer);
+                self.missed += 1;
+            }
         }
-        ask_noted(&state, peer).await;
     }
 }
 
-/// Asks, and notes how long that took and what became of it.
-async fn ask_noted(state: &GatewayState, peer: SocketAddr) {
-    const WHAT: &str = "all";
+/// Asks boxes that know more of `what`, until the process ends.
+pub(super) async fn chase_news(state: Arc<GatewayState>, what: BoxKnowledge) {
+    let mut chase = NewsChase::default();
+    loop {
+        let version = state.table().config().version;
+        let look = if version == 0 { FIRST_LOOK } else { LOOK };
+        tokio::time::sleep(look).await;
+        let now = now_ms();
+        let better = state.with(|beliefs| beliefs.fleet.better_informed(what, chase.silent, now));
+        // A box that knows nothing yet has no time to wait for its watch.
+        let has_watch = version > 0 && state.hears_store();
+        if let Some(better) = chase.due(better, has_watch, now) {
+            let peer = better.state_address;
+            let answered = ask_noted(&state, peer, what, chase.limit()).await;
+            chase.note(peer, answered);
+        }
+    }
+}
+
+/// Asks, and notes how long that took and what became of it; returns whether it was answered.
+async fn ask_noted(
+    state: &GatewayState,
+    peer: SocketAddr,
+    what: BoxKnowledge,
+    limit: Duration,
+) -> bool {
     let began_ms = now_ms();
-    let asked = ask(state, peer).await;
+    let asked = ask(state, peer, what, limit).await;
     let took_ms = now_ms() - began_ms;
-    GATEWAY_METRICS.note_question(WHAT, asked.is_ok(), Duration::from_millis(took_ms));
-    if let Err(error) = asked {
+    let took = Duration::from_millis(took_ms);
+    GATEWAY_METRICS.note_question(what.name(), asked.is_ok(), took);
+    if let Err(error) = &asked {
         log_gateway(&GatewayEvent::StateUnanswered {
             peer: &peer.to_string(),
-            what: WHAT,
+            what: what.name(),
             took_ms,
             problem: error.to_string(),
         });
     }
+    asked.is_ok()
 }
 
-async fn ask(state: &GatewayState, peer: SocketAddr) -> Result<(), ClientError> {
-    let request = StateRequest {
-        config_version: state.table().config().version,
-        endpoint_revision: state.with(|beliefs| beliefs.endpoints.revision()),
+async fn ask(
+    state: &GatewayState,
+    peer: SocketAddr,
+    what: BoxKnowledge,
+    limit: Duration,
+) -> Result<(), ClientError> {
+    let request = match what {
+        BoxKnowledge::Config => StateRequest::config(state.table().config().version),
+        BoxKnowledge::Endpoints => {
+            StateRequest::endpoints(state.with(|beliefs| beliefs.endpoints.revision()))
+        }
     };
     let client = WsClientBuilder::new()
-        .request_timeout(TIMEOUT)
-        .connection_timeout(TIMEOUT)
+        .request_timeout(limit)
+        .connection_timeout(CONNECT)
         .build(format!("ws://{peer}"))
         .await?;
     let answer: StateAnswer = client.request(methods::STATE, rpc_params![request]).await?;
@@ -127,3 +197,6 @@
     }
     Ok(())
 }
+
+#[cfg(test)]
+mod tests;
