--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -514,4 +514,6 @@
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
+mod store_tests;
+#[cfg(test)]
 mod tests;
--- a/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
@@ -28,40 +28,40 @@
     saying: Saying,
 }
 
-struct FleetBox {
-    view: FleetView,
+pub(super) struct FleetBox {
+    pub(super) view: FleetView,
     incarnation: Incarnation,
-    next_ms: u64,
+    pub(super) next_ms: u64,
     rounds: u32,
-    is_up: bool,
+    pub(super) is_up: bool,
     /// Boxes with another number here cannot be reached.
-    side: u8,
+    pub(super) side: u8,
 }
 
 /// A seeded generator: the same fleet fails in the same way each time.
-struct Luck(u64);
+pub(super) struct Luck(pub(super) u64);
 
 impl Luck {
-    fn draw(&mut self, below: u64) -> u64 {
+    pub(super) fn draw(&mut self, below: u64) -> u64 {
         self.0 = super::super::home_order::name_hash(&self.0.to_string());
         self.0 % below
     }
 }
 
-struct Fleet {
-    boxes: Vec<FleetBox>,
+pub(super) struct Fleet {
+    pub(super) boxes: Vec<FleetBox>,
     under_way: Vec<Datagram>,
     luck: Luck,
     /// How many of a hundred datagrams are lost.
     lost: u64,
-    now_ms: u64,
+    pub(super) now_ms: u64,
 }
 
 fn address_of(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 250) as u8, (index % 250) as u8], 7_400))
 }
 
-fn index_of(address: SocketAddr) -> usize {
+pub(super) fn index_of(address: SocketAddr) -> usize {
     match address.ip() {
         std::net::IpAddr::V4(ip) => usize::from(ip.octets()[2]) * 250 + usize::from(ip.octets()[3]),
         std::net::IpAddr::V6(_) => unreachable!("all have numbers of four parts"),
@@ -70,7 +70,7 @@
 
 impl Fleet {
     /// Makes a fleet in which three boxes of each domain have most processor.
-    fn new(count: usize, domains: usize, lost: u64, seed: u64) -> Self {
+    pub(super) fn new(count: usize, domains: usize, lost: u64, seed: u64) -> Self {
         let mut luck = Luck(seed);
         let boxes = (0..count).map(|index| FleetBox {
             view: first_view(index, domains),
@@ -89,7 +89,7 @@
         }
     }
 
-    fn run(&mut self, for_ms: u64) {
+    pub(super) fn run(&mut self, for_ms: u64) {
         let end_ms = self.now_ms + for_ms;
         while self.now_ms < end_ms {
             self.now_ms += 10;
