fix: a watch on a connection that fell silent is found by the store's revision

The store's answers to calls for nothing name a revision. One that no watch has told of for a second means that a watch hears nothing more, though the store is there: watches are made anew (WatchCheck). Before, the probes of the connection took 3 s to show it, all of the bound, or the watch's end 9.5 s.

What a gateway knows of its contact with the store moved to gateway_state/store_reach.rs.

--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -208,11 +208,13 @@
 async fn open_door(state: &Arc<PlatformState>) -> Result<StoreDoor, BenchError> {
     let (state, door) = (state.clone(), DoorState::new());
     let met = door.clone();
-    let handle = move |request| {
+    let handle = move |request: Request<Incoming>| {
         let (state, door) = (state.clone(), met.clone());
         async move {
+            let is_watch = request.uri().path() == routes::WATCH;
+            let dropped = door.dropped();
             let answer = handle(state, &door, request).await;
-            door.pass(answer).await
+            door.pass(answer, is_watch, dropped).await
         }
     };
     let address = serve(handle, CancellationToken::new()).await?;
--- a/dockgate-bench/src/standin/platform/store_door.rs
+++ b/dockgate-bench/src/standin/platform/store_door.rs
@@ -1,9 +1,8 @@
 //! One address of the store, behind which it can fall silent for those who call there.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
@@ -11,6 +10,8 @@
 #[derive(Debug)]
 pub(super) struct DoorState {
     silent: watch::Sender<bool>,
+    /// How often the watches that waited were dropped.
+    dropped: AtomicU64,
     watched: Mutex<Option<(Instant, Duration)>>,
 }
 
@@ -18,6 +19,7 @@
     pub(super) fn new() -> Arc<Self> {
         Arc::new(Self {
             silent: watch::channel(false).0,
+            dropped: AtomicU64::new(0),
             watched: Mutex::new(None),
         })
     }
@@ -27,9 +29,15 @@
         *self.watched.lock().unwrap_or_else(PoisonError::into_inner) = Some((Instant::now(), wait));
     }
 
-    /// Returns an answer, or never does while nothing is said here.
-    pub(super) async fn pass<T>(&self, answer: T) -> T {
-        if *self.silent.borrow() {
+    /// Returns how often watches were dropped.
+    pub(super) fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Acquire)
+    }
+
+    /// Returns an answer, or never does while nothing is said here, or where the call is one of the
+    /// watches that were dropped since it came; `dropped` is how often that had happened by then.
+    pub(super) async fn pass<T>(&self, answer: T, is_watch: bool, dropped: u64) -> T {
+        if *self.silent.borrow() || (is_watch && dropped < self.dropped()) {
             std::future::pending::<()>().await;
         }
         answer
@@ -51,6 +59,11 @@
         self.state.silent.send_replace(silent);
     }
 
+    /// Silences the connections on which watches wait now; whatever is called later is answered.
+    pub fn drop_watches(&self) {
+        self.state.dropped.fetch_add(1, Ordering::AcqRel);
+    }
+
     /// Returns when the last watch of endpoints was begun here, and when it would end by itself.
     pub fn watch(&self) -> Option<(Instant, Instant)> {
         let watched = self.state.watched.lock();
--- a/dockgate-bench/tests/drain.rs
+++ b/dockgate-bench/tests/drain.rs
@@ -139,3 +139,23 @@
     );
     sends_nothing_to(&fleet, other, 0).await;
 }
+
+/// A connection that falls silent for good while others work: calls are answered, so the store is there,
+/// and the watch that waits hears nothing more until it is over.
+#[tokio::test]
+async fn a_watch_that_hears_nothing_more_is_made_anew_before_it_is_over() {
+    let fleet = start(1).await;
+    let door = &fleet.doors[0];
+    wait_until("the box watches", async || door.watch().is_some()).await;
+    let (_, end) = door.watch().unwrap();
+    door.drop_watches();
+    let (key, value) = fleet.endpoints[0].record("a", "draining");
+    fleet.store.set(&key, value);
+    let gateway = &fleet.gateways[0];
+    wait_until("the box knows it", async || {
+        gateway.logged().contains("\"endpoint_draining\"")
+    })
+    .await;
+    assert!(Instant::now() < end, "not before the watch was over");
+    sends_nothing_to(&fleet, 0, 0).await;
+}
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -39,6 +39,7 @@
 mod share_window;
 mod store_duty;
 mod store_pulse;
+mod watch_check;
 mod work_shed;
 
 pub use admission::{AdmissionRule, EngineVerdict};
@@ -71,4 +72,5 @@
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
 pub use store_pulse::{PulseNews, PulseRule, StorePulse};
+pub use watch_check::WatchCheck;
 pub use work_shed::WorkShed;
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -37,7 +37,7 @@
     if state.follows_store() {
         return false;
     }
-    state.note_store(step, false);
+    state.note_store(step, None);
     let mut roles = state.store_roles();
     // The state that sends it lives as long as this task.
     let _ = roles.wait_for(|role| role.follows).await;
@@ -72,14 +72,15 @@
             }
             Err(error) => {
                 contact.lost(&error);
-                state.note_store(prefix, false);
+                state.note_store(prefix, None);
                 pause_after_failure().await;
                 continue;
             }
         };
-        note_heard(state, prefix);
+        note_heard(state, prefix, since);
         while state.follows_store() {
-            // What a watch was answered while the store was silent is lost, so that it is made anew.
+            // What a watch was answered while the store was silent is lost, so that it is made anew; so is
+            // one that hears nothing more while the store changes.
             let watched = tokio::select! {
                 watched = client.watch(prefix, since, WATCH) => watched,
                 Ok(()) = returns.changed() => {
@@ -93,7 +94,7 @@
                     contact.answered();
                     since = revision;
                     changed(&contact, events);
-                    note_heard(state, prefix);
+                    note_heard(state, prefix, since);
                     tokio::time::sleep(pause).await;
                 }
                 Ok(WatchOutcome::HistoryLost) => {
@@ -106,7 +107,7 @@
                 }
                 Err(error) => {
                     contact.lost(&error);
-                    state.note_store(prefix, false);
+                    state.note_store(prefix, None);
                     pause_after_failure().await;
                 }
             }
@@ -115,8 +116,8 @@
 }
 
 /// Notes that the store has told what it has; a box to which nobody beats says so at once.
-fn note_heard(state: &GatewayState, step: &'static str) {
-    let began = state.note_store(step, true);
+fn note_heard(state: &GatewayState, step: &'static str, revision: u64) {
+    let began = state.note_store(step, Some(revision));
     if began || !state.coordinates() {
         send_beat(state);
     }
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -1,5 +1,7 @@
 //! What a gateway believes, and the few things that all its tasks share.
 
+mod store_reach;
+
 use super::events::{GatewayEvent, log_gateway};
 use super::membership::DigestCache;
 use super::settings::GatewaySettings;
@@ -11,13 +13,13 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk,
-    EngineBook, EngineVerdict, FleetView, LoopLag, OwnReach, PulseNews, ReadLog, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ShareWindow, StoreDuty, StorePulse, ToldEndpoint, WorkShed,
+    EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable,
+    RunKey, ShareWindow, StoreDuty, StorePulse, ToldEndpoint, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
 use serde_json::value::{RawValue, to_raw_value};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -68,24 +70,10 @@
     pub(super) store: StoreDuty,
     /// Whether the store hears it.
     pub(super) pulse: StorePulse,
-    /// What it follows there and was answered the last time.
-    pub(super) reached: BTreeSet<&'static str>,
-}
-
-impl GatewayBeliefs {
-    /// Says to the other boxes whether this one follows the store and is heard.
-    fn tell_reach(&mut self) {
-        /// Routes and endpoints.
-        const FOLLOWED: usize = 2;
-        let follows = self.reached.len() == FOLLOWED;
-        let proof_ms = self.pulse.proof_ms().filter(|_| follows);
-        let before = self.fleet.own().standing.reaches_store;
-        self.fleet.set_heard_store(proof_ms);
-        if before != proof_ms.is_some() {
-            // What was passed on a moment ago says otherwise.
-            self.digest = DigestCache::default();
-        }
-    }
+    /// What it follows there and was answered the last time, and up to which revision.
+    pub(super) reached: BTreeMap<&'static str, u64>,
+    /// Whether what it follows still tells of changes.
+    pub(super) watches: WatchCheck,
 }
 
 /// A configuration in the form in which boxes tell it.
@@ -138,7 +126,8 @@
             seeks: HashMap::new(),
             store: StoreDuty::default(),
             pulse: StorePulse::default(),
-            reached: BTreeSet::new(),
+            reached: BTreeMap::new(),
+            watches: WatchCheck::default(),
         };
         Self {
             me: BoxKey::from_name(&settings.name),
@@ -206,101 +195,6 @@
         PlatformClient::new(self.settings().store, STORE_TIMEOUT)
     }
 
-    /// Tells whether this box has to follow the store by itself.
-    pub(super) fn follows_store(&self) -> bool {
-        self.role.borrow().follows
-    }
-
-    /// Returns this box's part in following the store, as it changes.
-    pub(super) fn store_roles(&self) -> watch::Receiver<StoreRole> {
-        self.role.subscribe()
-    }
-
-    /// Returns the times at which the store answers again: each is how long it was away, in milliseconds.
-    pub(super) fn store_returns(&self) -> watch::Receiver<u64> {
-        self.returns.subscribe()
-    }
-
-    /// Decides what this box's part in following the store is now.
-    pub(super) fn decide_role(&self) {
-        let now = now_ms();
-        let role = self.with(|beliefs| {
-            let others = beliefs.fleet.store_watchers(now);
-            let own = OwnReach {
-                follows: beliefs.fleet.own().standing.reaches_store,
-                answered_since_ms: beliefs.pulse.answered_since_ms(),
-            };
-            StoreRole {
-                follows: beliefs.store.is_due(others, own, now),
-                looks: beliefs.store.looks(others, own, now),
-            }
-        });
-        self.role.send_if_modified(|known| {
-            let changed = *known != role;
-            *known = role;
-            changed
-        });
-    }
-
-    /// Tells whether this box is one of those of its domain that come first in following the store.
-    pub(super) fn is_first_watcher(&self) -> bool {
-        self.with(|beliefs| {
-            let others = beliefs.fleet.store_watchers(now_ms());
-            StoreDuty::comes_first(others)
-        })
-    }
-
-    /// Tells whether this box coordinates its failure domain.
-    pub(super) fn coordinates(&self) -> bool {
-        self.with(|beliefs| beliefs.fleet.coordinates(now_ms()))
-    }
-
-    /// Returns how long ago a box of this domain was last heard by the store, in milliseconds.
-    pub(super) fn store_unheard_ms(&self) -> Option<u64> {
-        self.with(|beliefs| beliefs.fleet.store_proof_age_ms(now_ms()))
-    }
-
-    /// Notes what became of a call for nothing that was made at `called_ms`; returns what it says that the
-    /// one before did not.
-    pub(super) fn note_pulse(&self, answered: bool, called_ms: u64) -> Option<PulseNews> {
-        let news = self.with(|beliefs| {
-            let news = beliefs.pulse.note(answered, called_ms);
-            beliefs.tell_reach();
-            news
-        });
-        if let Some(PulseNews::Back { away_ms }) = news {
-            self.returns.send_replace(away_ms);
-        }
-        news
-    }
-
-    /// Notes that the store is not called for a while.
-    pub(super) fn pause_pulse(&self) {
-        self.with(|beliefs| {
-            beliefs.pulse.pause();
-            beliefs.tell_reach();
-        });
-    }
-
-    /// Tells whether this box follows the store and was answered the last time.
-    pub(super) fn hears_store(&self) -> bool {
-        self.with(|beliefs| beliefs.fleet.own().standing.reaches_store)
-    }
-
-    /// Notes whether the store answered about what `step` names, for the other boxes to know; returns
-    /// whether this box is heard now and was not before.
-    pub(super) fn note_store(&self, step: &'static str, answered: bool) -> bool {
-        self.with(|beliefs| {
-            match answered {
-                true => beliefs.reached.insert(step),
-                false => beliefs.reached.remove(step),
-            };
-            let before = beliefs.fleet.own().standing.reaches_store;
-            beliefs.tell_reach();
-            !before && beliefs.fleet.own().standing.reaches_store
-        })
-    }
-
     /// Returns the routes in force.
     pub(super) fn table(&self) -> Arc<RouteTable> {
         self.table.load_full()
--- /dev/null
+++ b/dockgate/src/gateway/gateway_state/store_reach.rs
@@ -0,0 +1,148 @@
+//! Whether this box follows the platform's store, and whether the store hears it.
+
+use super::super::events::{GatewayEvent, log_gateway};
+use super::super::membership::DigestCache;
+use super::super::store_pulse::StoreRole;
+use super::{GatewayBeliefs, GatewayState};
+use crate::clock::now_ms;
+use dockgate_core::gateway::{OwnReach, PulseNews, StoreDuty};
+use tokio::sync::watch;
+
+impl GatewayBeliefs {
+    /// Says to the other boxes whether this one follows the store and is heard.
+    fn tell_reach(&mut self) {
+        /// Routes and endpoints.
+        const FOLLOWED: usize = 2;
+        let follows = self.reached.len() == FOLLOWED;
+        let proof_ms = self.pulse.proof_ms().filter(|_| follows);
+        let before = self.fleet.own().standing.reaches_store;
+        self.fleet.set_heard_store(proof_ms);
+        if before != proof_ms.is_some() {
+            // What was passed on a moment ago says otherwise.
+            self.digest = DigestCache::default();
+        }
+    }
+
+    /// Tells whether the store has changes of which its watches should have told, and did not.
+    ///
+    /// What any of them told last counts for all: each is told of its own keys alone.
+    fn is_deaf(&mut self, revision: Option<u64>) -> bool {
+        let follows = self.fleet.own().standing.reaches_store;
+        let known = self.reached.values().max().copied();
+        match (revision, known) {
+            (Some(revision), Some(known)) if follows => {
+                self.watches.is_deaf(revision, known, now_ms())
+            }
+            _ => false,
+        }
+    }
+}
+
+impl GatewayState {
+    /// Tells whether this box has to follow the store by itself.
+    pub(in super::super) fn follows_store(&self) -> bool {
+        self.role.borrow().follows
+    }
+
+    /// Returns this box's part in following the store, as it changes.
+    pub(in super::super) fn store_roles(&self) -> watch::Receiver<StoreRole> {
+        self.role.subscribe()
+    }
+
+    /// Returns the times at which the store answers again: each is how long it was away, in milliseconds.
+    pub(in super::super) fn store_returns(&self) -> watch::Receiver<u64> {
+        self.returns.subscribe()
+    }
+
+    /// Decides what this box's part in following the store is now.
+    pub(in super::super) fn decide_role(&self) {
+        let now = now_ms();
+        let role = self.with(|beliefs| {
+            let others = beliefs.fleet.store_watchers(now);
+            let own = OwnReach {
+                follows: beliefs.fleet.own().standing.reaches_store,
+                answered_since_ms: beliefs.pulse.answered_since_ms(),
+            };
+            StoreRole {
+                follows: beliefs.store.is_due(others, own, now),
+                looks: beliefs.store.looks(others, own, now),
+            }
+        });
+        self.role.send_if_modified(|known| {
+            let changed = *known != role;
+            *known = role;
+            changed
+        });
+    }
+
+    /// Tells whether this box is one of those of its domain that come first in following the store.
+    pub(in super::super) fn is_first_watcher(&self) -> bool {
+        self.with(|beliefs| {
+            let others = beliefs.fleet.store_watchers(now_ms());
+            StoreDuty::comes_first(others)
+        })
+    }
+
+    /// Tells whether this box coordinates its failure domain.
+    pub(in super::super) fn coordinates(&self) -> bool {
+        self.with(|beliefs| beliefs.fleet.coordinates(now_ms()))
+    }
+
+    /// Returns how long ago a box of this domain was last heard by the store, in milliseconds.
+    pub(in super::super) fn store_unheard_ms(&self) -> Option<u64> {
+        self.with(|beliefs| beliefs.fleet.store_proof_age_ms(now_ms()))
+    }
+
+    /// Notes what became of a call for nothing that was made at `called_ms`, and the store's revision that
+    /// was answered; returns what it says that the one before did not.
+    pub(in super::super) fn note_pulse(
+        &self,
+        revision: Option<u64>,
+        called_ms: u64,
+    ) -> Option<PulseNews> {
+        let (news, is_deaf) = self.with(|beliefs| {
+            let news = beliefs.pulse.note(revision.is_some(), called_ms);
+            beliefs.tell_reach();
+            (news, beliefs.is_deaf(revision))
+        });
+        match (news, is_deaf) {
+            (Some(PulseNews::Back { away_ms }), _) => drop(self.returns.send_replace(away_ms)),
+            (_, true) => {
+                log_gateway(&GatewayEvent::StoreLost {
+                    step: "watch",
+                    problem: format!("told nothing up to revision {}", revision.unwrap_or(0)),
+                });
+                self.returns.send_replace(0);
+            }
+            _ => {}
+        }
+        news
+    }
+
+    /// Notes that the store is not called for a while.
+    pub(in super::super) fn pause_pulse(&self) {
+        self.with(|beliefs| {
+            beliefs.pulse.pause();
+            beliefs.tell_reach();
+        });
+    }
+
+    /// Tells whether this box follows the store and was answered the last time.
+    pub(in super::super) fn hears_store(&self) -> bool {
+        self.with(|beliefs| beliefs.fleet.own().standing.reaches_store)
+    }
+
+    /// Notes up to which revision the store told of what `step` names, or that it did not, for the other
+    /// boxes to know; returns whether this box is heard now and was not before.
+    pub(in super::super) fn note_store(&self, step: &'static str, told: Option<u64>) -> bool {
+        self.with(|beliefs| {
+            match told {
+                Some(revision) => beliefs.reached.insert(step, revision),
+                None => beliefs.reached.remove(step),
+            };
+            let before = beliefs.fleet.own().standing.reaches_store;
+            beliefs.tell_reach();
+            !before && beliefs.fleet.own().standing.reaches_store
+        })
+    }
+}
--- a/dockgate/src/gateway/store_pulse.rs
+++ b/dockgate/src/gateway/store_pulse.rs
@@ -58,7 +58,8 @@
             .store_calls
             .with_label_values(&[STEP, outcome]);
         counter.inc();
-        let news = state.note_pulse(answer.is_ok(), called_ms);
+        let revision = answer.as_ref().ok().copied();
+        let news = state.note_pulse(revision, called_ms);
         if let (Some(PulseNews::Lost), Err(error)) = (news, &answer) {
             log_gateway(&GatewayEvent::StoreLost {
                 step: STEP,
