--- a/dockgate-config/src/config_store.rs
+++ b/dockgate-config/src/config_store.rs
@@ -68,6 +68,11 @@
         Self { client }
     }
 
+    /// Returns the client that it calls the service with.
+    pub const fn client(&self) -> &PlatformClient {
+        &self.client
+    }
+
     /// Reads the head and its revision.
     ///
     /// # Errors
--- a/dockgate/src/config_keeper.rs
+++ b/dockgate/src/config_keeper.rs
@@ -3,6 +3,7 @@
 use crate::logging::{LogEvent, log_event};
 use crate::members::RETRY_MS;
 use crate::metrics::METRICS;
+use crate::store_attendance::attend;
 use dockgate_config::{ConfigHead, ConfigStore};
 use dockgate_core::FleetConfig;
 use dockgate_platform::PlatformError;
@@ -105,7 +106,8 @@
     revision: u64,
     wait: Duration,
 ) -> Result<u64, PlatformError> {
-    let Some((head, seen)) = store.watch_head(revision, wait).await? else {
+    let watch = store.watch_head(revision, wait);
+    let Some((head, seen)) = attend(store.client(), watch).await? else {
         return Ok(revision);
     };
     cell.follow(store, &head).await?;
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -18,6 +18,7 @@
 mod peer_door;
 mod settings;
 mod stop;
+mod store_attendance;
 
 use clap::Parser;
 use error::DaemonError;
--- a/dockgate/src/members.rs
+++ b/dockgate/src/members.rs
@@ -1,6 +1,7 @@
 //! The boxes of the fleet, from the platform's lagging list.
 
 use crate::dispatch::DispatchHandle;
+use crate::store_attendance::attend;
 use dockgate_core::BoxKey;
 use dockgate_platform::{BOXES, BoxRecord, BoxState, PlatformClient, StoreListing, WatchOutcome};
 use std::net::SocketAddr;
@@ -76,7 +77,8 @@
 async fn wait_for_change(client: &PlatformClient, since: u64, wait: Duration) {
     let mut since = since;
     loop {
-        match client.watch(BOXES, since, wait).await {
+        let watch = client.watch(BOXES, since, wait);
+        match attend(client, watch).await {
             Ok(WatchOutcome::Changes(events, revision)) if events.is_empty() => since = revision,
             Ok(_) => return,
             Err(error) => {
