refactor: probes, stalled watches and queries of peers in the field's words

No change of behaviour. Calls for nothing are probes of the store, a watch that hears nothing more is stalled, and asking others for news is a query with its backoff; one probe is a function of its own.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -38,7 +38,7 @@
 mod route_table;
 mod share_window;
 mod store_duty;
-mod store_pulse;
+mod store_probe;
 mod watch_check;
 mod work_shed;
 
@@ -55,7 +55,7 @@
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
 pub use engine_load::{EngineLoad, EngineRun};
 pub use event_splitter::{EventSplitter, SplitEvent};
-pub use fleet_view::{BetterBox, BoxNews, FleetView};
+pub use fleet_view::{BoxNews, FleetView, InformedBox};
 pub use home_order::{best_homes, name_hash, owner_of_endpoint};
 pub use loop_lag::{LagChange, LoopLag};
 pub use prefix_cache::PrefixCache;
@@ -71,6 +71,6 @@
 };
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
-pub use store_pulse::{PulseNews, PulseRule, StorePulse};
+pub use store_probe::{ProbeNews, ProbeRule, StoreProbe};
 pub use watch_check::WatchCheck;
 pub use work_shed::WorkShed;
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -32,7 +32,7 @@
 
 /// A box that knows more than this one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BetterBox {
+pub struct InformedBox {
     /// Where it tells what it knows.
     pub state_address: SocketAddr,
     /// Whether it is of the own failure domain.
@@ -492,7 +492,7 @@
         what: BoxKnowledge,
         avoid: Option<SocketAddr>,
         now_ms: u64,
-    ) -> Option<BetterBox> {
+    ) -> Option<InformedBox> {
         let own = self.own.known_of(what);
         let heard = self.others.iter();
         let heard = heard.filter(|(_, seen)| seen.is_heard(now_ms));
@@ -504,7 +504,7 @@
             let near = beat.domain == self.own.domain;
             (answers, near, beat.known_of(what), pair_score(me, *key))
         });
-        best.map(|(_, beat)| BetterBox {
+        best.map(|(_, beat)| InformedBox {
             state_address: beat.state_address,
             is_near: beat.domain == self.own.domain,
         })
--- a/dockgate-core/src/gateway/fleet_view/store_tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/store_tests.rs
@@ -4,7 +4,7 @@
 
 use super::fleet_tests::{Fleet, Luck, index_of};
 use super::*;
-use crate::gateway::{OwnReach, PulseRule, StoreDuty, StorePulse};
+use crate::gateway::{OwnReach, ProbeRule, StoreDuty, StoreProbe};
 use proptest::prelude::*;
 
 /// Within which time every box has to know of a change, in milliseconds.
@@ -25,9 +25,9 @@
 /// What a box does about the store.
 struct StoreMember {
     duty: StoreDuty,
-    pulse: StorePulse,
+    probe: StoreProbe,
     follows: bool,
-    looks: bool,
+    probes: bool,
     /// The last change that it knows of.
     known: u64,
     /// Whether it has listed the store since it began to follow it.
@@ -37,9 +37,9 @@
     role_ms: u64,
     news_ms: u64,
     watch_ms: u64,
-    pulse_ms: u64,
+    probe_ms: u64,
     /// A call under way: when it was made.
-    called_ms: Option<u64>,
+    sent_ms: Option<u64>,
     behind_ms: Option<u64>,
     /// Whether the store hears it.
     is_heard: bool,
@@ -49,17 +49,17 @@
     fn new(luck: &mut Luck) -> Self {
         Self {
             duty: StoreDuty::default(),
-            pulse: StorePulse::default(),
+            probe: StoreProbe::default(),
             follows: false,
-            looks: false,
+            probes: false,
             known: 0,
             listed: false,
             watch_lives: false,
             role_ms: luck.draw(ROLE_LOOK_MS),
             news_ms: luck.draw(NEWS_LOOK_MS),
             watch_ms: 0,
-            pulse_ms: 0,
-            called_ms: None,
+            probe_ms: 0,
+            sent_ms: None,
             behind_ms: None,
             is_heard: true,
         }
@@ -70,7 +70,7 @@
     fleet: Fleet,
     members: Vec<StoreMember>,
     luck: Luck,
-    rule: PulseRule,
+    rule: ProbeRule,
     /// When each change was made.
     changes: Vec<u64>,
 }
@@ -82,7 +82,7 @@
             fleet: Fleet::new(count, domains, 0, seed),
             members: (0..count).map(|_| StoreMember::new(&mut luck)).collect(),
             luck,
-            rule: PulseRule::within(BOUND_MS),
+            rule: ProbeRule::within(BOUND_MS),
             changes: Vec::new(),
         }
     }
@@ -104,7 +104,7 @@
     }
 
     fn step(&mut self, index: usize, now: u64) {
-        self.call_for_nothing(index, now);
+        self.probe_store(index, now);
         if self.members[index].role_ms <= now {
             self.members[index].role_ms = now + ROLE_LOOK_MS;
             self.decide_role(index, now);
@@ -124,23 +124,23 @@
         let member = &mut self.members[index];
         let own = OwnReach {
             follows: view.own().standing.reaches_store,
-            answered_since_ms: member.pulse.answered_since_ms(),
+            answered_since_ms: member.probe.answered_since_ms(),
         };
         member.follows = member.duty.is_due(others, own, now);
-        member.looks = member.duty.looks(others, own, now);
+        member.probes = member.duty.probes(others, own, now);
         if !member.follows {
             member.listed = false;
         }
-        if !member.looks {
-            member.pulse.pause();
-            member.called_ms = None;
+        if !member.probes {
+            member.probe.pause();
+            member.sent_ms = None;
         }
         self.tell_reach(index);
     }
 
     fn tell_reach(&mut self, index: usize) {
         let member = &self.members[index];
-        let proof_ms = member.pulse.proof_ms().filter(|_| member.listed);
+        let proof_ms = member.probe.proof_ms().filter(|_| member.listed);
         let view = &mut self.fleet.boxes[index].view;
         let before = view.own().standing.reaches_store;
         view.set_heard_store(proof_ms);
@@ -150,24 +150,24 @@
         }
     }
 
-    fn call_for_nothing(&mut self, index: usize, now: u64) {
+    fn probe_store(&mut self, index: usize, now: u64) {
         let rule = self.rule;
         let stand_by_ms = STAND_BY_MS - self.luck.draw(STAND_BY_MS / 2);
         let view = &self.fleet.boxes[index].view;
         let comes_first = StoreDuty::comes_first(view.store_watchers(now));
         let member = &mut self.members[index];
-        match member.called_ms {
-            None if member.looks && member.pulse_ms <= now => member.called_ms = Some(now),
+        match member.sent_ms {
+            None if member.probes && member.probe_ms <= now => member.sent_ms = Some(now),
             None => {}
             Some(called) => {
                 let answered = member.is_heard && now >= called + ANSWER_MS;
                 if !answered && now < called + rule.patience_ms {
                     return;
                 }
-                let news = member.pulse.note(answered, called);
-                member.called_ms = None;
+                let news = member.probe.note(answered, called);
+                member.sent_ms = None;
                 let often = comes_first || member.follows;
-                member.pulse_ms = now + if often { rule.every_ms } else { stand_by_ms };
+                member.probe_ms = now + if often { rule.every_ms } else { stand_by_ms };
                 if news.is_some() {
                     // A watch is made anew when the store is back.
                     member.watch_lives = answered;
--- a/dockgate-core/src/gateway/store_duty.rs
+++ b/dockgate-core/src/gateway/store_duty.rs
@@ -2,8 +2,8 @@
 //!
 //! Every call to the store costs, and what one box learns all learn from its beats: two boxes of each
 //! failure domain that are heard by the store are enough. These are the two that come first in their
-//! domain. Where the store is silent for them, any other box may be heard by it: all look, each with
-//! calls that cost little, and those that are answered follow it in their place.
+//! domain. Where the store is silent for them, any other box may be heard by it: all probe it, which
+//! costs little, and those that are answered follow it in their place.
 //!
 //! ```
 //! use dockgate_core::gateway::{OwnReach, StoreDuty, StoreWatchers};
@@ -35,7 +35,7 @@
 pub struct OwnReach {
     /// Whether it follows the store, and is heard.
     pub follows: bool,
-    /// Since when its calls are answered, where the last one was.
+    /// Since when its probes are answered, where the last one was.
     pub answered_since_ms: Option<u64>,
 }
 
@@ -82,8 +82,8 @@
         others.is_heard || now_ms >= began_ms + Self::START_MS
     }
 
-    /// Tells whether this box has to call the store, so that it knows whether it is heard.
-    pub fn looks(&mut self, others: StoreWatchers, own: OwnReach, now_ms: u64) -> bool {
+    /// Tells whether this box has to probe the store, so that it knows whether it is heard.
+    pub fn probes(&mut self, others: StoreWatchers, own: OwnReach, now_ms: u64) -> bool {
         let may_look = self.note(others, now_ms);
         let is_short = others.reaching < Self::ENOUGH;
         may_look && (is_short || own.follows || Self::comes_first(others))
--- a/dockgate-core/src/gateway/store_duty/tests.rs
+++ b/dockgate-core/src/gateway/store_duty/tests.rs
@@ -32,18 +32,18 @@
         let reaching = before.min(2);
         let others = others(reaching, before);
         assert_eq!(duty.is_due(others, UNHEARD, 1_000), before < 2);
-        assert_eq!(duty.looks(others, UNHEARD, 1_000), before < 2);
+        assert_eq!(duty.probes(others, UNHEARD, 1_000), before < 2);
     }
 }
 
 /// Before: just the first eight of a domain ever tried, two more each 0.6 s, whether the store heard them
 /// or not; with the store silent for nine of ten boxes, nobody was heard in most domains.
 #[test]
-fn where_those_that_come_first_are_not_heard_every_box_looks_and_the_next_that_is_heard_follows() {
+fn where_those_that_come_first_are_not_heard_every_box_probes_and_the_next_that_is_heard_follows() {
     let follows_at = |before: usize| {
         let mut duty = StoreDuty::default();
         duty.is_due(others(2, before), UNHEARD, 500);
-        assert!(duty.looks(others(0, before), UNHEARD, 1_000));
+        assert!(duty.probes(others(0, before), UNHEARD, 1_000));
         let mut times = (1_000..4_000).step_by(20);
         times.find(|now| duty.is_due(others(0, before), heard_since(1_010), *now))
     };
@@ -57,7 +57,7 @@
     let mut duty = StoreDuty::default();
     duty.is_due(others(0, 5), UNHEARD, 1_000);
     assert!(!duty.is_due(others(0, 5), UNHEARD, 60_000));
-    assert!(duty.looks(others(0, 5), UNHEARD, 60_000));
+    assert!(duty.probes(others(0, 5), UNHEARD, 60_000));
 }
 
 #[test]
@@ -84,7 +84,7 @@
     let unheard = StoreWatchers::default();
     let mut duty = StoreDuty::default();
     assert!(!duty.is_due(unheard, UNHEARD, 1_000));
-    assert!(!duty.looks(unheard, UNHEARD, 1_000));
+    assert!(!duty.probes(unheard, UNHEARD, 1_000));
     assert!(
         !duty.is_due(others(0, 5), UNHEARD, 1_020),
         "five go before it"
--- a/dockgate-core/src/gateway/store_pulse.rs
+++ b/dockgate-core/src/gateway/store_probe.rs
@@ -1,42 +1,42 @@
 //! Whether the platform's store hears this box.
 //!
 //! A watch that is not answered looks like one during which nothing changes. So a box that relies on its
-//! watches calls the store for nothing again and again, and takes a call that is not answered in time
-//! for silence: it then no longer says that it follows the store, and makes its watches anew once it is
-//! heard again, since what they were answered meanwhile may be lost.
+//! watches probes the store beside them, and takes a probe that is not answered in time for silence: it
+//! then no longer says that it follows the store, and makes its watches anew once it is heard again,
+//! since what they were answered meanwhile may be lost.
 //!
 //! ```
-//! use dockgate_core::gateway::{PulseNews, StorePulse};
+//! use dockgate_core::gateway::{ProbeNews, StoreProbe};
 //!
-//! let mut pulse = StorePulse::default();
-//! pulse.note(true, 1_000);
-//! assert_eq!(pulse.note(false, 1_300), Some(PulseNews::Lost));
-//! assert_eq!(pulse.note(true, 4_000), Some(PulseNews::Back { away_ms: 3_000 }));
+//! let mut probe = StoreProbe::default();
+//! probe.note(true, 1_000);
+//! assert_eq!(probe.note(false, 1_300), Some(ProbeNews::Lost));
+//! assert_eq!(probe.note(true, 4_000), Some(ProbeNews::Back { away_ms: 3_000 }));
 //! ```
 
-/// What a call says that those before it did not.
+/// What a probe says that those before it did not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PulseNews {
+pub enum ProbeNews {
     /// The store has fallen silent.
     Lost,
     /// It answers again.
     Back {
-        /// How long after the last call that was answered, in milliseconds.
+        /// How long after the last probe that was answered, in milliseconds.
         away_ms: u64,
     },
 }
 
-/// How often the store is called, and how long each answer may take.
+/// How often the store is probed, and how long each answer may take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PulseRule {
-    /// How long after an answer the next call is made, in milliseconds.
+pub struct ProbeRule {
+    /// How long after an answer the next probe is sent, in milliseconds.
     pub every_ms: u64,
     /// After how long without an answer the store is taken for silent, in milliseconds.
     pub patience_ms: u64,
 }
 
-impl PulseRule {
-    /// Of the time within which all boxes must know of a change, which part passes between calls, and
+impl ProbeRule {
+    /// Of the time within which all boxes must know of a change, which part passes between probes, and
     /// which part until one counts as unanswered. Both, and the time in which another box is found that is
     /// heard and tells the others, must fit into it: at 3 s, 0.8 s of the 2.3 s that are counted for all.
     const EVERY_PART: u64 = 10;
@@ -54,47 +54,47 @@
     }
 }
 
-/// What the calls so far say.
+/// What the probes so far say.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct StorePulse {
-    /// When the last call that was answered was made.
+pub struct StoreProbe {
+    /// When the last probe that was answered was sent.
     heard_ms: Option<u64>,
     /// Since when each one was.
     since_ms: Option<u64>,
 }
 
-impl StorePulse {
-    /// Notes what became of a call that was made at `called_ms`.
-    pub fn note(&mut self, answered: bool, called_ms: u64) -> Option<PulseNews> {
+impl StoreProbe {
+    /// Notes what became of a probe that was sent at `sent_ms`.
+    pub fn note(&mut self, answered: bool, sent_ms: u64) -> Option<ProbeNews> {
         match (answered, self.since_ms) {
             (true, Some(_)) => {
-                self.heard_ms = Some(called_ms);
+                self.heard_ms = Some(sent_ms);
                 None
             }
             (true, None) => {
-                let away_ms = self.heard_ms.map(|heard| called_ms.saturating_sub(heard));
-                self.heard_ms = Some(called_ms);
-                self.since_ms = Some(called_ms);
-                away_ms.map(|away_ms| PulseNews::Back { away_ms })
+                let away_ms = self.heard_ms.map(|heard| sent_ms.saturating_sub(heard));
+                self.heard_ms = Some(sent_ms);
+                self.since_ms = Some(sent_ms);
+                away_ms.map(|away_ms| ProbeNews::Back { away_ms })
             }
             (false, since) => {
                 self.since_ms = None;
-                since.map(|_| PulseNews::Lost)
+                since.map(|_| ProbeNews::Lost)
             }
         }
     }
 
-    /// Forgets what was noted: the store is not called for a while.
+    /// Forgets what was noted: the store is not probed for a while.
     pub fn pause(&mut self) {
         *self = Self::default();
     }
 
-    /// Returns since when each call is answered; none where the last one was not.
+    /// Returns since when each probe is answered; none where the last one was not.
     pub const fn answered_since_ms(&self) -> Option<u64> {
         self.since_ms
     }
 
-    /// Returns when the last call was made, where it was answered.
+    /// Returns when the last probe was sent, where it was answered.
     pub fn proof_ms(&self) -> Option<u64> {
         self.since_ms.and(self.heard_ms)
     }
--- a/dockgate-core/src/gateway/watch_check.rs
+++ b/dockgate-core/src/gateway/watch_check.rs
@@ -1,14 +1,14 @@
 //! Whether the watches of the store still tell what changes.
 //!
-//! An open connection can fall silent for good while others work: calls are answered, and the watch that
+//! An open connection can fall silent for good while others work: probes are answered, and the watch that
 //! waits hears nothing more. The store's revision, which each answer names, shows it.
 //!
 //! ```
 //! use dockgate_core::gateway::WatchCheck;
 //!
 //! let mut check = WatchCheck::default();
-//! assert!(!check.is_deaf(7, 6, 1_000), "the change may be on its way");
-//! assert!(check.is_deaf(7, 6, 2_000));
+//! assert!(!check.is_stalled(7, 6, 1_000), "the change may be on its way");
+//! assert!(check.is_stalled(7, 6, 2_000));
 //! ```
 
 /// Since when the store has had a revision that no watch has told of.
@@ -23,22 +23,22 @@
     /// For how long a watch may lack a revision, in milliseconds: the pause between two watches of 300 and
     /// the answer of a store that is a hundred times slower than usual, 400. A third of the bound of 3 s
     /// on a connection that is silent, for which a probe of the connection takes all of it.
-    const DEAF_AFTER_MS: u64 = 1_000;
+    const STALLED_AFTER_MS: u64 = 1_000;
 
     /// Tells whether watches that have told of changes up to `known` have to be made anew, where the store
     /// has this revision. An old revision is never too high, so that it does no harm.
-    pub fn is_deaf(&mut self, revision: u64, known: u64, now_ms: u64) -> bool {
+    pub fn is_stalled(&mut self, revision: u64, known: u64, now_ms: u64) -> bool {
         if revision <= known.max(self.checked) {
             self.behind_since_ms = None;
             return false;
         }
         let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let is_deaf = now_ms >= since_ms + Self::DEAF_AFTER_MS;
-        if is_deaf {
+        let is_stalled = now_ms >= since_ms + Self::STALLED_AFTER_MS;
+        if is_stalled {
             self.checked = revision;
             self.behind_since_ms = None;
         }
-        is_deaf
+        is_stalled
     }
 }
 
--- a/dockgate-core/src/gateway/watch_check/tests.rs
+++ b/dockgate-core/src/gateway/watch_check/tests.rs
@@ -3,27 +3,27 @@
 #[test]
 fn a_change_on_its_way_is_no_sign() {
     let mut check = WatchCheck::default();
-    assert!(!check.is_deaf(7, 6, 1_000));
-    assert!(!check.is_deaf(8, 7, 1_900), "one more is on its way");
-    assert!(!check.is_deaf(8, 8, 2_000));
-    assert!(!check.is_deaf(9, 8, 2_100), "the time begins anew");
-    assert!(!check.is_deaf(9, 8, 3_099));
-    assert!(check.is_deaf(9, 8, 3_100));
+    assert!(!check.is_stalled(7, 6, 1_000));
+    assert!(!check.is_stalled(8, 7, 1_900), "one more is on its way");
+    assert!(!check.is_stalled(8, 8, 2_000));
+    assert!(!check.is_stalled(9, 8, 2_100), "the time begins anew");
+    assert!(!check.is_stalled(9, 8, 3_099));
+    assert!(check.is_stalled(9, 8, 3_100));
 }
 
 #[test]
 fn a_key_that_nobody_watches_costs_one_look() {
     let mut check = WatchCheck::default();
-    check.is_deaf(7, 6, 1_000);
-    assert!(check.is_deaf(7, 6, 2_000));
+    check.is_stalled(7, 6, 1_000);
+    assert!(check.is_stalled(7, 6, 2_000));
     assert!(
         (2_000..60_000)
             .step_by(300)
-            .all(|now| !check.is_deaf(7, 6, now))
+            .all(|now| !check.is_stalled(7, 6, now))
     );
-    check.is_deaf(9, 6, 60_000);
+    check.is_stalled(9, 6, 60_000);
     assert!(
-        check.is_deaf(9, 6, 61_000),
+        check.is_stalled(9, 6, 61_000),
         "a later one is looked after again"
     );
 }
@@ -31,5 +31,9 @@
 #[test]
 fn an_old_answer_is_no_sign() {
     let mut check = WatchCheck::default();
-    assert!((0..9_000).step_by(300).all(|now| !check.is_deaf(3, 9, now)));
+    assert!(
+        (0..9_000)
+            .step_by(300)
+            .all(|now| !check.is_stalled(3, 9, now))
+    );
 }
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -28,7 +28,7 @@
 mod settings;
 mod sockets;
 mod store_contact;
-mod store_pulse;
+mod store_probe;
 mod tracked_io;
 mod upstream;
 
@@ -114,8 +114,8 @@
 ) -> Result<(), DaemonError> {
     tokio::spawn(readiness::serve_readiness(state.clone(), readiness));
     tokio::spawn(readiness::serve_metrics(state.clone(), metrics));
-    tokio::spawn(store_pulse::keep_role(state.clone()));
-    tokio::spawn(store_pulse::keep_pulse(state.clone()));
+    tokio::spawn(store_probe::keep_role(state.clone()));
+    tokio::spawn(store_probe::keep_probing(state.clone()));
     tokio::spawn(follow::follow_routes(state.clone()));
     tokio::spawn(follow::follow_endpoints(state.clone()));
     tokio::spawn(peer_net::receive(state.clone()));
@@ -123,7 +123,7 @@
     tokio::spawn(overload::watch_lag(state.clone()));
     tokio::spawn(domain_watch::watch_domains(state.clone()));
     for what in [BoxKnowledge::Config, BoxKnowledge::Endpoints] {
-        tokio::spawn(peer_state::chase_news(state.clone(), what));
+        tokio::spawn(peer_state::query_peers(state.clone(), what));
     }
     let (stop, server) = jsonrpsee::server::stop_channel();
     // The door serves until the process ends.
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -5,7 +5,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::membership::DigestCache;
 use super::settings::GatewaySettings;
-use super::store_pulse::StoreRole;
+use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
@@ -14,7 +14,7 @@
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointRecord, EngineAsk,
     EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable,
-    RunKey, ShareWindow, StoreDuty, StorePulse, ToldEndpoint, WatchCheck, WorkShed,
+    RunKey, ShareWindow, StoreDuty, StoreProbe, ToldEndpoint, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -69,7 +69,7 @@
     /// Whether this box follows the store by itself.
     pub(super) store: StoreDuty,
     /// Whether the store hears it.
-    pub(super) pulse: StorePulse,
+    pub(super) probe: StoreProbe,
     /// What it follows there and was answered the last time, and up to which revision.
     pub(super) reached: BTreeMap<&'static str, u64>,
     /// Whether what it follows still tells of changes.
@@ -125,7 +125,7 @@
             shed: WorkShed::default(),
             seeks: HashMap::new(),
             store: StoreDuty::default(),
-            pulse: StorePulse::default(),
+            probe: StoreProbe::default(),
             reached: BTreeMap::new(),
             watches: WatchCheck::default(),
         };
--- a/dockgate/src/gateway/gateway_state/store_reach.rs
+++ b/dockgate/src/gateway/gateway_state/store_reach.rs
@@ -2,10 +2,10 @@
 
 use super::super::events::{GatewayEvent, log_gateway};
 use super::super::membership::DigestCache;
-use super::super::store_pulse::StoreRole;
+use super::super::store_probe::StoreRole;
 use super::{GatewayBeliefs, GatewayState};
 use crate::clock::now_ms;
-use dockgate_core::gateway::{OwnReach, PulseNews, StoreDuty};
+use dockgate_core::gateway::{OwnReach, ProbeNews, StoreDuty};
 use tokio::sync::watch;
 
 impl GatewayBeliefs {
@@ -14,7 +14,7 @@
         /// Routes and endpoints.
         const FOLLOWED: usize = 2;
         let follows = self.reached.len() == FOLLOWED;
-        let proof_ms = self.pulse.proof_ms().filter(|_| follows);
+        let proof_ms = self.probe.proof_ms().filter(|_| follows);
         let before = self.fleet.own().standing.reaches_store;
         self.fleet.set_heard_store(proof_ms);
         if before != proof_ms.is_some() {
@@ -26,12 +26,12 @@
     /// Tells whether the store has changes of which its watches should have told, and did not.
     ///
     /// What any of them told last counts for all: each is told of its own keys alone.
-    fn is_deaf(&mut self, revision: Option<u64>) -> bool {
+    fn is_stalled(&mut self, revision: Option<u64>) -> bool {
         let follows = self.fleet.own().standing.reaches_store;
         let known = self.reached.values().max().copied();
         match (revision, known) {
             (Some(revision), Some(known)) if follows => {
-                self.watches.is_deaf(revision, known, now_ms())
+                self.watches.is_stalled(revision, known, now_ms())
             }
             _ => false,
         }
@@ -61,11 +61,11 @@
             let others = beliefs.fleet.store_watchers(now);
             let own = OwnReach {
                 follows: beliefs.fleet.own().standing.reaches_store,
-                answered_since_ms: beliefs.pulse.answered_since_ms(),
+                answered_since_ms: beliefs.probe.answered_since_ms(),
             };
             StoreRole {
                 follows: beliefs.store.is_due(others, own, now),
-                looks: beliefs.store.looks(others, own, now),
+                probes: beliefs.store.probes(others, own, now),
             }
         });
         self.role.send_if_modified(|known| {
@@ -93,20 +93,20 @@
         self.with(|beliefs| beliefs.fleet.store_proof_age_ms(now_ms()))
     }
 
-    /// Notes what became of a call for nothing that was made at `called_ms`, and the store's revision that
-    /// was answered; returns what it says that the one before did not.
-    pub(in super::super) fn note_pulse(
+    /// Notes what became of a probe that was sent at `sent_ms`, and the store's revision that was
+    /// answered; returns what it says that the one before did not.
+    pub(in super::super) fn note_probe(
         &self,
         revision: Option<u64>,
-        called_ms: u64,
-    ) -> Option<PulseNews> {
-        let (news, is_deaf) = self.with(|beliefs| {
-            let news = beliefs.pulse.note(revision.is_some(), called_ms);
+        sent_ms: u64,
+    ) -> Option<ProbeNews> {
+        let (news, is_stalled) = self.with(|beliefs| {
+            let news = beliefs.probe.note(revision.is_some(), sent_ms);
             beliefs.tell_reach();
-            (news, beliefs.is_deaf(revision))
+            (news, beliefs.is_stalled(revision))
         });
-        match (news, is_deaf) {
-            (Some(PulseNews::Back { away_ms }), _) => drop(self.returns.send_replace(away_ms)),
+        match (news, is_stalled) {
+            (Some(ProbeNews::Back { away_ms }), _) => drop(self.returns.send_replace(away_ms)),
             (_, true) => {
                 log_gateway(&GatewayEvent::StoreLost {
                     step: "watch",
@@ -120,9 +120,9 @@
     }
 
     /// Notes that the store is not called for a while.
-    pub(in super::super) fn pause_pulse(&self) {
+    pub(in super::super) fn pause_probes(&self) {
         self.with(|beliefs| {
-            beliefs.pulse.pause();
+            beliefs.probe.pause();
             beliefs.tell_reach();
         });
     }
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -13,7 +13,7 @@
 use crate::clock::now_ms;
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
-use dockgate_core::gateway::{BetterBox, BoxKnowledge};
+use dockgate_core::gateway::{BoxKnowledge, InformedBox};
 use dockgate_proto::{StateAnswer, StateRequest, methods};
 use http::{Extensions, HeaderMap};
 use jsonrpsee::RpcModule;
@@ -83,7 +83,7 @@
 
 /// Since when this box has known that others know more, and how it went to ask them.
 #[derive(Debug, Default)]
-struct NewsChase {
+struct QueryBackoff {
     behind_since_ms: Option<u64>,
     /// The last box that gave no answer.
     silent: Option<SocketAddr>,
@@ -91,14 +91,14 @@
     missed: u32,
 }
 
-impl NewsChase {
+impl QueryBackoff {
     /// Returns which box to ask now, if any.
     fn due(
         &mut self,
-        better: Option<BetterBox>,
+        better: Option<InformedBox>,
         has_watch: bool,
         now_ms: u64,
-    ) -> Option<BetterBox> {
+    ) -> Option<InformedBox> {
         let Some(better) = better else {
             self.behind_since_ms = None;
             return None;
@@ -129,20 +129,20 @@
 }
 
 /// Asks boxes that know more of `what`, until the process ends.
-pub(super) async fn chase_news(state: Arc<GatewayState>, what: BoxKnowledge) {
-    let mut chase = NewsChase::default();
+pub(super) async fn query_peers(state: Arc<GatewayState>, what: BoxKnowledge) {
+    let mut backoff = QueryBackoff::default();
     loop {
         let version = state.table().config().version;
         let look = if version == 0 { FIRST_LOOK } else { LOOK };
         tokio::time::sleep(look).await;
         let now = now_ms();
-        let better = state.with(|beliefs| beliefs.fleet.better_informed(what, chase.silent, now));
+        let better = state.with(|beliefs| beliefs.fleet.better_informed(what, backoff.silent, now));
         // A box that knows nothing yet has no time to wait for its watch.
         let has_watch = version > 0 && state.hears_store();
-        if let Some(better) = chase.due(better, has_watch, now) {
+        if let Some(better) = backoff.due(better, has_watch, now) {
             let peer = better.state_address;
-            let answered = ask_noted(&state, peer, what, chase.limit()).await;
-            chase.note(peer, answered);
+            let answered = ask_noted(&state, peer, what, backoff.limit()).await;
+            backoff.note(peer, answered);
         }
     }
 }
--- a/dockgate/src/gateway/peer_state/tests.rs
+++ b/dockgate/src/gateway/peer_state/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn better(is_near: bool) -> Option<BetterBox> {
-    Some(BetterBox {
+fn better(is_near: bool) -> Option<InformedBox> {
+    Some(InformedBox {
         state_address: "10.0.0.1:7500".parse().unwrap(),
         is_near,
     })
@@ -9,8 +9,8 @@
 
 /// Returns after how many milliseconds a box that is behind asks.
 fn asks_after_ms(is_near: bool, has_watch: bool) -> u64 {
-    let mut chase = NewsChase::default();
-    let asks = |at_ms: &u64| chase.due(better(is_near), has_watch, *at_ms).is_some();
+    let mut backoff = QueryBackoff::default();
+    let asks = |at_ms: &u64| backoff.due(better(is_near), has_watch, *at_ms).is_some();
     (1_000..3_000).find(asks).unwrap() - 1_000
 }
 
@@ -23,25 +23,25 @@
 
 #[test]
 fn the_patience_begins_anew_once_nobody_knows_more() {
-    let mut chase = NewsChase::default();
-    assert!(chase.due(better(false), false, 1_000).is_none());
-    assert!(chase.due(None, false, 1_300).is_none());
-    assert!(chase.due(better(false), false, 1_400).is_none());
-    assert!(chase.due(better(false), false, 1_750).is_some());
+    let mut backoff = QueryBackoff::default();
+    assert!(backoff.due(better(false), false, 1_000).is_none());
+    assert!(backoff.due(None, false, 1_300).is_none());
+    assert!(backoff.due(better(false), false, 1_400).is_none());
+    assert!(backoff.due(better(false), false, 1_750).is_some());
 }
 
 /// With one limit of 0.8 s a large configuration was asked for again and again and never taken in.
 #[test]
 fn news_that_does_not_come_in_time_gets_more_time_and_another_box_is_asked() {
     let peer = "10.0.0.1:7500".parse().unwrap();
-    let mut chase = NewsChase::default();
+    let mut backoff = QueryBackoff::default();
     let limits = [0; 4].map(|_| {
-        let limit = chase.limit().as_millis();
-        chase.note(peer, false);
+        let limit = backoff.limit().as_millis();
+        backoff.note(peer, false);
         limit
     });
     assert_eq!(limits, [800, 1_600, 3_200, 3_200]);
-    assert_eq!(chase.silent, Some(peer));
-    chase.note(peer, true);
-    assert_eq!((chase.limit(), chase.silent), (ANSWER, None));
+    assert_eq!(backoff.silent, Some(peer));
+    backoff.note(peer, true);
+    assert_eq!((backoff.limit(), backoff.silent), (ANSWER, None));
 }
--- a/dockgate/src/gateway/store_contact/tests.rs
+++ b/dockgate/src/gateway/store_contact/tests.rs
@@ -40,7 +40,7 @@
 #[test]
 fn nothing_is_kept_after_a_silence_in_which_no_record_can_lapse() {
     let mut contact = StoreContact::new("test", DRAIN);
-    contact.lost(&PlatformError::TimedOut("pulse", "store".to_owned()));
+    contact.lost(&PlatformError::TimedOut("probe", "store".to_owned()));
     contact.answered();
     contact.back(MAY_LAPSE_MS - 1);
     assert_eq!(contact.kept_until_ms(), None);
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -16,9 +16,9 @@
 mod metrics;
 mod operator_door;
 mod peer_door;
+mod probed_wait;
 mod settings;
 mod stop;
-mod store_attendance;
 
 use clap::Parser;
 use error::DaemonError;
--- a/dockgate/src/members.rs
+++ b/dockgate/src/members.rs
@@ -1,7 +1,7 @@
 //! The boxes of the fleet, from the platform's lagging list.
 
 use crate::dispatch::DispatchHandle;
-use crate::store_attendance::attend;
+use crate::probed_wait::wait_probed;
 use dockgate_core::BoxKey;
 use dockgate_platform::{BOXES, BoxRecord, BoxState, PlatformClient, StoreListing, WatchOutcome};
 use std::net::SocketAddr;
@@ -78,7 +78,7 @@
     let mut since = since;
     loop {
         let watch = client.watch(BOXES, since, wait);
-        match attend(client, watch).await {
+        match wait_probed(client, watch).await {
             Ok(WatchOutcome::Changes(events, revision)) if events.is_empty() => since = revision,
             Ok(_) => return,
             Err(error) => {
--- a/dockgate/src/store_attendance.rs
+++ b/dockgate/src/probed_wait.rs
@@ -1,6 +1,6 @@
-//! Waits for the platform's store, and notices when it says nothing any more.
+//! Waits for a long answer of the platform's store, and probes the store meanwhile.
 
-use dockgate_core::gateway::PulseRule;
+use dockgate_core::gateway::ProbeRule;
 use dockgate_platform::{PlatformClient, PlatformError};
 use std::future::Future;
 use std::time::Duration;
@@ -11,13 +11,13 @@
 
 /// Waits for an answer of the store that may take long, as that of a watch.
 ///
-/// Without calls beside it, a store that fell silent was found out when the watch was over: after 21.5 s
+/// Without probes beside it, a store that fell silent was found out when the watch was over: after 21.5 s
 /// with the usual settings, in which an accepted configuration was not put in force.
 ///
 /// # Errors
 ///
-/// Returns the answer's error, or that of a call beside it which was not answered in time.
-pub(crate) async fn attend<T>(
+/// Returns the answer's error, or that of a probe which was not answered in time.
+pub(crate) async fn wait_probed<T>(
     client: &PlatformClient,
     answer: impl Future<Output = Result<T, PlatformError>>,
 ) -> Result<T, PlatformError> {
@@ -28,11 +28,11 @@
 }
 
 async fn notice_silence(client: &PlatformClient) -> PlatformError {
-    let rule = PulseRule::within(IN_FORCE_MS);
+    let rule = ProbeRule::within(IN_FORCE_MS);
     loop {
         tokio::time::sleep(Duration::from_millis(rule.every_ms)).await;
         let patience = Duration::from_millis(rule.patience_ms);
-        if let Err(silence) = client.pulse(patience).await {
+        if let Err(silence) = client.probe(patience).await {
             return silence;
         }
     }
--- a/dockgate/src/store_attendance/tests.rs
+++ b/dockgate/src/probed_wait/tests.rs
@@ -5,7 +5,7 @@
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Starts a store that takes calls, and answers those for nothing or none at all.
+/// Starts a store that takes calls, and answers probes or nothing at all.
 async fn store(answers: bool) -> PlatformClient {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -35,9 +35,9 @@
 async fn a_watch_is_given_up_once_the_store_says_nothing() {
     let client = store(false).await;
     let watch = std::future::pending::<Result<(), PlatformError>>();
-    let error = attend(&client, watch).await.unwrap_err();
+    let error = wait_probed(&client, watch).await.unwrap_err();
     assert!(
-        matches!(error, PlatformError::TimedOut("pulse", _)),
+        matches!(error, PlatformError::TimedOut("probe", _)),
         "{error}"
     );
 }
@@ -49,5 +49,5 @@
         tokio::time::sleep(Duration::from_millis(2_000)).await;
         Ok(9)
     };
-    assert_eq!(attend(&client, watch).await.unwrap(), 9);
+    assert_eq!(wait_probed(&client, watch).await.unwrap(), 9);
 }
