--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -230,6 +230,21 @@
     )
 }
 
+/// Makes the same configuration with so many more routes, which nobody calls.
+#[must_use]
+pub fn large_config(version: u64, keys: &str, more: usize) -> String {
+    let routes = (0..more).map(|number| {
+        format!(
+            r#"{{"name":"more-{number}","host":"more.example","path_prefix":"/more-{number}/",
+            "type":"idempotent","service":"plain","timeout_ms":4000,"target_latency_ms":500,
+            "priority":1,"max_attempts":1}},"#
+        )
+    });
+    let routes: String = routes.collect();
+    let config = route_config(version, keys);
+    config.replacen("\"routes\":[", &format!("\"routes\":[{routes}"), 1)
+}
+
 /// A fleet of gateways.
 pub struct GatewayFleet {
     /// The platform's store.
--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -37,6 +37,17 @@
 /// For how long callers go on when all faults are undone.
 const SETTLED: Duration = Duration::from_secs(2);
 
+/// Which faults are caused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum SoakFaults {
+    /// Boxes, endpoints and the store for all of them.
+    #[default]
+    All,
+    /// News that comes late: the store says nothing to some boxes, watches stall, configurations are large,
+    /// while endpoints leave. No box is disturbed, so that each must know in time who leaves.
+    LateNews,
+}
+
 /// What to run.
 #[derive(Debug, Clone, Copy)]
 pub struct SoakOptions {
@@ -44,6 +55,8 @@
     pub seed: u64,
     /// For how long faults are caused.
     pub lasts: Duration,
+    /// Which ones.
+    pub faults: SoakFaults,
 }
 
 /// What came of a run.
@@ -76,7 +89,7 @@
     });
     let callers: Vec<_> = callers.collect();
 
-    let mut field = FaultField::new(options.seed);
+    let mut field = FaultField::new(options.seed, options.faults);
     let started = Instant::now();
     while started.elapsed() < options.lasts {
         field.step(&mut fleet).await?;
@@ -151,6 +164,7 @@
         runs.keys()
             .map(|id| format!("{id}: ran, and nobody asked for it")),
     );
+    broken.extend(field.sent_after_leaving(&fleet.endpoints));
     let late = calls.iter().filter(|call| call.is_last).collect::<Vec<_>>();
     if !late.iter().any(|call| call.answered) {
         broken.push("nothing is answered after all faults were undone".to_owned());
--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -1,9 +1,9 @@
 //! Faults that are caused from outside the gateways, and undone after a while.
 
-use super::KEYS;
+use super::{KEYS, SoakFaults};
 use crate::error::BenchError;
-use crate::gateway_fleet::{GatewayFleet, route_config};
-use crate::standin::EndpointManner;
+use crate::gateway_fleet::{GatewayFleet, large_config, route_config};
+use crate::standin::{EndpointManner, RoutedStandIn};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -19,6 +19,14 @@
 const MOST_LIVES: usize = 6;
 /// How long a draining endpoint goes on.
 const DRAIN: Duration = Duration::from_millis(2_500);
+/// How long it does where it is checked what still reaches it.
+const LINGER: Duration = Duration::from_secs(6);
+/// Within which time of an endpoint's notice nothing may reach it any more: the settings' default.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// How long the store says nothing to a box, in milliseconds.
+const SILENT_MS: std::ops::Range<u64> = 1_000..9_000;
+/// How many routes more a large configuration has: 0.7 MB.
+const MORE_ROUTES: usize = 4_000;
 
 const MANNERS: [EndpointManner; 9] = [
     EndpointManner::Loses,
@@ -42,11 +50,15 @@
     StoreKeepsReplies,
     Sound(usize),
     Leave(usize),
+    StoreHears(usize),
 }
 
 /// The faults that stand.
 pub(super) struct FaultField {
     draw: StdRng,
+    faults: SoakFaults,
+    /// Which endpoints said that they leave, and when.
+    left: Vec<(usize, Instant)>,
     ends: Vec<(Instant, FaultEnd)>,
     started: Instant,
     version: u64,
@@ -56,9 +68,11 @@
 }
 
 impl FaultField {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(super) fn new(seed: u64, faults: SoakFaults) -> Self {
         Self {
             draw: StdRng::seed_from_u64(seed),
+            faults,
+            left: Vec::new(),
             ends: Vec::new(),
             started: Instant::now(),
             version: 1,
@@ -79,7 +93,10 @@
             self.undo(fleet, end).await?;
         }
         if self.draw.random_ratio(1, ONE_IN) {
-            self.begin(fleet).await?;
+            match self.faults {
+                SoakFaults::All => self.begin(fleet).await?,
+                SoakFaults::LateNews => self.delay_news(fleet).await?,
+            }
         }
         Ok(())
     }
@@ -104,6 +121,7 @@
             FaultEnd::StoreFast => fleet.store.set_slow(Duration::ZERO),
             FaultEnd::StoreKeepsReplies => fleet.store.set_loses_replies(false),
             FaultEnd::Sound(at) => fleet.endpoints[at].set_manner(EndpointManner::Sound),
+            FaultEnd::StoreHears(at) => fleet.doors[at].set_silent(false),
             FaultEnd::Leave(at) => {
                 let (key, _) = fleet.endpoints[at].record("a", "draining");
                 fleet.store.remove(&key);
@@ -183,13 +201,7 @@
                 (format!("endpoint {endpoint}: {manner:?}"), lasts, Some(end))
             }
             _ if self.lives < MOST_LIVES => {
-                self.lives += 1;
-                let service = fleet.endpoints[endpoint].service.clone();
-                fleet
-                    .add_endpoint(&format!("again-{}", self.lives), &service)
-                    .await?;
-                let (key, value) = fleet.endpoints[endpoint].record("a", "draining");
-                fleet.store.set(&key, value);
+                self.replace(fleet, endpoint).await?;
                 (
                     format!("endpoint {endpoint} leaves"),
                     DRAIN,
@@ -204,4 +216,76 @@
             .extend(end.map(|end| (Instant::now() + lasts, end)));
         Ok(())
     }
+
+    /// Starts another endpoint of the same service, and lets this one say that it leaves.
+    async fn replace(
+        &mut self,
+        fleet: &mut GatewayFleet,
+        endpoint: usize,
+    ) -> Result<(), BenchError> {
+        self.lives += 1;
+        let service = fleet.endpoints[endpoint].service.clone();
+        let name = format!("again-{}", self.lives);
+        fleet.add_endpoint(&name, &service).await?;
+        let (key, value) = fleet.endpoints[endpoint].record("a", "draining");
+        fleet.store.set(&key, value);
+        self.left.push((endpoint, Instant::now()));
+        Ok(())
+    }
+
+    /// Begins a fault by which news comes late. The store goes on hearing one box at least.
+    async fn delay_news(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+        let box_at = self.draw.random_range(0..fleet.gateways.len());
+        let silent = self.ends.iter().filter_map(|(_, end)| match end {
+            FaultEnd::StoreHears(at) => Some(*at),
+            _ => None,
+        });
+        let silent: Vec<usize> = silent.collect();
+        let may_fall_silent = !silent.contains(&box_at) && silent.len() + 1 < fleet.gateways.len();
+        let leaving = self.lives % super::SERVICES.len();
+        let (what, end) = match self.draw.random_range(0..4) {
+            0 if may_fall_silent => {
+                fleet.doors[box_at].set_silent(true);
+                let lasts = Duration::from_millis(self.draw.random_range(SILENT_MS));
+                let end = (Instant::now() + lasts, FaultEnd::StoreHears(box_at));
+                (format!("the store is silent for box {box_at}"), Some(end))
+            }
+            1 => {
+                fleet.doors[box_at].drop_watches();
+                (format!("watches of box {box_at} stall"), None)
+            }
+            2 => {
+                self.version += 1;
+                let config = large_config(self.version, KEYS, MORE_ROUTES);
+                fleet.store.set(dockgate_platform::ROUTES, config);
+                (format!("large configuration {}", self.version), None)
+            }
+            _ if self.lives < super::SERVICES.len() => {
+                self.replace(fleet, leaving).await?;
+                let end = (Instant::now() + LINGER, FaultEnd::Leave(leaving));
+                (format!("endpoint {leaving} leaves"), Some(end))
+            }
+            _ => return Ok(()),
+        };
+        let at = self.started.elapsed().as_millis();
+        self.told.push(format!("{at} ms: {what}"));
+        self.ends.extend(end);
+        Ok(())
+    }
+
+    /// Lists the requests that endpoints got long after they had said that they leave, where no box was
+    /// disturbed meanwhile.
+    pub(super) fn sent_after_leaving(&self, endpoints: &[RoutedStandIn]) -> Vec<String> {
+        let undisturbed = self.faults == SoakFaults::LateNews;
+        let left = self.left.iter().filter(|_| undisturbed);
+        let late = left.flat_map(|(at, left)| {
+            let ran = endpoints[*at].ran().into_iter();
+            let late = ran.filter(|run| run.at > *left + DRAIN_BOUND);
+            late.map(move |run| {
+                let after = run.at - *left;
+                format!("{}: reached endpoint {at} {after:?} after it left", run.id)
+            })
+        });
+        late.collect()
+    }
 }
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use dockgate_bench::demo::run_demo;
 use dockgate_bench::error::BenchError;
-use dockgate_bench::gateway_soak::{SoakOptions, run_soak};
+use dockgate_bench::gateway_soak::{SoakFaults, SoakOptions, run_soak};
 use dockgate_bench::report::BenchReport;
 use dockgate_bench::run::{RunOptions, WARM_UP, run_scenario};
 use dockgate_bench::scenario::BenchScenario;
@@ -57,6 +57,9 @@
         /// Seconds of faults for each.
         #[arg(long, default_value_t = 8)]
         seconds: u64,
+        /// Cause just faults by which news comes late, and check who sends to endpoints that left.
+        #[arg(long)]
+        late_news: bool,
     },
     /// Runs a scenario and reports what was measured.
     Run {
@@ -123,7 +126,14 @@
             seed,
             seeds,
             seconds,
-        } => soak(seed..seed + seeds, Duration::from_secs(seconds)).await,
+            late_news,
+        } => {
+            let faults = match late_news {
+                true => SoakFaults::LateNews,
+                false => SoakFaults::All,
+            };
+            soak(seed..seed + seeds, Duration::from_secs(seconds), faults).await
+        }
         BenchCommand::Run {
             scenario,
             seed,
@@ -157,10 +167,19 @@
 }
 
 /// Runs one seed after the other; says of each what was seen.
-async fn soak(seeds: Range<u64>, lasts: Duration) -> Result<ExitCode, BenchError> {
+async fn soak(
+    seeds: Range<u64>,
+    lasts: Duration,
+    faults: SoakFaults,
+) -> Result<ExitCode, BenchError> {
     let mut code = ExitCode::SUCCESS;
     for seed in seeds {
-        let seen = run_soak(SoakOptions { seed, lasts }).await?;
+        let seen = run_soak(SoakOptions {
+            seed,
+            lasts,
+            faults,
+        })
+        .await?;
         println!(
             "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} promises broken",
             seen.faults.len(),
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 /// How an endpoint treats the requests that it gets.
@@ -50,6 +50,8 @@
     pub body: Bytes,
     /// All headers, as text.
     pub headers: BTreeMap<String, String>,
+    /// When it came.
+    pub at: Instant,
 }
 
 #[derive(Default)]
@@ -197,6 +199,7 @@
         target: format!("{} {}", parts.method, parts.uri),
         body: body.clone(),
         headers,
+        at: Instant::now(),
     };
     let run = RoutedRun::new(state.clone(), seen);
     let takes = *locked(&state.takes);
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -1,6 +1,6 @@
 //! A short seeded run of the soak of gateways, and each seed that ever failed.
 
-use dockgate_bench::gateway_soak::{SoakOptions, run_soak};
+use dockgate_bench::gateway_soak::{SoakFaults, SoakOptions, run_soak};
 use std::time::Duration;
 use yare::parameterized;
 
@@ -16,6 +16,7 @@
     let options = SoakOptions {
         seed,
         lasts: Duration::from_secs(4),
+        faults: SoakFaults::All,
     };
     let seen = runtime.block_on(run_soak(options)).unwrap();
     assert!(seen.answered > 0, "{seen:?}");
