--- a/dockgate-bench/src/lib.rs
+++ b/dockgate-bench/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod fault;
 pub mod fleet;
 pub mod gap;
-pub mod gateway_caller;
 pub mod gateway_fleet;
 pub mod gateway_soak;
 pub mod relay;
--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for model engines, plain services and the platform's key-value service.
 
+pub mod caller;
 mod engine;
 mod http;
 mod peer;
--- a/dockgate-bench/src/gateway_caller.rs
+++ b/dockgate-bench/src/standin/caller.rs
@@ -1,4 +1,4 @@
-//! A caller of gateways for tests: one request on a connection of its own.
+//! A stand-in for a caller on the users' platform: one request on a connection of its own.
 
 use crate::gateway_fleet::GatewayProcess;
 use bytes::Bytes;
--- a/dockgate-bench/tests/drain.rs
+++ b/dockgate-bench/tests/drain.rs
@@ -18,8 +18,8 @@
 //! one of a class: a box acts on what it knows without knowing how old that is. The second test is of the
 //! same class: a store that says nothing any more was taken for one in which nothing changes.
 
-use dockgate_bench::gateway_caller::{call, request};
 use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
+use dockgate_bench::standin::caller::{call, request};
 use dockgate_bench::standin::{RoutedStandIn, StoreDoor};
 use dockgate_core::gateway::{EndpointNews, ToldEndpoint};
 use dockgate_platform::{StoredValue, decode_endpoint, decode_routes};
--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -3,9 +3,9 @@
 //! Each test causes one kind of failure, and looks at it from callers and endpoints.
 
 use bytes::Bytes;
-use dockgate_bench::gateway_caller::{all_events, call, connect, request, text};
 use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
 use dockgate_bench::standin::EndpointManner;
+use dockgate_bench::standin::caller::{all_events, call, connect, request, text};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -83,7 +83,7 @@
     /// milliseconds: two beats and a bit.
     const SUSPECT_AFTER_MS: u64 = 650;
     /// How long a box counts as one that the store hears after it last was, in milliseconds: the longest
-    /// time between two calls, for an answer, a beat and a digest, of which one is lost. One that knows
+    /// time between two probes, for an answer, a beat and a digest, of which one is lost. One that knows
     /// that it is not heard says so at once; this is for those that cannot say it.
     const PROOF_KEPT_MS: u64 = 2_000;
     /// After how long without a sign of life a box is forgotten, in milliseconds.
