feat: sight of callers that leave, and of what is written to endpoints after they have

Cause looked for: requests that reached endpoints long after their callers had left. Logs and metrics could not tell a late box from bytes in the system from an end that is not seen.

- `shared_stream.rs`: the connection that the library reads and writes can be asked from beside whether the other side is still there.
- `caller_left`: how far the request had come, how often it was sent, when the box noticed, how late it is.
- `dockgate_sent_after_leave_total`: counted where a request's first bytes are written.

No change of logic.

--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 mod admitted;
+mod call_progress;
 mod placing;
 mod sending;
 
@@ -9,6 +10,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::refusal::{RefusalReason, refusal_response};
+use crate::shared_stream::PeerPresence;
 use admitted::admit;
 pub(super) use admitted::{AdmittedCall, CallTries};
 use http::{Request, Response};
@@ -52,12 +54,13 @@
     }
 }
 
-/// Serves a request.
+/// Serves a request of `caller`.
 pub(super) async fn serve_call(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
+    caller: PeerPresence,
 ) -> Response<CallBody> {
-    match admit(state, request).await {
+    match admit(state, request, caller).await {
         Ok(call) => {
             let call = Arc::new(call);
             match call.clone().run().await {
@@ -95,6 +98,7 @@
 
 fn refuse(call: &AdmittedCall, refusal: &CallRefusal) -> Response<CallBody> {
     let reason = refusal.reason;
+    call.progress.end();
     GATEWAY_METRICS.note_outcome(&call.service().name, reason.as_str());
     log_gateway(&GatewayEvent::Refused {
         request: &call.head.id,
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -1,9 +1,13 @@
 //! Reads a request, and finds its route, workspace and time.
 
+use super::super::events::{GatewayEvent, log_gateway};
+use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
 use super::CallRefusal;
+use super::call_progress::CallProgress;
 use crate::clock::now_ms;
+use crate::shared_stream::PeerPresence;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
@@ -69,6 +73,10 @@
     pub(in super::super) uri: Uri,
     /// The body.
     pub(in super::super) body: Bytes,
+    /// Tells whether the caller is still there.
+    pub(in super::super) caller: PeerPresence,
+    /// How far it has come.
+    pub(in super::super) progress: CallProgress,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -139,6 +147,25 @@
     }
 }
 
+impl Drop for AdmittedCall {
+    /// Notes a request that ends without an answer or a refusal: nobody is there any more to get one.
+    fn drop(&mut self) {
+        if self.progress.has_ended() {
+            return;
+        }
+        GATEWAY_METRICS.note_outcome(&self.service().name, "caller_left");
+        log_gateway(&GatewayEvent::CallerLeft {
+            request: &self.head.id,
+            route: &self.route().name,
+            workspace: self.workspace_name(),
+            stage: self.progress.stage().as_str(),
+            sends: self.progress.sends(),
+            waited_ms: self.age().as_millis() as u64,
+            lag_ms: self.state.with(|beliefs| beliefs.lag.lag_ms()),
+        });
+    }
+}
+
 /// Reads a request up to the end of its body.
 ///
 /// # Errors
@@ -147,6 +174,7 @@
 pub(super) async fn admit(
     state: Arc<GatewayState>,
     request: Request<Incoming>,
+    caller: PeerPresence,
 ) -> Result<AdmittedCall, TurnedAway> {
     let arrived = Instant::now();
     let (parts, body) = request.into_parts();
@@ -200,6 +228,8 @@
         uri: path_and_query(&parts.uri),
         body,
         head,
+        caller,
+        progress: CallProgress::default(),
         table,
         route,
         service,
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -77,7 +77,10 @@
                 continue;
             }
             return match loss.answer.take() {
-                Some(answer) => Ok(*answer),
+                Some(answer) => {
+                    self.progress.end();
+                    Ok(*answer)
+                }
                 None => Err(self.report(&tries, loss.state, loss.timed_out)),
             };
         }
@@ -226,7 +229,8 @@
         last_event: Option<u64>,
     ) -> Result<JudgedAnswer, SendLoss> {
         let request = self.request_for(&place.target, last_event);
-        let sent = send(&self.state.pools, &place.target, request);
+        self.progress.note_send();
+        let sent = send(&self.state.pools, &place.target, request, &self.caller);
         // The attempt counts from here on, so that the patience is that of this send.
         let begins_until = Instant::now() + self.patience(place.expected_ms, tries);
         let sent = tokio::time::timeout_at(begins_until, sent).await;
@@ -351,6 +355,7 @@
         events: u64,
         tries: &CallTries,
     ) {
+        self.progress.end();
         GATEWAY_METRICS.note_outcome(&self.service().name, "answered");
         GATEWAY_METRICS.note_first_event(&self.service().name, first);
         let late = first > self.route().objective;
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -106,6 +106,7 @@
         match self.read(patience).await {
             StreamStep::Events(bytes) => {
                 self.ready = Some(bytes);
+                self.call.progress.note_answer();
                 self.first_after = self.call.age();
                 Ok(())
             }
@@ -281,6 +282,7 @@
             }
             Err(reason) => reason,
         };
+        self.call.progress.end();
         GATEWAY_METRICS.note_outcome(&self.call.service().name, "broken_off");
         log_gateway(&GatewayEvent::BrokenOff {
             request: &self.call.head.id,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -161,6 +161,20 @@
         events: u64,
         attempts: u32,
     },
+    /// The caller left before its answer was whole; what the request caused has ended.
+    CallerLeft {
+        request: &'a str,
+        route: &'a str,
+        workspace: &'a str,
+        /// How far it had come: `placing`, `sent` or `answering`.
+        stage: &'a str,
+        /// How many times it was sent to an endpoint.
+        sends: u32,
+        /// How long after its arrival the box noticed.
+        waited_ms: u64,
+        /// For how long work waits for the processor here.
+        lag_ms: u64,
+    },
     /// An answer was broken off.
     BrokenOff {
         request: &'a str,
@@ -204,6 +218,7 @@
             | Self::Resumed { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
+            | Self::CallerLeft { request, .. }
             | Self::BrokenOff { request, .. } => Some(request),
             _ => None,
         }
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -41,6 +41,13 @@
         GatewayEvent::BrokenOff { request: "r", endpoint: "e", events: 2, took_ms: 9, reason: "p" },
         "endpoint event events reason request took_ms"
     },
+    caller_left = {
+        GatewayEvent::CallerLeft {
+            request: "r", route: "x", workspace: "w", stage: "sent", sends: 1, waited_ms: 300,
+            lag_ms: 0,
+        },
+        "event lag_ms request route sends stage waited_ms workspace"
+    },
     resumed = {
         GatewayEvent::Resumed { request: "r", endpoint: "e", after_event: 2, problem: "p" },
         "after_event endpoint event problem request"
--- a/dockgate/src/gateway/front.rs
+++ b/dockgate/src/gateway/front.rs
@@ -6,6 +6,7 @@
 use super::sockets::{is_prepared, prepare};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
+use crate::shared_stream::SharedStream;
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -127,13 +128,15 @@
 
     async fn serve(&self, stream: TcpStream, connection: &Arc<ConnectionState>) {
         let limits = self.state.table().config().limits;
+        let stream = SharedStream::new(stream);
+        let caller = stream.presence();
         let io = TokioIo::new(TrackedIo::new(stream, connection.clone()));
         let service = service_fn(|request: Request<Incoming>| {
             let busy = BusyGuard::new(connection.clone());
-            let state = self.state.clone();
+            let (state, caller) = (self.state.clone(), caller.clone());
             async move {
                 let stopping = state.clone();
-                let response = serve_call(state, request).await;
+                let response = serve_call(state, request, caller).await;
                 let ends = stopping.is_stopping() || stopping.is_overloaded() || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
                 Ok::<_, Infallible>(finish(ends, response, busy))
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -30,6 +30,8 @@
     pub(super) missed_verdicts: IntCounter,
     /// Prompts that were declined for one engine without asking the box that decides for it.
     pub(super) declined_alone: IntCounter,
+    /// Requests that were written to an endpoint after their caller had left.
+    pub(super) sent_after_leave: IntCounter,
     /// Lines about requests that were not written, as there were too many.
     pub(super) lines_held_back: IntCounter,
     /// Calls to the store, by what is followed and outcome.
@@ -120,6 +122,10 @@
                 "dockgate_declined_alone_total",
                 "Prompts declined for one engine without asking the box that decides",
             ),
+            sent_after_leave: counter(
+                "dockgate_sent_after_leave_total",
+                "Requests that were written to an endpoint after their caller had left",
+            ),
             lines_held_back: counter(
                 "dockgate_log_lines_held_back_total",
                 "Lines about requests that were not written, as there were too many in a second",
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -1,6 +1,7 @@
 //! A caller's connection, with what is known of it, so that idle and half-sent ones can be closed.
 
 use crate::clock::now_ms;
+use crate::shared_stream::SharedStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,7 +9,6 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// How long a connection that is to be closed may take to read what has arrived: the runtime asks
@@ -107,12 +107,12 @@
 
 /// A stream that notes what is read from it.
 pub(super) struct TrackedIo {
-    stream: TcpStream,
+    stream: SharedStream,
     state: Arc<ConnectionState>,
 }
 
 impl TrackedIo {
-    pub(super) const fn new(stream: TcpStream, state: Arc<ConnectionState>) -> Self {
+    pub(super) const fn new(stream: SharedStream, state: Arc<ConnectionState>) -> Self {
         Self { stream, state }
     }
 }
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -1,9 +1,13 @@
 //! Connections to endpoints: kept while they are sound, bounded, and never used for two requests.
 
+mod endpoint_io;
+
 use super::sockets::connect;
 use crate::clock::now_ms;
+use crate::shared_stream::{PeerPresence, SharedStream};
 use bytes::Bytes;
 use dockgate_core::gateway::EndpointId;
+use endpoint_io::{EndpointIo, SendGate};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -83,8 +87,14 @@
     Lost(String),
 }
 
-struct RestingConnection {
+/// A connection as the library and the gate in front of it hold it.
+struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    gate: Arc<SendGate>,
+}
+
+struct RestingConnection {
+    connection: OpenConnection,
     until_ms: u64,
 }
 
@@ -133,14 +143,14 @@
     }
 
     /// Takes the connection that rested last, as it is the least likely to be closed.
-    fn take_resting(&self, id: EndpointId) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_resting(&self, id: EndpointId) -> Option<OpenConnection> {
         let mut pools = self.locked();
         let pool = pools.get_mut(&id)?;
         let now = now_ms();
         while let Some(resting) = pool.resting.pop() {
-            let sound = resting.until_ms > now && !resting.sender.is_closed();
+            let sound = resting.until_ms > now && !resting.connection.sender.is_closed();
             if sound {
-                return Some(resting.sender);
+                return Some(resting.connection);
             }
             pool.open -= 1;
         }
@@ -165,10 +175,13 @@
     }
 
     /// Keeps a connection for the next request, or closes it where there are more than may rest.
-    fn rest(&self, target: PoolKey, sender: SendRequest<Full<Bytes>>, until_ms: u64) {
+    fn rest(&self, target: PoolKey, connection: OpenConnection, until_ms: u64) {
         match self.locked().get_mut(&target.id) {
             Some(pool) if pool.open <= target.resting => {
-                pool.resting.push(RestingConnection { sender, until_ms });
+                pool.resting.push(RestingConnection {
+                    connection,
+                    until_ms,
+                });
             }
             Some(pool) => pool.open = pool.open.saturating_sub(1),
             None => {}
@@ -196,7 +209,7 @@
 pub(super) struct UsedConnection {
     pools: Arc<EndpointPools>,
     pool: PoolKey,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    connection: Option<OpenConnection>,
 }
 
 impl UsedConnection {
@@ -205,14 +218,14 @@
     /// `idle` is how long the endpoint says that it keeps it.
     pub(super) fn keep(mut self, idle: Option<Duration>) {
         let rest = idle.map_or(REST, |idle| idle.saturating_sub(REST_MARGIN));
-        let sender = self
-            .sender
+        let connection = self
+            .connection
             .take()
-            .filter(|sender| !sender.is_closed() && !rest.is_zero());
-        match sender {
-            Some(sender) => {
+            .filter(|connection| !connection.sender.is_closed() && !rest.is_zero());
+        match connection {
+            Some(connection) => {
                 let until_ms = now_ms() + rest.as_millis() as u64;
-                self.pools.rest(self.pool, sender, until_ms);
+                self.pools.rest(self.pool, connection, until_ms);
             }
             None => self.pools.release(self.pool.id),
         }
@@ -221,7 +234,7 @@
 
 impl Drop for UsedConnection {
     fn drop(&mut self) {
-        if self.sender.take().is_some() {
+        if self.connection.take().is_some() {
             self.pools.release(self.pool.id);
         }
     }
@@ -251,7 +264,9 @@
             ErrorKind::TimedOut => SendFailure::Silent(error.to_string()),
             _ => unreachable(error.to_string()),
         })?;
-    let (sender, connection) = handshake(TokioIo::new(stream))
+    let gate = Arc::<SendGate>::default();
+    let io = EndpointIo::new(SharedStream::new(stream), gate.clone());
+    let (sender, connection) = handshake(TokioIo::new(io))
         .await
         .map_err(|error| unreachable(error.to_string()))?;
     tokio::spawn(async move {
@@ -263,11 +278,11 @@
     Ok(UsedConnection {
         pools: pools.clone(),
         pool: target.into(),
-        sender: Some(sender),
+        connection: Some(OpenConnection { sender, gate }),
     })
 }
 
-/// Sends a request, and waits for the head of the answer.
+/// Sends a request of `caller`, and waits for the head of the answer.
 ///
 /// A connection that was found closed before the request was put on it is replaced by a new one;
 /// nothing else is tried again here.
@@ -279,22 +294,23 @@
     pools: &Arc<EndpointPools>,
     target: &EndpointTarget,
     request: Request<Full<Bytes>>,
+    caller: &PeerPresence,
 ) -> Result<(Response<Incoming>, UsedConnection), SendFailure> {
     let mut request = request;
-    while let Some(sender) = pools.take_resting(target.id) {
+    while let Some(connection) = pools.take_resting(target.id) {
         let resting = UsedConnection {
             pools: pools.clone(),
             pool: target.into(),
-            sender: Some(sender),
+            connection: Some(connection),
         };
-        match exchange(resting, request).await {
+        match exchange(resting, request, caller).await {
             Ok(answer) => return Ok(answer),
             Err(ExchangeFailure::NotSent(unsent)) => request = *unsent,
             Err(ExchangeFailure::Lost(problem)) => return Err(SendFailure::Lost(problem)),
         }
     }
     let fresh = open(pools, target).await?;
-    exchange(fresh, request)
+    exchange(fresh, request, caller)
         .await
         .map_err(|failure| match failure {
             ExchangeFailure::NotSent(_) => {
@@ -310,17 +326,19 @@
 }
 
 async fn exchange(
-    mut connection: UsedConnection,
+    mut used: UsedConnection,
     request: Request<Full<Bytes>>,
+    caller: &PeerPresence,
 ) -> Result<(Response<Incoming>, UsedConnection), ExchangeFailure> {
-    let Some(sender) = connection.sender.as_mut() else {
+    let Some(connection) = used.connection.as_mut() else {
         return Err(ExchangeFailure::NotSent(Box::new(request)));
     };
-    if sender.ready().await.is_err() {
+    if connection.sender.ready().await.is_err() {
         return Err(ExchangeFailure::NotSent(Box::new(request)));
     }
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok((response, connection)),
+    connection.gate.expect(caller);
+    match connection.sender.try_send_request(request).await {
+        Ok(response) => Ok((response, used)),
         Err(mut error) => Err(match error.take_message() {
             Some(unsent) => ExchangeFailure::NotSent(Box::new(unsent)),
             None => ExchangeFailure::Lost(describe(&error.into_error())),
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -18,6 +18,7 @@
 mod peer_door;
 mod probed_wait;
 mod settings;
+mod shared_stream;
 mod stop;
 
 use clap::Parser;
--- /dev/null
+++ b/dockgate/src/shared_stream.rs
@@ -0,0 +1,133 @@
+//! A TCP connection that an HTTP library reads and writes while the box looks at it from beside.
+//!
+//! A library looks for the end of a connection only when it reads, and it reads only when it has a use
+//! for what comes. So whoever has to know whether the other side is still there asks the system, through
+//! a [`PeerPresence`].
+
+use futures::FutureExt;
+use socket2::SockRef;
+use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
+use tokio::net::TcpStream;
+
+/// A connection for a library, which can be looked at from beside.
+#[derive(Debug)]
+pub(crate) struct SharedStream(Arc<TcpStream>);
+
+impl SharedStream {
+    /// Takes a connection over.
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Returns what tells whether the other side is still there.
+    pub(crate) fn presence(&self) -> PeerPresence {
+        PeerPresence(self.0.clone())
+    }
+
+    /// Reads what has come; a read that leaves room has taken everything, and the runtime is told so, which
+    /// saves the call that would find nothing.
+    fn try_read(&self, buffer: &mut ReadBuf<'_>) -> io::Result<()> {
+        let before = buffer.remaining();
+        let mut has_read = false;
+        let tried = self.0.try_io(Interest::READABLE, || {
+            let length = self.0.try_read_buf(buffer)?;
+            has_read = true;
+            match length > 0 && length < before {
+                true => Err(ErrorKind::WouldBlock.into()),
+                false => Ok(()),
+            }
+        });
+        match has_read {
+            true => Ok(()),
+            false => tried,
+        }
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.try_read(buffer) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write_vectored(slices) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
+
+/// Tells whether the other side of a connection is still there.
+///
+/// One that has ended its sending counts as gone, whether it would still read or not: a caller that leaves
+/// closes its connection, and the end of what it sends is all that is seen of that.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerPresence(Arc<TcpStream>);
+
+impl PeerPresence {
+    /// Tells whether the other side has left, as the system knows it at this moment.
+    pub(crate) fn has_left(&self) -> bool {
+        // What the runtime was told last is known also where bytes that nobody reads stand before the end.
+        let noted = self.0.ready(Interest::READABLE).now_or_never();
+        let noted =
+            noted.is_some_and(|ready| ready.is_ok_and(|ready: Ready| ready.is_read_closed()));
+        noted || self.is_at_end()
+    }
+
+    /// Asks the system whether the end, or a failure, is what would be read next.
+    fn is_at_end(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.0).peek(&mut byte) {
+            Ok(length) => length == 0,
+            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
