fix(daemon): a place at an engine that nobody takes is given back to whoever decides for it

The box that decides went on counting the prompt at its engine until the caller's time was over (15 s for the longest kind), and declined others for it. Test: a_place_that_nobody_takes_is_given_back (granted to nobody fails without the change).

--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -4,6 +4,8 @@
 //! that engine knows all that is there, so its verdict is worth a round trip of two milliseconds;
 //! where it does not answer in time, the entry decides alone on what it sent there itself.
 
+mod pending_seek;
+
 use super::datagrams::send_to;
 use super::events::AskedEngine;
 use super::gateway_metrics::GATEWAY_METRICS;
@@ -17,13 +19,9 @@
     ReadSpeed, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel, best_homes,
 };
 use dockgate_proto::GatewayMessage;
+use pending_seek::PendingSeek;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::oneshot;
 
-/// How long a verdict may take: a round trip is about two milliseconds, but a box whose share of the
-/// processor is spent gets nothing for the rest of a tenth of a second.
-const VERDICT_TIMEOUT: Duration = Duration::from_millis(60);
 /// As how many other boxes, that may all send to an engine whose decider does not answer, count at most:
 /// as many as there are in a small fleet, where it was measured. With all of 295 boxes nearly every
 /// prompt is declined that has to be decided on alone, since each box sends a 295th of what there is.
@@ -269,7 +267,8 @@
     if let Some(asked) = decline_here(state, home, ask, number) {
         return Some(asked);
     }
-    if let Some(verdict) = ask_owner(state, home, number, ask).await {
+    let seek = PendingSeek::send(state, number, home.target.id, home.owner, ask);
+    if let Some(verdict) = seek.verdict().await {
         if matches!(verdict, EngineVerdict::Granted(_)) {
             place_here(state, home.target.id, state.own_run(number), ask);
         }
@@ -335,38 +334,6 @@
     })
 }
 
-/// Asks the box that decides for an engine; returns none where it does not answer in time.
-async fn ask_owner(
-    state: &GatewayState,
-    home: &HomeEngine,
-    run: u32,
-    ask: &EngineAsk,
-) -> Option<EngineVerdict> {
-    let (sender, verdict) = oneshot::channel();
-    state.with(|beliefs| beliefs.seeks.insert(run, sender));
-    let _withdraw = SeekGuard { state, run };
-    let seek = GatewayMessage::Seek {
-        run,
-        endpoint: home.target.id,
-        ask: ask.clone(),
-    };
-    send_to(state, home.owner, seek);
-    let verdict = tokio::time::timeout(VERDICT_TIMEOUT, verdict).await;
-    verdict.ok()?.ok()
-}
-
-/// Withdraws a seek when nobody waits for its verdict any more, as when the caller has gone.
-struct SeekGuard<'a> {
-    state: &'a GatewayState,
-    run: u32,
-}
-
-impl Drop for SeekGuard<'_> {
-    fn drop(&mut self) {
-        self.state.with(|beliefs| beliefs.seeks.remove(&self.run));
-    }
-}
-
 /// Finds an engine for a prompt.
 ///
 /// # Errors
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -407,3 +407,6 @@
         configured && able && !self.is_stopping()
     }
 }
+
+#[cfg(test)]
+pub(super) mod tests;
--- a/dockgate/src/gateway/membership/tests.rs
+++ b/dockgate/src/gateway/membership/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::gateway::settings::parse_gateway;
+use crate::gateway::gateway_state::tests::state_with_seed;
 use dockgate_proto::GatewayDatagram;
 use tokio::net::UdpSocket;
 
@@ -7,18 +7,6 @@
     UdpSocket::bind(address).await.unwrap()
 }
 
-/// Makes a box whose one seed takes datagrams at the same port of another address.
-fn state_with_seed(datagrams: UdpSocket, seed: &UdpSocket) -> GatewayState {
-    let own = datagrams.local_addr().unwrap();
-    let seed = seed.local_addr().unwrap();
-    let text = format!(
-        "[box]\nname = a1\ndomain = a\n[listen]\ncallers = {own}\nreadiness = {own}\n\
-         state = {own}\npeers = {own}\nmetrics = {own}\n[platform]\nstore = {own}\n\
-         [gateway]\nseeds = {seed}\n"
-    );
-    GatewayState::new(parse_gateway("f.ini", &text).unwrap(), datagrams)
-}
-
 fn count_datagrams(socket: &UdpSocket) -> usize {
     let mut buffer = [0; 2_000];
     let received = std::iter::from_fn(|| socket.try_recv_from(&mut buffer).ok());
@@ -40,7 +28,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_box_that_starts_says_so_until_another_one_of_its_domain_is_heard() {
     let (own, seed) = two_sockets().await;
-    let state = state_with_seed(own, &seed);
+    let state = state_with_seed(own, seed.local_addr().unwrap());
     announce(&state).await;
     seed.readable().await.unwrap();
     assert_eq!(
@@ -59,7 +47,7 @@
 #[tokio::test]
 async fn a_beat_is_answered_with_what_its_sender_needs() {
     let (own, other) = two_sockets().await;
-    let state = state_with_seed(own, &other);
+    let state = state_with_seed(own, other.local_addr().unwrap());
     let from = other.local_addr().unwrap();
     state.datagrams.writable().await.unwrap();
     let row = ShareRow {
