fix(daemon): the first path ends work whose caller has gone, whatever it has sent behind

Test: work_ends_when_its_caller_goes_whatever_it_has_sent_behind (tests/fleet.rs) failed before. Not changed there: requests are given to a pooled client, so that nobody looks for the caller again when the first byte is written.

--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -362,3 +362,38 @@
     }
     fleet.stop().await;
 }
+
+/// Work went on until its answer was made where a caller had sent more on its connection before it left: the library
+/// that reads the connection does not look behind bytes that it has no use for yet.
+#[tokio::test]
+async fn work_ends_when_its_caller_goes_whatever_it_has_sent_behind() {
+    let mut fleet = start().await;
+    let daemon = &fleet.daemons[0];
+    let running = async |count: usize| {
+        let media = &fleet.tallies["media"];
+        for _ in 0..1_000 {
+            if media.running() == count {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        panic!("{} run, not {count}", media.running());
+    };
+    let key = workspace_key("captions");
+    let text = |nonce: &str| {
+        format!(
+            "POST /services/media/wait/60000 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+             x-nonce: {nonce}\r\ncontent-length: 5\r\n\r\nhello"
+        )
+    };
+    let mut caller = TcpStream::connect(daemon.callers()).await.unwrap();
+    caller.write_all(text("first").as_bytes()).await.unwrap();
+    running(1).await;
+    caller.write_all(text("behind").as_bytes()).await.unwrap();
+    drop(caller);
+    running(0).await;
+    let plain = text_of(send(request(daemon, "/services/media/a", "x")).await).await;
+    assert_eq!(plain, "POST /a x");
+    assert_eq!(fleet.tallies["media"].runs_of("behind"), 0);
+    fleet.stop().await;
+}
--- a/dockgate/src/caller.rs
+++ b/dockgate/src/caller.rs
@@ -14,6 +14,7 @@
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
 use crate::settings::DaemonSettings;
+use crate::shared_stream::SharedStream;
 use crate::stop::StopFlag;
 use attempt::AttemptContext;
 use bytes::Bytes;
@@ -148,8 +149,17 @@
             let door = door.clone();
             async move { Ok::<_, Infallible>(door.answer(request).await) }
         });
+        let stream = SharedStream::new(stream);
+        let caller = stream.presence();
         let connection = builder.serve_connection_with_upgrades(TokioIo::new(stream), service);
-        if let Err(error) = connection.await {
+        // The library does not see a caller leave behind bytes that it has no use for yet, such as the next
+        // request: a run of a minute went on to its end.
+        let ended = tokio::select! {
+            biased;
+            () = caller.left() => return,
+            ended = connection => ended,
+        };
+        if let Err(error) = ended {
             log::debug!("callers: connection: {error}");
         }
     }
