fix(daemon): a caller that has left is seen behind bytes that nobody has read, before the runtime asks

Two requests were sent for a caller who had left. Now the system is asked for the end itself where there are bytes (one call more in just that case); other cases take one call as before.

--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -169,5 +169,7 @@
     }
 }
 
+#[cfg(test)]
+mod leaving_tests;
 #[cfg(test)]
 mod tests;
--- a/dockgate/src/shared_stream.rs
+++ b/dockgate/src/shared_stream.rs
@@ -4,7 +4,10 @@
 //! for what comes. So whoever has to know whether the other side is still there asks the system, through
 //! a [`PeerPresence`].
 
+#[cfg(not(any(target_os = "linux", target_os = "android")))]
 use futures::FutureExt;
+#[cfg(any(target_os = "linux", target_os = "android"))]
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
@@ -13,7 +16,7 @@
 use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf, Ready};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
 /// What wakes whoever waits for the end of a connection: not the bytes before it.
@@ -128,11 +131,28 @@
 impl PeerPresence {
     /// Tells whether the other side has left, as the system knows it at this moment.
     pub(crate) fn has_left(&self) -> bool {
-        // What the runtime was told last is known also where bytes that nobody reads stand before the end.
-        let noted = self.0.ready(Interest::READABLE).now_or_never();
-        let noted =
-            noted.is_some_and(|ready| ready.is_ok_and(|ready: Ready| ready.is_read_closed()));
-        noted || self.is_at_end()
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.0).peek(&mut byte) {
+            Ok(0) => true,
+            Ok(_) => self.ends_behind_bytes(),
+            Err(error) => !is_pause(&error),
+        }
+    }
+
+    /// Tells whether the other side has left behind bytes that nobody has read.
+    #[cfg(any(target_os = "linux", target_os = "android"))]
+    fn ends_behind_bytes(&self) -> bool {
+        let mut polled = [PollFd::new(&*self.0, PollFlags::RDHUP)];
+        let asked = poll(&mut polled, Some(&Timespec::default()));
+        // A failure of the connection is told whether it is asked for or not.
+        asked.is_ok() && !polled[0].revents().is_empty()
+    }
+
+    /// Tells whether the other side has left behind bytes that nobody has read, as far as the runtime knows.
+    #[cfg(not(any(target_os = "linux", target_os = "android")))]
+    fn ends_behind_bytes(&self) -> bool {
+        let noted = self.0.ready(END).now_or_never();
+        noted.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
     }
 
     /// Waits until the other side has left, whatever it has sent before that nobody reads.
@@ -145,15 +165,11 @@
             }
         }
     }
+}
 
-    /// Asks the system whether the end, or a failure, is what would be read next.
-    fn is_at_end(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut byte) {
-            Ok(length) => length == 0,
-            Err(error) => !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
-        }
-    }
+/// Tells whether a call found nothing to do, in place of a failure.
+fn is_pause(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
 /// Resets a connection that somebody else holds; it does not keep it open.
--- a/dockgate/src/shared_stream/tests.rs
+++ b/dockgate/src/shared_stream/tests.rs
@@ -34,9 +34,9 @@
     }
 }
 
-/// Waits for what the system has on its way on loopback.
-async fn settle() {
-    tokio::time::sleep(Duration::from_millis(20)).await;
+/// Waits for what the system has on its way on loopback; the runtime does not ask it meanwhile.
+fn settle() {
+    std::thread::sleep(Duration::from_millis(20));
 }
 
 #[parameterized(
@@ -50,7 +50,7 @@
     let presence = stream.presence();
     assert!(!presence.has_left());
     let _kept = leave(caller, leaving).await;
-    settle().await;
+    settle();
     assert!(presence.has_left());
 }
 
@@ -64,10 +64,10 @@
     let (mut caller, stream) = pair().await;
     let presence = stream.presence();
     caller.write_all(&[0; 40_000]).await.unwrap();
-    settle().await;
+    settle();
     assert!(!presence.has_left(), "it has only sent");
     let _kept = leave(caller, leaving).await;
-    settle().await;
+    settle();
     assert!(presence.has_left());
 }
 
