test(soak): callers that leave, many behind further requests, beside boxes that are stopped in turns

What the soak lacked: each caller sent one request a connection and stayed until its answer. Now sixty callers send one to three requests and an empty line at times, stay for 1 to 900 ms and leave in order, by reset or by ending their sending; boxes are stopped for 20 to 900 ms and run for 2 to 30 in turn, endpoints fail, configurations are large. Checked: nothing reaches an endpoint over half a second after its caller has left, and nothing is worked on for so long where no box was slow, beside what the soak itself was late.

`--late-news` is `--faults late-news`.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -5,12 +5,15 @@
 //! at once.
 
 mod caller_standin;
+mod leaving_caller;
 mod soak_fault;
 
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, route_config};
 use crate::standin::RoutedStandIn;
 use caller_standin::{SoakCall, SoakRoute, keep_calling};
+use clap::ValueEnum;
+use leaving_caller::{LeavingSeen, keep_leaving, measure_own_lag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use soak_fault::FaultField;
@@ -25,6 +28,10 @@
 const SERVICES: [&str; 5] = ["plain", "plain", "model", "model", "model"];
 /// How many callers there are.
 const CALLERS: usize = 9;
+/// How many callers there are besides that leave, where they are looked at.
+const LEAVERS: u64 = 60;
+/// How long an event takes there: a stream goes on for well beyond what its caller stays.
+const EVENT_TAKES: Duration = Duration::from_millis(90);
 /// How soon a gateway must be ready when all faults are undone.
 const READY_AGAIN: Duration = Duration::from_secs(12);
 /// How many lines of its log are told of one that is not.
@@ -38,7 +45,7 @@
 const SETTLED: Duration = Duration::from_secs(2);
 
 /// Which faults are caused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, ValueEnum)]
 pub enum SoakFaults {
     /// Boxes, endpoints and the store for all of them.
     #[default]
@@ -46,6 +53,9 @@
     /// News that comes late: the store says nothing to some boxes, watches stall, configurations are large,
     /// while endpoints leave. No box is disturbed, so that each must know in time who leaves.
     LateNews,
+    /// Callers that leave, many of them behind further requests, beside boxes that are stopped and continued in
+    /// turns, endpoints that fail and large configurations. Nothing reaches an endpoint for who has left.
+    Leaving,
 }
 
 /// What to run.
@@ -64,6 +74,8 @@
 pub struct SoakReport {
     /// Requests made.
     pub calls: usize,
+    /// Requests whose callers left.
+    pub left: usize,
     /// Those that got their whole answer.
     pub answered: usize,
     /// Those that were refused as not run.
@@ -88,6 +100,21 @@
         tokio::spawn(keep_calling(number, draw, addresses.clone(), over.clone()))
     });
     let callers: Vec<_> = callers.collect();
+    let leavers = match options.faults {
+        SoakFaults::Leaving => LEAVERS,
+        SoakFaults::All | SoakFaults::LateNews => 0,
+    };
+    if leavers > 0 {
+        let endpoints = fleet.endpoints.iter();
+        endpoints.for_each(|endpoint| endpoint.set_takes(EVENT_TAKES));
+    }
+    let leavers = (0..leavers).map(|number| {
+        let draw =
+            StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + CALLERS as u64 + number);
+        tokio::spawn(keep_leaving(number, draw, addresses.clone(), over.clone()))
+    });
+    let leavers: Vec<_> = leavers.collect();
+    let own_lag = tokio::spawn(measure_own_lag(over.clone()));
 
     let mut field = FaultField::new(options.seed, options.faults);
     let started = Instant::now();
@@ -107,7 +134,15 @@
             Err(error) => broken.push(format!("a caller ended: {error}")),
         }
     }
-    Ok(report(&fleet, &calls, field, broken))
+    let mut leaving = LeavingSeen::default();
+    for leaver in leavers {
+        match leaver.await {
+            Ok(left) => leaving.extend(left),
+            Err(error) => broken.push(format!("a caller that leaves ended: {error}")),
+        }
+    }
+    leaving.note_own_lag(own_lag.await.unwrap_or_default());
+    Ok(report(&fleet, &calls, &leaving, field, broken))
 }
 
 /// Waits until every gateway is ready; says of each that is not in time what it logged last.
@@ -134,6 +169,7 @@
 fn report(
     fleet: &GatewayFleet,
     calls: &[SoakCall],
+    leaving: &LeavingSeen,
     field: FaultField,
     mut broken: Vec<String>,
 ) -> SoakReport {
@@ -160,6 +196,14 @@
         }
         runs.remove(&call.id);
     }
+    for call in leaving.calls() {
+        let ran = runs.remove(&call.id).unwrap_or(0);
+        let most = call.route.most_runs();
+        if ran > most {
+            broken.push(format!("{}: ran {ran} times of {most}", call.id));
+        }
+    }
+    broken.extend(leaving.outlived(&fleet.endpoints, &field.slow));
     broken.extend(
         runs.keys()
             .map(|id| format!("{id}: ran, and nobody asked for it")),
@@ -171,6 +215,7 @@
     }
     SoakReport {
         calls: calls.len(),
+        left: leaving.calls().len(),
         answered: calls.iter().filter(|call| call.answered).count(),
         refused: calls.iter().filter(|call| call.refused).count(),
         faults: field.told,
--- a/dockgate-bench/src/gateway_soak/caller_standin.rs
+++ b/dockgate-bench/src/gateway_soak/caller_standin.rs
@@ -38,7 +38,7 @@
 impl SoakRoute {
     const ALL: [Self; 4] = [Self::Once, Self::Again, Self::Live, Self::Draft];
 
-    const fn path(self) -> &'static str {
+    pub(super) const fn path(self) -> &'static str {
         match self {
             Self::Once => "/once/x",
             Self::Again => "/again/x",
@@ -47,7 +47,7 @@
         }
     }
 
-    const fn streams(self) -> bool {
+    pub(super) const fn streams(self) -> bool {
         matches!(self, Self::Live | Self::Draft)
     }
 }
--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -2,7 +2,7 @@
 
 use super::{KEYS, SoakFaults};
 use crate::error::BenchError;
-use crate::gateway_fleet::{GatewayFleet, large_config, route_config};
+use crate::gateway_fleet::{GatewayFleet, GatewayProcess, large_config, route_config};
 use crate::standin::{EndpointManner, RoutedStandIn};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
@@ -25,6 +25,13 @@
 const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// How long the store says nothing to a box, in milliseconds.
 const SILENT_MS: std::ops::Range<u64> = 1_000..9_000;
+/// How long a box is slow.
+const SLOW: Duration = Duration::from_millis(2_500);
+/// For how long a slow box is stopped each time, in milliseconds: from a share that is spent to what makes it
+/// seconds late.
+const STOPPED_MS: std::ops::Range<u64> = 20..900;
+/// For how long it runs in between, in milliseconds.
+const RUNNING_MS: std::ops::Range<u64> = 2..30;
 /// How many routes more a large configuration has: 0.7 MB.
 const MORE_ROUTES: usize = 4_000;
 
@@ -60,6 +67,8 @@
     /// Which endpoints said that they leave, and when.
     left: Vec<(usize, Instant)>,
     ends: Vec<(Instant, FaultEnd)>,
+    /// From when until when a box was slow.
+    pub(super) slow: Vec<(Instant, Instant)>,
     started: Instant,
     version: u64,
     lives: usize,
@@ -74,6 +83,7 @@
             faults,
             left: Vec::new(),
             ends: Vec::new(),
+            slow: Vec::new(),
             started: Instant::now(),
             version: 1,
             lives: 0,
@@ -96,6 +106,7 @@
             match self.faults {
                 SoakFaults::All => self.begin(fleet).await?,
                 SoakFaults::LateNews => self.delay_news(fleet).await?,
+                SoakFaults::Leaving => self.slow_down(fleet).await,
             }
         }
         Ok(())
@@ -273,6 +284,50 @@
         Ok(())
     }
 
+    /// Begins a fault beside which callers leave: a box that runs for a small part of the time, an endpoint that
+    /// fails, a large configuration.
+    async fn slow_down(&mut self, fleet: &GatewayFleet) {
+        let box_at = self.draw.random_range(0..fleet.gateways.len());
+        let endpoint = self.draw.random_range(0..super::SERVICES.len());
+        let at = self.started.elapsed().as_millis();
+        let what = match self.draw.random_range(0..4) {
+            0 | 1 => {
+                let stopped = self.draw.random_range(STOPPED_MS);
+                let running = self.draw.random_range(RUNNING_MS);
+                self.take_turns(&fleet.gateways[box_at], stopped, running)
+                    .await;
+                format!("box {box_at} is stopped for {stopped} and runs for {running} ms in turn")
+            }
+            2 => {
+                let manner = MANNERS[self.draw.random_range(0..MANNERS.len())];
+                fleet.endpoints[endpoint].set_manner(manner);
+                let lasts = Duration::from_millis(self.draw.random_range(LASTS_MS));
+                self.ends
+                    .push((Instant::now() + lasts, FaultEnd::Sound(endpoint)));
+                format!("endpoint {endpoint}: {manner:?}")
+            }
+            _ => {
+                self.version += 1;
+                let config = large_config(self.version, KEYS, MORE_ROUTES);
+                fleet.store.set(dockgate_platform::ROUTES, config);
+                format!("large configuration {}", self.version)
+            }
+        };
+        self.told.push(format!("{at} ms: {what}"));
+    }
+
+    /// Stops and continues a box in turn, for a while.
+    async fn take_turns(&mut self, gateway: &GatewayProcess, stopped_ms: u64, running_ms: u64) {
+        let from = Instant::now();
+        while from.elapsed() < SLOW {
+            gateway.signal(Signal::SIGSTOP);
+            tokio::time::sleep(Duration::from_millis(stopped_ms)).await;
+            gateway.signal(Signal::SIGCONT);
+            tokio::time::sleep(Duration::from_millis(running_ms)).await;
+        }
+        self.slow.push((from, Instant::now()));
+    }
+
     /// Lists the requests that endpoints got long after they had said that they leave, where no box was
     /// disturbed meanwhile.
     pub(super) fn sent_after_leaving(&self, endpoints: &[RoutedStandIn]) -> Vec<String> {
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -57,9 +57,9 @@
         /// Seconds of faults for each.
         #[arg(long, default_value_t = 8)]
         seconds: u64,
-        /// Cause just faults by which news comes late, and check who sends to endpoints that left.
-        #[arg(long)]
-        late_news: bool,
+        /// Which faults are caused.
+        #[arg(long, value_enum, default_value_t)]
+        faults: SoakFaults,
     },
     /// Runs a scenario and reports what was measured.
     Run {
@@ -126,14 +126,8 @@
             seed,
             seeds,
             seconds,
-            late_news,
-        } => {
-            let faults = match late_news {
-                true => SoakFaults::LateNews,
-                false => SoakFaults::All,
-            };
-            soak(seed..seed + seeds, Duration::from_secs(seconds), faults).await
-        }
+            faults,
+        } => soak(seed..seed + seeds, Duration::from_secs(seconds), faults).await,
         BenchCommand::Run {
             scenario,
             seed,
@@ -181,11 +175,12 @@
         })
         .await?;
         println!(
-            "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} promises broken",
+            "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} left, {} promises broken",
             seen.faults.len(),
             seen.calls,
             seen.answered,
             seen.refused,
+            seen.left,
             seen.broken.len(),
         );
         if !seen.broken.is_empty() {
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -54,10 +54,20 @@
     pub at: Instant,
 }
 
+/// The end of a run, whether it was answered or broken off.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunEnd {
+    /// The caller's id.
+    pub id: String,
+    /// When it ended.
+    pub at: Instant,
+}
+
 #[derive(Default)]
 struct RoutedState {
     manner: Mutex<EndpointManner>,
     seen: Mutex<Vec<SeenRequest>>,
+    ends: Mutex<Vec<RunEnd>>,
     unfinished: Mutex<i64>,
     takes: Mutex<Duration>,
 }
@@ -126,6 +136,11 @@
         locked(&self.state.seen).clone()
     }
 
+    /// Returns the runs that have ended.
+    pub fn ended(&self) -> Vec<RunEnd> {
+        locked(&self.state.ends).clone()
+    }
+
     /// Returns how many requests it works on.
     pub fn working(&self) -> i64 {
         *locked(&self.state.unfinished)
@@ -138,19 +153,26 @@
 }
 
 /// A run that is under way; dropping it notes its end.
-struct RoutedRun(Arc<RoutedState>);
+struct RoutedRun {
+    state: Arc<RoutedState>,
+    id: String,
+}
 
 impl RoutedRun {
     fn new(state: Arc<RoutedState>, request: SeenRequest) -> Self {
+        let id = request.id.clone();
         locked(&state.seen).push(request);
         *locked(&state.unfinished) += 1;
-        Self(state)
+        Self { state, id }
     }
 }
 
 impl Drop for RoutedRun {
     fn drop(&mut self) {
-        *locked(&self.0.unfinished) -= 1;
+        let id = std::mem::take(&mut self.id);
+        let at = Instant::now();
+        locked(&self.state.ends).push(RunEnd { id, at });
+        *locked(&self.state.unfinished) -= 1;
     }
 }
 
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -5,18 +5,21 @@
 use yare::parameterized;
 
 #[parameterized(
-    first = { 1 },
-    second = { 2 },
+    first = { SoakFaults::All, 1 },
+    second = { SoakFaults::All, 2 },
     // A SIGHUP met a box that was starting, and ended it. What a box can do about that is tested with
     // a pipe in place of its settings; the soak no longer sends one before the program runs.
-    reloaded_while_starting = { 126 },
+    reloaded_while_starting = { SoakFaults::All, 126 },
+    // Boxes that are stopped for most of the time: four requests reached an endpoint over half a second after
+    // their callers had left, and 24 were worked on for so long.
+    callers_that_leave = { SoakFaults::Leaving, 2 },
 )]
-fn no_promise_breaks(seed: u64) {
+fn no_promise_breaks(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let options = SoakOptions {
         seed,
         lasts: Duration::from_secs(4),
-        faults: SoakFaults::All,
+        faults,
     };
     let seen = runtime.block_on(run_soak(options)).unwrap();
     assert!(seen.answered > 0, "{seen:?}");
