fix(bench): a soak that is ended from outside says so, and ends what it has started

Cause of the finding about soaks that stopped without a word: seen again with three soaks; they were ended by SIGHUP as the shell that had started them ended, and their boxes, which take that signal for a reload, lived on (their logs have `reloaded` at the same millisecond). Test: a_soak_that_is_ended_from_outside_says_so.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -132,14 +132,8 @@
 
     /// Tells whether its program listens for a signal yet: before its first instruction nothing can.
     pub fn listens_for(&self, signal: Signal) -> bool {
-        let Some(child) = &self.child else {
-            return false;
-        };
-        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
-        let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
-        caught.is_some_and(|mask| mask & (1 << (signal as u64 - 1)) != 0)
+        let child = self.child.as_ref();
+        child.is_some_and(|child| listens_for(child.id(), signal))
     }
 
     /// Kills it.
@@ -180,6 +174,15 @@
     }
 }
 
+/// Tells whether a process listens for a signal.
+pub fn listens_for(process: u32, signal: Signal) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
+    let status = status.unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    caught.is_some_and(|mask| mask & (1 << (signal as u64 - 1)) != 0)
+}
+
 /// Waits until something holds.
 ///
 /// # Panics
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -13,7 +13,10 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
 
+/// Exit code of a soak that a signal ended before its last seed.
+const EXIT_ENDED: u8 = 4;
 /// Exit code of a run in which a promise was broken.
 const EXIT_BROKEN: u8 = 3;
 
@@ -127,7 +130,17 @@
             seeds,
             seconds,
             faults,
-        } => soak(seed..seed + seeds, Duration::from_secs(seconds), faults).await,
+        } => {
+            let seeds = seed..seed + seeds;
+            tokio::select! {
+                code = soak(seeds, Duration::from_secs(seconds), faults) => code,
+                signal = end_signal() => {
+                    // What it has started ends with it.
+                    println!("ended from outside by {}", signal?);
+                    Ok(ExitCode::from(EXIT_ENDED))
+                }
+            }
+        }
         BenchCommand::Run {
             scenario,
             seed,
@@ -161,6 +174,21 @@
 }
 
 /// Runs one seed after the other; says of each what was seen.
+/// Waits for a signal that asks this process to end, such as that of a shell which ends itself, and names it.
+async fn end_signal() -> Result<&'static str, BenchError> {
+    let listen = |kind, name: &str| {
+        signal(kind).map_err(|cause| BenchError::Io("listen for", name.to_owned(), cause))
+    };
+    let mut hangup = listen(SignalKind::hangup(), "SIGHUP")?;
+    let mut terminate = listen(SignalKind::terminate(), "SIGTERM")?;
+    let mut interrupt = listen(SignalKind::interrupt(), "SIGINT")?;
+    Ok(tokio::select! {
+        _ = hangup.recv() => "SIGHUP",
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+    })
+}
+
 async fn soak(
     seeds: Range<u64>,
     lasts: Duration,
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -1,6 +1,10 @@
 //! A short seeded run of the soak of gateways, and each seed that ever failed.
 
+use dockgate_bench::gateway_fleet::{listens_for, wait_until};
 use dockgate_bench::gateway_soak::{SoakFaults, SoakOptions, run_soak};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 use yare::parameterized;
 
@@ -25,3 +29,24 @@
     assert!(seen.answered > 0, "{seen:?}");
     assert!(seen.broken.is_empty(), "{seen:#?}");
 }
+
+/// Soaks that a shell had started ended without a word as the shell did, and the boxes that they had started lived on.
+#[tokio::test]
+async fn a_soak_that_is_ended_from_outside_says_so() {
+    let soak = Command::new(env!("CARGO_BIN_EXE_dockgate-bench"))
+        .args(["soak", "--seconds", "60"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    wait_until("the soak listens", async || {
+        listens_for(soak.id(), Signal::SIGHUP)
+    })
+    .await;
+    kill(Pid::from_raw(soak.id() as i32), Signal::SIGHUP).unwrap();
+    let ended = soak.wait_with_output().unwrap();
+    assert_eq!(ended.status.code(), Some(4));
+    assert_eq!(
+        String::from_utf8_lossy(&ended.stdout),
+        "ended from outside by SIGHUP\n"
+    );
+}
