feat: an endpoint may start again under its id; records that others wrote end nothing else

- All that is believed of an endpoint is kept under a key of its id and its start: health and rests, requests counted there, engine loads and caches, read logs, connections, runs told between boxes.
Of two lifetimes the later start counts whatever the revisions; an earlier start with a later revision is believed after 2 s without a word of the later one (clocks go back).
Records without a start are used.
- A record that no endpoint writes names none to use: one in use gets nothing new until it writes its own again (before, the last good one stayed), and the rest of a list or a watch's answer holds.
A counter by reason, a line a key, bounded.
- Datagrams of this version have another form, as keys differ: versions decide apart while they are replaced.

--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio_util::sync::CancellationToken;
 
 /// How an endpoint treats the requests that it gets.
@@ -78,8 +78,10 @@
 
 /// An endpoint on a loopback port.
 pub struct RoutedStandIn {
-    /// Its lifetime id.
+    /// Its id.
     pub id: String,
+    /// When it started, in Unix milliseconds.
+    pub born_ms: u64,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -100,8 +102,10 @@
         let (handler, own) = (state.clone(), id.to_owned());
         let handle = move |request| handle(handler.clone(), own.clone(), request);
         let address = serve(handle, stop.clone()).await?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Ok(Self {
             id: id.to_owned(),
+            born_ms: born.unwrap_or_default().as_millis() as u64,
             service: service.to_owned(),
             address,
             state,
@@ -113,7 +117,7 @@
     pub fn record(&self, domain: &str, state: &str) -> (String, String) {
         let value = json!({
             "service": self.service, "address": self.address, "zone": domain, "version": "v1",
-            "capacity": 8, "state": state, "warmup_left_ms": 0, "sequence": 1,
+            "capacity": 8, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": self.born_ms,
         });
         (
             format!("{}{}", dockgate_platform::ENDPOINTS, self.id),
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -49,8 +49,8 @@
 };
 pub use domain_reach::DomainReach;
 pub use endpoint_book::{
-    EndpointBook, EndpointChange, EndpointEntry, EndpointNews, LearnedNews, ReadyEndpoint,
-    RemovedEndpoint, ToldDoubt, ToldEndpoint,
+    EndpointBook, EndpointChange, EndpointEntry, EndpointNews, ExpiredNews, LearnedNews,
+    ReadyEndpoint, RemovedEndpoint, ToldDoubt, ToldEndpoint,
 };
 pub use endpoint_health::{EndpointHealth, EndpointSign};
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
@@ -66,9 +66,9 @@
 pub use retry_budget::{RetryBudget, RetryRule};
 pub use return_time::{ReturnCause, return_time};
 pub use route_table::{
-    AnswerForm, EndpointId, EndpointRecord, EndpointState, EngineSpec, GatewayLimits, RouteConfig,
-    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ServiceWeight, WorkspaceKeys,
-    WorkspaceRef,
+    AnswerForm, EndpointId, EndpointName, EndpointRecord, EndpointState, EngineSpec, GatewayLimits,
+    RouteConfig, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ServiceWeight,
+    WorkspaceKeys, WorkspaceRef,
 };
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -4,55 +4,26 @@
 //! store's revision, and an older one never replaces a newer one. Records of endpoints that live may
 //! lapse while the store is away; they are kept for a moment after its return, since the endpoints
 //! need that long to write them again.
+//!
+//! An endpoint may start again under its id. Of two lifetimes the one that started later counts, whatever the
+//! revisions of their records: a write of the earlier one may be carried out late. What is believed of the
+//! earlier one goes with it.
 
+mod endpoint_entry;
 mod endpoint_news;
+mod life_memory;
 
+pub use endpoint_entry::EndpointEntry;
 pub use endpoint_news::{EndpointNews, LearnedNews, RemovedEndpoint, ToldDoubt, ToldEndpoint};
 
 use super::box_beat::DomainKey;
 use super::domain_reach::DomainReach;
-use super::endpoint_health::{EndpointHealth, EndpointSign};
-use super::route_table::{EndpointId, EndpointRecord, EndpointState};
+use super::endpoint_health::EndpointSign;
+use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
+use life_memory::{LifeMemory, RemovedLife};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// One endpoint as this box sees it.
-#[derive(Debug, Clone)]
-pub struct EndpointEntry {
-    /// What it says of itself.
-    pub record: EndpointRecord,
-    /// The store's revision of the record.
-    pub revision: u64,
-    /// How far it is trusted.
-    pub health: EndpointHealth,
-    /// Requests of this box that it has.
-    pub in_flight: u32,
-    /// Set where its record is missing, and may only have lapsed.
-    doubt: Option<EntryDoubt>,
-}
-
-impl EndpointEntry {
-    /// Notes that its record was missing at this revision, and until when it is kept; the time does not
-    /// move once it is named.
-    fn note_missed(&mut self, revision: u64, until_ms: u64) {
-        let doubt = self.doubt.get_or_insert(EntryDoubt { revision, until_ms });
-        doubt.revision = doubt.revision.max(revision);
-    }
-}
-
-/// An endpoint is kept although the store has no record of it.
-///
-/// The record keeps its own revision beside that at which it was missed: told on with the later one it
-/// would replace what other boxes know for certain. An engine that had left got prompts 4.4 s later,
-/// since dozens of boxes that had heard it removed took it back from one that kept it in doubt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct EntryDoubt {
-    /// The store's revision at which it was missed.
-    revision: u64,
-    /// Until when it is kept.
-    until_ms: u64,
-}
-
 /// An endpoint that takes work, unless it rests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadyEndpoint {
@@ -67,30 +38,63 @@
 pub enum EndpointChange {
     /// It was written at this revision.
     Put(EndpointRecord, u64),
-    /// The record of this lifetime id was removed at this revision.
+    /// The record of this id was overwritten at this revision by one that names no endpoint to use.
+    Unusable(String, u64),
+    /// The record of this id was removed at this revision.
     Removed(String, u64),
 }
 
+impl EndpointChange {
+    /// Returns the id that it is about.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Put(record, _) => &record.id,
+            Self::Unusable(id, _) | Self::Removed(id, _) => id,
+        }
+    }
+
+    /// Returns the store's revision at which it came.
+    pub const fn revision(&self) -> u64 {
+        match self {
+            Self::Put(_, revision) | Self::Unusable(_, revision) | Self::Removed(_, revision) => {
+                *revision
+            }
+        }
+    }
+}
+
+/// What came of the time that has passed.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ExpiredNews {
+    /// The ids of endpoints whose records lapsed and did not come back.
+    pub lapsed: Vec<String>,
+    /// Records of an earlier start that are believed by now, as nothing newer came.
+    pub adopted: Vec<EndpointChange>,
+}
+
+impl ExpiredNews {
+    /// Tells whether nothing has changed.
+    pub const fn is_empty(&self) -> bool {
+        self.lapsed.is_empty() && self.adopted.is_empty()
+    }
+}
+
 /// The endpoints of all services.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointBook {
     endpoints: BTreeMap<EndpointId, EndpointEntry>,
+    /// Which lifetime of each id that is.
+    lives: HashMap<EndpointName, EndpointId>,
     /// Those that take work, by service: worked out with each change, looked up with each request.
     ready: HashMap<String, Vec<ReadyEndpoint>>,
-    /// Revisions at which endpoints were removed, so that a late record does not bring one back.
-    removed: HashMap<EndpointId, u64>,
+    memory: LifeMemory,
     reach: DomainReach,
     revision: u64,
     /// The revision of the last whole list that was taken in: what was removed before is not known.
     whole_at: u64,
-    /// The newest revision of a removal that is not remembered any more.
-    forgotten: u64,
 }
 
 impl EndpointBook {
-    /// How many removed endpoints are remembered.
-    const MOST_REMOVED: usize = 4_096;
-
     /// Returns the newest revision of a change that is known. Boxes with the same one know the same,
     /// but for a removal that one of them never saw.
     pub const fn revision(&self) -> u64 {
@@ -102,22 +106,24 @@
     /// `kept_until_ms` is set while the store has just come back: a record removed now may lapse
     /// only because its endpoint could not renew it.
     pub fn apply(&mut self, change: EndpointChange, kept_until_ms: Option<u64>) -> bool {
-        let changed = match change {
-            EndpointChange::Put(record, revision) => {
-                self.advance(revision);
-                self.put(record, revision)
-            }
-            EndpointChange::Removed(id, revision) => {
-                self.advance(revision);
-                self.remove(EndpointId::from_name(&id), revision, kept_until_ms)
-            }
-        };
+        let changed = self.take(change, kept_until_ms);
         if changed {
             self.index();
         }
         changed
     }
 
+    fn take(&mut self, change: EndpointChange, kept_until_ms: Option<u64>) -> bool {
+        self.advance(change.revision());
+        match change {
+            EndpointChange::Put(record, revision) => self.put(record, revision),
+            EndpointChange::Unusable(id, revision) => self.spoil(EndpointName::new(&id), revision),
+            EndpointChange::Removed(id, revision) => {
+                self.remove(EndpointName::new(&id), revision, kept_until_ms)
+            }
+        }
+    }
+
     fn index(&mut self) {
         self.ready.clear();
         let entries = self.endpoints.iter();
@@ -135,44 +141,82 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Finds the lifetime of an id that is known.
+    fn life_mut(&mut self, name: EndpointName) -> Option<&mut EndpointEntry> {
+        let id = self.lives.get(&name)?;
+        self.endpoints.get_mut(id)
+    }
+
     fn put(&mut self, record: EndpointRecord, revision: u64) -> bool {
-        let id = record.key();
-        if self
-            .removed
-            .get(&id)
-            .is_some_and(|removed| *removed >= revision)
-        {
+        let name = record.name();
+        if self.memory.is_removed(name, revision) {
             return false;
         }
-        match self.endpoints.get_mut(&id) {
-            Some(known) if known.revision >= revision => false,
-            // Written before it was missed.
-            Some(known) if known.doubt.is_some_and(|doubt| doubt.revision >= revision) => false,
-            Some(known) => {
-                let changed = known.record != record || known.doubt.is_some();
-                known.record = record;
-                known.revision = revision;
-                known.doubt = None;
-                changed
+        let removed = self.memory.removed(name);
+        let known = self.life_mut(name);
+        let known_born_ms = known
+            .as_ref()
+            .map_or(removed.born_ms, |known| known.record.born_ms);
+        let known_revision = known
+            .as_ref()
+            .map_or(removed.revision, |known| known.newest_revision());
+        match known {
+            _ if record.born_ms < known_born_ms => {
+                if revision > known_revision {
+                    self.memory.set_aside(record, revision);
+                }
+                return false;
             }
+            Some(known) if known.record.born_ms == record.born_ms => {
+                let changed = known.write(record, revision);
+                self.memory.drop_aside(name, revision);
+                return changed;
+            }
+            _ => {}
+        }
+        self.memory.drop_aside(name, revision);
+        self.begin_life(record, revision);
+        true
+    }
+
+    /// Puts a lifetime in the place of the one that is known of its id; nothing of that one is kept.
+    fn begin_life(&mut self, record: EndpointRecord, revision: u64) {
+        let (name, id) = (record.name(), record.key());
+        let before = self.lives.insert(name, id);
+        let before = before.and_then(|before| self.endpoints.remove(&before));
+        let missed = before.as_ref().and_then(EndpointEntry::doubt);
+        let entry = EndpointEntry::new(record, revision).missed_since(missed);
+        self.endpoints.insert(id, entry);
+    }
+
+    /// Forgets the lifetime of an id; returns what was known of it.
+    fn end_life(&mut self, name: EndpointName, revision: u64) -> Option<EndpointEntry> {
+        let id = self.lives.remove(&name);
+        let ended = id.and_then(|id| self.endpoints.remove(&id));
+        let born_ms = ended.as_ref().and_then(|ended| ended.record.born_ms);
+        self.memory
+            .note_removed(name, RemovedLife { revision, born_ms });
+        ended
+    }
+
+    /// Notes that the record of an id names no endpoint to use.
+    fn spoil(&mut self, name: EndpointName, revision: u64) -> bool {
+        self.memory.drop_aside(name, revision);
+        match self.life_mut(name) {
+            Some(known) => known.spoil(revision),
             None => {
-                let entry = EndpointEntry {
-                    record,
-                    revision,
-                    health: EndpointHealth::default(),
-                    in_flight: 0,
-                    doubt: None,
-                };
-                self.endpoints.insert(id, entry);
-                true
+                // An older record of it may still be on the way.
+                self.end_life(name, revision);
+                false
             }
         }
     }
 
-    fn remove(&mut self, id: EndpointId, revision: u64, kept_until_ms: Option<u64>) -> bool {
-        let Some(known) = self.endpoints.get_mut(&id) else {
+    fn remove(&mut self, name: EndpointName, revision: u64, kept_until_ms: Option<u64>) -> bool {
+        self.memory.drop_aside(name, revision);
+        let Some(known) = self.life_mut(name) else {
             // Its record may still be on the way.
-            self.bury(id, revision);
+            self.end_life(name, revision);
             return false;
         };
         // One that was draining is not expected back.
@@ -182,48 +226,30 @@
                 known.note_missed(revision, until_ms);
                 false
             }
-            _ => {
-                self.endpoints.remove(&id);
-                self.bury(id, revision);
-                true
-            }
+            _ => self.end_life(name, revision).is_some(),
         }
     }
 
-    fn bury(&mut self, id: EndpointId, revision: u64) {
-        if self.removed.len() >= Self::MOST_REMOVED {
-            let oldest = self.removed.iter().min_by_key(|(_, revision)| **revision);
-            if let Some((id, revision)) = oldest.map(|(id, revision)| (*id, *revision)) {
-                self.removed.remove(&id);
-                self.forgotten = self.forgotten.max(revision);
-            }
-        }
-        let removed = self.removed.entry(id).or_default();
-        *removed = revision.max(*removed);
-    }
-
     /// Takes a whole listing in, made at `revision`; returns whether it changed what is believed.
     pub fn replace(
         &mut self,
-        records: Vec<(EndpointRecord, u64)>,
+        listed: Vec<EndpointChange>,
         revision: u64,
         kept_until_ms: Option<u64>,
     ) -> bool {
-        let listed: HashSet<EndpointId> = records.iter().map(|(record, _)| record.key()).collect();
+        let names = listed.iter().map(|change| EndpointName::new(change.id()));
+        let names: HashSet<EndpointName> = names.collect();
         self.whole_at = self.whole_at.max(revision);
         let mut changed = false;
-        for (record, revision) in records {
-            self.advance(revision);
-            changed |= self.put(record, revision);
+        for change in listed {
+            changed |= self.take(change, kept_until_ms);
         }
-        let missing: Vec<EndpointId> = self
-            .endpoints
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .copied()
-            .collect();
-        for id in missing {
-            changed |= self.remove(id, revision, kept_until_ms);
+        let known = self.lives.keys();
+        let missing = known.filter(|name| !names.contains(name)).copied();
+        let mut missing: Vec<EndpointName> = missing.collect();
+        missing.sort_unstable();
+        for name in missing {
+            changed |= self.remove(name, revision, kept_until_ms);
         }
         if changed {
             self.index();
@@ -231,24 +257,29 @@
         changed
     }
 
-    /// Forgets the endpoints whose records lapsed and did not come back; returns their
-    /// lifetime ids.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<String> {
-        let entries = self.endpoints.iter();
-        let over = entries.filter_map(|(id, entry)| {
-            let doubt = entry.doubt.filter(|doubt| doubt.until_ms <= now_ms)?;
-            Some((*id, doubt.revision))
+    /// Forgets the endpoints whose records lapsed and did not come back, and believes records of an earlier start
+    /// that have stayed the newest.
+    pub fn expire(&mut self, now_ms: u64) -> ExpiredNews {
+        let entries = self.endpoints.values();
+        let lapsed = entries.filter_map(|entry| {
+            let missed = entry.lapsed_revision(now_ms)?;
+            Some((entry.record.name(), missed))
         });
-        let lapsed: Vec<(EndpointId, u64)> = over.collect();
-        let mut names = Vec::new();
-        for (id, revision) in lapsed {
-            names.extend(self.endpoints.remove(&id).map(|entry| entry.record.id));
-            self.bury(id, revision);
+        let lapsed: Vec<(EndpointName, u64)> = lapsed.collect();
+        let lapsed = lapsed
+            .into_iter()
+            .filter_map(|(name, revision)| self.end_life(name, revision));
+        let lapsed = lapsed.map(|ended| ended.record.id).collect();
+        let mut adopted = Vec::new();
+        for (record, revision) in self.memory.take_adopted(now_ms) {
+            self.begin_life(record.clone(), revision);
+            adopted.push(EndpointChange::Put(record, revision));
         }
-        if !names.is_empty() {
+        let news = ExpiredNews { lapsed, adopted };
+        if !news.is_empty() {
             self.index();
         }
-        names
+        news
     }
 
     /// Finds an endpoint.
@@ -334,5 +365,7 @@
     }
 }
 
+#[cfg(test)]
+mod life_tests;
 #[cfg(test)]
 mod tests;
--- a/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
+++ b/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
@@ -1,7 +1,8 @@
 //! What boxes tell each other of the endpoints: what changed since a revision, or all of them.
 
-use super::{EndpointBook, EndpointChange, EndpointEntry};
-use crate::gateway::route_table::{EndpointId, EndpointRecord};
+use super::life_memory::RemovedLife;
+use super::{EndpointBook, EndpointChange};
+use crate::gateway::route_table::{EndpointId, EndpointName, EndpointRecord};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,10 +29,12 @@
 /// An endpoint that was removed, as one box tells another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RemovedEndpoint {
-    /// The endpoint.
-    pub id: EndpointId,
+    /// Its id.
+    pub name: EndpointName,
     /// The store's revision at which its record went.
     pub revision: u64,
+    /// When its last lifetime started, in Unix milliseconds, where that is known.
+    pub born_ms: Option<u64>,
 }
 
 /// What one box tells another of the endpoints.
@@ -67,7 +70,7 @@
     /// Returns a sum over the endpoints that are there for certain: boxes with the same revision and the
     /// same sum know the same.
     pub fn sum(&self) -> u64 {
-        let certain = self.iter().filter(|(_, entry)| entry.doubt.is_none());
+        let certain = self.iter().filter(|(_, entry)| entry.doubt().is_none());
         let parts = certain.map(|(id, entry)| {
             let mut bytes = [0; 16];
             bytes[..8].copy_from_slice(&id.0.to_le_bytes());
@@ -79,21 +82,22 @@
 
     /// Tells what changed after revision `since`; or all, where that is 0 or not known any more.
     pub fn tell(&self, since: u64, now_ms: u64) -> EndpointNews {
-        let known_from = self.whole_at.max(self.forgotten);
+        let known_from = self.whole_at.max(self.memory.forgotten());
         let since = Some(since).filter(|since| *since > 0 && *since >= known_from);
         let after = since.unwrap_or(0);
         let entries = self.endpoints.values();
         let changed = entries.filter(|entry| since.is_none() || entry.newest_revision() > after);
-        let removed = self.removed.iter();
-        let removed = removed.filter(|(_, revision)| since.is_some() && **revision > after);
+        let removed = self.memory.removed_after(after);
+        let removed = removed.filter(|_| since.is_some());
         EndpointNews {
             since,
             revision: self.revision,
             endpoints: changed.map(|entry| entry.tell(now_ms)).collect(),
             removed: removed
-                .map(|(id, revision)| RemovedEndpoint {
-                    id: *id,
-                    revision: *revision,
+                .map(|(name, life)| RemovedEndpoint {
+                    name,
+                    revision: life.revision,
+                    born_ms: life.born_ms,
                 })
                 .collect(),
             sum: self.sum(),
@@ -114,20 +118,16 @@
             Some((endpoint.record.key(), doubt))
         });
         let doubts: Vec<(EndpointId, ToldDoubt)> = doubts.collect();
-        let records = endpoints.into_iter();
-        let records = records.map(|endpoint| (endpoint.record, endpoint.revision));
+        let told = endpoints.into_iter();
+        let told = told.map(|told| EndpointChange::Put(told.record, told.revision));
         let mut changes = Vec::new();
         let changed = match since {
-            None => self.replace(records.collect(), revision, None),
+            None => self.replace(told.collect(), revision, None),
             Some(_) => {
                 for endpoint in removed {
                     changes.extend(self.learn_removed(endpoint));
                 }
-                for (record, revision) in records {
-                    if self.put(record.clone(), revision) {
-                        changes.push(EndpointChange::Put(record, revision));
-                    }
-                }
+                changes.extend(told.filter(|change| self.take(change.clone(), None)));
                 self.index();
                 !changes.is_empty()
             }
@@ -148,29 +148,18 @@
     }
 
     fn learn_removed(&mut self, removed: RemovedEndpoint) -> Option<EndpointChange> {
-        let RemovedEndpoint { id, revision } = removed;
-        let name = self.get(id).map(|entry| entry.record.id.clone());
-        let is_gone = self.remove(id, revision, None);
-        let name = name.filter(|_| is_gone)?;
-        Some(EndpointChange::Removed(name, revision))
-    }
-}
-
-impl EndpointEntry {
-    /// Returns the revision of the last thing that is known of it.
-    fn newest_revision(&self) -> u64 {
-        let missed = self.doubt.map_or(0, |doubt| doubt.revision);
-        self.revision.max(missed)
-    }
-
-    fn tell(&self, now_ms: u64) -> ToldEndpoint {
-        ToldEndpoint {
-            record: self.record.clone(),
-            revision: self.revision,
-            doubt: self.doubt.map(|doubt| ToldDoubt {
-                revision: doubt.revision,
-                lapses_in_ms: doubt.until_ms.saturating_sub(now_ms),
-            }),
+        let RemovedEndpoint {
+            name,
+            revision,
+            born_ms,
+        } = removed;
+        let id = self.life_mut(name).map(|entry| entry.record.id.clone());
+        let is_gone = self.remove(name, revision, None);
+        if self.life_mut(name).is_none() {
+            self.memory
+                .note_removed(name, RemovedLife { revision, born_ms });
         }
+        let id = id.filter(|_| is_gone)?;
+        Some(EndpointChange::Removed(id, revision))
     }
 }
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -4,6 +4,7 @@
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
+        born_ms: None,
         service: "x".to_owned(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
@@ -46,7 +47,7 @@
     assert_eq!(book.ready("x").len(), 2);
     book.apply(put("back", 11), None);
     assert!(book.expire(1_999).is_empty());
-    assert_eq!(book.expire(2_000), ["gone"]);
+    assert_eq!(book.expire(2_000).lapsed, ["gone"]);
     assert_eq!(book.ready("x").len(), 1);
 }
 
@@ -95,7 +96,7 @@
                     book.apply(EndpointChange::Put(draining, revision), kept_until_ms);
                 }
                 2 => {
-                    let listed = vec![(record(id, EndpointState::Ready), revision)];
+                    let listed = vec![put(id, revision)];
                     book.replace(listed, revision, kept_until_ms);
                 }
                 _ => drop(book.apply(put(id, revision), kept_until_ms)),
@@ -151,7 +152,7 @@
     told.apply(put("e", 3), None);
     told.learn(news, 1_010);
     assert!(told.expire(2_600).is_empty());
-    assert_eq!(told.expire(2_610), ["e"]);
+    assert_eq!(told.expire(2_610).lapsed, ["e"]);
     assert_eq!(told.ready("x").len(), 0);
 }
 
@@ -237,8 +238,8 @@
                 }
                 BookStep::ListInDoubt(at) => {
                     let listed = match history.last() {
-                        Some(EndpointChange::Put(record, written)) => vec![(record.clone(), *written)],
-                        _ => Vec::new(),
+                        Some(EndpointChange::Removed(..)) | None => Vec::new(),
+                        Some(written) => vec![written.clone()],
                     };
                     books[at].replace(listed, revision, Some(now + 2_000));
                 }
@@ -296,7 +297,7 @@
 #[test]
 fn a_box_that_does_not_know_what_was_removed_tells_all() {
     let mut teller = EndpointBook::default();
-    teller.replace(vec![(record("e", EndpointState::Ready), 4)], 9, None);
+    teller.replace(vec![put("e", 4)], 9, None);
     teller.apply(put("f", 10), None);
     assert_eq!(teller.tell(8, 1_000).since, None);
     assert_eq!(teller.tell(9, 1_000).since, Some(9));
@@ -359,7 +360,7 @@
                 }
                 3 => {
                     let listed = store.iter();
-                    let listed = listed.map(|(name, at)| (record(name, EndpointState::Ready), *at));
+                    let listed = listed.map(|(name, at)| put(name, *at));
                     books[1].replace(listed.collect(), revision, None);
                 }
                 4 => ask(&mut books, 0, 1),
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -5,9 +5,13 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// Names one lifetime of an endpoint: a hash of its id, so that every box derives the same key.
+/// Names one lifetime of an endpoint: a hash of its id and of when it started, so that every box derives the
+/// same key.
+///
+/// An endpoint may start again under its id, and holds and knows nothing of before then. All that boxes believe of
+/// an endpoint is kept under this key, so that nothing of one lifetime is taken for the next one's.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
 )]
@@ -15,8 +19,31 @@
 pub struct EndpointId(pub u64);
 
 impl EndpointId {
-    /// Derives the key of a lifetime id.
+    /// Derives the key of an endpoint that does not say when it started.
     pub fn from_name(id: &str) -> Self {
+        Self::of_life(id, None)
+    }
+
+    /// Derives the key of the lifetime of an endpoint that started at `born_ms`, in Unix milliseconds.
+    pub fn of_life(id: &str, born_ms: Option<u64>) -> Self {
+        let name = EndpointName::new(id).0;
+        Self(match born_ms {
+            Some(born_ms) => xxh3_64_with_seed(&born_ms.to_le_bytes(), name),
+            None => name,
+        })
+    }
+}
+
+/// Names an endpoint over all its lifetimes: a hash of its id, under which the store has one record.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, Default,
+)]
+#[serde(transparent)]
+pub struct EndpointName(pub u64);
+
+impl EndpointName {
+    /// Derives the key of an id.
+    pub fn new(id: &str) -> Self {
         Self(xxh3_64(id.as_bytes()))
     }
 }
@@ -34,13 +61,19 @@
     Ready,
     /// It finishes what it has and takes nothing new.
     Draining,
+    /// Its record was overwritten by one that names no endpoint to use: it takes nothing new until it has written
+    /// its own again.
+    Unusable,
 }
 
 /// What an endpoint says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointRecord {
-    /// The id of this lifetime, as the endpoint names it.
+    /// Its id, under which it may start again.
     pub id: String,
+    /// When this lifetime of it started, in Unix milliseconds by its own clock; none where it does not say.
+    #[serde(default)]
+    pub born_ms: Option<u64>,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -58,7 +91,12 @@
 impl EndpointRecord {
     /// Returns the key of this lifetime.
     pub fn key(&self) -> EndpointId {
-        EndpointId::from_name(&self.id)
+        EndpointId::of_life(&self.id, self.born_ms)
+    }
+
+    /// Returns the key of its id.
+    pub fn name(&self) -> EndpointName {
+        EndpointName::new(&self.id)
     }
 }
 
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -4,7 +4,7 @@
 use super::settings::GatewaySettings;
 use crate::clock::now_ms;
 use crate::logging::{LineBudget, log_line};
-use dockgate_core::gateway::{EndpointChange, EndpointState, name_hash};
+use dockgate_core::gateway::{EndpointChange, EndpointRecord, EndpointState, name_hash};
 use serde::Serialize;
 use std::sync::{Mutex, PoisonError};
 
@@ -48,6 +48,8 @@
     /// An endpoint takes work.
     EndpointReady {
         endpoint: &'a str,
+        /// When this lifetime of it started, in Unix milliseconds by its own clock, where it says so.
+        born_ms: Option<u64>,
         service: &'a str,
         domain: &'a str,
         revision: u64,
@@ -59,6 +61,13 @@
         revision: u64,
         source: &'a str,
     },
+    /// The record of an endpoint names none to use any more; it takes no new work until it has written its own
+    /// again.
+    EndpointUnusable {
+        endpoint: &'a str,
+        revision: u64,
+        source: &'a str,
+    },
     /// An endpoint is gone.
     EndpointGone { endpoint: &'a str, source: &'a str },
     /// The endpoints were listed whole, and something differed from what was believed.
@@ -189,17 +198,9 @@
     /// Makes the event for a change of an endpoint.
     pub(super) fn endpoint(change: &'a EndpointChange, source: &'a str) -> Self {
         match change {
-            EndpointChange::Put(record, revision) if record.state == EndpointState::Ready => {
-                Self::EndpointReady {
-                    endpoint: &record.id,
-                    service: &record.service,
-                    domain: &record.domain,
-                    revision: *revision,
-                    source,
-                }
-            }
-            EndpointChange::Put(record, revision) => Self::EndpointDraining {
-                endpoint: &record.id,
+            EndpointChange::Put(record, revision) => Self::written(record, *revision, source),
+            EndpointChange::Unusable(id, revision) => Self::EndpointUnusable {
+                endpoint: id,
                 revision: *revision,
                 source,
             },
@@ -210,6 +211,39 @@
         }
     }
 
+    fn written(record: &'a EndpointRecord, revision: u64, source: &'a str) -> Self {
+        let endpoint = &record.id;
+        match record.state {
+            EndpointState::Ready => Self::EndpointReady {
+                endpoint,
+                born_ms: record.born_ms,
+                service: &record.service,
+                domain: &record.domain,
+                revision,
+                source,
+            },
+            EndpointState::Draining => Self::EndpointDraining {
+                endpoint,
+                revision,
+                source,
+            },
+            EndpointState::Unusable => Self::EndpointUnusable {
+                endpoint,
+                revision,
+                source,
+            },
+        }
+    }
+
+    /// Tells whether there may be any number of such events in a second.
+    fn is_frequent(&self) -> bool {
+        match self.request() {
+            Some(request) => !is_sampled(request),
+            // Whoever writes there may do so as often as it likes.
+            None => matches!(self, Self::Unreadable { .. }),
+        }
+    }
+
     /// Returns the id of the request that the event is about.
     const fn request(&self) -> Option<&'a str> {
         match self {
@@ -234,11 +268,11 @@
 
 /// Writes an event as one line.
 ///
-/// What a box believes is always written, and so is all about a sampled request; lines about others
-/// are written up to a rate, and beyond it counted.
+/// What a box believes is always written, and so is all about a sampled request; lines about others, and about
+/// values of the store that cannot be read, are written up to a rate, and beyond it counted.
 pub(super) fn log_gateway(event: &GatewayEvent) {
     static BUDGET: Mutex<LineBudget> = Mutex::new(LineBudget::new());
-    let limited = event.request().is_some_and(|request| !is_sampled(request));
+    let limited = event.is_frequent();
     let mut budget = BUDGET.lock().unwrap_or_else(PoisonError::into_inner);
     if limited && !budget.take(now_ms()) {
         GATEWAY_METRICS.lines_held_back.inc();
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -6,13 +6,14 @@
 //! What is known stays in force meanwhile.
 
 use super::events::{GatewayEvent, log_gateway};
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::send_beat;
 use super::store_contact::StoreContact;
 use dockgate_core::gateway::EndpointChange;
 use dockgate_platform::{
-    ENDPOINTS, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue, WatchOutcome,
-    decode_endpoint, decode_endpoint_event, decode_routes,
+    ENDPOINTS, EndpointReading, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue,
+    WatchOutcome, decode_routes, read_endpoint, read_endpoint_event,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -157,30 +158,29 @@
     follow(&state, contact, ROUTES_PAUSE, listed, changed).await;
 }
 
+/// Notes a record that names no endpoint to use, and returns what is to be believed.
+fn believe(reading: EndpointReading) -> EndpointChange {
+    let EndpointReading { change, fault } = reading;
+    if let Some(fault) = fault {
+        GATEWAY_METRICS.note_unusable(fault.as_str());
+        log_gateway(&GatewayEvent::Unreadable {
+            what: &format!("{ENDPOINTS}{}", change.id()),
+            problem: format!("{} at revision {}", fault.as_str(), change.revision()),
+        });
+    }
+    change
+}
+
 /// Follows the endpoints.
 pub(super) async fn follow_endpoints(state: Arc<GatewayState>) {
     let listed = |contact: &StoreContact, listing: StoreListing| {
-        let items = listing.items.iter();
-        let records = items.filter_map(|item| match decode_endpoint(item) {
-            Ok(record) => Some((record, item.revision)),
-            Err(error) => {
-                note_unreadable(&item.key, &error);
-                None
-            }
-        });
-        state.replace_endpoints(records.collect(), listing.revision, contact.kept_until_ms());
+        let readings = listing.items.iter().map(read_endpoint);
+        let listed = readings.map(believe).collect();
+        state.replace_endpoints(listed, listing.revision, contact.kept_until_ms());
     };
     let changed = |contact: &StoreContact, events: Vec<StoreEvent>| {
-        let changes = events
-            .iter()
-            .filter_map(|event| match decode_endpoint_event(event) {
-                Ok(change) => Some(change),
-                Err(error) => {
-                    note_unreadable(ENDPOINTS, &error);
-                    None
-                }
-            });
-        let changes: Vec<EndpointChange> = changes.collect();
+        let readings = events.iter().map(read_endpoint_event);
+        let changes = readings.map(believe).collect();
         state.apply_endpoints(changes, contact.kept_until_ms(), "store");
     };
     let contact = StoreContact::new(ENDPOINTS, state.settings().drain);
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -40,6 +40,7 @@
     pub(super) state_questions: IntCounterVec,
     /// How long such a question took, by what was asked for.
     pub(super) state_question_times: HistogramVec,
+    unusable_records: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
     endpoints: IntGaugeVec,
@@ -145,6 +146,11 @@
                 "How long a question to another box for what it knows took, by what was asked for",
                 &["what"],
             ),
+            unusable_records: counters(
+                "dockgate_unusable_records_total",
+                "Records read from the store that name no endpoint to use, by reason",
+                &["reason"],
+            ),
             datagrams: counters(
                 "dockgate_peer_datagrams_total",
                 "Datagrams between boxes, by kind and direction",
@@ -200,6 +206,11 @@
         self.outcomes.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a record that names no endpoint to use.
+    pub(super) fn note_unusable(&self, reason: &str) {
+        self.unusable_records.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a datagram of so many bytes.
     pub(super) fn note_datagram(&self, kind: &str, direction: &str, bytes: usize) {
         let labels = [kind, direction];
@@ -246,10 +257,11 @@
             self.store_proof_age_ms
                 .set(proof_age_ms.map_or(-1, |age_ms| age_ms as i64));
             self.boxes.set(i64::from(beliefs.fleet.live_count(now)));
-            let (mut ready, mut draining, mut resting) = (0, 0, 0);
+            let (mut ready, mut draining, mut resting, mut unusable) = (0, 0, 0, 0);
             for (_, entry) in beliefs.endpoints.iter() {
                 match entry.record.state {
                     EndpointState::Draining => draining += 1,
+                    EndpointState::Unusable => unusable += 1,
                     EndpointState::Ready if entry.health.is_open(now) => ready += 1,
                     EndpointState::Ready => resting += 1,
                 }
@@ -258,6 +270,7 @@
                 ("ready", ready),
                 ("draining", draining),
                 ("resting", resting),
+                ("unusable", unusable),
             ] {
                 self.endpoints.with_label_values(&[name]).set(count);
             }
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -12,9 +12,9 @@
 use crate::stop::StopFlag;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
-    BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointNews, EndpointRecord,
-    EngineAsk, EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, WatchCheck, WorkShed,
+    BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointNews, EngineAsk,
+    EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable,
+    RunKey, ShareWindow, StoreDuty, StoreProbe, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -283,13 +283,13 @@
     /// Takes the store's listing of endpoints in, unless newer changes are known.
     pub(super) fn replace_endpoints(
         &self,
-        records: Vec<(EndpointRecord, u64)>,
+        listed: Vec<EndpointChange>,
         revision: u64,
         kept_until_ms: Option<u64>,
     ) {
-        let count = records.len();
+        let count = listed.len();
         let changed =
-            self.with(|beliefs| beliefs.endpoints.replace(records, revision, kept_until_ms));
+            self.with(|beliefs| beliefs.endpoints.replace(listed, revision, kept_until_ms));
         self.note_listed(changed, count, revision, "store");
     }
 
@@ -337,7 +337,7 @@
     pub(super) fn expire(&self, since_ms: u64) {
         let now = now_ms();
         let most_boxes = self.settings().boxes;
-        let (endpoints, boxes) = self.with(|beliefs| {
+        let (expired, boxes) = self.with(|beliefs| {
             let GatewayBeliefs {
                 endpoints,
                 engines,
@@ -346,7 +346,7 @@
                 retries,
                 ..
             } = beliefs;
-            let lapsed = endpoints.expire(now);
+            let expired = endpoints.expire(now);
             let gone = fleet.expire(since_ms, now);
             retries.set_boxes(most_boxes.max(fleet.known_count()));
             let me = self.me;
@@ -357,18 +357,21 @@
             engines.retain(now, |id| endpoints.get(id).is_some(), is_gone);
             let gone = gone.iter().filter(|key| fleet.is_told_in_full(**key));
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
-            (lapsed, names)
+            (expired, names)
         });
-        for endpoint in &endpoints {
+        for endpoint in &expired.lapsed {
             log_gateway(&GatewayEvent::EndpointGone {
                 endpoint,
                 source: "lapsed",
             });
         }
+        for change in &expired.adopted {
+            log_gateway(&GatewayEvent::endpoint(change, "adopted"));
+        }
         for peer in &boxes {
             log_gateway(&GatewayEvent::BoxGone { peer });
         }
-        if !endpoints.is_empty() {
+        if !expired.is_empty() {
             self.note_known();
         }
     }
