--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -20,8 +20,9 @@
 use super::domain_reach::DomainReach;
 use super::endpoint_health::EndpointSign;
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
-use life_memory::{LifeMemory, RemovedLife};
+use life_memory::{LastLife, LifeMemory};
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// An endpoint that takes work, unless it rests.
@@ -147,36 +148,40 @@
         self.endpoints.get_mut(id)
     }
 
+    /// Returns the last that is known of an id, whether it is there or was removed.
+    fn last_life(&self, name: EndpointName) -> LastLife {
+        let known = self.lives.get(&name);
+        match known.and_then(|id| self.endpoints.get(id)) {
+            Some(entry) => LastLife {
+                revision: entry.newest_revision(),
+                born_ms: entry.record.born_ms,
+            },
+            None => self.memory.removed(name),
+        }
+    }
+
     fn put(&mut self, record: EndpointRecord, revision: u64) -> bool {
         let name = record.name();
         if self.memory.is_removed(name, revision) {
             return false;
         }
-        let removed = self.memory.removed(name);
-        let known = self.life_mut(name);
-        let known_born_ms = known
-            .as_ref()
-            .map_or(removed.born_ms, |known| known.record.born_ms);
-        let known_revision = known
-            .as_ref()
-            .map_or(removed.revision, |known| known.newest_revision());
-        match known {
-            _ if record.born_ms < known_born_ms => {
-                if revision > known_revision {
-                    self.memory.set_aside(record, revision);
-                }
+        let last = self.last_life(name);
+        let order = record.born_ms.cmp(&last.born_ms);
+        match order {
+            Ordering::Less if revision > last.revision => {
+                self.memory.set_aside(record, revision);
                 return false;
             }
-            Some(known) if known.record.born_ms == record.born_ms => {
-                let changed = known.write(record, revision);
-                self.memory.drop_aside(name, revision);
-                return changed;
+            Ordering::Less => return false,
+            Ordering::Equal | Ordering::Greater => self.memory.drop_aside(name, revision),
+        }
+        match self.life_mut(name) {
+            Some(known) if order.is_eq() => known.write(record, revision),
+            _ => {
+                self.begin_life(record, revision);
+                true
             }
-            _ => {}
         }
-        self.memory.drop_aside(name, revision);
-        self.begin_life(record, revision);
-        true
     }
 
     /// Puts a lifetime in the place of the one that is known of its id; nothing of that one is kept.
@@ -195,7 +200,7 @@
         let ended = id.and_then(|id| self.endpoints.remove(&id));
         let born_ms = ended.as_ref().and_then(|ended| ended.record.born_ms);
         self.memory
-            .note_removed(name, RemovedLife { revision, born_ms });
+            .note_removed(name, LastLife { revision, born_ms });
         ended
     }
 
--- a/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
+++ b/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
@@ -1,6 +1,6 @@
 //! What boxes tell each other of the endpoints: what changed since a revision, or all of them.
 
-use super::life_memory::RemovedLife;
+use super::life_memory::LastLife;
 use super::{EndpointBook, EndpointChange};
 use crate::gateway::route_table::{EndpointId, EndpointName, EndpointRecord};
 use serde::{Deserialize, Serialize};
@@ -157,7 +157,7 @@
         let is_gone = self.remove(name, revision, None);
         if self.life_mut(name).is_none() {
             self.memory
-                .note_removed(name, RemovedLife { revision, born_ms });
+                .note_removed(name, LastLife { revision, born_ms });
         }
         let id = id.filter(|_| is_gone)?;
         Some(EndpointChange::Removed(id, revision))
--- a/dockgate-core/src/gateway/endpoint_book/life_memory.rs
+++ b/dockgate-core/src/gateway/endpoint_book/life_memory.rs
@@ -6,16 +6,16 @@
 /// Which endpoints were removed, and records of earlier lifetimes that came after later ones.
 #[derive(Debug, Clone, Default)]
 pub(super) struct LifeMemory {
-    removed: HashMap<EndpointName, RemovedLife>,
+    removed: HashMap<EndpointName, LastLife>,
     /// The newest revision of a removal that is not remembered any more.
     forgotten: u64,
     aside: HashMap<EndpointName, AsideRecord>,
 }
 
-/// The last that was known of an endpoint that was removed.
+/// The last that is known of an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct RemovedLife {
-    /// The revision of its removal.
+pub(super) struct LastLife {
+    /// The revision of the last thing that happened to its record.
     pub(super) revision: u64,
     /// When its last lifetime started.
     pub(super) born_ms: Option<u64>,
@@ -51,7 +51,7 @@
     }
 
     /// Returns the last that was known of an endpoint that was removed.
-    pub(super) fn removed(&self, name: EndpointName) -> RemovedLife {
+    pub(super) fn removed(&self, name: EndpointName) -> LastLife {
         self.removed.get(&name).copied().unwrap_or_default()
     }
 
@@ -59,13 +59,13 @@
     pub(super) fn removed_after(
         &self,
         revision: u64,
-    ) -> impl Iterator<Item = (EndpointName, RemovedLife)> {
+    ) -> impl Iterator<Item = (EndpointName, LastLife)> {
         let removed = self.removed.iter().map(|(name, removed)| (*name, *removed));
         removed.filter(move |(_, removed)| removed.revision > revision)
     }
 
     /// Remembers that an endpoint was removed; forgets the oldest where there are too many.
-    pub(super) fn note_removed(&mut self, name: EndpointName, life: RemovedLife) {
+    pub(super) fn note_removed(&mut self, name: EndpointName, life: LastLife) {
         if self.removed.len() >= Self::MOST_REMOVED {
             let oldest = self.removed.iter();
             let oldest = oldest.min_by_key(|(_, removed)| removed.revision);
