--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -14,6 +14,7 @@
 mod events;
 mod follow;
 mod front;
+mod gateway_gauges;
 mod gateway_metrics;
 mod gateway_runtime;
 mod gateway_state;
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -1,12 +1,7 @@
-//! What a gateway counts beside the daemon's own metrics.
+//! What a gateway counts beside the daemon's own metrics; what it believes is in `gateway_gauges`.
 
-use super::gateway_state::GatewayState;
-use crate::clock::now_ms;
 use crate::metrics::METRICS;
-use dockgate_core::gateway::EndpointState;
-use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-};
+use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts};
 use std::sync::LazyLock;
 use std::time::Duration;
 
@@ -43,16 +38,6 @@
     unusable_records: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
-    endpoints: IntGaugeVec,
-    coordinates: IntGauge,
-    taken_part: IntGauge,
-    boxes: IntGauge,
-    unread: IntGauge,
-    memory: IntGauge,
-    config_age_ms: IntGauge,
-    endpoints_age_ms: IntGauge,
-    store_proof_age_ms: IntGauge,
-    connections: IntGauge,
 }
 
 /// The gateway's metrics.
@@ -71,12 +56,6 @@
     metric
 }
 
-fn gauge(name: &str, help: &str) -> IntGauge {
-    let metric = IntGauge::new(name, help).expect("a constant name is valid");
-    METRICS.add(metric.clone());
-    metric
-}
-
 fn histograms(name: &str, help: &str, labels: &[&str]) -> HistogramVec {
     let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
     let metric = HistogramVec::new(options, labels).expect("a constant name is valid");
@@ -86,11 +65,7 @@
 
 impl GatewayMetrics {
     fn new() -> Self {
-        let endpoints = Opts::new("dockgate_endpoints", "Endpoints known, by state");
-        let endpoints = IntGaugeVec::new(endpoints, &["state"]).expect("a constant name is valid");
-        METRICS.add(endpoints.clone());
         Self {
-            endpoints,
             outcomes: counters(
                 "dockgate_gateway_requests_total",
                 "Requests that ended, by service and outcome",
@@ -161,43 +136,6 @@
                 "Bytes of datagrams between boxes, by kind and direction",
                 &["kind", "direction"],
             ),
-            coordinates: gauge(
-                "dockgate_coordinates",
-                "Whether this box coordinates its failure domain: 1 or 0",
-            ),
-            taken_part: gauge(
-                "dockgate_taken_part",
-                "Of a thousand requests, how many this box has processor for",
-            ),
-            boxes: gauge(
-                "dockgate_boxes_live",
-                "Boxes that are heard, this one included",
-            ),
-            unread: gauge(
-                "dockgate_engine_unread_tokens",
-                "Prompt tokens believed unread at the engines that this box knows of",
-            ),
-            memory: gauge(
-                "dockgate_engine_memory_tokens",
-                "Tokens of memory believed taken at the engines that this box knows of",
-            ),
-            config_age_ms: gauge(
-                "dockgate_config_age_ms",
-                "Time since the configuration in force came, in milliseconds",
-            ),
-            endpoints_age_ms: gauge(
-                "dockgate_endpoints_age_ms",
-                "Time since the last news of an endpoint, in milliseconds",
-            ),
-            store_proof_age_ms: gauge(
-                "dockgate_store_proof_age_ms",
-                "Age of the newest proof, here or at a box of this domain, that the store's changes \
-                 are heard, in milliseconds; -1 where nobody here follows the store",
-            ),
-            connections: gauge(
-                "dockgate_endpoint_connections",
-                "Open connections to endpoints",
-            ),
         }
     }
 
@@ -241,44 +179,4 @@
         tokens("no").inc_by(u64::from(unread));
         tokens("yes").inc_by(u64::from(input.saturating_sub(unread)));
     }
-
-    /// Reads what is believed now into the gauges.
-    pub(super) fn read(&self, state: &GatewayState) {
-        let now = now_ms();
-        self.connections.set(state.pools.open() as i64);
-        self.config_age_ms.set(state.config_age_ms() as i64);
-        self.endpoints_age_ms.set(state.endpoints_age_ms() as i64);
-        state.with(|beliefs| {
-            let coordinates = beliefs.fleet.coordinates(now);
-            self.coordinates.set(i64::from(coordinates));
-            let taken_part = beliefs.shed.taken_part();
-            self.taken_part.set((taken_part * 1_000.0) as i64);
-            let proof_age_ms = beliefs.fleet.store_proof_age_ms(now);
-            self.store_proof_age_ms
-                .set(proof_age_ms.map_or(-1, |age_ms| age_ms as i64));
-            self.boxes.set(i64::from(beliefs.fleet.live_count(now)));
-            let (mut ready, mut draining, mut resting, mut unusable) = (0, 0, 0, 0);
-            for (_, entry) in beliefs.endpoints.iter() {
-                match entry.record.state {
-                    EndpointState::Draining => draining += 1,
-                    EndpointState::Unusable => unusable += 1,
-                    EndpointState::Ready if entry.health.is_open(now) => ready += 1,
-                    EndpointState::Ready => resting += 1,
-                }
-            }
-            for (name, count) in [
-                ("ready", ready),
-                ("draining", draining),
-                ("resting", resting),
-                ("unusable", unusable),
-            ] {
-                self.endpoints.with_label_values(&[name]).set(count);
-            }
-            let loads = || beliefs.engines.iter();
-            self.unread
-                .set(loads().map(|load| load.unread() as i64).sum());
-            self.memory
-                .set(loads().map(|load| load.memory() as i64).sum());
-        });
-    }
 }
--- a/dockgate/src/gateway/readiness.rs
+++ b/dockgate/src/gateway/readiness.rs
@@ -1,6 +1,6 @@
 //! Tells the platform whether callers may be sent here, and others what was counted.
 
-use super::gateway_metrics::GATEWAY_METRICS;
+use super::gateway_gauges::GATEWAY_GAUGES;
 use super::gateway_state::GatewayState;
 use crate::metrics::METRICS;
 use bytes::Bytes;
@@ -69,7 +69,7 @@
 pub(super) async fn serve_metrics(state: Arc<GatewayState>, listener: TcpListener) {
     serve_small(listener, move |request| match request.uri().path() {
         "/metrics" => {
-            GATEWAY_METRICS.read(&state);
+            GATEWAY_GAUGES.read(&state);
             small(StatusCode::OK, METRICS.render())
         }
         _ => small(StatusCode::NOT_FOUND, "only /metrics is here\n"),
