feat: sight of requests that come again, and of endpoints that end under them

Cause: logs could not say whether two lost requests were the same one, nor whether an endpoint had ended or only an answer was lost. No change of what is sent.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -20,6 +20,7 @@
 mod admission;
 mod answer_rule;
 mod box_beat;
+mod broken_endpoints;
 mod domain_reach;
 mod endpoint_book;
 mod endpoint_health;
@@ -33,6 +34,7 @@
 mod prompt_shape;
 mod read_log;
 mod read_model;
+mod request_print;
 mod retry_budget;
 mod return_time;
 mod route_table;
@@ -47,6 +49,7 @@
 pub use box_beat::{
     BoxBeat, BoxKnowledge, BoxReport, BoxRow, BoxStanding, DigestScope, DomainKey, FleetDigest,
 };
+pub use broken_endpoints::{BreakNews, BrokenEndpoints};
 pub use domain_reach::DomainReach;
 pub use endpoint_book::{
     EndpointBook, EndpointChange, EndpointEntry, EndpointNews, ExpiredNews, LearnedNews,
@@ -63,6 +66,7 @@
 pub use prompt_shape::{PromptPart, PromptShape};
 pub use read_log::{DueReads, ReadLog};
 pub use read_model::{PromptWork, ReadModel, ReadSample, ReadSpeed};
+pub use request_print::{BadPrint, PrintSource, RequestPrint};
 pub use retry_budget::{RetryBudget, RetryRule};
 pub use return_time::{ReturnCause, return_time};
 pub use route_table::{
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -9,6 +9,7 @@
 mod call_body;
 mod datagrams;
 mod domain_watch;
+mod end_check;
 mod engine_seek;
 mod event_stream;
 mod events;
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteKey, RouteSpec, RouteTable,
-    ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
+    AskTimes, EndpointId, EngineAsk, GatewayLimits, PrintSource, PromptShape, RequestPrint,
+    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -111,6 +111,19 @@
         self.table.config().version
     }
 
+    /// Returns what it has in common with all its sends, also those of other ids.
+    ///
+    /// It is worked out when it is asked for: most requests never need it.
+    pub(in super::super) fn print(&self) -> RequestPrint {
+        RequestPrint::of(&PrintSource {
+            workspace: self.workspace_name(),
+            method: self.method.as_str(),
+            host: &self.head.host,
+            target: &self.uri.to_string(),
+            body: &self.body,
+        })
+    }
+
     /// Returns how long it has been here.
     pub(in super::super) fn age(&self) -> Duration {
         self.arrived.elapsed()
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -1,6 +1,7 @@
 //! Sends a request to endpoints until one answers, or nothing more may be tried.
 
 use super::super::call_body::{CallBody, whole_body};
+use super::super::end_check::{note_break, note_unreachable};
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
@@ -37,6 +38,8 @@
     /// What is passed on if it is not repeated.
     answer: Option<Box<Response<CallBody>>>,
     timed_out: bool,
+    /// Whether the endpoint had the request and broke off or fell silent: it may have ended.
+    broke_off: bool,
 }
 
 impl SendLoss {
@@ -55,6 +58,16 @@
             problem: problem.into(),
             answer: None,
             timed_out: false,
+            broke_off: false,
+        }
+    }
+
+    /// Makes the loss of an answer that broke off, or that did not come in time.
+    fn broken(problem: impl Into<String>, timed_out: bool) -> Self {
+        Self {
+            timed_out,
+            broke_off: true,
+            ..Self::new(AttemptState::Sent, EndpointSign::Failed, problem)
         }
     }
 }
@@ -182,7 +195,7 @@
         place: CallPlace,
         tries: &mut CallTries,
     ) -> Result<Response<CallBody>, SendLoss> {
-        let name = place.target.name.clone();
+        let target = place.target.clone();
         let attempt = tries.sent + 1;
         let decided = GATEWAY_METRICS
             .decision
@@ -197,10 +210,12 @@
             AnswerForm::Whole => self.send_whole(place, tries).await,
         };
         result.inspect_err(|loss| {
+            self.note_loss(&target, loss);
             let ran = loss.state.outcome(self.route().may_repeat());
             log_gateway(&GatewayEvent::SendFailed {
                 request: &self.head.id,
-                endpoint: &name,
+                print: loss.broke_off.then(|| self.print().to_string()),
+                endpoint: &target.name,
                 attempt,
                 ran: ran.as_str(),
                 problem: &loss.problem,
@@ -210,6 +225,15 @@
         })
     }
 
+    /// Takes from a loss what it says of the life of the endpoint.
+    fn note_loss(&self, target: &EndpointTarget, loss: &SendLoss) {
+        match (loss.broke_off, loss.sign) {
+            (true, _) => note_break(&self.state, target, self.print()),
+            (false, Some(EndpointSign::Unreachable)) => note_unreachable(&self.state, target),
+            _ => {}
+        }
+    }
+
     /// Tells whether the lines of this request are kept although it went well: one in so many.
     pub(in super::super) fn is_sampled(&self) -> bool {
         is_sampled(&self.head.id)
@@ -248,9 +272,7 @@
         let sent = tokio::time::timeout_at(begins_until, sent).await;
         let sent = sent.map_err(|_| {
             tries.sent += 1;
-            let mut loss = SendLoss::new(AttemptState::Sent, EndpointSign::Failed, "timed out");
-            loss.timed_out = self.left().is_zero();
-            loss
+            SendLoss::broken("timed out", self.left().is_zero())
         })?;
         let (response, connection) = sent.map_err(|failure| match failure {
             SendFailure::Unreachable(problem) => {
@@ -267,7 +289,7 @@
             SendFailure::CallerLeft => SendLoss::unsaid(AttemptState::Bound, "its caller has left"),
             SendFailure::Lost(problem) => {
                 tries.sent += 1;
-                SendLoss::new(AttemptState::Sent, EndpointSign::Failed, problem)
+                SendLoss::broken(problem, false)
             }
         })?;
         tries.sent += 1;
@@ -330,13 +352,10 @@
             verdict,
             ..
         } = answer;
-        let lost = |problem: String, timed_out: bool| SendLoss {
-            timed_out,
-            ..SendLoss::new(AttemptState::Sent, EndpointSign::Failed, problem)
-        };
         let read = tokio::time::timeout_at(self.deadline(), body.collect()).await;
-        let read = read.map_err(|_| lost("timed out in the answer".to_owned(), true));
-        let read = read.and_then(|read| read.map_err(|error| lost(error.to_string(), false)));
+        let read = read.map_err(|_| SendLoss::broken("timed out in the answer", true));
+        let read =
+            read.and_then(|read| read.map_err(|error| SendLoss::broken(error.to_string(), false)));
         let bytes = read
             .inspect_err(|_| place.guard.note(EndpointSign::Failed))?
             .to_bytes();
@@ -404,10 +423,9 @@
             begins_until,
             ..
         } = answer;
-        let name = place.target.name.clone();
         place.guard.note(EndpointSign::Answered);
         let source = StreamSource {
-            name,
+            target: place.target,
             body,
             connection,
             head,
@@ -419,9 +437,7 @@
             Ok(()) => Ok(pass_on(parts.status, &parts.headers, stream.into_body())),
             Err(problem) => {
                 stream.note_failed();
-                let timed_out = self.left().is_zero();
-                let loss = SendLoss::new(AttemptState::Sent, EndpointSign::Failed, problem);
-                Err(SendLoss { timed_out, ..loss })
+                Err(SendLoss::broken(problem, self.left().is_zero()))
             }
         }
     }
@@ -440,7 +456,10 @@
         let place = place.map_err(|refusal| refusal.reason.as_str().to_owned())?;
         tries.endpoints.push(place.target.id);
         let answer = self.exchange(&place, tries, after_event).await;
-        let answer = answer.inspect_err(|loss| place.guard.note_loss(loss.sign));
+        let answer = answer.inspect_err(|loss| {
+            place.guard.note_loss(loss.sign);
+            self.note_loss(&place.target, loss);
+        });
         let answer = answer.map_err(|loss| loss.problem)?;
         if !answer.parts.status.is_success() {
             return Err(format!("status {}", answer.parts.status));
@@ -452,7 +471,7 @@
             ..
         } = answer;
         Ok(StreamSource {
-            name: place.target.name,
+            target: place.target,
             body,
             connection,
             head,
--- /dev/null
+++ b/dockgate/src/gateway/end_check.rs
@@ -0,0 +1,72 @@
+//! Finds out whether an endpoint has ended when an answer of it broke off.
+//!
+//! Answers break off for many reasons while the endpoint lives. Nobody listens at the address of one that
+//! has ended: the next connection is refused. One look serves all requests that broke off together.
+
+use super::events::{GatewayEvent, log_gateway};
+use super::gateway_state::GatewayState;
+use super::sockets::connect;
+use super::upstream::EndpointTarget;
+use crate::clock::now_ms;
+use dockgate_core::gateway::{BreakNews, EndpointId, RequestPrint};
+use std::io::ErrorKind;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long after an answer broke off the address is tried, and again where nothing is heard. The first
+/// look waits until a process that ends has closed all that it has; bounds.
+const LOOKS: [Duration; 3] = [
+    Duration::from_millis(30),
+    Duration::from_millis(300),
+    Duration::from_millis(1_000),
+];
+/// How long opening a connection may take: links take a millisecond.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Notes that an endpoint broke an answer off, and has somebody look whether it has ended.
+pub(super) fn note_break(state: &Arc<GatewayState>, target: &EndpointTarget, print: RequestPrint) {
+    let now = now_ms();
+    let news = state.with(|beliefs| beliefs.broken.note_break(print, target.id, now));
+    match news {
+        BreakNews::Open => drop(tokio::spawn(look(state.clone(), target.clone()))),
+        BreakNews::Watched => {}
+        BreakNews::Ended => note_ends(state, target, &[print]),
+    }
+}
+
+/// Notes that an endpoint refused a connection, or that another one answers at its address: where it broke
+/// answers off a moment ago, it has ended.
+pub(super) fn note_unreachable(state: &GatewayState, target: &EndpointTarget) {
+    let under = state.with(|beliefs| beliefs.broken.note_ended(target.id, now_ms()));
+    note_ends(state, target, &under);
+}
+
+/// Notes the requests under which an endpoint has ended.
+fn note_ends(_state: &GatewayState, target: &EndpointTarget, under: &[RequestPrint]) {
+    if under.is_empty() {
+        return;
+    }
+    let under: Vec<String> = under.iter().map(RequestPrint::to_string).collect();
+    log_gateway(&GatewayEvent::EndpointEnded {
+        endpoint: &target.name,
+        under: &under,
+    });
+}
+
+async fn look(state: Arc<GatewayState>, target: EndpointTarget) {
+    for wait in LOOKS {
+        tokio::time::sleep(wait).await;
+        match connect(target.address, CONNECT_TIMEOUT).await {
+            Ok(_) => return note_alive(&state, target.id),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                return note_unreachable(&state, &target);
+            }
+            // A link that is cut says nothing of the endpoint.
+            Err(_) => {}
+        }
+    }
+}
+
+fn note_alive(state: &GatewayState, endpoint: EndpointId) {
+    state.with(|beliefs| beliefs.broken.note_alive(endpoint));
+}
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -2,10 +2,11 @@
 
 use super::call::{AdmittedCall, CallTries};
 use super::call_body::{BrokenAnswer, CallBody};
+use super::end_check::note_break;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::run_guard::RunGuard;
-use super::upstream::UsedConnection;
+use super::upstream::{EndpointTarget, UsedConnection};
 use bytes::{Bytes, BytesMut};
 use dockgate_core::gateway::{EndpointSign, EventSplitter};
 use dockgate_core::{AttemptState, RetryVerdict};
@@ -27,8 +28,8 @@
 
 /// Where events come from.
 pub(super) struct StreamSource {
-    /// The endpoint's lifetime id.
-    pub(super) name: String,
+    /// The endpoint.
+    pub(super) target: EndpointTarget,
     /// The rest of its answer.
     pub(super) body: Incoming,
     /// Its connection.
@@ -163,7 +164,7 @@
     fn finish(mut self) -> Option<(Result<Bytes, BrokenAnswer>, Self)> {
         let source = self.source.take()?;
         self.call.log_answered(
-            &source.name,
+            &source.target.name,
             self.status,
             self.first_after,
             self.events,
@@ -262,18 +263,17 @@
     async fn go_on(&mut self, problem: &'static str) -> Result<(), BrokenAnswer> {
         self.note_failed();
         // The first endpoint must have stopped before another one goes on.
-        let name = self
-            .source
-            .take()
-            .map(|source| source.name)
-            .unwrap_or_default();
+        let lost = self.source.take().map(|source| source.target);
+        if let Some(target) = &lost {
+            note_break(&self.call.state, target, self.call.print());
+        }
         self.splitter = EventSplitter::default();
         let reason = match self.resume().await {
             Ok(source) => {
                 GATEWAY_METRICS.resumed.inc();
                 log_gateway(&GatewayEvent::Resumed {
                     request: &self.call.head.id,
-                    endpoint: &source.name,
+                    endpoint: &source.target.name,
                     after_event: self.last_event.unwrap_or_default(),
                     problem,
                 });
@@ -284,8 +284,10 @@
         };
         self.call.progress.end();
         GATEWAY_METRICS.note_outcome(&self.call.service().name, "broken_off");
+        let name = lost.map(|target| target.name).unwrap_or_default();
         log_gateway(&GatewayEvent::BrokenOff {
             request: &self.call.head.id,
+            print: self.call.print().to_string(),
             endpoint: &name,
             events: self.events,
             took_ms: self.call.age().as_millis() as u64,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -121,9 +121,17 @@
         revision: u64,
         endpoints_age_ms: u64,
     },
+    /// An endpoint has ended while requests ran there: nobody listens at its address any more.
+    EndpointEnded {
+        endpoint: &'a str,
+        /// The prints of the requests whose answers it broke off here.
+        under: &'a [String],
+    },
     /// A send to an endpoint gave no answer that can be passed on.
     SendFailed {
         request: &'a str,
+        /// What the request has in common with all its sends, where the answer broke off.
+        print: Option<String>,
         endpoint: &'a str,
         attempt: u32,
         ran: &'a str,
@@ -187,6 +195,8 @@
     /// An answer was broken off.
     BrokenOff {
         request: &'a str,
+        /// What the request has in common with all its sends.
+        print: String,
         endpoint: &'a str,
         events: u64,
         took_ms: u64,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -15,10 +15,11 @@
     },
     send_failed = {
         GatewayEvent::SendFailed {
-            request: "r", endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
+            request: "r",
+            print: None, endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
             expected_ms: None, took_ms: 5,
         },
-        "attempt endpoint event expected_ms problem ran request took_ms"
+        "attempt endpoint event expected_ms print problem ran request took_ms"
     },
     refused = {
         GatewayEvent::Refused {
@@ -38,8 +39,12 @@
         "attempts endpoint event events first_ms request route status took_ms"
     },
     broken_off = {
-        GatewayEvent::BrokenOff { request: "r", endpoint: "e", events: 2, took_ms: 9, reason: "p" },
-        "endpoint event events reason request took_ms"
+        GatewayEvent::BrokenOff { request: "r", print: String::new(), endpoint: "e", events: 2, took_ms: 9, reason: "p" },
+        "endpoint event events print reason request took_ms"
+    },
+    endpoint_ended = {
+        GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
+        "endpoint event under"
     },
     caller_left = {
         GatewayEvent::CallerLeft {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -12,9 +12,9 @@
 use crate::stop::StopFlag;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
-    BoxBeat, BoxStanding, EndpointBook, EndpointChange, EndpointId, EndpointNews, EngineAsk,
-    EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig, RouteTable,
-    RunKey, ShareWindow, StoreDuty, StoreProbe, WatchCheck, WorkShed,
+    BoxBeat, BoxStanding, BrokenEndpoints, EndpointBook, EndpointChange, EndpointId, EndpointNews,
+    EngineAsk, EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig,
+    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -58,6 +58,8 @@
     pub(super) digest: DigestCache,
     /// This box's prompts at engines, by its own counter.
     pub(super) runs: HashMap<u32, PlacedRun>,
+    /// The endpoints that broke answers off lately.
+    pub(super) broken: BrokenEndpoints,
     /// What this box had read at engines lately.
     pub(super) reads: ReadLog,
     /// Whether this box keeps up with its work.
@@ -120,6 +122,7 @@
             fleet: FleetView::new(own),
             digest: DigestCache::default(),
             runs: HashMap::new(),
+            broken: BrokenEndpoints::default(),
             reads: ReadLog::default(),
             lag: LoopLag::default(),
             shed: WorkShed::default(),
@@ -344,8 +347,10 @@
                 fleet,
                 runs,
                 retries,
+                broken,
                 ..
             } = beliefs;
+            broken.expire(now);
             let expired = endpoints.expire(now);
             let gone = fleet.expire(since_ms, now);
             retries.set_boxes(most_boxes.max(fleet.known_count()));
