fix: a request under which endpoints end goes into quarantine at all boxes

Cause: each send was judged alone. An end counted against the endpoint, never against what ran there, and no box could know what another one had seen. Ruled out as cause of the incident: the box's own further tries (no lost attempt was a second one), though they doubled the ends where a request may be repeated.

- Ends are counted by the print of what ran there, over all boxes: SuspectBook, three lifetimes without a completion between are a verdict.
- What must last stands in one value of the store, read with the probes that are made anyway and written under its revision.
Two trials a verdict, 30 s and 300 s after, which the store grants to one box of the fleet each.
- A request in quarantine is refused at once with 503, true to 'has not run', and with the time of the next trial.

Before: 24 returns of one request, one each 250 ms at three boxes in turn, reached 24 endpoints, 48 as a resumable stream.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -41,6 +41,7 @@
 mod share_window;
 mod store_duty;
 mod store_probe;
+mod suspect_book;
 mod watch_check;
 mod work_shed;
 
@@ -77,5 +78,8 @@
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
 pub use store_probe::{ProbeNews, ProbeRule, StoreProbe};
+pub use suspect_book::{
+    Quarantine, QuarantineStage, SuspectBook, SuspectNews, SuspectRow, SuspectSign,
+};
 pub use watch_check::WatchCheck;
 pub use work_shed::WorkShed;
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use dockgate_core::gateway::{
     BoxBeat, EndpointId, EndpointNews, EngineAsk, EngineVerdict, FleetDigest, PromptPart,
-    ReadSpeed, RouteConfig, ShareRow,
+    ReadSpeed, RouteConfig, ShareRow, SuspectRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
@@ -118,6 +118,11 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// To boxes that pass it on, and in answer to a beat: requests under which endpoints have ended.
+    Suspects {
+        /// What happened to them.
+        rows: Vec<SuspectRow>,
+    },
 }
 
 impl GatewayMessage {
@@ -132,6 +137,7 @@
             Self::Read { .. } => "read",
             Self::Started { .. } => "started",
             Self::Ended { .. } => "ended",
+            Self::Suspects { .. } => "suspects",
         }
     }
 }
--- a/dockgate-proto/src/gateway/tests.rs
+++ b/dockgate-proto/src/gateway/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use dockgate_core::gateway::DigestScope;
+use dockgate_core::gateway::{DigestScope, RequestPrint, SuspectSign};
 
 fn datagram(message: GatewayMessage) -> GatewayDatagram {
     GatewayDatagram {
@@ -13,7 +13,7 @@
     BoxBeat::new("a1", "a", "10.0.0.1:7400".parse().unwrap())
 }
 
-fn messages() -> [GatewayMessage; 3] {
+fn messages() -> [GatewayMessage; 4] {
     [
         GatewayMessage::Beat {
             beat: beat(),
@@ -34,6 +34,12 @@
             run: 1,
             endpoint: EndpointId(2),
         },
+        GatewayMessage::Suspects {
+            rows: vec![SuspectRow::new(
+                RequestPrint::new([7; 16]),
+                SuspectSign::Ended(EndpointId(2)),
+            )],
+        },
     ]
 }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -23,6 +23,8 @@
 mod overload;
 mod peer_net;
 mod peer_state;
+mod quarantine;
+mod quarantine_store;
 mod readiness;
 mod refusal;
 mod reload;
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -4,6 +4,7 @@
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
+use super::super::{quarantine, quarantine_store};
 use super::CallRefusal;
 use super::call_progress::CallProgress;
 use crate::clock::now_ms;
@@ -115,13 +116,8 @@
     ///
     /// It is worked out when it is asked for: most requests never need it.
     pub(in super::super) fn print(&self) -> RequestPrint {
-        RequestPrint::of(&PrintSource {
-            workspace: self.workspace_name(),
-            method: self.method.as_str(),
-            host: &self.head.host,
-            target: &self.uri.to_string(),
-            body: &self.body,
-        })
+        let (workspace, host) = (self.workspace_name(), &self.head.host);
+        print_of(workspace, &self.method, host, &self.uri, &self.body)
     }
 
     /// Returns how long it has been here.
@@ -224,6 +220,11 @@
         workspace: name.to_owned(),
         ..turned_away(&head.id, refusal)
     };
+    let uri = path_and_query(&parts.uri);
+    let print = || print_of(name, &parts.method, &head.host, &uri, &body);
+    keep_from_endpoints(&state, print)
+        .await
+        .map_err(found_away)?;
     if state.with(|beliefs| beliefs.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::come_back(RefusalReason::Overloaded, COME_BACK_SOON);
         return Err(found_away(refusal));
@@ -238,7 +239,7 @@
         arrived,
         headers: parts.headers,
         method: parts.method,
-        uri: path_and_query(&parts.uri),
+        uri,
         body,
         head,
         caller,
@@ -250,6 +251,23 @@
     })
 }
 
+/// Refuses a request under which endpoints end, but for a trial: nobody is charged for it, and its caller is
+/// told at once that it did not run, and when the next trial may be.
+async fn keep_from_endpoints(
+    state: &GatewayState,
+    print: impl FnOnce() -> RequestPrint,
+) -> Result<(), CallRefusal> {
+    let Some((print, quarantine)) = quarantine::find(state, print) else {
+        return Ok(());
+    };
+    let now = now_ms();
+    if quarantine.is_trial_due(now) && quarantine_store::take_trial(state, print).await {
+        return Ok(());
+    }
+    let after = quarantine.return_after(now);
+    Err(CallRefusal::come_back(RefusalReason::EndsEndpoints, after))
+}
+
 /// Counts a request of a workspace.
 ///
 /// # Errors
@@ -284,6 +302,16 @@
     });
 }
 
+fn print_of(workspace: &str, method: &Method, host: &str, uri: &Uri, body: &[u8]) -> RequestPrint {
+    RequestPrint::of(&PrintSource {
+        workspace,
+        method: method.as_str(),
+        host,
+        target: &uri.to_string(),
+        body,
+    })
+}
+
 /// Returns the target of a request without the host that some callers put there.
 fn path_and_query(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -5,6 +5,7 @@
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
+use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
 use super::placing::{COME_BACK, CallPlace};
@@ -124,7 +125,9 @@
             let left = unreached < MOST_UNREACHED && !self.left().is_zero();
             return state.after_loss(repeatable, left);
         }
-        let allowed = tries.sent < self.route().attempts && !self.left().is_zero();
+        let allowed = tries.sent < self.route().attempts
+            && !self.left().is_zero()
+            && quarantine::find(&self.state, || self.print()).is_none();
         // The fleet's budget is asked last, so that it is not spent in vain.
         let wanted = state.after_loss(repeatable, allowed) == RetryVerdict::Retry;
         let service = &self.service().name;
@@ -390,6 +393,9 @@
         self.progress.end();
         GATEWAY_METRICS.note_outcome(&self.service().name, "answered");
         GATEWAY_METRICS.note_first_event(&self.service().name, first);
+        if status.is_success() {
+            quarantine::note_completed(&self.state, || self.print());
+        }
         let late = first > self.route().objective;
         if self.is_sampled() || late || tries.sent > 1 {
             log_gateway(&GatewayEvent::Answered {
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -5,6 +5,7 @@
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
+use super::quarantine;
 use super::sockets::connect;
 use super::upstream::EndpointTarget;
 use crate::clock::now_ms;
@@ -42,15 +43,16 @@
 }
 
 /// Notes the requests under which an endpoint has ended.
-fn note_ends(_state: &GatewayState, target: &EndpointTarget, under: &[RequestPrint]) {
+fn note_ends(state: &GatewayState, target: &EndpointTarget, under: &[RequestPrint]) {
     if under.is_empty() {
         return;
     }
-    let under: Vec<String> = under.iter().map(RequestPrint::to_string).collect();
+    let prints: Vec<String> = under.iter().map(RequestPrint::to_string).collect();
     log_gateway(&GatewayEvent::EndpointEnded {
         endpoint: &target.name,
-        under: &under,
+        under: &prints,
     });
+    quarantine::note_ends(state, target.id, under);
 }
 
 async fn look(state: Arc<GatewayState>, target: EndpointTarget) {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -127,6 +127,17 @@
         /// The prints of the requests whose answers it broke off here.
         under: &'a [String],
     },
+    /// A request goes to no endpoint any more: these lifetimes have ended under it, as far as this box knows;
+    /// others are told by `source`.
+    RequestQuarantined {
+        print: &'a str,
+        endpoints: &'a [String],
+        source: &'a str,
+    },
+    /// A request in quarantine is let through once.
+    RequestTried { print: &'a str, trials: u8 },
+    /// A request is out of quarantine: it completed, or an operator released it.
+    RequestReleased { print: &'a str, source: &'a str },
     /// A send to an endpoint gave no answer that can be passed on.
     SendFailed {
         request: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -46,6 +46,18 @@
         GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
         "endpoint event under"
     },
+    request_quarantined = {
+        GatewayEvent::RequestQuarantined { print: "p", endpoints: &["e".to_owned()], source: "own" },
+        "endpoints event print source"
+    },
+    request_tried = {
+        GatewayEvent::RequestTried { print: "p", trials: 1 },
+        "event print trials"
+    },
+    request_released = {
+        GatewayEvent::RequestReleased { print: "p", source: "completed" },
+        "event print source"
+    },
     caller_left = {
         GatewayEvent::CallerLeft {
             request: "r", route: "x", workspace: "w", stage: "sent", sends: 1, waited_ms: 300,
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -13,6 +13,7 @@
     coordinates: IntGauge,
     taken_part: IntGauge,
     boxes: IntGauge,
+    quarantined: IntGauge,
     unread: IntGauge,
     memory: IntGauge,
     config_age_ms: IntGauge,
@@ -49,6 +50,10 @@
                 "dockgate_boxes_live",
                 "Boxes that are heard, this one included",
             ),
+            quarantined: gauge(
+                "dockgate_quarantined_requests",
+                "Requests that go to no endpoint, as several have ended under them",
+            ),
             unread: gauge(
                 "dockgate_engine_unread_tokens",
                 "Prompt tokens believed unread at the engines that this box knows of",
@@ -109,6 +114,8 @@
             ] {
                 self.endpoints.with_label_values(&[name]).set(count);
             }
+            let quarantined = beliefs.suspects.quarantined(now);
+            self.quarantined.set(quarantined as i64);
             let loads = || beliefs.engines.iter();
             self.unread
                 .set(loads().map(|load| load.unread() as i64).sum());
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -35,6 +35,7 @@
     pub(super) state_questions: IntCounterVec,
     /// How long such a question took, by what was asked for.
     pub(super) state_question_times: HistogramVec,
+    quarantines: IntCounterVec,
     unusable_records: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
@@ -121,6 +122,11 @@
                 "How long a question to another box for what it knows took, by what was asked for",
                 &["what"],
             ),
+            quarantines: counters(
+                "dockgate_quarantine_changes_total",
+                "Requests that went into quarantine, and that were released from it, by change",
+                &["change"],
+            ),
             unusable_records: counters(
                 "dockgate_unusable_records_total",
                 "Records read from the store that name no endpoint to use, by reason",
@@ -144,6 +150,11 @@
         self.outcomes.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a request that went into quarantine or was released from it.
+    pub(super) fn note_quarantine(&self, change: &str) {
+        self.quarantines.with_label_values(&[change]).inc();
+    }
+
     /// Counts a record that names no endpoint to use.
     pub(super) fn note_unusable(&self, reason: &str) {
         self.unusable_records.with_label_values(&[reason]).inc();
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -14,7 +14,7 @@
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, BrokenEndpoints, EndpointBook, EndpointChange, EndpointId, EndpointNews,
     EngineAsk, EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, WatchCheck, WorkShed,
+    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, SuspectBook, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -60,6 +60,8 @@
     pub(super) runs: HashMap<u32, PlacedRun>,
     /// The endpoints that broke answers off lately.
     pub(super) broken: BrokenEndpoints,
+    /// The requests under which endpoints have ended.
+    pub(super) suspects: SuspectBook,
     /// What this box had read at engines lately.
     pub(super) reads: ReadLog,
     /// Whether this box keeps up with its work.
@@ -123,6 +125,7 @@
             digest: DigestCache::default(),
             runs: HashMap::new(),
             broken: BrokenEndpoints::default(),
+            suspects: SuspectBook::default(),
             reads: ReadLog::default(),
             lag: LoopLag::default(),
             shed: WorkShed::default(),
@@ -348,9 +351,11 @@
                 runs,
                 retries,
                 broken,
+                suspects,
                 ..
             } = beliefs;
             broken.expire(now);
+            suspects.expire(now);
             let expired = endpoints.expire(now);
             let gone = fleet.expire(since_ms, now);
             retries.set_boxes(most_boxes.max(fleet.known_count()));
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -10,6 +10,7 @@
 use super::engine_seek::placed;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayBeliefs, GatewayState};
+use super::quarantine;
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
     BoxBeat, BoxNews, DigestScope, DomainKey, DueReads, EndpointId, FleetDigest, FleetView,
@@ -191,6 +192,7 @@
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
         send_beat(&state);
         send_far_digests(&state, scope);
+        quarantine::tell(&state);
         let now = now_ms();
         let units_per_s = match state.table().config().limits.units_per_s {
             // Without a stated rate nobody is ever beyond a share.
@@ -275,6 +277,9 @@
     });
     take_news(state, &[(peer, news)]);
     answer_beat(state, from, is_near);
+    if is_near {
+        quarantine::tell_one(state, from, news != BoxNews::None);
+    }
 }
 
 /// Takes in what another box passes on.
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -39,6 +39,8 @@
     EndpointsFull,
     /// No endpoint could be reached.
     Unreachable,
+    /// Endpoints end under it: it is in quarantine.
+    EndsEndpoints,
     /// The endpoint was lost, or its answer is unusable; the request may have run.
     Lost,
     /// The caller has left.
@@ -68,6 +70,7 @@
             Self::BeyondShare => "beyond_share",
             Self::EndpointsFull => "endpoints_full",
             Self::Unreachable => "unreachable",
+            Self::EndsEndpoints => "ends_endpoints",
             Self::Lost => "lost",
             Self::CallerLeft => "caller_left",
             Self::TimedOut => "timed_out",
@@ -92,6 +95,7 @@
             | Self::WouldBeLate
             | Self::EndpointsFull
             | Self::Unreachable
+            | Self::EndsEndpoints
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost | Self::CallerLeft => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -4,9 +4,10 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::send_beat;
+use super::quarantine_store;
 use crate::clock::now_ms;
 use dockgate_core::gateway::{ProbeNews, ProbeRule};
-use dockgate_platform::PlatformClient;
+use dockgate_platform::{PlatformClient, QUARANTINES};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,11 +65,12 @@
 async fn probe_once(state: &GatewayState, client: &PlatformClient, rule: ProbeRule) {
     const STEP: &str = "probe";
     let sent_ms = now_ms();
-    let answer = client.probe(Duration::from_millis(rule.patience_ms)).await;
+    let patience = Duration::from_millis(rule.patience_ms);
+    let answer = client.probe(QUARANTINES, patience).await;
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
     let counter = &GATEWAY_METRICS.store_calls;
     counter.with_label_values(&[STEP, outcome]).inc();
-    let revision = answer.as_ref().ok().copied();
+    let revision = answer.as_ref().ok().map(|listing| listing.revision);
     let news = state.note_probe(revision, sent_ms);
     if let (Some(ProbeNews::Lost), Err(error)) = (news, &answer) {
         log_gateway(&GatewayEvent::StoreLost {
@@ -80,4 +82,8 @@
         send_beat(state);
         state.decide_role();
     }
+    if let Ok(listing) = &answer {
+        let writes = state.is_first_watcher() || state.follows_store();
+        quarantine_store::sync(state, client, listing, writes).await;
+    }
 }
