feat: a later start tells of an end, and the third send of a request goes where others do not

A process that is started again at once listens before anybody looks: its record names a later start then, and that counts as an end where an answer broke off within ten seconds. Who is blamed is played without a network (blame_tests): 18 engines, five kinds, two requests in five that share their homes. The third is kept: the second send still finds the parts that others have read.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -61,7 +61,7 @@
 pub use engine_load::{EngineLoad, EngineRun};
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use fleet_view::{BoxNews, FleetView, InformedBox};
-pub use home_order::{best_homes, name_hash, owner_of_endpoint};
+pub use home_order::{best_homes, home_subject, name_hash, owner_of_endpoint};
 pub use loop_lag::{LagChange, LoopLag};
 pub use prefix_cache::PrefixCache;
 pub use prompt_shape::{PromptPart, PromptShape};
--- a/dockgate-core/src/gateway/broken_endpoints.rs
+++ b/dockgate-core/src/gateway/broken_endpoints.rs
@@ -2,19 +2,19 @@
 //!
 //! An answer that breaks off says little by itself: answers are lost and links are cut while the
 //! endpoint lives. That it has ended shows a moment later, when nobody listens at its address any
-//! more. Until then it is kept which requests were there.
+//! more, or when its record names a later start. Until then it is kept which requests were there.
 //!
 //! ```
 //! use dockgate_core::gateway::{BrokenEndpoints, EndpointId, RequestPrint};
 //!
-//! let (endpoint, print) = (EndpointId(1), RequestPrint::new([7; 16]));
+//! let (endpoint, print) = (EndpointId::of_life("e", Some(1)), RequestPrint::new([7; 16]));
 //! let mut broken = BrokenEndpoints::default();
-//! assert!(broken.note_break(print, endpoint, 1_000).is_open());
+//! assert!(broken.note_break(print, endpoint, "e", 1_000).is_open());
 //! assert_eq!(broken.note_ended(endpoint, 1_030), [print]);
 //! ```
 
 use super::request_print::RequestPrint;
-use super::route_table::EndpointId;
+use super::route_table::{EndpointId, EndpointName};
 use std::collections::HashMap;
 
 /// What follows from an answer that broke off.
@@ -38,8 +38,11 @@
 /// The requests that were at an endpoint when their answers broke off.
 #[derive(Debug, Clone)]
 struct BrokenRuns {
+    name: EndpointName,
     at_ms: u64,
     prints: Vec<RequestPrint>,
+    /// Whether somebody looks whether the endpoint has ended; else it was seen to listen.
+    is_watched: bool,
 }
 
 /// The endpoints that broke answers off lately.
@@ -62,39 +65,67 @@
         &mut self,
         print: RequestPrint,
         endpoint: EndpointId,
+        name: &str,
         now_ms: u64,
     ) -> BreakNews {
         if self.ended.contains_key(&endpoint) {
             return BreakNews::Ended;
         }
-        let news = match self.open.contains_key(&endpoint) {
-            true => BreakNews::Watched,
-            false => BreakNews::Open,
+        let known = self.open.remove(&endpoint).filter(|runs| runs.is_watched);
+        let news = match known {
+            Some(_) => BreakNews::Watched,
+            None => BreakNews::Open,
         };
-        let runs = self.open.entry(endpoint).or_insert(BrokenRuns {
+        let known = known.unwrap_or(BrokenRuns {
+            name: EndpointName::new(name),
             at_ms: now_ms,
             prints: Vec::new(),
+            is_watched: true,
         });
+        let runs = self.open.entry(endpoint).or_insert(known);
         if runs.prints.len() < Self::MOST_PRINTS && !runs.prints.contains(&print) {
             runs.prints.push(print);
         }
         news
     }
 
-    /// Notes that an endpoint lives: what broke off there was no end of it.
-    pub fn note_alive(&mut self, endpoint: EndpointId) {
-        self.open.remove(&endpoint);
+    /// Notes that somebody listens where an endpoint is: it lives, or has started again already.
+    pub fn note_listens(&mut self, endpoint: EndpointId) {
+        if let Some(runs) = self.open.get_mut(&endpoint) {
+            runs.is_watched = false;
+        }
     }
 
-    /// Notes that an endpoint has ended; returns the requests under which it did.
+    /// Notes that nobody listens where an endpoint was; returns the requests under which it ended.
     ///
-    /// One of which no answer broke off here is not remembered: it may have left in order.
+    /// One of which no answer broke off here, or which was seen to listen since, is not remembered: it may have
+    /// left in order.
     pub fn note_ended(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<RequestPrint> {
-        let Some(runs) = self.open.remove(&endpoint) else {
-            return Vec::new();
-        };
+        match self.open.get(&endpoint) {
+            Some(runs) if runs.is_watched => self.end(endpoint, now_ms),
+            _ => Vec::new(),
+        }
+    }
+
+    fn end(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<RequestPrint> {
         self.ended.insert(endpoint, now_ms);
-        runs.prints
+        let runs = self.open.remove(&endpoint);
+        runs.map(|runs| runs.prints).unwrap_or_default()
+    }
+
+    /// Lists the endpoints that have started again under their id, by `life_of`, which tells the lifetime of
+    /// a name, and the requests under which the lifetime before ended.
+    pub fn take_restarted(
+        &mut self,
+        life_of: impl Fn(EndpointName) -> Option<EndpointId>,
+        now_ms: u64,
+    ) -> Vec<(EndpointId, Vec<RequestPrint>)> {
+        let open = self.open.iter();
+        let ended = open.filter(|(id, runs)| life_of(runs.name).is_some_and(|life| life != **id));
+        let mut ended: Vec<EndpointId> = ended.map(|(id, _)| *id).collect();
+        ended.sort_unstable();
+        let ended = ended.into_iter();
+        ended.map(|id| (id, self.end(id, now_ms))).collect()
     }
 
     /// Forgets what is too old to matter.
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -292,6 +292,11 @@
         self.endpoints.get(&id)
     }
 
+    /// Finds the lifetime of an id that is known.
+    pub fn life_of(&self, name: EndpointName) -> Option<EndpointId> {
+        self.lives.get(&name).copied()
+    }
+
     /// Lists all endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointId, &EndpointEntry)> {
         self.endpoints.iter().map(|(id, entry)| (*id, entry))
--- a/dockgate-core/src/gateway/home_order/tests.rs
+++ b/dockgate-core/src/gateway/home_order/tests.rs
@@ -60,3 +60,9 @@
     }
     assert_eq!(owner_of_endpoint(EndpointId(1), std::iter::empty()), None);
 }
+
+#[test]
+fn a_request_leaves_the_homes_that_it_shares_once_it_has_lost_two_endpoints() {
+    let subjects = [0, 1, 2, 3].map(|tried| home_subject(7, 8, tried));
+    assert_eq!(subjects, [7, 7, 8, 8]);
+}
--- a/dockgate-core/src/gateway/suspect_book.rs
+++ b/dockgate-core/src/gateway/suspect_book.rs
@@ -320,6 +320,8 @@
     }
 }
 
+#[cfg(test)]
+mod blame_tests;
 #[cfg(test)]
 mod fleet_tests;
 #[cfg(test)]
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -52,7 +52,7 @@
                 let wish = EngineWish {
                     service: self.service(),
                     prompt: self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
-                    fallback_subject: name_hash(&self.head.id),
+                    own_subject: name_hash(&self.head.id),
                     tried: &tries.endpoints,
                     resumed,
                     level: self.share_level(ask.workspace),
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -27,11 +27,14 @@
 /// Notes that an endpoint broke an answer off, and has somebody look whether it has ended.
 pub(super) fn note_break(state: &Arc<GatewayState>, target: &EndpointTarget, print: RequestPrint) {
     let now = now_ms();
-    let news = state.with(|beliefs| beliefs.broken.note_break(print, target.id, now));
+    let news = state.with(|beliefs| {
+        let broken = &mut beliefs.broken;
+        broken.note_break(print, target.id, &target.name, now)
+    });
     match news {
         BreakNews::Open => drop(tokio::spawn(look(state.clone(), target.clone()))),
         BreakNews::Watched => {}
-        BreakNews::Ended => note_ends(state, target, &[print]),
+        BreakNews::Ended => note_ends(state, target.id, &target.name, &[print]),
     }
 }
 
@@ -39,27 +42,27 @@
 /// answers off a moment ago, it has ended.
 pub(super) fn note_unreachable(state: &GatewayState, target: &EndpointTarget) {
     let under = state.with(|beliefs| beliefs.broken.note_ended(target.id, now_ms()));
-    note_ends(state, target, &under);
+    note_ends(state, target.id, &target.name, &under);
 }
 
 /// Notes the requests under which an endpoint has ended.
-fn note_ends(state: &GatewayState, target: &EndpointTarget, under: &[RequestPrint]) {
+fn note_ends(state: &GatewayState, endpoint: EndpointId, name: &str, under: &[RequestPrint]) {
     if under.is_empty() {
         return;
     }
     let prints: Vec<String> = under.iter().map(RequestPrint::to_string).collect();
     log_gateway(&GatewayEvent::EndpointEnded {
-        endpoint: &target.name,
+        endpoint: name,
         under: &prints,
     });
-    quarantine::note_ends(state, target.id, under);
+    quarantine::note_ends(state, endpoint, under);
 }
 
 async fn look(state: Arc<GatewayState>, target: EndpointTarget) {
     for wait in LOOKS {
         tokio::time::sleep(wait).await;
         match connect(target.address, CONNECT_TIMEOUT).await {
-            Ok(_) => return note_alive(&state, target.id),
+            Ok(_) => return note_listens(&state, target.id),
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                 return note_unreachable(&state, &target);
             }
@@ -69,6 +72,18 @@
     }
 }
 
-fn note_alive(state: &GatewayState, endpoint: EndpointId) {
-    state.with(|beliefs| beliefs.broken.note_alive(endpoint));
+fn note_listens(state: &GatewayState, endpoint: EndpointId) {
+    state.with(|beliefs| beliefs.broken.note_listens(endpoint));
+}
+
+/// Notes the endpoints that have started again under their id since they broke answers off.
+pub(super) fn note_restarts(state: &GatewayState) {
+    let restarted = state.with(|beliefs| {
+        let endpoints = &beliefs.endpoints;
+        let life_of = |name| endpoints.life_of(name);
+        beliefs.broken.take_restarted(life_of, now_ms())
+    });
+    for (endpoint, under) in restarted {
+        note_ends(state, endpoint, &format!("{:016x}", endpoint.0), &under);
+    }
 }
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -16,7 +16,7 @@
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
     DomainKey, EndpointId, EngineAsk, EngineSpec, EngineVerdict, PromptPart, PromptShape,
-    ReadSpeed, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel, best_homes,
+    ReadSpeed, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel, best_homes, home_subject,
 };
 use dockgate_proto::GatewayMessage;
 use pending_seek::PendingSeek;
@@ -84,8 +84,8 @@
     pub(super) service: &'a ServiceSpec,
     /// The prompt.
     pub(super) prompt: &'a PromptShape,
-    /// What names the subject where the prompt has no parts.
-    pub(super) fallback_subject: u64,
+    /// What names the subject of this request alone.
+    pub(super) own_subject: u64,
     /// Engines that were tried already.
     pub(super) tried: &'a [EndpointId],
     /// Whether its stream goes on after an endpoint was lost.
@@ -110,7 +110,9 @@
     near: DomainKey,
     accepts: impl Fn(EndpointId) -> bool,
 ) -> Vec<EndpointId> {
-    let subject = wish.prompt.subject().unwrap_or(wish.fallback_subject);
+    let own = wish.own_subject;
+    let subject = wish.prompt.subject().unwrap_or(own);
+    let subject = home_subject(subject, own, wish.tried.len());
     if wish.prompt.shared_tokens() >= NEAR_BELOW_TOKENS {
         let all = ready.iter().map(|ready| ready.id);
         return best_homes(subject, all, SHARED_HOMES, accepts);
--- a/dockgate/src/gateway/engine_seek/tests.rs
+++ b/dockgate/src/gateway/engine_seek/tests.rs
@@ -27,7 +27,7 @@
     let wish = EngineWish {
         service: &service,
         prompt: &prompt,
-        fallback_subject: 7,
+        own_subject: 7,
         tried: &[],
         resumed: false,
         level: if far_homes == 0 {
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -7,6 +7,7 @@
 //! second, and 0.07 GB go between domains, requests included (one run each).
 
 use super::datagrams::{EncodedMessage, encode, send_datagram, send_encoded, send_to};
+use super::end_check;
 use super::engine_seek::placed;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayBeliefs, GatewayState};
@@ -205,6 +206,7 @@
             beliefs.fleet.set_behind(behind);
         });
         state.expire(since_ms);
+        end_check::note_restarts(&state);
         report_engines(&state, |owner, told| owner != told);
         since_ms = now;
     }
