test(soak): requests under which endpoints end, beside boxes that are killed, stopped and paused

Three such requests come at boxes at random, endpoints start again after 0.1 to 1.5 s, the store goes away, is slow and loses replies.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -5,6 +5,7 @@
 //! at once.
 
 mod caller_standin;
+mod ending_caller;
 mod leaving_caller;
 mod soak_fault;
 
@@ -13,6 +14,7 @@
 use crate::standin::RoutedStandIn;
 use caller_standin::{SoakCall, SoakRoute, keep_calling};
 use clap::ValueEnum;
+use ending_caller::{ENDING_REQUESTS, EndedEndpoints, EndingCall, keep_returning, sent_in_vain};
 use leaving_caller::{LeavingSeen, keep_leaving, measure_own_lag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -21,6 +23,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
 
 /// How many gateways run.
 const GATEWAYS: usize = 3;
@@ -51,6 +54,9 @@
     /// News that comes late: the store says nothing to some boxes, watches stall, configurations are large,
     /// while endpoints leave. No box is disturbed, so that each must know in time who leaves.
     LateNews,
+    /// Requests under which endpoints end, that come again and again, beside boxes that are killed, stopped and
+    /// paused, and a store that is away. Boxes in touch send each of them a few times.
+    Ending,
     /// Callers that leave, many of them behind further requests, beside boxes that are stopped and continued in
     /// turns, endpoints that fail and large configurations. Nothing reaches an endpoint for who has left.
     Leaving,
@@ -100,7 +106,7 @@
     let callers: Vec<_> = callers.collect();
     let leavers = match options.faults {
         SoakFaults::Leaving => LEAVERS,
-        SoakFaults::All | SoakFaults::LateNews => 0,
+        SoakFaults::All | SoakFaults::LateNews | SoakFaults::Ending => 0,
     };
     if leavers > 0 {
         let endpoints = fleet.endpoints.iter();
@@ -112,35 +118,68 @@
         tokio::spawn(keep_leaving(number, draw, addresses.clone(), over.clone()))
     });
     let leavers: Vec<_> = leavers.collect();
+    let ending = match options.faults {
+        SoakFaults::Ending => ENDING_REQUESTS,
+        _ => 0,
+    };
+    if ending > 0 {
+        fleet.endpoints.iter().for_each(EndedEndpoints::prepare);
+    }
+    let ending = (0..ending).map(|number| {
+        let draw = StdRng::seed_from_u64(options.seed.wrapping_mul(2_000) + number as u64);
+        tokio::spawn(keep_returning(
+            number,
+            draw,
+            addresses.clone(),
+            over.clone(),
+        ))
+    });
+    let ending: Vec<_> = ending.collect();
+    let mut ended = EndedEndpoints::default();
+    let mut draw = StdRng::seed_from_u64(options.seed);
     let own_lag = tokio::spawn(measure_own_lag(over.clone()));
 
     let mut field = FaultField::new(options.seed, options.faults);
     let started = Instant::now();
     while started.elapsed() < options.lasts {
         field.step(&mut fleet).await?;
+        ended.step(&mut fleet, &mut draw).await;
         tokio::time::sleep(STEP).await;
     }
     field.undo_all(&mut fleet).await?;
     let idle = unready(&fleet).await;
     // What callers ask from here on is asked of a fleet that is whole.
-    tokio::time::sleep(SETTLED).await;
+    let settled = Instant::now() + SETTLED;
+    while Instant::now() < settled {
+        ended.step(&mut fleet, &mut draw).await;
+        tokio::time::sleep(STEP).await;
+    }
     over.store(true, Ordering::Release);
-    let (mut calls, mut broken) = (Vec::new(), idle);
+    let mut broken = idle;
+    let calls = joined(callers, &mut broken).await;
+    let mut leaving = LeavingSeen::default();
+    leaving.extend(joined(leavers, &mut broken).await);
+    let returns = joined(ending, &mut broken).await;
+    let lives = ended.ended().iter().chain(&fleet.endpoints);
+    let lives: Vec<&RoutedStandIn> = lives.collect();
+    if options.faults == SoakFaults::Ending {
+        let disturbed = &field.disturbed;
+        broken.extend(sent_in_vain(&returns, &lives, disturbed, &fleet.gateways));
+    }
+    leaving.note_own_lag(own_lag.await.unwrap_or_default());
+    Ok(report(&lives, &calls, &returns, &leaving, field, broken))
+}
+
+/// Waits for callers, and returns all that they made; one that ended by itself is a fault of the soak.
+async fn joined<T>(callers: Vec<JoinHandle<Vec<T>>>, broken: &mut Vec<String>) -> Vec<T> {
+    let mut made = Vec::new();
     for caller in callers {
         match caller.await {
-            Ok(made) => calls.extend(made),
+            Ok(calls) => made.extend(calls),
             Err(error) => broken.push(format!("a caller ended: {error}")),
         }
     }
-    let mut leaving = LeavingSeen::default();
-    for leaver in leavers {
-        match leaver.await {
-            Ok(left) => leaving.extend(left),
-            Err(error) => broken.push(format!("a caller that leaves ended: {error}")),
-        }
-    }
-    leaving.note_own_lag(own_lag.await.unwrap_or_default());
-    Ok(report(&fleet, &calls, &leaving, field, broken))
+    made
 }
 
 /// Waits until every gateway is ready; says of each that is not in time what it logged last.
@@ -165,14 +204,15 @@
 
 /// Checks what endpoints ran against what callers were told.
 fn report(
-    fleet: &GatewayFleet,
+    lives: &[&RoutedStandIn],
     calls: &[SoakCall],
+    returns: &[EndingCall],
     leaving: &LeavingSeen,
     field: FaultField,
     mut broken: Vec<String>,
 ) -> SoakReport {
     let mut runs: HashMap<String, usize> = HashMap::new();
-    for run in fleet.endpoints.iter().flat_map(RoutedStandIn::ran) {
+    for run in lives.iter().flat_map(|endpoint| endpoint.ran()) {
         *runs.entry(run.id).or_default() += 1;
     }
     for call in calls {
@@ -201,12 +241,15 @@
             broken.push(format!("{}: ran {ran} times of {most}", call.id));
         }
     }
-    broken.extend(leaving.outlived(&fleet.endpoints, &field.slow));
+    for call in returns {
+        runs.remove(call.id());
+    }
+    broken.extend(leaving.outlived(lives, &field.slow));
     broken.extend(
         runs.keys()
             .map(|id| format!("{id}: ran, and nobody asked for it")),
     );
-    broken.extend(field.sent_after_leaving(&fleet.endpoints));
+    broken.extend(field.sent_after_leaving(lives));
     let late = calls.iter().filter(|call| call.is_last).collect::<Vec<_>>();
     if !late.iter().any(|call| call.answered) {
         broken.push("nothing is answered after all faults were undone".to_owned());
--- a/dockgate-bench/src/gateway_soak/leaving_caller.rs
+++ b/dockgate-bench/src/gateway_soak/leaving_caller.rs
@@ -70,7 +70,7 @@
     /// where no box was `slow` meanwhile.
     pub(super) fn outlived(
         &self,
-        endpoints: &[RoutedStandIn],
+        endpoints: &[&RoutedStandIn],
         slow: &[(Instant, Instant)],
     ) -> Vec<String> {
         let left: HashMap<&str, Instant> = self
--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -1,12 +1,14 @@
 //! Faults that are caused from outside the gateways, and undone after a while.
 
 use super::SoakFaults;
+use super::ending_caller::Disturbance;
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, large_config, route_config};
 use crate::standin::{EndpointManner, RoutedStandIn};
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
 /// How often a fault begins, on average: one in so many steps.
@@ -35,6 +37,13 @@
 /// How many routes more a large configuration has: 0.7 MB.
 const MORE_ROUTES: usize = 4_000;
 
+/// How much later than it is due a fault may be undone.
+const STEP_LATE: Duration = Duration::from_millis(200);
+/// The faults of [`FaultField::begin`], by number.
+const ALL_FAULTS: Range<u32> = 0..10;
+/// Those of boxes and of the store.
+const BOX_AND_STORE_FAULTS: Range<u32> = 0..7;
+
 const MANNERS: [EndpointManner; 9] = [
     EndpointManner::Loses,
     EndpointManner::Silent,
@@ -69,6 +78,8 @@
     ends: Vec<(Instant, FaultEnd)>,
     /// From when until when a box was slow.
     pub(super) slow: Vec<(Instant, Instant)>,
+    /// When boxes or the store were disturbed.
+    pub(super) disturbed: Vec<Disturbance>,
     started: Instant,
     version: u64,
     lives: usize,
@@ -84,6 +95,7 @@
             left: Vec::new(),
             ends: Vec::new(),
             slow: Vec::new(),
+            disturbed: Vec::new(),
             started: Instant::now(),
             version: 1,
             lives: 0,
@@ -104,7 +116,9 @@
         }
         if self.draw.random_ratio(1, ONE_IN) {
             match self.faults {
-                SoakFaults::All => self.begin(fleet).await?,
+                SoakFaults::All => self.begin(fleet, ALL_FAULTS).await?,
+                // Endpoints end by themselves there.
+                SoakFaults::Ending => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
                 SoakFaults::LateNews => self.delay_news(fleet).await?,
                 SoakFaults::Leaving => self.slow_down(fleet).await,
             }
@@ -142,14 +156,18 @@
         Ok(())
     }
 
-    async fn begin(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+    async fn begin(
+        &mut self,
+        fleet: &mut GatewayFleet,
+        kinds: Range<u32>,
+    ) -> Result<(), BenchError> {
         let lasts = Duration::from_millis(self.draw.random_range(LASTS_MS));
         let box_at = self.draw.random_range(0..fleet.gateways.len());
         let endpoint = self.draw.random_range(0..super::SERVICES.len());
         let is_up = !self.ends.iter().any(
             |(_, end)| matches!(end, FaultEnd::Restart(at) | FaultEnd::Continue(at) if *at == box_at),
         );
-        let (what, lasts, end) = match self.draw.random_range(0..10) {
+        let (what, lasts, end) = match self.draw.random_range(kinds) {
             0 if is_up => {
                 fleet.gateways[box_at].signal(Signal::SIGSTOP);
                 (
@@ -223,11 +241,27 @@
         };
         let at = self.started.elapsed().as_millis();
         self.told.push(format!("{at} ms: {what}"));
-        self.ends
-            .extend(end.map(|end| (Instant::now() + lasts, end)));
+        if let Some(end) = end {
+            self.note_disturbance(end, lasts);
+            self.ends.push((Instant::now() + lasts, end));
+        }
         Ok(())
     }
 
+    fn note_disturbance(&mut self, end: FaultEnd, lasts: Duration) {
+        let box_at = match end {
+            FaultEnd::Continue(at) | FaultEnd::Restart(at) => Some(at),
+            FaultEnd::StoreBack | FaultEnd::StoreFast | FaultEnd::StoreKeepsReplies => None,
+            _ => return,
+        };
+        let from = Instant::now();
+        self.disturbed.push(Disturbance {
+            from,
+            until: from + lasts + STEP_LATE,
+            box_at,
+        });
+    }
+
     /// Starts another endpoint of the same service, and lets this one say that it leaves.
     async fn replace(
         &mut self,
@@ -330,7 +364,7 @@
 
     /// Lists the requests that endpoints got long after they had said that they leave, where no box was
     /// disturbed meanwhile.
-    pub(super) fn sent_after_leaving(&self, endpoints: &[RoutedStandIn]) -> Vec<String> {
+    pub(super) fn sent_after_leaving(&self, endpoints: &[&RoutedStandIn]) -> Vec<String> {
         let undisturbed = self.faults == SoakFaults::LateNews;
         let left = self.left.iter().filter(|_| undisturbed);
         let late = left.flat_map(|(at, left)| {
--- a/dockgate-bench/src/standin/caller.rs
+++ b/dockgate-bench/src/standin/caller.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Connects to a gateway.
@@ -24,6 +25,18 @@
     sender
 }
 
+/// Connects to a gateway that may not be there.
+pub async fn connect_within(
+    address: SocketAddr,
+    limit: Duration,
+) -> Option<SendRequest<Full<Bytes>>> {
+    let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+    let stream = stream.ok()?.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
 /// Makes a request with `x-token-usage`, which a stream's stand-in takes its events from.
 ///
 /// # Panics
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -70,7 +70,7 @@
     ends: Mutex<Vec<RunEnd>>,
     unfinished: Mutex<i64>,
     takes: Mutex<Duration>,
-    deadly: Mutex<Option<Bytes>>,
+    deadly: Mutex<Vec<Bytes>>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -136,9 +136,12 @@
         *locked(&self.state.takes) = takes;
     }
 
-    /// Sets the body of requests under which it ends as it begins to run them.
+    /// Adds a body of requests under which it ends as it begins to run them.
     pub fn set_deadly(&self, body: &Bytes) {
-        *locked(&self.state.deadly) = Some(body.clone());
+        let mut deadly = locked(&self.state.deadly);
+        if !deadly.contains(body) {
+            deadly.push(body.clone());
+        }
     }
 
     /// Tells whether it has ended.
@@ -240,7 +243,7 @@
         at: Instant::now(),
     };
     let run = RoutedRun::new(state.clone(), seen);
-    if locked(&state.deadly).as_ref() == Some(&body) {
+    if locked(&state.deadly).contains(&body) {
         end.cancel();
         return Err(BrokenOff);
     }
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -17,12 +17,18 @@
     // Boxes that are stopped for most of the time: four requests reached an endpoint over half a second after
     // their callers had left, and 24 were worked on for so long.
     callers_that_leave = { SoakFaults::Leaving, 2 },
+    endpoints_end = { SoakFaults::Ending, 1 },
 )]
 fn no_promise_breaks(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
+    let lasts_s = match faults {
+        // It takes seconds until a box counts as in touch.
+        SoakFaults::Ending => 10,
+        _ => 4,
+    };
     let options = SoakOptions {
         seed,
-        lasts: Duration::from_secs(4),
+        lasts: Duration::from_secs(lasts_s),
         faults,
     };
     let seen = runtime.block_on(run_soak(options)).unwrap();
