feat(ctl): operators see requests in quarantine at any gateway, and release one

dockgatectl quarantine [--release PRINT] asks a box's state door; the release is a stage like the verdict, so that it reaches all boxes and the store the same way. Tested with three processes.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -3,7 +3,10 @@
 use crate::error::BenchError;
 use crate::fleet::{daemon_program, fetch};
 use crate::standin::{PeerStandIn, PlatformStandIn, RoutedStandIn, StoreDoor};
-use dockgate_proto::StateAnswer;
+use dockgate_proto::{QuarantineAnswer, QuarantineRequest, StateAnswer, methods};
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
 use nix::sys::signal::{Signal, kill};
 use nix::sys::stat::Mode;
 use nix::unistd::{Pid, mkfifo};
@@ -165,6 +168,19 @@
         answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
     }
 
+    /// Asks it for the requests in quarantine, after one was released where that is wanted.
+    ///
+    /// # Errors
+    ///
+    /// Returns what it says where it refuses, or that it does not answer.
+    pub async fn quarantine(&self, release: Option<String>) -> Result<QuarantineAnswer, String> {
+        let client = HttpClientBuilder::default().build(format!("http://{}", self.at(STATE)));
+        let client = client.map_err(|error| error.to_string())?;
+        let request = QuarantineRequest { release };
+        let answer = client.request(methods::QUARANTINE, rpc_params![request]);
+        answer.await.map_err(|error| error.to_string())
+    }
+
     /// Returns what it counts.
     pub async fn metrics(&self) -> String {
         fetch(self.at(METRICS), "metrics").await.unwrap_or_default()
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Ends under no request any more.
+    pub fn set_harmless(&self) {
+        locked(&self.state.deadly).clear();
+    }
+
     /// Tells whether it has ended.
     pub fn has_ended(&self) -> bool {
         self.stop.is_cancelled()
--- a/dockgate-bench/tests/ending.rs
+++ b/dockgate-bench/tests/ending.rs
@@ -73,6 +73,31 @@
         (status, String::from_utf8_lossy(&body).into_owned())
     }
 
+    /// Sends the deadly request until a box refuses it, and waits until all know it.
+    async fn bring_into_quarantine(&mut self) {
+        const MOST: usize = 12;
+        for number in 0..MOST {
+            let (status, _) = self
+                .ask(number, "/once/x", &format!("r{number}"), &DEADLY)
+                .await;
+            if status == StatusCode::SERVICE_UNAVAILABLE {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+            self.revive().await;
+        }
+        assert!(self.reached() < MOST, "it reached {}", self.reached());
+        for gateway in &self.fleet.gateways {
+            wait_until("a box knows the request", async || {
+                gateway
+                    .metrics()
+                    .await
+                    .contains("dockgate_quarantined_requests 1")
+            })
+            .await;
+        }
+    }
+
     /// Returns how often the deadly request reached an endpoint.
     fn reached(&self) -> usize {
         let endpoints = self.fleet.endpoints.iter().chain(&self.ended);
@@ -118,22 +143,45 @@
     ends_few_endpoints("/live/x", "model").await;
 }
 
+/// An operator who knows better releases the request at one box; all send it again, and the store forgets it.
+#[tokio::test]
+async fn an_operator_releases_a_request_at_all_boxes() {
+    let mut fleet = EndingFleet::start(3, "plain").await;
+    fleet.bring_into_quarantine().await;
+    let gateways = &fleet.fleet.gateways;
+    let known = gateways[0].quarantine(None).await.expect("it tells");
+    let [held] = &known.requests[..] else {
+        panic!("there is one: {known:?}")
+    };
+    assert_eq!((held.trials, held.next_trial_ms.is_some()), (0, true));
+    let bad = gateways[0].quarantine(Some("07".to_owned())).await;
+    assert!(bad.is_err_and(|problem| problem.contains("is no print")));
+    let left = gateways[0].quarantine(Some(held.print.clone())).await;
+    assert_eq!(left.map(|left| left.requests.len()), Ok(0));
+    for gateway in gateways {
+        wait_until("it is released everywhere", async || {
+            gateway
+                .metrics()
+                .await
+                .contains("dockgate_quarantined_requests 0")
+        })
+        .await;
+    }
+    let sound = fleet.fleet.endpoints.iter();
+    sound.for_each(RoutedStandIn::set_harmless);
+    for at in 0..3 {
+        let (status, text) = fleet
+            .ask(at, "/once/x", &format!("free{at}"), &DEADLY)
+            .await;
+        assert_eq!((status, &text[..4]), (StatusCode::OK, "echo"));
+    }
+}
+
 /// Boxes that were all killed remember nothing; what must last stands in the platform's store.
 #[tokio::test]
 async fn boxes_that_begin_anew_know_the_request_under_which_endpoints_end() {
     let mut fleet = EndingFleet::start(3, "plain").await;
-    let mut number = 0;
-    while fleet
-        .ask(number, "/once/x", &format!("r{number}"), &DEADLY)
-        .await
-        .0
-        != StatusCode::SERVICE_UNAVAILABLE
-    {
-        number += 1;
-        assert!(number < 12, "it reached {}", fleet.reached());
-        tokio::time::sleep(PAUSE).await;
-        fleet.revive().await;
-    }
+    fleet.bring_into_quarantine().await;
     wait_until("it stands in the store", async || {
         fleet
             .fleet
--- a/dockgate-proto/src/lib.rs
+++ b/dockgate-proto/src/lib.rs
@@ -16,8 +16,10 @@
 pub mod headers;
 pub mod operator;
 mod peer;
+mod quarantine;
 mod refusal;
 
 pub use gateway::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest};
 pub use peer::{ConfigAnswer, ExchangeRequest, HelloReply, HelloRequest, PeerMessage, methods};
+pub use quarantine::{QuarantineAnswer, QuarantineRequest, QuarantineRow};
 pub use refusal::{RefusalBody, RefusalCode, RequestStep};
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -19,6 +19,10 @@
     /// Asks for routes and endpoints: [`StateRequest`](crate::StateRequest) to
     /// [`StateAnswer`](crate::StateAnswer).
     pub const STATE: &str = "state";
+    /// Lists the requests in quarantine, and releases one:
+    /// [`QuarantineRequest`](crate::QuarantineRequest) to
+    /// [`QuarantineAnswer`](crate::QuarantineAnswer).
+    pub const QUARANTINE: &str = "quarantine";
 }
 
 /// One message from an entry to a scheduler, back, or among schedulers.
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -24,6 +24,7 @@
 mod peer_net;
 mod peer_state;
 mod quarantine;
+mod quarantine_door;
 mod quarantine_store;
 mod readiness;
 mod refusal;
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -10,6 +10,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
+use super::quarantine_door;
 use crate::clock::now_ms;
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
@@ -60,6 +61,7 @@
         let request: StateRequest = params.one()?;
         Ok::<_, ErrorObjectOwned>(answer(state, request))
     })?;
+    quarantine_door::register(&mut module)?;
     Ok(RpcDoor {
         name: "state",
         methods: module.into(),
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -80,6 +80,14 @@
     }
 }
 
+/// Releases a request, as an operator has decided; all boxes know it as soon as they would know a verdict.
+pub(super) fn release(state: &GatewayState, print: RequestPrint) {
+    let now = now_ms();
+    let news = state.with(|beliefs| beliefs.suspects.release(print, now));
+    log_news(state, news.as_slice(), "operator");
+    tell(state);
+}
+
 /// Tells the boxes that pass news on what is new of requests under which endpoints end.
 pub(super) fn tell(state: &GatewayState) {
     let now = now_ms();
--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -68,6 +68,14 @@
         /// Log files of any boxes; standard input where none is named.
         logs: Vec<PathBuf>,
     },
+    /// Shows the requests that a gateway sends to no endpoint, as several have ended under them.
+    ///
+    /// The address is that of any gateway's `[listen] state`; no token is asked for there.
+    Quarantine {
+        /// Releases the request with this print, which stands in log lines.
+        #[arg(long)]
+        release: Option<String>,
+    },
     /// Works out what a declaration file would change, and keeps the plan for `confirm`.
     Plan {
         /// The declaration file.
--- a/dockgatectl/src/client.rs
+++ b/dockgatectl/src/client.rs
@@ -6,6 +6,7 @@
     self, ConfirmReply, ConfirmRequest, HistoryRequest, PlanIntent, PlanReply, PlanRequest,
     StatusReply, codes,
 };
+use dockgate_proto::{QuarantineAnswer, QuarantineRequest, methods};
 use jsonrpsee::core::ClientError;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::params::ArrayParams;
@@ -39,6 +40,19 @@
             .map_err(|_| CtlError::Intent("the operator token is not plain text".to_owned()))?;
         let mut headers = HeaderMap::new();
         headers.insert("authorization", bearer);
+        Self::with_headers(address, headers, timeout_s)
+    }
+
+    /// Makes a client of a door at which no token is asked for.
+    pub(crate) fn without_token(address: SocketAddr, timeout_s: u64) -> Result<Self, CtlError> {
+        Self::with_headers(address, HeaderMap::new(), timeout_s)
+    }
+
+    fn with_headers(
+        address: SocketAddr,
+        headers: HeaderMap,
+        timeout_s: u64,
+    ) -> Result<Self, CtlError> {
         let client = HttpClientBuilder::default()
             .set_headers(headers)
             .request_timeout(Duration::from_secs(timeout_s))
@@ -90,6 +104,15 @@
         self.call(operator::HISTORY, rpc_params![request]).await
     }
 
+    /// Returns the requests in quarantine, after one was released where that is wanted.
+    pub(crate) async fn quarantine(
+        &self,
+        release: Option<String>,
+    ) -> Result<QuarantineAnswer, CtlError> {
+        let request = QuarantineRequest { release };
+        self.call(methods::QUARANTINE, rpc_params![request]).await
+    }
+
     /// Returns the state of the box.
     pub(crate) async fn status(&self) -> Result<StatusReply, CtlError> {
         self.call(operator::STATUS, ArrayParams::new()).await
--- a/dockgatectl/src/main.rs
+++ b/dockgatectl/src/main.rs
@@ -48,6 +48,11 @@
         }
         CtlCommand::Explain { id, logs } => return explain::print_story(id, logs),
         CtlCommand::Losses { logs } => return losses::print_losses(logs),
+        CtlCommand::Quarantine { release } => {
+            let client = OperatorClient::without_token(args.operator, args.timeout_s)?;
+            renderer.quarantine(&client.quarantine(release.clone()).await?);
+            return Ok(());
+        }
         _ => {}
     }
     let client = OperatorClient::new(args.operator, &args.token_file, args.timeout_s)?;
@@ -85,6 +90,7 @@
         CtlCommand::HashKey { .. }
         | CtlCommand::Completions { .. }
         | CtlCommand::Explain { .. }
+        | CtlCommand::Quarantine { .. }
         | CtlCommand::Losses { .. } => {}
     }
     Ok(())
--- a/dockgatectl/src/render.rs
+++ b/dockgatectl/src/render.rs
@@ -4,6 +4,7 @@
 use comfy_table::Table;
 use comfy_table::presets::UTF8_FULL_CONDENSED;
 use dockgate_core::{ConfigEntry, ConfigPlan, FleetConfig};
+use dockgate_proto::QuarantineAnswer;
 use dockgate_proto::operator::{ConfirmReply, StatusReply};
 use serde::Serialize;
 
@@ -45,6 +46,24 @@
         }
     }
 
+    /// Shows the requests in quarantine.
+    pub(crate) fn quarantine(&self, answer: &QuarantineAnswer) {
+        let seconds = |ms: u64| format!("{:.0} s", ms as f64 / 1_000.0);
+        self.print(answer, || {
+            let mut table = table(&["print", "since", "trials", "next trial in"]);
+            for row in &answer.requests {
+                let next = row.next_trial_ms;
+                table.add_row([
+                    row.print.clone(),
+                    seconds(row.age_ms),
+                    row.trials.to_string(),
+                    next.map_or_else(|| "none".to_owned(), seconds),
+                ]);
+            }
+            println!("{table}");
+        });
+    }
+
     /// Shows a plan to be reviewed.
     pub(crate) fn plan(&self, plan: &ConfigPlan) {
         self.print(plan, || {
