--- a/dockgate-core/src/gateway/suspect_book.rs
+++ b/dockgate-core/src/gateway/suspect_book.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct SuspectBook {
     suspects: HashMap<RequestPrint, Suspect>,
+    /// How many of them are in quarantine, whether young enough to count or not.
+    set: usize,
 }
 
 impl SuspectBook {
@@ -91,6 +93,11 @@
         self.suspects.is_empty()
     }
 
+    /// Tells whether any request may be in quarantine, in two nanoseconds where counting takes two microseconds.
+    pub const fn may_hold_any(&self) -> bool {
+        self.set > 0
+    }
+
     /// Returns the quarantine of a request, if it is in one.
     pub fn quarantine(&self, print: RequestPrint, now_ms: u64) -> Option<&Quarantine> {
         let suspect = self.suspects.get(&print)?;
@@ -208,6 +215,10 @@
         for print in surplus {
             self.suspects.remove(&print);
         }
+        let left = self.suspects.values();
+        self.set = left
+            .filter(|suspect| suspect.quarantine.stage.is_set())
+            .count();
     }
 
     fn take(&mut self, row: SuspectRow, now_ms: u64) -> Option<SuspectNews> {
@@ -248,6 +259,14 @@
             after.quarantine.holds(now_ms),
         );
         let ends = after.ends.keys().copied().collect();
+        match (
+            before.quarantine.stage.is_set(),
+            after.quarantine.stage.is_set(),
+        ) {
+            (false, true) => self.set += 1,
+            (true, false) => self.set -= 1,
+            _ => {}
+        }
         self.suspects.insert(print, after);
         if self.suspects.len() > Self::MOST_SUSPECTS + Self::MOST_QUARANTINED {
             self.drop_surplus(now_ms);
--- a/dockgate-core/src/gateway/suspect_book/tests.rs
+++ b/dockgate-core/src/gateway/suspect_book/tests.rs
@@ -176,4 +176,7 @@
     );
     book.expire(now_ms + SuspectBook::KEPT_MS);
     assert_eq!(book.suspects.len(), SuspectBook::MOST_QUARANTINED);
+    assert!(book.may_hold_any());
+    book.expire(now_ms + 86_400_000);
+    assert!(book.is_empty() && !book.may_hold_any());
 }
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -19,6 +19,7 @@
 mod gateway_metrics;
 mod gateway_runtime;
 mod gateway_state;
+mod kept_task;
 mod membership;
 mod overload;
 mod peer_net;
@@ -47,6 +48,7 @@
 use events::{GatewayEvent, log_gateway};
 use front::CallerFront;
 use gateway_state::GatewayState;
+use kept_task::keep_task;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -119,16 +121,21 @@
 ) -> Result<(), DaemonError> {
     tokio::spawn(readiness::serve_readiness(state.clone(), readiness));
     tokio::spawn(readiness::serve_metrics(state.clone(), metrics));
-    tokio::spawn(store_probe::keep_role(state.clone()));
-    tokio::spawn(store_probe::keep_probing(state.clone()));
-    tokio::spawn(follow::follow_routes(state.clone()));
-    tokio::spawn(follow::follow_endpoints(state.clone()));
-    tokio::spawn(peer_net::receive(state.clone()));
-    tokio::spawn(membership::beat(state.clone()));
-    tokio::spawn(overload::watch_lag(state.clone()));
-    tokio::spawn(domain_watch::watch_domains(state.clone()));
-    for what in [BoxKnowledge::Config, BoxKnowledge::Endpoints] {
-        tokio::spawn(peer_state::query_peers(state.clone(), what));
+    keep(state, "store role", store_probe::keep_role);
+    keep(state, "store probes", store_probe::keep_probing);
+    keep(state, "routes", follow::follow_routes);
+    keep(state, "endpoints", follow::follow_endpoints);
+    keep(state, "datagrams", peer_net::receive);
+    keep(state, "beats", membership::beat);
+    keep(state, "lag", overload::watch_lag);
+    keep(state, "domains", domain_watch::watch_domains);
+    for (name, what) in [
+        ("configurations of others", BoxKnowledge::Config),
+        ("endpoints of others", BoxKnowledge::Endpoints),
+    ] {
+        keep(state, name, move |state| {
+            peer_state::query_peers(state, what)
+        });
     }
     let (stop, server) = jsonrpsee::server::stop_channel();
     // The door serves until the process ends.
@@ -137,6 +144,16 @@
     Ok(())
 }
 
+/// Runs a task of this box for as long as the process.
+fn keep<T, A>(state: &Arc<GatewayState>, name: &'static str, task: T)
+where
+    T: Fn(Arc<GatewayState>) -> A + Send + 'static,
+    A: Future<Output = ()> + Send + 'static,
+{
+    let state = state.clone();
+    keep_task(name, move || task(state.clone()));
+}
+
 /// Stops in order: not ready at once, goes on answering, and ends when nothing is open any more.
 async fn drain(state: &GatewayState, front: &CallerFront) {
     log_gateway(&GatewayEvent::Stopping { open: front.open() });
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -25,6 +25,12 @@
 pub(super) enum GatewayEvent<'a> {
     /// The process has begun, with these settings.
     Started { settings: &'a GatewaySettings },
+    /// A task that runs for as long as the process panicked; it is begun anew.
+    TaskPanicked {
+        task: &'a str,
+        problem: &'a str,
+        again_ms: u64,
+    },
     /// It was told to stop, with so many connections open.
     Stopping { open: usize },
     /// It ends; `cut` requests were still being answered.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -46,6 +46,10 @@
         GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
         "endpoint event under"
     },
+    task_panicked = {
+        GatewayEvent::TaskPanicked { task: "beats", problem: "p", again_ms: 50 },
+        "again_ms event problem task"
+    },
     request_quarantined = {
         GatewayEvent::RequestQuarantined { print: "p", endpoints: &["e".to_owned()], source: "own" },
         "endpoints event print source"
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -35,6 +35,7 @@
     pub(super) state_questions: IntCounterVec,
     /// How long such a question took, by what was asked for.
     pub(super) state_question_times: HistogramVec,
+    panics: IntCounterVec,
     quarantines: IntCounterVec,
     unusable_records: IntCounterVec,
     datagrams: IntCounterVec,
@@ -122,6 +123,11 @@
                 "How long a question to another box for what it knows took, by what was asked for",
                 &["what"],
             ),
+            panics: counters(
+                "dockgate_task_panics_total",
+                "Panics of tasks that run for as long as the process, by task",
+                &["task"],
+            ),
             quarantines: counters(
                 "dockgate_quarantine_changes_total",
                 "Requests that went into quarantine, and that were released from it, by change",
@@ -150,6 +156,11 @@
         self.outcomes.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a panic of a task that is begun anew.
+    pub(super) fn note_panic(&self, task: &str) {
+        self.panics.with_label_values(&[task]).inc();
+    }
+
     /// Counts a request that went into quarantine or was released from it.
     pub(super) fn note_quarantine(&self, change: &str) {
         self.quarantines.with_label_values(&[change]).inc();
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -46,11 +46,11 @@
     state: &GatewayState,
     print: impl FnOnce() -> RequestPrint,
 ) -> Option<(RequestPrint, Quarantine)> {
+    if !state.with(|beliefs| beliefs.suspects.may_hold_any()) {
+        return None;
+    }
+    let print = print();
     let now = now_ms();
-    let print = match state.with(|beliefs| beliefs.suspects.quarantined(now)) {
-        0 => return None,
-        _ => print(),
-    };
     let quarantine = state.with(|beliefs| beliefs.suspects.quarantine(print, now).copied());
     quarantine.map(|quarantine| (print, quarantine))
 }
