--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -96,6 +96,7 @@
         let child = Command::new(daemon_program()?)
             .arg("--settings")
             .arg(&self.settings)
+            .env("DOCKGATE_AWAY_FILE", self.away_file())
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(errors)
@@ -128,6 +129,25 @@
         pipe.write_all(&text).map_err(failed)
     }
 
+    fn away_file(&self) -> PathBuf {
+        self.settings.with_extension("away")
+    }
+
+    /// Lets it seem to have been suspended for so long, all in all: its clock that counts a suspension is put
+    /// forward, its steady one and its timers are not. Builds for tests alone listen to this.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the file that says so cannot be written.
+    pub fn be_away(&self, time: Duration) -> Result<(), BenchError> {
+        // Written beside and moved, so that it is never read half.
+        let file = self.away_file();
+        let written = file.with_extension("away-new");
+        write(&written, &time.as_millis().to_string())?;
+        std::fs::rename(&written, &file)
+            .map_err(|cause| BenchError::Io("rename", file.display().to_string(), cause))
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
--- a/dockgate/src/clock.rs
+++ b/dockgate/src/clock.rs
@@ -1,7 +1,13 @@
 //! The daemon's clocks.
 
+#[cfg(debug_assertions)]
+mod away_standin;
+
+#[cfg(debug_assertions)]
+pub(crate) use away_standin::follow_file;
+use rustix::time::{ClockId, clock_gettime};
 use std::sync::OnceLock;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Returns milliseconds of a clock that never goes back, starting near one at the first call.
 pub(crate) fn now_ms() -> u64 {
@@ -15,3 +21,13 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |since| since.as_millis() as u64)
 }
+
+/// Reads the clock that goes on while the box is suspended.
+#[expect(dead_code, reason = "nothing reads it yet")]
+fn counted() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let counted = Duration::new(time.tv_sec as u64, time.tv_nsec as u32);
+    #[cfg(debug_assertions)]
+    let counted = counted + away_standin::away();
+    counted
+}
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -29,6 +29,8 @@
 
 fn main() -> ExitCode {
     let args = DaemonArgs::parse();
+    #[cfg(debug_assertions)]
+    clock::follow_file();
     let started =
         GatewayRuntime::new().and_then(|runtime| match gateway::is_gateway(args.settings()) {
             true => start_gateway(&args, runtime),
