fix: one clock that counts suspensions, and a box that wakes asks anew before it serves

Cause: ages, deadlines and timers rested on the steady clock, which stands still while a machine is suspended.

- clock.rs reads the clock that goes on (CLOCK_BOOTTIME); clippy.toml keeps others out of the daemon, the adapter, the core and the tool.
Waits for a moment (timeout_at) are woken when a suspension is noted: by a look each 100 ms, and with each request.
Weighed: a timer of the system on that clock takes a descriptor and a call for each wait; this takes a subscription.
- waking.rs: the box says for how long it was away, forgets that the store was heard, lists anew, closes connections that rest, and holds requests until the store or a box that it hears has told something since (WakeGate, 1 s at most; not ready meanwhile).
Below 0.3 s away nothing but waits is looked at.
- EndpointPools::retain closed resting connections without taking them off what is open: one method serves both now.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -42,6 +42,7 @@
 mod store_duty;
 mod store_probe;
 mod suspect_book;
+mod wake_gate;
 mod watch_check;
 mod work_shed;
 
@@ -81,5 +82,6 @@
 pub use suspect_book::{
     Quarantine, QuarantineStage, SuspectBook, SuspectNews, SuspectRow, SuspectSign,
 };
+pub use wake_gate::WakeGate;
 pub use watch_check::WatchCheck;
 pub use work_shed::WorkShed;
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -136,6 +136,14 @@
         self.proof_ms.map(|proof| now_ms.saturating_sub(proof))
     }
 
+    /// Returns when the store last proved that it hears a box of this domain, if this box knows as much as those that
+    /// are heard.
+    pub fn agreed_proof_ms(&self, now_ms: u64) -> Option<u64> {
+        let lacks = |what| self.better_informed(what, None, now_ms).is_some();
+        let is_behind = lacks(BoxKnowledge::Config) || lacks(BoxKnowledge::Endpoints);
+        self.proof_ms.filter(|_| !is_behind)
+    }
+
     /// Sets whether this box falls behind with its work: others then coordinate in its place.
     pub fn set_behind(&mut self, behind: bool) {
         if self.own.standing.behind != behind {
--- /dev/null
+++ b/dockgate-core/src/gateway/wake_gate.rs
@@ -0,0 +1,62 @@
+//! Whether a box that was suspended knows the present again.
+//!
+//! All that such a box believes is as old as the suspension was long, and others have acted on newer things
+//! meanwhile: configurations, endpoints that left. What it reads in the first moments, from connections that may be
+//! dead, says nothing. So it waits until the store, or a box of its failure domain that the store hears, has told
+//! it something since; where nobody does, it serves what it can.
+//!
+//! ```
+//! use dockgate_core::gateway::WakeGate;
+//!
+//! let mut gate = WakeGate::default();
+//! assert!(gate.is_open(None, 1_000));
+//! gate.wake(6_000);
+//! assert!(!gate.is_open(Some(1_000), 6_010));
+//! assert!(gate.is_open(Some(6_200), 6_210));
+//! ```
+
+/// Whether what is believed was heard since the box woke.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct WakeGate {
+    woke_ms: Option<u64>,
+}
+
+impl WakeGate {
+    /// From which suspension on, in milliseconds, the gate closes: below it a box knows what it would know by its
+    /// usual means, which hear of changes each 0.3 s.
+    pub const LEAST_AWAY_MS: u64 = 300;
+    /// For how long it is closed at most, in milliseconds: two probes of the store, or a beat and its answer, of
+    /// which one is lost. Callers of plain services wait no longer than that for an answer.
+    const MOST_CLOSED_MS: u64 = 1_000;
+
+    /// How much later than it was made a proof may seem, in milliseconds: a digest that is kept for a tenth of a
+    /// second, and its way.
+    const TOLD_LATE_MS: u64 = 150;
+
+    /// Notes that the box has woken.
+    pub const fn wake(&mut self, now_ms: u64) {
+        self.woke_ms = Some(now_ms);
+    }
+
+    /// Tells whether the box knows the present, where `proof_ms` is when the store last proved that it hears a box of
+    /// this domain with whom this one agrees.
+    pub fn is_open(&mut self, proof_ms: Option<u64>, now_ms: u64) -> bool {
+        let Some(woke_ms) = self.woke_ms else {
+            return true;
+        };
+        let is_proved = proof_ms.is_some_and(|proof| proof >= woke_ms + Self::TOLD_LATE_MS);
+        let is_open = is_proved || now_ms >= woke_ms + Self::MOST_CLOSED_MS;
+        if is_open {
+            self.woke_ms = None;
+        }
+        is_open
+    }
+
+    /// Tells whether the box has not woken lately.
+    pub const fn is_settled(&self) -> bool {
+        self.woke_ms.is_none()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/caller/answer.rs
+++ b/dockgate/src/caller/answer.rs
@@ -140,6 +140,11 @@
             let RunningGrant { grant, cost, .. } = self.running;
             self.running.dispatch.progress(grant, cost);
         }
+        // Late by the time of a suspension, in which the endpoint could not be heard either.
+        #[expect(
+            clippy::disallowed_methods,
+            reason = "the runtime's timer needs its clock"
+        )]
         let silence = Instant::now() + self.silence;
         self.timer.as_mut().reset(silence);
     }
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -8,7 +8,7 @@
 use super::refusal::Refusal;
 use super::stream::{StreamPump, StreamSegment, can_resume, resumed_body};
 use super::{AnswerBody, InFlight, full_body};
-use crate::clock::now_ms;
+use crate::clock::{now_ms, timeout};
 use crate::config_keeper::ConfigCell;
 use crate::dispatch::{BindReply, BoundSlot, DispatchHandle};
 use crate::logging::{LogEvent, log_event};
@@ -269,7 +269,7 @@
         let request = self.endpoint_request(call, attempt)?;
         let limit = self.settings.limits.answer_timeout;
         let name = &attempt.endpoint.name;
-        let response = match tokio::time::timeout(limit, self.client.call(request)).await {
+        let response = match timeout(limit, self.client.call(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(CallFailure::NotSent(cause))) => {
                 return Err(loss(AttemptState::Bound, name, cause));
@@ -409,7 +409,7 @@
         let name = &attempt.endpoint.name;
         let limit = self.settings.limits.answer_timeout;
         let collected = Limited::new(body, MOST_ANSWER_BYTES).collect();
-        let body = match tokio::time::timeout(limit, collected).await {
+        let body = match timeout(limit, collected).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(error)) => {
                 running.sign = SlotSign::Lost;
--- a/dockgate/src/caller/classify.rs
+++ b/dockgate/src/caller/classify.rs
@@ -2,7 +2,7 @@
 
 use super::hop::clean_request;
 use super::refusal::Refusal;
-use crate::clock::now_ms;
+use crate::clock::{now_ms, timeout};
 use crate::door::bearer_of;
 use crate::settings::LimitSettings;
 use bytes::Bytes;
@@ -151,7 +151,7 @@
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Refusal> {
         let limit = self.limits.body_bytes;
         let read = Limited::new(body, limit).collect();
-        match tokio::time::timeout(self.limits.body_timeout, read).await {
+        match timeout(self.limits.body_timeout, read).await {
             Err(_) => Err(refuse(
                 RefusalCode::BodyTimeout,
                 "the body did not come in time",
--- a/dockgate/src/caller/stream.rs
+++ b/dockgate/src/caller/stream.rs
@@ -9,7 +9,7 @@
 use super::classify::CallerCall;
 use super::meter::StreamMeter;
 use super::{AnswerBody, BodyError, InFlight};
-use crate::clock::now_ms;
+use crate::clock::{now_ms, timeout};
 use crate::metrics::METRICS;
 use bytes::{Bytes, BytesMut};
 use dockgate_core::{CostRule, SlotSign};
@@ -190,7 +190,7 @@
 
 async fn next_frame(body: &mut Incoming, silence: Duration) -> SegmentFrame {
     loop {
-        match tokio::time::timeout(silence, body.frame()).await {
+        match timeout(silence, body.frame()).await {
             Err(_) => return SegmentFrame::Silent,
             Ok(None) => return SegmentFrame::End,
             Ok(Some(Err(cause))) => return SegmentFrame::Broken(cause),
--- a/dockgate/src/clock/away_standin.rs
+++ b/dockgate/src/clock/away_standin.rs
@@ -4,7 +4,7 @@
 //! milliseconds as a file says, while the steady clock and the runtime's timers know nothing of it: just what a
 //! process sees that was suspended for so long.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -25,13 +25,26 @@
     let Some(file) = std::env::var_os(FILE_VARIABLE).map(PathBuf::from) else {
         return;
     };
+    // What it says already was before this process.
+    read_file(&file);
     std::thread::spawn(move || {
         loop {
-            let text = std::fs::read_to_string(&file).unwrap_or_default();
-            if let Ok(away_ms) = text.trim().parse() {
-                AWAY_MS.fetch_max(away_ms, Ordering::AcqRel);
-            }
             std::thread::sleep(LOOK);
+            read_file(&file);
         }
     });
 }
+
+fn read_file(file: &Path) {
+    // There is none until a test writes it.
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    if let Ok(away_ms) = text.trim().parse() {
+        AWAY_MS.fetch_max(away_ms, Ordering::AcqRel);
+    }
+}
+
+/// Lets the box seem to have been suspended for longer.
+#[cfg(test)]
+pub(crate) fn be_away(time: Duration) {
+    AWAY_MS.fetch_add(time.as_millis() as u64, Ordering::AcqRel);
+}
--- a/dockgate/src/daemon.rs
+++ b/dockgate/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Puts the daemon's parts together, and takes them apart in order.
 
 use crate::caller::CallerDoor;
+use crate::clock::{timeout, watch_suspensions};
 use crate::config_keeper::{ConfigCell, watch_config};
 use crate::dispatch::{DispatchActor, DispatchHandle};
 use crate::error::DaemonError;
@@ -59,6 +60,7 @@
     let incarnation = Incarnation(rand::random());
     let dispatch = DispatchActor::new(settings.clone(), incarnation, cell.clone()).spawn();
     dispatch.follow_config(&cell);
+    tokio::spawn(watch_suspensions());
     tokio::spawn(watch_config(
         cell.clone(),
         store.clone(),
@@ -117,7 +119,7 @@
             tokio::time::sleep(DRAIN_POLL).await;
         }
     };
-    let finished = tokio::time::timeout(settings.limits.stop_timeout, finished).await;
+    let finished = timeout(settings.limits.stop_timeout, finished).await;
     let state = match finished {
         Ok(()) => "stopped",
         Err(_) => "stopped with requests in flight",
--- a/dockgate/src/dispatch/handlers.rs
+++ b/dockgate/src/dispatch/handlers.rs
@@ -6,13 +6,12 @@
     Cancel, Enqueue, Finish, Leave, LinkFailure, LinkUp, PeerBatch, PeerHello, PrepareHello,
     Progress, SetConfig, SetMembers, Started, Status, StatusAnswer, Tick,
 };
-use crate::clock::now_ms;
+use crate::clock::{ClockInstant, now_ms};
 use crate::logging::{LogEvent, log_event};
 use crate::metrics::METRICS;
 use dockgate_core::{SlotSign, WaitingRequest};
 use dockgate_proto::operator::PeerStatus;
 use dockgate_proto::{HelloReply, HelloRequest, PeerMessage};
-use std::time::Instant;
 use xtra::{Context, Handler};
 
 /// Implements a handler that takes no time to speak of, and counts what it takes.
@@ -22,7 +21,7 @@
             type Return = $return;
 
             async fn handle(&mut self, $name: $message, _: &mut Context<Self>) -> $return {
-                let started = Instant::now();
+                let started = ClockInstant::now();
                 let $actor = self;
                 let outcome = $body;
                 let busy = started.elapsed().as_micros() as u64;
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -37,10 +37,12 @@
 mod store_probe;
 mod tracked_io;
 mod upstream;
+mod waking;
 
 pub(crate) use gateway_runtime::GatewayRuntime;
 pub(crate) use settings::{GatewaySettings, is_gateway};
 
+use crate::clock::{note_suspension, timeout};
 use crate::error::DaemonError;
 use crate::logging::drain_lines;
 use crate::stop::wait_for_signal;
@@ -74,6 +76,8 @@
     settings: GatewaySettings,
     path: &Path,
 ) -> Result<(), DaemonError> {
+    // How far the clocks are apart now is no suspension of this process.
+    note_suspension();
     let GatewayRuntime { runtime, reloads } = runtime;
     runtime.block_on(serve(settings, path, reloads))
 }
@@ -161,7 +165,7 @@
     state.begin_stop(grace);
     front.begin_stop();
     membership::send_beat(state);
-    let ended = tokio::time::timeout(grace, async {
+    let ended = timeout(grace, async {
         while front.busy() > 0 || (front.open() > 0 && !front.is_quiet(QUIET_BEFORE_END)) {
             tokio::time::sleep(DRAIN_POLL).await;
         }
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -4,10 +4,11 @@
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
+use super::super::waking::until_fresh;
 use super::super::{quarantine, quarantine_store};
 use super::CallRefusal;
 use super::call_progress::CallProgress;
-use crate::clock::now_ms;
+use crate::clock::{ClockInstant, now_ms, timeout};
 use crate::shared_stream::PeerPresence;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
@@ -22,12 +23,14 @@
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// When a box without a configuration, without endpoints or short of processor is worth another
 /// try: by then callers may be sent to another one.
 const COME_BACK_SOON: Duration = Duration::from_millis(400);
 
+/// How long a request waits for a box that was suspended to know the present. A bound, above that of the gate.
+const MOST_UNFRESH: Duration = Duration::from_millis(1_500);
+
 /// When a request that meets a box about to end should come back: at once, to another box.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 
@@ -82,8 +85,8 @@
     route: RouteKey,
     service: ServiceKey,
     workspace: Option<WorkspaceRef>,
-    arrived: Instant,
-    deadline: Instant,
+    arrived: ClockInstant,
+    deadline: ClockInstant,
 }
 
 impl AdmittedCall {
@@ -126,13 +129,13 @@
     }
 
     /// Returns when its time is over.
-    pub(in super::super) const fn deadline(&self) -> Instant {
+    pub(in super::super) const fn deadline(&self) -> ClockInstant {
         self.deadline
     }
 
     /// Returns how much of its time is left.
     pub(in super::super) fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.left()
     }
 
     /// Returns how much of its objective is left.
@@ -185,7 +188,8 @@
     request: Request<Incoming>,
     caller: PeerPresence,
 ) -> Result<AdmittedCall, TurnedAway> {
-    let arrived = Instant::now();
+    let arrived = ClockInstant::now();
+    until_fresh(&state, arrived + MOST_UNFRESH).await;
     let (parts, body) = request.into_parts();
     let table = state.table();
     let config = table.config().version;
@@ -392,7 +396,7 @@
         return Ok(Bytes::new());
     }
     let read = Limited::new(body, most).collect();
-    let read = tokio::time::timeout(limits.idle_timeout, read).await;
+    let read = timeout(limits.idle_timeout, read).await;
     match read {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -4,6 +4,7 @@
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::upstream::{ConnectionLimits, EndpointTarget};
+use super::super::waking::until_fresh;
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
@@ -47,6 +48,7 @@
         tries: &CallTries,
         resumed: bool,
     ) -> Result<CallPlace, CallRefusal> {
+        until_fresh(&self.state, self.deadline()).await;
         match (self.service().engine, self.engine_ask()) {
             (Some(_), Some(ask)) => {
                 let wish = EngineWish {
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -10,7 +10,7 @@
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
 use super::placing::{COME_BACK, CallPlace};
 use super::{AdmittedCall, CallRefusal, CallTries};
-use crate::clock::now_ms;
+use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::metrics::METRICS;
 use bytes::Bytes;
 use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointSign};
@@ -21,7 +21,6 @@
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How many endpoints may be tried that could not be reached, on top of those it was sent to.
 const MOST_UNREACHED: usize = 4;
@@ -271,8 +270,8 @@
         self.progress.note_send();
         let sent = send(&self.state.pools, &place.target, request, &self.caller);
         // The attempt counts from here on, so that the patience is that of this send.
-        let begins_until = Instant::now() + self.patience(place.expected_ms, tries);
-        let sent = tokio::time::timeout_at(begins_until, sent).await;
+        let begins_until = ClockInstant::now() + self.patience(place.expected_ms, tries);
+        let sent = timeout_at(begins_until, sent).await;
         let sent = sent.map_err(|_| {
             tries.sent += 1;
             SendLoss::broken("timed out", self.left().is_zero())
@@ -355,7 +354,7 @@
             verdict,
             ..
         } = answer;
-        let read = tokio::time::timeout_at(self.deadline(), body.collect()).await;
+        let read = timeout_at(self.deadline(), body.collect()).await;
         let read = read.map_err(|_| SendLoss::broken("timed out in the answer", true));
         let read =
             read.and_then(|read| read.map_err(|error| SendLoss::broken(error.to_string(), false)));
@@ -437,7 +436,7 @@
             head,
             guard: place.guard,
         };
-        let first_patience = begins_until.saturating_duration_since(Instant::now());
+        let first_patience = begins_until.left();
         let mut stream = EventStream::new(self.clone(), tries.clone(), source, parts.status);
         match stream.read_first(first_patience).await {
             Ok(()) => Ok(pass_on(parts.status, &parts.headers, stream.into_body())),
@@ -494,7 +493,7 @@
     head: AnswerHead,
     verdict: AnswerVerdict,
     /// Until when the send waits for the first event.
-    begins_until: Instant,
+    begins_until: ClockInstant,
 }
 
 /// Reads the rest of a short answer, so that its connection can be kept.
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -7,6 +7,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::run_guard::RunGuard;
 use super::upstream::{EndpointTarget, UsedConnection};
+use crate::clock::{ClockInstant, timeout_at};
 use bytes::{Bytes, BytesMut};
 use dockgate_core::gateway::{EndpointSign, EventSplitter};
 use dockgate_core::{AttemptState, RetryVerdict};
@@ -18,7 +19,6 @@
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// How many times the pause that is in time a resumable stream may pause before it is continued
 /// elsewhere: by then the answer is late, but its caller is still there.
@@ -185,12 +185,12 @@
 
     /// Reads until whole events are there.
     async fn read(&mut self, patience: Duration) -> StreamStep {
-        let until = self.call.deadline().min(Instant::now() + patience);
+        let until = self.call.deadline().min(ClockInstant::now() + patience);
         loop {
             let Some(source) = self.source.as_mut() else {
                 return StreamStep::Lost("no endpoint");
             };
-            let Ok(frame) = tokio::time::timeout_at(until, source.body.frame()).await else {
+            let Ok(frame) = timeout_at(until, source.body.frame()).await else {
                 return StreamStep::Lost("silent for too long");
             };
             let Some(step) = self.step_of(frame) else {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -25,6 +25,8 @@
 pub(super) enum GatewayEvent<'a> {
     /// The process has begun, with these settings.
     Started { settings: &'a GatewaySettings },
+    /// The box was suspended for so long: its steady clock does not count that time.
+    Woke { away_ms: u64 },
     /// A task that runs for as long as the process panicked; it is begun anew.
     TaskPanicked {
         task: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -46,6 +46,7 @@
         GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
         "endpoint event under"
     },
+    woke = { GatewayEvent::Woke { away_ms: 2_500 }, "away_ms event" },
     task_panicked = {
         GatewayEvent::TaskPanicked { task: "beats", problem: "p", again_ms: 50 },
         "again_ms event problem task"
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -10,6 +10,7 @@
 use super::gateway_state::GatewayState;
 use super::membership::send_beat;
 use super::store_contact::StoreContact;
+use crate::clock::wakings;
 use dockgate_core::gateway::EndpointChange;
 use dockgate_platform::{
     ENDPOINTS, EndpointReading, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue,
@@ -59,6 +60,7 @@
     let client = state.store_client();
     let prefix = contact.step;
     let mut returns = state.store_returns();
+    let mut wakings = wakings();
     loop {
         if wait_for_duty(state, prefix).await {
             contact.begin(state.store_unheard_ms());
@@ -89,6 +91,14 @@
                     contact.back(away_ms);
                     continue;
                 }
+                // The channel lives as long as the process.
+                _ = wakings.changed() => match state.has_listed(prefix) {
+                    true => continue,
+                    false => {
+                        contact.woke();
+                        break;
+                    }
+                }
             };
             match watched {
                 Ok(WatchOutcome::Changes(events, revision)) => {
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -1,7 +1,7 @@
 //! What a gateway counts beside the daemon's own metrics; what it believes is in `gateway_gauges`.
 
 use crate::metrics::METRICS;
-use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts};
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts};
 use std::sync::LazyLock;
 use std::time::Duration;
 
@@ -35,6 +35,7 @@
     pub(super) state_questions: IntCounterVec,
     /// How long such a question took, by what was asked for.
     pub(super) state_question_times: HistogramVec,
+    suspensions: Histogram,
     panics: IntCounterVec,
     quarantines: IntCounterVec,
     unusable_records: IntCounterVec,
@@ -65,6 +66,13 @@
     metric
 }
 
+fn histogram(name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    let metric = Histogram::with_opts(options).expect("a constant name is valid");
+    METRICS.add(metric.clone());
+    metric
+}
+
 impl GatewayMetrics {
     fn new() -> Self {
         Self {
@@ -123,6 +131,10 @@
                 "How long a question to another box for what it knows took, by what was asked for",
                 &["what"],
             ),
+            suspensions: histogram(
+                "dockgate_suspension_seconds",
+                "For how long this box was suspended, each time",
+            ),
             panics: counters(
                 "dockgate_task_panics_total",
                 "Panics of tasks that run for as long as the process, by task",
@@ -156,6 +168,11 @@
         self.outcomes.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a time in which this box was suspended.
+    pub(super) fn note_suspension(&self, away: Duration) {
+        self.suspensions.observe(away.as_secs_f64());
+    }
+
     /// Counts a panic of a task that is begun anew.
     pub(super) fn note_panic(&self, task: &str) {
         self.panics.with_label_values(&[task]).inc();
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -14,7 +14,8 @@
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, BrokenEndpoints, EndpointBook, EndpointChange, EndpointId, EndpointNews,
     EngineAsk, EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, SuspectBook, WatchCheck, WorkShed,
+    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, SuspectBook, WakeGate, WatchCheck,
+    WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -76,6 +77,8 @@
     pub(super) probe: StoreProbe,
     /// What it follows there and was answered the last time, and up to which revision.
     pub(super) reached: BTreeMap<&'static str, u64>,
+    /// Whether what is believed was heard since the box was suspended last.
+    pub(super) gate: WakeGate,
     /// Whether what it follows still tells of changes.
     pub(super) watches: WatchCheck,
 }
@@ -133,6 +136,7 @@
             store: StoreDuty::default(),
             probe: StoreProbe::default(),
             reached: BTreeMap::new(),
+            gate: WakeGate::default(),
             watches: WatchCheck::default(),
         };
         Self {
@@ -417,7 +421,7 @@
             let is_busy = beliefs.lag.is_overloaded() || beliefs.shed.is_away(now_ms());
             beliefs.endpoints.iter().next().is_some() && !is_busy
         });
-        configured && able && !self.is_stopping()
+        configured && able && !self.is_stopping() && self.is_fresh()
     }
 }
 
--- a/dockgate/src/gateway/gateway_state/store_reach.rs
+++ b/dockgate/src/gateway/gateway_state/store_reach.rs
@@ -23,6 +23,15 @@
         }
     }
 
+    /// Forgets that the store was heard: the box was away since, and what it follows there is listed anew.
+    pub(in super::super) fn forget_reach(&mut self, now_ms: u64) {
+        self.gate.wake(now_ms);
+        self.reached.clear();
+        self.probe.pause();
+        self.tell_reach();
+        self.digest = DigestCache::default();
+    }
+
     /// Tells whether the store has changes of which its watches should have told, and did not.
     ///
     /// What any of them told last counts for all: each is told of its own keys alone.
@@ -127,6 +136,11 @@
         });
     }
 
+    /// Tells whether what `step` names was listed here, and not lost since.
+    pub(in super::super) fn has_listed(&self, step: &'static str) -> bool {
+        self.with(|beliefs| beliefs.reached.contains_key(step))
+    }
+
     /// Tells whether this box follows the store and was answered the last time.
     pub(in super::super) fn hears_store(&self) -> bool {
         self.with(|beliefs| beliefs.fleet.own().standing.reaches_store)
--- a/dockgate/src/gateway/kept_task.rs
+++ b/dockgate/src/gateway/kept_task.rs
@@ -6,6 +6,7 @@
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
+use crate::clock::ClockInstant;
 use std::any::Any;
 use std::time::Duration;
 
@@ -26,7 +27,7 @@
     tokio::spawn(async move {
         let mut pause = FIRST_PAUSE;
         loop {
-            let begun = tokio::time::Instant::now();
+            let begun = ClockInstant::now();
             // A task that is cancelled ends with its runtime.
             let Err(ended) = tokio::spawn(begin()).await else {
                 return;
--- a/dockgate/src/gateway/overload.rs
+++ b/dockgate/src/gateway/overload.rs
@@ -2,12 +2,12 @@
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
-use crate::clock::now_ms;
+use super::waking;
+use crate::clock::{ClockInstant, now_ms};
 use dockgate_core::gateway::{LagChange, WorkShed};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::time::Instant;
 
 /// How often work and delay are measured: each time is a wake-up, and overload takes three.
 const SAMPLE: Duration = Duration::from_millis(WorkShed::SAMPLE_MS);
@@ -15,14 +15,14 @@
 /// For how long the one thread had work, as of some moment.
 #[derive(Debug, Clone, Copy)]
 struct WorkMark {
-    at: Instant,
+    at: ClockInstant,
     busy: Duration,
 }
 
 impl WorkMark {
     fn now() -> Self {
         Self {
-            at: Instant::now(),
+            at: ClockInstant::now(),
             busy: Handle::current().metrics().worker_total_busy_duration(0),
         }
     }
@@ -30,7 +30,7 @@
     /// Returns the part of the time since an earlier mark in which there was work, 0 to 1.
     fn busy_part_since(&self, earlier: &Self) -> f64 {
         let busy = self.busy.saturating_sub(earlier.busy);
-        let passed = self.at.saturating_duration_since(earlier.at);
+        let passed = self.at.since(earlier.at);
         (busy.as_secs_f64() / passed.as_secs_f64().max(f64::EPSILON)).min(1.0)
     }
 }
@@ -40,8 +40,9 @@
 pub(super) async fn watch_lag(state: Arc<GatewayState>) {
     let mut before = WorkMark::now();
     loop {
-        let due = Instant::now() + SAMPLE;
-        tokio::time::sleep_until(due).await;
+        let due = ClockInstant::now() + SAMPLE;
+        tokio::time::sleep(SAMPLE).await;
+        waking::look(&state);
         let late_ms = due.elapsed().as_millis() as u64;
         let mark = WorkMark::now();
         let busy_part = mark.busy_part_since(&before);
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -11,7 +11,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::quarantine_door;
-use crate::clock::now_ms;
+use crate::clock::{now_ms, wakings};
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
 use dockgate_core::gateway::{BoxKnowledge, InformedBox};
@@ -142,7 +142,12 @@
         let has_watch = version > 0 && state.hears_store();
         if let Some(better) = backoff.due(better, has_watch, now) {
             let peer = better.state_address;
-            let answered = ask_noted(&state, peer, what, backoff.limit()).await;
+            let mut wakings = wakings();
+            let answered = tokio::select! {
+                answered = ask_noted(&state, peer, what, backoff.limit()) => answered,
+                // Whoever was asked before the box slept is asked anew.
+                _ = wakings.changed() => continue,
+            };
             backoff.note(peer, answered);
         }
     }
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Notes that this box was away, and the store was not: what is missing there has left.
+    pub(super) const fn woke(&mut self) {
+        self.lost_ms = None;
+        self.back_ms = None;
+    }
+
     /// Notes that the store answers again after having been away for so long.
     pub(super) fn back(&mut self, away_ms: u64) {
         self.lost_ms = None;
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -107,6 +107,14 @@
     open: usize,
 }
 
+impl EndpointPool {
+    /// Closes the connections that rest; they are not open any more.
+    fn close_resting(&mut self) {
+        self.open = self.open.saturating_sub(self.resting.len());
+        self.resting.clear();
+    }
+}
+
 /// The connections to all endpoints.
 #[derive(Default)]
 pub(super) struct EndpointPools {
@@ -123,7 +131,7 @@
         self.locked().retain(|id, pool| {
             let keep = kept.contains(id);
             if !keep {
-                pool.resting.clear();
+                pool.close_resting();
             }
             keep || pool.open > 0
         });
@@ -134,12 +142,17 @@
         let mut pools = self.locked();
         for id in endpoints {
             if let Some(pool) = pools.get_mut(id) {
-                pool.open = pool.open.saturating_sub(pool.resting.len());
-                pool.resting.clear();
+                pool.close_resting();
             }
         }
     }
 
+    /// Closes all resting connections.
+    pub(super) fn drop_all_resting(&self) {
+        let mut pools = self.locked();
+        pools.values_mut().for_each(EndpointPool::close_resting);
+    }
+
     /// Returns how many connections are open.
     pub(super) fn open(&self) -> usize {
         self.locked().values().map(|pool| pool.open).sum()
--- a/dockgate/src/logging/line_writer.rs
+++ b/dockgate/src/logging/line_writer.rs
@@ -1,9 +1,10 @@
 //! Writes log lines on a thread of its own, so that a reader who stops reading holds nobody up.
 
+use crate::clock::ClockInstant;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How many lines wait at most; more are dropped and counted. At 300 bytes each, 600 KB.
 const MOST_LINES: usize = 2_048;
@@ -20,7 +21,7 @@
 /// Waits until what was logged is written, or the time is over.
 pub(crate) fn drain_lines(within: Duration) {
     const LOOK: Duration = Duration::from_millis(2);
-    let started = Instant::now();
+    let started = ClockInstant::now();
     while PENDING.load(Ordering::Acquire) > 0 && started.elapsed() < within {
         std::thread::sleep(LOOK);
     }
