--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -40,9 +40,11 @@
 /// How much later than it is due a fault may be undone.
 const STEP_LATE: Duration = Duration::from_millis(200);
 /// The faults of [`FaultField::begin`], by number.
-const ALL_FAULTS: Range<u32> = 0..10;
+const ALL_FAULTS: Range<u32> = 0..11;
 /// Those of boxes and of the store.
-const BOX_AND_STORE_FAULTS: Range<u32> = 0..7;
+const BOX_AND_STORE_FAULTS: Range<u32> = 0..8;
+/// For how long boxes seem to be suspended, in milliseconds: from what is hardly seen to what ends each deadline.
+const AWAY_MS: Range<u64> = 50..6_000;
 
 const MANNERS: [EndpointManner; 9] = [
     EndpointManner::Loses,
@@ -78,6 +80,8 @@
     ends: Vec<(Instant, FaultEnd)>,
     /// From when until when a box was slow.
     pub(super) slow: Vec<(Instant, Instant)>,
+    /// For how long each box seems to have been suspended, all in all.
+    away: [Duration; super::GATEWAYS],
     /// When boxes or the store were disturbed.
     pub(super) disturbed: Vec<Disturbance>,
     started: Instant,
@@ -95,6 +99,7 @@
             left: Vec::new(),
             ends: Vec::new(),
             slow: Vec::new(),
+            away: [Duration::ZERO; super::GATEWAYS],
             disturbed: Vec::new(),
             started: Instant::now(),
             version: 1,
@@ -212,7 +217,21 @@
                     Some(FaultEnd::StoreKeepsReplies),
                 )
             }
+            // One box, or all of them.
             7 => {
+                let away = Duration::from_millis(self.draw.random_range(AWAY_MS));
+                let boxes = match self.draw.random_bool(0.3) {
+                    true => 0..fleet.gateways.len(),
+                    false => box_at..box_at + 1,
+                };
+                let what = format!("boxes {boxes:?} are suspended for {away:?}");
+                for at in boxes {
+                    self.away[at] += away;
+                    fleet.gateways[at].be_away(self.away[at])?;
+                }
+                (what, Duration::ZERO, None)
+            }
+            8 => {
                 fleet.store.forget_history();
                 self.version += self.draw.random_range(1..4);
                 let config = route_config(self.version, KEYS);
@@ -223,7 +242,7 @@
                     None,
                 )
             }
-            8 => {
+            9 => {
                 let manner = MANNERS[self.draw.random_range(0..MANNERS.len())];
                 fleet.endpoints[endpoint].set_manner(manner);
                 let end = FaultEnd::Sound(endpoint);
