test: the core's tables under jumps of the time that they are told; why there is one clock

Property test over views of the fleet, store duty, budgets, shares, health, lag, quarantine and the gate.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -85,3 +85,6 @@
 pub use wake_gate::WakeGate;
 pub use watch_check::WatchCheck;
 pub use work_shed::WorkShed;
+
+#[cfg(test)]
+mod jump_tests;
