refactor(daemon): what a lost send is, and what a request is recognised by, in files of their own; a trial with three boxes

One box of three that are asked at the same moment makes the trial, by the store's word; the next one, that completes, releases the request everywhere.

--- a/dockgate-bench/tests/ending.rs
+++ b/dockgate-bench/tests/ending.rs
@@ -98,6 +98,33 @@
         }
     }
 
+    /// Lets all boxes seem to have been suspended for so long, all in all.
+    async fn be_away(&self, time: Duration) {
+        for gateway in &self.fleet.gateways {
+            let before = gateway.logged().matches("\"woke\"").count();
+            gateway.be_away(time).expect("it is told");
+            wait_until("a box has woken", async || {
+                gateway.logged().matches("\"woke\"").count() > before
+            })
+            .await;
+        }
+    }
+
+    /// Sends the deadly request to all boxes at the same moment.
+    async fn ask_all(&self, id: &str) -> Vec<StatusCode> {
+        let asked = (0..self.fleet.gateways.len()).map(|at| async move {
+            self.ask(at, "/once/x", &format!("{id}{at}"), &DEADLY)
+                .await
+                .0
+        });
+        futures::future::join_all(asked).await
+    }
+
+    fn is_stored(&self) -> bool {
+        let keys = self.fleet.store.keys();
+        keys.iter().any(|key| key.starts_with("quarantine/"))
+    }
+
     /// Returns how often the deadly request reached an endpoint.
     fn reached(&self) -> usize {
         let endpoints = self.fleet.endpoints.iter().chain(&self.ended);
@@ -143,6 +170,38 @@
     ends_few_endpoints("/live/x", "model").await;
 }
 
+/// A verdict may be wrong: after a while the request is tried again, by one box of all that are asked for it at the
+/// same moment. A trial that ends its endpoint proves the verdict, one that completes ends it.
+#[tokio::test]
+async fn one_box_of_the_fleet_tries_a_request_in_quarantine_again() {
+    const FIRST_TRIAL: Duration = Duration::from_secs(31);
+    const SECOND_TRIAL: Duration = Duration::from_secs(31 + 301);
+    let mut fleet = EndingFleet::start(3, "plain").await;
+    fleet.bring_into_quarantine().await;
+    wait_until("it stands in the store", async || fleet.is_stored()).await;
+    let reached = fleet.reached();
+    fleet.be_away(FIRST_TRIAL).await;
+    let answers = fleet.ask_all("first").await;
+    assert_eq!(fleet.reached(), reached + 1, "{answers:?}");
+    fleet.revive().await;
+
+    let sound = fleet.fleet.endpoints.iter();
+    sound.for_each(RoutedStandIn::set_harmless);
+    fleet.be_away(SECOND_TRIAL).await;
+    let answers = fleet.ask_all("second").await;
+    let served = answers.iter().filter(|status| **status == StatusCode::OK);
+    assert!(served.count() > 0, "{answers:?}");
+    for gateway in &fleet.fleet.gateways {
+        wait_until("it is released everywhere", async || {
+            gateway
+                .metrics()
+                .await
+                .contains("dockgate_quarantined_requests 0")
+        })
+        .await;
+    }
+}
+
 /// An operator who knows better releases the request at one box; all send it again, and the store forgets it.
 #[tokio::test]
 async fn an_operator_releases_a_request_at_all_boxes() {
@@ -182,15 +241,7 @@
 async fn boxes_that_begin_anew_know_the_request_under_which_endpoints_end() {
     let mut fleet = EndingFleet::start(3, "plain").await;
     fleet.bring_into_quarantine().await;
-    wait_until("it stands in the store", async || {
-        fleet
-            .fleet
-            .store
-            .keys()
-            .iter()
-            .any(|key| key.starts_with("quarantine/"))
-    })
-    .await;
+    wait_until("it stands in the store", async || fleet.is_stored()).await;
     let gateways = &mut fleet.fleet.gateways;
     gateways.iter_mut().for_each(GatewayProcess::kill);
     for gateway in gateways {
--- a/dockgate-core/src/gateway/suspect_book/fleet_tests.rs
+++ b/dockgate-core/src/gateway/suspect_book/fleet_tests.rs
@@ -78,6 +78,19 @@
         }
     }
 
+    /// Plays troubles, and lets some seconds pass without any.
+    fn after(steps: Vec<(FleetStep, u64)>, draws: Vec<u8>) -> Self {
+        let mut fleet = Self::new(draws);
+        for (step, pause_ms) in steps {
+            fleet.play(step);
+            fleet.pass(pause_ms);
+        }
+        fleet.cut = [false; BOXES];
+        fleet.is_out = false;
+        fleet.pass(KNOWN_WITHIN_MS);
+        fleet
+    }
+
     fn draw(&mut self) -> u8 {
         self.next_draw += 1;
         self.draws[self.next_draw % self.draws.len()]
@@ -184,14 +197,7 @@
         steps in prop::collection::vec((step(), 50_u64..900), 1..40),
         draws in prop::collection::vec(any::<u8>(), 64..256),
     ) {
-        let mut fleet = TestFleet::new(draws);
-        for (step, pause_ms) in steps {
-            fleet.play(step);
-            fleet.pass(pause_ms);
-        }
-        fleet.cut = [false; BOXES];
-        fleet.is_out = false;
-        fleet.pass(KNOWN_WITHIN_MS);
+        let mut fleet = TestFleet::after(steps, draws);
         let mut reached = 0;
         for number in 0..4 * BOXES {
             if !fleet.knows(number % BOXES) {
@@ -216,14 +222,7 @@
         steps in prop::collection::vec((step(), 50_u64..900), 1..40),
         draws in prop::collection::vec(any::<u8>(), 64..256),
     ) {
-        let mut fleet = TestFleet::new(draws);
-        for (step, pause_ms) in steps {
-            fleet.play(step);
-            fleet.pass(pause_ms);
-        }
-        fleet.cut = [false; BOXES];
-        fleet.is_out = false;
-        fleet.pass(KNOWN_WITHIN_MS);
+        let mut fleet = TestFleet::after(steps, draws);
         for number in 2..2 + VICTIMS {
             let victim = RequestPrint::new([number; 16]);
             fleet.books[0].note_completed(victim, fleet.now_ms);
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -3,6 +3,8 @@
 mod admitted;
 mod call_progress;
 mod placing;
+mod quarantined;
+mod send_loss;
 mod sending;
 
 use super::call_body::CallBody;
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -5,16 +5,16 @@
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
 use super::super::waking::until_fresh;
-use super::super::{quarantine, quarantine_store};
 use super::CallRefusal;
 use super::call_progress::CallProgress;
+use super::quarantined::{keep_from_endpoints, print_of};
 use crate::clock::{ClockInstant, now_ms, timeout};
 use crate::shared_stream::PeerPresence;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AskTimes, EndpointId, EngineAsk, GatewayLimits, PrintSource, PromptShape, RequestPrint,
-    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
+    AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteKey, RouteSpec, RouteTable,
+    ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -115,14 +115,6 @@
         self.table.config().version
     }
 
-    /// Returns what it has in common with all its sends, also those of other ids.
-    ///
-    /// It is worked out when it is asked for: most requests never need it.
-    pub(in super::super) fn print(&self) -> RequestPrint {
-        let (workspace, host) = (self.workspace_name(), &self.head.host);
-        print_of(workspace, &self.method, host, &self.uri, &self.body)
-    }
-
     /// Returns how long it has been here.
     pub(in super::super) fn age(&self) -> Duration {
         self.arrived.elapsed()
@@ -255,23 +247,6 @@
     })
 }
 
-/// Refuses a request under which endpoints end, but for a trial: nobody is charged for it, and its caller is
-/// told at once that it did not run, and when the next trial may be.
-async fn keep_from_endpoints(
-    state: &GatewayState,
-    print: impl FnOnce() -> RequestPrint,
-) -> Result<(), CallRefusal> {
-    let Some((print, quarantine)) = quarantine::find(state, print) else {
-        return Ok(());
-    };
-    let now = now_ms();
-    if quarantine.is_trial_due(now) && quarantine_store::take_trial(state, print).await {
-        return Ok(());
-    }
-    let after = quarantine.return_after(now);
-    Err(CallRefusal::come_back(RefusalReason::EndsEndpoints, after))
-}
-
 /// Counts a request of a workspace.
 ///
 /// # Errors
@@ -306,16 +281,6 @@
     });
 }
 
-fn print_of(workspace: &str, method: &Method, host: &str, uri: &Uri, body: &[u8]) -> RequestPrint {
-    RequestPrint::of(&PrintSource {
-        workspace,
-        method: method.as_str(),
-        host,
-        target: &uri.to_string(),
-        body,
-    })
-}
-
 /// Returns the target of a request without the host that some callers put there.
 fn path_and_query(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- /dev/null
+++ b/dockgate/src/gateway/call/send_loss.rs
@@ -0,0 +1,53 @@
+//! A send to an endpoint that gave no answer which can be passed on.
+
+use super::super::call_body::CallBody;
+use dockgate_core::AttemptState;
+use dockgate_core::gateway::EndpointSign;
+use http::Response;
+
+/// Why a send gave no answer that can be passed on.
+pub(super) struct SendLoss {
+    /// How far it had come.
+    pub(super) state: AttemptState,
+    /// What it says of the endpoint, if anything.
+    pub(super) sign: Option<EndpointSign>,
+    /// What is logged.
+    pub(super) problem: String,
+    /// What is passed on if it is not repeated.
+    pub(super) answer: Option<Box<Response<CallBody>>>,
+    /// Whether its time was over.
+    pub(super) timed_out: bool,
+    /// Whether the endpoint had the request and broke off or fell silent: it may have ended.
+    pub(super) broke_off: bool,
+}
+
+impl SendLoss {
+    /// Makes a loss that says something of the endpoint.
+    pub(super) fn new(state: AttemptState, sign: EndpointSign, problem: impl Into<String>) -> Self {
+        Self {
+            sign: Some(sign),
+            ..Self::unsaid(state, problem)
+        }
+    }
+
+    /// Makes a loss that says nothing of the endpoint.
+    pub(super) fn unsaid(state: AttemptState, problem: impl Into<String>) -> Self {
+        Self {
+            state,
+            sign: None,
+            problem: problem.into(),
+            answer: None,
+            timed_out: false,
+            broke_off: false,
+        }
+    }
+
+    /// Makes the loss of an answer that broke off, or that did not come in time.
+    pub(super) fn broken(problem: impl Into<String>, timed_out: bool) -> Self {
+        Self {
+            timed_out,
+            broke_off: true,
+            ..Self::new(AttemptState::Sent, EndpointSign::Failed, problem)
+        }
+    }
+}
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -9,6 +9,7 @@
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
 use super::placing::{COME_BACK, CallPlace};
+use super::send_loss::SendLoss;
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::metrics::METRICS;
@@ -29,49 +30,6 @@
 /// or behind a connection that says nothing any more. A bound.
 const ANSWER_PATIENCE: f64 = 1.4;
 
-/// Why a send gave no answer that can be passed on.
-struct SendLoss {
-    state: AttemptState,
-    /// What it says of the endpoint, if anything.
-    sign: Option<EndpointSign>,
-    problem: String,
-    /// What is passed on if it is not repeated.
-    answer: Option<Box<Response<CallBody>>>,
-    timed_out: bool,
-    /// Whether the endpoint had the request and broke off or fell silent: it may have ended.
-    broke_off: bool,
-}
-
-impl SendLoss {
-    fn new(state: AttemptState, sign: EndpointSign, problem: impl Into<String>) -> Self {
-        Self {
-            sign: Some(sign),
-            ..Self::unsaid(state, problem)
-        }
-    }
-
-    /// Makes a loss that says nothing of the endpoint.
-    fn unsaid(state: AttemptState, problem: impl Into<String>) -> Self {
-        Self {
-            state,
-            sign: None,
-            problem: problem.into(),
-            answer: None,
-            timed_out: false,
-            broke_off: false,
-        }
-    }
-
-    /// Makes the loss of an answer that broke off, or that did not come in time.
-    fn broken(problem: impl Into<String>, timed_out: bool) -> Self {
-        Self {
-            timed_out,
-            broke_off: true,
-            ..Self::new(AttemptState::Sent, EndpointSign::Failed, problem)
-        }
-    }
-}
-
 impl AdmittedCall {
     /// Serves the request.
     ///
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -9,7 +9,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EndpointId, Quarantine, RequestPrint, SuspectNews};
+use dockgate_core::gateway::{EndpointId, Quarantine, RequestPrint, SuspectNews, SuspectRow};
 use dockgate_proto::GatewayMessage;
 use std::net::SocketAddr;
 
@@ -67,11 +67,7 @@
 }
 
 /// Takes in what another box tells; one that coordinates its domain passes verdicts on to the others at once.
-pub(super) fn hear(
-    state: &GatewayState,
-    from: SocketAddr,
-    rows: &[dockgate_core::gateway::SuspectRow],
-) {
+pub(super) fn hear(state: &GatewayState, from: SocketAddr, rows: &[SuspectRow]) {
     let now = now_ms();
     let news = state.with(|beliefs| beliefs.suspects.hear(rows, now));
     log_news(state, &news, &from.to_string());
--- a/dockgate/src/gateway/quarantine_store.rs
+++ b/dockgate/src/gateway/quarantine_store.rs
@@ -34,10 +34,9 @@
     };
     match decode_quarantines(&stored.bytes, clock()) {
         Ok(known) => {
-            let stages = known.iter().map(|(print, known)| (*print, known.stage));
-            let stages = stages.collect();
+            let stages = StoredStages::of(&known);
             learn(state, known, "store");
-            Some(StoredStages { stages })
+            Some(stages)
         }
         Err(error) => {
             log_gateway(&GatewayEvent::Unreadable {
