fix: only a refused connection or another endpoint's word counts as an end; writing the quarantine holds no probe up

Found in reading the change. A connection that an endpoint resets as it has too many counted as refused, beside an answer that had broken off: an end that was none. And the write of the quarantine to a slow store was awaited between two probes, by which a box says how fresh its word of the store is.

--- a/dockgate/src/gateway/call/send_loss.rs
+++ b/dockgate/src/gateway/call/send_loss.rs
@@ -5,6 +5,17 @@
 use dockgate_core::gateway::EndpointSign;
 use http::Response;
 
+/// What a lost send says of the life of the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum LifeSign {
+    /// Nothing.
+    None,
+    /// It had the request, and broke off or fell silent: it may have ended.
+    BrokeOff,
+    /// Nobody listens at its address, or another endpoint does.
+    Gone,
+}
+
 /// Why a send gave no answer that can be passed on.
 pub(super) struct SendLoss {
     /// How far it had come.
@@ -17,8 +28,8 @@
     pub(super) answer: Option<Box<Response<CallBody>>>,
     /// Whether its time was over.
     pub(super) timed_out: bool,
-    /// Whether the endpoint had the request and broke off or fell silent: it may have ended.
-    pub(super) broke_off: bool,
+    /// What it says of the life of the endpoint.
+    pub(super) life: LifeSign,
 }
 
 impl SendLoss {
@@ -38,7 +49,15 @@
             problem: problem.into(),
             answer: None,
             timed_out: false,
-            broke_off: false,
+            life: LifeSign::None,
+        }
+    }
+
+    /// Makes the loss of a request that found its endpoint gone, without having been run.
+    pub(super) fn gone(state: AttemptState, problem: impl Into<String>) -> Self {
+        Self {
+            life: LifeSign::Gone,
+            ..Self::new(state, EndpointSign::Unreachable, problem)
         }
     }
 
@@ -46,7 +65,7 @@
     pub(super) fn broken(problem: impl Into<String>, timed_out: bool) -> Self {
         Self {
             timed_out,
-            broke_off: true,
+            life: LifeSign::BrokeOff,
             ..Self::new(AttemptState::Sent, EndpointSign::Failed, problem)
         }
     }
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -1,7 +1,7 @@
 //! Sends a request to endpoints until one answers, or nothing more may be tried.
 
 use super::super::call_body::{CallBody, whole_body};
-use super::super::end_check::{note_break, note_unreachable};
+use super::super::end_check::{note_break, note_gone};
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
@@ -9,7 +9,7 @@
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
 use super::placing::{COME_BACK, CallPlace};
-use super::send_loss::SendLoss;
+use super::send_loss::{LifeSign, SendLoss};
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::metrics::METRICS;
@@ -174,7 +174,7 @@
             let ran = loss.state.outcome(self.route().may_repeat());
             log_gateway(&GatewayEvent::SendFailed {
                 request: &self.head.id,
-                print: loss.broke_off.then(|| self.print().to_string()),
+                print: (loss.life == LifeSign::BrokeOff).then(|| self.print().to_string()),
                 endpoint: &target.name,
                 attempt,
                 ran: ran.as_str(),
@@ -187,10 +187,10 @@
 
     /// Takes from a loss what it says of the life of the endpoint.
     fn note_loss(&self, target: &EndpointTarget, loss: &SendLoss) {
-        match (loss.broke_off, loss.sign) {
-            (true, _) => note_break(&self.state, target, self.print()),
-            (false, Some(EndpointSign::Unreachable)) => note_unreachable(&self.state, target),
-            _ => {}
+        match loss.life {
+            LifeSign::BrokeOff => note_break(&self.state, target, self.print()),
+            LifeSign::Gone => note_gone(&self.state, target),
+            LifeSign::None => {}
         }
     }
 
@@ -235,6 +235,7 @@
             SendLoss::broken("timed out", self.left().is_zero())
         })?;
         let (response, connection) = sent.map_err(|failure| match failure {
+            SendFailure::Refused(problem) => SendLoss::gone(AttemptState::Bound, problem),
             SendFailure::Unreachable(problem) => {
                 SendLoss::new(AttemptState::Bound, EndpointSign::Unreachable, problem)
             }
@@ -257,13 +258,13 @@
         let verdict = head.signs.judge();
         match verdict {
             AnswerVerdict::NotRun => {
-                let sign = match response.status() {
-                    StatusCode::MISDIRECTED_REQUEST => EndpointSign::Unreachable,
-                    _ => EndpointSign::Full,
-                };
                 let problem = format!("not run: {}", response.status());
+                let is_other = response.status() == StatusCode::MISDIRECTED_REQUEST;
                 settle(response.into_body(), connection, &head).await;
-                Err(SendLoss::new(AttemptState::Refused, sign, problem))
+                Err(match is_other {
+                    true => SendLoss::gone(AttemptState::Refused, problem),
+                    false => SendLoss::new(AttemptState::Refused, EndpointSign::Full, problem),
+                })
             }
             AnswerVerdict::Unusable => {
                 let problem = format!("unusable answer: {:?}", head.signs);
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -38,9 +38,9 @@
     }
 }
 
-/// Notes that an endpoint refused a connection, or that another one answers at its address: where it broke
-/// answers off a moment ago, it has ended.
-pub(super) fn note_unreachable(state: &GatewayState, target: &EndpointTarget) {
+/// Notes that nobody listens where an endpoint was, or that another one does: where it broke answers off a moment
+/// ago, it has ended.
+pub(super) fn note_gone(state: &GatewayState, target: &EndpointTarget) {
     let under = state.with(|beliefs| beliefs.broken.note_ended(target.id, now_ms()));
     note_ends(state, target.id, &target.name, &under);
 }
@@ -64,7 +64,7 @@
         match connect(target.address, CONNECT_TIMEOUT).await {
             Ok(_) => return note_listens(&state, target.id),
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                return note_unreachable(&state, &target);
+                return note_gone(&state, &target);
             }
             // A link that is cut says nothing of the endpoint.
             Err(_) => {}
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -21,7 +21,7 @@
 use dockgate_platform::PlatformClient;
 use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap};
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -105,6 +105,8 @@
     config_ms: AtomicU64,
     /// When the last news of an endpoint came.
     endpoints_ms: AtomicU64,
+    /// Whether the requests in quarantine are being written to the store.
+    pub(super) writes_quarantine: AtomicBool,
     stop: StopFlag,
     /// When the process ends, once it is stopping.
     end_ms: AtomicU64,
@@ -151,6 +153,7 @@
             counter: AtomicU32::new(rand::random()),
             config_ms: AtomicU64::new(now_ms()),
             endpoints_ms: AtomicU64::new(now_ms()),
+            writes_quarantine: AtomicBool::new(false),
             stop: StopFlag::default(),
             end_ms: AtomicU64::new(0),
             datagrams,
--- a/dockgate/src/gateway/quarantine_store.rs
+++ b/dockgate/src/gateway/quarantine_store.rs
@@ -15,11 +15,17 @@
     StoredValue, decode_quarantines, encode_quarantines,
 };
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// How long a caller whose request may be let through for a trial waits for the store to allow it.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long after a write the next one may be: probes may be answered with what was there a while ago, and boxes
+/// of several domains may write in turn.
+const WRITE_PAUSE: Duration = Duration::from_millis(1_000);
+
 fn clock() -> ClockPair {
     ClockPair {
         now_ms: now_ms(),
@@ -63,9 +69,10 @@
     }
 }
 
-/// Takes in what a probe of the store listed, and writes what it lacks where this box `writes` for its domain.
-pub(super) async fn sync(
-    state: &GatewayState,
+/// Takes in what a probe of the store listed, and has what it lacks written where this box `writes` for its
+/// domain.
+pub(super) fn sync(
+    state: &Arc<GatewayState>,
     client: &PlatformClient,
     listing: &StoreListing,
     writes: bool,
@@ -75,13 +82,19 @@
     let wanted = || state.with(|beliefs| beliefs.suspects.quarantines(now_ms()));
     // Another writer's value is replaced once there is something to say.
     let seen = seen.unwrap_or_default();
-    if !writes || seen == StoredStages::of(&wanted()) {
+    let is_due = writes && seen != StoredStages::of(&wanted());
+    if !is_due || state.writes_quarantine.swap(true, Ordering::AcqRel) {
         return;
     }
-    // A probe may be answered with what was there a while ago.
-    if let Err(error) = write(state, client).await {
-        log::info!("write quarantine: {error}");
-    }
+    // The next probe does not wait for it: how old the last one is says whether this box is heard.
+    let (state, client) = (state.clone(), client.clone());
+    tokio::spawn(async move {
+        if let Err(error) = write(&state, &client).await {
+            log::info!("write quarantine: {error}");
+        }
+        tokio::time::sleep(WRITE_PAUSE).await;
+        state.writes_quarantine.store(false, Ordering::Release);
+    });
 }
 
 /// Brings the value in the store to what this box believes, unless another box writes it meanwhile: the next
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -68,7 +68,7 @@
 }
 
 /// Probes the store once, and says at once to the other boxes what is new by it.
-async fn probe_once(state: &GatewayState, client: &PlatformClient, rule: ProbeRule) {
+async fn probe_once(state: &Arc<GatewayState>, client: &PlatformClient, rule: ProbeRule) {
     const STEP: &str = "probe";
     let sent_ms = now_ms();
     let patience = Duration::from_millis(rule.patience_ms);
@@ -90,6 +90,6 @@
     }
     if let Ok(listing) = &answer {
         let writes = state.is_first_watcher() || state.follows_store();
-        quarantine_store::sync(state, client, listing, writes).await;
+        quarantine_store::sync(state, client, listing, writes);
     }
 }
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -77,6 +77,8 @@
 /// Why no head of an answer came.
 #[derive(Debug)]
 pub(super) enum SendFailure {
+    /// Nobody listens at the endpoint's address; nothing was sent.
+    Refused(String),
     /// The endpoint cannot be reached; nothing was sent.
     Unreachable(String),
     /// A connection to the endpoint did not open in time; nothing was sent.
@@ -287,6 +289,7 @@
         .await
         .map_err(|error| match error.kind() {
             ErrorKind::TimedOut => SendFailure::Silent(error.to_string()),
+            ErrorKind::ConnectionRefused => SendFailure::Refused(error.to_string()),
             _ => unreachable(error.to_string()),
         })?;
     let gate = Arc::<SendGate>::default();
