--- a/dockgate-bench/tests/ending.rs
+++ b/dockgate-bench/tests/ending.rs
@@ -87,15 +87,7 @@
             self.revive().await;
         }
         assert!(self.reached() < MOST, "it reached {}", self.reached());
-        for gateway in &self.fleet.gateways {
-            wait_until("a box knows the request", async || {
-                gateway
-                    .metrics()
-                    .await
-                    .contains("dockgate_quarantined_requests 1")
-            })
-            .await;
-        }
+        self.all_hold(1).await;
     }
 
     /// Lets all boxes seem to have been suspended for so long, all in all.
@@ -120,6 +112,13 @@
         futures::future::join_all(asked).await
     }
 
+    /// Waits until each box holds so many requests in quarantine.
+    async fn all_hold(&self, count: usize) {
+        for gateway in &self.fleet.gateways {
+            holds(gateway, count).await;
+        }
+    }
+
     fn is_stored(&self) -> bool {
         let keys = self.fleet.store.keys();
         keys.iter().any(|key| key.starts_with("quarantine/"))
@@ -133,6 +132,15 @@
     }
 }
 
+/// Waits until a box holds so many requests in quarantine.
+async fn holds(gateway: &GatewayProcess, count: usize) {
+    let line = format!("dockgate_quarantined_requests {count}\n");
+    wait_until("a box holds just these", async || {
+        gateway.metrics().await.contains(&line)
+    })
+    .await;
+}
+
 /// The request comes at three boxes in turn. Three ends tell that it is to blame, within the time between two of
 /// its returns; after that it reaches nobody, and every box says so at once.
 async fn ends_few_endpoints(path: &str, service: &str) {
@@ -191,15 +199,7 @@
     let answers = fleet.ask_all("second").await;
     let served = answers.iter().filter(|status| **status == StatusCode::OK);
     assert!(served.count() > 0, "{answers:?}");
-    for gateway in &fleet.fleet.gateways {
-        wait_until("it is released everywhere", async || {
-            gateway
-                .metrics()
-                .await
-                .contains("dockgate_quarantined_requests 0")
-        })
-        .await;
-    }
+    fleet.all_hold(0).await;
 }
 
 /// An operator who knows better releases the request at one box; all send it again, and the store forgets it.
@@ -217,15 +217,7 @@
     assert!(bad.is_err_and(|problem| problem.contains("is no print")));
     let left = gateways[0].quarantine(Some(held.print.clone())).await;
     assert_eq!(left.map(|left| left.requests.len()), Ok(0));
-    for gateway in gateways {
-        wait_until("it is released everywhere", async || {
-            gateway
-                .metrics()
-                .await
-                .contains("dockgate_quarantined_requests 0")
-        })
-        .await;
-    }
+    fleet.all_hold(0).await;
     let sound = fleet.fleet.endpoints.iter();
     sound.for_each(RoutedStandIn::set_harmless);
     for at in 0..3 {
@@ -252,13 +244,10 @@
         let gateway = &fleet.fleet.gateways[at];
         wait_until("a box is ready again", async || gateway.is_ready().await).await;
         wait_until("it has heard of the request", async || {
-            gateway.logged().matches("request_quarantined").count() > 0
-                && gateway
-                    .metrics()
-                    .await
-                    .contains("dockgate_quarantined_requests 1")
+            gateway.logged().contains("request_quarantined")
         })
         .await;
+        holds(gateway, 1).await;
         let (status, text) = fleet
             .ask(at, "/once/x", &format!("again{at}"), &DEADLY)
             .await;
