feat: sight of what endpoints say of themselves in their answers

Requests reached endpoints that had said in their answers that they leave, or that had asked for rest, and nothing told whether a box had heard that. The adapter decodes both now, with the answers that are the endpoint's word; a line a lifetime or rest, and counts of such answers and of the sends behind them. No decision reads them yet.

--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -70,6 +70,9 @@
     ends: Mutex<Vec<RunEnd>>,
     unfinished: Mutex<i64>,
     takes: Mutex<Duration>,
+    is_leaving: Mutex<bool>,
+    rest: Mutex<Option<Duration>>,
+    turned_away: Mutex<Vec<SeenRequest>>,
     deadly: Mutex<Vec<Bytes>>,
 }
 
@@ -136,6 +139,16 @@
         *locked(&self.state.takes) = takes;
     }
 
+    /// Says in all answers from now on that it leaves, or does not.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        *locked(&self.state.is_leaving) = is_leaving;
+    }
+
+    /// Turns all requests away from now on and asks for so much rest, or takes them again.
+    pub fn set_rest(&self, rest: Option<Duration>) {
+        *locked(&self.state.rest) = rest;
+    }
+
     /// Adds a body of requests under which it ends as it begins to run them.
     pub fn set_deadly(&self, body: &Bytes) {
         let mut deadly = locked(&self.state.deadly);
@@ -159,6 +172,11 @@
         locked(&self.state.seen).clone()
     }
 
+    /// Returns the requests that it turned away and asked for rest.
+    pub fn turned_away(&self) -> Vec<SeenRequest> {
+        locked(&self.state.turned_away).clone()
+    }
+
     /// Returns the runs that have ended.
     pub fn ended(&self) -> Vec<RunEnd> {
         locked(&self.state.ends).clone()
@@ -207,11 +225,37 @@
     response
 }
 
+/// Turns a request away, and asks for so much rest.
+fn ask_for_rest(id: &str, rest: Duration) -> Result<Response<StandInBody>, BrokenOff> {
+    let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    let seconds = rest.as_secs_f64().to_string();
+    let seconds = HeaderValue::from_str(&seconds).map_err(|_| BrokenOff)?;
+    headers.insert(header::RETRY_AFTER, seconds);
+    let id = HeaderValue::from_str(id).map_err(|_| BrokenOff)?;
+    headers.insert("x-request-id", id);
+    Ok(response)
+}
+
 async fn handle(
     state: Arc<RoutedState>,
     own: String,
     end: CancellationToken,
     request: Request<Incoming>,
+) -> Result<Response<StandInBody>, BrokenOff> {
+    let mut response = answer_of(&state, &own, end, request).await?;
+    if *locked(&state.is_leaving) && response.status() != StatusCode::MISDIRECTED_REQUEST {
+        let headers = response.headers_mut();
+        headers.insert("server-leaving", HeaderValue::from_static("1"));
+    }
+    Ok(response)
+}
+
+async fn answer_of(
+    state: &Arc<RoutedState>,
+    own: &str,
+    end: CancellationToken,
+    request: Request<Incoming>,
 ) -> Result<Response<StandInBody>, BrokenOff> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| BrokenOff)?.to_bytes();
@@ -228,7 +272,7 @@
     let id = headers.get("x-request-id").cloned().unwrap_or_default();
     match (headers.get("x-expected-instance"), manner) {
         _ if id.is_empty() => return Ok(not_run(StatusCode::BAD_REQUEST)),
-        (Some(expected), _) if *expected != own => {
+        (Some(expected), _) if expected != own => {
             return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
         }
         (_, EndpointManner::Full) => return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE)),
@@ -247,6 +291,11 @@
         headers,
         at: Instant::now(),
     };
+    let rest = *locked(&state.rest);
+    if let Some(rest) = rest {
+        locked(&state.turned_away).push(seen);
+        return ask_for_rest(&id, rest);
+    }
     let run = RoutedRun::new(state.clone(), seen);
     if locked(&state.deadly).contains(&body) {
         end.cancel();
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -19,6 +19,8 @@
 use super::box_beat::DomainKey;
 use super::domain_reach::DomainReach;
 use super::endpoint_health::EndpointSign;
+use super::endpoint_notice::EndpointNotice;
+use super::notice_book::{NoticeBook, NoticeNews};
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
 use life_memory::{LastLife, LifeMemory};
 use serde::{Deserialize, Serialize};
@@ -89,6 +91,7 @@
     /// Those that take work, by service: worked out with each change, looked up with each request.
     ready: HashMap<String, Vec<ReadyEndpoint>>,
     memory: LifeMemory,
+    notices: NoticeBook,
     reach: DomainReach,
     revision: u64,
     /// The revision of the last whole list that was taken in: what was removed before is not known.
@@ -358,6 +361,16 @@
         }
     }
 
+    /// Takes in what an endpoint says of itself in an answer; returns what is new in it.
+    pub fn hear(&mut self, id: EndpointId, notice: EndpointNotice, now_ms: u64) -> Vec<NoticeNews> {
+        self.notices.hear(id, notice, now_ms)
+    }
+
+    /// Returns what endpoints have said of themselves in their answers.
+    pub const fn notices(&self) -> &NoticeBook {
+        &self.notices
+    }
+
     /// Returns which failure domains cannot be reached.
     pub const fn reach(&self) -> &DomainReach {
         &self.reach
--- /dev/null
+++ b/dockgate-core/src/gateway/notice_book.rs
@@ -0,0 +1,74 @@
+//! What endpoints have said of themselves in their answers to this box, by lifetime.
+//!
+//! It is kept apart from the records of endpoints and from the trust in them: a record that is written, lapses and
+//! comes back says nothing of it, and neither does a request that ends well or fails. That a lifetime leaves is
+//! final; a rest ends with its time. What was said by one lifetime does not count for the next one under its id.
+
+use super::endpoint_notice::EndpointNotice;
+use super::route_table::EndpointId;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What is new in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoticeNews {
+    /// The endpoint says for the first time that it leaves.
+    Leaves,
+    /// It asks for rest and had none, or had rested by then.
+    Rests(Duration),
+}
+
+/// What one lifetime has said.
+#[derive(Debug, Clone, Copy, Default)]
+struct HeardNotice {
+    leaves: bool,
+    rest_until_ms: u64,
+    heard_ms: u64,
+}
+
+/// What endpoints have said of themselves.
+#[derive(Debug, Clone, Default)]
+pub struct NoticeBook {
+    heard: HashMap<EndpointId, HeardNotice>,
+}
+
+impl NoticeBook {
+    /// The longest rest that is given: a bound against an endpoint, or something before it, that asks for what nobody
+    /// can have meant. Beyond it one request asks again.
+    const MOST_REST: Duration = Duration::from_hours(1);
+
+    /// Takes in what an answer says; returns what is new in it.
+    pub fn hear(&mut self, id: EndpointId, notice: EndpointNotice, now_ms: u64) -> Vec<NoticeNews> {
+        if notice.is_empty() {
+            return Vec::new();
+        }
+        let heard = self.heard.entry(id).or_default();
+        heard.heard_ms = now_ms;
+        let mut news = Vec::new();
+        if notice.leaves && !std::mem::replace(&mut heard.leaves, true) {
+            news.push(NoticeNews::Leaves);
+        }
+        if let Some(rest) = notice.rest.map(|rest| rest.min(Self::MOST_REST)) {
+            if heard.rest_until_ms <= now_ms {
+                news.push(NoticeNews::Rests(rest));
+            }
+            let until_ms = now_ms + rest.as_millis() as u64;
+            heard.rest_until_ms = heard.rest_until_ms.max(until_ms);
+        }
+        news
+    }
+
+    /// Tells whether a lifetime has said that it leaves.
+    pub fn leaves(&self, id: EndpointId) -> bool {
+        self.heard.get(&id).is_some_and(|heard| heard.leaves)
+    }
+
+    /// Returns until when a lifetime wants nothing from this box, where it does.
+    pub fn rest_until_ms(&self, id: EndpointId, now_ms: u64) -> Option<u64> {
+        let until_ms = self.heard.get(&id)?.rest_until_ms;
+        (until_ms > now_ms).then_some(until_ms)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -21,6 +21,7 @@
 mod gateway_state;
 mod kept_task;
 mod membership;
+mod notices;
 mod overload;
 mod peer_net;
 mod peer_state;
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -5,6 +5,7 @@
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
+use super::super::notices::{hear, note_send};
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
@@ -225,6 +226,7 @@
         last_event: Option<u64>,
     ) -> Result<JudgedAnswer, SendLoss> {
         let request = self.request_for(&place.target, last_event);
+        note_send(&self.state, &place.target);
         self.progress.note_send();
         let sent = send(&self.state.pools, &place.target, request, &self.caller);
         // The attempt counts from here on, so that the patience is that of this send.
@@ -255,6 +257,8 @@
         })?;
         tries.sent += 1;
         let head = decode_answer(response.status(), response.headers(), &self.head.id);
+        let notice = head.notice.believed(&head.signs);
+        hear(&self.state, &place.target, &self.head.id, notice);
         let verdict = head.signs.judge();
         match verdict {
             AnswerVerdict::NotRun => {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -76,6 +76,14 @@
         revision: u64,
         source: &'a str,
     },
+    /// An answer says that its endpoint leaves, for the first time at this box.
+    EndpointLeaves { endpoint: &'a str, request: &'a str },
+    /// An answer turns a request away, and asks this box to send nothing for so long.
+    EndpointRests {
+        endpoint: &'a str,
+        request: &'a str,
+        for_ms: u64,
+    },
     /// An endpoint is gone.
     EndpointGone { endpoint: &'a str, source: &'a str },
     /// The endpoints were listed whole, and something differed from what was believed.
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -1,6 +1,7 @@
 //! What a gateway counts beside the daemon's own metrics; what it believes is in `gateway_gauges`.
 
 use crate::metrics::METRICS;
+use dockgate_core::gateway::EndpointNotice;
 use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts};
 use std::sync::LazyLock;
 use std::time::Duration;
@@ -39,6 +40,8 @@
     panics: IntCounterVec,
     quarantines: IntCounterVec,
     unusable_records: IntCounterVec,
+    notices: IntCounterVec,
+    late_sends: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
 }
@@ -150,6 +153,16 @@
                 "Records read from the store that name no endpoint to use, by reason",
                 &["reason"],
             ),
+            notices: counters(
+                "dockgate_endpoint_notices_total",
+                "Answers that say of their endpoint that it leaves or wants rest, by notice",
+                &["notice"],
+            ),
+            late_sends: counters(
+                "dockgate_sends_despite_notice_total",
+                "Sends to an endpoint that had told this box not to, by notice",
+                &["notice"],
+            ),
             datagrams: counters(
                 "dockgate_peer_datagrams_total",
                 "Datagrams between boxes, by kind and direction",
@@ -188,6 +201,19 @@
         self.unusable_records.with_label_values(&[reason]).inc();
     }
 
+    /// Counts an answer that says something of its endpoint.
+    pub(super) fn note_notice(&self, notice: EndpointNotice) {
+        let said = [("leaves", notice.leaves), ("rest", notice.rest.is_some())];
+        for (name, _) in said.into_iter().filter(|(_, is_said)| *is_said) {
+            self.notices.with_label_values(&[name]).inc();
+        }
+    }
+
+    /// Counts a send to an endpoint that had told this box not to.
+    pub(super) fn note_late_send(&self, notice: &str) {
+        self.late_sends.with_label_values(&[notice]).inc();
+    }
+
     /// Counts a datagram of so many bytes.
     pub(super) fn note_datagram(&self, kind: &str, direction: &str, bytes: usize) {
         let labels = [kind, direction];
