fix: an endpoint that asks for rest gets it

Callers were refused in ever new waves, each told 0.3 s, while their box sent 30 and more requests to endpoints that had answered 503 and asked for 3 s of rest; each of these requests took a further send from the budget that all boxes share.

Cause: the time was read nowhere. Such an endpoint counted as full, for 15 ms, and any answer of it, also one that was under way, ended that.

A rest is kept by lifetime, apart from the trust in the endpoint: it ends with its time alone, the later of those asked for, and neither answers, failures nor its record change that; the next lifetime has asked for none. It is heeded where a request is placed, where one of those that failed is tried all the same, and when the first byte is written. Each box ends it up to a tenth, 0.3 s at most, later by chance, and one request goes ahead, so that its end is no second wave. Where all rest, callers are refused at once with the end of the first, spread over half a second; a time that their patience does not cover is the truth all the same.

--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -28,6 +28,7 @@
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
 
 /// An endpoint that takes work, unless it rests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -314,25 +315,33 @@
         self.endpoints.iter().map(|(id, entry)| (*id, entry))
     }
 
-    /// Tells whether an endpoint may get work now, as far as it and its failure domain are trusted.
-    pub fn is_open(&self, entry: &EndpointEntry, now_ms: u64) -> bool {
-        entry.health.is_open(now_ms) && !self.reach.is_cut(&entry.record.domain)
+    /// Tells whether an endpoint may get work now, as far as it wants that, and as it and its failure domain are
+    /// trusted.
+    pub fn is_open(&self, id: EndpointId, now_ms: u64) -> bool {
+        let entry = self.endpoints.get(&id);
+        let is_trusted = entry.is_some_and(|entry| {
+            entry.health.is_open(now_ms) && !self.reach.is_cut(&entry.record.domain)
+        });
+        is_trusted && self.notices.may_send(id, now_ms)
     }
 
     /// Tells when a service may have an endpoint that takes work, where it has none now.
-    pub fn outlook(&self, service: &str) -> ServiceOutlook {
+    pub fn outlook(&self, service: &str, now_ms: u64) -> ServiceOutlook {
+        let ready = self.ready(service);
+        let rests = ready
+            .iter()
+            .map(|ready| self.notices.rest_left(ready.id, now_ms));
+        let rests: Option<Vec<Duration>> = rests.collect();
         let mut known = self.endpoints.values();
-        match known.any(|entry| entry.record.service == service) {
-            true if self.ready(service).is_empty() => ServiceOutlook::Leaving,
+        match rests.map(|rests| rests.into_iter().min()) {
+            Some(Some(first)) => ServiceOutlook::Rests(first),
+            Some(None) if known.any(|entry| entry.record.service == service) => {
+                ServiceOutlook::Leaving
+            }
             _ => ServiceOutlook::Unknown,
         }
     }
 
-    /// Tells whether an endpoint has said nothing that forbids to send it a request.
-    pub fn is_wanted(&self, id: EndpointId) -> bool {
-        !self.notices.leaves(id)
-    }
-
     /// Lists the endpoints of a service that take work, also those that rest after failures.
     pub fn ready(&self, service: &str) -> &[ReadyEndpoint] {
         self.ready.get(service).map_or(&[], Vec::as_slice)
@@ -354,7 +363,7 @@
         now_ms: u64,
     ) -> impl Iterator<Item = (EndpointId, &EndpointEntry)> {
         let ready = self.ready_entries(service);
-        ready.filter(move |(_, entry)| self.is_open(entry, now_ms))
+        ready.filter(move |(id, _)| self.is_open(*id, now_ms))
     }
 
     /// Notes that a request is sent to an endpoint.
@@ -363,6 +372,7 @@
             entry.in_flight += 1;
             entry.health.note_sent(now_ms);
         }
+        self.notices.note_sent(id, now_ms);
     }
 
     /// Notes that a request has left an endpoint.
@@ -378,15 +388,25 @@
             return;
         };
         entry.health.note(sign, now_ms);
+        if sign == EndpointSign::Answered {
+            self.notices.note_answered(id, now_ms);
+        }
         // A connection that was open may break off long after a link was cut.
         if sign != EndpointSign::Failed {
             self.note_reach(id, sign != EndpointSign::Silent);
         }
     }
 
-    /// Takes in what an endpoint says of itself in an answer; returns what is new in it.
-    pub fn hear(&mut self, id: EndpointId, notice: EndpointNotice, now_ms: u64) -> Vec<NoticeNews> {
-        let news = self.notices.hear(id, notice, now_ms);
+    /// Takes in what an endpoint says of itself in an answer; returns what is new in it. `draw` is a random number
+    /// from 0 to 1.
+    pub fn hear(
+        &mut self,
+        id: EndpointId,
+        notice: EndpointNotice,
+        now_ms: u64,
+        draw: f64,
+    ) -> Vec<NoticeNews> {
+        let news = self.notices.hear(id, notice, now_ms, draw);
         if news.contains(&NoticeNews::Leaves) {
             self.index();
         }
--- a/dockgate-core/src/gateway/notice_book.rs
+++ b/dockgate-core/src/gateway/notice_book.rs
@@ -4,8 +4,11 @@
 //! comes back says nothing of it, and neither does a request that ends well or fails. That a lifetime leaves is
 //! final; a rest ends with its time. What was said by one lifetime does not count for the next one under its id.
 
+mod asked_rest;
+
 use super::endpoint_notice::EndpointNotice;
 use super::route_table::EndpointId;
+use asked_rest::AskedRest;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -22,7 +25,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct HeardNotice {
     leaves: bool,
-    rest_until_ms: u64,
+    rest: AskedRest,
     /// When it was heard, or had a record, last.
     kept_ms: u64,
 }
@@ -34,17 +37,20 @@
 }
 
 impl NoticeBook {
-    /// The longest rest that is given: a bound against an endpoint, or something before it, that asks for what nobody
-    /// can have meant. Beyond it one request asks again.
-    const MOST_REST: Duration = Duration::from_hours(1);
     /// For how long, in milliseconds, it is remembered of an endpoint without a record that it leaves: a record may
     /// lapse and be written again while the endpoint goes on, and its last answers come as long after. A bound.
     const KEPT_MS: u64 = 600_000;
     /// Of how many endpoints without a record this is remembered.
     const MOST_KEPT: usize = 4_096;
 
-    /// Takes in what an answer says; returns what is new in it.
-    pub fn hear(&mut self, id: EndpointId, notice: EndpointNotice, now_ms: u64) -> Vec<NoticeNews> {
+    /// Takes in what an answer says; returns what is new in it. `draw` is a random number from 0 to 1.
+    pub fn hear(
+        &mut self,
+        id: EndpointId,
+        notice: EndpointNotice,
+        now_ms: u64,
+        draw: f64,
+    ) -> Vec<NoticeNews> {
         if notice.is_empty() {
             return Vec::new();
         }
@@ -54,12 +60,11 @@
         if notice.leaves && !std::mem::replace(&mut heard.leaves, true) {
             news.push(NoticeNews::Leaves);
         }
-        if let Some(rest) = notice.rest.map(|rest| rest.min(Self::MOST_REST)) {
-            if heard.rest_until_ms <= now_ms {
+        if let Some(rest) = notice.rest {
+            if heard.rest.left(now_ms).is_none() {
                 news.push(NoticeNews::Rests(rest));
             }
-            let until_ms = now_ms + rest.as_millis() as u64;
-            heard.rest_until_ms = heard.rest_until_ms.max(until_ms);
+            heard.rest.ask(rest, now_ms, draw);
         }
         news
     }
@@ -88,10 +93,34 @@
         self.heard.get(&id).is_some_and(|heard| heard.leaves)
     }
 
-    /// Returns until when a lifetime wants nothing from this box, where it does.
-    pub fn rest_until_ms(&self, id: EndpointId, now_ms: u64) -> Option<u64> {
-        let until_ms = self.heard.get(&id)?.rest_until_ms;
-        (until_ms > now_ms).then_some(until_ms)
+    /// Returns for how long a lifetime wants nothing from this box, where it does.
+    pub fn rest_left(&self, id: EndpointId, now_ms: u64) -> Option<Duration> {
+        self.heard.get(&id)?.rest.left(now_ms)
+    }
+
+    /// Tells whether a lifetime has said nothing that forbids to send it a request now.
+    pub fn is_wanted(&self, id: EndpointId, now_ms: u64) -> bool {
+        !self.leaves(id) && self.rest_left(id, now_ms).is_none()
+    }
+
+    /// Tells whether a request may be sent to a lifetime beside those that it has: after a rest one goes ahead.
+    pub fn may_send(&self, id: EndpointId, now_ms: u64) -> bool {
+        let heard = self.heard.get(&id);
+        heard.is_none_or(|heard| !heard.leaves && heard.rest.may_send(now_ms))
+    }
+
+    /// Notes that a request is sent to a lifetime.
+    pub fn note_sent(&mut self, id: EndpointId, now_ms: u64) {
+        if let Some(heard) = self.heard.get_mut(&id) {
+            heard.rest.note_sent(now_ms);
+        }
+    }
+
+    /// Notes that a lifetime answered.
+    pub fn note_answered(&mut self, id: EndpointId, now_ms: u64) {
+        if let Some(heard) = self.heard.get_mut(&id) {
+            heard.rest.note_answered(now_ms);
+        }
     }
 }
 
--- a/dockgate-core/src/gateway/return_time.rs
+++ b/dockgate-core/src/gateway/return_time.rs
@@ -17,6 +17,8 @@
     Share,
     /// All endpoints leave, and others have to take their place.
     Replacement,
+    /// All endpoints have asked for rest, and the first is back after so long.
+    Rest(Duration),
 }
 
 /// A backlog counts as this much at least: the refusal and the next request take two hops each. A bound.
@@ -32,6 +34,8 @@
 /// When a request whose endpoints all leave comes back at the earliest: those that take their place write a record
 /// as they start, which is known here within a second. Returns are spread over as long again.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
+/// Over which time after the end of a rest returns are spread: all callers are told of the same end.
+const REST_SPREAD: Duration = Duration::from_millis(500);
 /// The part of the time left within which callers come back; they ignore what is later.
 const MOST_PART: f64 = 0.3;
 
@@ -47,6 +51,8 @@
         }
         ReturnCause::Share => SHARE_TIME.mul_f64(1.0 + draw),
         ReturnCause::Replacement => REPLACEMENT_TIME.mul_f64(1.0 + draw),
+        // Sooner it is turned away for certain, so who cannot come that late is better told.
+        ReturnCause::Rest(left) => return left + REST_SPREAD.mul_f64(draw),
     };
     time.min(left.mul_f64(MOST_PART))
 }
--- a/dockgate-core/src/gateway/return_time/tests.rs
+++ b/dockgate-core/src/gateway/return_time/tests.rs
@@ -26,7 +26,7 @@
 }
 
 proptest! {
-    /// Nobody is told a time that callers would ignore.
+    /// Nobody is told a time that callers would ignore, unless coming sooner is of no use.
     #[test]
     fn it_is_within_a_third_of_the_time_left(
         backlog_ms in 0_u64..20_000,
@@ -43,3 +43,17 @@
         prop_assert!(return_time(cause, left, draw) <= left / 3);
     }
 }
+
+proptest! {
+    /// Whoever came back before the end of a rest would be turned away for certain.
+    #[test]
+    fn nobody_is_told_to_come_back_within_a_rest(
+        rest_ms in 1_u64..20_000,
+        left_ms in 0_u64..20_000,
+        draw in -1.0_f64..2.0,
+    ) {
+        let rest = millis(rest_ms);
+        let time = return_time(ReturnCause::Rest(rest), millis(left_ms), draw);
+        prop_assert!(time >= rest && time <= rest + REST_SPREAD);
+    }
+}
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -18,7 +18,7 @@
 /// What an endpoint that fails often counts more, in parts of its slots.
 const DOUBT_HANDICAP: f64 = 3.0;
 /// When a request that found no endpoint is worth another try.
-pub(super) const COME_BACK: Duration = Duration::from_millis(300);
+const COME_BACK: Duration = Duration::from_millis(300);
 
 /// A prompt that says nothing of itself.
 static EMPTY_PROMPT: PromptShape = PromptShape {
@@ -101,18 +101,27 @@
 
     /// Refuses a request for which no endpoint takes work.
     fn refuse_unserved(&self) -> CallRefusal {
-        CallRefusal::come_back(RefusalReason::NoEndpoint, self.return_time())
+        let outlook = self.outlook();
+        let reason = match outlook {
+            ServiceOutlook::Rests(_) => RefusalReason::EndpointsRest,
+            ServiceOutlook::Unknown | ServiceOutlook::Leaving => RefusalReason::NoEndpoint,
+        };
+        CallRefusal::come_back(reason, self.return_time(outlook))
     }
 
-    /// Returns when an endpoint of the service may take work, where none does now.
-    pub(super) fn return_time(&self) -> Duration {
+    /// Tells when an endpoint of the service may take work, where none does now.
+    pub(super) fn outlook(&self) -> ServiceOutlook {
         let service = &self.service().name;
-        let outlook = self
-            .state
-            .with(|beliefs| beliefs.endpoints.outlook(service));
+        self.state
+            .with(|beliefs| beliefs.endpoints.outlook(service, now_ms()))
+    }
+
+    /// Returns when a request that found no endpoint should come back.
+    pub(super) fn return_time(&self, outlook: ServiceOutlook) -> Duration {
         let cause = match outlook {
             ServiceOutlook::Unknown => return COME_BACK,
             ServiceOutlook::Leaving => ReturnCause::Replacement,
+            ServiceOutlook::Rests(first) => ReturnCause::Rest(first),
         };
         return_time(cause, self.left(), rand::random())
     }
@@ -143,12 +152,13 @@
                 .open(name, now)
                 .filter(|(id, _)| fresh(*id));
             let best = open.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
-            // Where all rest after failures, one of them is still better than none.
+            let notices = beliefs.endpoints.notices();
+            // Where all rest after failures, one of them is still better than none; not so where they ask for it.
             let resting = || {
                 let ready = beliefs
                     .endpoints
                     .ready_entries(name)
-                    .filter(|(id, _)| fresh(*id));
+                    .filter(|(id, _)| fresh(*id) && notices.may_send(*id, now));
                 ready.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
             };
             let (id, entry) = best.or_else(resting)?;
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -9,7 +9,7 @@
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
-use super::placing::{COME_BACK, CallPlace};
+use super::placing::CallPlace;
 use super::send_loss::{LifeSign, SendLoss};
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
@@ -111,7 +111,8 @@
             _ if timed_out => RefusalReason::TimedOut,
             _ => RefusalReason::Lost,
         };
-        let retry_after = (outcome == Outcome::NotRun).then_some(COME_BACK);
+        let is_unrun = outcome == Outcome::NotRun;
+        let retry_after = is_unrun.then(|| self.return_time(self.outlook()));
         CallRefusal {
             retry_after,
             ..reason.into()
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -139,10 +139,7 @@
     let ready = beliefs.endpoints.ready(&wish.service.name);
     let near = DomainKey::from_name(&beliefs.fleet.own().domain);
     let entry = |id: EndpointId| beliefs.endpoints.get(id);
-    let is_open = |id: EndpointId| {
-        let open = entry(id).is_some_and(|entry| beliefs.endpoints.is_open(entry, now));
-        open && !wish.tried.contains(&id)
-    };
+    let is_open = |id: EndpointId| beliefs.endpoints.is_open(id, now) && !wish.tried.contains(&id);
     let is_usable = |id: EndpointId| {
         let doubtful = entry(id).is_none_or(|entry| entry.health.is_doubtful(now));
         is_open(id) && !doubtful
--- a/dockgate/src/gateway/notices.rs
+++ b/dockgate/src/gateway/notices.rs
@@ -20,7 +20,10 @@
         return;
     }
     GATEWAY_METRICS.note_notice(notice);
-    let news = state.with(|beliefs| beliefs.endpoints.hear(target.id, notice, now_ms()));
+    let news = state.with(|beliefs| {
+        let draw = rand::random();
+        beliefs.endpoints.hear(target.id, notice, now_ms(), draw)
+    });
     let endpoint = &target.name;
     for news in news {
         log_gateway(&match news {
@@ -44,6 +47,6 @@
 ) -> SendCondition {
     let (state, id) = (state.clone(), target.id);
     SendCondition::new(caller, move || {
-        state.with(|beliefs| beliefs.endpoints.is_wanted(id))
+        state.with(|beliefs| beliefs.endpoints.notices().is_wanted(id, now_ms()))
     })
 }
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -37,6 +37,8 @@
     BeyondShare,
     /// Endpoints refused without running it, and no further one may be tried.
     EndpointsFull,
+    /// All endpoints have asked this box for rest.
+    EndpointsRest,
     /// No endpoint could be reached.
     Unreachable,
     /// Endpoints end under it: it is in quarantine.
@@ -69,6 +71,7 @@
             Self::WouldBeLate => "would_be_late",
             Self::BeyondShare => "beyond_share",
             Self::EndpointsFull => "endpoints_full",
+            Self::EndpointsRest => "endpoints_rest",
             Self::Unreachable => "unreachable",
             Self::EndsEndpoints => "ends_endpoints",
             Self::Lost => "lost",
@@ -94,6 +97,7 @@
             | Self::NoEndpoint
             | Self::WouldBeLate
             | Self::EndpointsFull
+            | Self::EndpointsRest
             | Self::Unreachable
             | Self::EndsEndpoints
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
