test(soak): endpoints that leave by their answers alone, ask for rest in herds, and start again under their id

Beside boxes that are killed, stopped, paused and seem suspended, and a store that is away; callers go on using open connections. The check knows which box passed which notice on, and excuses only a restart of that box since.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -7,6 +7,7 @@
 mod caller_standin;
 mod ending_caller;
 mod leaving_caller;
+mod notice_check;
 mod soak_fault;
 
 use crate::error::BenchError;
@@ -16,6 +17,7 @@
 use clap::ValueEnum;
 use ending_caller::{ENDING_REQUESTS, EndedEndpoints, EndingCall, keep_returning, sent_in_vain};
 use leaving_caller::{LeavingSeen, keep_leaving, measure_own_lag};
+use notice_check::sent_despite_notices;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use soak_fault::FaultField;
@@ -60,6 +62,9 @@
     /// Callers that leave, many of them behind further requests, beside boxes that are stopped and continued in
     /// turns, endpoints that fail and large configurations. Nothing reaches an endpoint for who has left.
     Leaving,
+    /// Endpoints that say in their answers alone that they leave, end and start again under their id, or turn away
+    /// and ask for rest in herds, beside boxes that are killed, stopped and paused, and a store that is away.
+    Notices,
 }
 
 /// What to run.
@@ -106,7 +111,7 @@
     let callers: Vec<_> = callers.collect();
     let leavers = match options.faults {
         SoakFaults::Leaving => LEAVERS,
-        SoakFaults::All | SoakFaults::LateNews | SoakFaults::Ending => 0,
+        _ => 0,
     };
     if leavers > 0 {
         let endpoints = fleet.endpoints.iter();
@@ -166,6 +171,7 @@
         let disturbed = &field.disturbed;
         broken.extend(sent_in_vain(&returns, &lives, disturbed, &fleet.gateways));
     }
+    broken.extend(sent_despite_notices(&calls, &lives, &field));
     leaving.note_own_lag(own_lag.await.unwrap_or_default());
     Ok(report(&lives, &calls, &returns, &leaving, field, broken))
 }
--- a/dockgate-bench/src/gateway_soak/caller_standin.rs
+++ b/dockgate-bench/src/gateway_soak/caller_standin.rs
@@ -1,8 +1,9 @@
 //! A stand-in of a caller on the users' platform: it makes one request after another, and checks each
 //! answer against the published protocol.
 
+use crate::standin::BORN;
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{SendRequest, handshake};
@@ -12,7 +13,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
 /// How long a caller waits for an answer, in milliseconds.
@@ -52,11 +53,28 @@
     }
 }
 
+/// An answer that says that its endpoint leaves.
+#[derive(Debug, Clone)]
+pub(super) struct LeavingAnswer {
+    /// The endpoint's proof, which names its id.
+    pub(super) proof: String,
+    /// The start of the lifetime that leaves, in Unix milliseconds.
+    pub(super) born_ms: u64,
+    /// When its caller had the head of the answer.
+    pub(super) at: Instant,
+}
+
 /// One request, and what its caller saw.
 #[derive(Debug, Clone)]
 pub(super) struct SoakCall {
     pub(super) id: String,
     pub(super) route: SoakRoute,
+    /// The box that it was made at.
+    pub(super) box_at: usize,
+    /// When it was made.
+    pub(super) begun: Instant,
+    /// Its answer said that an endpoint leaves.
+    pub(super) leaving: Option<LeavingAnswer>,
     /// It got its whole answer.
     pub(super) answered: bool,
     /// It was told that it has not run.
@@ -67,6 +85,12 @@
     pub(super) broken: Vec<String>,
 }
 
+/// A connection on which the last request was answered.
+struct KeptConnection {
+    sender: SendRequest<Full<Bytes>>,
+    box_at: usize,
+}
+
 /// Makes requests until it is told that all is over, and a few more.
 pub(super) async fn keep_calling(
     number: u64,
@@ -75,28 +99,33 @@
     over: Arc<AtomicBool>,
 ) -> Vec<SoakCall> {
     let mut calls = Vec::new();
-    let mut kept: Option<SendRequest<Full<Bytes>>> = None;
+    let mut kept: Option<KeptConnection> = None;
     let mut last = 0;
     while last < LAST {
         let is_last = over.load(Ordering::Acquire);
         last += usize::from(is_last);
         let route = SoakRoute::ALL[draw.random_range(0..SoakRoute::ALL.len())];
         let id = format!("r{number}a{}", calls.len());
-        let gateway = gateways[draw.random_range(0..gateways.len())];
+        let box_at = draw.random_range(0..gateways.len());
+        // Half of the requests go over a connection that was kept, for as long as it lasts.
+        let used = kept.take().filter(|_| draw.random_bool(0.5));
+        let box_at = used.as_ref().map_or(box_at, |used| used.box_at);
         let mut call = SoakCall {
             id,
             route,
+            box_at,
+            begun: Instant::now(),
+            leaving: None,
             answered: false,
             refused: false,
             is_last,
             broken: Vec::new(),
         };
-        // Half of the requests go over a connection that was kept, for as long as it lasts.
-        let used = kept.take().filter(|_| draw.random_bool(0.5));
-        kept = tokio::time::timeout(PATIENCE, make(&mut call, used, gateway))
-            .await
-            .ok()
-            .flatten();
+        let sender = used.map(|used| used.sender);
+        let sender =
+            tokio::time::timeout(PATIENCE, make(&mut call, sender, gateways[box_at])).await;
+        let sender = sender.ok().flatten();
+        kept = sender.map(|sender| KeptConnection { sender, box_at });
         calls.push(call);
         tokio::time::sleep(REST).await;
     }
@@ -149,6 +178,7 @@
     let named = header("x-request-id").is_some_and(|id| id.as_bytes() == call.id.as_bytes());
     let proven = header("x-upstream-signature").is_some();
     let returns = header("retry-after").is_some();
+    call.leaving = leaving(response.headers());
     let (read, whole) = read(response).await;
     let expected: Vec<u8> = match call.route.streams() {
         true => (1..=EVENTS)
@@ -191,6 +221,17 @@
     }
 }
 
+/// Reads from the head of an answer that its endpoint leaves.
+fn leaving(headers: &HeaderMap) -> Option<LeavingAnswer> {
+    headers.get("server-leaving")?;
+    let text = |name: &str| headers.get(name)?.to_str().ok();
+    Some(LeavingAnswer {
+        proof: text("x-upstream-signature")?.to_owned(),
+        born_ms: text(BORN)?.parse().ok()?,
+        at: Instant::now(),
+    })
+}
+
 /// Reads a body as far as it comes; tells whether it ended as one that is whole.
 async fn read(response: Response<Incoming>) -> (Bytes, bool) {
     let mut body = response.into_body();
--- a/dockgate-bench/src/gateway_soak/ending_caller.rs
+++ b/dockgate-bench/src/gateway_soak/ending_caller.rs
@@ -44,6 +44,8 @@
     pub(super) until: Instant,
     /// The box, or none for the store.
     pub(super) box_at: Option<usize>,
+    /// Whether the box began anew by it.
+    pub(super) restarts: bool,
 }
 
 /// One return of such a request.
--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -34,6 +34,10 @@
 const STOPPED_MS: std::ops::Range<u64> = 20..900;
 /// For how long it runs in between, in milliseconds.
 const RUNNING_MS: std::ops::Range<u64> = 2..30;
+/// How long an endpoint goes on that says in its answers that it leaves, in milliseconds.
+const LEAVES_MS: Range<u64> = 500..5_000;
+/// How much rest endpoints ask for, in milliseconds.
+const REST_MS: Range<u64> = 600..4_000;
 /// How many routes more a large configuration has: 0.7 MB.
 const MORE_ROUTES: usize = 4_000;
 
@@ -69,6 +73,18 @@
     Sound(usize),
     Leave(usize),
     StoreHears(usize),
+    /// An endpoint ends, and leaves its record behind.
+    End(usize),
+    /// Endpoints take requests again.
+    Rested,
+}
+
+/// A box seemed to be suspended: its clock was put forward by a time that has not passed for anybody else.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Suspension {
+    pub(super) box_at: usize,
+    pub(super) at: Instant,
+    pub(super) away: Duration,
 }
 
 /// The faults that stand.
@@ -82,6 +98,8 @@
     pub(super) slow: Vec<(Instant, Instant)>,
     /// For how long each box seems to have been suspended, all in all.
     away: [Duration; super::GATEWAYS],
+    /// When boxes seemed to be suspended.
+    pub(super) suspended: Vec<Suspension>,
     /// When boxes or the store were disturbed.
     pub(super) disturbed: Vec<Disturbance>,
     started: Instant,
@@ -100,6 +118,7 @@
             ends: Vec::new(),
             slow: Vec::new(),
             away: [Duration::ZERO; super::GATEWAYS],
+            suspended: Vec::new(),
             disturbed: Vec::new(),
             started: Instant::now(),
             version: 1,
@@ -126,6 +145,8 @@
                 SoakFaults::Ending => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
                 SoakFaults::LateNews => self.delay_news(fleet).await?,
                 SoakFaults::Leaving => self.slow_down(fleet).await,
+                SoakFaults::Notices if self.draw.random_bool(0.5) => self.give_notice(fleet),
+                SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
             }
         }
         Ok(())
@@ -152,6 +173,8 @@
             FaultEnd::StoreKeepsReplies => fleet.store.set_loses_replies(false),
             FaultEnd::Sound(at) => fleet.endpoints[at].set_manner(EndpointManner::Sound),
             FaultEnd::StoreHears(at) => fleet.doors[at].set_silent(false),
+            FaultEnd::End(at) => fleet.endpoints[at].kill(),
+            FaultEnd::Rested => fleet.endpoints.iter().for_each(|each| each.set_rest(None)),
             FaultEnd::Leave(at) => {
                 let (key, _) = fleet.endpoints[at].record("a", "draining");
                 fleet.store.remove(&key);
@@ -228,6 +251,11 @@
                 for at in boxes {
                     self.away[at] += away;
                     fleet.gateways[at].be_away(self.away[at])?;
+                    self.suspended.push(Suspension {
+                        box_at: at,
+                        at: Instant::now(),
+                        away,
+                    });
                 }
                 (what, Duration::ZERO, None)
             }
@@ -278,6 +306,7 @@
             from,
             until: from + lasts + STEP_LATE,
             box_at,
+            restarts: matches!(end, FaultEnd::Restart(_)),
         });
     }
 
@@ -369,6 +398,37 @@
         self.told.push(format!("{at} ms: {what}"));
     }
 
+    /// Lets an endpoint say in its answers alone that it leaves, and end, or some of them ask for rest.
+    fn give_notice(&mut self, fleet: &GatewayFleet) {
+        let endpoint = self.draw.random_range(0..super::SERVICES.len());
+        let at = self.started.elapsed().as_millis();
+        let (what, lasts, end) = match self.draw.random_bool(0.4) {
+            true if !self.is_ending(endpoint) => {
+                fleet.endpoints[endpoint].set_leaving(true);
+                let lasts = Duration::from_millis(self.draw.random_range(LEAVES_MS));
+                let what = format!("endpoint {endpoint} leaves by its answers");
+                (what, lasts, FaultEnd::End(endpoint))
+            }
+            _ => {
+                let rest = Duration::from_millis(self.draw.random_range(REST_MS));
+                let part = self.draw.random_range(0.2..1.3);
+                let resting = fleet.endpoints.iter();
+                let resting = resting.filter(|_| self.draw.random_bool(f64::min(part, 1.0)));
+                resting.for_each(|each| each.set_rest(Some(rest)));
+                let lasts = Duration::from_millis(self.draw.random_range(LASTS_MS));
+                let what = format!("endpoints turn away and ask for {rest:?}");
+                (what, lasts, FaultEnd::Rested)
+            }
+        };
+        self.told.push(format!("{at} ms: {what}"));
+        self.ends.push((Instant::now() + lasts, end));
+    }
+
+    fn is_ending(&self, endpoint: usize) -> bool {
+        let mut ends = self.ends.iter();
+        ends.any(|(_, end)| matches!(end, FaultEnd::End(at) if *at == endpoint))
+    }
+
     /// Stops and continues a box in turn, for a while.
     async fn take_turns(&mut self, gateway: &GatewayProcess, stopped_ms: u64, running_ms: u64) {
         let from = Instant::now();
--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -12,6 +12,6 @@
 pub use engine::{EngineRule, EngineStandIn, answer_token};
 pub use peer::PeerStandIn;
 pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreDoor};
-pub use routed::{EndpointManner, RoutedStandIn, SeenRequest};
+pub use routed::{BORN, EndpointManner, RoutedStandIn, SeenRequest, TurnedAway};
 pub use service::{ServiceRule, ServiceStandIn};
 pub use tally::{LeaveWatch, RunTally, TallySample};
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -54,6 +54,15 @@
     pub at: Instant,
 }
 
+/// A request that an endpoint turned away.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TurnedAway {
+    /// The request.
+    pub request: SeenRequest,
+    /// How much rest it asked for.
+    pub rest: Duration,
+}
+
 /// The end of a run, whether it was answered or broken off.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunEnd {
@@ -72,7 +81,7 @@
     takes: Mutex<Duration>,
     is_leaving: Mutex<bool>,
     rest: Mutex<Option<Duration>>,
-    turned_away: Mutex<Vec<SeenRequest>>,
+    turned_away: Mutex<Vec<TurnedAway>>,
     deadly: Mutex<Vec<Bytes>>,
 }
 
@@ -80,6 +89,16 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// The header by which a stand-in tells which lifetime of its id answers.
+pub const BORN: &str = "x-born";
+
+/// Which endpoint answers.
+#[derive(Debug, Clone)]
+struct OwnLife {
+    id: String,
+    born_ms: u64,
+}
+
 /// An endpoint on a loopback port.
 pub struct RoutedStandIn {
     /// Its id.
@@ -103,13 +122,18 @@
     pub async fn start(id: &str, service: &str) -> Result<Self, BenchError> {
         let state = Arc::new(RoutedState::default());
         let stop = CancellationToken::new();
-        let (handler, own, end) = (state.clone(), id.to_owned(), stop.clone());
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let born_ms = born.unwrap_or_default().as_millis() as u64;
+        let own = OwnLife {
+            id: id.to_owned(),
+            born_ms,
+        };
+        let (handler, end) = (state.clone(), stop.clone());
         let handle = move |request| handle(handler.clone(), own.clone(), end.clone(), request);
         let address = serve(handle, stop.clone()).await?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Ok(Self {
             id: id.to_owned(),
-            born_ms: born.unwrap_or_default().as_millis() as u64,
+            born_ms,
             service: service.to_owned(),
             address,
             state,
@@ -173,7 +197,7 @@
     }
 
     /// Returns the requests that it turned away and asked for rest.
-    pub fn turned_away(&self) -> Vec<SeenRequest> {
+    pub fn turned_away(&self) -> Vec<TurnedAway> {
         locked(&self.state.turned_away).clone()
     }
 
@@ -239,13 +263,15 @@
 
 async fn handle(
     state: Arc<RoutedState>,
-    own: String,
+    own: OwnLife,
     end: CancellationToken,
     request: Request<Incoming>,
 ) -> Result<Response<StandInBody>, BrokenOff> {
-    let mut response = answer_of(&state, &own, end, request).await?;
-    if *locked(&state.is_leaving) && response.status() != StatusCode::MISDIRECTED_REQUEST {
-        let headers = response.headers_mut();
+    let mut response = answer_of(&state, &own.id, end, request).await?;
+    let is_own = response.status() != StatusCode::MISDIRECTED_REQUEST;
+    let headers = response.headers_mut();
+    headers.insert(BORN, HeaderValue::from(own.born_ms));
+    if is_own && *locked(&state.is_leaving) {
         headers.insert("server-leaving", HeaderValue::from_static("1"));
     }
     Ok(response)
@@ -293,7 +319,8 @@
     };
     let rest = *locked(&state.rest);
     if let Some(rest) = rest {
-        locked(&state.turned_away).push(seen);
+        let request = seen;
+        locked(&state.turned_away).push(TurnedAway { request, rest });
         return ask_for_rest(&id, rest);
     }
     let run = RoutedRun::new(state.clone(), seen);
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -18,6 +18,7 @@
     // their callers had left, and 24 were worked on for so long.
     callers_that_leave = { SoakFaults::Leaving, 2 },
     endpoints_end = { SoakFaults::Ending, 1 },
+    endpoints_give_notice = { SoakFaults::Notices, 1 },
 )]
 fn no_promise_breaks(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/dockgate-bench/tests/notices.rs
+++ b/dockgate-bench/tests/notices.rs
@@ -19,7 +19,7 @@
 
 use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet, wait_until};
 use dockgate_bench::standin::caller::{call, request};
-use dockgate_bench::standin::{RoutedStandIn, SeenRequest};
+use dockgate_bench::standin::{RoutedStandIn, SeenRequest, TurnedAway};
 use futures::future::join_all;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
@@ -184,12 +184,11 @@
 }
 
 /// Lists what an endpoint turned away of a box half a second and more after the first, until that asked-for rest ended.
-fn in_rest(turned_away: &[SeenRequest], at: usize) -> Vec<String> {
+fn in_rest(turned_away: &[TurnedAway], at: usize) -> Vec<String> {
     const SLACK: Duration = Duration::from_millis(500);
     let of_box = format!("r{at}");
-    let mut seen = turned_away
-        .iter()
-        .filter(|seen| seen.id.starts_with(&of_box));
+    let seen = turned_away.iter().map(|turned| &turned.request);
+    let mut seen = seen.filter(|seen| seen.id.starts_with(&of_box));
     let Some(first) = seen.next() else {
         return Vec::new();
     };
@@ -212,7 +211,7 @@
             first += ROUNDS;
             let turned_away = resting.turned_away();
             let oldest = turned_away.first();
-            let is_heard = oldest.is_some_and(|oldest| oldest.at.elapsed() > REST / 2);
+            let is_heard = oldest.is_some_and(|oldest| oldest.request.at.elapsed() > REST / 2);
             is_heard && (0..3).all(|at| count_from(&turned_away, at) > 0)
         },
     )
@@ -225,10 +224,10 @@
 }
 
 /// Counts what an endpoint got from a box.
-fn count_from(seen: &[SeenRequest], at: usize) -> usize {
+fn count_from(turned_away: &[TurnedAway], at: usize) -> usize {
     let of_box = format!("r{at}");
-    let seen = seen.iter().filter(|seen| seen.id.starts_with(&of_box));
-    seen.count()
+    let seen = turned_away.iter().map(|turned| &turned.request);
+    seen.filter(|seen| seen.id.starts_with(&of_box)).count()
 }
 
 #[tokio::test]
