fix(daemon): the first path rests an endpoint for as long as a refusal asks

Looked for the class of the incident elsewhere: what an endpoint says of itself in an answer was not heard on the path that the schedulers of slots serve either. A 503 with a time counted as full, for 20 ms, and any answer ended that.

The entry passes the time on with the refusal; the scheduler keeps it apart from its trust. The time of 429 is left alone, as it may concern one workspace. Not kept where the endpoint gets another scheduler.

--- a/dockgate-core/src/scheduler/health.rs
+++ b/dockgate-core/src/scheduler/health.rs
@@ -7,6 +7,8 @@
     Answered,
     /// It refused, as it is full.
     Full,
+    /// It refused, and asked to be sent nothing for so many milliseconds.
+    Resting(u32),
     /// It could not be reached, or was lost inside an answer.
     Lost,
 }
@@ -16,6 +18,8 @@
 pub(super) struct SlotHealth {
     failures: u32,
     closed_until_ms: u64,
+    /// Until when it asked to be sent nothing: an answer that was under way says nothing of that.
+    rests_until_ms: u64,
     /// Slots that it was seen to have, where that is fewer than it is declared to have.
     learned: Option<u32>,
     learned_ms: u64,
@@ -40,7 +44,7 @@
 
     /// Tells whether the endpoint may get new work now.
     pub(super) const fn is_open(&self, now_ms: u64) -> bool {
-        now_ms >= self.closed_until_ms
+        now_ms >= self.closed_until_ms && now_ms >= self.rests_until_ms
     }
 
     /// Returns how many slots to count on.
@@ -66,6 +70,10 @@
                 self.failures = 0;
                 self.closed_until_ms = 0;
             }
+            SlotSign::Resting(rest_ms) => {
+                let until_ms = now_ms + u64::from(rest_ms);
+                self.rests_until_ms = self.rests_until_ms.max(until_ms);
+            }
             SlotSign::Full => {
                 let since = now_ms.saturating_sub(self.learned_ms);
                 self.refusals = match since {
--- a/dockgate-core/src/scheduler/health/tests.rs
+++ b/dockgate-core/src/scheduler/health/tests.rs
@@ -40,3 +40,15 @@
         "but not for every refusal of a burst"
     );
 }
+
+#[test]
+fn an_endpoint_that_asks_for_rest_gets_it_whatever_it_answers_meanwhile() {
+    let mut health = SlotHealth::default();
+    health.note(SlotSign::Resting(3_000), 2, 1_000);
+    health.note(SlotSign::Answered, 1, 1_200);
+    health.note(SlotSign::Resting(500), 1, 1_300);
+    health.note(SlotSign::Lost, 0, 1_400);
+    assert!(!health.is_open(3_999));
+    assert!(health.is_open(4_000));
+    assert_eq!(health.slots(16, 4_000), 16, "it is not full");
+}
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -44,6 +44,9 @@
     /// Entry to scheduler: the endpoint refused, as it is full.
     #[serde(rename = "r")]
     Refused(GrantId),
+    /// Entry to scheduler: the endpoint refused, and asked to be sent nothing for so many milliseconds.
+    #[serde(rename = "w")]
+    Resting(GrantId, u32),
     /// Entry to scheduler: the endpoint could not be reached or was lost, and the cost so far.
     #[serde(rename = "e")]
     Lost(GrantId, u64),
@@ -73,6 +76,7 @@
             Self::Progress(..) => "progress",
             Self::Settle(..) => "settle",
             Self::Refused(_) => "refused",
+            Self::Resting(..) => "resting",
             Self::Lost(..) => "lost",
             Self::Pause(_) => "pause",
             Self::Adopt(..) => "adopt",
--- a/dockgate/src/caller.rs
+++ b/dockgate/src/caller.rs
@@ -7,6 +7,7 @@
 mod hop;
 mod meter;
 mod refusal;
+mod refusal_sign;
 mod stream;
 
 use crate::config_keeper::ConfigCell;
--- a/dockgate/src/caller/attempt.rs
+++ b/dockgate/src/caller/attempt.rs
@@ -6,6 +6,7 @@
 use super::hop::clean_response;
 use super::meter::whole_cost;
 use super::refusal::Refusal;
+use super::refusal_sign::refusal_sign;
 use super::stream::{StreamPump, StreamSegment, can_resume, resumed_body};
 use super::{AnswerBody, InFlight, full_body};
 use crate::clock::{now_ms, timeout};
@@ -286,11 +287,11 @@
             status @ (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
                 if attempt.endpoint.honest_refusal =>
             {
-                running.sign = SlotSign::Full;
+                running.sign = refusal_sign(status, response.headers());
                 return Err(loss(AttemptState::Refused, name, status.to_string()));
             }
             StatusCode::SERVICE_UNAVAILABLE if call.repeatable => {
-                running.sign = SlotSign::Full;
+                running.sign = refusal_sign(response.status(), response.headers());
                 let cause = "it is unavailable".to_owned();
                 return Err(loss(AttemptState::Sent, name, cause));
             }
--- a/dockgate/src/dispatch/actor.rs
+++ b/dockgate/src/dispatch/actor.rs
@@ -186,6 +186,7 @@
             None => PeerMessage::Progress(id, cost),
             Some(SlotSign::Answered) => PeerMessage::Settle(id, cost),
             Some(SlotSign::Full) => PeerMessage::Refused(id),
+            Some(SlotSign::Resting(rest_ms)) => PeerMessage::Resting(id, rest_ms),
             Some(SlotSign::Lost) => PeerMessage::Lost(id, cost),
         };
         self.send(to, message);
@@ -268,6 +269,10 @@
                 let report = settle_report(id, 0, Some(SlotSign::Full));
                 self.scheduler.settle(from, report, now)
             }
+            PeerMessage::Resting(id, rest_ms) => {
+                let report = settle_report(id, 0, Some(SlotSign::Resting(rest_ms)));
+                self.scheduler.settle(from, report, now)
+            }
             PeerMessage::Lost(id, cost) => {
                 let report = settle_report(id, cost, Some(SlotSign::Lost));
                 self.scheduler.settle(from, report, now)
--- a/dockgate/src/dispatch/links.rs
+++ b/dockgate/src/dispatch/links.rs
@@ -119,7 +119,7 @@
             PeerMessage::Settle(id, cost) => PeerMessage::Settle(id, cost),
             // What was lost with the link says nothing of the endpoint any more.
             PeerMessage::Lost(id, cost) => PeerMessage::Settle(id, cost),
-            PeerMessage::Refused(id) => PeerMessage::Settle(id, 0),
+            PeerMessage::Refused(id) | PeerMessage::Resting(id, _) => PeerMessage::Settle(id, 0),
             _ => return,
         };
         if link.settles.len() < Self::MOST_SETTLES {
