feat: the box that decides for an engine is told that it leaves, and tells those who ask

Of hundreds of boxes each sends to one engine every few seconds, so nearly all prompts that reach an engine which leaves came from boxes that had not heard it yet; streams that begin there are cut off as it ends.

Who hears an answer that says so tells the box that decides for the engine; that one answers seeks with it, and who asked looks elsewhere. Another box's word counts for 5 s, and at most half of a service is given up on it, so that one that is wrong empties none. Ruled out: beats to all (a word a box and lifetime, where the decider is asked anyway); plain services, whose requests take milliseconds.

--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -45,13 +45,16 @@
     Granted(u32),
     /// It is not; its first event would have come after this many milliseconds.
     Declined(u32),
+    /// It is not: the engine has said that it leaves.
+    Leaving,
 }
 
 impl EngineVerdict {
-    /// Returns the predicted time to the first event, in milliseconds.
-    pub const fn first_event_ms(self) -> u32 {
+    /// Returns the predicted time to the first event, in milliseconds, where one was predicted.
+    pub const fn first_event_ms(self) -> Option<u32> {
         match self {
-            Self::Granted(first_ms) | Self::Declined(first_ms) => first_ms,
+            Self::Granted(first_ms) | Self::Declined(first_ms) => Some(first_ms),
+            Self::Leaving => None,
         }
     }
 }
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -413,6 +413,24 @@
         news
     }
 
+    /// Takes in another box's word that an endpoint leaves; returns whether it is believed.
+    ///
+    /// At most half of a service is given up on the word of others: a box that is wrong must not empty it.
+    pub fn hear_told(&mut self, id: EndpointId, now_ms: u64) -> bool {
+        let Some(entry) = self.endpoints.get(&id) else {
+            return false;
+        };
+        let ready = self.ready(&entry.record.service);
+        let told = ready
+            .iter()
+            .filter(|ready| ready.id != id && self.notices.is_said_to_leave(ready.id, now_ms));
+        let is_believed = (told.count() + 1) * 2 <= ready.len();
+        if is_believed {
+            self.notices.hear_told(id, now_ms);
+        }
+        is_believed
+    }
+
     /// Returns what endpoints have said of themselves in their answers.
     pub const fn notices(&self) -> &NoticeBook {
         &self.notices
--- a/dockgate-core/src/gateway/endpoint_book/notice_tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/notice_tests.rs
@@ -186,3 +186,49 @@
         prop_assert!(book.is_open(next, now_ms));
     }
 }
+
+fn told_book(endpoints: u64) -> (EndpointBook, Vec<EndpointId>) {
+    let mut book = EndpointBook::default();
+    let records = (0..endpoints).map(|number| EndpointRecord {
+        id: format!("e{number}"),
+        ..record(1, EndpointState::Ready)
+    });
+    let records: Vec<EndpointRecord> = records.collect();
+    let ids = records.iter().map(EndpointRecord::key).collect();
+    for record in records {
+        book.apply(EndpointChange::Put(record, 1), None);
+    }
+    (book, ids)
+}
+
+proptest! {
+    /// Whatever other boxes say, half of a service goes on, and what they say is over after a while.
+    #[test]
+    fn the_word_of_others_empties_no_service(
+        endpoints in 1_u64..12,
+        words in prop::collection::vec((0_usize..12, 0_u64..1_000), 0..60),
+    ) {
+        let (mut book, ids) = told_book(endpoints);
+        let mut now_ms = 1_000;
+        for (at, after_ms) in words {
+            now_ms += after_ms;
+            book.hear_told(ids[at % ids.len()], now_ms);
+            let open = book.open("x", now_ms).count();
+            prop_assert!(open * 2 >= ids.len(), "{open} of {}", ids.len());
+        }
+        prop_assert_eq!(book.open("x", now_ms + 5_000).count(), ids.len());
+    }
+}
+
+#[test]
+fn what_another_box_says_counts_until_it_is_over() {
+    let (mut book, ids) = told_book(2);
+    assert!(book.hear_told(ids[0], 1_000));
+    assert!(!book.hear_told(ids[1], 1_000), "one has to go on");
+    assert!(!book.is_open(ids[0], 5_999));
+    assert!(
+        book.notices().is_wanted(ids[0], 1_000),
+        "what was decided before is sent"
+    );
+    assert!(book.is_open(ids[0], 6_000));
+}
--- a/dockgate-core/src/gateway/notice_book.rs
+++ b/dockgate-core/src/gateway/notice_book.rs
@@ -26,6 +26,8 @@
 struct HeardNotice {
     leaves: bool,
     rest: AskedRest,
+    /// Until when another box's word that it leaves counts.
+    told_until_ms: u64,
     /// When it was heard, or had a record, last.
     kept_ms: u64,
 }
@@ -37,6 +39,9 @@
 }
 
 impl NoticeBook {
+    /// For how long, in milliseconds, another box's word that an endpoint leaves counts here. It may be wrong, and a box
+    /// that hears the endpoint itself says so anew. A bound.
+    const TOLD_MS: u64 = 5_000;
     /// For how long, in milliseconds, it is remembered of an endpoint without a record that it leaves: a record may
     /// lapse and be written again while the endpoint goes on, and its last answers come as long after. A bound.
     const KEPT_MS: u64 = 600_000;
@@ -69,6 +74,19 @@
         news
     }
 
+    /// Takes in another box's word that a lifetime leaves.
+    pub fn hear_told(&mut self, id: EndpointId, now_ms: u64) {
+        let heard = self.heard.entry(id).or_default();
+        heard.kept_ms = heard.kept_ms.max(now_ms);
+        heard.told_until_ms = now_ms + Self::TOLD_MS;
+    }
+
+    /// Tells whether a lifetime leaves, by its own word or by that of another box.
+    pub fn is_said_to_leave(&self, id: EndpointId, now_ms: u64) -> bool {
+        let heard = self.heard.get(&id);
+        heard.is_some_and(|heard| heard.leaves || now_ms < heard.told_until_ms)
+    }
+
     /// Forgets what was said long ago by lifetimes that have no record, and the oldest of it where it is too much.
     pub fn expire(&mut self, now_ms: u64, has_record: impl Fn(EndpointId) -> bool) {
         let mut gone = Vec::new();
@@ -106,7 +124,8 @@
     /// Tells whether a request may be sent to a lifetime beside those that it has: after a rest one goes ahead.
     pub fn may_send(&self, id: EndpointId, now_ms: u64) -> bool {
         let heard = self.heard.get(&id);
-        heard.is_none_or(|heard| !heard.leaves && heard.rest.may_send(now_ms))
+        let may_send = heard.is_none_or(|heard| heard.rest.may_send(now_ms));
+        may_send && !self.is_said_to_leave(id, now_ms)
     }
 
     /// Notes that a request is sent to a lifetime.
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -118,6 +118,11 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// Entry to owner: an answer of the endpoint said that it leaves.
+    Leaves {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// To boxes that pass it on, and in answer to a beat: requests under which endpoints have ended.
     Suspects {
         /// What happened to them.
@@ -137,6 +142,7 @@
             Self::Read { .. } => "read",
             Self::Started { .. } => "started",
             Self::Ended { .. } => "ended",
+            Self::Leaves { .. } => "leaves",
             Self::Suspects { .. } => "suspects",
         }
     }
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -5,7 +5,7 @@
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
-use super::super::notices::{hear, send_condition};
+use super::super::notices::{hear, send_condition, tell_owner};
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, SendFailure, UsedConnection, send};
@@ -263,6 +263,9 @@
         let head = decode_answer(response.status(), response.headers(), &self.head.id);
         let notice = head.notice.believed(&head.signs);
         hear(&self.state, &place.target, &self.head.id, notice);
+        if notice.leaves && self.service().engine.is_some() {
+            tell_owner(&self.state, &place.target);
+        }
         let verdict = head.signs.judge();
         match verdict {
             AnswerVerdict::NotRun => {
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -10,6 +10,7 @@
 use super::events::AskedEngine;
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayBeliefs, GatewayState};
+use super::notices::hear_told;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
 use crate::clock::now_ms;
@@ -69,11 +70,13 @@
     }
 
     fn note(&mut self, home: &HomeEngine, asked: AskedHome) {
-        self.asked.push(AskedEngine {
-            endpoint: home.target.name.clone(),
-            first_event_ms: asked.verdict.first_event_ms(),
-            decided_by: asked.decided_by,
-        });
+        let predicted = asked.verdict.first_event_ms();
+        self.asked
+            .extend(predicted.map(|first_event_ms| AskedEngine {
+                endpoint: home.target.name.clone(),
+                first_event_ms,
+                decided_by: asked.decided_by,
+            }));
     }
 }
 
@@ -178,6 +181,10 @@
     let rule = state.settings().admission;
     let spec = spec_of(state, endpoint)?;
     state.with(|beliefs| {
+        let notices = beliefs.endpoints.notices();
+        if notices.is_said_to_leave(endpoint, now) {
+            return Some(EngineVerdict::Leaving);
+        }
         let level = beliefs.shares.level(ask.workspace);
         let load = beliefs.engines.load_mut(endpoint, spec);
         let verdict = rule.decide(load, ask, level, others, now);
@@ -268,8 +275,12 @@
     }
     let seek = PendingSeek::send(state, number, home.target.id, home.owner, ask);
     if let Some(verdict) = seek.verdict().await {
-        if matches!(verdict, EngineVerdict::Granted(_)) {
-            place_here(state, home.target.id, state.own_run(number), ask);
+        match verdict {
+            EngineVerdict::Granted(_) => {
+                place_here(state, home.target.id, state.own_run(number), ask);
+            }
+            EngineVerdict::Leaving => hear_told(state, home.target.id),
+            EngineVerdict::Declined(_) => {}
         }
         let decided_by = state.with(|beliefs| beliefs.fleet.name(home.owner).to_owned());
         return Some(AskedHome {
@@ -415,7 +426,7 @@
     EnginePlace {
         target: home.target.clone(),
         guard: RunGuard::engine(state, endpoint, asked.number, home.owner, ask.clone()),
-        expected_ms: asked.verdict.first_event_ms(),
+        expected_ms: asked.verdict.first_event_ms().unwrap_or_default(),
         decided_by: asked.decided_by,
     }
 }
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -154,7 +154,7 @@
             ),
             notices: counters(
                 "dockgate_endpoint_notices_total",
-                "Answers that say of their endpoint that it leaves or wants rest, by notice",
+                "Answers that say of their endpoint that it leaves or wants rest, and words of other boxes, by notice",
                 &["notice"],
             ),
             datagrams: counters(
@@ -203,6 +203,12 @@
         }
     }
 
+    /// Counts another box's word that an endpoint leaves.
+    pub(super) fn note_told(&self, is_believed: bool) {
+        let notice = if is_believed { "told" } else { "not_believed" };
+        self.notices.with_label_values(&[notice]).inc();
+    }
+
     /// Counts a request that was not written to an endpoint.
     pub(super) fn note_withheld(&self, reason: &str) {
         self.withheld_sends.with_label_values(&[reason]).inc();
--- a/dockgate/src/gateway/notices.rs
+++ b/dockgate/src/gateway/notices.rs
@@ -1,12 +1,14 @@
 //! Takes in what endpoints say of themselves in their answers, and heeds it until the first byte of a request.
 
+use super::datagrams::send_to;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::upstream::{EndpointTarget, SendCondition};
 use crate::clock::now_ms;
 use crate::shared_stream::PeerPresence;
-use dockgate_core::gateway::{EndpointNotice, NoticeNews};
+use dockgate_core::gateway::{EndpointId, EndpointNotice, NoticeNews};
+use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
 
 /// Takes in what the answer to `request` says of its endpoint.
@@ -37,6 +39,27 @@
     }
 }
 
+/// Tells the box that decides for an engine that it leaves, so that those who ask it need not find out by themselves.
+///
+/// Of hundreds of boxes each sends to one engine every few seconds.
+pub(super) fn tell_owner(state: &GatewayState, target: &EndpointTarget) {
+    let owner = state.with(|beliefs| {
+        let entry = beliefs.endpoints.get(target.id)?;
+        let domain = &entry.record.domain;
+        Some(beliefs.fleet.owner(target.id, domain, now_ms()))
+    });
+    if let Some(owner) = owner.filter(|owner| *owner != state.me()) {
+        let endpoint = target.id;
+        send_to(state, owner, GatewayMessage::Leaves { endpoint });
+    }
+}
+
+/// Takes in another box's word that an endpoint leaves.
+pub(super) fn hear_told(state: &GatewayState, endpoint: EndpointId) {
+    let is_believed = state.with(|beliefs| beliefs.endpoints.hear_told(endpoint, now_ms()));
+    GATEWAY_METRICS.note_told(is_believed);
+}
+
 /// Makes the condition on which a request of `caller` is sent to an endpoint: that both still want it.
 ///
 /// Where a request goes is decided on what was heard by then; another answer may come between that and its first byte.
--- a/dockgate/src/gateway/peer_net.rs
+++ b/dockgate/src/gateway/peer_net.rs
@@ -7,6 +7,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::{hear_beat, hear_digest};
+use super::notices::hear_told;
 use super::quarantine;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
@@ -102,6 +103,7 @@
             let key = run_of(run);
             state.with(|beliefs| beliefs.engines.end(endpoint, key));
         }
+        GatewayMessage::Leaves { endpoint } => hear_told(state, endpoint),
         GatewayMessage::Suspects { rows } => quarantine::hear(state, from, &rows),
     }
 }
