--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -11,7 +11,7 @@
 
 pub use engine::{EngineRule, EngineStandIn, answer_token};
 pub use peer::PeerStandIn;
-pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreDoor};
+pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreCopy, StoreDoor};
 pub use routed::{BORN, EndpointManner, RoutedStandIn, SeenRequest, TurnedAway};
 pub use service::{ServiceRule, ServiceStandIn};
 pub use tally::{LeaveWatch, RunTally, TallySample};
--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -9,7 +9,7 @@
 use dockgate_platform::{
     BoxRecord, BoxState, LeaseRequest, WireCommit, WireKeyAnswer, WireTxn, routes,
 };
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use key_store::{KeyStore, StoreRefusal};
@@ -64,8 +64,14 @@
     pub writes: u64,
 }
 
+/// The store as it was at some moment.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(KeyStore);
+
 struct PlatformState {
     store: Mutex<KeyStore>,
+    /// Rises each time that the store comes back from an older copy.
+    era: AtomicU64,
     changed: watch::Sender<u64>,
     reads: AtomicU64,
     writes: AtomicU64,
@@ -105,6 +111,7 @@
     pub async fn start() -> Result<Self, BenchError> {
         let state = Arc::new(PlatformState {
             store: Mutex::default(),
+            era: AtomicU64::new(1),
             changed: watch::channel(0).0,
             reads: AtomicU64::new(0),
             writes: AtomicU64::new(0),
@@ -147,6 +154,18 @@
         self.state.change(KeyStore::forget_history);
     }
 
+    /// Returns the store as it is now.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.store().clone())
+    }
+
+    /// Comes back from an older copy: what was written since is gone, revisions are given out again, and calls that
+    /// wait are cut.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        self.state.era.fetch_add(1, Ordering::AcqRel);
+        self.state.change(|store| *store = copy.0);
+    }
+
     /// Writes the records of boxes.
     pub fn set_boxes(&self, boxes: &[BoxEntry]) {
         for record in boxes.iter().filter_map(BoxEntry::record) {
@@ -218,7 +237,12 @@
         async move {
             let is_watch = request.uri().path() == routes::WATCH;
             let dropped = door.dropped();
-            let answer = handle(state, &door, request).await;
+            let answer = handle(state.clone(), &door, request).await;
+            let answer = answer.map(|mut answer| {
+                let era = HeaderValue::from(state.era.load(Ordering::Acquire));
+                answer.headers_mut().insert("store-era", era);
+                answer
+            });
             door.pass(answer, is_watch, dropped).await
         }
     };
@@ -324,6 +348,7 @@
     let wait = Duration::from_millis(query.number("wait_ms"));
     let deadline = tokio::time::Instant::now() + wait;
     let mut changed = state.changed.subscribe();
+    let era = state.era.load(Ordering::Acquire);
     loop {
         changed.borrow_and_update();
         let changes = {
@@ -332,6 +357,9 @@
             store.changes(prefix, since)
         };
         let over = tokio::time::Instant::now() >= deadline;
+        if era != state.era.load(Ordering::Acquire) {
+            return Err(BrokenOff);
+        }
         match changes {
             None => return Ok(answer(StatusCode::GONE, "that history is forgotten")),
             Some(changes) if over || !changes.events.is_empty() => {
--- a/dockgate-bench/src/standin/platform/key_store.rs
+++ b/dockgate-bench/src/standin/platform/key_store.rs
@@ -25,7 +25,7 @@
 }
 
 /// The store.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct KeyStore {
     items: BTreeMap<String, WireItem>,
     leases: HashMap<u64, StoreLease>,
@@ -161,7 +161,7 @@
 
     /// Returns the changes of keys that begin with `prefix`, or none where they are forgotten.
     pub(super) fn changes(&self, prefix: &str, since: u64) -> Option<WireChanges> {
-        if since < self.forgotten {
+        if since < self.forgotten || since > self.revision {
             return None;
         }
         let events = self.history.iter().filter(|item| item.revision > since);
