--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -8,6 +8,7 @@
 mod ending_caller;
 mod leaving_caller;
 mod notice_check;
+mod older_copies;
 mod soak_fault;
 
 use crate::error::BenchError;
@@ -65,6 +66,9 @@
     /// Endpoints that say in their answers alone that they leave, end and start again under their id, or turn away
     /// and ask for rest in herds, beside boxes that are killed, stopped and paused, and a store that is away.
     Notices,
+    /// The store comes back from older copies of itself, again and again, beside news that comes late and endpoints
+    /// that leave. No box is disturbed: each must know in time who leaves, and callers notice nothing.
+    OlderCopies,
 }
 
 /// What to run.
--- a/dockgate-bench/src/gateway_soak/soak_fault.rs
+++ b/dockgate-bench/src/gateway_soak/soak_fault.rs
@@ -2,6 +2,7 @@
 
 use super::SoakFaults;
 use super::ending_caller::Disturbance;
+use super::older_copies::StoreCopies;
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, large_config, route_config};
 use crate::standin::{EndpointManner, RoutedStandIn};
@@ -64,7 +65,7 @@
 
 /// What ends a fault.
 #[derive(Debug, Clone, Copy)]
-enum FaultEnd {
+pub(super) enum FaultEnd {
     Continue(usize),
     Restart(usize),
     StoreBack,
@@ -77,6 +78,29 @@
     End(usize),
     /// Endpoints take requests again.
     Rested,
+    /// The operator and the endpoints write again what they wrote.
+    WrittenAgain,
+}
+
+/// A lifetime of an endpoint that said that it leaves: another one may have its id by now.
+struct LeavingLife {
+    id: String,
+    born_ms: u64,
+    at: Instant,
+}
+
+impl LeavingLife {
+    fn new(endpoint: &RoutedStandIn) -> Self {
+        Self {
+            id: endpoint.id.clone(),
+            born_ms: endpoint.born_ms,
+            at: Instant::now(),
+        }
+    }
+
+    fn is_of(&self, endpoint: &RoutedStandIn) -> bool {
+        (self.id.as_str(), self.born_ms) == (endpoint.id.as_str(), endpoint.born_ms)
+    }
 }
 
 /// A box seemed to be suspended: its clock was put forward by a time that has not passed for anybody else.
@@ -89,11 +113,13 @@
 
 /// The faults that stand.
 pub(super) struct FaultField {
-    draw: StdRng,
+    pub(super) draw: StdRng,
     faults: SoakFaults,
-    /// Which endpoints said that they leave, and when.
-    left: Vec<(usize, Instant)>,
-    ends: Vec<(Instant, FaultEnd)>,
+    /// The endpoints that said that they leave.
+    left: Vec<LeavingLife>,
+    pub(super) ends: Vec<(Instant, FaultEnd)>,
+    /// Older copies of the store.
+    pub(super) copies: StoreCopies,
     /// From when until when a box was slow.
     pub(super) slow: Vec<(Instant, Instant)>,
     /// For how long each box seems to have been suspended, all in all.
@@ -102,7 +128,9 @@
     pub(super) suspended: Vec<Suspension>,
     /// When boxes or the store were disturbed.
     pub(super) disturbed: Vec<Disturbance>,
-    started: Instant,
+    pub(super) started: Instant,
+    /// The newest configuration, as it was written.
+    pub(super) config: String,
     version: u64,
     lives: usize,
     /// What was done, and when.
@@ -116,11 +144,13 @@
             faults,
             left: Vec::new(),
             ends: Vec::new(),
+            copies: StoreCopies::default(),
             slow: Vec::new(),
             away: [Duration::ZERO; super::GATEWAYS],
             suspended: Vec::new(),
             disturbed: Vec::new(),
             started: Instant::now(),
+            config: route_config(1, KEYS),
             version: 1,
             lives: 0,
             told: Vec::new(),
@@ -138,12 +168,17 @@
         for end in due {
             self.undo(fleet, end).await?;
         }
+        if self.faults == SoakFaults::OlderCopies {
+            self.copies.keep(&fleet.store);
+        }
         if self.draw.random_ratio(1, ONE_IN) {
             match self.faults {
                 SoakFaults::All => self.begin(fleet, ALL_FAULTS).await?,
                 // Endpoints end by themselves there.
                 SoakFaults::Ending => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
                 SoakFaults::LateNews => self.delay_news(fleet).await?,
+                SoakFaults::OlderCopies if self.draw.random_bool(0.3) => self.lose_history(fleet),
+                SoakFaults::OlderCopies => self.delay_news(fleet).await?,
                 SoakFaults::Leaving => self.slow_down(fleet).await,
                 SoakFaults::Notices if self.draw.random_bool(0.5) => self.give_notice(fleet),
                 SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
@@ -175,6 +210,7 @@
             FaultEnd::StoreHears(at) => fleet.doors[at].set_silent(false),
             FaultEnd::End(at) => fleet.endpoints[at].kill(),
             FaultEnd::Rested => fleet.endpoints.iter().for_each(|each| each.set_rest(None)),
+            FaultEnd::WrittenAgain => self.write_again(fleet),
             FaultEnd::Leave(at) => {
                 let (key, _) = fleet.endpoints[at].record("a", "draining");
                 fleet.store.remove(&key);
@@ -322,7 +358,7 @@
         fleet.add_endpoint(&name, &service).await?;
         let (key, value) = fleet.endpoints[endpoint].record("a", "draining");
         fleet.store.set(&key, value);
-        self.left.push((endpoint, Instant::now()));
+        self.left.push(LeavingLife::new(&fleet.endpoints[endpoint]));
         Ok(())
     }
 
@@ -349,8 +385,10 @@
             }
             2 => {
                 self.version += 1;
-                let config = large_config(self.version, KEYS, MORE_ROUTES);
-                fleet.store.set(dockgate_platform::ROUTES, config);
+                self.config = large_config(self.version, KEYS, MORE_ROUTES);
+                fleet
+                    .store
+                    .set(dockgate_platform::ROUTES, self.config.clone());
                 (format!("large configuration {}", self.version), None)
             }
             _ if self.lives < super::SERVICES.len() => {
@@ -441,17 +479,27 @@
         self.slow.push((from, Instant::now()));
     }
 
+    /// Tells whether an endpoint has said that it leaves.
+    pub(super) fn has_left(&self, endpoint: &RoutedStandIn) -> bool {
+        self.left.iter().any(|left| left.is_of(endpoint))
+    }
+
     /// Lists the requests that endpoints got long after they had said that they leave, where no box was
     /// disturbed meanwhile.
     pub(super) fn sent_after_leaving(&self, endpoints: &[&RoutedStandIn]) -> Vec<String> {
-        let undisturbed = self.faults == SoakFaults::LateNews;
+        let undisturbed = [SoakFaults::LateNews, SoakFaults::OlderCopies].contains(&self.faults);
         let left = self.left.iter().filter(|_| undisturbed);
-        let late = left.flat_map(|(at, left)| {
-            let ran = endpoints[*at].ran().into_iter();
-            let late = ran.filter(|run| run.at > *left + DRAIN_BOUND);
+        let late = left.flat_map(|left| {
+            let life = endpoints.iter().find(|life| left.is_of(life));
+            let ran = life.into_iter().flat_map(|life| life.ran());
+            let late = ran.filter(|run| {
+                // Before it has written so again, a store that has just come back may not know it.
+                let known = self.copies.last_written(run.at).max(Some(left.at));
+                known.is_some_and(|known| run.at > known + DRAIN_BOUND)
+            });
             late.map(move |run| {
-                let after = run.at - *left;
-                format!("{}: reached endpoint {at} {after:?} after it left", run.id)
+                let after = run.at - left.at;
+                format!("{}: reached {} {after:?} after it left", run.id, left.id)
             })
         });
         late.collect()
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -19,6 +19,7 @@
     callers_that_leave = { SoakFaults::Leaving, 2 },
     endpoints_end = { SoakFaults::Ending, 1 },
     endpoints_give_notice = { SoakFaults::Notices, 1 },
+    the_store_loses_its_last_seconds = { SoakFaults::OlderCopies, 1 },
 )]
 fn no_promise_breaks(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
