--- a/dockgate-bench/src/standin/peer.rs
+++ b/dockgate-bench/src/standin/peer.rs
@@ -1,7 +1,7 @@
 //! A stand-in for another box: it says that it lives and what it knows, and tells that when asked.
 
 use crate::error::BenchError;
-use dockgate_core::gateway::{BoxBeat, BoxStanding};
+use dockgate_core::gateway::{BoxBeat, BoxStanding, StoreRevision};
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest, methods};
 use jsonrpsee::RpcModule;
@@ -43,7 +43,10 @@
         let io = |cause| BenchError::Io("start", "a stand-in of a box".to_owned(), cause);
         let holds_config = Arc::new(watch::channel(true).0);
         let config_version = answer.config.as_ref().map_or(0, |config| config.version);
-        let endpoint_revision = answer.endpoints.as_ref().map_or(0, |news| news.revision);
+        let endpoint_revision = answer
+            .endpoints
+            .as_ref()
+            .map_or(StoreRevision::NONE, |news| news.revision);
         let beat = BoxBeat::new("peer", "a", own)
             .state_address(own_state)
             .standing(BoxStanding::new(4_000))
--- a/dockgate-bench/src/standin/platform/tests.rs
+++ b/dockgate-bench/src/standin/platform/tests.rs
@@ -1,8 +1,19 @@
 use super::*;
-use dockgate_platform::{PlatformClient, PutCondition, PutOutcome, StoreEvent, WatchOutcome};
+use dockgate_platform::{
+    PlatformClient, PutCondition, PutOutcome, StoreChanges, StoreEvent, WatchOutcome,
+};
 
 const WAIT: Duration = Duration::from_secs(5);
 
+/// What a watch tells in the first era.
+fn changes(events: Vec<StoreEvent>, revision: u64) -> WatchOutcome {
+    WatchOutcome::Changes(StoreChanges {
+        events,
+        revision,
+        era: Some(1),
+    })
+}
+
 async fn pair() -> (PlatformStandIn, PlatformClient) {
     let standin = PlatformStandIn::start().await.unwrap();
     let client = PlatformClient::new(standin.address, WAIT);
@@ -39,7 +50,10 @@
     let value = Bytes::from_static(b"v");
     let lost = client.put("k", value, PutCondition::Absent, None).await;
     assert!(lost.is_err());
-    let WatchOutcome::Changes(events, revision) = watch.await.unwrap().unwrap() else {
+    let WatchOutcome::Changes(StoreChanges {
+        events, revision, ..
+    }) = watch.await.unwrap().unwrap()
+    else {
         panic!("the history is there");
     };
     assert!(matches!(&events[..], [StoreEvent::Written(item)] if item.bytes == "v"));
@@ -72,7 +86,7 @@
     assert_eq!(put(lease.id).await.unwrap(), PutOutcome::NoLease);
     let outcome = client.watch("k", 1, WAIT).await.unwrap();
     let removed = StoreEvent::Removed("k".to_owned(), 2);
-    assert_eq!(outcome, WatchOutcome::Changes(vec![removed], 2));
+    assert_eq!(outcome, changes(vec![removed], 2));
     drop(standin);
 }
 
@@ -106,7 +120,7 @@
         .watch("e/", 1_204, Duration::from_millis(1))
         .await
         .unwrap();
-    assert_eq!(none, WatchOutcome::Changes(Vec::new(), 1_204));
+    assert_eq!(none, changes(Vec::new(), 1_204));
 }
 
 #[tokio::test]
--- a/dockgate-bench/tests/drain.rs
+++ b/dockgate-bench/tests/drain.rs
@@ -21,13 +21,15 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
 use dockgate_bench::standin::caller::{call, request};
 use dockgate_bench::standin::{RoutedStandIn, StoreDoor};
-use dockgate_core::gateway::{EndpointNews, ToldEndpoint};
+use dockgate_core::gateway::{EndpointNews, StoreRevision, ToldEndpoint};
 use dockgate_platform::{StoredValue, decode_endpoint, decode_routes};
 use dockgate_proto::StateAnswer;
 use http::StatusCode;
 use std::time::{Duration, Instant};
 
 const KEYS: &str = r#""k1""#;
+/// The era in which the store begins.
+const FIRST_ERA: u64 = 1;
 
 async fn start(gateways: usize) -> GatewayFleet {
     let services = ["plain", "plain"];
@@ -45,8 +47,9 @@
     };
     ToldEndpoint {
         record: decode_endpoint(&stored).unwrap(),
-        revision,
+        revision: StoreRevision::new(FIRST_ERA, revision),
         doubt: None,
+        waits_ms: None,
     }
 }
 
@@ -70,7 +73,7 @@
     let knows = StateAnswer {
         config: Some(config),
         endpoints: Some(EndpointNews {
-            revision: newer,
+            revision: StoreRevision::new(FIRST_ERA, newer),
             endpoints: vec![told(leaving, "draining", newer), told(staying, "ready", 1)],
             ..EndpointNews::default()
         }),
--- a/dockgate-bench/tests/older_copy.rs
+++ b/dockgate-bench/tests/older_copy.rs
@@ -26,7 +26,9 @@
     for number in 0..changes {
         let (key, value) = fleet.endpoints[number % 3].record("a", "ready");
         let slots = format!("\"capacity\":{}", 8 + number % 2);
-        fleet.store.set(&key, value.replace("\"capacity\":8", &slots));
+        fleet
+            .store
+            .set(&key, value.replace("\"capacity\":8", &slots));
     }
 }
 
--- a/dockgate-config/src/config_store.rs
+++ b/dockgate-config/src/config_store.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use dockgate_core::{ConfigEntry, ConfigPlan, FleetConfig};
 use dockgate_platform::{
-    PlatformClient, PlatformError, PutCondition, PutOutcome, StoreEvent, StoredValue, WatchOutcome,
-    parse_value,
+    PlatformClient, PlatformError, PutCondition, PutOutcome, StoreChanges, StoreEvent, StoredValue,
+    WatchOutcome, parse_value,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -97,7 +97,7 @@
     ) -> Result<Option<(ConfigHead, u64)>, PlatformError> {
         match self.client.watch(HEAD, since, wait).await? {
             WatchOutcome::HistoryLost => self.head().await.map(Some),
-            WatchOutcome::Changes(events, _) => {
+            WatchOutcome::Changes(StoreChanges { events, .. }) => {
                 let written = events.into_iter().rev().find_map(|event| match event {
                     StoreEvent::Written(value) if value.key == HEAD => Some(value),
                     _ => None,
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -27,6 +27,7 @@
 mod endpoint_notice;
 mod engine_book;
 mod engine_load;
+mod era_book;
 mod event_splitter;
 mod fleet_view;
 mod home_order;
@@ -43,6 +44,7 @@
 mod share_window;
 mod store_duty;
 mod store_probe;
+mod store_revision;
 mod suspect_book;
 mod wake_gate;
 mod watch_check;
@@ -63,6 +65,7 @@
 pub use endpoint_notice::EndpointNotice;
 pub use engine_book::{AskTimes, EngineAsk, EngineBook, RunKey};
 pub use engine_load::{EngineLoad, EngineRun};
+pub use era_book::{EraBook, EraNews};
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use fleet_view::{BoxNews, FleetView, InformedBox};
 pub use home_order::{best_homes, home_subject, name_hash, owner_of_endpoint};
@@ -83,6 +86,7 @@
 pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
 pub use store_probe::{ProbeNews, ProbeRule, StoreProbe};
+pub use store_revision::StoreRevision;
 pub use suspect_book::{
     Quarantine, QuarantineStage, SuspectBook, SuspectNews, SuspectRow, SuspectSign,
 };
--- a/dockgate-core/src/gateway/box_beat.rs
+++ b/dockgate-core/src/gateway/box_beat.rs
@@ -13,6 +13,7 @@
 //! ```
 
 use super::home_order::name_hash;
+use super::store_revision::StoreRevision;
 use crate::ids::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -131,7 +132,7 @@
     /// The version of its configuration; 0 where it has none.
     pub config_version: u64,
     /// The store's revision up to which it knows the endpoints.
-    pub endpoint_revision: u64,
+    pub endpoint_revision: StoreRevision,
 }
 
 impl BoxBeat {
@@ -145,7 +146,7 @@
             standing: BoxStanding::new(1_000),
             sequence: 1,
             config_version: 0,
-            endpoint_revision: 0,
+            endpoint_revision: StoreRevision::NONE,
         }
     }
 
@@ -172,16 +173,17 @@
 
     /// Sets what the box knows: the version of its configuration, the revision of its endpoints.
     #[must_use]
-    pub const fn known(mut self, config_version: u64, endpoint_revision: u64) -> Self {
+    pub const fn known(mut self, config_version: u64, endpoint_revision: StoreRevision) -> Self {
         self.config_version = config_version;
         self.endpoint_revision = endpoint_revision;
         self
     }
 
-    /// Returns how new its knowledge is: a version or a revision.
-    pub const fn known_of(&self, what: BoxKnowledge) -> u64 {
+    /// Returns how new its knowledge is: a version, as one of the first era, or a revision.
+    pub const fn known_of(&self, what: BoxKnowledge) -> StoreRevision {
         match what {
-            BoxKnowledge::Config => self.config_version,
+            // Versions never go back, whatever becomes of the store.
+            BoxKnowledge::Config => StoreRevision::new(0, self.config_version),
             BoxKnowledge::Endpoints => self.endpoint_revision,
         }
     }
--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -5,6 +5,9 @@
 //! lapse while the store is away; they are kept for a moment after its return, since the endpoints
 //! need that long to write them again.
 //!
+//! The store may come back from an older copy. What it tells then is of a later era and replaces what is known by a
+//! listing; what an endpoint had said before of its end stands, and what is missing is kept for the same moment.
+//!
 //! An endpoint may start again under its id. Of two lifetimes the one that started later counts, whatever the
 //! revisions of their records: a write of the earlier one may be carried out late. What is believed of the
 //! earlier one goes with it.
@@ -24,6 +27,7 @@
 use super::endpoint_notice::EndpointNotice;
 use super::notice_book::{NoticeBook, NoticeNews};
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
+use super::store_revision::StoreRevision;
 use life_memory::{LastLife, LifeMemory};
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
@@ -43,28 +47,31 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointChange {
     /// It was written at this revision.
-    Put(EndpointRecord, u64),
+    Put(EndpointRecord, StoreRevision),
+    /// It was written at this revision, and the box that tells of it does not use it for so many more milliseconds.
+    Waiting(EndpointRecord, StoreRevision, u64),
     /// The record of this id was overwritten at this revision by one that names no endpoint to use.
-    Unusable(String, u64),
+    Unusable(String, StoreRevision),
     /// The record of this id was removed at this revision.
-    Removed(String, u64),
+    Removed(String, StoreRevision),
 }
 
 impl EndpointChange {
     /// Returns the id that it is about.
     pub fn id(&self) -> &str {
         match self {
-            Self::Put(record, _) => &record.id,
+            Self::Put(record, _) | Self::Waiting(record, ..) => &record.id,
             Self::Unusable(id, _) | Self::Removed(id, _) => id,
         }
     }
 
     /// Returns the store's revision at which it came.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         match self {
-            Self::Put(_, revision) | Self::Unusable(_, revision) | Self::Removed(_, revision) => {
-                *revision
-            }
+            Self::Put(_, revision)
+            | Self::Waiting(_, revision, _)
+            | Self::Unusable(_, revision)
+            | Self::Removed(_, revision) => *revision,
         }
     }
 }
@@ -96,15 +103,15 @@
     memory: LifeMemory,
     notices: NoticeBook,
     reach: DomainReach,
-    revision: u64,
+    revision: StoreRevision,
     /// The revision of the last whole list that was taken in: what was removed before is not known.
-    whole_at: u64,
+    whole_at: StoreRevision,
 }
 
 impl EndpointBook {
     /// Returns the newest revision of a change that is known. Boxes with the same one know the same,
     /// but for a removal that one of them never saw.
-    pub const fn revision(&self) -> u64 {
+    pub const fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -124,6 +131,9 @@
         self.advance(change.revision());
         match change {
             EndpointChange::Put(record, revision) => self.put(record, revision),
+            EndpointChange::Waiting(record, revision, waits_ms) => {
+                self.wait_for(record, revision, waits_ms)
+            }
             EndpointChange::Unusable(id, revision) => self.spoil(EndpointName::new(&id), revision),
             EndpointChange::Removed(id, revision) => {
                 self.remove(EndpointName::new(&id), revision, kept_until_ms)
@@ -148,7 +158,7 @@
     }
 
     /// Notes that all changes up to a revision are known.
-    pub fn advance(&mut self, revision: u64) {
+    pub fn advance(&mut self, revision: StoreRevision) {
         self.revision = self.revision.max(revision);
     }
 
@@ -170,14 +180,37 @@
         }
     }
 
-    fn put(&mut self, record: EndpointRecord, revision: u64) -> bool {
+    /// Takes in a record that the box which tells of it does not use yet: nor does this one, unless it knows of no
+    /// reason.
+    fn wait_for(&mut self, record: EndpointRecord, revision: StoreRevision, waits_ms: u64) -> bool {
+        match () {
+            () if self.endpoints.contains_key(&record.key()) => self.put(record, revision),
+            () if self.is_over(&record, revision) => false,
+            () => {
+                self.memory.set_aside_told(record, revision, waits_ms);
+                false
+            }
+        }
+    }
+
+    /// Tells whether a lifetime that is not known was missing in a whole list of this revision or a later one: it had
+    /// been removed by then.
+    fn is_over(&self, record: &EndpointRecord, revision: StoreRevision) -> bool {
+        revision <= self.whole_at && !self.endpoints.contains_key(&record.key())
+    }
+
+    fn put(&mut self, record: EndpointRecord, revision: StoreRevision) -> bool {
         let name = record.name();
-        if self.memory.is_removed(name, revision) {
+        if self.is_over(&record, revision) || self.memory.is_removed(name, revision) {
             return false;
         }
         let last = self.last_life(name);
         let order = record.born_ms.cmp(&last.born_ms);
         match order {
+            Ordering::Less if revision.era > last.revision.era => {
+                self.memory.set_aside_returned(record, revision);
+                return false;
+            }
             Ordering::Less if revision > last.revision => {
                 self.memory.set_aside(record, revision);
                 return false;
@@ -195,7 +228,7 @@
     }
 
     /// Puts a lifetime in the place of the one that is known of its id; nothing of that one is kept.
-    fn begin_life(&mut self, record: EndpointRecord, revision: u64) {
+    fn begin_life(&mut self, record: EndpointRecord, revision: StoreRevision) {
         let (name, id) = (record.name(), record.key());
         let before = self.lives.insert(name, id);
         let before = before.and_then(|before| self.endpoints.remove(&before));
@@ -205,7 +238,7 @@
     }
 
     /// Forgets the lifetime of an id; returns what was known of it.
-    fn end_life(&mut self, name: EndpointName, revision: u64) -> Option<EndpointEntry> {
+    fn end_life(&mut self, name: EndpointName, revision: StoreRevision) -> Option<EndpointEntry> {
         let id = self.lives.remove(&name);
         let ended = id.and_then(|id| self.endpoints.remove(&id));
         let born_ms = ended.as_ref().and_then(|ended| ended.record.born_ms);
@@ -215,7 +248,7 @@
     }
 
     /// Notes that the record of an id names no endpoint to use.
-    fn spoil(&mut self, name: EndpointName, revision: u64) -> bool {
+    fn spoil(&mut self, name: EndpointName, revision: StoreRevision) -> bool {
         self.memory.drop_aside(name, revision);
         match self.life_mut(name) {
             Some(known) => known.spoil(revision),
@@ -227,7 +260,12 @@
         }
     }
 
-    fn remove(&mut self, name: EndpointName, revision: u64, kept_until_ms: Option<u64>) -> bool {
+    fn remove(
+        &mut self,
+        name: EndpointName,
+        revision: StoreRevision,
+        kept_until_ms: Option<u64>,
+    ) -> bool {
         self.memory.drop_aside(name, revision);
         let Some(known) = self.life_mut(name) else {
             // Its record may still be on the way.
@@ -249,16 +287,25 @@
     pub fn replace(
         &mut self,
         listed: Vec<EndpointChange>,
-        revision: u64,
+        revision: StoreRevision,
         kept_until_ms: Option<u64>,
     ) -> bool {
         let names = listed.iter().map(|change| EndpointName::new(change.id()));
         let names: HashSet<EndpointName> = names.collect();
-        self.whole_at = self.whole_at.max(revision);
         let mut changed = false;
         for change in listed {
-            changed |= self.take(change, kept_until_ms);
+            changed |= match change {
+                EndpointChange::Put(record, revision)
+                    if !self.is_over(&record, revision)
+                        && self.memory.is_returned(&record, revision) =>
+                {
+                    self.memory.set_aside_returned(record, revision);
+                    false
+                }
+                change => self.take(change, kept_until_ms),
+            };
         }
+        self.memory.keep_aside_only(&names, revision);
         let known = self.lives.keys();
         let missing = known.filter(|name| !names.contains(name)).copied();
         let mut missing: Vec<EndpointName> = missing.collect();
@@ -266,6 +313,7 @@
         for name in missing {
             changed |= self.remove(name, revision, kept_until_ms);
         }
+        self.whole_at = self.whole_at.max(revision);
         if changed {
             self.index();
         }
@@ -280,7 +328,7 @@
             let missed = entry.lapsed_revision(now_ms)?;
             Some((entry.record.name(), missed))
         });
-        let lapsed: Vec<(EndpointName, u64)> = lapsed.collect();
+        let lapsed: Vec<(EndpointName, StoreRevision)> = lapsed.collect();
         let lapsed = lapsed
             .into_iter()
             .filter_map(|(name, revision)| self.end_life(name, revision));
@@ -453,6 +501,8 @@
     }
 }
 
+#[cfg(test)]
+mod era_tests;
 #[cfg(test)]
 mod life_tests;
 #[cfg(test)]
--- a/dockgate-core/src/gateway/endpoint_book/endpoint_entry.rs
+++ b/dockgate-core/src/gateway/endpoint_book/endpoint_entry.rs
@@ -3,6 +3,7 @@
 use super::endpoint_news::{ToldDoubt, ToldEndpoint};
 use crate::gateway::endpoint_health::EndpointHealth;
 use crate::gateway::route_table::{EndpointRecord, EndpointState};
+use crate::gateway::store_revision::StoreRevision;
 
 /// One endpoint as this box sees it.
 #[derive(Debug, Clone)]
@@ -10,7 +11,7 @@
     /// What it says of itself.
     pub record: EndpointRecord,
     /// The store's revision of the record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// How far it is trusted.
     pub health: EndpointHealth,
     /// Requests of this box that it has.
@@ -21,7 +22,7 @@
 
 impl EndpointEntry {
     /// Makes the entry of an endpoint of which nothing is known but its record.
-    pub(super) fn new(record: EndpointRecord, revision: u64) -> Self {
+    pub(super) fn new(record: EndpointRecord, revision: StoreRevision) -> Self {
         Self {
             record,
             revision,
@@ -43,17 +44,28 @@
     }
 
     /// Returns the revision of the last thing that is known of it.
-    pub(super) fn newest_revision(&self) -> u64 {
-        let missed = self.doubt.map_or(0, |doubt| doubt.revision);
+    pub(super) fn newest_revision(&self) -> StoreRevision {
+        let missed = self
+            .doubt
+            .map_or(StoreRevision::NONE, |doubt| doubt.revision);
         self.revision.max(missed)
     }
 
     /// Takes a record of the same lifetime in, unless it is older than what is known; returns whether it changed
     /// anything.
-    pub(super) fn write(&mut self, record: EndpointRecord, revision: u64) -> bool {
+    pub(super) fn write(&mut self, record: EndpointRecord, revision: StoreRevision) -> bool {
         if revision <= self.newest_revision() {
             return false;
         }
+        let has_left = self.record.state == EndpointState::Draining;
+        let state = match record.state {
+            // The store may have come back from a copy of before it said so; it says so again a moment later.
+            EndpointState::Ready if has_left && revision.era > self.revision.era => {
+                EndpointState::Draining
+            }
+            state => state,
+        };
+        let record = EndpointRecord { state, ..record };
         let changed = self.record != record || self.doubt.is_some();
         self.record = record;
         self.revision = revision;
@@ -63,7 +75,7 @@
 
     /// Notes that its record was overwritten by one that names no endpoint to use: it takes nothing new, and what
     /// is known of it stays for when it writes its own again.
-    pub(super) fn spoil(&mut self, revision: u64) -> bool {
+    pub(super) fn spoil(&mut self, revision: StoreRevision) -> bool {
         let record = EndpointRecord {
             state: EndpointState::Unusable,
             ..self.record.clone()
@@ -72,7 +84,7 @@
     }
 
     /// Returns at which revision its record was missed, where it is not kept any longer.
-    pub(super) fn lapsed_revision(&self, now_ms: u64) -> Option<u64> {
+    pub(super) fn lapsed_revision(&self, now_ms: u64) -> Option<StoreRevision> {
         let doubt = self.doubt.filter(|doubt| doubt.until_ms <= now_ms)?;
         Some(doubt.revision)
     }
@@ -86,12 +98,13 @@
                 revision: doubt.revision,
                 lapses_in_ms: doubt.until_ms.saturating_sub(now_ms),
             }),
+            waits_ms: None,
         }
     }
 
     /// Notes that its record was missing at this revision, and until when it is kept; the time does not
     /// move once it is named.
-    pub(super) fn note_missed(&mut self, revision: u64, until_ms: u64) {
+    pub(super) fn note_missed(&mut self, revision: StoreRevision, until_ms: u64) {
         let doubt = self.doubt.get_or_insert(EntryDoubt { revision, until_ms });
         doubt.revision = doubt.revision.max(revision);
     }
@@ -105,7 +118,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct EntryDoubt {
     /// The store's revision at which it was missed.
-    revision: u64,
+    revision: StoreRevision,
     /// Until when it is kept.
     until_ms: u64,
 }
--- a/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
+++ b/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
@@ -2,7 +2,8 @@
 
 use super::life_memory::LastLife;
 use super::{EndpointBook, EndpointChange};
-use crate::gateway::route_table::{EndpointId, EndpointName, EndpointRecord};
+use crate::gateway::route_table::{EndpointName, EndpointRecord};
+use crate::gateway::store_revision::StoreRevision;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -12,16 +13,20 @@
     /// What it says of itself.
     pub record: EndpointRecord,
     /// The store's revision of its record.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Set where the box that tells of it keeps it although its record is missing.
     pub doubt: Option<ToldDoubt>,
+    /// Set where the box that tells of it does not use it yet, for so many more milliseconds: it had left, or another
+    /// lifetime had taken its place, before its record came back.
+    #[serde(default)]
+    pub waits_ms: Option<u64>,
 }
 
 /// How long an endpoint in doubt is kept by the box that tells of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldDoubt {
     /// The store's revision at which its record was missed.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// For how many more milliseconds it is kept.
     pub lapses_in_ms: u64,
 }
@@ -32,7 +37,7 @@
     /// Its id.
     pub name: EndpointName,
     /// The store's revision at which its record went.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// When its last lifetime started, in Unix milliseconds, where that is known.
     pub born_ms: Option<u64>,
 }
@@ -44,9 +49,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointNews {
     /// After which of the store's revisions the changes came that are told; none where all endpoints are.
-    pub since: Option<u64>,
+    pub since: Option<StoreRevision>,
     /// The revision up to which the box that tells knows.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The endpoints, or those that changed.
     pub endpoints: Vec<ToldEndpoint>,
     /// Those that were removed; none where all endpoints are told.
@@ -67,32 +72,42 @@
 }
 
 impl EndpointBook {
+    /// Within which time of the store's return endpoints have written their records again, in milliseconds, as the
+    /// users' notes on their store say.
+    const WRITTEN_AGAIN_MS: u64 = 2_000;
+
     /// Returns a sum over the endpoints that are there for certain: boxes with the same revision and the
     /// same sum know the same.
     pub fn sum(&self) -> u64 {
         let certain = self.iter().filter(|(_, entry)| entry.doubt().is_none());
         let parts = certain.map(|(id, entry)| {
-            let mut bytes = [0; 16];
+            let mut bytes = [0; 24];
             bytes[..8].copy_from_slice(&id.0.to_le_bytes());
-            bytes[8..].copy_from_slice(&entry.revision.to_le_bytes());
+            bytes[8..16].copy_from_slice(&entry.revision.era.to_le_bytes());
+            bytes[16..].copy_from_slice(&entry.revision.number.to_le_bytes());
             xxh3_64(&bytes)
         });
         parts.fold(0, u64::wrapping_add)
     }
 
-    /// Tells what changed after revision `since`; or all, where that is 0 or not known any more.
-    pub fn tell(&self, since: u64, now_ms: u64) -> EndpointNews {
+    /// Tells what changed after revision `since`; or all, where that is none or not known any more.
+    pub fn tell(&self, since: StoreRevision, now_ms: u64) -> EndpointNews {
         let known_from = self.whole_at.max(self.memory.forgotten());
-        let since = Some(since).filter(|since| *since > 0 && *since >= known_from);
-        let after = since.unwrap_or(0);
+        let since =
+            Some(since).filter(|since| *since > StoreRevision::NONE && *since >= known_from);
+        let after = since.unwrap_or_default();
         let entries = self.endpoints.values();
         let changed = entries.filter(|entry| since.is_none() || entry.newest_revision() > after);
         let removed = self.memory.removed_after(after);
         let removed = removed.filter(|_| since.is_some());
+        let aside = self.memory.aside_after(after, now_ms);
         EndpointNews {
             since,
             revision: self.revision,
-            endpoints: changed.map(|entry| entry.tell(now_ms)).collect(),
+            endpoints: changed
+                .map(|entry| entry.tell(now_ms))
+                .chain(aside)
+                .collect(),
             removed: removed
                 .map(|(name, life)| RemovedEndpoint {
                     name,
@@ -115,14 +130,20 @@
         } = news;
         let doubts = endpoints.iter().filter_map(|endpoint| {
             let doubt = endpoint.doubt?;
-            Some((endpoint.record.key(), doubt))
+            Some((endpoint.record.name(), doubt))
         });
-        let doubts: Vec<(EndpointId, ToldDoubt)> = doubts.collect();
+        let doubts: Vec<(EndpointName, ToldDoubt)> = doubts.collect();
         let told = endpoints.into_iter();
-        let told = told.map(|told| EndpointChange::Put(told.record, told.revision));
+        let told = told.map(|told| match told.waits_ms {
+            Some(waits_ms) => EndpointChange::Waiting(told.record, told.revision, waits_ms),
+            None => EndpointChange::Put(told.record, told.revision),
+        });
+        // Of a later era the box that tells may have listed what endpoints have not written again yet.
+        let is_later = revision.era > self.whole_at.era && self.whole_at > StoreRevision::NONE;
+        let kept_until_ms = is_later.then_some(now_ms + Self::WRITTEN_AGAIN_MS);
         let mut changes = Vec::new();
         let changed = match since {
-            None => self.replace(told.collect(), revision, None),
+            None => self.replace(told.collect(), revision, kept_until_ms),
             Some(_) => {
                 for endpoint in removed {
                     changes.extend(self.learn_removed(endpoint));
@@ -133,9 +154,11 @@
             }
         };
         self.advance(revision);
-        // Giving one up raises no revision, so a box that was not told would believe in it for good.
-        for (id, doubt) in doubts {
-            let known = self.endpoints.get_mut(&id);
+        // Giving one up raises no revision, so a box that was not told would believe in it for good. Whichever lifetime
+        // is known here: there was no record of any.
+        for (name, doubt) in doubts {
+            self.memory.drop_aside(name, doubt.revision);
+            let known = self.life_mut(name);
             if let Some(known) = known.filter(|known| known.revision < doubt.revision) {
                 known.note_missed(doubt.revision, now_ms + doubt.lapses_in_ms);
             }
--- a/dockgate-core/src/gateway/endpoint_book/life_tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/life_tests.rs
@@ -5,6 +5,11 @@
 
 const FIRST: u64 = 1_000_000;
 
+/// Names a revision of a store that names no era.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 /// Makes the record of a lifetime; later ones have higher numbers.
 fn life(number: u64, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
@@ -20,11 +25,11 @@
 }
 
 fn ready(number: u64, revision: u64) -> EndpointChange {
-    EndpointChange::Put(life(number, EndpointState::Ready), revision)
+    EndpointChange::Put(life(number, EndpointState::Ready), at(revision))
 }
 
 fn draining(number: u64, revision: u64) -> EndpointChange {
-    EndpointChange::Put(life(number, EndpointState::Draining), revision)
+    EndpointChange::Put(life(number, EndpointState::Draining), at(revision))
 }
 
 fn key(number: u64) -> EndpointId {
@@ -68,9 +73,9 @@
     for late in [draining(1, 2), ready(1, 5), draining(1, 6)] {
         assert!(!book.apply(late, None));
     }
-    assert!(!book.apply(EndpointChange::Removed("e".to_owned(), 3), None));
+    assert!(!book.apply(EndpointChange::Removed("e".to_owned(), at(3)), None));
     let entry = book.get(key(2)).unwrap();
-    assert_eq!((entry.in_flight, entry.revision), (1, 4));
+    assert_eq!((entry.in_flight, entry.revision), (1, at(4)));
     assert_eq!(takes_work(&book), [key(2)]);
 }
 
@@ -86,7 +91,7 @@
 fn a_record_of_a_life_that_has_left_since_brings_no_work() {
     let book = book_of([draining(2, 5), ready(2, 4)]);
     assert_eq!(takes_work(&book), []);
-    let removed = EndpointChange::Removed("e".to_owned(), 6);
+    let removed = EndpointChange::Removed("e".to_owned(), at(6));
     let book = book_of([ready(1, 3), ready(2, 4), removed, ready(2, 5)]);
     assert_eq!(takes_work(&book), []);
 }
@@ -99,7 +104,7 @@
 
 #[test]
 fn a_late_write_of_a_life_that_was_removed_brings_it_back_for_nobody() {
-    let removed = EndpointChange::Removed("e".to_owned(), 5);
+    let removed = EndpointChange::Removed("e".to_owned(), at(5));
     let mut book = book_of([ready(1, 3), ready(2, 4), removed, ready(1, 6)]);
     assert_eq!(takes_work(&book), []);
     assert!(book.apply(ready(2, 7), None), "it writes its record again");
@@ -131,7 +136,7 @@
     };
     let id = silent.key();
     assert_eq!(id, EndpointId::from_name("e"));
-    let mut book = book_of([EndpointChange::Put(silent, 3)]);
+    let mut book = book_of([EndpointChange::Put(silent, at(3))]);
     assert_eq!(takes_work(&book), [id]);
     book.apply(ready(1, 4), None);
     assert_eq!(takes_work(&book), [key(1)], "it says so by now");
@@ -139,8 +144,8 @@
 
 #[test]
 fn what_a_box_of_an_earlier_version_tells_is_used() {
-    let told = r#"{"since":null,"revision":3,"endpoints":[{"record":{"id":"e","service":"x",
-        "address":"10.0.0.1:80","domain":"a","slots":4,"state":"Ready","warmup_ms":0},"revision":3,
+    let told = r#"{"since":null,"revision":{"era":0,"number":3},"endpoints":[{"record":{"id":"e","service":"x",
+        "address":"10.0.0.1:80","domain":"a","slots":4,"state":"Ready","warmup_ms":0},"revision":{"era":0,"number":3},
         "doubt":null}],"removed":[],"sum":0}"#;
     let news: EndpointNews = serde_json::from_str(told).unwrap();
     let mut book = EndpointBook::default();
@@ -152,11 +157,11 @@
 fn a_record_that_somebody_else_overwrote_brings_no_work_until_its_endpoint_writes_again() {
     let mut book = book_of([ready(1, 3)]);
     book.note_sent(key(1), 1_000);
-    assert!(book.apply(EndpointChange::Unusable("e".to_owned(), 4), None));
+    assert!(book.apply(EndpointChange::Unusable("e".to_owned(), at(4)), None));
     assert_eq!((takes_work(&book), book.iter().count()), (Vec::new(), 1));
     assert!(!book.apply(ready(1, 3), None), "an older record");
     let mut told = EndpointBook::default();
-    told.learn(book.tell(0, 1_000), 1_000);
+    told.learn(book.tell(StoreRevision::NONE, 1_000), 1_000);
     assert_eq!((takes_work(&told), told.sum()), (Vec::new(), book.sum()));
     assert!(book.apply(ready(1, 5), None));
     assert_eq!(takes_work(&book), [key(1)]);
@@ -169,7 +174,7 @@
 
 #[test]
 fn a_record_that_no_endpoint_ever_wrote_names_none() {
-    let mut book = book_of([EndpointChange::Unusable("e".to_owned(), 4)]);
+    let mut book = book_of([EndpointChange::Unusable("e".to_owned(), at(4))]);
     assert_eq!(book.iter().count(), 0);
     assert!(
         !book.apply(ready(1, 3), None),
@@ -177,8 +182,8 @@
     );
     assert!(book.apply(ready(1, 5), None));
     book.replace(
-        vec![EndpointChange::Unusable("e".to_owned(), 6)],
-        7,
+        vec![EndpointChange::Unusable("e".to_owned(), at(6))],
+        at(7),
         Some(3_000),
     );
     assert_eq!((takes_work(&book), book.iter().count()), (Vec::new(), 1));
@@ -227,7 +232,7 @@
 fn learn(books: &mut [EndpointBook; BOXES], from: usize, to: usize) {
     let news = books[from].tell(books[to].revision(), 0);
     if !books[to].learn(news, 0).agrees {
-        let all = books[from].tell(0, 0);
+        let all = books[from].tell(StoreRevision::NONE, 0);
         books[to].learn(all, 0);
     }
 }
@@ -256,8 +261,8 @@
                 LifeStep::LateWrite(_) if number == 1 => {}
                 LifeStep::LateWrite(true) => history.push(ready(number - 1, revision)),
                 LifeStep::LateWrite(false) => history.push(draining(number - 1, revision)),
-                LifeStep::Spoil => history.push(EndpointChange::Unusable("e".to_owned(), revision)),
-                LifeStep::Remove => history.push(EndpointChange::Removed("e".to_owned(), revision)),
+                LifeStep::Spoil => history.push(EndpointChange::Unusable("e".to_owned(), at(revision))),
+                LifeStep::Remove => history.push(EndpointChange::Removed("e".to_owned(), at(revision))),
                 LifeStep::Hear(at, change) => {
                     books[at].apply(change.get(&history).clone(), None);
                 }
--- a/dockgate-core/src/gateway/endpoint_book/notice_tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/notice_tests.rs
@@ -6,6 +6,11 @@
     rest: None,
 };
 
+/// Names a revision of a store that names no era.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 fn record(born_ms: u64, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
         id: "e".to_owned(),
@@ -20,7 +25,7 @@
 }
 
 fn put(born_ms: u64, revision: u64) -> EndpointChange {
-    EndpointChange::Put(record(born_ms, EndpointState::Ready), revision)
+    EndpointChange::Put(record(born_ms, EndpointState::Ready), at(revision))
 }
 
 fn takes_work(book: &EndpointBook, id: EndpointId) -> bool {
@@ -66,19 +71,19 @@
         prop_assert!(!takes_work(&book, id));
         for fault in faults {
             revision += 1;
-            let removed = EndpointChange::Removed("e".to_owned(), revision);
+            let removed = EndpointChange::Removed("e".to_owned(), at(revision));
             match fault {
                 RecordFault::WrittenReady => drop(book.apply(put(1, revision), None)),
                 RecordFault::Removed => drop(book.apply(removed, None)),
                 RecordFault::Lapsed => drop(book.apply(removed, Some(now_ms + 2_000))),
                 RecordFault::Unusable => {
-                    book.apply(EndpointChange::Unusable("e".to_owned(), revision), None);
+                    book.apply(EndpointChange::Unusable("e".to_owned(), at(revision)), None);
                 }
-                RecordFault::ListedWithout => drop(book.replace(Vec::new(), revision, None)),
+                RecordFault::ListedWithout => drop(book.replace(Vec::new(), at(revision), None)),
                 RecordFault::ToldByAnother => {
                     let mut other = EndpointBook::default();
                     other.apply(put(1, revision), None);
-                    book.learn(other.tell(0, now_ms), now_ms);
+                    book.learn(other.tell(StoreRevision::NONE, now_ms), now_ms);
                 }
                 RecordFault::Time => {
                     now_ms += 5_000;
@@ -120,7 +125,7 @@
             ..record(1, EndpointState::Ready)
         };
         let key = record.key();
-        book.apply(EndpointChange::Put(record, 1), None);
+        book.apply(EndpointChange::Put(record, at(1)), None);
         key
     });
     book.hear(ids[0], rests(3_000), 1_000, 0.0);
@@ -172,7 +177,7 @@
                 RestFault::Sent => book.note_sent(id, now_ms),
                 RestFault::AsksForLess => drop(book.hear(id, rests(1), now_ms, draw)),
                 RestFault::RemovedAndWritten => {
-                    book.apply(EndpointChange::Removed("e".to_owned(), revision + 1), None);
+                    book.apply(EndpointChange::Removed("e".to_owned(), at(revision + 1)), None);
                     revision += 2;
                     book.apply(put(1, revision), None);
                 }
@@ -196,7 +201,7 @@
     let records: Vec<EndpointRecord> = records.collect();
     let ids = records.iter().map(EndpointRecord::key).collect();
     for record in records {
-        book.apply(EndpointChange::Put(record, 1), None);
+        book.apply(EndpointChange::Put(record, at(1)), None);
     }
     (book, ids)
 }
--- a/dockgate-core/src/gateway/endpoint_book/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_book/tests.rs
@@ -1,6 +1,11 @@
 use super::*;
 use proptest::prelude::*;
 
+/// Names a revision of a store that names no era.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision::new(0, number)
+}
+
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
         id: id.to_owned(),
@@ -15,14 +20,14 @@
 }
 
 fn put(id: &str, revision: u64) -> EndpointChange {
-    EndpointChange::Put(record(id, EndpointState::Ready), revision)
+    EndpointChange::Put(record(id, EndpointState::Ready), at(revision))
 }
 
 #[test]
 fn an_older_record_never_replaces_a_newer_one() {
     let mut book = EndpointBook::default();
     assert!(book.apply(
-        EndpointChange::Put(record("e", EndpointState::Draining), 9),
+        EndpointChange::Put(record("e", EndpointState::Draining), at(9)),
         None
     ));
     assert!(!book.apply(put("e", 8), None));
@@ -33,7 +38,7 @@
 fn a_removed_endpoint_is_not_brought_back_by_a_late_record() {
     let mut book = EndpointBook::default();
     book.apply(put("e", 3), None);
-    assert!(book.apply(EndpointChange::Removed("e".to_owned(), 5), None));
+    assert!(book.apply(EndpointChange::Removed("e".to_owned(), at(5)), None));
     assert!(!book.apply(put("e", 4), None));
     assert!(book.apply(put("e", 6), None));
 }
@@ -43,7 +48,7 @@
     let mut book = EndpointBook::default();
     book.apply(put("back", 3), None);
     book.apply(put("gone", 3), None);
-    book.replace(Vec::new(), 10, Some(2_000));
+    book.replace(Vec::new(), at(10), Some(2_000));
     assert_eq!(book.ready("x").len(), 2);
     book.apply(put("back", 11), None);
     assert!(book.expire(1_999).is_empty());
@@ -55,10 +60,10 @@
 fn an_endpoint_that_was_draining_is_gone_at_once() {
     let mut book = EndpointBook::default();
     book.apply(
-        EndpointChange::Put(record("e", EndpointState::Draining), 3),
+        EndpointChange::Put(record("e", EndpointState::Draining), at(3)),
         None,
     );
-    book.replace(Vec::new(), 10, Some(2_000));
+    book.replace(Vec::new(), at(10), Some(2_000));
     assert_eq!(book.iter().count(), 0);
 }
 
@@ -70,7 +75,7 @@
         let id = EndpointId::from_name("e");
         for revision in &order {
             let change = match revision % 4 {
-                0 => EndpointChange::Removed("e".to_owned(), *revision),
+                0 => EndpointChange::Removed("e".to_owned(), at(*revision)),
                 _ => put("e", *revision),
             };
             book.apply(change, None);
@@ -90,14 +95,14 @@
             let id = ["e", "f", "g", "h"][name];
             let kept_until_ms = (kept > 5).then_some(kept * 100);
             match kind {
-                0 => drop(book.apply(EndpointChange::Removed(id.to_owned(), revision), kept_until_ms)),
+                0 => drop(book.apply(EndpointChange::Removed(id.to_owned(), at(revision)), kept_until_ms)),
                 1 => {
                     let draining = record(id, EndpointState::Draining);
-                    book.apply(EndpointChange::Put(draining, revision), kept_until_ms);
+                    book.apply(EndpointChange::Put(draining, at(revision)), kept_until_ms);
                 }
                 2 => {
                     let listed = vec![put(id, revision)];
-                    book.replace(listed, revision, kept_until_ms);
+                    book.replace(listed, at(revision), kept_until_ms);
                 }
                 _ => drop(book.apply(put(id, revision), kept_until_ms)),
             }
@@ -139,14 +144,14 @@
 fn a_record_that_has_lapsed_at_another_box_is_given_up_here_as_well() {
     let mut follower = EndpointBook::default();
     follower.apply(put("e", 3), None);
-    follower.apply(EndpointChange::Removed("e".to_owned(), 5), Some(2_600));
-    let news = follower.tell(0, 1_000);
+    follower.apply(EndpointChange::Removed("e".to_owned(), at(5)), Some(2_600));
+    let news = follower.tell(StoreRevision::NONE, 1_000);
     let doubt = ToldDoubt {
-        revision: 5,
+        revision: at(5),
         lapses_in_ms: 1_600,
     };
     let first = &news.endpoints[0];
-    assert_eq!((first.revision, first.doubt), (3, Some(doubt)));
+    assert_eq!((first.revision, first.doubt), (at(3), Some(doubt)));
 
     let mut told = EndpointBook::default();
     told.apply(put("e", 3), None);
@@ -167,16 +172,19 @@
     doubting.apply(put("gone", 3), None);
     doubting.apply(put("back", 4), None);
     let mut certain = doubting.clone();
-    certain.apply(EndpointChange::Removed("gone".to_owned(), 5), None);
-    certain.apply(EndpointChange::Removed("back".to_owned(), 6), Some(2_600));
-    doubting.replace(Vec::new(), 7, Some(2_600));
+    certain.apply(EndpointChange::Removed("gone".to_owned(), at(5)), None);
+    certain.apply(
+        EndpointChange::Removed("back".to_owned(), at(6)),
+        Some(2_600),
+    );
+    doubting.replace(Vec::new(), at(7), Some(2_600));
     certain.apply(put("back", 8), None);
 
-    certain.learn(doubting.tell(0, 1_000), 1_000);
+    certain.learn(doubting.tell(StoreRevision::NONE, 1_000), 1_000);
     let known: Vec<&str> = certain.iter().map(|(_, entry)| &*entry.record.id).collect();
     assert_eq!(known, ["back"], "what was removed stays so");
     assert!(certain.expire(9_000).is_empty(), "what was written stays");
-    doubting.learn(certain.tell(0, 1_100), 1_100);
+    doubting.learn(certain.tell(StoreRevision::NONE, 1_100), 1_100);
     let known: Vec<&str> = doubting
         .iter()
         .map(|(_, entry)| &*entry.record.id)
@@ -229,26 +237,26 @@
             revision += 1;
             match step {
                 BookStep::Write => history.push(put("e", revision)),
-                BookStep::Remove => history.push(EndpointChange::Removed("e".to_owned(), revision)),
+                BookStep::Remove => history.push(EndpointChange::Removed("e".to_owned(), at(revision))),
                 BookStep::Watch(at) => {
                     for change in &history[heard[at]..] {
                         books[at].apply(change.clone(), None);
                     }
                     heard[at] = history.len();
                 }
-                BookStep::ListInDoubt(at) => {
+                BookStep::ListInDoubt(index) => {
                     let listed = match history.last() {
                         Some(EndpointChange::Removed(..)) | None => Vec::new(),
                         Some(written) => vec![written.clone()],
                     };
-                    books[at].replace(listed, revision, Some(now + 2_000));
+                    books[index].replace(listed, at(revision), Some(now + 2_000));
                 }
                 BookStep::Learn(from, to) => {
                     let known = books[to].revision();
                     if books[from].revision() > known {
                         let news = books[from].tell(known, now);
                         if !books[to].learn(news, now).agrees {
-                            let all = books[from].tell(0, now);
+                            let all = books[from].tell(StoreRevision::NONE, now);
                             books[to].learn(all, now);
                         }
                     }
@@ -283,9 +291,9 @@
     assert_eq!((all.since, all.endpoints.len()), (None, 300));
     assert!(asker.learn(all, 1_000).agrees);
 
-    teller.apply(EndpointChange::Removed("e7".to_owned(), 301), None);
+    teller.apply(EndpointChange::Removed("e7".to_owned(), at(301)), None);
     let draining = record("e8", EndpointState::Draining);
-    teller.apply(EndpointChange::Put(draining, 302), None);
+    teller.apply(EndpointChange::Put(draining, at(302)), None);
     let news = teller.tell(asker.revision(), 1_000);
     assert_eq!((news.endpoints.len(), news.removed.len()), (1, 1));
     let learned = asker.learn(news, 1_000);
@@ -297,10 +305,10 @@
 #[test]
 fn a_box_that_does_not_know_what_was_removed_tells_all() {
     let mut teller = EndpointBook::default();
-    teller.replace(vec![put("e", 4)], 9, None);
+    teller.replace(vec![put("e", 4)], at(9), None);
     teller.apply(put("f", 10), None);
-    assert_eq!(teller.tell(8, 1_000).since, None);
-    assert_eq!(teller.tell(9, 1_000).since, Some(9));
+    assert_eq!(teller.tell(at(8), 1_000).since, None);
+    assert_eq!(teller.tell(at(9), 1_000).since, Some(at(9)));
 }
 
 /// A box that missed a removal and knows the newest revision all the same finds it out by the sum.
@@ -312,11 +320,15 @@
         book.apply(put("e", 1), None);
         book.apply(put("f", 2), None);
     }
-    teller.apply(EndpointChange::Removed("e".to_owned(), 3), None);
-    asker.advance(3);
+    teller.apply(EndpointChange::Removed("e".to_owned(), at(3)), None);
+    asker.advance(at(3));
     teller.apply(put("f", 4), None);
-    assert!(!asker.learn(teller.tell(3, 1_000), 1_000).agrees);
-    assert!(asker.learn(teller.tell(0, 1_000), 1_000).agrees);
+    assert!(!asker.learn(teller.tell(at(3), 1_000), 1_000).agrees);
+    assert!(
+        asker
+            .learn(teller.tell(StoreRevision::NONE, 1_000), 1_000)
+            .agrees
+    );
     assert_eq!(asker.sum(), teller.sum());
 }
 
@@ -336,7 +348,7 @@
             if books[from].revision() > known {
                 let news = books[from].tell(known, 0);
                 if !books[to].learn(news, 0).agrees {
-                    let all = books[from].tell(0, 0);
+                    let all = books[from].tell(StoreRevision::NONE, 0);
                     books[to].learn(all, 0);
                 }
             }
@@ -353,7 +365,7 @@
                         }
                         false => {
                             store.remove(name);
-                            EndpointChange::Removed(name.to_owned(), revision)
+                            EndpointChange::Removed(name.to_owned(), at(revision))
                         }
                     };
                     books[0].apply(change, None);
@@ -361,7 +373,7 @@
                 3 => {
                     let listed = store.iter();
                     let listed = listed.map(|(name, at)| put(name, *at));
-                    books[1].replace(listed.collect(), revision, None);
+                    books[1].replace(listed.collect(), at(revision), None);
                 }
                 4 => ask(&mut books, 0, 1),
                 _ => ask(&mut books, 1, 2),
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -13,6 +13,7 @@
 use super::home_order::{owner_of_endpoint, pair_score};
 use super::route_table::EndpointId;
 use super::store_duty::StoreWatchers;
+use super::store_revision::StoreRevision;
 use crate::ids::{BoxKey, Incarnation};
 use seen_box::{BoxSign, SeenBox};
 use std::cmp::Reverse;
@@ -117,7 +118,7 @@
     }
 
     /// Sets what this box knows.
-    pub const fn set_known(&mut self, config_version: u64, endpoint_revision: u64) {
+    pub const fn set_known(&mut self, config_version: u64, endpoint_revision: StoreRevision) {
         self.own.config_version = config_version;
         self.own.endpoint_revision = endpoint_revision;
     }
--- a/dockgate-core/src/gateway/fleet_view/store_tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/store_tests.rs
@@ -115,7 +115,7 @@
             self.ask(index, now);
         }
         let known = self.members[index].known;
-        self.fleet.boxes[index].view.set_known(1, known);
+        self.fleet.boxes[index].view.set_known(1, known.into());
     }
 
     fn decide_role(&mut self, index: usize, now: u64) {
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -78,12 +78,12 @@
         better.map(|better| better.state_address)
     };
     assert_eq!(better(&view, BoxKnowledge::Config, 1_000), None);
-    let newer = beat("b1", "b").sequence(2).known(4, 0);
+    let newer = beat("b1", "b").sequence(2).known(4, StoreRevision::NONE);
     view.hear(newer.clone(), Incarnation(1), 1_100);
     let asked = Some(newer.state_address);
     assert_eq!(better(&view, BoxKnowledge::Config, 1_100), asked);
     assert_eq!(better(&view, BoxKnowledge::Endpoints, 1_100), None);
-    view.set_known(4, 0);
+    view.set_known(4, StoreRevision::NONE);
     assert_eq!(better(&view, BoxKnowledge::Config, 1_100), None);
 }
 
@@ -124,7 +124,7 @@
         let mut view = FleetView::new(beat(name, "a"));
         for (index, other) in ["a7", "a8", "b7", "b8"].into_iter().enumerate() {
             let state_address = SocketAddr::from(([10, 0, 0, index as u8], 7_500));
-            let informed = beat(other, &other[..1]).known(5, 0);
+            let informed = beat(other, &other[..1]).known(5, StoreRevision::NONE);
             let informed = informed.state_address(state_address);
             view.hear(informed, Incarnation(1), 1_000);
         }
@@ -147,8 +147,12 @@
         let better = view.better_informed(BoxKnowledge::Config, avoid, 1_000);
         better.map(|better| better.state_address)
     };
-    let near = beat("a2", "a").known(5, 0).state_address(address(2));
-    let far = beat("b1", "b").known(7, 0).state_address(address(3));
+    let near = beat("a2", "a")
+        .known(5, StoreRevision::NONE)
+        .state_address(address(2));
+    let far = beat("b1", "b")
+        .known(7, StoreRevision::NONE)
+        .state_address(address(3));
     view.hear(near, Incarnation(1), 1_000);
     view.hear(far, Incarnation(1), 1_000);
     assert_eq!(asked(&view, None), Some(address(2)));
@@ -158,7 +162,7 @@
         Some(address(3)),
         "one that gave no answer goes last"
     );
-    view.set_known(5, 0);
+    view.set_known(5, StoreRevision::NONE);
     assert_eq!(asked(&view, None), Some(address(3)));
 }
 
--- a/dockgate-core/src/gateway/watch_check.rs
+++ b/dockgate-core/src/gateway/watch_check.rs
@@ -4,19 +4,22 @@
 //! waits hears nothing more. The store's revision, which each answer names, shows it.
 //!
 //! ```
-//! use dockgate_core::gateway::WatchCheck;
+//! use dockgate_core::gateway::{StoreRevision, WatchCheck};
 //!
 //! let mut check = WatchCheck::default();
-//! assert!(!check.is_stalled(7, 6, 1_000), "the change may be on its way");
-//! assert!(check.is_stalled(7, 6, 2_000));
+//! let (newer, known) = (StoreRevision::new(1, 7), StoreRevision::new(1, 6));
+//! assert!(!check.is_stalled(newer, known, 1_000), "the change may be on its way");
+//! assert!(check.is_stalled(newer, known, 2_000));
 //! ```
 
+use super::store_revision::StoreRevision;
+
 /// Since when the store has had a revision that no watch has told of.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WatchCheck {
     behind_since_ms: Option<u64>,
     /// The last revision for which watches were made anew: a key that nobody watches may have it.
-    checked: u64,
+    checked: StoreRevision,
 }
 
 impl WatchCheck {
@@ -27,7 +30,12 @@
 
     /// Tells whether watches that have told of changes up to `known` have to be made anew, where the store
     /// has this revision. An old revision is never too high, so that it does no harm.
-    pub fn is_stalled(&mut self, revision: u64, known: u64, now_ms: u64) -> bool {
+    pub fn is_stalled(
+        &mut self,
+        revision: StoreRevision,
+        known: StoreRevision,
+        now_ms: u64,
+    ) -> bool {
         if revision <= known.max(self.checked) {
             self.behind_since_ms = None;
             return false;
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -5,7 +5,7 @@
 
 use dockgate_core::gateway::{
     BoxBeat, EndpointId, EndpointNews, EngineAsk, EngineVerdict, FleetDigest, PromptPart,
-    ReadSpeed, RouteConfig, ShareRow, SuspectRow,
+    ReadSpeed, RouteConfig, ShareRow, StoreRevision, SuspectRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
@@ -23,7 +23,7 @@
 
 /// What datagrams of this form begin with: a box of another version cannot take them for its own,
 /// since no number in a datagram begins so, and the last byte names the form.
-const FORM: [u8; 6] = [0xff, 0xff, 0xff, 0xff, 0xff, 4];
+const FORM: [u8; 6] = [0xff, 0xff, 0xff, 0xff, 0xff, 5];
 
 impl GatewayDatagram {
     /// Returns the bytes of the datagram.
@@ -157,25 +157,26 @@
     /// The version of the configuration that the asking box has.
     pub config_version: u64,
     /// The store's revision up to which it knows the endpoints.
-    pub endpoint_revision: u64,
+    pub endpoint_revision: StoreRevision,
 }
 
 impl StateRequest {
     /// Newer than anything, so that it is not told.
-    const NOT_ASKED: u64 = u64::MAX;
+    const NO_CONFIG: u64 = u64::MAX;
+    const NO_ENDPOINTS: StoreRevision = StoreRevision::LATEST;
 
     /// Asks for a configuration that is newer than this version.
     pub const fn config(version: u64) -> Self {
         Self {
             config_version: version,
-            endpoint_revision: Self::NOT_ASKED,
+            endpoint_revision: Self::NO_ENDPOINTS,
         }
     }
 
-    /// Asks what changed of the endpoints after this revision; for all of them with 0.
-    pub const fn endpoints(revision: u64) -> Self {
+    /// Asks what changed of the endpoints after this revision; for all of them with none.
+    pub const fn endpoints(revision: StoreRevision) -> Self {
         Self {
-            config_version: Self::NOT_ASKED,
+            config_version: Self::NO_CONFIG,
             endpoint_revision: revision,
         }
     }
--- a/dockgate/src/gateway/call/sending.rs
+++ b/dockgate/src/gateway/call/sending.rs
@@ -202,7 +202,9 @@
     }
 
     fn log_sent(&self, place: &CallPlace, attempt: u32) {
-        let revision = self.state.with(|beliefs| beliefs.endpoints.revision());
+        let revision = self
+            .state
+            .with(|beliefs| beliefs.endpoints.revision().number);
         log_gateway(&GatewayEvent::Sent {
             request: &self.head.id,
             route: &self.route().name,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -103,6 +103,14 @@
     StoreLost { step: &'a str, problem: String },
     /// The store answers again.
     StoreBack { step: &'a str, away_ms: u64 },
+    /// The store has come back from an older copy: all that it has is listed anew. Up to `revision` of the era before
+    /// the endpoints were known here.
+    StoreEra {
+        from: u64,
+        to: u64,
+        revision: u64,
+        source: &'a str,
+    },
     /// The store has forgotten changes; what is there is listed anew.
     StoreHistoryLost { what: &'a str, since: u64 },
     /// Work has waited too long for the processor; callers are asked to go elsewhere.
@@ -235,10 +243,13 @@
     /// Makes the event for a change of an endpoint.
     pub(super) fn endpoint(change: &'a EndpointChange, source: &'a str) -> Self {
         match change {
-            EndpointChange::Put(record, revision) => Self::written(record, *revision, source),
+            EndpointChange::Put(record, revision)
+            | EndpointChange::Waiting(record, revision, _) => {
+                Self::written(record, revision.number, source)
+            }
             EndpointChange::Unusable(id, revision) => Self::EndpointUnusable {
                 endpoint: id,
-                revision: *revision,
+                revision: revision.number,
                 source,
             },
             EndpointChange::Removed(id, _) => Self::EndpointGone {
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -11,7 +11,7 @@
 use super::membership::send_beat;
 use super::store_contact::StoreContact;
 use crate::clock::wakings;
-use dockgate_core::gateway::EndpointChange;
+use dockgate_core::gateway::{EndpointChange, StoreRevision};
 use dockgate_platform::{
     ENDPOINTS, EndpointReading, PlatformError, ROUTES, StoreEvent, StoreListing, StoredValue,
     WatchOutcome, decode_routes, read_endpoint, read_endpoint_event,
@@ -46,7 +46,7 @@
     true
 }
 
-/// Lists and watches the keys that `contact` names until the process ends.
+/// Lists and watches the keys that `contact` names until the process ends; what is told is told with its era.
 async fn follow<L, C>(
     state: &GatewayState,
     mut contact: StoreContact,
@@ -54,8 +54,8 @@
     mut listed: L,
     mut changed: C,
 ) where
-    L: FnMut(&StoreContact, StoreListing),
-    C: FnMut(&StoreContact, Vec<StoreEvent>),
+    L: FnMut(&StoreContact, StoreListing, u64),
+    C: FnMut(&StoreContact, Vec<StoreEvent>, u64),
 {
     let client = state.store_client();
     let prefix = contact.step;
@@ -66,13 +66,21 @@
             contact.begin(state.store_unheard_ms());
         }
         returns.mark_unchanged();
-        let mut since = match client.list(prefix).await {
-            Ok(listing) => {
+        let listing = client.list(prefix).await;
+        let listing = listing.map(|listing| (state.note_era(listing.era, "store"), listing));
+        let mut since = match listing {
+            Ok((Some(era), listing)) => {
                 contact.answered();
-                let revision = listing.revision;
-                listed(&contact, listing);
+                contact.note_era(era);
+                let revision = StoreRevision::new(era, listing.revision);
+                listed(&contact, listing, era);
                 revision
             }
+            // It was on its way while the store went back.
+            Ok((None, _)) => {
+                pause_after_failure().await;
+                continue;
+            }
             Err(error) => {
                 contact.lost(&error);
                 state.note_store(prefix, None);
@@ -85,10 +93,13 @@
             // What a watch was answered while the store was silent is lost, so that it is made anew; so is
             // one that hears nothing more while the store changes.
             let watched = tokio::select! {
-                watched = client.watch(prefix, since, WATCH) => watched,
+                watched = client.watch(prefix, since.number, WATCH) => watched,
                 Ok(()) = returns.changed() => {
                     let away_ms = *returns.borrow_and_update();
-                    contact.back(away_ms);
+                    match state.is_era(since.era) {
+                        true => contact.back(away_ms),
+                        false => break,
+                    }
                     continue;
                 }
                 // The channel lives as long as the process.
@@ -101,10 +112,16 @@
                 }
             };
             match watched {
-                Ok(WatchOutcome::Changes(events, revision)) => {
+                // Changes of another era go on in a history that is not the one that was listed.
+                Ok(WatchOutcome::Changes(changes))
+                    if state.note_era(changes.era, "store") != Some(since.era) =>
+                {
+                    break;
+                }
+                Ok(WatchOutcome::Changes(changes)) => {
                     contact.answered();
-                    since = revision;
-                    changed(&contact, events);
+                    since.number = changes.revision;
+                    changed(&contact, changes.events, since.era);
                     note_heard(state, prefix, since);
                     tokio::time::sleep(pause).await;
                 }
@@ -112,7 +129,7 @@
                     contact.answered();
                     log_gateway(&GatewayEvent::StoreHistoryLost {
                         what: prefix,
-                        since,
+                        since: since.number,
                     });
                     break;
                 }
@@ -127,7 +144,7 @@
 }
 
 /// Notes that the store has told what it has; a box to which nobody beats says so at once.
-fn note_heard(state: &GatewayState, step: &'static str, revision: u64) {
+fn note_heard(state: &GatewayState, step: &'static str, revision: StoreRevision) {
     let began = state.note_store(step, Some(revision));
     if began || !state.coordinates() {
         send_beat(state);
@@ -153,10 +170,10 @@
 
 /// Follows the routes.
 pub(super) async fn follow_routes(state: Arc<GatewayState>) {
-    let listed = |_: &StoreContact, listing: StoreListing| {
+    let listed = |_: &StoreContact, listing: StoreListing, _| {
         listing.items.iter().for_each(|value| offer(&state, value));
     };
-    let changed = |_: &StoreContact, events: Vec<StoreEvent>| {
+    let changed = |_: &StoreContact, events: Vec<StoreEvent>, _| {
         // Only the newest counts.
         let newest = events.iter().rev().find_map(|event| match event {
             StoreEvent::Written(value) => Some(value),
@@ -175,7 +192,11 @@
         GATEWAY_METRICS.note_unusable(fault.as_str());
         log_gateway(&GatewayEvent::Unreadable {
             what: &format!("{ENDPOINTS}{}", change.id()),
-            problem: format!("{} at revision {}", fault.as_str(), change.revision()),
+            problem: format!(
+                "{} at revision {}",
+                fault.as_str(),
+                change.revision().number
+            ),
         });
     }
     change
@@ -183,13 +204,14 @@
 
 /// Follows the endpoints.
 pub(super) async fn follow_endpoints(state: Arc<GatewayState>) {
-    let listed = |contact: &StoreContact, listing: StoreListing| {
-        let readings = listing.items.iter().map(read_endpoint);
+    let listed = |contact: &StoreContact, listing: StoreListing, era| {
+        let readings = listing.items.iter().map(|item| read_endpoint(item, era));
         let listed = readings.map(believe).collect();
-        state.replace_endpoints(listed, listing.revision, contact.kept_until_ms());
+        let revision = StoreRevision::new(era, listing.revision);
+        state.replace_endpoints(listed, revision, contact.kept_until_ms());
     };
-    let changed = |contact: &StoreContact, events: Vec<StoreEvent>| {
-        let readings = events.iter().map(read_endpoint_event);
+    let changed = |contact: &StoreContact, events: Vec<StoreEvent>, era| {
+        let readings = events.iter().map(|event| read_endpoint_event(event, era));
         let changes = readings.map(believe).collect();
         state.apply_endpoints(changes, contact.kept_until_ms(), "store");
     };
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -29,6 +29,8 @@
     withheld_sends: IntCounterVec,
     /// Lines about requests that were not written, as there were too many.
     pub(super) lines_held_back: IntCounter,
+    /// Times that the store came back from an older copy.
+    pub(super) store_eras: IntCounter,
     /// Calls to the store, by what is followed and outcome.
     pub(super) store_calls: IntCounterVec,
     /// Questions to other boxes for what they know, by what was asked for and outcome.
@@ -118,6 +120,10 @@
                 "dockgate_log_lines_held_back_total",
                 "Lines about requests that were not written, as there were too many in a second",
             ),
+            store_eras: counter(
+                "dockgate_store_eras_total",
+                "Times that the store came back from an older copy, as this box heard",
+            ),
             store_calls: counters(
                 "dockgate_store_calls_total",
                 "Calls to the platform's store, by what is followed and outcome",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -13,9 +13,9 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, BrokenEndpoints, EndpointBook, EndpointChange, EndpointId, EndpointNews,
-    EngineAsk, EngineBook, EngineVerdict, FleetView, LoopLag, ReadLog, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, SuspectBook, WakeGate, WatchCheck,
-    WorkShed,
+    EngineAsk, EngineBook, EngineVerdict, EraBook, FleetView, LoopLag, ReadLog, RetryBudget,
+    RouteConfig, RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, StoreRevision,
+    SuspectBook, WakeGate, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -53,6 +53,8 @@
     pub(super) shares: ShareWindow,
     /// What may be sent to a second endpoint.
     pub(super) retries: RetryBudget,
+    /// Which era the store is in.
+    pub(super) eras: EraBook,
     /// The boxes.
     pub(super) fleet: FleetView,
     /// What this box passed on of them last.
@@ -76,7 +78,7 @@
     /// Whether the store hears it.
     pub(super) probe: StoreProbe,
     /// What it follows there and was answered the last time, and up to which revision.
-    pub(super) reached: BTreeMap<&'static str, u64>,
+    pub(super) reached: BTreeMap<&'static str, StoreRevision>,
     /// Whether what is believed was heard since the box was suspended last.
     pub(super) gate: WakeGate,
     /// Whether what it follows still tells of changes.
@@ -126,6 +128,7 @@
             engines: EngineBook::default(),
             shares: ShareWindow::new(settings.share_window.as_millis() as u64),
             retries: RetryBudget::new(settings.retry_rule()),
+            eras: EraBook::default(),
             fleet: FleetView::new(own),
             digest: DigestCache::default(),
             runs: HashMap::new(),
@@ -297,7 +300,7 @@
     pub(super) fn replace_endpoints(
         &self,
         listed: Vec<EndpointChange>,
-        revision: u64,
+        revision: StoreRevision,
         kept_until_ms: Option<u64>,
     ) {
         let count = listed.len();
@@ -310,6 +313,8 @@
     pub(super) fn learn_endpoints(&self, news: EndpointNews, source: &str) -> bool {
         let (count, revision, is_whole) =
             (news.endpoints.len(), news.revision, news.since.is_none());
+        // A box that knows nothing of the store names none.
+        self.note_era(Some(revision.era).filter(|era| *era > 0), source);
         let learned = self.with(|beliefs| beliefs.endpoints.learn(news, now_ms()));
         match is_whole {
             true => self.note_listed(learned.changed, count, revision, source),
@@ -318,12 +323,12 @@
         learned.agrees
     }
 
-    fn note_listed(&self, changed: bool, count: usize, revision: u64, source: &str) {
+    fn note_listed(&self, changed: bool, count: usize, revision: StoreRevision, source: &str) {
         if changed {
             self.endpoints_ms.store(now_ms(), Ordering::Relaxed);
             log_gateway(&GatewayEvent::EndpointsListed {
                 count,
-                revision,
+                revision: revision.number,
                 source,
             });
         }
--- a/dockgate/src/gateway/gateway_state/store_reach.rs
+++ b/dockgate/src/gateway/gateway_state/store_reach.rs
@@ -1,11 +1,12 @@
 //! Whether this box follows the platform's store, and whether the store hears it.
 
 use super::super::events::{GatewayEvent, log_gateway};
+use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::membership::DigestCache;
 use super::super::store_probe::StoreRole;
 use super::{GatewayBeliefs, GatewayState};
 use crate::clock::now_ms;
-use dockgate_core::gateway::{OwnReach, ProbeNews, StoreDuty};
+use dockgate_core::gateway::{EraNews, OwnReach, ProbeNews, StoreDuty, StoreRevision};
 use tokio::sync::watch;
 
 impl GatewayBeliefs {
@@ -35,7 +36,7 @@
     /// Tells whether the store has changes of which its watches should have told, and did not.
     ///
     /// What any of them told last counts for all: each is told of its own keys alone.
-    fn is_stalled(&mut self, revision: Option<u64>) -> bool {
+    fn is_stalled(&mut self, revision: Option<StoreRevision>) -> bool {
         let follows = self.fleet.own().standing.reaches_store;
         let known = self.reached.values().max().copied();
         match (revision, known) {
@@ -106,7 +107,7 @@
     /// answered; returns what it says that the one before did not.
     pub(in super::super) fn note_probe(
         &self,
-        revision: Option<u64>,
+        revision: Option<StoreRevision>,
         sent_ms: u64,
     ) -> Option<ProbeNews> {
         let (news, is_stalled) = self.with(|beliefs| {
@@ -119,7 +120,10 @@
             (_, true) => {
                 log_gateway(&GatewayEvent::StoreLost {
                     step: "watch",
-                    problem: format!("told nothing up to revision {}", revision.unwrap_or(0)),
+                    problem: format!(
+                        "told nothing up to revision {}",
+                        revision.unwrap_or_default()
+                    ),
                 });
                 self.returns.send_replace(0);
             }
@@ -128,6 +132,38 @@
         news
     }
 
+    /// Tells whether the store is in this era, as far as is known.
+    pub(in super::super) fn is_era(&self, era: u64) -> bool {
+        self.with(|beliefs| beliefs.eras.current() == era)
+    }
+
+    /// Takes in the era that the store or another box names; returns the one that is known now, or none where what was
+    /// told is of one that is over.
+    ///
+    /// Whoever follows the store lists it anew at once.
+    pub(in super::super) fn note_era(&self, named: Option<u64>, source: &str) -> Option<u64> {
+        let (news, era) = self.with(|beliefs| {
+            let news = beliefs.eras.note(named);
+            (news, beliefs.eras.current())
+        });
+        match news {
+            EraNews::Same => {}
+            EraNews::Over => return None,
+            EraNews::Later { from } => {
+                GATEWAY_METRICS.store_eras.inc();
+                let revision = self.with(|beliefs| beliefs.endpoints.revision().number);
+                log_gateway(&GatewayEvent::StoreEra {
+                    from,
+                    to: era,
+                    revision,
+                    source,
+                });
+                self.returns.send_replace(0);
+            }
+        }
+        Some(era)
+    }
+
     /// Notes that the store is not called for a while.
     pub(in super::super) fn pause_probes(&self) {
         self.with(|beliefs| {
@@ -148,7 +184,11 @@
 
     /// Notes up to which revision the store told of what `step` names, or that it did not, for the other
     /// boxes to know; returns whether this box is heard now and was not before.
-    pub(in super::super) fn note_store(&self, step: &'static str, told: Option<u64>) -> bool {
+    pub(in super::super) fn note_store(
+        &self,
+        step: &'static str,
+        told: Option<StoreRevision>,
+    ) -> bool {
         self.with(|beliefs| {
             match told {
                 Some(revision) => beliefs.reached.insert(step, revision),
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -14,7 +14,7 @@
 use crate::clock::{now_ms, wakings};
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
-use dockgate_core::gateway::{BoxKnowledge, InformedBox};
+use dockgate_core::gateway::{BoxKnowledge, InformedBox, StoreRevision};
 use dockgate_proto::{StateAnswer, StateRequest, methods};
 use http::{Extensions, HeaderMap};
 use jsonrpsee::RpcModule;
@@ -205,7 +205,8 @@
                 .is_none_or(|news| state.learn_endpoints(news, &source));
             if !agrees {
                 // Something was missed on the way here: all endpoints set it right.
-                let answer = request_state(&client, StateRequest::endpoints(0)).await?;
+                let answer =
+                    request_state(&client, StateRequest::endpoints(StoreRevision::NONE)).await?;
                 answer
                     .endpoints
                     .map(|news| state.learn_endpoints(news, &source));
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -26,6 +26,8 @@
     lapse: Duration,
     lost_ms: Option<u64>,
     back_ms: Option<u64>,
+    /// The era of the store that was listed last.
+    era: Option<u64>,
 }
 
 impl StoreContact {
@@ -35,6 +37,7 @@
             lapse: drain.saturating_sub(LAPSE_MARGIN).min(RECORDS_BACK),
             lost_ms: None,
             back_ms: None,
+            era: None,
         }
     }
 
@@ -75,6 +78,15 @@
         }
     }
 
+    /// Notes the era of what is listed: a store that has come back from an older copy lacks records that are written
+    /// again within the same time as those that lapsed.
+    pub(super) fn note_era(&mut self, era: u64) {
+        let is_another = self.era.replace(era).is_some_and(|before| before != era);
+        if is_another {
+            self.back_ms = Some(now_ms());
+        }
+    }
+
     /// Notes that this box was away, and the store was not: what is missing there has left.
     pub(super) const fn woke(&mut self) {
         self.lost_ms = None;
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -6,7 +6,7 @@
 use super::membership::send_beat;
 use super::quarantine_store;
 use crate::clock::{now_ms, timeout, wakings};
-use dockgate_core::gateway::{ProbeNews, ProbeRule};
+use dockgate_core::gateway::{ProbeNews, ProbeRule, StoreRevision};
 use dockgate_platform::{PlatformClient, QUARANTINES};
 use std::ops::Range;
 use std::sync::Arc;
@@ -76,9 +76,13 @@
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
     let counter = &GATEWAY_METRICS.store_calls;
     counter.with_label_values(&[STEP, outcome]).inc();
-    let revision = answer.as_ref().ok().map(|listing| listing.revision);
+    let answer = answer.as_ref();
+    let revision = answer.ok().and_then(|listing| {
+        let era = state.note_era(listing.era, STEP)?;
+        Some(StoreRevision::new(era, listing.revision))
+    });
     let news = state.note_probe(revision, sent_ms);
-    if let (Some(ProbeNews::Lost), Err(error)) = (news, &answer) {
+    if let (Some(ProbeNews::Lost), Err(error)) = (news, answer) {
         log_gateway(&GatewayEvent::StoreLost {
             step: STEP,
             problem: error.to_string(),
@@ -88,7 +92,7 @@
         send_beat(state);
         state.decide_role();
     }
-    if let Ok(listing) = &answer {
+    if let Ok(listing) = answer {
         let writes = state.is_first_watcher() || state.follows_store();
         quarantine_store::sync(state, client, listing, writes);
     }
--- a/dockgate/src/members.rs
+++ b/dockgate/src/members.rs
@@ -50,7 +50,7 @@
         match client.list(BOXES).await {
             Ok(listing) => {
                 dispatch.set_members(others(&listing, &domain, me));
-                wait_for_change(&client, listing.revision, wait).await;
+                wait_for_change(&client, &listing, wait).await;
             }
             Err(error) => {
                 log::warn!("{error}");
@@ -74,12 +74,16 @@
 }
 
 /// Waits until any record changes, or until it is not known whether one did.
-async fn wait_for_change(client: &PlatformClient, since: u64, wait: Duration) {
-    let mut since = since;
+async fn wait_for_change(client: &PlatformClient, listing: &StoreListing, wait: Duration) {
+    let mut since = listing.revision;
     loop {
         let watch = client.watch(BOXES, since, wait);
         match wait_probed(client, watch).await {
-            Ok(WatchOutcome::Changes(events, revision)) if events.is_empty() => since = revision,
+            Ok(WatchOutcome::Changes(changes))
+                if changes.events.is_empty() && changes.era == listing.era =>
+            {
+                since = changes.revision;
+            }
             Ok(_) => return,
             Err(error) => {
                 log::warn!("{error}");
