fix: another box's list proves no departure within its era

Within an era only the store's list proves that now; across eras another box's does, as the record comes again in the later one. What is dropped for that reason still counts as named, and the doubt told with it counts.

--- a/dockgate-core/src/gateway/endpoint_book.rs
+++ b/dockgate-core/src/gateway/endpoint_book.rs
@@ -106,6 +106,8 @@
     revision: StoreRevision,
     /// The revision of the last whole list that was taken in: what was removed before is not known.
     whole_at: StoreRevision,
+    /// The same of the last whole list that came from the store itself.
+    listed_at: StoreRevision,
 }
 
 impl EndpointBook {
@@ -185,7 +187,6 @@
     fn wait_for(&mut self, record: EndpointRecord, revision: StoreRevision, waits_ms: u64) -> bool {
         match () {
             () if self.endpoints.contains_key(&record.key()) => self.put(record, revision),
-            () if self.is_over(&record, revision) => false,
             () => {
                 self.memory.set_aside_told(record, revision, waits_ms);
                 false
@@ -193,15 +194,18 @@
         }
     }
 
-    /// Tells whether a lifetime that is not known was missing in a whole list of this revision or a later one: it had
-    /// been removed by then.
+    /// Tells whether a lifetime that is not known, and of which another box tells, had been removed by then: it was
+    /// missing in the store's list of this revision or a later one, or it is told of an era that is over.
+    ///
+    /// The list of another box proves no such thing within its era, as that box may have missed something.
     fn is_over(&self, record: &EndpointRecord, revision: StoreRevision) -> bool {
-        revision <= self.whole_at && !self.endpoints.contains_key(&record.key())
+        let is_past = revision <= self.listed_at || revision.era < self.whole_at.era;
+        is_past && !self.endpoints.contains_key(&record.key())
     }
 
     fn put(&mut self, record: EndpointRecord, revision: StoreRevision) -> bool {
         let name = record.name();
-        if self.is_over(&record, revision) || self.memory.is_removed(name, revision) {
+        if self.memory.is_removed(name, revision) {
             return false;
         }
         let last = self.last_life(name);
@@ -283,29 +287,41 @@
         }
     }
 
-    /// Takes a whole listing in, made at `revision`; returns whether it changed what is believed.
+    /// Takes the store's whole listing in, made at `revision`; returns whether it changed what is believed.
     pub fn replace(
         &mut self,
         listed: Vec<EndpointChange>,
         revision: StoreRevision,
         kept_until_ms: Option<u64>,
     ) -> bool {
+        self.listed_at = self.listed_at.max(revision);
         let names = listed.iter().map(|change| EndpointName::new(change.id()));
         let names: HashSet<EndpointName> = names.collect();
+        self.take_all(listed, &names, revision, kept_until_ms)
+    }
+
+    /// Takes a whole list in, the store's or another box's; endpoints that are not among the `names` are missing.
+    fn take_all(
+        &mut self,
+        listed: Vec<EndpointChange>,
+        names: &HashSet<EndpointName>,
+        revision: StoreRevision,
+        kept_until_ms: Option<u64>,
+    ) -> bool {
         let mut changed = false;
         for change in listed {
             changed |= match change {
                 EndpointChange::Put(record, revision)
-                    if !self.is_over(&record, revision)
-                        && self.memory.is_returned(&record, revision) =>
+                    if self.memory.is_returned(&record, revision) =>
                 {
+                    self.advance(revision);
                     self.memory.set_aside_returned(record, revision);
                     false
                 }
                 change => self.take(change, kept_until_ms),
             };
         }
-        self.memory.keep_aside_only(&names, revision);
+        self.memory.keep_aside_only(names, revision);
         let known = self.lives.keys();
         let missing = known.filter(|name| !names.contains(name)).copied();
         let mut missing: Vec<EndpointName> = missing.collect();
--- a/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
+++ b/dockgate-core/src/gateway/endpoint_book/endpoint_news.rs
@@ -5,6 +5,7 @@
 use crate::gateway::route_table::{EndpointName, EndpointRecord};
 use crate::gateway::store_revision::StoreRevision;
 use serde::{Deserialize, Serialize};
+use std::collections::HashSet;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// An endpoint as one box tells another.
@@ -128,11 +129,17 @@
             removed,
             sum,
         } = news;
+        let names = endpoints.iter().map(|told| told.record.name());
+        let names: HashSet<EndpointName> = names.collect();
         let doubts = endpoints.iter().filter_map(|endpoint| {
             let doubt = endpoint.doubt?;
             Some((endpoint.record.name(), doubt))
         });
         let doubts: Vec<(EndpointName, ToldDoubt)> = doubts.collect();
+        let endpoints = endpoints.into_iter();
+        let endpoints: Vec<ToldEndpoint> = endpoints
+            .filter(|told| !self.is_over(&told.record, told.revision))
+            .collect();
         let told = endpoints.into_iter();
         let told = told.map(|told| match told.waits_ms {
             Some(waits_ms) => EndpointChange::Waiting(told.record, told.revision, waits_ms),
@@ -143,7 +150,7 @@
         let kept_until_ms = is_later.then_some(now_ms + Self::WRITTEN_AGAIN_MS);
         let mut changes = Vec::new();
         let changed = match since {
-            None => self.replace(told.collect(), revision, kept_until_ms),
+            None => self.take_all(told.collect(), &names, revision, kept_until_ms),
             Some(_) => {
                 for endpoint in removed {
                     changes.extend(self.learn_removed(endpoint));
