feat: sight of what workspaces ask for, are given and are refused, and which sums decide

A line `shares` a second at each box that refused something: units asked, given and refused by reason of each workspace, its level and lead, and how old the sums are that a coordinator told. Refusals for want of processor count with their size, which no line said before.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -41,6 +41,7 @@
 mod retry_budget;
 mod return_time;
 mod route_table;
+mod share_tally;
 mod share_window;
 mod store_duty;
 mod store_probe;
@@ -83,7 +84,8 @@
     RouteConfig, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ServiceWeight,
     WorkspaceKeys, WorkspaceRef,
 };
-pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareTeller, ShareWindow};
+pub use share_tally::{ShareOutcome, ShareTally, TallyRow};
+pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareSource, ShareTeller, ShareWindow};
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
 pub use store_probe::{ProbeNews, ProbeRule, StoreProbe};
 pub use store_revision::StoreRevision;
--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -59,6 +59,11 @@
         self.times
     }
 
+    /// Returns how far it is ahead of the others beyond their share.
+    pub const fn ahead(self) -> f64 {
+        self.lead
+    }
+
     /// Returns what holds it back: the square of how far it is beyond its share, times the third
     /// power of its lead over others beyond theirs (`docs/decisions/0009-admission.md`).
     pub fn pressure(self) -> f64 {
@@ -134,6 +139,15 @@
     sums: ShareSums,
 }
 
+/// Where the sums come from that a box goes by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ShareSource {
+    /// It added them up itself.
+    Counted,
+    /// A coordinator told them so many milliseconds ago.
+    Told(u64),
+}
+
 /// Adds up service over boxes and over a sliding window.
 #[derive(Debug)]
 pub struct ShareWindow {
@@ -281,13 +295,27 @@
     /// coordinator that knows of clearly more.
     fn fleet_sums(&self, now_ms: u64) -> ShareSums {
         let counted = self.counted_sums(now_ms);
+        match self.fuller_report(&counted, now_ms) {
+            Some(told) => told.sums.clone(),
+            None => counted,
+        }
+    }
+
+    /// Returns what a coordinator tells of the fleet, if that is clearly more than what is counted here.
+    fn fuller_report(&self, counted: &ShareSums, now_ms: u64) -> Option<&PeerReport> {
         let fleet = self.fresh(now_ms);
         let fleet = fleet.filter(|(scope, _)| *scope == ShareScope::Fleet);
         let told = fleet.map(|(_, report)| report).reduce(fuller);
         let here: u64 = counted.values().map(|sum| sum.asked).sum();
-        match told.filter(|told| is_clearly_more(told.asked(), here)) {
-            Some(told) => told.sums.clone(),
-            None => counted,
+        told.filter(|told| is_clearly_more(told.asked(), here))
+    }
+
+    /// Tells where the sums come from that levels are worked out of.
+    pub fn source(&self, now_ms: u64) -> ShareSource {
+        let counted = self.counted_sums(now_ms);
+        match self.fuller_report(&counted, now_ms) {
+            Some(told) => ShareSource::Told(now_ms.saturating_sub(told.heard_ms)),
+            None => ShareSource::Counted,
         }
     }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -33,6 +33,7 @@
 mod reload;
 mod run_guard;
 mod settings;
+mod share_sight;
 mod sockets;
 mod store_contact;
 mod store_probe;
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -14,7 +14,7 @@
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
     AskTimes, EndpointId, EngineAsk, GatewayLimits, PromptShape, RouteKey, RouteSpec, RouteTable,
-    ServiceKey, ServiceSpec, WorkspaceRef, name_hash,
+    ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -225,10 +225,18 @@
         let refusal = CallRefusal::come_back(RefusalReason::Overloaded, COME_BACK_SOON);
         return Err(found_away(refusal));
     }
-    shed(&state, name_hash(name)).map_err(found_away)?;
+    let engine = table.service(service).engine;
+    let prompt = head.prompt.as_ref().filter(|_| engine.is_some());
+    let units = prompt.map_or(0, PromptShape::units);
+    state.with(|beliefs| beliefs.tally.note_asked(name_hash(name), name, units));
+    shed(&state, name_hash(name), units).map_err(found_away)?;
     let timeout = route_spec.timeout;
     let budget = head.budget.unwrap_or(timeout).min(timeout);
-    note_arrival(&state, &head, table.service(service), name);
+    state.with(|beliefs| {
+        let service = &table.service(service).name;
+        beliefs.retries.note_request(service, now_ms());
+        beliefs.shares.note_asked(name_hash(name), units);
+    });
     Ok(AdmittedCall {
         state,
         deadline: arrived + budget,
@@ -247,12 +255,12 @@
     })
 }
 
-/// Counts a request of a workspace.
+/// Counts a request of a workspace, with so many service units of prompts.
 ///
 /// # Errors
 ///
 /// Returns a refusal where this box has no processor for it.
-fn shed(state: &GatewayState, workspace: u64) -> Result<(), CallRefusal> {
+fn shed(state: &GatewayState, workspace: u64, units: u64) -> Result<(), CallRefusal> {
     state.with(|beliefs| {
         let shed = &mut beliefs.shed;
         shed.note_request(workspace);
@@ -261,6 +269,8 @@
             return Ok(());
         }
         shed.note_refused();
+        let outcome = ShareOutcome::NoProcessor;
+        beliefs.tally.note(workspace, outcome, units);
         let reason = match shed.is_avoided() {
             true => RefusalReason::SentElsewhere,
             false => RefusalReason::Overloaded,
@@ -270,17 +280,6 @@
     })
 }
 
-fn note_arrival(state: &GatewayState, head: &CallHead, service: &ServiceSpec, workspace: &str) {
-    state.with(|beliefs| {
-        beliefs.retries.note_request(&service.name, now_ms());
-        if let Some(prompt) = head.prompt.as_ref().filter(|_| service.engine.is_some()) {
-            beliefs
-                .shares
-                .note_asked(name_hash(workspace), prompt.units());
-        }
-    });
-}
-
 /// Returns the target of a request without the host that some callers put there.
 fn path_and_query(uri: &Uri) -> Uri {
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -8,7 +8,8 @@
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    EndpointEntry, PromptShape, ReturnCause, ServiceOutlook, ShareLevel, name_hash, return_time,
+    EndpointEntry, PromptShape, ReturnCause, ServiceOutlook, ShareLevel, ShareOutcome, name_hash,
+    return_time,
 };
 use std::time::Duration;
 
@@ -60,10 +61,13 @@
                     level: self.share_level(ask.workspace),
                 };
                 let found = find_engine(&self.state, wish, &ask).await;
-                let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace))?;
                 let units = wish.prompt.units();
-                self.state
-                    .with(|beliefs| beliefs.shares.note_given(ask.workspace, units));
+                let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace, units))?;
+                self.state.with(|beliefs| {
+                    beliefs.shares.note_given(ask.workspace, units);
+                    let outcome = ShareOutcome::Given;
+                    beliefs.tally.note(ask.workspace, outcome, units);
+                });
                 Ok(CallPlace {
                     target: found.target,
                     guard: found.guard,
@@ -79,7 +83,7 @@
         self.state.with(|beliefs| beliefs.shares.level(workspace))
     }
 
-    fn refuse_prompt(&self, none: NoPlace, workspace: u64) -> CallRefusal {
+    fn refuse_prompt(&self, none: NoPlace, workspace: u64, units: u64) -> CallRefusal {
         let Some(first_ms) = none.first_event_ms() else {
             return self.refuse_unserved();
         };
@@ -88,11 +92,14 @@
             true => ReturnCause::Share,
             false => ReturnCause::Backlog(Duration::from_millis(u64::from(first_ms))),
         };
+        let (reason, outcome) = match level.is_beyond() {
+            true => (RefusalReason::BeyondShare, ShareOutcome::BeyondShare),
+            false => (RefusalReason::WouldBeLate, ShareOutcome::WouldBeLate),
+        };
+        self.state
+            .with(|beliefs| beliefs.tally.note(workspace, outcome, units));
         CallRefusal {
-            reason: match level.is_beyond() {
-                true => RefusalReason::BeyondShare,
-                false => RefusalReason::WouldBeLate,
-            },
+            reason,
             retry_after: Some(return_time(cause, self.left(), rand::random())),
             asked: none.asked,
             share: Some(level.times()),
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -2,6 +2,7 @@
 
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::settings::GatewaySettings;
+use super::share_sight::WorkspaceSight;
 use crate::clock::now_ms;
 use crate::logging::{LineBudget, log_line};
 use dockgate_core::gateway::{EndpointChange, EndpointRecord, EndpointState, name_hash};
@@ -125,6 +126,12 @@
     DomainCut { domain: &'a str },
     /// A failure domain is reached again.
     DomainBack { domain: &'a str, for_ms: u64 },
+    /// What workspaces asked for and were given here since the last such line, where something was refused.
+    Shares {
+        /// How long ago a coordinator told the sums that decide; none where this box adds them up.
+        told_ms: Option<u64>,
+        workspaces: &'a [WorkspaceSight],
+    },
     /// So many lines about requests were not written, as there were too many in a second.
     LinesHeldBack { count: u64 },
     /// A request was sent to an endpoint.
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -14,7 +14,7 @@
 use dockgate_core::gateway::{
     BoxBeat, BoxStanding, BrokenEndpoints, EndpointBook, EndpointChange, EndpointId, EndpointNews,
     EngineAsk, EngineBook, EngineVerdict, EraBook, FleetView, LoopLag, ReadLog, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ShareWindow, StoreDuty, StoreProbe, StoreRevision,
+    RouteConfig, RouteTable, RunKey, ShareTally, ShareWindow, StoreDuty, StoreProbe, StoreRevision,
     SuspectBook, WakeGate, WatchCheck, WorkShed,
 };
 use dockgate_core::{BoxKey, Incarnation};
@@ -51,6 +51,8 @@
     pub(super) engines: EngineBook,
     /// What the workspaces asked for and were given.
     pub(super) shares: ShareWindow,
+    /// What became of their prompts here, for the log.
+    pub(super) tally: ShareTally,
     /// What may be sent to a second endpoint.
     pub(super) retries: RetryBudget,
     /// Which era the store is in.
@@ -127,6 +129,7 @@
             endpoints: EndpointBook::default(),
             engines: EngineBook::default(),
             shares: ShareWindow::new(settings.share_window.as_millis() as u64),
+            tally: ShareTally::default(),
             retries: RetryBudget::new(settings.retry_rule()),
             eras: EraBook::default(),
             fleet: FleetView::new(own),
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -12,6 +12,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayBeliefs, GatewayState};
 use super::quarantine;
+use super::share_sight::{SIGHT_MS, log_shares};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
     BoxBeat, BoxNews, DigestScope, DomainKey, DueReads, EndpointId, FleetDigest, FleetView,
@@ -184,6 +185,7 @@
 pub(super) async fn beat(state: Arc<GatewayState>) {
     announce(&state).await;
     let mut since_ms = now_ms();
+    let mut logged_ms = since_ms;
     let scopes = (0..).map(|round: u32| match round % FleetView::LIST_EVERY {
         0 => DigestScope::FarList,
         _ => DigestScope::Far,
@@ -205,6 +207,10 @@
             let behind = beliefs.lag.is_overloaded();
             beliefs.fleet.set_behind(behind);
         });
+        if now >= logged_ms + SIGHT_MS {
+            log_shares(&state);
+            logged_ms = now;
+        }
         state.expire(since_ms);
         end_check::note_restarts(&state);
         report_engines(&state, |owner, told| owner != told);
