--- a/dockgate-core/src/gateway/share_window.rs
+++ b/dockgate-core/src/gateway/share_window.rs
@@ -427,5 +427,9 @@
     greedy.map(|(name, sum)| (*name, level(sum))).collect()
 }
 
+#[cfg(test)]
+mod share_play;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod turn_tests;
