fix: workspaces that ask for more than their share are served side by side, not in turns

Engines were idle while both were shut out.

Cause: who is ahead was worked out of what each had been given, over a window with sharp edges and with sums that are some tenths of a second old, and held back by the fifth power of it. Engines take what waits least, so a small difference is a shut door, opened and shut too late each time.

Why it works: both rates that hold a workspace back follow from what all ask for, which does not swing with what is let through; what it takes itself counts at the box that gives it, without delay. What is owed comes first, whatever the size of a prompt.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -29,6 +29,7 @@
 mod engine_load;
 mod era_book;
 mod event_splitter;
+mod fair_taking;
 mod fleet_view;
 mod home_order;
 mod loop_lag;
@@ -41,6 +42,10 @@
 mod retry_budget;
 mod return_time;
 mod route_table;
+mod share_credit;
+mod share_level;
+mod share_reports;
+mod share_sums;
 mod share_tally;
 mod share_window;
 mod store_duty;
@@ -84,8 +89,11 @@
     RouteConfig, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ServiceWeight,
     WorkspaceKeys, WorkspaceRef,
 };
+pub use share_level::ShareLevel;
+pub use share_reports::{ShareScope, ShareSource, ShareTeller};
+pub use share_sums::ShareRow;
 pub use share_tally::{ShareOutcome, ShareTally, TallyRow};
-pub use share_window::{ShareLevel, ShareRow, ShareScope, ShareSource, ShareTeller, ShareWindow};
+pub use share_window::ShareWindow;
 pub use store_duty::{OwnReach, StoreDuty, StoreWatchers};
 pub use store_probe::{ProbeNews, ProbeRule, StoreProbe};
 pub use store_revision::StoreRevision;
--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -7,7 +7,7 @@
 use super::engine_book::EngineAsk;
 use super::engine_load::EngineLoad;
 use super::read_model::ReadModel;
-use super::share_window::ShareLevel;
+use super::share_level::ShareLevel;
 use serde::{Deserialize, Serialize};
 
 /// The settings of admission.
@@ -19,6 +19,9 @@
     /// beyond their share come to the same level rather than to what they ask, and what they ask
     /// beyond it goes to prompts that take little.
     pub beyond_share_part: f64,
+    /// The part of its own reading that counts as waiting, for a prompt of a workspace beyond its share. With all of it
+    /// only short prompts are read where engines are busy; with none, long ones keep all others waiting.
+    pub own_read_part: f64,
     /// Up to which part of its objective a prompt may wait that is too long to be read within it:
     /// it will be late, so it may not make others late as well.
     pub long_part: f64,
@@ -31,7 +34,8 @@
     fn default() -> Self {
         Self {
             most_part: 0.6,
-            beyond_share_part: 0.7,
+            beyond_share_part: 0.22,
+            own_read_part: 0.4,
             long_part: 0.2,
             memory_part: 0.6,
         }
@@ -73,7 +77,6 @@
         &self,
         load: &EngineLoad,
         ask: &EngineAsk,
-        level: ShareLevel,
         others: u32,
         now_ms: u64,
     ) -> EngineVerdict {
@@ -83,10 +86,10 @@
         let read_ms = load.model().read_ms(load.work_of(ask));
         let first_ms = backlog_ms + load.model().fixed_ms() + read_ms;
         let most_ms = self.most_ms(load.model(), ask);
-        let in_time = wait_ms + read_ms <= most_ms * self.ease(level);
+        let in_time = self.fits(wait_ms, read_ms, most_ms, ask.level);
         let long_ms = ask.tightest_ms() * self.long_part;
         let is_long = read_ms > most_ms - long_ms;
-        let long = is_long && !level.is_beyond() && wait_ms <= long_ms;
+        let long = is_long && !ask.level.is_beyond() && wait_ms <= long_ms;
         let room = self.has_room(load, ask, unseen);
         match room {
             true if in_time || long => EngineVerdict::Granted(first_ms as u32),
@@ -105,6 +108,12 @@
         most_ms.max(objective_ms * Self::LEAST_PART)
     }
 
+    /// Tells whether a prompt may wait so long and be read after that.
+    fn fits(&self, wait_ms: f64, read_ms: f64, most_ms: f64, level: ShareLevel) -> bool {
+        let held_ms = wait_ms + read_ms * self.own_read_part;
+        wait_ms + read_ms <= most_ms && held_ms <= most_ms * self.ease(level)
+    }
+
     /// Returns the part of the time within a share that a workspace has.
     fn ease(&self, level: ShareLevel) -> f64 {
         match level.is_beyond() {
@@ -119,33 +128,22 @@
     ///
     /// A flood is refused many times for each prompt that is admitted, and each question costs the
     /// box a datagram and a wake-up: what it knows alone is enough for most.
-    pub fn hopeless_ms(
-        &self,
-        load: &EngineLoad,
-        ask: &EngineAsk,
-        level: ShareLevel,
-        now_ms: u64,
-    ) -> Option<f64> {
-        let first_ms = load.least_first_event_ms(ask, now_ms);
-        let read_ms = first_ms - load.model().fixed_ms();
-        let most_ms = self.most_ms(load.model(), ask) * self.ease(level);
-        let hopeless = level.is_beyond() && read_ms > most_ms;
-        hopeless.then_some(first_ms)
+    pub fn hopeless_ms(&self, load: &EngineLoad, ask: &EngineAsk, now_ms: u64) -> Option<f64> {
+        let wait_ms = load.backlog_ms(now_ms);
+        let read_ms = load.least_read_ms(ask);
+        let most_ms = self.most_ms(load.model(), ask);
+        let hopeless = ask.level.is_beyond() && !self.fits(wait_ms, read_ms, most_ms, ask.level);
+        hopeless.then_some(wait_ms + load.model().fixed_ms() + read_ms)
     }
 
     /// Returns after how many milliseconds a first event comes at least that is too late at every
     /// engine for a workspace beyond its share, by the `fastest` of them; none where one might take it.
     ///
     /// Most of a flood is declined by this alone, before its homes are looked for.
-    pub fn hopeless_anywhere_ms(
-        &self,
-        fastest: &ReadModel,
-        ask: &EngineAsk,
-        level: ShareLevel,
-    ) -> Option<f64> {
+    pub fn hopeless_anywhere_ms(&self, fastest: &ReadModel, ask: &EngineAsk) -> Option<f64> {
         let read_ms = fastest.read_ms(ask.least_work());
-        let most_ms = self.most_ms(fastest, ask) * self.ease(level);
-        let hopeless = level.is_beyond() && read_ms > most_ms;
+        let most_ms = self.most_ms(fastest, ask);
+        let hopeless = ask.level.is_beyond() && !self.fits(0.0, read_ms, most_ms, ask.level);
         hopeless.then_some(fastest.fixed_ms() + read_ms)
     }
 
--- a/dockgate-core/src/gateway/engine_book.rs
+++ b/dockgate-core/src/gateway/engine_book.rs
@@ -7,6 +7,7 @@
 use super::prompt_shape::{PromptPart, PromptShape};
 use super::read_model::{PromptWork, ReadModel, ReadSpeed};
 use super::route_table::{EndpointId, EngineSpec};
+use super::share_level::ShareLevel;
 use crate::ids::BoxKey;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
@@ -31,6 +32,8 @@
     pub shortest_ms: u32,
     /// How long the caller waits at most.
     pub budget_ms: u32,
+    /// How its workspace stands where it was asked.
+    pub level: ShareLevel,
     /// Tokens of the prompt.
     pub input: u32,
     /// Tokens expected to be made.
@@ -58,12 +61,20 @@
             objective_ms: times.objective_ms,
             shortest_ms: times.shortest_ms,
             budget_ms: times.budget_ms,
+            level: ShareLevel::WITHIN,
             input: prompt.input,
             output: prompt.output,
             parts: prompt.parts.clone(),
         }
     }
 
+    /// Sets how its workspace stands.
+    #[must_use]
+    pub const fn level(mut self, level: ShareLevel) -> Self {
+        self.level = level;
+        self
+    }
+
     /// Returns the shorter of its own objective and the shortest of the service, in milliseconds.
     pub fn tightest_ms(&self) -> f64 {
         f64::from(self.objective_ms.min(self.shortest_ms))
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -134,10 +134,9 @@
         self.backlog_ms(now_ms) + self.model.first_event_ms(self.work_of(ask))
     }
 
-    /// Returns the least time to the first event of a prompt, in milliseconds, by what this box alone
-    /// has sent there and was told.
-    pub fn least_first_event_ms(&self, ask: &EngineAsk, now_ms: u64) -> f64 {
-        self.backlog_ms(now_ms) + self.model.first_event_ms(self.least_work_of(ask))
+    /// Returns for how many milliseconds the engine reads a prompt at least, by what this box alone has sent there.
+    pub fn least_read_ms(&self, ask: &EngineAsk) -> f64 {
+        self.model.read_ms(self.least_work_of(ask))
     }
 
     /// Takes in what the box that decides for the engine says of it.
--- a/dockgate-core/src/gateway/engine_load/tests.rs
+++ b/dockgate-core/src/gateway/engine_load/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::gateway::PromptPart;
+use crate::gateway::ShareLevel;
 use crate::ids::BoxKey;
 use proptest::prelude::*;
 
@@ -26,6 +27,7 @@
         objective_ms: 600,
         shortest_ms: 600,
         budget_ms: 6_000,
+        level: ShareLevel::WITHIN,
         input,
         output: 50,
         parts: vec![
--- a/dockgate-core/src/gateway/return_time.rs
+++ b/dockgate-core/src/gateway/return_time.rs
@@ -2,9 +2,7 @@
 //!
 //! Callers come back once, and within a third of the time that they have left. A refused request is
 //! worth most if it comes back when there is room and is still in time, so the time follows the
-//! backlog that stood in its way, spread so that not all come at once. Against 1.2 to 2.4 s for
-//! workspaces beyond their share, 4 to 6 in 100 requests more were answered in time, and 1 to 2 in 100
-//! more were refused for good (loaded days of three deployments).
+//! backlog that stood in its way, spread so that not all come at once.
 
 use std::time::Duration;
 
@@ -28,9 +26,9 @@
 const MOST_BACKLOG: Duration = Duration::from_millis(400);
 /// Between which parts of the backlog returns are spread.
 const SPREAD: [f64; 2] = [0.75, 1.75];
-/// When a workspace that no engine takes more of comes back at the earliest: a good part of the window
-/// in which its share is counted. Returns are spread over as long again.
-const SHARE_TIME: Duration = Duration::from_millis(1_200);
+/// When a workspace that no engine takes more of comes back at the earliest: what it may take is spread evenly over
+/// time, so there is as much room a moment later, and it may still be in time. Returns are spread over as long again.
+const SHARE_TIME: Duration = Duration::from_millis(120);
 /// When a request whose endpoints all leave comes back at the earliest: those that take their place write a record
 /// as they start, which is known here within a second. Returns are spread over as long again.
 const REPLACEMENT_TIME: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/dockgate-core/src/gateway/share_level.rs
@@ -0,0 +1,68 @@
+//! How a workspace stands beside the others when a prompt of it is decided on.
+//!
+//! ```
+//! use dockgate_core::gateway::ShareLevel;
+//!
+//! let even = ShareLevel::new(1.5);
+//! assert!(even.is_beyond());
+//! assert!(even.taken(1.5).pressure() > even.pressure());
+//! assert!(even.taken(0.5).pressure() < even.pressure());
+//! assert!(!ShareLevel::WITHIN.is_beyond());
+//! ```
+
+use serde::{Deserialize, Serialize};
+
+/// How much of their share those have had who ask for more, and what a workspace takes beside the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShareLevel {
+    /// Given over owed, in thousandths: 1,000 is all that is owed.
+    times: u32,
+    /// What it takes here over its fair part, in thousandths: 1,000 is even with the others.
+    taken: u32,
+}
+
+impl ShareLevel {
+    /// It is owed more.
+    pub const WITHIN: Self = Self::new(0.0);
+    /// How steeply one is held back that takes more than its fair part.
+    const STEEPNESS: f64 = 4.0;
+    /// Beyond how many fair parts more makes no difference.
+    const MOST_TAKEN: f64 = 3.0;
+
+    /// Makes the level of a workspace, where those who ask for more have had this many times their share.
+    pub const fn new(times: f64) -> Self {
+        Self {
+            times: (times * 1_000.0) as u32,
+            taken: 1_000,
+        }
+    }
+
+    /// Sets what it takes here, as a part of what is fair.
+    #[must_use]
+    pub const fn taken(mut self, part: f64) -> Self {
+        self.taken = (part * 1_000.0) as u32;
+        self
+    }
+
+    /// Tells whether it has had what it is owed.
+    pub const fn is_beyond(self) -> bool {
+        self.times >= 1_000
+    }
+
+    /// Returns how many times their share those who ask for more have had.
+    pub fn times(self) -> f64 {
+        f64::from(self.times) / 1_000.0
+    }
+
+    /// Returns what it takes here over its fair part.
+    pub fn taken_part(self) -> f64 {
+        f64::from(self.taken) / 1_000.0
+    }
+
+    /// Returns what holds it back: how far all are beyond their share, and more, the more it takes of what is fair
+    /// (`docs/decisions/0009-admission.md`).
+    pub fn pressure(self) -> f64 {
+        let ahead = self.taken_part().min(Self::MOST_TAKEN) - 1.0;
+        self.times().powi(2) * (Self::STEEPNESS * ahead).exp()
+    }
+}
--- a/dockgate-core/src/gateway/share_window/share_play.rs
+++ b/dockgate-core/src/gateway/share_window/share_play.rs
@@ -1,12 +1,12 @@
 //! A fleet without a network, whose workspaces ask for more than its engines read.
 //!
-//! Two boxes of each of three failure domains count and tell each other what was asked and given, as late as a play
+//! The boxes of each of three failure domains count and tell each other what was asked and given, as late as a play
 //! says; engines read prompts in order of arrival.
 
-use super::{ShareRow, ShareScope, ShareTeller, ShareWindow};
+use super::ShareWindow;
 use crate::gateway::{
     AdmissionRule, DomainKey, EngineAsk, EngineLoad, EngineSpec, EngineVerdict, PromptPart,
-    ReadSpeed, RunKey,
+    ReadSpeed, RunKey, ShareRow, ShareScope, ShareTeller,
 };
 use crate::ids::{BoxKey, Incarnation};
 use std::cmp::Reverse;
@@ -14,11 +14,13 @@
 use std::ops::Range;
 
 const DOMAINS: usize = 3;
-const DOMAIN_BOXES: usize = 2;
-const BOXES: usize = DOMAINS * DOMAIN_BOXES;
-const ENGINES: usize = 16;
+const DOMAIN_BOXES: usize = 16;
+pub(super) const BOXES: usize = DOMAINS * DOMAIN_BOXES;
+/// At how many boxes the callers of a workspace are, unless a play says otherwise.
+const FEW_BOXES: usize = 6;
+const ENGINES: usize = 10;
 /// What an engine reads in a millisecond, in tokens.
-const ENGINE_SPEED: f64 = 25.0;
+const ENGINE_SPEED: f64 = 40.0;
 /// What all engines read in a second, in tokens.
 pub(super) const CAPACITY: f64 = ENGINE_SPEED * ENGINES as f64 * 1_000.0;
 const WINDOW_MS: u64 = 4_000;
@@ -50,7 +52,7 @@
             part,
             tokens,
             spans: vec![0.0..LENGTH_S as f64],
-            boxes: BOXES,
+            boxes: FEW_BOXES,
         }
     }
 
@@ -143,7 +145,7 @@
         from: usize,
         scope: ShareScope,
         sequence: u32,
-        rows: Vec<(u64, u64, u64)>,
+        rows: Vec<(u64, u64, u64, u64)>,
     },
     Start(usize, u32),
     End(usize, u32),
@@ -252,7 +254,7 @@
         let now_ms = self.now_ms;
         self.windows[at].tick(now_ms, CAPACITY * self.rule.stated);
         let near = coordinator(domain_of(at));
-        let rows = self.windows[at].rows();
+        let rows = self.windows[at].rows(now_ms);
         if near == at {
             let domain = DomainKey(domain_of(at) as u32);
             let rows = self.windows[at].domain_rows(now_ms);
@@ -269,7 +271,9 @@
 
     fn send(&mut self, from: usize, to: usize, scope: ShareScope, rows: &[ShareRow]) {
         self.sequences[from] += 1;
-        let rows = rows.iter().map(|row| (row.workspace, row.asked, row.given));
+        let rows = rows
+            .iter()
+            .map(|row| (row.workspace, row.asked, row.asked_long, row.given));
         let event = PlayEvent::Rows {
             to,
             from,
@@ -287,7 +291,7 @@
         from: usize,
         scope: ShareScope,
         sequence: u32,
-        rows: &[(u64, u64, u64)],
+        rows: &[(u64, u64, u64, u64)],
     ) {
         let teller = ShareTeller {
             peer: BoxKey(from as u32),
@@ -297,9 +301,10 @@
         };
         let rows: Vec<ShareRow> = rows
             .iter()
-            .map(|(workspace, asked, given)| ShareRow {
+            .map(|(workspace, asked, asked_long, given)| ShareRow {
                 workspace: *workspace,
                 asked: *asked,
+                asked_long: *asked_long,
                 given: *given,
             })
             .collect();
@@ -313,7 +318,9 @@
     fn next_ask(&mut self, flood: usize) {
         let spec = self.floods[flood].clone();
         if spec.asks_at(self.now_ms) {
-            let at = (self.draw() * spec.boxes as f64) as usize;
+            // The boxes are taken of all domains in turn.
+            let drawn = (self.draw() * spec.boxes as f64) as usize;
+            let at = drawn % DOMAINS * DOMAIN_BOXES + drawn / DOMAINS;
             self.ask(flood, at, spec.tokens);
         }
         let gap_ms = f64::from(spec.tokens) * 1_000.0 / (CAPACITY * spec.part);
@@ -328,14 +335,15 @@
         let workspace = flood as u64 + 1;
         let second = self.now_ms as usize / 1_000;
         self.outcome.rows[flood][second].asked += units;
-        self.windows[at].note_asked(workspace, units);
-        let level = self.windows[at].level(workspace);
+        self.windows[at].note_asked(workspace, units, self.now_ms);
+        let level = self.windows[at].level(workspace, units, self.now_ms);
         let number = self.count as u32;
         let ask = EngineAsk {
             workspace,
             objective_ms: 1_000,
             shortest_ms: 600,
             budget_ms: 6_000,
+            level,
             input: tokens,
             output: 0,
             parts: vec![PromptPart {
@@ -348,14 +356,14 @@
         let homes = [first, (first + next) % ENGINES];
         let rule = AdmissionRule::default();
         let home = homes.into_iter().find(|home| {
-            let verdict = rule.decide(&self.engines[*home], &ask, level, 0, self.now_ms);
+            let verdict = rule.decide(&self.engines[*home], &ask, 0, self.now_ms);
             matches!(verdict, EngineVerdict::Granted(_))
         });
         let Some(home) = home else {
             self.outcome.rows[flood][second].refused += units;
             return;
         };
-        self.windows[at].note_given(workspace, units);
+        self.windows[at].note_given(workspace, units, level, self.now_ms);
         self.outcome.rows[flood][second].given += units;
         let first_ms = self.engines[home].first_event_ms(&ask, self.now_ms) as u64;
         self.engines[home].place(run_key(number), &ask, self.now_ms);
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -23,7 +23,7 @@
 
 /// What datagrams of this form begin with: a box of another version cannot take them for its own,
 /// since no number in a datagram begins so, and the last byte names the form.
-const FORM: [u8; 6] = [0xff, 0xff, 0xff, 0xff, 0xff, 5];
+const FORM: [u8; 6] = [0xff, 0xff, 0xff, 0xff, 0xff, 6];
 
 impl GatewayDatagram {
     /// Returns the bytes of the datagram.
--- a/dockgate/src/gateway/call/admitted.rs
+++ b/dockgate/src/gateway/call/admitted.rs
@@ -235,7 +235,7 @@
     state.with(|beliefs| {
         let service = &table.service(service).name;
         beliefs.retries.note_request(service, now_ms());
-        beliefs.shares.note_asked(name_hash(name), units);
+        beliefs.shares.note_asked(name_hash(name), units, now_ms());
     });
     Ok(AdmittedCall {
         state,
--- a/dockgate/src/gateway/call/placing.rs
+++ b/dockgate/src/gateway/call/placing.rs
@@ -8,8 +8,8 @@
 use super::{AdmittedCall, CallRefusal, CallTries};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    EndpointEntry, PromptShape, ReturnCause, ServiceOutlook, ShareLevel, ShareOutcome, name_hash,
-    return_time,
+    EndpointEntry, EngineAsk, PromptShape, ReturnCause, ServiceOutlook, ShareLevel, ShareOutcome,
+    name_hash, return_time,
 };
 use std::time::Duration;
 
@@ -52,19 +52,22 @@
         until_fresh(&self.state, self.deadline()).await;
         match (self.service().engine, self.engine_ask()) {
             (Some(_), Some(ask)) => {
+                let prompt = self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT);
+                let units = prompt.units();
                 let wish = EngineWish {
                     service: self.service(),
-                    prompt: self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT),
+                    prompt,
                     own_subject: name_hash(&self.head.id),
                     tried: &tries.endpoints,
                     resumed,
-                    level: self.share_level(ask.workspace),
+                    level: self.share_level(ask.workspace, units),
                 };
+                let ask = ask.level(wish.level);
                 let found = find_engine(&self.state, wish, &ask).await;
-                let units = wish.prompt.units();
-                let found = found.map_err(|none| self.refuse_prompt(none, ask.workspace, units))?;
+                let found = found.map_err(|none| self.refuse_prompt(none, &ask, units))?;
                 self.state.with(|beliefs| {
-                    beliefs.shares.note_given(ask.workspace, units);
+                    let shares = &mut beliefs.shares;
+                    shares.note_given(ask.workspace, units, ask.level, now_ms());
                     let outcome = ShareOutcome::Given;
                     beliefs.tally.note(ask.workspace, outcome, units);
                 });
@@ -79,15 +82,18 @@
         }
     }
 
-    fn share_level(&self, workspace: u64) -> ShareLevel {
-        self.state.with(|beliefs| beliefs.shares.level(workspace))
+    fn share_level(&self, workspace: u64, units: u64) -> ShareLevel {
+        self.state
+            .with(|beliefs| beliefs.shares.level(workspace, units, now_ms()))
     }
 
-    fn refuse_prompt(&self, none: NoPlace, workspace: u64, units: u64) -> CallRefusal {
+    fn refuse_prompt(&self, none: NoPlace, ask: &EngineAsk, units: u64) -> CallRefusal {
         let Some(first_ms) = none.first_event_ms() else {
             return self.refuse_unserved();
         };
-        let level = self.share_level(workspace);
+        let EngineAsk {
+            workspace, level, ..
+        } = *ask;
         let cause = match none.asked.is_empty() {
             true => ReturnCause::Share,
             false => ReturnCause::Backlog(Duration::from_millis(u64::from(first_ms))),
--- a/dockgate/src/gateway/engine_seek.rs
+++ b/dockgate/src/gateway/engine_seek.rs
@@ -93,7 +93,7 @@
     pub(super) tried: &'a [EndpointId],
     /// Whether its stream goes on after an endpoint was lost.
     pub(super) resumed: bool,
-    /// How much of its share its workspace has had.
+    /// How its workspace stands.
     pub(super) level: ShareLevel,
 }
 
@@ -185,9 +185,8 @@
         if notices.is_said_to_leave(endpoint, now) {
             return Some(EngineVerdict::Leaving);
         }
-        let level = beliefs.shares.level(ask.workspace);
         let load = beliefs.engines.load_mut(endpoint, spec);
-        let verdict = rule.decide(load, ask, level, others, now);
+        let verdict = rule.decide(load, ask, others, now);
         if matches!(verdict, EngineVerdict::Granted(_)) {
             GATEWAY_METRICS.note_admitted(ask.input, load.work_of(ask).tokens());
             load.place(key, ask, now);
@@ -313,10 +312,8 @@
     let settings = state.settings();
     let spec = spec_of(state, home.target.id)?;
     let first_ms = state.with(|beliefs| {
-        let level = beliefs.shares.level(ask.workspace);
         let load = beliefs.engines.load_mut(home.target.id, spec);
-        let rule = settings.admission;
-        rule.hopeless_ms(load, ask, level, now_ms())
+        settings.admission.hopeless_ms(load, ask, now_ms())
     })?;
     GATEWAY_METRICS.declined_alone.inc();
     Some(AskedHome {
@@ -387,7 +384,7 @@
     let rule = state.settings().admission;
     let first_ms = state.with(|beliefs| {
         let fastest = beliefs.engines.fastest(spec)?;
-        rule.hopeless_anywhere_ms(&fastest, ask, wish.level)
+        rule.hopeless_anywhere_ms(&fastest, ask)
     })?;
     GATEWAY_METRICS.declined_alone.inc();
     Some(first_ms as u32)
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -56,7 +56,7 @@
         beliefs.fleet.count_saying(now);
         let message = GatewayMessage::Beat {
             beat: beliefs.fleet.own().clone(),
-            shares: beliefs.shares.rows(),
+            shares: beliefs.shares.rows(now),
         };
         (beliefs.fleet.beat_targets(now, draw), message)
     });
--- a/dockgate/src/gateway/membership/tests.rs
+++ b/dockgate/src/gateway/membership/tests.rs
@@ -53,6 +53,7 @@
     let row = ShareRow {
         workspace: 7,
         asked: 30,
+        asked_long: 30,
         given: 20,
     };
     for (name, domain, scope) in [
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -209,6 +209,7 @@
     AdmissionRule {
         most_part: part("most_part", default.most_part),
         beyond_share_part: part("beyond_share_part", default.beyond_share_part),
+        own_read_part: part("own_read_part", default.own_read_part),
         long_part: part("long_part", default.long_part),
         memory_part: part("memory_part", default.memory_part),
     }
--- a/dockgate/src/gateway/share_sight.rs
+++ b/dockgate/src/gateway/share_sight.rs
@@ -15,7 +15,7 @@
     #[serde(flatten)]
     sums: TallyRow,
     times: f64,
-    lead: f64,
+    taken: f64,
 }
 
 /// Logs what the workspaces got of which something was refused since the last line.
@@ -24,11 +24,11 @@
     let (rows, source) = state.with(|beliefs| {
         let rows = beliefs.tally.take_refused().into_iter();
         let rows = rows.map(|sums| {
-            let level = beliefs.shares.level(sums.key);
+            let level = beliefs.shares.level(sums.key, 0, now);
             WorkspaceSight {
                 sums,
                 times: level.times(),
-                lead: level.ahead(),
+                taken: level.taken_part(),
             }
         });
         let rows: Vec<WorkspaceSight> = rows.collect();
