fix: a question for endpoints that is not answered soon goes to a second box as well

The box that sent it asked two coordinators in turn, each telling a configuration of 4,231 routes to all others meanwhile, and each left the question for endpoints unanswered for 0.8 s and more. Cause: one box is asked at a time, for as long as an answer may take at most. The test with a box that never answers would wait for that box alone before.

--- a/dockgate/src/gateway/peer_state/tests.rs
+++ b/dockgate/src/gateway/peer_state/tests.rs
@@ -45,3 +45,40 @@
     backoff.note(peer, true);
     assert_eq!((backoff.limit(), backoff.silent), (ANSWER, None));
 }
+
+const SILENT: &str = "10.0.0.1:7500";
+const SECOND: &str = "10.0.0.2:7500";
+
+/// Asks a box that never answers, and a second one that answers as `second` says; returns whether that was enough.
+async fn asks_beside_a_silent_box(second: Option<bool>) -> Option<bool> {
+    let silent: SocketAddr = SILENT.parse().unwrap();
+    let ask = |peer: SocketAddr| async move {
+        match peer == silent {
+            true => std::future::pending().await,
+            false => second.unwrap_or_default(),
+        }
+    };
+    let other = || second.map(|_| SECOND.parse().unwrap());
+    let asked = ask_either(silent, ask, other);
+    timeout(SECOND_AFTER * 4, asked).await.ok()
+}
+
+#[tokio::test]
+async fn a_box_that_does_not_answer_soon_does_not_keep_news_from_this_one() {
+    assert_eq!(asks_beside_a_silent_box(Some(true)).await, Some(true));
+}
+
+#[tokio::test]
+async fn the_first_box_is_waited_for_where_the_second_one_fails_or_there_is_none() {
+    assert_eq!(asks_beside_a_silent_box(Some(false)).await, None);
+    assert_eq!(asks_beside_a_silent_box(None).await, None);
+}
+
+#[tokio::test]
+async fn nobody_else_is_asked_where_the_first_box_answers() {
+    let first: SocketAddr = SILENT.parse().unwrap();
+    for answer in [true, false] {
+        let asked = ask_either(first, |_| async move { answer }, || unreachable!());
+        assert_eq!(asked.await, answer);
+    }
+}
