--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -11,12 +11,11 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::quarantine_door;
-use crate::clock::{now_ms, timeout, wakings};
+use crate::clock::{now_ms, wakings};
 use crate::door::RpcDoor;
 use crate::error::DaemonError;
 use dockgate_core::gateway::{BoxKnowledge, InformedBox, StoreRevision};
 use dockgate_proto::{StateAnswer, StateRequest, methods};
-use futures::future::{Either, select};
 use http::{Extensions, HeaderMap};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::ClientError;
@@ -45,9 +44,6 @@
 /// How long an answer may take at first; twice as long after each one that did not come in time, since how
 /// large the news is, and how busy the other box, is not known before.
 const ANSWER: Duration = Duration::from_millis(800);
-/// After how long without an answer a second box is asked as well: an answer that is small takes some tens of
-/// milliseconds.
-const SECOND_AFTER: Duration = Duration::from_millis(300);
 /// How long an answer may take at most: a bound, beyond which the other box is taken for gone.
 const LONGEST_ANSWER: Duration = Duration::from_millis(3_200);
 
@@ -147,11 +143,8 @@
         if let Some(better) = backoff.due(better, has_watch, now) {
             let peer = better.state_address;
             let mut wakings = wakings();
-            let limit = backoff.limit();
-            let ask = |peer| ask_noted(&state, peer, what, limit);
-            let second = || second_box(&state, what, peer);
             let answered = tokio::select! {
-                answered = ask_either(peer, ask, second) => answered,
+                answered = ask_noted(&state, peer, what, backoff.limit()) => answered,
                 // Whoever was asked before the box slept is asked anew.
                 _ = wakings.changed() => continue,
             };
@@ -160,41 +153,6 @@
     }
 }
 
-/// Returns which box to ask beside `first`, where there is one and the answer is small.
-///
-/// Endpoints that leave have to be known within a bound, and a box that tells many others a large
-/// configuration answers late. Configurations are asked of one box at a time, as each answer makes the next one later.
-fn second_box(state: &GatewayState, what: BoxKnowledge, first: SocketAddr) -> Option<SocketAddr> {
-    if what == BoxKnowledge::Config {
-        return None;
-    }
-    let better = state.with(|beliefs| {
-        let fleet = &beliefs.fleet;
-        fleet.better_informed(what, Some(first), now_ms())
-    });
-    let address = better.map(|better| better.state_address);
-    address.filter(|address| *address != first)
-}
-
-/// Asks one box, and a second one beside it where the first does not answer soon; returns whether any answered.
-async fn ask_either<A: Future<Output = bool>>(
-    first: SocketAddr,
-    ask: impl Fn(SocketAddr) -> A,
-    second: impl FnOnce() -> Option<SocketAddr>,
-) -> bool {
-    let mut asked = Box::pin(ask(first));
-    if let Ok(answered) = timeout(SECOND_AFTER, &mut asked).await {
-        return answered;
-    }
-    let Some(second) = second() else {
-        return asked.await;
-    };
-    match select(asked, Box::pin(ask(second))).await {
-        Either::Left((true, _)) | Either::Right((true, _)) => true,
-        Either::Left((false, other)) | Either::Right((false, other)) => other.await,
-    }
-}
-
 /// Asks, and notes how long that took and what became of it; returns whether it was answered.
 async fn ask_noted(
     state: &GatewayState,
