--- a/dockgate-core/src/gateway/admission.rs
+++ b/dockgate-core/src/gateway/admission.rs
@@ -15,9 +15,7 @@
 pub struct AdmissionRule {
     /// Up to which part of its objective a prompt may wait.
     pub most_part: f64,
-    /// The part of that time that a workspace beyond its share has, divided by its pressure: those
-    /// beyond their share come to the same level rather than to what they ask, and what they ask
-    /// beyond it goes to prompts that take little.
+    /// The part of that time that a workspace beyond its share has, divided by its pressure.
     pub beyond_share_part: f64,
     /// The part of its own reading that counts as waiting, for a prompt of a workspace beyond its share. With all of it
     /// only short prompts are read where engines are busy; with none, long ones keep all others waiting.
@@ -86,7 +84,7 @@
         let read_ms = load.model().read_ms(load.work_of(ask));
         let first_ms = backlog_ms + load.model().fixed_ms() + read_ms;
         let most_ms = self.most_ms(load.model(), ask);
-        let in_time = self.fits(wait_ms, read_ms, most_ms, ask.level);
+        let in_time = self.is_in_time(wait_ms, read_ms, most_ms, ask.level);
         let long_ms = ask.tightest_ms() * self.long_part;
         let is_long = read_ms > most_ms - long_ms;
         let long = is_long && !ask.level.is_beyond() && wait_ms <= long_ms;
@@ -108,10 +106,10 @@
         most_ms.max(objective_ms * Self::LEAST_PART)
     }
 
-    /// Tells whether a prompt may wait so long and be read after that.
-    fn fits(&self, wait_ms: f64, read_ms: f64, most_ms: f64, level: ShareLevel) -> bool {
-        let held_ms = wait_ms + read_ms * self.own_read_part;
-        wait_ms + read_ms <= most_ms && held_ms <= most_ms * self.ease(level)
+    /// Tells whether a prompt that waits so long is read within `most_ms`, and waits no longer than its workspace may.
+    fn is_in_time(&self, wait_ms: f64, read_ms: f64, most_ms: f64, level: ShareLevel) -> bool {
+        let counted_ms = wait_ms + read_ms * self.own_read_part;
+        wait_ms + read_ms <= most_ms && counted_ms <= most_ms * self.ease(level)
     }
 
     /// Returns the part of the time within a share that a workspace has.
@@ -132,7 +130,8 @@
         let wait_ms = load.backlog_ms(now_ms);
         let read_ms = load.least_read_ms(ask);
         let most_ms = self.most_ms(load.model(), ask);
-        let hopeless = ask.level.is_beyond() && !self.fits(wait_ms, read_ms, most_ms, ask.level);
+        let hopeless =
+            ask.level.is_beyond() && !self.is_in_time(wait_ms, read_ms, most_ms, ask.level);
         hopeless.then_some(wait_ms + load.model().fixed_ms() + read_ms)
     }
 
@@ -143,7 +142,7 @@
     pub fn hopeless_anywhere_ms(&self, fastest: &ReadModel, ask: &EngineAsk) -> Option<f64> {
         let read_ms = fastest.read_ms(ask.least_work());
         let most_ms = self.most_ms(fastest, ask);
-        let hopeless = ask.level.is_beyond() && !self.fits(0.0, read_ms, most_ms, ask.level);
+        let hopeless = ask.level.is_beyond() && !self.is_in_time(0.0, read_ms, most_ms, ask.level);
         hopeless.then_some(fastest.fixed_ms() + read_ms)
     }
 
--- a/dockgate-core/src/gateway/share_level.rs
+++ b/dockgate-core/src/gateway/share_level.rs
@@ -24,7 +24,7 @@
 impl ShareLevel {
     /// It is owed more.
     pub const WITHIN: Self = Self::new(0.0);
-    /// How steeply one is held back that takes more than its fair part.
+    /// How steeply one is held back that takes more than its fair part: the exponent for one fair part more.
     const STEEPNESS: f64 = 4.0;
     /// Beyond how many fair parts more makes no difference.
     const MOST_TAKEN: f64 = 3.0;
@@ -59,8 +59,8 @@
         f64::from(self.taken) / 1_000.0
     }
 
-    /// Returns what holds it back: how far all are beyond their share, and more, the more it takes of what is fair
-    /// (`docs/decisions/0009-admission.md`).
+    /// Returns what holds it back: the square of how far all are beyond their share, and more, the more it takes of what is fair
+    /// (`docs/decisions/0020-shares-without-turns.md`).
     pub fn pressure(self) -> f64 {
         let ahead = self.taken_part().min(Self::MOST_TAKEN) - 1.0;
         self.times().powi(2) * (Self::STEEPNESS * ahead).exp()
--- a/dockgate/src/gateway/share_sight.rs
+++ b/dockgate/src/gateway/share_sight.rs
@@ -21,7 +21,7 @@
 /// Logs what the workspaces got of which something was refused since the last line.
 pub(super) fn log_shares(state: &GatewayState) {
     let now = now_ms();
-    let (rows, source) = state.with(|beliefs| {
+    let rows: Vec<WorkspaceSight> = state.with(|beliefs| {
         let rows = beliefs.tally.take_refused().into_iter();
         let rows = rows.map(|sums| {
             let level = beliefs.shares.level(sums.key, 0, now);
@@ -31,12 +31,12 @@
                 taken: level.taken_part(),
             }
         });
-        let rows: Vec<WorkspaceSight> = rows.collect();
-        (rows, beliefs.shares.source(now))
+        rows.collect()
     });
     if rows.is_empty() {
         return;
     }
+    let source = state.with(|beliefs| beliefs.shares.source(now));
     log_gateway(&GatewayEvent::Shares {
         told_ms: match source {
             ShareSource::Told(age_ms) => Some(age_ms),
