--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -353,11 +353,25 @@
         services: &[&str],
         config: &str,
     ) -> Result<Self, BenchError> {
-        let spec = BoxSpec {
-            domain: "a".to_owned(),
-            program: daemon_program()?,
-        };
-        Self::start_boxes(&vec![spec; gateways], services, config).await
+        Self::start_in(&vec!["a"; gateways], services, config).await
+    }
+
+    /// Starts one gateway in each of the failure domains, and one endpoint per entry of `services`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if something cannot be started.
+    pub async fn start_in(
+        domains: &[&str],
+        services: &[&str],
+        config: &str,
+    ) -> Result<Self, BenchError> {
+        let program = daemon_program()?;
+        let specs = domains.iter().map(|domain| BoxSpec {
+            domain: (*domain).to_owned(),
+            program: program.clone(),
+        });
+        Self::start_boxes(&specs.collect::<Vec<_>>(), services, config).await
     }
 
     /// Starts one gateway per spec, and one endpoint per entry of `services`.
--- a/dockgate-bench/src/standin/peer.rs
+++ b/dockgate-bench/src/standin/peer.rs
@@ -119,6 +119,7 @@
                 heartbeat: heartbeat.clone().sequence(sequence),
                 shares: Vec::new(),
             },
+            evacuations: Vec::new(),
         };
         if let Ok(bytes) = datagram.encode() {
             // The next datagram replaces a lost one.
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -28,6 +28,7 @@
 mod engine_load;
 mod engine_registry;
 mod era_tracker;
+mod evacuation;
 mod event_splitter;
 mod fair_usage;
 mod fleet_view;
@@ -72,6 +73,7 @@
 pub use engine_load::{EngineLoad, EngineRun};
 pub use engine_registry::{AdmissionRequest, EngineRegistry, LatencyLimits, RunKey};
 pub use era_tracker::{EraChange, EraTracker};
+pub use evacuation::{EvacuationOrder, EvacuationOrders};
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use fleet_view::{BoxChange, FleetView, StateSource};
 pub use interruption_tracker::{InterruptionStatus, InterruptionTracker};
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -28,6 +28,7 @@
 use super::domain_reachability::DomainReachability;
 use super::endpoint_health::EndpointOutcome;
 use super::endpoint_notice::EndpointNotice;
+use super::evacuation::{EvacuationOrder, EvacuationOrders};
 use super::notice_registry::{NoticeRegistry, NoticeUpdate};
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
 use super::store_revision::StoreRevision;
@@ -108,6 +109,7 @@
     ready: HashMap<String, Vec<ReadyEndpoint>>,
     history: LifetimeHistory,
     notices: NoticeRegistry,
+    evacuations: EvacuationOrders,
     reachability: DomainReachability,
     revision: StoreRevision,
     /// The revision of the newest full list that was applied. Removals before it are unknown.
@@ -154,16 +156,18 @@
 
     fn rebuild_index(&mut self) {
         self.ready.clear();
-        let notices = &self.notices;
+        let (notices, evacuations) = (&self.notices, &self.evacuations);
         let entries = self.endpoints.iter().filter(|(id, entry)| {
             // Answers announce that an endpoint leaves before its record does.
-            entry.record.state == EndpointState::Ready && !notices.leaves(**id)
+            let is_leaving = notices.leaves(**id);
+            let is_evacuated = evacuations.is_evacuated(entry.domain());
+            entry.record.state == EndpointState::Ready && !is_leaving && !is_evacuated
         });
         for (id, entry) in entries {
             let service = self.ready.entry(entry.record.service.clone()).or_default();
             service.push(ReadyEndpoint {
                 id: *id,
-                domain: DomainKey::from_name(&entry.record.domain),
+                domain: entry.domain(),
             });
         }
     }
@@ -488,6 +492,56 @@
         }
     }
 
+    /// Applies evacuation orders; returns those that changed whether their domain is evacuated.
+    pub fn apply_evacuations(
+        &mut self,
+        orders: impl IntoIterator<Item = EvacuationOrder>,
+    ) -> Vec<EvacuationOrder> {
+        let orders = orders.into_iter();
+        let changed = orders.filter_map(|order| self.evacuations.apply(order));
+        let changed: Vec<EvacuationOrder> = changed.collect();
+        self.rebuild_index_after(&changed);
+        changed
+    }
+
+    /// Replaces the evacuation orders by the store's list as of `revision`; returns those that
+    /// changed.
+    pub fn replace_evacuations(
+        &mut self,
+        listed: Vec<EvacuationOrder>,
+        revision: StoreRevision,
+        now_ms: u64,
+    ) -> Vec<EvacuationOrder> {
+        let changed = self.evacuations.replace(listed, revision, now_ms);
+        self.rebuild_index_after(&changed);
+        changed
+    }
+
+    /// Takes back the evacuation orders that a restored store lacks; returns them.
+    pub fn expire_evacuations(&mut self, now_ms: u64) -> Vec<EvacuationOrder> {
+        let changed = self.evacuations.expire(now_ms);
+        self.rebuild_index_after(&changed);
+        changed
+    }
+
+    fn rebuild_index_after(&mut self, changed: &[EvacuationOrder]) {
+        if !changed.is_empty() {
+            self.rebuild_index();
+        }
+    }
+
+    /// Returns the evacuation orders.
+    pub const fn evacuations(&self) -> &EvacuationOrders {
+        &self.evacuations
+    }
+
+    /// Returns whether a request that is about to be written may still be sent to an endpoint.
+    pub fn accepts_requests(&self, id: EndpointId, now_ms: u64) -> bool {
+        let entry = self.endpoints.get(&id);
+        let is_evacuated = entry.is_some_and(|entry| self.evacuations.is_evacuated(entry.domain()));
+        !is_evacuated && self.notices.accepts_requests(id, now_ms)
+    }
+
     /// Records what an endpoint announced about itself in an answer and returns what is new in it.
     /// `draw` is a random number from 0 to 1.
     pub fn receive_notice(
--- a/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
@@ -1,6 +1,7 @@
 //! The state of one endpoint on this box.
 
 use super::endpoint_update::{ReportedEndpoint, UnconfirmedRecord};
+use crate::gateway::box_heartbeat::DomainKey;
 use crate::gateway::endpoint_health::EndpointHealth;
 use crate::gateway::route_table::{EndpointRecord, EndpointState};
 use crate::gateway::store_revision::StoreRevision;
@@ -32,6 +33,11 @@
         }
     }
 
+    /// Returns the key of its failure domain.
+    pub fn domain(&self) -> DomainKey {
+        DomainKey::from_name(&self.record.domain)
+    }
+
     /// Takes over the unconfirmed state of the previous lifetime, if the id's record was found
     /// missing after the record of this lifetime was written.
     pub(super) fn with_unconfirmed(mut self, unconfirmed: Option<UnconfirmedSince>) -> Self {
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -185,7 +185,8 @@
         change
     }
 
-    fn record_domain(&mut self, name: &str) {
+    /// Records the name of a failure domain, for logs.
+    pub fn record_domain(&mut self, name: &str) {
         let key = DomainKey::from_name(name);
         self.domains.entry(key).or_insert_with(|| name.to_owned());
     }
@@ -370,7 +371,12 @@
     /// Returns a box's failure domain, for logs.
     pub fn domain(&self, key: BoxKey) -> &str {
         let domain = self.others.get(&key).map(|peer| peer.domain);
-        let name = self.domains.get(&domain.unwrap_or(self.own_domain));
+        self.domain_name(domain.unwrap_or(self.own_domain))
+    }
+
+    /// Returns the name of a failure domain, for logs.
+    pub fn domain_name(&self, domain: DomainKey) -> &str {
+        let name = self.domains.get(&domain);
         name.map_or("unknown", String::as_str)
     }
 
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -5,14 +5,17 @@
 //! nothing more is reported about them.
 
 use dockgate_core::gateway::{
-    AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, FleetDigest,
-    PrefillSpeed, PromptPart, RouteConfig, StoreRevision, SuspectReport, UsageRow,
+    AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EvacuationOrder,
+    FleetDigest, PrefillSpeed, PromptPart, RouteConfig, StoreRevision, SuspectReport, UsageRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
 
 /// A datagram.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// The evacuation orders follow the message and are left out if there are none; boxes that do not
+/// know of them ignore the bytes after the message.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewayDatagram {
     /// The box that sends it.
     pub from: BoxKey,
@@ -20,6 +23,8 @@
     pub incarnation: Incarnation,
     /// The message.
     pub message: GatewayMessage,
+    /// The evacuation orders that the sender knows, in heartbeats and digests.
+    pub evacuations: Vec<EvacuationOrder>,
 }
 
 /// The first bytes of each datagram; the last one is the version of the format. A box with another
@@ -33,7 +38,12 @@
     ///
     /// Returns an error if the message cannot be encoded.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_extend(self, FORMAT_PREFIX.to_vec())
+        let message = (&self.from, &self.incarnation, &self.message);
+        let bytes = postcard::to_extend(&message, FORMAT_PREFIX.to_vec())?;
+        match self.evacuations.is_empty() {
+            true => Ok(bytes),
+            false => postcard::to_extend(&self.evacuations, bytes),
+        }
     }
 
     /// Decodes a datagram.
@@ -43,7 +53,18 @@
     /// Returns an error if the bytes have another format or are truncated.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let message = bytes.strip_prefix(&FORMAT_PREFIX);
-        postcard::from_bytes(message.ok_or(postcard::Error::DeserializeBadEncoding)?)
+        let message = message.ok_or(postcard::Error::DeserializeBadEncoding)?;
+        let ((from, incarnation, message), rest) = postcard::take_from_bytes(message)?;
+        let evacuations = match rest.is_empty() {
+            true => Vec::new(),
+            false => postcard::from_bytes(rest)?,
+        };
+        Ok(Self {
+            from,
+            incarnation,
+            message,
+            evacuations,
+        })
     }
 }
 
--- a/dockgate-proto/src/gateway/tests.rs
+++ b/dockgate-proto/src/gateway/tests.rs
@@ -1,11 +1,12 @@
 use super::*;
-use dockgate_core::gateway::{DigestScope, RequestFingerprint, SuspectEvent};
+use dockgate_core::gateway::{DigestScope, DomainKey, RequestFingerprint, SuspectEvent};
 
 fn datagram(message: GatewayMessage) -> GatewayDatagram {
     GatewayDatagram {
         from: BoxKey(u32::MAX),
         incarnation: Incarnation(7),
         message,
+        evacuations: Vec::new(),
     }
 }
 
@@ -53,14 +54,39 @@
     }
 }
 
+/// What a box decodes that knows of no evacuation orders.
+type UnprefixedDatagram = (BoxKey, Incarnation, GatewayMessage);
+
+#[test]
+fn evacuation_orders_follow_the_message() {
+    for message in messages() {
+        let evacuations = vec![EvacuationOrder {
+            domain: DomainKey(9),
+            revision: StoreRevision::new(2, 5),
+            is_active: true,
+        }];
+        let sent = GatewayDatagram {
+            evacuations,
+            ..datagram(message)
+        };
+        let bytes = sent.encode().unwrap();
+        assert_eq!(GatewayDatagram::decode(&bytes), Ok(sent.clone()));
+        assert!(GatewayDatagram::decode(&bytes[..bytes.len() - 1]).is_err());
+        let known: UnprefixedDatagram =
+            postcard::from_bytes(&bytes[FORMAT_PREFIX.len()..]).unwrap();
+        assert_eq!(known.2, sent.message);
+    }
+}
+
 /// Guards against datagrams accepted across formats, the one without a prefix included.
 #[test]
 fn datagrams_of_other_formats_are_rejected() {
     for message in messages() {
         let sent = datagram(message);
         let bytes = sent.encode().unwrap();
-        assert!(postcard::from_bytes::<GatewayDatagram>(&bytes).is_err());
-        let unprefixed = postcard::to_stdvec(&sent).unwrap();
-        assert!(GatewayDatagram::decode(&unprefixed).is_err());
+        assert!(postcard::from_bytes::<UnprefixedDatagram>(&bytes).is_err());
+        let unprefixed = &bytes[FORMAT_PREFIX.len()..];
+        assert!(postcard::from_bytes::<UnprefixedDatagram>(unprefixed).is_ok());
+        assert!(GatewayDatagram::decode(unprefixed).is_err());
     }
 }
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -223,6 +223,7 @@
             from: BoxKey(0xc0de_0001),
             incarnation: Incarnation(7),
             message,
+            evacuations: Vec::new(),
         };
         let bytes = datagram.encode().unwrap();
         let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -133,7 +133,7 @@
     tokio::spawn(readiness::serve_metrics(state.clone(), metrics));
     spawn_with_state(state, "store role", store_probe::update_role_periodically);
     spawn_with_state(state, "store probes", store_probe::run_probes);
-    spawn_with_state(state, "routes", follow::follow_routes);
+    spawn_with_state(state, "routes", follow::follow_operator);
     spawn_with_state(state, "endpoints", follow::follow_endpoints);
     spawn_with_state(state, "datagrams", datagram_receiver::receive_datagrams);
     spawn_with_state(state, "beats", membership::send_heartbeats);
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -49,7 +49,9 @@
         from: peer,
         incarnation,
         message,
+        evacuations,
     } = datagram;
+    state.apply_evacuations(evacuations, "box");
     let now = now_ms();
     let key_of = |number| RunKey {
         entry: peer,
--- a/dockgate/src/gateway/datagrams.rs
+++ b/dockgate/src/gateway/datagrams.rs
@@ -18,12 +18,22 @@
 }
 
 /// Encodes a message of this box; returns `None`, and counts the failure, if encoding fails.
+///
+/// Heartbeats and digests carry the evacuation orders, so that these reach every box as fast as the
+/// state of the fleet and do not wait for a larger transfer.
 pub(super) fn encode(state: &GatewayState, message: GatewayMessage) -> Option<EncodedMessage> {
     let kind = message.kind();
+    let evacuations = match message {
+        GatewayMessage::Heartbeat { .. } | GatewayMessage::Digest { .. } => {
+            state.with(|view| view.endpoints.evacuations().iter().collect())
+        }
+        _ => Vec::new(),
+    };
     let datagram = GatewayDatagram {
         from: state.own_key(),
         incarnation: state.incarnation(),
         message,
+        evacuations,
     };
     match datagram.encode() {
         Ok(bytes) => Some(EncodedMessage { kind, bytes }),
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -5,7 +5,9 @@
 use super::workspace_report::WorkspaceReport;
 use crate::clock::now_ms;
 use crate::logging::{LineRateLimiter, log_line};
-use dockgate_core::gateway::{EndpointChange, EndpointRecord, EndpointState, name_hash};
+use dockgate_core::gateway::{
+    EndpointChange, EndpointRecord, EndpointState, EvacuationOrder, name_hash,
+};
 use serde::Serialize;
 use std::sync::{Mutex, PoisonError};
 
@@ -100,6 +102,18 @@
         took_ms: u64,
         problem: String,
     },
+    /// The operator ordered to send nothing to the endpoints of a failure domain.
+    DomainEvacuated {
+        domain: &'a str,
+        revision: u64,
+        source: &'a str,
+    },
+    /// The evacuation of a failure domain was taken back.
+    EvacuationTakenBack {
+        domain: &'a str,
+        revision: u64,
+        source: &'a str,
+    },
     /// A call to the store failed after the store was reachable.
     StoreLost { step: &'a str, problem: String },
     /// The store is reachable again.
@@ -267,6 +281,27 @@
         }
     }
 
+    /// Creates the event for an order that changes whether its failure domain is evacuated.
+    pub(super) const fn evacuation(
+        order: &EvacuationOrder,
+        domain: &'a str,
+        source: &'a str,
+    ) -> Self {
+        let revision = order.revision.number;
+        match order.is_active {
+            true => Self::DomainEvacuated {
+                domain,
+                revision,
+                source,
+            },
+            false => Self::EvacuationTakenBack {
+                domain,
+                revision,
+                source,
+            },
+        }
+    }
+
     fn endpoint_written(record: &'a EndpointRecord, revision: u64, source: &'a str) -> Self {
         let endpoint = &record.id;
         match record.state {
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the routes and the endpoints in the platform's store.
+//! Follows the routes, the evacuation orders and the endpoints in the platform's store.
 //!
 //! A few boxes of each failure domain follow the store
 //! ([`dockgate_core::gateway::StoreFollower`]); the others receive changes from them. Each key
@@ -11,10 +11,11 @@
 use super::membership::send_heartbeat;
 use super::store_contact::StoreContact;
 use crate::clock::subscribe_resumes;
-use dockgate_core::gateway::{EndpointChange, StoreRevision};
+use dockgate_core::gateway::{EndpointChange, EvacuationOrder, StoreRevision};
 use dockgate_platform::{
-    DecodedEndpoint, ENDPOINT_KEY_PREFIX, PlatformError, ROUTES_KEY, StoreEvent, StoreListing,
-    StoredValue, WatchOutcome, decode_endpoint_event, decode_endpoint_item, decode_routes,
+    DecodedEndpoint, ENDPOINT_KEY_PREFIX, OPERATOR_KEY_PREFIX, OperatorChange, PlatformError,
+    ROUTES_KEY, StoreEvent, StoreListing, StoredValue, WatchOutcome, decode_endpoint_event,
+    decode_endpoint_item, decode_operator_event, decode_operator_listing, decode_routes,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +23,9 @@
 /// How long a watch waits for changes: longer saves calls, but delays this box if the answer is
 /// lost.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
-/// The pause between two watches of the routes, so that changes in quick succession are batched.
-const ROUTES_PAUSE: Duration = Duration::from_millis(50);
+/// The pause between two watches of what operators write, so that changes in quick succession are
+/// batched.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(50);
 /// The same for endpoints; longer, since they change more often.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(300);
 /// The delay after a failed call, in milliseconds; random, so that boxes do not retry in step.
@@ -161,35 +163,52 @@
 }
 
 fn apply_routes_value(state: &GatewayState, value: &StoredValue) {
-    if value.key != ROUTES_KEY {
-        return;
-    }
     match decode_routes(&value.bytes) {
         Ok(config) => state.apply_routes(config, "store"),
         Err(error) => log_unreadable(ROUTES_KEY, &error),
     }
 }
 
-/// Follows the routes.
-pub(super) async fn follow_routes(state: Arc<GatewayState>) {
-    let listed = |_: &StoreContact, listing: StoreListing, _| {
-        listing
-            .items
+/// Splits changes of operators into the newest configuration and the evacuation orders.
+fn split_changes(
+    state: &GatewayState,
+    changes: Vec<OperatorChange>,
+) -> (Option<StoredValue>, Vec<EvacuationOrder>) {
+    let (mut routes, mut orders) = (None, Vec::new());
+    for change in changes {
+        match change {
+            OperatorChange::Routes(value) => routes = Some(value),
+            OperatorChange::Evacuation(domain, order) => {
+                state.with(|view| view.fleet.record_domain(&domain));
+                orders.push(order);
+            }
+        }
+    }
+    (routes, orders)
+}
+
+/// Follows the routes and the evacuation orders of the operator.
+pub(super) async fn follow_operator(state: Arc<GatewayState>) {
+    let listed = |_: &StoreContact, listing: StoreListing, era| {
+        let revision = StoreRevision::new(era, listing.revision);
+        let changes = decode_operator_listing(&listing, era);
+        let (routes, orders) = split_changes(&state, changes);
+        state.replace_evacuations(orders, revision);
+        routes
             .iter()
             .for_each(|value| apply_routes_value(&state, value));
     };
-    let changed = |_: &StoreContact, events: Vec<StoreEvent>, _| {
-        // Only the latest value is relevant.
-        let newest = events.iter().rev().find_map(|event| match event {
-            StoreEvent::Written(value) => Some(value),
-            StoreEvent::Removed(..) => None,
-        });
-        newest
-            .into_iter()
+    let changed = |_: &StoreContact, events: Vec<StoreEvent>, era| {
+        let changes = events.iter();
+        let changes = changes.filter_map(|event| decode_operator_event(event, era));
+        let (routes, orders) = split_changes(&state, changes.collect());
+        state.apply_evacuations(orders, "store");
+        routes
+            .iter()
             .for_each(|value| apply_routes_value(&state, value));
     };
-    let contact = StoreContact::new(ROUTES_KEY, state.settings().drain);
-    follow(&state, contact, ROUTES_PAUSE, listed, changed).await;
+    let contact = StoreContact::new(OPERATOR_KEY_PREFIX, state.settings().drain);
+    follow(&state, contact, OPERATOR_PAUSE, listed, changed).await;
 }
 
 /// Returns the change of a decoded record; logs and counts an invalid record.
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -13,10 +13,10 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
-    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
-    LoadShedder, LoopLag, PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey,
-    ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision, SuspectRegistry,
-    WatchCheck,
+    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, EvacuationOrder, FleetView,
+    InterruptionTracker, LoadShedder, LoopLag, PrefixHistory, ResumeGate, RetryBudget, RouteConfig,
+    RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision,
+    SuspectRegistry, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -292,6 +292,38 @@
         self.record_changes(&changed, source);
     }
 
+    /// Applies evacuation orders, except where newer ones are known.
+    pub(super) fn apply_evacuations(&self, orders: Vec<EvacuationOrder>, source: &str) {
+        if !orders.is_empty() {
+            let changed = self.with(|view| view.endpoints.apply_evacuations(orders));
+            self.record_evacuations(&changed, source);
+        }
+    }
+
+    /// Applies the store's list of evacuation orders.
+    pub(super) fn replace_evacuations(
+        &self,
+        listed: Vec<EvacuationOrder>,
+        revision: StoreRevision,
+    ) {
+        let changed = self.with(|view| {
+            let endpoints = &mut view.endpoints;
+            endpoints.replace_evacuations(listed, revision, now_ms())
+        });
+        self.record_evacuations(&changed, "store");
+    }
+
+    /// Logs the orders that changed, and forwards them with the next heartbeat or digest.
+    fn record_evacuations(&self, changed: &[EvacuationOrder], source: &str) {
+        for order in changed {
+            let domain = self.with(|view| view.fleet.domain_name(order.domain).to_owned());
+            log_gateway(&GatewayEvent::evacuation(order, &domain, source));
+        }
+        if !changed.is_empty() {
+            self.with(|view| view.digest = DigestCache::default());
+        }
+    }
+
     fn record_changes(&self, changes: &[EndpointChange], source: &str) {
         if !changes.is_empty() {
             self.endpoints_changed_ms.store(now_ms(), Ordering::Relaxed);
@@ -361,7 +393,7 @@
     pub(super) fn expire(&self, since_ms: u64) {
         let now = now_ms();
         let expected_boxes = self.settings().boxes;
-        let (expired, boxes) = self.with(|view| {
+        let (expired, taken_back, boxes) = self.with(|view| {
             let GatewayView {
                 endpoints,
                 engines,
@@ -375,6 +407,7 @@
             interruptions.expire(now);
             suspects.expire(now);
             let expired = endpoints.expire(now);
+            let taken_back = endpoints.expire_evacuations(now);
             let gone = fleet.expire(since_ms, now);
             retries.set_boxes(expected_boxes.max(fleet.known_count()));
             let own_key = self.own_key;
@@ -385,8 +418,9 @@
             engines.retain(now, |id| endpoints.get(id).is_some(), is_gone);
             let gone = gone.iter().filter(|key| fleet.has_heartbeat(**key));
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
-            (expired, names)
+            (expired, taken_back, names)
         });
+        self.record_evacuations(&taken_back, "lapsed");
         for endpoint in &expired.lapsed {
             log_gateway(&GatewayEvent::EndpointGone {
                 endpoint,
--- a/dockgate/src/gateway/notices.rs
+++ b/dockgate/src/gateway/notices.rs
@@ -64,7 +64,8 @@
 /// Creates the condition on which a request of `caller` is sent to an endpoint: that the caller is
 /// connected and the endpoint accepts requests.
 ///
-/// Another answer of the endpoint may arrive between the placement and the first byte.
+/// Another answer of the endpoint, or an order to evacuate its failure domain, may arrive between
+/// the placement and the first byte.
 pub(super) fn send_condition(
     state: &Arc<GatewayState>,
     target: &EndpointTarget,
@@ -72,6 +73,6 @@
 ) -> SendCondition {
     let (state, id) = (state.clone(), target.id);
     SendCondition::new(caller, move || {
-        state.with(|view| view.endpoints.notices().accepts_requests(id, now_ms()))
+        state.with(|view| view.endpoints.accepts_requests(id, now_ms()))
     })
 }
