--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -55,6 +55,7 @@
 mod store_probe;
 mod store_revision;
 mod suspect_registry;
+mod warmup;
 mod watch_check;
 
 pub use admission_rule::{AdmissionRule, AdmissionVerdict};
@@ -104,6 +105,7 @@
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
+pub use warmup::{WarmupLimit, WarmupTracker};
 pub use watch_check::WatchCheck;
 
 #[cfg(test)]
--- a/dockgate-core/src/gateway/admission_rule.rs
+++ b/dockgate-core/src/gateway/admission_rule.rs
@@ -55,13 +55,19 @@
     Declined(u32),
     /// The prompt is declined because the engine has announced that it leaves.
     Leaving,
+    /// The request is declined because the endpoint warms up; it may be granted one after this many
+    /// milliseconds.
+    Warming(u32),
 }
 
 impl AdmissionVerdict {
-    /// Returns the predicted time to the first event in milliseconds, if there is a prediction.
+    /// Returns the predicted time to the first event in milliseconds, if there is a prediction. For
+    /// a cold endpoint, it is the time until its next grant.
     pub const fn first_event_ms(self) -> Option<u32> {
         match self {
-            Self::Granted(first_ms) | Self::Declined(first_ms) => Some(first_ms),
+            Self::Granted(first_ms) | Self::Declined(first_ms) | Self::Warming(first_ms) => {
+                Some(first_ms)
+            }
             Self::Leaving => None,
         }
     }
--- a/dockgate-core/src/gateway/prefill_model.rs
+++ b/dockgate-core/src/gateway/prefill_model.rs
@@ -60,7 +60,7 @@
 }
 
 /// The learned times of an engine in whole microseconds, as reported to other boxes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefillSpeed {
     /// The fixed time of each first event.
     pub fixed_us: u32,
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -1,5 +1,6 @@
 //! The routes, services and workspaces of a configuration, indexed for lookups.
 
+use super::warmup::WarmupLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::fmt;
@@ -191,7 +192,7 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// The name.
     pub name: String,
@@ -199,6 +200,9 @@
     pub connections: usize,
     /// The capacity of its engines, if it is served by model engines.
     pub engine: Option<EngineSpec>,
+    /// What its endpoints bear while they warm up; `None` if they need no warm-up.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warmup: Option<WarmupLimit>,
 }
 
 /// A workspace and the keys of its callers.
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -39,6 +39,7 @@
 mod suspension;
 mod tracked_io;
 mod upstream;
+mod warmup_grants;
 mod workspace_report;
 
 pub(crate) use gateway_runtime::GatewayRuntime;
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -1,15 +1,17 @@
 //! Selects the next target of a request: an endpoint of a plain service, or an engine for a prompt.
 
 use super::super::engine_placement::{EngineQuery, EngineRefusal, find_engine};
+use super::super::gateway_state::GatewayView;
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::suspension::wait_until_fresh;
 use super::super::upstream::{ConnectionLimits, EndpointTarget};
+use super::super::warmup_grants::request_grant;
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointEntry, PromptShape, RetryCause, ServiceAvailability, ShareLevel,
-    ShareOutcome, name_hash, retry_delay,
+    AdmissionRequest, EndpointEntry, EndpointId, PromptShape, RetryCause, ServiceAvailability,
+    ShareLevel, ShareOutcome, name_hash, retry_delay,
 };
 use std::time::Duration;
 
@@ -79,7 +81,7 @@
                     decided_by: found.decided_by,
                 })
             }
-            _ => self.place_plain(attempts),
+            _ => self.place_plain(attempts).await,
         }
     }
 
@@ -105,6 +107,7 @@
             false => RetryCause::Backlog(Duration::from_millis(u64::from(first_ms))),
         };
         let (reason, outcome) = match level.is_beyond() {
+            _ if refusal.is_warming() => (RefusalReason::WarmingUp, ShareOutcome::WouldBeLate),
             true => (RefusalReason::BeyondShare, ShareOutcome::BeyondShare),
             false => (RefusalReason::WouldBeLate, ShareOutcome::WouldBeLate),
         };
@@ -147,8 +150,46 @@
         retry_delay(cause, self.time_left(), rand::random())
     }
 
-    /// Selects the endpoint of a plain service that has the smallest fraction of its slots in use.
-    fn place_plain(&self, attempts: &CallAttempts) -> Result<CallPlacement, CallRefusal> {
+    /// Selects an endpoint of a plain service. A cold one is used only if its owner grants the
+    /// request; others are tried otherwise.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal for the caller if no endpoint accepts the request.
+    async fn place_plain(&self, attempts: &CallAttempts) -> Result<CallPlacement, CallRefusal> {
+        let mut passed_over = attempts.endpoints.clone();
+        let mut next_grant_ms: Option<u32> = None;
+        while let Some(target) = self.find_plain(&passed_over) {
+            let is_cold = |view: &mut GatewayView| view.warmups.is_cold(target.id, now_ms());
+            let granted = match self.state.with(is_cold) {
+                true => request_grant(&self.state, target.id).await,
+                false => Ok(()),
+            };
+            let Err(wait_ms) = granted else {
+                let guard = RunGuard::plain(&self.state, target.id);
+                return Ok(CallPlacement {
+                    target,
+                    guard,
+                    expected_ms: None,
+                    decided_by: "entry".to_owned(),
+                });
+            };
+            next_grant_ms = next_grant_ms.into_iter().chain(wait_ms).min();
+            passed_over.push(target.id);
+        }
+        Err(match next_grant_ms {
+            Some(wait_ms) => {
+                let cause = RetryCause::Backlog(Duration::from_millis(u64::from(wait_ms)));
+                let delay = retry_delay(cause, self.time_left(), rand::random());
+                CallRefusal::with_retry(RefusalReason::WarmingUp, delay)
+            }
+            None => self.refuse_unavailable(),
+        })
+    }
+
+    /// Finds the endpoint of a plain service that has the smallest fraction of its slots in use,
+    /// other than those passed over.
+    fn find_plain(&self, passed_over: &[EndpointId]) -> Option<EndpointTarget> {
         let now = now_ms();
         let own_domain = &self.state.settings().domain;
         let load = |entry: &EndpointEntry| {
@@ -166,8 +207,8 @@
             used + remote_penalty + unreliable_penalty
         };
         let name = &self.service().name;
-        let target = self.state.with(|view| {
-            let untried = |id| !attempts.endpoints.contains(&id);
+        self.state.with(|view| {
+            let untried = |id| !passed_over.contains(&id);
             let eligible = view
                 .endpoints
                 .eligible(name, now)
@@ -195,14 +236,6 @@
                     boxes,
                 ),
             })
-        });
-        let target = target.ok_or_else(|| self.refuse_unavailable())?;
-        let guard = RunGuard::plain(&self.state, target.id);
-        Ok(CallPlacement {
-            target,
-            guard,
-            expected_ms: None,
-            decided_by: "entry".to_owned(),
         })
     }
 }
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -14,7 +14,9 @@
 use super::quarantine;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
-use dockgate_core::gateway::{AdmissionRequest, AdmissionVerdict, EndpointId, RunKey};
+use dockgate_core::gateway::{
+    AdmissionRequest, AdmissionVerdict, EndpointId, PrefillSpeed, RunKey,
+};
 use dockgate_proto::{GatewayDatagram, GatewayMessage};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -128,13 +130,14 @@
 ) -> Option<GatewayMessage> {
     let verdict = decide_locally(state, endpoint, key, request, 0)?;
     state.with(|view| {
-        let load = view.engines.get(endpoint)?;
+        // Endpoints of plain services have no load to report.
+        let load = view.engines.get(endpoint);
         Some(GatewayMessage::Verdict {
             run,
             endpoint,
             verdict,
-            backlog_ms: load.backlog_ms(now_ms()) as u32,
-            speed: load.model().speed(),
+            backlog_ms: load.map_or(0, |load| load.backlog_ms(now_ms()) as u32),
+            speed: load.map_or(PrefillSpeed::default(), |load| load.model().speed()),
         })
     })
 }
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -5,7 +5,7 @@
 //! admission. If the owner does not answer in time, the box that received the prompt decides by
 //! itself, from the prompts that it has placed there.
 
-mod pending_slot_request;
+pub(super) mod pending_slot_request;
 
 use super::datagrams::send_to;
 use super::events::DeclinedEngine;
@@ -14,6 +14,7 @@
 use super::notices::receive_reported_leave;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
+use super::warmup_grants::{decide_plain, warmup_pace};
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
@@ -58,6 +59,8 @@
     pub(super) declined: Vec<DeclinedEngine>,
     /// The shortest possible time to a first event, if it is too late at every engine.
     unattainable_ms: Option<u32>,
+    /// The number of engines that declined because they warm up.
+    warming: usize,
 }
 
 impl EngineRefusal {
@@ -67,7 +70,14 @@
         declined.chain(self.unattainable_ms).min()
     }
 
+    /// Returns whether all engines that could be asked declined because they warm up.
+    pub(super) fn is_warming(&self) -> bool {
+        self.warming > 0 && self.warming == self.declined.len()
+    }
+
     fn record(&mut self, home: &HomeEngine, decision: HomeDecision) {
+        let is_warming = matches!(decision.verdict, AdmissionVerdict::Warming(_));
+        self.warming += usize::from(is_warming);
         let predicted = decision.verdict.first_event_ms();
         self.declined
             .extend(predicted.map(|first_event_ms| DeclinedEngine {
@@ -152,6 +162,13 @@
     if order.is_empty() {
         order = select_homes(query, ready, local, is_eligible);
     }
+    // A cold engine is asked for its few grants; another one stands in for it.
+    let is_warm = |id: EndpointId| !view.warmups.is_cold(id, now);
+    if !order.iter().copied().all(is_warm) {
+        let spares = select_homes(query, ready, local, |id| is_usable(id) && is_warm(id));
+        let spares = spares.into_iter().filter(|id| !order.contains(id));
+        order.extend(spares.collect::<Vec<EndpointId>>());
+    }
     let boxes = view.fleet.live_count(now);
     let homes = order.into_iter().filter_map(|id| {
         let entry = view.endpoints.get(id)?;
@@ -181,7 +198,10 @@
 ) -> Option<AdmissionVerdict> {
     let now = now_ms();
     let rule = state.settings().admission;
-    let spec = engine_spec(state, endpoint)?;
+    let Some(spec) = engine_spec(state, endpoint) else {
+        return decide_plain(state, endpoint);
+    };
+    let pace = warmup_pace(state, endpoint);
     state.with(|view| {
         let notices = view.endpoints.notices();
         if notices.is_reported_leaving(endpoint, now) {
@@ -189,10 +209,14 @@
         }
         let load = view.engines.load_mut(endpoint, spec);
         let verdict = rule.decide(load, request, other_senders, now);
-        if matches!(verdict, AdmissionVerdict::Granted(_)) {
-            GATEWAY_METRICS.record_admitted_prompt(request.input, load.work_of(request).tokens());
-            load.place(key, request, now);
+        if !matches!(verdict, AdmissionVerdict::Granted(_)) {
+            return Some(verdict);
+        }
+        if let Err(wait_ms) = view.warmups.try_grant(endpoint, pace, now) {
+            return Some(AdmissionVerdict::Warming(wait_ms));
         }
+        GATEWAY_METRICS.record_admitted_prompt(request.input, load.work_of(request).tokens());
+        load.place(key, request, now);
         Some(verdict)
     })
 }
@@ -289,7 +313,7 @@
                 place_locally(state, home.target.id, state.run_key(number), request);
             }
             AdmissionVerdict::Leaving => receive_reported_leave(state, home.target.id),
-            AdmissionVerdict::Declined(_) => {}
+            AdmissionVerdict::Declined(_) | AdmissionVerdict::Warming(_) => {}
         }
         let decided_by = state.with(|view| view.fleet.name(home.owner).to_owned());
         return Some(HomeDecision {
@@ -375,7 +399,11 @@
         });
     }
     let homes = state.with(|view| ordered_homes(view, &query));
-    if let Some(home) = homes.first().filter(|_| query.resumed) {
+    let warm_home = || {
+        let is_cold = |id| state.with(|view| view.warmups.is_cold(id, now_ms()));
+        homes.iter().find(|home| !is_cold(home.target.id))
+    };
+    if let Some(home) = query.resumed.then(warm_home).flatten() {
         return Ok(place_unconditionally(state, home, request));
     }
     let mut refusal = EngineRefusal::default();
--- a/dockgate/src/gateway/engine_placement/pending_slot_request.rs
+++ b/dockgate/src/gateway/engine_placement/pending_slot_request.rs
@@ -17,7 +17,7 @@
 /// The owner counts a granted prompt on the engine until it is reported as ended. If the caller
 /// leaves before the verdict is used, a grant is released on drop; otherwise the owner would count
 /// the prompt until its deadline.
-pub(super) struct PendingSlotRequest<'a> {
+pub(in super::super) struct PendingSlotRequest<'a> {
     state: &'a GatewayState,
     run: u32,
     endpoint: EndpointId,
@@ -27,7 +27,7 @@
 
 impl<'a> PendingSlotRequest<'a> {
     /// Sends a slot request for `endpoint` to its owner.
-    pub(super) fn send(
+    pub(in super::super) fn send(
         state: &'a GatewayState,
         run: u32,
         endpoint: EndpointId,
@@ -52,7 +52,7 @@
     }
 
     /// Waits for the verdict; returns `None` if it does not arrive in time.
-    pub(super) async fn verdict(mut self) -> Option<AdmissionVerdict> {
+    pub(in super::super) async fn verdict(mut self) -> Option<AdmissionVerdict> {
         let verdict = tokio::time::timeout(VERDICT_TIMEOUT, &mut self.verdict).await;
         verdict.ok()?.ok()
     }
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -20,6 +20,7 @@
         name: "x".to_owned(),
         connections: 100,
         engine: None,
+        warmup: None,
     };
     let prompt = PromptShape {
         model: String::new(),
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -217,6 +217,16 @@
             domain: "d",
             for_ms: 900,
         },
+        GatewayEvent::DomainEvacuated {
+            domain: "d",
+            revision: 2,
+            source: "store",
+        },
+        GatewayEvent::EvacuationTakenBack {
+            domain: "d",
+            revision: 3,
+            source: "box",
+        },
         GatewayEvent::Shares {
             told_ms: Some(1),
             workspaces: &[],
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -20,6 +20,8 @@
     endpoints_age_ms: IntGauge,
     store_proof_age_ms: IntGauge,
     connections: IntGauge,
+    cold_endpoints: IntGauge,
+    evacuated_domains: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -79,6 +81,14 @@
                 "dockgate_endpoint_connections",
                 "Open connections to endpoints",
             ),
+            cold_endpoints: gauge(
+                "dockgate_cold_endpoints",
+                "Endpoints that warm up and get a limited number of requests",
+            ),
+            evacuated_domains: gauge(
+                "dockgate_evacuated_domains",
+                "Failure domains whose endpoints get nothing by order of the operator",
+            ),
         }
     }
 
@@ -116,6 +126,10 @@
             ] {
                 self.endpoints.with_label_values(&[name]).set(count);
             }
+            self.cold_endpoints.set(view.warmups.cold_count(now) as i64);
+            let evacuations = view.endpoints.evacuations().iter();
+            let evacuated = evacuations.filter(|order| order.is_active).count();
+            self.evacuated_domains.set(evacuated as i64);
             let quarantined = view.suspects.quarantined_count(now);
             self.quarantined.set(quarantined as i64);
             let loads = || view.engines.iter();
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -7,6 +7,7 @@
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
+use super::warmup_grants::presume_cold;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use crate::stop::StopFlag;
@@ -16,7 +17,7 @@
     EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, EvacuationOrder, FleetView,
     InterruptionTracker, LoadShedder, LoopLag, PrefixHistory, ResumeGate, RetryBudget, RouteConfig,
     RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision,
-    SuspectRegistry, WatchCheck,
+    SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -86,6 +87,8 @@
     pub(super) gate: ResumeGate,
     /// Whether the watches still deliver changes.
     pub(super) watch_check: WatchCheck,
+    /// The endpoints that warm up.
+    pub(super) warmups: WarmupTracker,
 }
 
 /// A configuration, encoded for other boxes.
@@ -147,6 +150,7 @@
             store_revisions: BTreeMap::new(),
             gate: ResumeGate::default(),
             watch_check: WatchCheck::default(),
+            warmups: WarmupTracker::default(),
         };
         Self {
             own_key: BoxKey::from_name(&settings.name),
@@ -318,6 +322,9 @@
         for order in changed {
             let domain = self.with(|view| view.fleet.domain_name(order.domain).to_owned());
             log_gateway(&GatewayEvent::evacuation(order, &domain, source));
+            if !order.is_active {
+                presume_cold(self, order);
+            }
         }
         if !changed.is_empty() {
             self.with(|view| view.digest = DigestCache::default());
@@ -381,6 +388,7 @@
         let version = self.table.load().config().version;
         let kept = self.with(|view| {
             view.fleet.set_revisions(version, view.endpoints.revision());
+            view.observe_warmups(now_ms());
             view.endpoints
                 .iter()
                 .map(|(id, _)| id)
@@ -418,6 +426,7 @@
             engines.retain(now, |id| endpoints.get(id).is_some(), is_gone);
             let gone = gone.iter().filter(|key| fleet.has_heartbeat(**key));
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
+            view.update_warmups(now);
             (expired, taken_back, names)
         });
         self.record_evacuations(&taken_back, "lapsed");
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -39,6 +39,8 @@
     EndpointsFull,
     /// All endpoints have asked this box to back off.
     EndpointsBackingOff,
+    /// The endpoints warm up, and take no more requests yet.
+    WarmingUp,
     /// No endpoint was reachable.
     Unreachable,
     /// The request is quarantined because endpoints ended while they ran it.
@@ -72,6 +74,7 @@
             Self::BeyondShare => "beyond_share",
             Self::EndpointsFull => "endpoints_full",
             Self::EndpointsBackingOff => "endpoints_rest",
+            Self::WarmingUp => "warming_up",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "ends_endpoints",
             Self::Lost => "lost",
@@ -98,6 +101,7 @@
             | Self::WouldBeLate
             | Self::EndpointsFull
             | Self::EndpointsBackingOff
+            | Self::WarmingUp
             | Self::Unreachable
             | Self::Quarantined
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -10,6 +10,7 @@
 
 const ADDRESS: &str = "an IP address and a port, such as 10.0.0.7:8000";
 const NUMBER: &str = "a number of at least 0";
+const AT_LEAST_ONE: &str = "a number of at least 1";
 const PROCESSOR: &str = "a fraction of a core above 0";
 const SECTION: &str = "gateway";
 const SECTIONS: [&str; 5] = ["box", "listen", "platform", SECTION, "admission"];
@@ -60,6 +61,10 @@
     pub(crate) retry_window: Duration,
     /// Additional retries in each window, over the fleet.
     pub(crate) retry_slack: f64,
+    /// Requests in one second to a cold endpoint, over its rate.
+    pub(crate) warmup_overshoot: f64,
+    /// Additional requests in one second to a cold endpoint.
+    pub(crate) warmup_slack: f64,
     /// Rule by which engines admit prompts.
     #[serde(skip)]
     pub(crate) admission: AdmissionRule,
@@ -174,6 +179,9 @@
     let retry_ratio = gateway.take_checked("retry_ratio", 0.2, NUMBER, |value| *value >= 0.0);
     let retry_window = take_seconds(gateway, "retry_window_s", 10.0);
     let retry_slack = gateway.take_checked("retry_slack", 50.0, NUMBER, |value| *value >= 0.0);
+    let warmup_overshoot =
+        gateway.take_checked("warmup_overshoot", 1.0, AT_LEAST_ONE, |value| *value >= 1.0);
+    let warmup_slack = gateway.take_checked("warmup_slack", 0.0, NUMBER, |value| *value >= 0.0);
     Some(GatewaySettings {
         name: name?,
         domain: domain?,
@@ -196,6 +204,8 @@
         retry_ratio,
         retry_window,
         retry_slack,
+        warmup_overshoot,
+        warmup_slack,
         admission: AdmissionRule::default(),
     })
 }
--- a/dockgate/src/gateway/settings/tests.rs
+++ b/dockgate/src/gateway/settings/tests.rs
@@ -15,6 +15,8 @@
 [gateway]
 seeds = 10.0.0.1:82,10.0.0.2:82
 retry_slack = 52
+warmup_overshoot = 1.5
+warmup_slack = 5
 ";
 
 #[test]
@@ -22,6 +24,10 @@
     let settings = parse_settings("f.ini", TEXT).unwrap();
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.retry_slack, 52.0);
+    assert_eq!(
+        (settings.warmup_overshoot, settings.warmup_slack),
+        (1.5, 5.0)
+    );
     assert_eq!(settings.stop_grace, Duration::from_secs(8));
     assert!(has_gateway_section(TEXT) && !has_gateway_section("[box]\nname = gateway\n"));
 }
@@ -30,8 +36,10 @@
 fn invalid_settings_are_reported_together() {
     let text = TEXT
         .replace("name = a1\n", "")
-        .replace("retry_slack = 52", "retry_slack = -1");
+        .replace("retry_slack = 52", "retry_slack = -1")
+        .replace("warmup_overshoot = 1.5", "warmup_overshoot = 0.5");
     let problems = parse_settings("f.ini", &text).unwrap_err().to_string();
     assert!(problems.contains("lacks name"), "{problems}");
     assert!(problems.contains("retry_slack = -1"), "{problems}");
+    assert!(problems.contains("warmup_overshoot = 0.5"), "{problems}");
 }
--- /dev/null
+++ b/dockgate/src/gateway/warmup_grants.rs
@@ -0,0 +1,135 @@
+//! Grants of requests to cold endpoints by the boxes that own them.
+
+use super::engine_placement::decide_locally;
+use super::engine_placement::pending_slot_request::PendingSlotRequest;
+use super::gateway_state::{GatewayState, GatewayView};
+use crate::clock::now_ms;
+use dockgate_core::gateway::{
+    AdmissionRequest, AdmissionVerdict, EndpointId, EvacuationOrder, ShareLevel, WarmupLimit,
+};
+
+impl GatewayView {
+    /// Returns whether this box owns an endpoint.
+    fn owns(&self, endpoint: EndpointId, now_ms: u64) -> bool {
+        let entry = self.endpoints.get(endpoint);
+        entry.is_some_and(|entry| {
+            self.fleet.owner(endpoint, &entry.record.domain, now_ms) == self.fleet.own_key()
+        })
+    }
+
+    /// Records what the records of the endpoints tell of their warm-up.
+    pub(super) fn observe_warmups(&mut self, now_ms: u64) {
+        let mut warmups = std::mem::take(&mut self.warmups);
+        for (id, entry) in self.endpoints.iter() {
+            let owns = || self.owns(id, now_ms);
+            warmups.observe(id, entry.revision, entry.record.warmup_ms, owns, now_ms);
+        }
+        self.warmups = warmups;
+    }
+
+    /// Updates which cold endpoints this box owns, and forgets those that are gone.
+    pub(super) fn update_warmups(&mut self, now_ms: u64) {
+        let mut warmups = std::mem::take(&mut self.warmups);
+        warmups.retain(|id| self.endpoints.get(id).is_some());
+        warmups.update_owners(|id| self.owns(id, now_ms), now_ms);
+        self.warmups = warmups;
+    }
+}
+
+/// Returns what an endpoint bears while it warms up, if its service states that.
+fn warmup_limit(state: &GatewayState, endpoint: EndpointId) -> Option<WarmupLimit> {
+    let table = state.table();
+    state.with(|view| {
+        let entry = view.endpoints.get(endpoint)?;
+        let service = table.find_service(&entry.record.service)?;
+        table.service(service).warmup
+    })
+}
+
+/// Returns the grants per second for an endpoint while it is cold; unlimited if its service states
+/// no rate.
+pub(super) fn warmup_pace(state: &GatewayState, endpoint: EndpointId) -> f64 {
+    let settings = state.settings();
+    let limit = warmup_limit(state, endpoint);
+    limit.map_or(f64::INFINITY, |limit| {
+        limit.pace(settings.warmup_overshoot, settings.warmup_slack)
+    })
+}
+
+/// Assumes that the endpoints of a domain are cold whose evacuation was taken back: they may have
+/// become cold meanwhile, and their records tell it late.
+pub(super) fn presume_cold(state: &GatewayState, order: &EvacuationOrder) {
+    let now = now_ms();
+    let endpoints: Vec<EndpointId> = state.with(|view| {
+        let entries = view.endpoints.iter();
+        let entries = entries.filter(|(_, entry)| entry.domain() == order.domain);
+        entries.map(|(id, _)| id).collect()
+    });
+    for id in endpoints {
+        let Some(limit) = warmup_limit(state, id) else {
+            continue;
+        };
+        state.with(|view| {
+            let owns = view.owns(id, now);
+            let warmups = &mut view.warmups;
+            warmups.presume_cold(id, order.revision, limit.duration_ms, || owns, now);
+        });
+    }
+}
+
+/// Asks the owner of a cold endpoint of a plain service to grant one request.
+///
+/// # Errors
+///
+/// Returns the time until the next grant in milliseconds, or `None` if the owner does not answer.
+pub(super) async fn request_grant(
+    state: &GatewayState,
+    endpoint: EndpointId,
+) -> Result<(), Option<u32>> {
+    let owner = state.with(|view| {
+        let entry = view.endpoints.get(endpoint)?;
+        Some(view.fleet.owner(endpoint, &entry.record.domain, now_ms()))
+    });
+    let number = state.next_run_number();
+    let request = plain_request();
+    let verdict = match owner {
+        Some(owner) if owner != state.own_key() => {
+            let pending = PendingSlotRequest::send(state, number, endpoint, owner, &request);
+            pending.verdict().await
+        }
+        _ => decide_locally(state, endpoint, state.run_key(number), &request, 0),
+    };
+    match verdict {
+        Some(AdmissionVerdict::Granted(_)) => Ok(()),
+        Some(AdmissionVerdict::Warming(wait_ms)) => Err(Some(wait_ms)),
+        _ => Err(None),
+    }
+}
+
+/// Returns the admission request for a request that is no prompt.
+const fn plain_request() -> AdmissionRequest {
+    AdmissionRequest {
+        workspace: 0,
+        objective_ms: 0,
+        shortest_objective_ms: 0,
+        budget_ms: 0,
+        level: ShareLevel::WITHIN,
+        input: 0,
+        output: 0,
+        parts: Vec::new(),
+    }
+}
+
+/// Decides on a request to an endpoint of a plain service, which is limited only while it is cold.
+/// Returns `None` if the endpoint is unknown.
+pub(super) fn decide_plain(state: &GatewayState, endpoint: EndpointId) -> Option<AdmissionVerdict> {
+    let pace = warmup_pace(state, endpoint);
+    let granted = state.with(|view| {
+        view.endpoints.get(endpoint)?;
+        Some(view.warmups.try_grant(endpoint, pace, now_ms()))
+    });
+    Some(match granted? {
+        Ok(()) => AdmissionVerdict::Granted(0),
+        Err(wait_ms) => AdmissionVerdict::Warming(wait_ms),
+    })
+}
--- a/dockgatectl/src/explain.rs
+++ b/dockgatectl/src/explain.rs
@@ -8,8 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 
-/// Events that show the state known to a box; the last one of each kind and endpoint is shown.
-const STATE_EVENTS: [&str; 9] = [
+/// Events that show the state known to a box; the last one of each kind and endpoint or failure
+/// domain is shown.
+const STATE_EVENTS: [&str; 11] = [
     "routes_in_force",
     "store_lost",
     "store_back",
@@ -17,6 +18,8 @@
     "endpoint_ready",
     "endpoint_draining",
     "endpoint_gone",
+    "domain_evacuated",
+    "evacuation_taken_back",
     "box_gone",
     "stopping",
 ];
@@ -44,9 +47,11 @@
         let endpoint = line.text("endpoint");
         let is_relevant = boxes.contains(box_name) && STATE_EVENTS.contains(&kind);
         if is_relevant && (endpoint.is_empty() || endpoints.contains(endpoint)) {
-            let latest = state_lines
-                .entry((box_name, kind, endpoint))
-                .or_insert(line);
+            let subject = match endpoint {
+                "" => line.text("domain"),
+                endpoint => endpoint,
+            };
+            let latest = state_lines.entry((box_name, kind, subject)).or_insert(line);
             if latest.at_ms <= line.at_ms {
                 *latest = line;
             }
--- a/dockgatectl/src/explain/tests.rs
+++ b/dockgatectl/src/explain/tests.rs
@@ -5,6 +5,8 @@
 {"at_ms":95,"level":"INFO","box":"b","event":{"event":"routes_in_force","old":1,"version":3}}
 {"at_ms":96,"level":"INFO","box":"a","event":{"event":"endpoint_ready","endpoint":"e1"}}
 {"at_ms":98,"level":"INFO","box":"a","event":{"event":"endpoint_draining","endpoint":"e5"}}
+{"at_ms":94,"level":"INFO","box":"a","event":{"event":"domain_evacuated","domain":"d1","revision":5}}
+{"at_ms":95,"level":"INFO","box":"a","event":{"event":"domain_evacuated","domain":"d2","revision":6}}
 {"at_ms":97,"level":"INFO","box":"a","event":{"event":"endpoint_ready","endpoint":"e7"}}
   1.25 a {"at_ms":120,"level":"INFO","box":"a","event":{"event":"refused","request":"r1","status":502,"asked":[{"endpoint":"e5"}]}}
 {"at_ms":100,"level":"INFO","box":"a","event":{"event":"sent","request":"r1","endpoint":"e1","expected_ms":null}}
@@ -32,6 +34,7 @@
         "state of an uninvolved box is not shown"
     );
     assert!(!before.contains("e7") && !before.contains("store_lost"));
+    assert!(before.contains("domain=d1") && before.contains("domain=d2"));
     let (sent, refused) = (
         request.find("sent").unwrap(),
         request.find("refused").unwrap(),
