--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -1,12 +1,11 @@
 //! Selects the next target of a request: an endpoint of a plain service, or an engine for a prompt.
 
 use super::super::engine_placement::{EngineQuery, EngineRefusal, find_engine};
-use super::super::gateway_state::GatewayView;
+use super::super::plain_placement::{PlainDecline, PlainPlacement, place_plain};
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::suspension::wait_until_fresh;
 use super::super::upstream::{ConnectionLimits, EndpointTarget};
-use super::super::warmup_grants::request_grant;
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
@@ -150,41 +149,47 @@
         retry_delay(cause, self.time_left(), rand::random())
     }
 
-    /// Selects an endpoint of a plain service. A cold one is used only if its owner grants the
-    /// request; others are tried otherwise.
+    /// Selects an endpoint of a plain service. Its owner may decline; others are tried then.
     ///
     /// # Errors
     ///
     /// Returns the refusal for the caller if no endpoint accepts the request.
     async fn place_plain(&self, attempts: &CallAttempts) -> Result<CallPlacement, CallRefusal> {
         let mut passed_over = attempts.endpoints.clone();
-        let mut next_grant_ms: Option<u32> = None;
+        let mut declines = Vec::new();
         while let Some(target) = self.find_plain(&passed_over) {
-            let is_cold = |view: &mut GatewayView| view.warmups.is_cold(target.id, now_ms());
-            let granted = match self.state.with(is_cold) {
-                true => request_grant(&self.state, target.id).await,
-                false => Ok(()),
-            };
-            let Err(wait_ms) = granted else {
-                let guard = RunGuard::plain(&self.state, target.id);
-                return Ok(CallPlacement {
-                    target,
-                    guard,
-                    expected_ms: None,
-                    decided_by: "entry".to_owned(),
-                });
-            };
-            next_grant_ms = next_grant_ms.into_iter().chain(wait_ms).min();
+            match place_plain(&self.state, target.id, self.time_left()).await {
+                Ok(PlainPlacement { guard, decided_by }) => {
+                    return Ok(CallPlacement {
+                        target,
+                        guard,
+                        expected_ms: None,
+                        decided_by,
+                    });
+                }
+                Err(decline) => declines.push(decline),
+            }
             passed_over.push(target.id);
         }
-        Err(match next_grant_ms {
-            Some(wait_ms) => {
-                let cause = RetryCause::Backlog(Duration::from_millis(u64::from(wait_ms)));
-                let delay = retry_delay(cause, self.time_left(), rand::random());
-                CallRefusal::with_retry(RefusalReason::WarmingUp, delay)
+        Err(self.refuse_plain(&declines))
+    }
+
+    /// Creates the refusal for a request that all endpoints of a plain service declined.
+    fn refuse_plain(&self, declines: &[PlainDecline]) -> CallRefusal {
+        let next_grant = declines.iter().filter_map(|decline| match decline {
+            PlainDecline::Warming(wait_ms) => Some(Duration::from_millis(u64::from(*wait_ms))),
+            PlainDecline::Full | PlainDecline::Unknown => None,
+        });
+        let (reason, wait) = match next_grant.min() {
+            _ if declines.contains(&PlainDecline::Full) => {
+                (RefusalReason::EndpointsFull, Duration::ZERO)
             }
-            None => self.refuse_unavailable(),
-        })
+            Some(wait) => (RefusalReason::WarmingUp, wait),
+            None => return self.refuse_unavailable(),
+        };
+        let cause = RetryCause::Backlog(wait);
+        let delay = retry_delay(cause, self.time_left(), rand::random());
+        CallRefusal::with_retry(reason, delay)
     }
 
     /// Finds the endpoint of a plain service that has the smallest fraction of its slots in use,
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -112,7 +112,10 @@
         }
         GatewayMessage::Ended { run, endpoint } => {
             let key = key_of(run);
-            state.with(|view| view.engines.end(endpoint, key));
+            state.with(|view| {
+                view.engines.end(endpoint, key);
+                view.plain_loads.end(endpoint, key);
+            });
         }
         GatewayMessage::EndpointLeaving { endpoint } => receive_reported_leave(state, endpoint),
         GatewayMessage::Suspects { rows } => quarantine::receive_reports(state, from, &rows),
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -12,9 +12,10 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayState, GatewayView};
 use super::notices::receive_reported_leave;
+use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
-use super::warmup_grants::{decide_plain, warmup_pace};
+use super::warmup_grants::warmup_pace;
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
@@ -199,7 +200,7 @@
     let now = now_ms();
     let rule = state.settings().admission;
     let Some(spec) = engine_spec(state, endpoint) else {
-        return decide_plain(state, endpoint);
+        return decide_plain(state, endpoint, key, request);
     };
     let pace = warmup_pace(state, endpoint);
     state.with(|view| {
@@ -228,13 +229,18 @@
     key: RunKey,
     request: &AdmissionRequest,
 ) {
-    if let Some(spec) = engine_spec(state, endpoint) {
-        state.with(|view| {
-            view.engines
-                .load_mut(endpoint, spec)
-                .place(key, request, now_ms());
-        });
-    }
+    let now = now_ms();
+    let spec = engine_spec(state, endpoint);
+    state.with(|view| match spec {
+        Some(spec) => view
+            .engines
+            .load_mut(endpoint, spec)
+            .place(key, request, now),
+        None => {
+            let until_ms = now + u64::from(request.budget_ms);
+            view.plain_loads.place(endpoint, key, until_ms);
+        }
+    });
 }
 
 /// Creates the message that reports a prompt on an engine to its owner.
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -15,9 +15,9 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, EvacuationOrder, FleetView,
-    InterruptionTracker, LoadShedder, LoopLag, PrefixHistory, ResumeGate, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision,
-    SuspectRegistry, WarmupTracker, WatchCheck,
+    InterruptionTracker, LoadShedder, LoopLag, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
+    RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
+    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -51,6 +51,8 @@
     pub(super) endpoints: EndpointRegistry,
     /// The load of the engines.
     pub(super) engines: EngineRegistry,
+    /// The requests at the endpoints of plain services that this box owns.
+    pub(super) plain_loads: PlainLoads,
     /// What the workspaces requested and were granted.
     pub(super) shares: ShareTracker,
     /// The outcomes of their prompts on this box, for the log.
@@ -132,6 +134,7 @@
         let view = GatewayView {
             endpoints: EndpointRegistry::default(),
             engines: EngineRegistry::default(),
+            plain_loads: PlainLoads::default(),
             shares: ShareTracker::new(settings.share_window.as_millis() as u64),
             tally: ShareTally::default(),
             retries: RetryBudget::new(settings.retry_rule()),
@@ -405,6 +408,7 @@
             let GatewayView {
                 endpoints,
                 engines,
+                plain_loads,
                 fleet,
                 runs,
                 retries,
@@ -424,6 +428,7 @@
                 false => !fleet.is_live(run.entry, now),
             };
             engines.retain(now, |id| endpoints.get(id).is_some(), is_gone);
+            plain_loads.retain(now, |id| endpoints.get(id).is_some(), is_gone);
             let gone = gone.iter().filter(|key| fleet.has_heartbeat(**key));
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
             view.update_warmups(now);
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -337,6 +337,7 @@
         let identity = state.with(|view| {
             if *change == BoxChange::Restarted {
                 view.engines.forget_entry(*peer, now);
+                view.plain_loads.forget_entry(*peer);
             }
             let fleet = &view.fleet;
             let is_known = fleet.has_heartbeat(*peer);
--- /dev/null
+++ b/dockgate/src/gateway/plain_placement.rs
@@ -0,0 +1,153 @@
+//! Places a request at an endpoint of a plain service, with the consent of the box that owns the
+//! endpoint.
+//!
+//! The owner counts the requests of all boxes at its endpoints ([`PlainLoads`]) and paces those to
+//! cold ones. If it does not answer in time, the box that received the request decides by itself.
+//!
+//! [`PlainLoads`]: dockgate_core::gateway::PlainLoads
+
+use super::datagrams::send_to;
+use super::engine_placement::pending_slot_request::PendingSlotRequest;
+use super::engine_placement::{place_locally, placed_message};
+use super::gateway_metrics::GATEWAY_METRICS;
+use super::gateway_state::GatewayState;
+use super::notices::receive_reported_leave;
+use super::run_guard::RunGuard;
+use super::warmup_grants::warmup_pace;
+use crate::clock::now_ms;
+use dockgate_core::BoxKey;
+use dockgate_core::gateway::{AdmissionRequest, AdmissionVerdict, EndpointId, RunKey, ShareLevel};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why a request was not placed at an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlainDecline {
+    /// All its slots are taken, and more requests wait.
+    Full,
+    /// It warms up; its owner may grant a request after this many milliseconds.
+    Warming(u32),
+    /// It warms up or is gone, and its owner does not answer.
+    Unknown,
+}
+
+/// A request that was placed at an endpoint.
+pub(super) struct PlainPlacement {
+    /// Counts the request at the endpoint until it is dropped.
+    pub(super) guard: RunGuard,
+    /// The name of the box that decided.
+    pub(super) decided_by: String,
+}
+
+/// Places a request, whose caller waits for `time_left`, at an endpoint.
+///
+/// # Errors
+///
+/// Returns the reason if the endpoint takes no more requests now.
+pub(super) async fn place_plain(
+    state: &Arc<GatewayState>,
+    endpoint: EndpointId,
+    time_left: Duration,
+) -> Result<PlainPlacement, PlainDecline> {
+    let request = plain_request(time_left);
+    let number = state.next_run_number();
+    let owner = state.with(|view| {
+        let entry = view.endpoints.get(endpoint)?;
+        Some(view.fleet.owner(endpoint, &entry.record.domain, now_ms()))
+    });
+    let owner = owner.ok_or(PlainDecline::Unknown)?;
+    let key = state.run_key(number);
+    let verdict = match owner == state.own_key() {
+        true => decide_plain(state, endpoint, key, &request),
+        false => {
+            let pending = PendingSlotRequest::send(state, number, endpoint, owner, &request);
+            pending.verdict().await
+        }
+    };
+    let decided_by = match verdict {
+        Some(AdmissionVerdict::Granted(_)) => state.with(|view| view.fleet.name(owner).to_owned()),
+        Some(AdmissionVerdict::Declined(_)) => return Err(PlainDecline::Full),
+        Some(AdmissionVerdict::Warming(wait_ms)) => return Err(PlainDecline::Warming(wait_ms)),
+        Some(AdmissionVerdict::Leaving) => {
+            receive_reported_leave(state, endpoint);
+            return Err(PlainDecline::Unknown);
+        }
+        None => {
+            place_alone(state, endpoint, number, owner, &request)?;
+            "entry alone".to_owned()
+        }
+    };
+    Ok(PlainPlacement {
+        guard: RunGuard::plain(state, endpoint, number, owner, request),
+        decided_by,
+    })
+}
+
+/// Places a request whose owner does not answer, and reports it to the owner.
+///
+/// # Errors
+///
+/// Returns the reason if the endpoint is cold, since only its owner may grant requests then.
+fn place_alone(
+    state: &GatewayState,
+    endpoint: EndpointId,
+    number: u32,
+    owner: BoxKey,
+    request: &AdmissionRequest,
+) -> Result<(), PlainDecline> {
+    GATEWAY_METRICS.missed_verdicts.inc();
+    if state.with(|view| view.warmups.is_cold(endpoint, now_ms())) {
+        return Err(PlainDecline::Unknown);
+    }
+    place_locally(state, endpoint, state.run_key(number), request);
+    send_to(
+        state,
+        owner,
+        placed_message(number, endpoint, request, false),
+    );
+    Ok(())
+}
+
+/// Returns the admission request for a request that is no prompt.
+fn plain_request(time_left: Duration) -> AdmissionRequest {
+    AdmissionRequest {
+        workspace: 0,
+        objective_ms: 0,
+        shortest_objective_ms: 0,
+        budget_ms: u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX),
+        level: ShareLevel::WITHIN,
+        input: 0,
+        output: 0,
+        parts: Vec::new(),
+    }
+}
+
+/// Decides, as the owner, on a request to an endpoint of a plain service, and counts it there if it
+/// is granted. Returns `None` if the endpoint is unknown.
+pub(super) fn decide_plain(
+    state: &GatewayState,
+    endpoint: EndpointId,
+    key: RunKey,
+    request: &AdmissionRequest,
+) -> Option<AdmissionVerdict> {
+    let now = now_ms();
+    let pace = warmup_pace(state, endpoint);
+    state.with(|view| {
+        let slots = view.endpoints.get(endpoint)?.record.slots;
+        if view.endpoints.notices().is_reported_leaving(endpoint, now) {
+            return Some(AdmissionVerdict::Leaving);
+        }
+        let until_ms = now + u64::from(request.budget_ms);
+        if !view.plain_loads.try_place(endpoint, key, slots, until_ms) {
+            return Some(AdmissionVerdict::Declined(0));
+        }
+        let granted = view.warmups.try_grant(endpoint, pace, now);
+        Some(match granted {
+            Ok(()) => AdmissionVerdict::Granted(0),
+            Err(wait_ms) => {
+                view.plain_loads.end(endpoint, key);
+                AdmissionVerdict::Warming(wait_ms)
+            }
+        })
+    })
+}
--- a/dockgate/src/gateway/run_guard.rs
+++ b/dockgate/src/gateway/run_guard.rs
@@ -12,19 +12,34 @@
 pub(super) struct RunGuard {
     state: Arc<GatewayState>,
     endpoint: EndpointId,
-    /// The number of the run, if the endpoint is an engine.
-    number: Option<u32>,
+    /// The number of the run.
+    number: u32,
     started: bool,
 }
 
 impl RunGuard {
-    /// Counts a request at an endpoint of a plain service.
-    pub(super) fn plain(state: &Arc<GatewayState>, endpoint: EndpointId) -> Self {
-        state.with(|view| view.endpoints.note_sent(endpoint, now_ms()));
+    /// Counts a request at an endpoint of a plain service that `owner` counts as well.
+    pub(super) fn plain(
+        state: &Arc<GatewayState>,
+        endpoint: EndpointId,
+        number: u32,
+        owner: BoxKey,
+        request: AdmissionRequest,
+    ) -> Self {
+        let run = PlacedRun {
+            endpoint,
+            owner,
+            request,
+            started: false,
+        };
+        state.with(|view| {
+            view.endpoints.note_sent(endpoint, now_ms());
+            view.runs.insert(number, run);
+        });
         Self {
             state: state.clone(),
             endpoint,
-            number: None,
+            number,
             started: false,
         }
     }
@@ -52,7 +67,7 @@
         Self {
             state: state.clone(),
             endpoint,
-            number: Some(number),
+            number,
             started: false,
         }
     }
@@ -77,7 +92,7 @@
             return;
         }
         self.record(EndpointOutcome::Answered);
-        let Some(number) = self.number else { return };
+        let number = self.number;
         let key = self.state.run_key(number);
         let own_key = self.state.own_key();
         let owner = self.state.with(|view| {
@@ -108,21 +123,19 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        let key = self.number.map(|number| self.state.run_key(number));
+        let key = self.state.run_key(self.number);
         let owner = self.state.with(|view| {
             view.endpoints.note_request_ended(self.endpoint);
-            let key = key?;
             view.engines.end(self.endpoint, key);
+            view.plain_loads.end(self.endpoint, key);
             view.runs.remove(&key.number).map(|run| run.owner)
         });
-        if let Some(run) = self.number {
-            self.notify_owner(
-                owner,
-                GatewayMessage::Ended {
-                    run,
-                    endpoint: self.endpoint,
-                },
-            );
-        }
+        self.notify_owner(
+            owner,
+            GatewayMessage::Ended {
+                run: self.number,
+                endpoint: self.endpoint,
+            },
+        );
     }
 }
--- a/dockgate/src/gateway/warmup_grants.rs
+++ b/dockgate/src/gateway/warmup_grants.rs
@@ -1,12 +1,8 @@
 //! Grants of requests to cold endpoints by the boxes that own them.
 
-use super::engine_placement::decide_locally;
-use super::engine_placement::pending_slot_request::PendingSlotRequest;
 use super::gateway_state::{GatewayState, GatewayView};
 use crate::clock::now_ms;
-use dockgate_core::gateway::{
-    AdmissionRequest, AdmissionVerdict, EndpointId, EvacuationOrder, ShareLevel, WarmupLimit,
-};
+use dockgate_core::gateway::{EndpointId, EvacuationOrder, WarmupLimit};
 
 impl GatewayView {
     /// Returns whether this box owns an endpoint.
@@ -76,60 +72,3 @@
         });
     }
 }
-
-/// Asks the owner of a cold endpoint of a plain service to grant one request.
-///
-/// # Errors
-///
-/// Returns the time until the next grant in milliseconds, or `None` if the owner does not answer.
-pub(super) async fn request_grant(
-    state: &GatewayState,
-    endpoint: EndpointId,
-) -> Result<(), Option<u32>> {
-    let owner = state.with(|view| {
-        let entry = view.endpoints.get(endpoint)?;
-        Some(view.fleet.owner(endpoint, &entry.record.domain, now_ms()))
-    });
-    let number = state.next_run_number();
-    let request = plain_request();
-    let verdict = match owner {
-        Some(owner) if owner != state.own_key() => {
-            let pending = PendingSlotRequest::send(state, number, endpoint, owner, &request);
-            pending.verdict().await
-        }
-        _ => decide_locally(state, endpoint, state.run_key(number), &request, 0),
-    };
-    match verdict {
-        Some(AdmissionVerdict::Granted(_)) => Ok(()),
-        Some(AdmissionVerdict::Warming(wait_ms)) => Err(Some(wait_ms)),
-        _ => Err(None),
-    }
-}
-
-/// Returns the admission request for a request that is no prompt.
-const fn plain_request() -> AdmissionRequest {
-    AdmissionRequest {
-        workspace: 0,
-        objective_ms: 0,
-        shortest_objective_ms: 0,
-        budget_ms: 0,
-        level: ShareLevel::WITHIN,
-        input: 0,
-        output: 0,
-        parts: Vec::new(),
-    }
-}
-
-/// Decides on a request to an endpoint of a plain service, which is limited only while it is cold.
-/// Returns `None` if the endpoint is unknown.
-pub(super) fn decide_plain(state: &GatewayState, endpoint: EndpointId) -> Option<AdmissionVerdict> {
-    let pace = warmup_pace(state, endpoint);
-    let granted = state.with(|view| {
-        view.endpoints.get(endpoint)?;
-        Some(view.warmups.try_grant(endpoint, pace, now_ms()))
-    });
-    Some(match granted? {
-        Ok(()) => AdmissionVerdict::Granted(0),
-        Err(wait_ms) => AdmissionVerdict::Warming(wait_ms),
-    })
-}
