--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -69,8 +69,9 @@
 pub use endpoint_health::{EndpointHealth, EndpointOutcome};
 pub use endpoint_notice::EndpointNotice;
 pub use endpoint_registry::{
-    EndpointChange, EndpointEntry, EndpointRegistry, EndpointUpdate, ExpiryChanges, MergeOutcome,
-    ReadyEndpoint, RemovedEndpoint, ReportedEndpoint, ServiceAvailability, UnconfirmedRecord,
+    EndpointChange, EndpointEntry, EndpointObjection, EndpointRegistry, EndpointUpdate,
+    ExpiryChanges, MergeOutcome, ReadyEndpoint, RemovedEndpoint, ReportedEndpoint,
+    ServiceAvailability, UnconfirmedRecord,
 };
 pub use engine_load::{EngineLoad, EngineRun};
 pub use engine_registry::{AdmissionRequest, EngineRegistry, LatencyLimits, RunKey};
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -47,6 +47,15 @@
     pub domain: DomainKey,
 }
 
+/// What a box knows against sending requests to an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointObjection {
+    /// It leaves, has ended, or has no valid record.
+    Leaving,
+    /// Its failure domain is evacuated.
+    Evacuated,
+}
+
 /// A change of an endpoint's record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointChange {
@@ -253,6 +262,9 @@
     fn start_lifetime(&mut self, record: EndpointRecord, revision: StoreRevision) {
         let (name, id) = (record.name(), record.key());
         let previous = self.lifetimes.insert(name, id);
+        previous
+            .into_iter()
+            .for_each(|previous| self.history.record_end(previous));
         let previous = previous.and_then(|previous| self.endpoints.remove(&previous));
         let unconfirmed = previous.as_ref().and_then(EndpointEntry::unconfirmed);
         let entry = EndpointEntry::new(record, revision).with_unconfirmed(unconfirmed);
@@ -266,6 +278,7 @@
         revision: StoreRevision,
     ) -> Option<EndpointEntry> {
         let id = self.lifetimes.remove(&name);
+        id.into_iter().for_each(|id| self.history.record_end(id));
         let ended = id.and_then(|id| self.endpoints.remove(&id));
         let started_ms = ended.as_ref().and_then(|ended| ended.record.started_ms);
         self.history.record_removal(
@@ -535,6 +548,27 @@
         &self.evacuations
     }
 
+    /// Returns what is known here against sending requests to an endpoint; `None` if nothing is.
+    pub fn objection(&self, id: EndpointId, now_ms: u64) -> Option<EndpointObjection> {
+        let entry = self.endpoints.get(&id);
+        match entry {
+            None => self
+                .history
+                .has_ended(id)
+                .then_some(EndpointObjection::Leaving),
+            Some(entry) if entry.record.state != EndpointState::Ready => {
+                Some(EndpointObjection::Leaving)
+            }
+            Some(_) if self.notices.is_reported_leaving(id, now_ms) => {
+                Some(EndpointObjection::Leaving)
+            }
+            Some(entry) if self.evacuations.is_evacuated(entry.domain()) => {
+                Some(EndpointObjection::Evacuated)
+            }
+            Some(_) => None,
+        }
+    }
+
     /// Returns whether a request that is about to be written may still be sent to an endpoint.
     pub fn accepts_requests(&self, id: EndpointId, now_ms: u64) -> bool {
         let entry = self.endpoints.get(&id);
--- a/dockgate-core/src/gateway/endpoint_registry/lifetime_history.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/lifetime_history.rs
@@ -1,9 +1,9 @@
 //! Removed endpoints and deferred records.
 
 use super::endpoint_update::ReportedEndpoint;
-use crate::gateway::route_table::{EndpointName, EndpointRecord};
+use crate::gateway::route_table::{EndpointId, EndpointName, EndpointRecord};
 use crate::gateway::store_revision::StoreRevision;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// The endpoints that were removed, and the records whose use is deferred.
 #[derive(Debug, Clone, Default)]
@@ -12,6 +12,8 @@
     /// The newest revision among the removals that were dropped.
     forgotten: StoreRevision,
     deferred: HashMap<EndpointName, DeferredRecord>,
+    /// The lifetimes that ended last, oldest first.
+    ended: VecDeque<EndpointId>,
 }
 
 /// The last known state of an endpoint.
@@ -40,6 +42,8 @@
 impl LifetimeHistory {
     /// The maximum number of removed endpoints that are remembered.
     const MAX_REMOVED: usize = 4_096;
+    /// The maximum number of ended lifetimes that are remembered.
+    const MAX_ENDED: usize = 256;
     /// How long the record of an earlier lifetime is deferred, in milliseconds.
     ///
     /// A live endpoint overwrites a late write of its earlier lifetime with its next renewal. If
@@ -50,6 +54,19 @@
     /// older copy, in milliseconds. It expires in the store sooner unless its endpoint renews it.
     const RESTORED_DELAY_MS: u64 = 5_000;
 
+    /// Records the end of a lifetime.
+    pub(super) fn record_end(&mut self, id: EndpointId) {
+        self.ended.push_back(id);
+        if self.ended.len() > Self::MAX_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Returns whether a lifetime is among those that ended last.
+    pub(super) fn has_ended(&self, id: EndpointId) -> bool {
+        self.ended.contains(&id)
+    }
+
     /// Returns the newest revision among the removals that were dropped.
     pub(super) const fn forgotten(&self) -> StoreRevision {
         self.forgotten
--- a/dockgate-core/src/gateway/endpoint_registry/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/tests.rs
@@ -417,3 +417,34 @@
         prop_assert_eq!(registries[2].checksum(), registries[0].checksum());
     }
 }
+
+#[test]
+fn known_objections_to_an_endpoint_are_told() {
+    let mut registry = EndpointRegistry::default();
+    for id in ["ready", "draining", "gone", "again"] {
+        registry.apply(put(id, 1), None);
+    }
+    let id_of = |id: &str| record(id, EndpointState::Ready).key();
+    registry.apply(
+        EndpointChange::Put(record("draining", EndpointState::Draining), at(2)),
+        None,
+    );
+    registry.apply(EndpointChange::Removed("gone".to_owned(), at(3)), None);
+    assert_eq!(registry.objection(id_of("ready"), 0), None);
+    assert_eq!(registry.objection(id_of("unknown"), 0), None);
+    for id in ["draining", "gone"] {
+        assert_eq!(
+            registry.objection(id_of(id), 0),
+            Some(EndpointObjection::Leaving)
+        );
+    }
+    registry.apply_evacuations([EvacuationOrder {
+        domain: DomainKey::from_name("a"),
+        revision: at(4),
+        is_active: true,
+    }]);
+    assert_eq!(
+        registry.objection(id_of("ready"), 0),
+        Some(EndpointObjection::Evacuated)
+    );
+}
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -19,9 +19,9 @@
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
-    AdmissionRequest, AdmissionVerdict, DomainKey, EndpointId, EngineSpec, PrefillSpeed,
-    PromptPart, PromptShape, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel, best_homes,
-    placement_key,
+    AdmissionRequest, AdmissionVerdict, DomainKey, EndpointId, EndpointObjection, EngineSpec,
+    PrefillSpeed, PromptPart, PromptShape, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel,
+    best_homes, placement_key,
 };
 use dockgate_proto::GatewayMessage;
 use pending_slot_request::PendingSlotRequest;
@@ -204,11 +204,15 @@
     };
     let pace = warmup_pace(state, endpoint);
     state.with(|view| {
-        let notices = view.endpoints.notices();
-        if notices.is_reported_leaving(endpoint, now) {
-            return Some(AdmissionVerdict::Leaving);
-        }
         let load = view.engines.load_mut(endpoint, spec);
+        match view.endpoints.objection(endpoint, now) {
+            Some(EndpointObjection::Leaving) => return Some(AdmissionVerdict::Leaving),
+            Some(EndpointObjection::Evacuated) => {
+                let first_ms = load.first_event_ms(request, now);
+                return Some(AdmissionVerdict::Declined(first_ms as u32));
+            }
+            None => {}
+        }
         let verdict = rule.decide(load, request, other_senders, now);
         if !matches!(verdict, AdmissionVerdict::Granted(_)) {
             return Some(verdict);
--- a/dockgate/src/gateway/plain_placement.rs
+++ b/dockgate/src/gateway/plain_placement.rs
@@ -16,7 +16,9 @@
 use super::warmup_grants::warmup_pace;
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
-use dockgate_core::gateway::{AdmissionRequest, AdmissionVerdict, EndpointId, RunKey, ShareLevel};
+use dockgate_core::gateway::{
+    AdmissionRequest, AdmissionVerdict, EndpointId, EndpointObjection, RunKey, ShareLevel,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -133,10 +135,12 @@
     let now = now_ms();
     let pace = warmup_pace(state, endpoint);
     state.with(|view| {
-        let slots = view.endpoints.get(endpoint)?.record.slots;
-        if view.endpoints.notices().is_reported_leaving(endpoint, now) {
-            return Some(AdmissionVerdict::Leaving);
+        match view.endpoints.objection(endpoint, now) {
+            Some(EndpointObjection::Leaving) => return Some(AdmissionVerdict::Leaving),
+            Some(EndpointObjection::Evacuated) => return Some(AdmissionVerdict::Declined(0)),
+            None => {}
         }
+        let slots = view.endpoints.get(endpoint)?.record.slots;
         let until_ms = now + u64::from(request.budget_ms);
         if !view.plain_loads.try_place(endpoint, key, slots, until_ms) {
             return Some(AdmissionVerdict::Declined(0));
@@ -151,3 +155,6 @@
         })
     })
 }
+
+#[cfg(test)]
+mod tests;
