--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -81,6 +81,9 @@
     /// are not affected.
     #[value(name = "older-copies")]
     StoreRestores,
+    /// Evacuations of the endpoints' failure domain, while updates are delayed. Boxes are not
+    /// disturbed: each must learn in time of an order, and that it was taken back.
+    Evacuations,
 }
 
 /// The options of a soak run.
@@ -303,6 +306,7 @@
             .map(|id| format!("{id}: ran, but no caller sent it")),
     );
     violations.extend(injector.sent_after_drain(all_endpoints));
+    violations.extend(injector.sent_despite_evacuation(all_endpoints));
     let final_calls = calls
         .iter()
         .filter(|call| call.is_final)
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -39,6 +39,12 @@
 const NOTICE_MS: Range<u64> = 500..5_000;
 /// Backoff that endpoints ask for, in milliseconds.
 const BACKOFF_MS: Range<u64> = 600..4_000;
+/// Duration of an evacuation, in milliseconds.
+const EVACUATION_MS: Range<u64> = 1_000..6_000;
+/// The key of the order to evacuate the failure domain of all endpoints.
+const EVACUATION_KEY: &str = "op/evacuate/a";
+/// Time after an order within which requests must stop arriving.
+const EVACUATION_DEADLINE: Duration = Duration::from_secs(2);
 /// Number of unused routes in a large configuration.
 const EXTRA_ROUTES: usize = 4_000;
 
@@ -80,6 +86,8 @@
     ResetBackoff,
     /// Writes the lost records of the operator and the endpoints again.
     RewriteStore,
+    /// Takes an evacuation back.
+    TakeBack,
 }
 
 /// An endpoint lifetime that was drained; a later one may have the same id.
@@ -118,6 +126,8 @@
     /// The endpoints that were drained.
     drained: Vec<DrainedEndpoint>,
     pub(super) undo_actions: Vec<(Instant, UndoAction)>,
+    /// Periods in which the endpoints were evacuated; the last one may not be over.
+    evacuations: Vec<(Instant, Option<Instant>)>,
     /// Older snapshots of the store.
     pub(super) snapshots: StoreSnapshots,
     /// Periods in which a box ran intermittently.
@@ -144,6 +154,7 @@
             faults,
             drained: Vec::new(),
             undo_actions: Vec::new(),
+            evacuations: Vec::new(),
             snapshots: StoreSnapshots::default(),
             slow: Vec::new(),
             total_suspensions: [Duration::ZERO; super::GATEWAYS],
@@ -179,6 +190,8 @@
                 SoakFaults::DelayedUpdates => self.delay_updates(fleet).await?,
                 SoakFaults::StoreRestores if self.rng.random_bool(0.3) => self.restore_store(fleet),
                 SoakFaults::StoreRestores => self.delay_updates(fleet).await?,
+                SoakFaults::Evacuations if self.rng.random_bool(0.3) => self.evacuate(fleet),
+                SoakFaults::Evacuations => self.delay_updates(fleet).await?,
                 SoakFaults::CallerDisconnects => self.begin_slow_fault(fleet).await,
                 SoakFaults::Notices if self.rng.random_bool(0.5) => self.begin_notice(fleet),
                 SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
@@ -218,6 +231,12 @@
                 .iter()
                 .for_each(|each| each.set_backoff(None)),
             UndoAction::RewriteStore => self.rewrite_store(fleet),
+            UndoAction::TakeBack => {
+                fleet.store.remove(EVACUATION_KEY);
+                if let Some((_, until)) = self.evacuations.last_mut() {
+                    *until = Some(Instant::now());
+                }
+            }
             UndoAction::RemoveEndpoint(at) => {
                 let (key, _) = fleet.endpoints[at].record("a", "draining");
                 fleet.store.remove(&key);
@@ -383,6 +402,36 @@
         Ok(())
     }
 
+    /// Orders an evacuation, unless one is in force.
+    fn evacuate(&mut self, fleet: &GatewayFleet) {
+        if self.evacuations.iter().any(|(_, until)| until.is_none()) {
+            return;
+        }
+        fleet.store.set(EVACUATION_KEY, "{}");
+        let duration = Duration::from_millis(self.rng.random_range(EVACUATION_MS));
+        let now = Instant::now();
+        self.evacuations.push((now, None));
+        self.undo_actions
+            .push((now + duration, UndoAction::TakeBack));
+        let at = self.started.elapsed().as_millis();
+        self.fault_log
+            .push(format!("{at} ms: evacuate for {duration:?}"));
+    }
+
+    /// Lists the requests that reached an endpoint while its failure domain was evacuated.
+    pub(super) fn sent_despite_evacuation(&self, endpoints: &[&RoutedStandIn]) -> Vec<String> {
+        let ran = endpoints.iter().flat_map(|endpoint| endpoint.ran());
+        let sent = ran.filter_map(|run| {
+            let (from, _) = self.evacuations.iter().find(|(from, until)| {
+                let is_over = until.is_some_and(|until| run.at >= until);
+                run.at > *from + EVACUATION_DEADLINE && !is_over
+            })?;
+            let after = run.at - *from;
+            Some(format!("{}: ran {after:?} after an evacuation", run.id))
+        });
+        sent.collect()
+    }
+
     /// Begins a fault that delays updates. The store keeps answering at least one box.
     async fn delay_updates(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
         let box_index = self.rng.random_range(0..fleet.gateways.len());
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -16,6 +16,7 @@
     crashing_requests = { SoakFaults::CrashingRequests, 1 },
     endpoint_notices = { SoakFaults::Notices, 1 },
     store_restores = { SoakFaults::StoreRestores, 1 },
+    evacuations = { SoakFaults::Evacuations, 1 },
 )]
 fn soak_finds_no_broken_guarantee(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/dockgate-bench/tests/warmup.rs
+++ b/dockgate-bench/tests/warmup.rs
@@ -56,6 +56,20 @@
     join_all(calls).await.concat()
 }
 
+/// Presses all boxes for a while; returns the statuses.
+async fn press_for(fleet: &GatewayFleet, time: Duration) -> Vec<StatusCode> {
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    for round in 1.. {
+        if started.elapsed() > time {
+            break;
+        }
+        statuses.extend(press(fleet, round).await);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    statuses
+}
+
 fn most_in_a_second(endpoint: &RoutedStandIn) -> usize {
     let times: Vec<Instant> = endpoint.ran().iter().map(|run| run.at).collect();
     let count = |from: Instant| {
@@ -70,15 +84,7 @@
     let mut fleet = start().await;
     add_cold_endpoints(&mut fleet).await;
     let cold = |fleet: &GatewayFleet| fleet.endpoints[2..].iter().map(most_in_a_second).max();
-    let started = Instant::now();
-    let mut statuses = Vec::new();
-    for round in 0.. {
-        if started.elapsed() > WARMUP - Duration::from_millis(300) {
-            break;
-        }
-        statuses.extend(press(&fleet, round).await);
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let statuses = press_for(&fleet, WARMUP - Duration::from_millis(300)).await;
     let most = cold(&fleet);
     assert!(
         most <= Some(MAX_PER_SECOND),
@@ -96,15 +102,7 @@
         let (key, value) = endpoint.record("a", "draining");
         fleet.store.set(&key, value);
     }
-    let started = Instant::now();
-    let mut statuses = Vec::new();
-    for round in 0.. {
-        if started.elapsed() > WARMUP - Duration::from_millis(300) {
-            break;
-        }
-        statuses.extend(press(&fleet, round).await);
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let statuses = press_for(&fleet, WARMUP - Duration::from_millis(300)).await;
     for endpoint in &fleet.endpoints[2..] {
         let most = most_in_a_second(endpoint);
         assert!((1..=MAX_PER_SECOND).contains(&most), "{most} in a second");
@@ -136,14 +134,7 @@
             .all(|(endpoint, before)| endpoint.ran().len() > *before)
     })
     .await;
-    let started = Instant::now();
-    for round in 1.. {
-        if started.elapsed() > Duration::from_millis(1_500) {
-            break;
-        }
-        press(&fleet, round).await;
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    press_for(&fleet, Duration::from_millis(1_500)).await;
     for endpoint in &fleet.endpoints {
         let most = most_in_a_second(endpoint);
         assert!((1..=MAX_PER_SECOND).contains(&most), "{most} in a second");
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -483,7 +483,7 @@
     let endpoint = home.target.id;
     EnginePlacement {
         target: home.target.clone(),
-        guard: RunGuard::engine(
+        guard: RunGuard::new(
             state,
             endpoint,
             decision.number,
--- a/dockgate/src/gateway/plain_placement.rs
+++ b/dockgate/src/gateway/plain_placement.rs
@@ -80,7 +80,7 @@
         }
     };
     Ok(PlainPlacement {
-        guard: RunGuard::plain(state, endpoint, number, owner, request),
+        guard: RunGuard::new(state, endpoint, number, owner, request),
         decided_by,
     })
 }
--- a/dockgate/src/gateway/run_guard.rs
+++ b/dockgate/src/gateway/run_guard.rs
@@ -18,50 +18,24 @@
 }
 
 impl RunGuard {
-    /// Counts a request at an endpoint of a plain service that `owner` counts as well.
-    pub(super) fn plain(
+    /// Counts a request that `owner` admitted at an endpoint, and counts there as well.
+    pub(super) fn new(
         state: &Arc<GatewayState>,
         endpoint: EndpointId,
         number: u32,
         owner: BoxKey,
         request: AdmissionRequest,
     ) -> Self {
-        let run = PlacedRun {
-            endpoint,
-            owner,
-            request,
-            started: false,
-        };
-        state.with(|view| {
-            view.endpoints.note_sent(endpoint, now_ms());
-            view.runs.insert(number, run);
-        });
-        Self {
-            state: state.clone(),
-            endpoint,
-            number,
-            started: false,
-        }
-    }
-
-    /// Counts a prompt that was admitted at an engine by `owner`.
-    pub(super) fn engine(
-        state: &Arc<GatewayState>,
-        endpoint: EndpointId,
-        number: u32,
-        owner: BoxKey,
-        request: AdmissionRequest,
-    ) -> Self {
-        let run = PlacedRun {
-            endpoint,
-            owner,
-            request,
-            started: false,
-        };
         state.with(|view| {
             view.endpoints.note_sent(endpoint, now_ms());
-            view.prefix_history
-                .record(endpoint, owner, &run.request.parts);
+            // Requests of plain services have no parts.
+            view.prefix_history.record(endpoint, owner, &request.parts);
+            let run = PlacedRun {
+                endpoint,
+                owner,
+                request,
+                started: false,
+            };
             view.runs.insert(number, run);
         });
         Self {
