--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -513,3 +513,18 @@
     })
     .await;
 }
+
+/// Guards against a choice among equal endpoints that always falls on the first one.
+#[tokio::test]
+async fn light_load_is_spread_over_all_endpoints() {
+    const REQUESTS: usize = 160;
+    let fleet = start_fleet(1, &["plain"; 8]).await;
+    for number in 0..REQUESTS {
+        let id = format!("spread-{number}");
+        call(&fleet.gateways[0], request("/again/x", &id, None)).await;
+    }
+    let runs = fleet.endpoints.iter().map(|endpoint| endpoint.ran().len());
+    let runs: Vec<usize> = runs.collect();
+    let least = REQUESTS / fleet.endpoints.len() / 4;
+    assert!(runs.iter().all(|runs| *runs >= least), "{runs:?}");
+}
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -88,7 +88,7 @@
 pub use prefix_cache::PrefixCache;
 pub use prefix_history::{PrefixHistory, PrefixReport};
 pub use prompt_shape::{PromptPart, PromptShape};
-pub use rendezvous::{best_homes, name_hash, owner_of_endpoint, placement_key};
+pub use rendezvous::{best_homes, name_hash, owner_of_endpoint, placement_key, tie_break};
 pub use request_fingerprint::{FingerprintInput, InvalidFingerprint, RequestFingerprint};
 pub use resume_gate::ResumeGate;
 pub use retry_budget::{RetryBudget, RetryRule};
--- a/dockgate-core/src/gateway/rendezvous.rs
+++ b/dockgate-core/src/gateway/rendezvous.rs
@@ -53,6 +53,12 @@
     best.into_iter().map(|(_, endpoint)| endpoint).collect()
 }
 
+/// Draws a number for a request and an endpoint, by which ties between endpoints are broken: boxes
+/// that see the same load then spread their requests over all of them.
+pub fn tie_break(request: u64, endpoint: EndpointId) -> u64 {
+    score(request, endpoint.0)
+}
+
 /// Scores a pair of boxes, so that each box ranks the others in an order of its own.
 pub fn pair_score(one: BoxKey, other: BoxKey) -> u64 {
     score(u64::from(one.0), u64::from(other.0))
--- a/dockgate-core/src/gateway/rendezvous/tests.rs
+++ b/dockgate-core/src/gateway/rendezvous/tests.rs
@@ -66,3 +66,20 @@
     let keys = [0, 1, 2, 3].map(|tried| placement_key(7, 8, tried));
     assert_eq!(keys, [7, 7, 8, 8]);
 }
+
+/// Boxes that see all endpoints idle do not choose the same one.
+#[test]
+fn ties_spread_requests_over_all_endpoints() {
+    const ENDPOINTS: u64 = 8;
+    for boxes in [30_u64, 300] {
+        let mut counts = [0_u64; ENDPOINTS as usize];
+        for request in 0..boxes {
+            let request = name_hash(&format!("request-{request}"));
+            let chosen = (0..ENDPOINTS).min_by_key(|id| tie_break(request, EndpointId(*id)));
+            counts[chosen.unwrap() as usize] += 1;
+        }
+        let busiest = counts.iter().max().copied().unwrap();
+        assert!(busiest <= 3 * boxes / ENDPOINTS, "{counts:?}");
+        assert!(!counts.contains(&0), "{counts:?}");
+    }
+}
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -10,7 +10,7 @@
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
     AdmissionRequest, EndpointEntry, EndpointId, PromptShape, RetryCause, ServiceAvailability,
-    ShareLevel, ShareOutcome, name_hash, retry_delay,
+    ShareLevel, ShareOutcome, name_hash, retry_delay, tie_break,
 };
 use std::time::Duration;
 
@@ -193,7 +193,7 @@
     }
 
     /// Finds the endpoint of a plain service that has the smallest fraction of its slots in use,
-    /// other than those passed over.
+    /// other than those passed over. Ties are broken by a draw for each request.
     fn find_plain(&self, passed_over: &[EndpointId]) -> Option<EndpointTarget> {
         let now = now_ms();
         let own_domain = &self.state.settings().domain;
@@ -211,6 +211,11 @@
             };
             used + remote_penalty + unreliable_penalty
         };
+        let request = name_hash(&self.head.id);
+        let by_load = |a: &(EndpointId, &EndpointEntry), b: &(EndpointId, &EndpointEntry)| {
+            let ties = tie_break(request, a.0).cmp(&tie_break(request, b.0));
+            load(a.1).total_cmp(&load(b.1)).then(ties)
+        };
         let name = &self.service().name;
         self.state.with(|view| {
             let untried = |id| !passed_over.contains(&id);
@@ -218,7 +223,7 @@
                 .endpoints
                 .eligible(name, now)
                 .filter(|(id, _)| untried(*id));
-            let best = eligible.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)));
+            let best = eligible.min_by(by_load);
             let notices = view.endpoints.notices();
             // If all endpoints back off after failures, one of them is still tried, unless it
             // requested the backoff itself.
@@ -227,7 +232,7 @@
                     .endpoints
                     .ready_entries(name)
                     .filter(|(id, _)| untried(*id) && notices.may_send(*id, now));
-                ready.min_by(|(_, a), (_, b)| load(a).total_cmp(&load(b)))
+                ready.min_by(by_load)
             };
             let (id, entry) = best.or_else(backing_off)?;
             let boxes = view.fleet.live_count(now);
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -160,7 +160,7 @@
         attempt: u32,
         /// Predicted time to the first event, for engines.
         expected_ms: Option<u32>,
-        /// Name of the box that made the decision; `entry` for services without engines.
+        /// Name of the box that made the decision.
         decided_by: &'a str,
         config: u64,
         config_age_ms: u64,
