--- a/dockgate-core/src/gateway/prefill_model.rs
+++ b/dockgate-core/src/gateway/prefill_model.rs
@@ -60,7 +60,7 @@
 }
 
 /// The learned times of an engine in whole microseconds, as reported to other boxes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PrefillSpeed {
     /// The fixed time of each first event.
     pub fixed_us: u32,
@@ -71,6 +71,13 @@
 }
 
 impl PrefillSpeed {
+    /// Reported by a box that knows no speed of an endpoint.
+    pub const UNKNOWN: Self = Self {
+        fixed_us: 0,
+        kilotoken_us: 0,
+        megapair_us: 0,
+    };
+
     /// Returns the minimum of each time.
     #[must_use]
     pub fn min_each(self, other: Self) -> Self {
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -83,11 +83,18 @@
             backlog_ms,
             speed,
         } => {
-            receive_engine_report(state, endpoint, backlog_ms, speed);
-            let waiting = state.with(|view| view.slot_requests.remove(&run));
+            if speed != PrefillSpeed::UNKNOWN {
+                receive_engine_report(state, endpoint, backlog_ms, speed);
+            }
+            let (waiting, is_running) = state.with(|view| {
+                let waiting = view.slot_requests.remove(&run);
+                (waiting, view.runs.contains_key(&run))
+            });
             let is_delivered = waiting.is_some_and(|waiting| waiting.send(verdict).is_ok());
-            // The grant arrived too late, so its slot is released.
-            if !is_delivered && matches!(verdict, AdmissionVerdict::Granted(_)) {
+            let is_granted = matches!(verdict, AdmissionVerdict::Granted(_));
+            // A grant that arrived too late is released, unless this box has sent the request
+            // without it.
+            if is_granted && !is_delivered && !is_running {
                 send_datagram(state, from, GatewayMessage::Ended { run, endpoint });
             }
         }
@@ -133,14 +140,17 @@
 ) -> Option<GatewayMessage> {
     let verdict = decide_locally(state, endpoint, key, request, 0)?;
     state.with(|view| {
-        // Endpoints of plain services have no load to report.
+        // Endpoints of plain services and those that have ended have no load.
         let load = view.engines.get(endpoint);
         Some(GatewayMessage::Verdict {
             run,
             endpoint,
             verdict,
             backlog_ms: load.map_or(0, |load| load.backlog_ms(now_ms()) as u32),
-            speed: load.map_or(PrefillSpeed::default(), |load| load.model().speed()),
+            speed: load.map_or(PrefillSpeed::UNKNOWN, |load| load.model().speed()),
         })
     })
 }
+
+#[cfg(test)]
+mod tests;
