--- a/dockgate-bench/tests/warmup.rs
+++ b/dockgate-bench/tests/warmup.rs
@@ -83,9 +83,8 @@
 async fn cold_endpoints_get_a_bounded_number_of_requests_from_all_boxes() {
     let mut fleet = start().await;
     add_cold_endpoints(&mut fleet).await;
-    let cold = |fleet: &GatewayFleet| fleet.endpoints[2..].iter().map(most_in_a_second).max();
     let statuses = press_for(&fleet, WARMUP - Duration::from_millis(300)).await;
-    let most = cold(&fleet);
+    let most = fleet.endpoints[2..].iter().map(most_in_a_second).max();
     assert!(
         most <= Some(MAX_PER_SECOND),
         "{most:?} requests in a second"
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -28,7 +28,7 @@
 mod engine_load;
 mod engine_registry;
 mod era_tracker;
-mod evacuation;
+mod evacuation_orders;
 mod event_splitter;
 mod fair_usage;
 mod fleet_view;
@@ -36,7 +36,7 @@
 mod load_shedder;
 mod loop_lag;
 mod notice_registry;
-mod plain_load;
+mod plain_loads;
 mod prefill_model;
 mod prefix_cache;
 mod prefix_history;
@@ -56,7 +56,8 @@
 mod store_probe;
 mod store_revision;
 mod suspect_registry;
-mod warmup;
+mod warmup_limit;
+mod warmup_tracker;
 mod watch_check;
 
 pub use admission_rule::{AdmissionRule, AdmissionVerdict};
@@ -76,14 +77,14 @@
 pub use engine_load::{EngineLoad, EngineRun};
 pub use engine_registry::{AdmissionRequest, EngineRegistry, LatencyLimits, RunKey};
 pub use era_tracker::{EraChange, EraTracker};
-pub use evacuation::{EvacuationOrder, EvacuationOrders};
+pub use evacuation_orders::{EvacuationOrder, EvacuationOrders};
 pub use event_splitter::{EventSplitter, SplitEvent};
 pub use fleet_view::{BoxChange, FleetView, StateSource};
 pub use interruption_tracker::{InterruptionStatus, InterruptionTracker};
 pub use load_shedder::LoadShedder;
 pub use loop_lag::{LagChange, LoopLag};
 pub use notice_registry::{NoticeRegistry, NoticeUpdate};
-pub use plain_load::PlainLoads;
+pub use plain_loads::PlainLoads;
 pub use prefill_model::{PrefillModel, PrefillSample, PrefillSpeed, PrefillWork};
 pub use prefix_cache::PrefixCache;
 pub use prefix_history::{PrefixHistory, PrefixReport};
@@ -108,7 +109,8 @@
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
-pub use warmup::{WarmupLimit, WarmupTracker};
+pub use warmup_limit::WarmupLimit;
+pub use warmup_tracker::WarmupTracker;
 pub use watch_check::WatchCheck;
 
 #[cfg(test)]
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -14,11 +14,13 @@
 //! The health and the request count of the earlier lifetime are discarded with it.
 
 mod endpoint_entry;
+mod endpoint_objection;
 mod endpoint_update;
 mod lifetime_history;
 mod service_availability;
 
 pub use endpoint_entry::EndpointEntry;
+pub use endpoint_objection::EndpointObjection;
 pub use endpoint_update::{
     EndpointUpdate, MergeOutcome, RemovedEndpoint, ReportedEndpoint, UnconfirmedRecord,
 };
@@ -28,7 +30,7 @@
 use super::domain_reachability::DomainReachability;
 use super::endpoint_health::EndpointOutcome;
 use super::endpoint_notice::EndpointNotice;
-use super::evacuation::{EvacuationOrder, EvacuationOrders};
+use super::evacuation_orders::EvacuationOrders;
 use super::notice_registry::{NoticeRegistry, NoticeUpdate};
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
 use super::store_revision::StoreRevision;
@@ -47,15 +49,6 @@
     pub domain: DomainKey,
 }
 
-/// What a box knows against sending requests to an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum EndpointObjection {
-    /// It leaves, has ended, or has no valid record.
-    Leaving,
-    /// Its failure domain is evacuated.
-    Evacuated,
-}
-
 /// A change of an endpoint's record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndpointChange {
@@ -262,15 +255,18 @@
     fn start_lifetime(&mut self, record: EndpointRecord, revision: StoreRevision) {
         let (name, id) = (record.name(), record.key());
         let previous = self.lifetimes.insert(name, id);
-        previous
-            .into_iter()
-            .for_each(|previous| self.history.record_end(previous));
-        let previous = previous.and_then(|previous| self.endpoints.remove(&previous));
+        let previous = previous.and_then(|previous| self.remove_entry(previous));
         let unconfirmed = previous.as_ref().and_then(EndpointEntry::unconfirmed);
         let entry = EndpointEntry::new(record, revision).with_unconfirmed(unconfirmed);
         self.endpoints.insert(id, entry);
     }
 
+    /// Removes the entry of a lifetime, whose end is remembered.
+    fn remove_entry(&mut self, id: EndpointId) -> Option<EndpointEntry> {
+        self.history.record_end(id);
+        self.endpoints.remove(&id)
+    }
+
     /// Removes the current lifetime of an id and returns its entry.
     fn end_lifetime(
         &mut self,
@@ -278,8 +274,7 @@
         revision: StoreRevision,
     ) -> Option<EndpointEntry> {
         let id = self.lifetimes.remove(&name);
-        id.into_iter().for_each(|id| self.history.record_end(id));
-        let ended = id.and_then(|id| self.endpoints.remove(&id));
+        let ended = id.and_then(|id| self.remove_entry(id));
         let started_ms = ended.as_ref().and_then(|ended| ended.record.started_ms);
         self.history.record_removal(
             name,
@@ -505,77 +500,6 @@
         }
     }
 
-    /// Applies evacuation orders; returns those that changed whether their domain is evacuated.
-    pub fn apply_evacuations(
-        &mut self,
-        orders: impl IntoIterator<Item = EvacuationOrder>,
-    ) -> Vec<EvacuationOrder> {
-        let orders = orders.into_iter();
-        let changed = orders.filter_map(|order| self.evacuations.apply(order));
-        let changed: Vec<EvacuationOrder> = changed.collect();
-        self.rebuild_index_after(&changed);
-        changed
-    }
-
-    /// Replaces the evacuation orders by the store's list as of `revision`; returns those that
-    /// changed.
-    pub fn replace_evacuations(
-        &mut self,
-        listed: Vec<EvacuationOrder>,
-        revision: StoreRevision,
-        now_ms: u64,
-    ) -> Vec<EvacuationOrder> {
-        let changed = self.evacuations.replace(listed, revision, now_ms);
-        self.rebuild_index_after(&changed);
-        changed
-    }
-
-    /// Takes back the evacuation orders that a restored store lacks; returns them.
-    pub fn expire_evacuations(&mut self, now_ms: u64) -> Vec<EvacuationOrder> {
-        let changed = self.evacuations.expire(now_ms);
-        self.rebuild_index_after(&changed);
-        changed
-    }
-
-    fn rebuild_index_after(&mut self, changed: &[EvacuationOrder]) {
-        if !changed.is_empty() {
-            self.rebuild_index();
-        }
-    }
-
-    /// Returns the evacuation orders.
-    pub const fn evacuations(&self) -> &EvacuationOrders {
-        &self.evacuations
-    }
-
-    /// Returns what is known here against sending requests to an endpoint; `None` if nothing is.
-    pub fn objection(&self, id: EndpointId, now_ms: u64) -> Option<EndpointObjection> {
-        let entry = self.endpoints.get(&id);
-        match entry {
-            None => self
-                .history
-                .has_ended(id)
-                .then_some(EndpointObjection::Leaving),
-            Some(entry) if entry.record.state != EndpointState::Ready => {
-                Some(EndpointObjection::Leaving)
-            }
-            Some(_) if self.notices.is_reported_leaving(id, now_ms) => {
-                Some(EndpointObjection::Leaving)
-            }
-            Some(entry) if self.evacuations.is_evacuated(entry.domain()) => {
-                Some(EndpointObjection::Evacuated)
-            }
-            Some(_) => None,
-        }
-    }
-
-    /// Returns whether a request that is about to be written may still be sent to an endpoint.
-    pub fn accepts_requests(&self, id: EndpointId, now_ms: u64) -> bool {
-        let entry = self.endpoints.get(&id);
-        let is_evacuated = entry.is_some_and(|entry| self.evacuations.is_evacuated(entry.domain()));
-        !is_evacuated && self.notices.accepts_requests(id, now_ms)
-    }
-
     /// Records what an endpoint announced about itself in an answer and returns what is new in it.
     /// `draw` is a random number from 0 to 1.
     pub fn receive_notice(
--- a/dockgate-core/src/gateway/endpoint_registry/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::gateway::evacuation_orders::EvacuationOrder;
 use proptest::prelude::*;
 
 /// Creates a revision of a store that reports no era.
--- a/dockgate-core/src/gateway/evacuation.rs
+++ b/dockgate-core/src/gateway/evacuation_orders.rs
@@ -112,34 +112,35 @@
         let missing: Vec<DomainKey> = missing.map(|(domain, _)| *domain).collect();
         let mut changed = Vec::new();
         for domain in missing {
-            changed.extend(self.take_back(domain, revision, now_ms));
+            changed.extend(self.handle_missing(domain, revision, now_ms));
         }
         changed.extend(listed.into_iter().filter_map(|order| self.apply(order)));
         changed
     }
 
-    /// Handles an order that is missing from a list of the store.
-    fn take_back(
+    /// Handles an order that is missing from the store's list as of `revision`; returns it if it was
+    /// taken back.
+    fn handle_missing(
         &mut self,
         domain: DomainKey,
         revision: StoreRevision,
         now_ms: u64,
     ) -> Option<EvacuationOrder> {
         let known = self.orders.get_mut(&domain)?;
-        match () {
-            () if revision.era > known.revision.era => {
-                known.lapse.get_or_insert(OrderLapse {
-                    revision,
-                    at_ms: now_ms + Self::REWRITE_WINDOW_MS,
-                });
-                None
-            }
-            () => self.apply(EvacuationOrder {
-                domain,
+        if revision.era > known.revision.era {
+            let lapse = OrderLapse {
                 revision,
-                is_active: false,
-            }),
+                at_ms: now_ms + Self::REWRITE_WINDOW_MS,
+            };
+            // A further list does not extend the time.
+            known.lapse = known.lapse.or(Some(lapse));
+            return None;
         }
+        self.apply(EvacuationOrder {
+            domain,
+            revision,
+            is_active: false,
+        })
     }
 
     /// Takes back the orders that a restored store lacks and that were not written again in time;
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -1,6 +1,6 @@
 //! The routes, services and workspaces of a configuration, indexed for lookups.
 
-use super::warmup::WarmupLimit;
+use super::warmup_limit::WarmupLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::fmt;
--- a/dockgate-core/src/gateway/warmup.rs
+++ b/dockgate-core/src/gateway/warmup_tracker.rs
@@ -9,42 +9,20 @@
 //! use dockgate_core::gateway::{EndpointId, StoreRevision, WarmupLimit, WarmupTracker};
 //!
 //! let limit = WarmupLimit { duration_ms: 3_000, rate_per_s: 10.0 };
+//! let pace = Some(limit.pace(1.5, 5.0));
 //! let endpoint = EndpointId(7);
 //! let mut tracker = WarmupTracker::default();
 //! tracker.observe(endpoint, StoreRevision::from(5), 3_000, || true, 0);
-//! assert_eq!(tracker.try_grant(endpoint, limit.pace(1.5, 5.0), 0), Ok(()));
-//! assert_eq!(tracker.try_grant(endpoint, limit.pace(1.5, 5.0), 20), Err(80));
+//! assert_eq!(tracker.try_grant(endpoint, pace, 0), Ok(()));
+//! assert_eq!(tracker.try_grant(endpoint, pace, 20), Err(80));
 //! assert!(!tracker.is_cold(endpoint, 3_000));
 //! ```
 
 use super::route_table::EndpointId;
 use super::store_revision::StoreRevision;
-use serde::{Deserialize, Serialize};
+use super::warmup_limit::WarmupLimit;
 use std::collections::HashMap;
 
-/// What the endpoints of a service bear while they warm up.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct WarmupLimit {
-    /// How long an endpoint stays cold after its start, in milliseconds.
-    pub duration_ms: u64,
-    /// The number of requests per second that a cold endpoint bears.
-    pub rate_per_s: f64,
-}
-
-impl WarmupLimit {
-    /// The longest time between a grant and the arrival of its request, in seconds: a box that is
-    /// short of processor sends late, so grants of this time and one second may arrive together.
-    const MAX_DELAY_S: f64 = 0.7;
-
-    /// Returns the number of grants per second at which no more requests arrive within one second
-    /// than `overshoot` times the rate plus `slack`.
-    pub fn pace(&self, overshoot: f64, slack: f64) -> f64 {
-        let max_arrivals = self.rate_per_s * overshoot + slack;
-        let max_pace = (max_arrivals - GrantBucket::CAPACITY) / (1.0 + Self::MAX_DELAY_S);
-        self.rate_per_s.min(max_pace).max(0.0)
-    }
-}
-
 /// A token bucket that holds a single grant.
 #[derive(Debug, Clone, Copy)]
 struct GrantBucket {
@@ -53,7 +31,7 @@
 }
 
 impl GrantBucket {
-    const CAPACITY: f64 = 1.0;
+    const CAPACITY: f64 = WarmupLimit::BURST;
     /// Absorbs rounding of the credit.
     const EPSILON: f64 = 1e-9;
 
@@ -162,18 +140,25 @@
         states.filter(|state| now_ms < state.cold_until_ms).count()
     }
 
-    /// Grants one request to a cold endpoint.
+    /// Grants one request to an endpoint. While it is cold, only its owner grants requests, at
+    /// `pace_per_s`; `None` if the service of the endpoint states no rate.
     ///
     /// # Errors
     ///
     /// Returns the time until the next grant in milliseconds, if there is none now.
-    pub fn try_grant(&mut self, id: EndpointId, pace_per_s: f64, now_ms: u64) -> Result<(), u32> {
-        let Some(state) = self.states.get_mut(&id) else {
+    pub fn try_grant(
+        &mut self,
+        id: EndpointId,
+        pace_per_s: Option<f64>,
+        now_ms: u64,
+    ) -> Result<(), u32> {
+        let state = self.states.get_mut(&id);
+        let state = state.filter(|state| now_ms < state.cold_until_ms);
+        let (Some(state), Some(pace_per_s)) = (state, pace_per_s) else {
             return Ok(());
         };
-        let cold_ms = state.cold_until_ms.saturating_sub(now_ms) as u32;
+        let cold_ms = (state.cold_until_ms - now_ms) as u32;
         match state.grants_from_ms {
-            _ if cold_ms == 0 => Ok(()),
             Some(from_ms) if now_ms < from_ms => Err(cold_ms.min((from_ms - now_ms) as u32)),
             Some(_) if pace_per_s > 0.0 => state
                 .bucket
--- a/dockgate-core/src/gateway/warmup/tests.rs
+++ b/dockgate-core/src/gateway/warmup_tracker/tests.rs
@@ -16,8 +16,8 @@
     StoreRevision::from(number)
 }
 
-fn pace() -> f64 {
-    LIMIT.pace(OVERSHOOT, SLACK)
+fn pace() -> Option<f64> {
+    Some(LIMIT.pace(OVERSHOOT, SLACK))
 }
 
 fn cold_endpoint(is_owner: bool) -> WarmupTracker {
@@ -40,6 +40,12 @@
     assert_eq!(tracker.try_grant(ENDPOINT, pace(), 3_000), Ok(()));
 }
 
+#[test]
+fn endpoints_of_a_service_without_a_rate_are_not_paced() {
+    let mut tracker = cold_endpoint(false);
+    assert_eq!(tracker.try_grant(ENDPOINT, None, 0), Ok(()));
+}
+
 #[test]
 fn new_owner_waits_before_it_grants() {
     let mut tracker = cold_endpoint(false);
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -24,6 +24,7 @@
 mod notices;
 mod overload;
 mod peer_state;
+mod pending_slot_request;
 mod plain_placement;
 mod quarantine;
 mod quarantine_rpc;
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -4,6 +4,7 @@
 mod attempt_failure;
 mod call_placement;
 mod call_progress;
+mod plain_selection;
 mod quarantine_check;
 mod send_attempts;
 
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -5,13 +5,12 @@
 //! admission. If the owner does not answer in time, the box that received the prompt decides by
 //! itself, from the prompts that it has placed there.
 
-pub(super) mod pending_slot_request;
-
 use super::datagrams::send_to;
 use super::events::DeclinedEngine;
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayState, GatewayView};
 use super::notices::receive_reported_leave;
+use super::pending_slot_request::PendingSlotRequest;
 use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
@@ -24,7 +23,6 @@
     best_homes, placement_key,
 };
 use dockgate_proto::GatewayMessage;
-use pending_slot_request::PendingSlotRequest;
 use std::sync::Arc;
 
 /// The maximum number of other boxes assumed to send to an engine whose owner does not answer. If
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -1,5 +1,6 @@
 //! The state that the tasks of a gateway share.
 
+mod evacuations;
 mod store_access;
 
 use super::events::{GatewayEvent, log_gateway};
@@ -7,17 +8,16 @@
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
-use super::warmup_grants::presume_cold;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use crate::stop::StopFlag;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
-    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, EvacuationOrder, FleetView,
-    InterruptionTracker, LoadShedder, LoopLag, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
-    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
+    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
+    LoadShedder, LoopLag, PlainLoads, PrefixHistory, ResumeGate, RetryBudget, RouteConfig,
+    RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision,
+    SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -299,41 +299,6 @@
         self.record_changes(&changed, source);
     }
 
-    /// Applies evacuation orders, except where newer ones are known.
-    pub(super) fn apply_evacuations(&self, orders: Vec<EvacuationOrder>, source: &str) {
-        if !orders.is_empty() {
-            let changed = self.with(|view| view.endpoints.apply_evacuations(orders));
-            self.record_evacuations(&changed, source);
-        }
-    }
-
-    /// Applies the store's list of evacuation orders.
-    pub(super) fn replace_evacuations(
-        &self,
-        listed: Vec<EvacuationOrder>,
-        revision: StoreRevision,
-    ) {
-        let changed = self.with(|view| {
-            let endpoints = &mut view.endpoints;
-            endpoints.replace_evacuations(listed, revision, now_ms())
-        });
-        self.record_evacuations(&changed, "store");
-    }
-
-    /// Logs the orders that changed, and forwards them with the next heartbeat or digest.
-    fn record_evacuations(&self, changed: &[EvacuationOrder], source: &str) {
-        for order in changed {
-            let domain = self.with(|view| view.fleet.domain_name(order.domain).to_owned());
-            log_gateway(&GatewayEvent::evacuation(order, &domain, source));
-            if !order.is_active {
-                presume_cold(self, order);
-            }
-        }
-        if !changed.is_empty() {
-            self.with(|view| view.digest = DigestCache::default());
-        }
-    }
-
     fn record_changes(&self, changes: &[EndpointChange], source: &str) {
         if !changes.is_empty() {
             self.endpoints_changed_ms.store(now_ms(), Ordering::Relaxed);
--- a/dockgate/src/gateway/engine_placement/pending_slot_request.rs
+++ b/dockgate/src/gateway/pending_slot_request.rs
@@ -1,7 +1,7 @@
-//! A slot request to the owner of an engine that awaits its verdict.
+//! A slot request to the owner of an endpoint that awaits its verdict.
 
-use super::super::datagrams::send_to;
-use super::super::gateway_state::GatewayState;
+use super::datagrams::send_to;
+use super::gateway_state::GatewayState;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{AdmissionRequest, AdmissionVerdict, EndpointId};
 use dockgate_proto::GatewayMessage;
@@ -14,10 +14,10 @@
 
 /// A slot request that awaits its verdict.
 ///
-/// The owner counts a granted prompt on the engine until it is reported as ended. If the caller
+/// The owner counts a granted request at the endpoint until it is reported as ended. If the caller
 /// leaves before the verdict is used, a grant is released on drop; otherwise the owner would count
-/// the prompt until its deadline.
-pub(in super::super) struct PendingSlotRequest<'a> {
+/// the request until its deadline.
+pub(super) struct PendingSlotRequest<'a> {
     state: &'a GatewayState,
     run: u32,
     endpoint: EndpointId,
@@ -27,7 +27,7 @@
 
 impl<'a> PendingSlotRequest<'a> {
     /// Sends a slot request for `endpoint` to its owner.
-    pub(in super::super) fn send(
+    pub(super) fn send(
         state: &'a GatewayState,
         run: u32,
         endpoint: EndpointId,
@@ -52,7 +52,7 @@
     }
 
     /// Waits for the verdict; returns `None` if it does not arrive in time.
-    pub(in super::super) async fn verdict(mut self) -> Option<AdmissionVerdict> {
+    pub(super) async fn verdict(mut self) -> Option<AdmissionVerdict> {
         let verdict = tokio::time::timeout(VERDICT_TIMEOUT, &mut self.verdict).await;
         verdict.ok()?.ok()
     }
--- a/dockgate/src/gateway/plain_placement.rs
+++ b/dockgate/src/gateway/plain_placement.rs
@@ -7,11 +7,11 @@
 //! [`PlainLoads`]: dockgate_core::gateway::PlainLoads
 
 use super::datagrams::send_to;
-use super::engine_placement::pending_slot_request::PendingSlotRequest;
 use super::engine_placement::{place_locally, placed_message};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::notices::receive_reported_leave;
+use super::pending_slot_request::PendingSlotRequest;
 use super::run_guard::RunGuard;
 use super::warmup_grants::warmup_pace;
 use crate::clock::now_ms;
@@ -29,8 +29,10 @@
     Full,
     /// It warms up; its owner may grant a request after this many milliseconds.
     Warming(u32),
-    /// It warms up or is gone, and its owner does not answer.
-    Unknown,
+    /// It leaves or has ended.
+    Leaving,
+    /// It warms up, and its owner does not answer.
+    Unanswered,
 }
 
 /// A request that was placed at an endpoint.
@@ -46,7 +48,7 @@
 /// # Errors
 ///
 /// Returns the reason if the endpoint takes no more requests now.
-pub(super) async fn place_plain(
+pub(super) async fn request_plain_placement(
     state: &Arc<GatewayState>,
     endpoint: EndpointId,
     time_left: Duration,
@@ -57,7 +59,7 @@
         let entry = view.endpoints.get(endpoint)?;
         Some(view.fleet.owner(endpoint, &entry.record.domain, now_ms()))
     });
-    let owner = owner.ok_or(PlainDecline::Unknown)?;
+    let owner = owner.ok_or(PlainDecline::Leaving)?;
     let key = state.run_key(number);
     let verdict = match owner == state.own_key() {
         true => decide_plain(state, endpoint, key, &request),
@@ -72,7 +74,7 @@
         Some(AdmissionVerdict::Warming(wait_ms)) => return Err(PlainDecline::Warming(wait_ms)),
         Some(AdmissionVerdict::Leaving) => {
             receive_reported_leave(state, endpoint);
-            return Err(PlainDecline::Unknown);
+            return Err(PlainDecline::Leaving);
         }
         None => {
             place_alone(state, endpoint, number, owner, &request)?;
@@ -99,7 +101,7 @@
 ) -> Result<(), PlainDecline> {
     GATEWAY_METRICS.missed_verdicts.inc();
     if state.with(|view| view.warmups.is_cold(endpoint, now_ms())) {
-        return Err(PlainDecline::Unknown);
+        return Err(PlainDecline::Unanswered);
     }
     place_locally(state, endpoint, state.run_key(number), request);
     send_to(
--- a/dockgate/src/gateway/plain_placement/tests.rs
+++ b/dockgate/src/gateway/plain_placement/tests.rs
@@ -37,7 +37,7 @@
     let time_left = Duration::from_secs(1);
     let mut placed = Vec::new();
     let declined = loop {
-        match place_plain(&state, endpoint, time_left).await {
+        match request_plain_placement(&state, endpoint, time_left).await {
             Ok(placement) => placed.push(placement),
             Err(decline) => break decline,
         }
@@ -45,7 +45,11 @@
     assert_eq!(declined, PlainDecline::Full);
     assert!(placed.len() >= SLOTS as usize && placed.len() < 2 * SLOTS as usize);
     placed.pop();
-    assert!(place_plain(&state, endpoint, time_left).await.is_ok());
+    assert!(
+        request_plain_placement(&state, endpoint, time_left)
+            .await
+            .is_ok()
+    );
 }
 
 /// A box that learns late that an endpoint leaves asks its owner, which knows.
--- a/dockgate/src/gateway/warmup_grants.rs
+++ b/dockgate/src/gateway/warmup_grants.rs
@@ -42,14 +42,12 @@
     })
 }
 
-/// Returns the grants per second for an endpoint while it is cold; unlimited if its service states
-/// no rate.
-pub(super) fn warmup_pace(state: &GatewayState, endpoint: EndpointId) -> f64 {
+/// Returns the grants per second for an endpoint while it is cold; `None` if its service states no
+/// rate.
+pub(super) fn warmup_pace(state: &GatewayState, endpoint: EndpointId) -> Option<f64> {
     let settings = state.settings();
-    let limit = warmup_limit(state, endpoint);
-    limit.map_or(f64::INFINITY, |limit| {
-        limit.pace(settings.warmup_overshoot, settings.warmup_slack)
-    })
+    let limit = warmup_limit(state, endpoint)?;
+    Some(limit.pace(settings.warmup_overshoot, settings.warmup_slack))
 }
 
 /// Assumes that the endpoints of a domain are cold whose evacuation was taken back: they may have
