feat: prompts that their homes decline are offered to further engines

Cause: a prompt has two homes (many shared tokens) or four, whatever the number of engines.

Change: after its homes declined, a prompt within its share is offered to the next engines in the same order (six in place of two, six local and two remote ones in place of three and one). Prompts beyond their share don't overflow.

Test: `bursts_of_similar_prompts_overflow_to_idle_engines` plays the burst with 200 engines; `prompts_are_refused_without_further_requests_while_all_engines_are_busy` a fleet without room.

--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -28,14 +28,31 @@
 /// The maximum number of other boxes assumed to send to an engine whose owner does not answer. If
 /// all boxes of a large fleet were counted, nearly every prompt would be declined.
 const MAX_UNCOORDINATED_SENDERS: u32 = 5;
-/// The number of homes of a prompt with many shared tokens. With more homes, the same parts are
-/// computed on more engines; with fewer, more requests are refused.
-const SHARED_HOMES: usize = 2;
-/// The number of homes in the local failure domain of a prompt with few shared tokens.
-const LOCAL_HOMES: usize = 3;
-/// The number of additional homes in other failure domains, if the workspace is within its share:
-/// its callers may all be in one domain while the engines of the others are idle.
-const REMOTE_HOMES: usize = 1;
+/// The numbers of engines that are asked for a prompt.
+#[derive(Debug, Clone, Copy)]
+struct HomeCounts {
+    /// For a prompt with many shared tokens. With more homes, the same parts are computed on more
+    /// engines; with fewer, more requests overflow them.
+    shared: usize,
+    /// In the local failure domain, for a prompt with few shared tokens.
+    local: usize,
+    /// In other failure domains, if the workspace is within its share: its callers may all be in one
+    /// domain while the engines of the others are idle.
+    remote: usize,
+}
+
+/// The homes of a prompt.
+const HOMES: HomeCounts = HomeCounts {
+    shared: 2,
+    local: 3,
+    remote: 1,
+};
+/// The homes and the engines that are asked after they declined, while the budget for it lasts.
+const HOMES_AND_OVERFLOW: HomeCounts = HomeCounts {
+    shared: 6,
+    local: 6,
+    remote: 2,
+};
 /// Prompts with fewer shared tokens than this have their homes in the local failure domain:
 /// computing the tokens again costs less than traffic between domains.
 const LOCAL_BELOW_TOKENS: u32 = 1_500;
@@ -108,12 +125,13 @@
     owner: BoxKey,
 }
 
-/// Selects the homes of a prompt, best first; `local` is the failure domain of this box.
+/// Selects up to `counts` homes of a prompt, best first; `local` is the failure domain of this box.
 ///
 /// A prompt with few shared tokens has local homes first and some remote ones after them. If the
 /// local domain has too few engines, remote ones take their place.
 fn select_homes(
     query: &EngineQuery,
+    counts: HomeCounts,
     ready: &[ReadyEndpoint],
     local: DomainKey,
     accepts: impl Fn(EndpointId) -> bool,
@@ -123,20 +141,20 @@
     let subject = placement_key(subject, own, query.tried.len());
     if query.prompt.shared_tokens() >= LOCAL_BELOW_TOKENS {
         let all = ready.iter().map(|ready| ready.id);
-        return best_homes(subject, all, SHARED_HOMES, accepts);
+        return best_homes(subject, all, counts.shared, accepts);
     }
     let of_domain = |is_local: bool| {
         let ready = ready.iter();
         let ready = ready.filter(move |ready| (ready.domain == local) == is_local);
         ready.map(|ready| ready.id)
     };
-    let mut homes = best_homes(subject, of_domain(true), LOCAL_HOMES, &accepts);
+    let mut homes = best_homes(subject, of_domain(true), counts.local, &accepts);
     let remote_homes = if query.level.is_beyond() {
         0
     } else {
-        REMOTE_HOMES
+        counts.remote
     };
-    let missing = LOCAL_HOMES - homes.len();
+    let missing = counts.local - homes.len();
     homes.extend(best_homes(
         subject,
         of_domain(false),
@@ -146,7 +164,7 @@
     homes
 }
 
-fn ordered_homes(view: &GatewayView, query: &EngineQuery) -> Vec<HomeEngine> {
+fn ordered_homes(view: &GatewayView, query: &EngineQuery, counts: HomeCounts) -> Vec<HomeEngine> {
     let now = now_ms();
     let ready = view.endpoints.ready(&query.service.name);
     let local = DomainKey::from_name(&view.fleet.own().domain);
@@ -157,14 +175,16 @@
         let unreliable = entry(id).is_none_or(|entry| entry.health.is_unreliable(now));
         is_eligible(id) && !unreliable
     };
-    let mut order = select_homes(query, ready, local, is_usable);
+    let mut order = select_homes(query, counts, ready, local, is_usable);
     if order.is_empty() {
-        order = select_homes(query, ready, local, is_eligible);
+        order = select_homes(query, counts, ready, local, is_eligible);
     }
     // A cold engine is asked for its few grants; another one stands in for it.
     let is_warm = |id: EndpointId| !view.warmups.is_cold(id, now);
     if !order.iter().copied().all(is_warm) {
-        let spares = select_homes(query, ready, local, |id| is_usable(id) && is_warm(id));
+        let spares = select_homes(query, counts, ready, local, |id| {
+            is_usable(id) && is_warm(id)
+        });
         let spares = spares.into_iter().filter(|id| !order.contains(id));
         order.extend(spares.collect::<Vec<EndpointId>>());
     }
@@ -406,7 +426,7 @@
             ..EngineRefusal::default()
         });
     }
-    let homes = state.with(|view| ordered_homes(view, &query));
+    let homes = state.with(|view| ordered_homes(view, &query, HOMES));
     let warm_home = || {
         let is_cold = |id| state.with(|view| view.warmups.is_cold(id, now_ms()));
         homes.iter().find(|home| !is_cold(home.target.id))
@@ -424,7 +444,38 @@
             None => {}
         }
     }
-    Err(refusal)
+    overflow(state, &query, &homes, request)
+        .await
+        .ok_or(refusal)
+}
+
+/// Asks further engines for a prompt that its `homes` declined, in the same order on all boxes, so
+/// that prompts with the same shared parts overflow to the same engines.
+async fn overflow(
+    state: &Arc<GatewayState>,
+    query: &EngineQuery<'_>,
+    homes: &[HomeEngine],
+    request: &AdmissionRequest,
+) -> Option<EnginePlacement> {
+    // The homes of a workspace beyond its share admit what its pressure allows.
+    if query.level.is_beyond() || homes.is_empty() {
+        return None;
+    }
+    let has_declined =
+        |home: &HomeEngine| homes.iter().any(|known| known.target.id == home.target.id);
+    let further = state.with(|view| ordered_homes(view, query, HOMES_AND_OVERFLOW));
+    for engine in further.iter().filter(|home| !has_declined(home)) {
+        if !state.with(|view| view.overflow.try_ask(now_ms())) {
+            return None;
+        }
+        let decision = request_placement(state, engine, request).await;
+        if let Some(decision) = decision.filter(is_granted) {
+            state.with(|view| view.overflow.record_grant());
+            GATEWAY_METRICS.overflowed.inc();
+            return Some(engine_placement(state, engine, decision, request));
+        }
+    }
+    None
 }
 
 /// Returns the shortest time to a first event in milliseconds, if it is too late at every engine.
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -1,4 +1,10 @@
 use super::*;
+use crate::gateway::gateway_state::tests::state_with_seed;
+use dockgate_core::gateway::{
+    EndpointChange, EndpointRecord, EndpointState, LatencyLimits, RouteConfig, StoreRevision,
+};
+use std::collections::BTreeSet;
+use tokio::net::UdpSocket;
 use yare::parameterized;
 
 #[parameterized(
@@ -57,7 +63,132 @@
         ready.collect()
     };
     let ready = [of_domain(local, 1), of_domain(remote, 2)].concat();
-    let found = select_homes(&query, &ready, DomainKey(1), |_| true);
+    let found = select_homes(&query, HOMES, &ready, DomainKey(1), |_| true);
     let expected: Vec<EndpointId> = homes.iter().map(engine_at).collect();
     assert_eq!(found, expected);
 }
+
+/// The time limits of a prompt whose first event is due in 600 ms.
+const LIMITS: LatencyLimits = LatencyLimits {
+    objective_ms: 600,
+    shortest_objective_ms: 600,
+    budget_ms: 6_000,
+};
+
+fn model_service() -> ServiceSpec {
+    ServiceSpec {
+        name: "model".to_owned(),
+        connections: 2_000,
+        engine: Some(EngineSpec {
+            slots: 64,
+            memory: 232_000,
+        }),
+        warmup: None,
+    }
+}
+
+/// Creates the state of a box that owns `count` engines.
+async fn state_with_engines(count: u64) -> Arc<GatewayState> {
+    let datagrams = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let own = datagrams.local_addr().unwrap();
+    let state = Arc::new(state_with_seed(datagrams, own));
+    let config = RouteConfig {
+        version: 1,
+        services: vec![model_service()],
+        ..RouteConfig::default()
+    };
+    state.apply_routes(config, "store");
+    let engines = (0..count).map(|number| {
+        let record = EndpointRecord {
+            id: format!("engine-{number}"),
+            started_ms: None,
+            service: "model".to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            domain: "a".to_owned(),
+            slots: 64,
+            state: EndpointState::Ready,
+            warmup_ms: 0,
+        };
+        EndpointChange::Put(record, StoreRevision::from(number + 1))
+    });
+    state.apply_endpoints(engines.collect(), None, "store");
+    state
+}
+
+/// Places a burst of prompts with the same shared parts; returns the placements and the number of
+/// refusals.
+async fn place_burst(
+    state: &Arc<GatewayState>,
+    count: u64,
+    level: ShareLevel,
+) -> (Vec<EnginePlacement>, usize) {
+    let service = model_service();
+    let prompt = PromptShape {
+        model: String::new(),
+        input: 4_000,
+        output: 7,
+        max_output: 30,
+        parts: vec![PromptPart {
+            id: 9,
+            tokens: 2_000,
+        }],
+    };
+    let mut placed = Vec::new();
+    let mut refused = 0;
+    for number in 0..count {
+        let query = EngineQuery {
+            service: &service,
+            prompt: &prompt,
+            own_subject: number,
+            tried: &[],
+            resumed: false,
+            level,
+        };
+        let request = AdmissionRequest::new(1, &prompt, LIMITS).level(level);
+        match find_engine(state, query, &request).await {
+            Ok(placement) => placed.push(placement),
+            Err(_) => refused += 1,
+        }
+    }
+    (placed, refused)
+}
+
+/// Guards against refusals while most engines of a large fleet are idle.
+#[tokio::test]
+async fn bursts_of_similar_prompts_overflow_to_idle_engines() {
+    let state = state_with_engines(200).await;
+    let (placed, _) = place_burst(&state, 100, ShareLevel::WITHIN).await;
+    let engines: BTreeSet<EndpointId> = placed.iter().map(|placed| placed.target.id).collect();
+    assert_eq!(
+        engines.len(),
+        HOMES_AND_OVERFLOW.shared,
+        "all further engines are used"
+    );
+    let twin = state_with_engines(HOMES.shared as u64).await;
+    let (homes_alone, _) = place_burst(&twin, 100, ShareLevel::WITHIN).await;
+    assert!(
+        placed.len() >= 2 * homes_alone.len(),
+        "{} in place of {}",
+        placed.len(),
+        homes_alone.len()
+    );
+}
+
+#[tokio::test]
+async fn prompts_beyond_the_share_do_not_overflow() {
+    let state = state_with_engines(200).await;
+    let (placed, refused) = place_burst(&state, 100, ShareLevel::new(2.0)).await;
+    let engines: BTreeSet<EndpointId> = placed.iter().map(|placed| placed.target.id).collect();
+    assert!(engines.len() <= HOMES.shared && refused > 0);
+}
+
+/// Guards against a fleet without free engines that asks all of them for each prompt.
+#[tokio::test]
+async fn prompts_are_refused_without_further_requests_while_all_engines_are_busy() {
+    let state = state_with_engines(200).await;
+    let (_placed, _) = place_burst(&state, 400, ShareLevel::WITHIN).await;
+    assert!(
+        !state.with(|view| view.overflow.try_ask(now_ms())),
+        "the budget is used up"
+    );
+}
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -27,6 +27,8 @@
     pub(super) missed_verdicts: IntCounter,
     /// Prompts that were declined for an engine without a request to the box that decides for it.
     pub(super) declined_locally: IntCounter,
+    /// Prompts that were admitted by an engine other than their homes.
+    pub(super) overflowed: IntCounter,
     withheld_sends: IntCounterVec,
     /// Log lines about requests that exceeded the rate limit.
     pub(super) suppressed_lines: IntCounter,
@@ -112,6 +114,10 @@
                 "dockgate_declined_alone_total",
                 "Prompts declined for one engine without asking the box that decides",
             ),
+            overflowed: counter(
+                "dockgate_overflowed_prompts_total",
+                "Prompts admitted by an engine other than their homes, which had declined",
+            ),
             withheld_sends: counter_vec(
                 "dockgate_withheld_sends_total",
                 "Requests that were not written to an endpoint once that was decided, by reason",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -15,9 +15,9 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
-    LoadShedder, LoopLag, PlainLoads, PrefixHistory, ResumeGate, RetryBudget, RouteConfig,
-    RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision,
-    SuspectRegistry, WarmupTracker, WatchCheck,
+    LoadShedder, LoopLag, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
+    RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
+    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -81,6 +81,8 @@
     pub(super) slot_requests: HashMap<u32, oneshot::Sender<AdmissionVerdict>>,
     /// Decides whether this box follows the store itself.
     pub(super) store: StoreFollower,
+    /// The budget for asking engines that are no homes of a prompt.
+    pub(super) overflow: OverflowBudget,
     /// Whether the store answers this box.
     pub(super) probe: StoreProbe,
     /// The key prefixes whose last call was answered, with the revision up to which they are known.
@@ -149,6 +151,7 @@
             shedder: LoadShedder::default(),
             slot_requests: HashMap::new(),
             store: StoreFollower::default(),
+            overflow: OverflowBudget::default(),
             probe: StoreProbe::default(),
             store_revisions: BTreeMap::new(),
             gate: ResumeGate::default(),
