perf: changes of endpoints cost less on boxes that know thousands

A heartbeat of a new box sorted the boxes of all domains.

Change: one rebuild for a batch, removed endpoints looked up by id, updates kept in encoded form for 100 ms unless they hold deadlines, ranks of one domain sorted.

--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -140,6 +140,23 @@
         changed
     }
 
+    /// Applies changes in order and returns those that changed the known endpoints; see
+    /// [`EndpointRegistry::apply`].
+    pub fn apply_all(
+        &mut self,
+        changes: Vec<EndpointChange>,
+        kept_until_ms: Option<u64>,
+    ) -> Vec<EndpointChange> {
+        let changes = changes.into_iter();
+        let changed: Vec<EndpointChange> = changes
+            .filter(|change| self.apply_change(change.clone(), kept_until_ms))
+            .collect();
+        if !changed.is_empty() {
+            self.rebuild_index();
+        }
+        changed
+    }
+
     fn apply_change(&mut self, change: EndpointChange, kept_until_ms: Option<u64>) -> bool {
         self.advance(change.revision());
         match change {
@@ -166,11 +183,14 @@
             entry.record.state == EndpointState::Ready && !is_leaving && !is_evacuated
         });
         for (id, entry) in entries {
-            let service = self.ready.entry(entry.record.service.clone()).or_default();
-            service.push(ReadyEndpoint {
+            let ready = ReadyEndpoint {
                 id: *id,
                 domain: entry.domain(),
-            });
+            };
+            match self.ready.get_mut(&entry.record.service) {
+                Some(service) => service.push(ready),
+                None => drop(self.ready.insert(entry.record.service.clone(), vec![ready])),
+            }
         }
     }
 
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -175,12 +175,16 @@
         now_ms: u64,
     ) -> BoxChange {
         self.record_domain(&heartbeat.domain);
+        let domain = DomainKey::from_name(&heartbeat.domain);
+        let before = self.others.get(&heartbeat.key()).map(|peer| peer.domain);
         let (change, rank_changed) = self.record(
             LivenessReport::from_heartbeat(heartbeat, incarnation, now_ms),
             now_ms,
         );
-        if rank_changed {
-            self.rank();
+        match rank_changed {
+            true if before.is_some_and(|before| before != domain) => self.rank(),
+            true => self.rank_domain(domain),
+            false => {}
         }
         change
     }
@@ -257,28 +261,37 @@
         (BoxChange::None, rank_changed)
     }
 
-    /// Sorts the boxes of each domain by precedence as coordinators: boxes that keep up first, then
-    /// by processor.
+    /// Sorts the boxes of all domains.
     fn rank(&mut self) {
+        self.ranks.clear();
+        let others = self.others.values().map(|peer| peer.domain);
+        let domains: BTreeSet<DomainKey> = others.chain([self.own_domain]).collect();
+        domains
+            .into_iter()
+            .for_each(|domain| self.rank_domain(domain));
+    }
+
+    /// Sorts the boxes of a domain by precedence as coordinators: boxes that keep up first, then by
+    /// processor.
+    fn rank_domain(&mut self, domain: DomainKey) {
         type RankKey = (bool, Reverse<u32>, BoxKey);
         let rank = |key: BoxKey, status: BoxStatus| -> RankKey {
             (status.behind, Reverse(status.processor), key)
         };
-        let mut domains: BTreeMap<DomainKey, Vec<RankKey>> = BTreeMap::new();
         let own = (self.own_key(), self.own_domain, self.own.status);
         let others = self.others.iter();
         let others = others.filter(|(_, peer)| peer.address.is_some());
         let others = others.map(|(key, peer)| (*key, peer.domain, peer.status));
-        for (key, domain, status) in std::iter::once(own).chain(others) {
-            if !status.leaving {
-                domains.entry(domain).or_default().push(rank(key, status));
-            }
-        }
-        let sorted = domains.into_iter().map(|(domain, mut ranks)| {
-            ranks.sort_unstable();
-            (domain, ranks.into_iter().map(|(_, _, key)| key).collect())
-        });
-        self.ranks = sorted.collect();
+        let members = std::iter::once(own)
+            .chain(others)
+            .filter(|(_, of, status)| *of == domain && !status.leaving);
+        let mut ranks: Vec<RankKey> = members.map(|(key, _, status)| rank(key, status)).collect();
+        ranks.sort_unstable();
+        let ranked: Vec<BoxKey> = ranks.into_iter().map(|(_, _, key)| key).collect();
+        match ranked.is_empty() {
+            true => self.ranks.remove(&domain),
+            false => self.ranks.insert(domain, ranked),
+        };
     }
 
     /// Forgets boxes after a long silence; returns those that became gone between the two times.
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -206,13 +206,14 @@
     }
 }
 
-/// The state that the requesting box lacks; `C` is the representation of the configuration.
+/// The state that the requesting box lacks; `C` is the representation of the configuration and `E`
+/// that of the endpoints.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct StateAnswer<C = RouteConfig> {
+pub struct StateAnswer<C = RouteConfig, E = EndpointUpdate> {
     /// The configuration, if it is newer.
     pub config: Option<C>,
     /// The changes of the endpoints, if there are any.
-    pub endpoints: Option<EndpointUpdate>,
+    pub endpoints: Option<E>,
 }
 
 #[cfg(test)]
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -11,6 +11,7 @@
 mod datagram_receiver;
 mod datagrams;
 mod domain_watch;
+mod encoded_updates;
 mod end_check;
 mod engine_placement;
 mod event_stream;
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -3,6 +3,7 @@
 mod evacuations;
 mod store_access;
 
+use super::encoded_updates::EncodedUpdates;
 use super::events::{GatewayEvent, log_gateway};
 use super::membership::DigestCache;
 use super::settings::GatewaySettings;
@@ -65,6 +66,8 @@
     pub(super) fleet: FleetView,
     /// The last digest for the boxes of the own domain.
     pub(super) digest: DigestCache,
+    /// The last updates of endpoints that were sent to other boxes.
+    pub(super) encoded_updates: EncodedUpdates,
     /// This box's prompts at engines, by run number.
     pub(super) runs: HashMap<u32, PlacedRun>,
     /// The endpoints that broke off answers recently.
@@ -143,6 +146,7 @@
             eras: EraTracker::default(),
             fleet: FleetView::new(own),
             digest: DigestCache::default(),
+            encoded_updates: EncodedUpdates::default(),
             runs: HashMap::new(),
             interruptions: InterruptionTracker::default(),
             suspects: SuspectRegistry::default(),
@@ -293,12 +297,7 @@
         kept_until_ms: Option<u64>,
         source: &str,
     ) {
-        let changed: Vec<EndpointChange> = self.with(|view| {
-            let endpoints = &mut view.endpoints;
-            let changes = changes.into_iter();
-            let changed = changes.filter(|change| endpoints.apply(change.clone(), kept_until_ms));
-            changed.collect()
-        });
+        let changed = self.with(|view| view.endpoints.apply_all(changes, kept_until_ms));
         self.record_changes(&changed, source);
     }
 
@@ -357,15 +356,15 @@
     /// endpoints.
     pub(super) fn publish_revisions(&self) {
         let version = self.table.load().config().version;
-        let kept = self.with(|view| {
+        let connected = self.pools.endpoints();
+        let removed = self.with(|view| {
             view.fleet.set_revisions(version, view.endpoints.revision());
             view.observe_warmups(now_ms());
-            view.endpoints
-                .iter()
-                .map(|(id, _)| id)
-                .collect::<Vec<EndpointId>>()
+            let removed = connected.into_iter();
+            let removed = removed.filter(|id| view.endpoints.get(*id).is_none());
+            removed.collect::<Vec<EndpointId>>()
         });
-        self.pools.retain(&kept);
+        self.pools.remove(&removed);
     }
 
     /// Removes expired endpoints, boxes, runs and suspects.
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -20,7 +20,7 @@
 use jsonrpsee::rpc_params;
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, to_raw_value};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,17 +67,35 @@
     })
 }
 
-fn answer_query(state: &GatewayState, request: StateRequest) -> StateAnswer<Box<RawValue>> {
+/// An answer whose parts are encoded already.
+type EncodedAnswer = StateAnswer<Box<RawValue>, Box<RawValue>>;
+
+fn answer_query(state: &GatewayState, request: StateRequest) -> EncodedAnswer {
     let is_newer = state.table().config().version > request.config_version;
-    let config = is_newer.then(|| state.encoded_config()).flatten();
+    StateAnswer {
+        config: is_newer.then(|| state.encoded_config()).flatten(),
+        endpoints: encoded_update(state, request.endpoint_revision),
+    }
+}
+
+/// Returns the update of endpoints since a revision in encoded form; `None` if nothing is newer or
+/// encoding failed.
+fn encoded_update(state: &GatewayState, since: StoreRevision) -> Option<Box<RawValue>> {
+    let now = now_ms();
     state.with(|view| {
-        let endpoints = &view.endpoints;
-        let is_newer = endpoints.revision() > request.endpoint_revision;
-        StateAnswer {
-            config,
-            endpoints: is_newer
-                .then(|| endpoints.update_since(request.endpoint_revision, now_ms())),
+        let revision = view.endpoints.revision();
+        if revision <= since {
+            return None;
         }
+        let kept = view.encoded_updates.find(since, revision, now);
+        kept.or_else(|| {
+            let update = view.endpoints.update_since(since, now);
+            let json = to_raw_value(&update)
+                .inspect_err(|error| log::error!("encode an update of endpoints: {error}"));
+            let json = json.ok()?;
+            view.encoded_updates.keep(since, &update, &json, now);
+            Some(json)
+        })
     })
 }
 
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -129,15 +129,23 @@
         self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Closes the idle connections to all endpoints except `kept`.
-    pub(super) fn retain(&self, kept: &[EndpointId]) {
-        self.locked().retain(|id, pool| {
-            let keep = kept.contains(id);
-            if !keep {
+    /// Lists the endpoints that have a pool.
+    pub(super) fn endpoints(&self) -> Vec<EndpointId> {
+        self.locked().keys().copied().collect()
+    }
+
+    /// Closes the idle connections to removed endpoints, and drops their pools once unused.
+    pub(super) fn remove(&self, removed: &[EndpointId]) {
+        let mut pools = self.locked();
+        for id in removed {
+            let is_unused = pools.get_mut(id).is_some_and(|pool| {
                 pool.close_idle();
+                pool.open == 0
+            });
+            if is_unused {
+                pools.remove(id);
             }
-            keep || pool.open > 0
-        });
+        }
     }
 
     /// Closes the idle connections to some endpoints, since requests sent over a cut link are lost.
