perf: digests for boxes that are no coordinators list the first in rank

Cause: a digest lists all boxes of the domain, to each of them, from three coordinators, three times a second: squared in the size of the domain. With 214 boxes and the usage of 333 workspaces it has some 12 KB of the 16 KB that a receiver took; at 1,000 workspaces no digest is received.

Change: boxes that are no coordinators are told of 24 boxes, first in rank, and of those that reach the store; coordinators learn of all, as before. Introductions are reused for 100 ms like other digests. The receive buffer holds the largest datagram. A box that is unknown to a new coordinator does not count as gone. The wire is as it was.

Test: `digests_of_members_do_not_grow_with_the_domain`; the property test of the fleet view plays the new rule.

--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -337,6 +337,14 @@
         )
     }
 
+    /// Returns whether a box is known and counts as gone.
+    ///
+    /// A box that has just become a coordinator does not know all boxes of its domain yet.
+    pub fn is_gone(&self, key: BoxKey, now_ms: u64) -> bool {
+        let peer = self.others.get(&key);
+        peer.is_some_and(|peer| self.gone_ms(peer) < now_ms)
+    }
+
     fn is_responsive(&self, key: BoxKey, now_ms: u64) -> bool {
         let peer = self.others.get(&key);
         peer.map_or_else(|| key == self.own_key(), |peer| peer.is_responsive(now_ms))
@@ -414,9 +422,13 @@
 
     /// Returns whether this box coordinates its failure domain.
     pub fn is_coordinator(&self, now_ms: u64) -> bool {
-        let own_key = self.own_key();
-        self.coordinators_of(self.own_domain, now_ms)
-            .any(|key| key == own_key)
+        self.coordinates_own_domain(self.own_key(), now_ms)
+    }
+
+    /// Returns whether a box coordinates the failure domain of this one.
+    pub fn coordinates_own_domain(&self, key: BoxKey, now_ms: u64) -> bool {
+        let mut coordinators = self.coordinators_of(self.own_domain, now_ms);
+        coordinators.any(|coordinator| coordinator == key)
     }
 
     /// Lists the addresses for this box's heartbeat: the coordinators of its domain, or if none is
--- a/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/fleet_tests.rs
@@ -188,9 +188,14 @@
                         true => DigestScope::SameDomain,
                         false => DigestScope::Introduction,
                     };
+                    let sender = heartbeat.key();
                     view.receive_heartbeat(heartbeat, datagram.incarnation, now);
                     view.advance_sequence(now);
-                    let digest = view.digest(scope, now);
+                    let is_coordinator = view.coordinates_own_domain(sender, now);
+                    let digest = match scope {
+                        DigestScope::SameDomain if !is_coordinator => view.member_digest(now),
+                        _ => view.digest(scope, now),
+                    };
                     let incarnation = self.boxes[to].incarnation;
                     self.send(to, datagram.from, incarnation, &TestMessage::Digest(digest));
                 }
@@ -281,6 +286,21 @@
     assert_eq!(largest_targets(300), FleetView::COORDINATORS);
 }
 
+#[test]
+fn digests_of_members_do_not_grow_with_the_domain() {
+    let listed = |count: usize| {
+        let mut fleet = SimulatedFleet::new(count, 1, 0, 7);
+        fleet.run(3_000);
+        let digests = fleet.boxes.iter();
+        let digests = digests.map(|member| member.view.member_digest(fleet.now_ms));
+        let largest = digests.map(|digest| digest.members.len() + digest.coordinators.len());
+        largest.max().unwrap()
+    };
+    let most = FleetView::LISTED_MEMBERS + FleetView::COORDINATORS;
+    assert!(listed(100) <= most);
+    assert!(listed(400) <= most);
+}
+
 /// Guards against a domain that stays split between two groups of coordinators.
 #[test]
 fn split_domains_merge_after_a_partition() {
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -21,8 +21,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// The size of the receive buffer, in bytes; the excess of a larger datagram is lost.
-const MAX_DATAGRAM_BYTES: usize = 16_384;
+/// The size of the receive buffer, in bytes: the largest datagram of UDP over IPv4.
+const MAX_DATAGRAM_BYTES: usize = 65_507;
 
 /// Receives datagrams until the process ends.
 pub(super) async fn receive_datagrams(state: Arc<GatewayState>) {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -64,7 +64,7 @@
     pub(super) eras: EraTracker,
     /// The boxes of the fleet.
     pub(super) fleet: FleetView,
-    /// The last digest for the boxes of the own domain.
+    /// The last digests that were sent to many boxes.
     pub(super) digest: DigestCache,
     /// The last updates of endpoints that were sent to other boxes.
     pub(super) encoded_updates: EncodedUpdates,
@@ -392,7 +392,7 @@
             let own_key = self.own_key;
             let is_gone = |run: RunKey| match run.entry == own_key {
                 true => !runs.contains_key(&run.number),
-                false => !fleet.is_live(run.entry, now),
+                false => fleet.is_gone(run.entry, now),
             };
             engines.retain(now, |id| endpoints.get(id).is_some(), is_gone);
             plain_loads.retain(now, |id| endpoints.get(id).is_some(), is_gone);
