perf: calls to the store do not grow with the boxes of a domain

Cause: each box that starts followed the store after 50 ms unless a seed had answered it by then, and seeds of 986 boxes need longer; while fewer than two followers of a domain reach the store, all of its boxes probed it once a second, and the one of rank n took over after 60 n ms: 12 s at 200 boxes.

Change: a box that is no seed waits 1 to 3 s for the first heartbeat, and 0.1 to 0.2 s after it, before it follows by its rank. While followers are missing, the first eight in rank probe at each turn, the others join in a wave that doubles every 300 ms, once, and from then on eight of them drawn by chance. The delay by rank is bounded. A box that lacks the configuration or the endpoints sends its heartbeats each 60 to 100 ms, ten at most.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -105,7 +105,7 @@
 pub use share_reports::{ShareHeader, ShareScope, ShareSource};
 pub use share_tally::{ShareOutcome, ShareTally, TallyRow};
 pub use share_tracker::ShareTracker;
-pub use store_follower::{StoreAccess, StoreFollower, StorePeers};
+pub use store_follower::{StandbyTurn, StoreAccess, StoreFollower, StorePeers};
 pub use store_probe::{ProbeChange, ProbeTiming, StoreProbe};
 pub use store_revision::StoreRevision;
 pub use suspect_registry::{
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -509,11 +509,14 @@
             store_proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
         };
         let others = ranks.clone().filter_map(live);
+        // Only coordinators know all boxes of the domain.
+        let even_count = self.live_count(now_ms) as usize / self.domains.len().max(1);
         let before: Vec<&PeerBox> = ranks
             .take_while(|key| **key != own_key)
             .filter_map(live)
             .collect();
         StorePeers {
+            live: even_count.max(1 + others.clone().count()),
             reaching: others.filter(|peer| reaches(peer)).count(),
             reaching_before: before.iter().filter(|peer| reaches(peer)).count(),
             before: before.len(),
--- a/dockgate-core/src/gateway/store_follower.rs
+++ b/dockgate-core/src/gateway/store_follower.rs
@@ -2,8 +2,10 @@
 //!
 //! Calls to the store are expensive, and boxes pass on what they learn from it. Two boxes of each
 //! failure domain that the store answers are therefore enough: the first two in rank. While the
-//! store does not answer these, all boxes of the domain probe it, which is cheap, and the next ones
-//! that it answers take over.
+//! store does not answer these, the next boxes in rank probe it at every turn. The others join in a
+//! wave that doubles until all have probed once, so that the only box that the store answers is found
+//! soon; from then on, a few of them drawn at random probe at each turn. The first boxes that the
+//! store answers take over.
 //!
 //! ```
 //! use dockgate_core::gateway::{StoreAccess, StoreFollower, StorePeers};
@@ -13,7 +15,7 @@
 //! let own = StoreAccess::default();
 //! assert!(!follower.must_follow(alone, own, 1_000), "others may still send heartbeats");
 //! assert!(follower.must_follow(alone, own, 1_050));
-//! let two = StorePeers { reaching: 2, reaching_before: 2, before: 5, has_live_peer: true };
+//! let two = StorePeers { reaching: 2, reaching_before: 2, before: 5, live: 6, has_live_peer: true };
 //! assert!(!follower.must_follow(two, own, 1_300));
 //! ```
 
@@ -26,6 +28,8 @@
     pub reaching_before: usize,
     /// The number of boxes that rank before this one, whether or not they reach the store.
     pub before: usize,
+    /// The number of live boxes of the domain, this one included.
+    pub live: usize,
     /// Whether any other box of the domain is live.
     pub has_live_peer: bool,
 }
@@ -48,6 +52,29 @@
     had_reaching_peer: bool,
     /// When this box first made the decision.
     started_ms: Option<u64>,
+    /// The time that this box waits for other heartbeats before it acts alone, in milliseconds.
+    startup_wait_ms: Option<u64>,
+    /// The time that it waits after it has met the first other box of its domain, in milliseconds.
+    settling_ms: u64,
+    /// When it met that box.
+    met_peer_ms: Option<u64>,
+    /// The number of other boxes that reached the store at the last decision.
+    reaching: usize,
+    /// Since when the number of boxes that reach the store has not fallen further.
+    search_since_ms: Option<u64>,
+    /// When this box joins the wave of probes of this search.
+    first_probe_ms: Option<u64>,
+    /// Whether it has probed in this wave.
+    has_probed: bool,
+}
+
+/// What a box that stands by to follow the store does now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StandbyTurn {
+    /// It probes the store.
+    Probe,
+    /// It waits for this many milliseconds and decides again.
+    WaitMs(u64),
 }
 
 impl StoreFollower {
@@ -55,7 +82,7 @@
     const FOLLOWERS: usize = 2;
     /// How long a newly started box waits for heartbeats of other boxes, in milliseconds: long
     /// enough for a round trip to the seeds, and short enough not to delay the first configuration.
-    const STARTUP_WAIT_MS: u64 = 50;
+    pub const STARTUP_WAIT_MS: u64 = 50;
     /// How long other boxes wait for the primary followers while one still reaches the store or
     /// none has reached it yet, in milliseconds: two heartbeats, in which a new follower is
     /// noticed.
@@ -63,12 +90,34 @@
     /// The delay per rank before a box takes over, in milliseconds. It gives the first boxes time
     /// to be noticed, so that a store that recovers is not listed by all of them.
     const STAGGER_MS: u64 = 60;
+    /// The number of boxes, first in rank, that probe the store at every turn while followers are
+    /// missing. Only these are staggered by rank.
+    const STANDBY_RANKS: usize = 8;
+    /// The number of further boxes that begin the wave, and that probe together at each turn after it,
+    /// on average.
+    const STANDBY_DRAWN: f64 = 8.0;
+    /// The time in which the wave doubles, in milliseconds: about one heartbeat, by which a box that
+    /// was answered is noticed.
+    const WAVE_DOUBLING_MS: f64 = 300.0;
+    /// The interval between turns, in milliseconds.
+    const STANDBY_INTERVAL_MS: u64 = 1_000;
 
     /// Returns whether a box is one of the first in its domain, which follow the store by default.
     pub const fn is_primary(others: StorePeers) -> bool {
         others.before < Self::FOLLOWERS
     }
 
+    /// Creates the decision of a newly started box that waits for other heartbeats for
+    /// `startup_wait_ms` before it acts alone, and for `settling_ms` after the first one before it
+    /// acts by its rank, since it knows few of the boxes before it at first.
+    pub fn with_startup_wait(startup_wait_ms: u64, settling_ms: u64) -> Self {
+        Self {
+            startup_wait_ms: Some(startup_wait_ms),
+            settling_ms,
+            ..Self::default()
+        }
+    }
+
     /// Records how many boxes reach the store; returns false while this box waits for other
     /// heartbeats.
     fn record(&mut self, others: StorePeers, now_ms: u64) -> bool {
@@ -78,7 +127,19 @@
             true => self.shortage_since_ms = None,
             false => drop(self.shortage_since_ms.get_or_insert(now_ms)),
         }
-        others.has_live_peer || now_ms >= started_ms + Self::STARTUP_WAIT_MS
+        if others.reaching < self.reaching {
+            self.search_since_ms = Some(now_ms);
+            self.first_probe_ms = None;
+            self.has_probed = false;
+        }
+        self.reaching = others.reaching;
+        let startup_wait_ms = self.startup_wait_ms.unwrap_or(Self::STARTUP_WAIT_MS);
+        if others.has_live_peer {
+            self.met_peer_ms.get_or_insert(now_ms);
+        }
+        let settled_ms = self.met_peer_ms.map(|met_ms| met_ms + self.settling_ms);
+        let may_act_ms = started_ms + startup_wait_ms;
+        now_ms >= settled_ms.unwrap_or(may_act_ms).min(may_act_ms)
     }
 
     /// Returns whether this box must probe the store to find out whether it is answered.
@@ -88,6 +149,33 @@
         may_act && (lacks_followers || own.follows || Self::is_primary(others))
     }
 
+    /// Decides whether a box that stands by to follow the store probes it now.
+    ///
+    /// `draw` is a random number from 0 to 1.
+    pub fn standby_turn(&mut self, others: StorePeers, draw: f64, now_ms: u64) -> StandbyTurn {
+        let primaries_ms = self.started_ms.unwrap_or(now_ms) + Self::PRIMARY_GRACE_MS;
+        let drawn_fraction = Self::STANDBY_DRAWN / others.live.max(1) as f64;
+        let search_ms = *self.search_since_ms.get_or_insert(now_ms);
+        let first_probe_ms = *self.first_probe_ms.get_or_insert_with(|| {
+            let doublings = (1.0 + draw / drawn_fraction).log2();
+            search_ms + (Self::WAVE_DOUBLING_MS * doublings) as u64
+        });
+        match self.has_probed {
+            // Of a fleet that starts, a box knows the boxes before it only after some heartbeats.
+            _ if !Self::is_primary(others) && now_ms < primaries_ms => {
+                StandbyTurn::WaitMs(primaries_ms - now_ms)
+            }
+            _ if others.before < Self::STANDBY_RANKS => StandbyTurn::Probe,
+            false if now_ms < first_probe_ms => StandbyTurn::WaitMs(first_probe_ms - now_ms),
+            false => {
+                self.has_probed = true;
+                StandbyTurn::Probe
+            }
+            true if draw < drawn_fraction => StandbyTurn::Probe,
+            true => StandbyTurn::WaitMs(Self::STANDBY_INTERVAL_MS),
+        }
+    }
+
     /// Returns whether this box must follow the store now.
     pub fn must_follow(&mut self, others: StorePeers, own: StoreAccess, now_ms: u64) -> bool {
         match self.record(others, now_ms) {
@@ -108,8 +196,9 @@
         // No grace is needed if those that reached the store report that they no longer do.
         let all_lost = self.had_reaching_peer && others.reaching == 0;
         let grace_ms = if all_lost { 0 } else { Self::PRIMARY_GRACE_MS };
-        let rank = (others.before - Self::FOLLOWERS) as u64;
-        now_ms >= answered_ms.max(shortage_ms + grace_ms) + rank * Self::STAGGER_MS
+        let rank = (others.before - Self::FOLLOWERS).min(Self::STANDBY_RANKS);
+        let stagger_ms = rank as u64 * Self::STAGGER_MS;
+        now_ms >= answered_ms.max(shortage_ms + grace_ms) + stagger_ms
     }
 }
 
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -24,6 +24,7 @@
 use dockgate_platform::PlatformClient;
 use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap};
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -33,6 +34,14 @@
 /// How long a call to the store may take.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long a box that is no seed waits for heartbeats before it follows the store alone, in
+/// milliseconds. The seeds of a large fleet that starts need this time to answer all boxes, which
+/// would otherwise all list the store. Random, so that boxes without live seeds do not act in step.
+const STARTUP_WAIT_MS: Range<u64> = 1_000..3_000;
+/// How long it waits after it has met the first box of its domain before it may follow the store by
+/// its rank, in milliseconds: one or two answers of coordinators, which list the first in rank.
+const SETTLING_MS: Range<u64> = 100..200;
+
 /// A prompt of this box that runs at an engine.
 #[derive(Debug, Clone)]
 pub(super) struct PlacedRun {
@@ -136,6 +145,14 @@
         let own = BoxHeartbeat::new(&settings.name, &settings.domain, settings.listen.peers)
             .state_address(settings.listen.state)
             .status(BoxStatus::new(settings.processor));
+        let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.listen.state);
+        let store = match is_seed {
+            true => StoreFollower::with_startup_wait(StoreFollower::STARTUP_WAIT_MS, 0),
+            false => StoreFollower::with_startup_wait(
+                rand::random_range(STARTUP_WAIT_MS),
+                rand::random_range(SETTLING_MS),
+            ),
+        };
         let view = GatewayView {
             endpoints: EndpointRegistry::default(),
             engines: EngineRegistry::default(),
@@ -154,7 +171,7 @@
             lag: LoopLag::default(),
             shedder: LoadShedder::default(),
             slot_requests: HashMap::new(),
-            store: StoreFollower::default(),
+            store,
             overflow: OverflowBudget::default(),
             probe: StoreProbe::default(),
             store_revisions: BTreeMap::new(),
@@ -443,6 +460,12 @@
         self.with(|view| view.lag.is_overloaded())
     }
 
+    /// Returns whether this box knows a configuration and the endpoints.
+    pub(super) fn is_informed(&self) -> bool {
+        let knows_endpoints = self.with(|view| view.endpoints.revision() > StoreRevision::NONE);
+        self.table.load().config().version > 0 && knows_endpoints
+    }
+
     /// Returns whether the box is ready to receive requests of callers.
     pub(super) fn is_ready(&self) -> bool {
         let is_configured = self.table.load().config().version > 0;
--- a/dockgate/src/gateway/gateway_state/store_access.rs
+++ b/dockgate/src/gateway/gateway_state/store_access.rs
@@ -6,7 +6,9 @@
 use super::super::store_probe::StoreRole;
 use super::{GatewayState, GatewayView};
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EraChange, ProbeChange, StoreAccess, StoreFollower, StoreRevision};
+use dockgate_core::gateway::{
+    EraChange, ProbeChange, StandbyTurn, StoreAccess, StoreFollower, StoreRevision,
+};
 use tokio::sync::watch;
 
 impl GatewayView {
@@ -94,6 +96,19 @@
         })
     }
 
+    /// Decides whether this box, if it stands by to follow the store, probes it now. `draw` is a
+    /// random number from 0 to 1.
+    pub(in super::super) fn standby_turn(&self, draw: f64) -> StandbyTurn {
+        if self.follows_store() {
+            return StandbyTurn::Probe;
+        }
+        let now = now_ms();
+        self.with(|view| {
+            let others = view.fleet.store_peers(now);
+            view.store.standby_turn(others, draw, now)
+        })
+    }
+
     /// Returns whether this box is a coordinator of its failure domain.
     pub(in super::super) fn is_coordinator(&self) -> bool {
         self.with(|view| view.fleet.is_coordinator(now_ms()))
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -29,22 +29,50 @@
 /// The interval after the first heartbeat of a box that knows no other box of its domain, in
 /// milliseconds; doubles with each further heartbeat up to the usual interval.
 const INITIAL_HEARTBEAT_MS: Range<u64> = 15..25;
+/// The interval between heartbeats of a box that knows others of its domain, but lacks the
+/// configuration or the endpoints, in milliseconds.
+const UNINFORMED_HEARTBEAT_MS: Range<u64> = 60..100;
 /// The maximum number of heartbeats with such short intervals.
 const INITIAL_HEARTBEATS: u32 = 10;
 /// The probability that a coordinator sends a heartbeat to the seeds too, so that separated parts
 /// of the fleet find each other within seconds.
 const SEED_PROBABILITY: f64 = 0.125;
-/// How long a digest for the own domain is reused, in milliseconds; the ages in it are outdated by
+/// How long a digest for many boxes is reused, in milliseconds; the ages in it are outdated by
 /// up to this time.
 const DIGEST_CACHE_MS: u64 = 100;
 
-/// The last digest for the own domain, ready to be sent again.
-#[derive(Debug, Default)]
-pub(super) struct DigestCache {
+/// The recipients of a digest that is sent to many boxes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DigestAudience {
+    /// The boxes of the own domain that are no coordinators.
+    Members,
+    /// Boxes of other domains that look for their own.
+    Newcomers,
+}
+
+/// A digest that is ready to be sent again.
+#[derive(Debug, Clone, Default)]
+struct CachedDigest {
     built_ms: u64,
     message: Option<EncodedMessage>,
 }
 
+/// The last digests that were sent to many boxes.
+#[derive(Debug, Default)]
+pub(super) struct DigestCache {
+    members: CachedDigest,
+    newcomers: CachedDigest,
+}
+
+impl DigestCache {
+    const fn of(&mut self, audience: DigestAudience) -> &mut CachedDigest {
+        match audience {
+            DigestAudience::Members => &mut self.members,
+            DigestAudience::Newcomers => &mut self.newcomers,
+        }
+    }
+}
+
 /// Sends a heartbeat to the coordinators of the own domain, and to the seeds if they are due.
 pub(super) fn send_heartbeat(state: &GatewayState) {
     let now = now_ms();
@@ -127,32 +155,53 @@
 }
 
 /// Answers a heartbeat with a digest: of the fleet within the domain, an introduction otherwise.
-fn answer_heartbeat(state: &GatewayState, from: SocketAddr, is_same_domain: bool) {
+///
+/// Only coordinators learn of all boxes of the domain.
+fn answer_heartbeat(state: &GatewayState, from: SocketAddr, peer: BoxKey, is_same_domain: bool) {
     let now = now_ms();
-    if !is_same_domain {
-        let scope = DigestScope::Introduction;
-        let message = state.with(|view| digest_message(view, scope, Vec::new(), now));
-        return send_datagram(state, from, message);
-    }
+    let is_coordinator = state.with(|view| view.fleet.coordinates_own_domain(peer, now));
+    let audience = match is_same_domain {
+        true if is_coordinator => {
+            let message = state.with(|view| {
+                let shares = view.shares.fleet_rows(now);
+                digest_message(view, DigestScope::SameDomain, shares, now)
+            });
+            return send_datagram(state, from, message);
+        }
+        true => DigestAudience::Members,
+        false => DigestAudience::Newcomers,
+    };
     let cached = state.with(|view| {
-        let cache = &view.digest;
-        let is_fresh = cache.built_ms + DIGEST_CACHE_MS > now;
-        cache.message.clone().filter(|_| is_fresh)
+        let cached = view.digest.of(audience);
+        let is_fresh = cached.built_ms + DIGEST_CACHE_MS > now;
+        cached.message.clone().filter(|_| is_fresh)
     });
-    let message = cached.or_else(|| build_domain_digest(state, now));
+    let message = cached.or_else(|| build_digest(state, audience, now));
     if let Some(message) = message {
         send_encoded(state, from, &message);
     }
 }
 
-fn build_domain_digest(state: &GatewayState, now_ms: u64) -> Option<EncodedMessage> {
-    let message = state.with(|view| {
-        let shares = view.shares.fleet_rows(now_ms);
-        digest_message(view, DigestScope::SameDomain, shares, now_ms)
+fn build_digest(
+    state: &GatewayState,
+    audience: DigestAudience,
+    now_ms: u64,
+) -> Option<EncodedMessage> {
+    let message = state.with(|view| match audience {
+        DigestAudience::Members => {
+            view.fleet.advance_sequence(now_ms);
+            GatewayMessage::Digest {
+                digest: view.fleet.member_digest(now_ms),
+                shares: view.shares.fleet_rows(now_ms),
+            }
+        }
+        DigestAudience::Newcomers => {
+            digest_message(view, DigestScope::Introduction, Vec::new(), now_ms)
+        }
     });
     let message = encode(state, message);
     state.with(|view| {
-        view.digest = DigestCache {
+        *view.digest.of(audience) = CachedDigest {
             built_ms: now_ms,
             message: message.clone(),
         };
@@ -160,7 +209,8 @@
     message
 }
 
-/// Sends frequent heartbeats until another box of the domain is known.
+/// Sends frequent heartbeats until another box of the domain is known, and after that until this box
+/// has learned the configuration and the endpoints, whose newest revisions the answers report.
 ///
 /// Boxes that start together all act as owners of the same engines until they know each other, and
 /// may overload the engines meanwhile.
@@ -172,9 +222,13 @@
     for count in 0..INITIAL_HEARTBEATS {
         send_heartbeat(state);
         let initial_ms = rand::random_range(INITIAL_HEARTBEAT_MS);
-        let wait_ms = (initial_ms << count).min(rand::random_range(HEARTBEAT_MS));
+        let wait_ms = match state.with(|view| view.fleet.has_live_domain_peer(now_ms())) {
+            true => rand::random_range(UNINFORMED_HEARTBEAT_MS),
+            false => (initial_ms << count).min(rand::random_range(HEARTBEAT_MS)),
+        };
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        if state.with(|view| view.fleet.has_live_domain_peer(now_ms())) {
+        let has_peer = state.with(|view| view.fleet.has_live_domain_peer(now_ms()));
+        if has_peer && state.is_informed() {
             return;
         }
     }
@@ -288,7 +342,7 @@
         view.fleet.receive_heartbeat(heartbeat, incarnation, now)
     });
     apply_box_changes(state, &[(peer, change)]);
-    answer_heartbeat(state, from, is_same_domain);
+    answer_heartbeat(state, from, peer, is_same_domain);
     if is_same_domain {
         quarantine::send_reports(state, from, change != BoxChange::None);
     }
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -6,7 +6,7 @@
 use super::membership::send_heartbeat;
 use super::quarantine_store;
 use crate::clock::{now_ms, subscribe_resumes, timeout};
-use dockgate_core::gateway::{ProbeChange, ProbeTiming, StoreRevision};
+use dockgate_core::gateway::{ProbeChange, ProbeTiming, StandbyTurn, StoreRevision};
 use dockgate_platform::{PlatformClient, QUARANTINE_KEY_PREFIX};
 use std::ops::Range;
 use std::sync::Arc;
@@ -52,6 +52,18 @@
             // The sender outlives this task.
             let _ = roles.wait_for(|role| role.probes).await;
         }
+        if let StandbyTurn::WaitMs(wait_ms) = state.standby_turn(rand::random()) {
+            let wait_ms = wait_ms.min(STANDBY_INTERVAL_MS.start);
+            // A change of the role or a resume ends the wait early; the channels are never closed.
+            let _ = timeout(Duration::from_millis(wait_ms), async {
+                tokio::select! {
+                    _ = roles.changed() => {}
+                    _ = resumes.changed() => {}
+                }
+            })
+            .await;
+            continue;
+        }
         let timing = ProbeTiming::within(state.settings().drain.as_millis() as u64);
         tokio::select! {
             () = probe_once(&state, &client, timing) => {}
