refactor: the search for a box that the store answers is a decision of its own

Cause: `StoreFollower` held the wave of probes among eleven fields, so that a reader of the followers had to read it too. No decision changed.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -56,6 +56,7 @@
 mod store_follower;
 mod store_probe;
 mod store_revision;
+mod store_search;
 mod suspect_registry;
 mod warmup_limit;
 mod warmup_tracker;
@@ -105,9 +106,10 @@
 pub use share_reports::{ShareHeader, ShareScope, ShareSource};
 pub use share_tally::{ShareOutcome, ShareTally, TallyRow};
 pub use share_tracker::ShareTracker;
-pub use store_follower::{StandbyTurn, StoreAccess, StoreFollower, StorePeers};
+pub use store_follower::{StoreAccess, StoreFollower, StorePeers};
 pub use store_probe::{ProbeChange, ProbeTiming, StoreProbe};
 pub use store_revision::StoreRevision;
+pub use store_search::{StandbyTurn, StoreSearch};
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
--- a/dockgate-core/src/gateway/store_follower.rs
+++ b/dockgate-core/src/gateway/store_follower.rs
@@ -2,10 +2,8 @@
 //!
 //! Calls to the store are expensive, and boxes pass on what they learn from it. Two boxes of each
 //! failure domain that the store answers are therefore enough: the first two in rank. While the
-//! store does not answer these, the next boxes in rank probe it at every turn. The others join in a
-//! wave that doubles until all have probed once, so that the only box that the store answers is found
-//! soon; from then on, a few of them drawn at random probe at each turn. The first boxes that the
-//! store answers take over.
+//! store does not answer these, the boxes of the domain search for others that it answers
+//! ([`StoreSearch`]), and the first ones found take over.
 //!
 //! ```
 //! use dockgate_core::gateway::{StoreAccess, StoreFollower, StorePeers};
@@ -19,6 +17,8 @@
 //! assert!(!follower.must_follow(two, own, 1_300));
 //! ```
 
+use super::store_search::{StandbyTurn, StoreSearch};
+
 /// The numbers of other live boxes of the own failure domain, by their relation to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct StorePeers {
@@ -60,21 +60,8 @@
     met_peer_ms: Option<u64>,
     /// The number of other boxes that reached the store at the last decision.
     reaching: usize,
-    /// Since when the number of boxes that reach the store has not fallen further.
-    search_since_ms: Option<u64>,
-    /// When this box joins the wave of probes of this search.
-    first_probe_ms: Option<u64>,
-    /// Whether it has probed in this wave.
-    has_probed: bool,
-}
-
-/// What a box that stands by to follow the store does now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StandbyTurn {
-    /// It probes the store.
-    Probe,
-    /// It waits for this many milliseconds and decides again.
-    WaitMs(u64),
+    /// The search for a box that the store answers.
+    search: StoreSearch,
 }
 
 impl StoreFollower {
@@ -88,19 +75,9 @@
     /// noticed.
     const PRIMARY_GRACE_MS: u64 = 600;
     /// The delay per rank before a box takes over, in milliseconds. It gives the first boxes time
-    /// to be noticed, so that a store that recovers is not listed by all of them.
+    /// to be noticed, so that a store that recovers is not listed by all of them. Grows up to the
+    /// ranks that probe at every turn, since few of the others are answered at the same time.
     const STAGGER_MS: u64 = 60;
-    /// The number of boxes, first in rank, that probe the store at every turn while followers are
-    /// missing. Only these are staggered by rank.
-    const STANDBY_RANKS: usize = 8;
-    /// The number of further boxes that begin the wave, and that probe together at each turn after it,
-    /// on average.
-    const STANDBY_DRAWN: f64 = 8.0;
-    /// The time in which the wave doubles, in milliseconds: about one heartbeat, by which a box that
-    /// was answered is noticed.
-    const WAVE_DOUBLING_MS: f64 = 300.0;
-    /// The interval between turns, in milliseconds.
-    const STANDBY_INTERVAL_MS: u64 = 1_000;
 
     /// Returns whether a box is one of the first in its domain, which follow the store by default.
     pub const fn is_primary(others: StorePeers) -> bool {
@@ -128,9 +105,7 @@
             false => drop(self.shortage_since_ms.get_or_insert(now_ms)),
         }
         if others.reaching < self.reaching {
-            self.search_since_ms = Some(now_ms);
-            self.first_probe_ms = None;
-            self.has_probed = false;
+            self.search.restart(now_ms);
         }
         self.reaching = others.reaching;
         let startup_wait_ms = self.startup_wait_ms.unwrap_or(Self::STARTUP_WAIT_MS);
@@ -153,26 +128,11 @@
     ///
     /// `draw` is a random number from 0 to 1.
     pub fn standby_turn(&mut self, others: StorePeers, draw: f64, now_ms: u64) -> StandbyTurn {
+        // Of a fleet that starts, a box knows the boxes before it only after some heartbeats.
         let primaries_ms = self.started_ms.unwrap_or(now_ms) + Self::PRIMARY_GRACE_MS;
-        let drawn_fraction = Self::STANDBY_DRAWN / others.live.max(1) as f64;
-        let search_ms = *self.search_since_ms.get_or_insert(now_ms);
-        let first_probe_ms = *self.first_probe_ms.get_or_insert_with(|| {
-            let doublings = (1.0 + draw / drawn_fraction).log2();
-            search_ms + (Self::WAVE_DOUBLING_MS * doublings) as u64
-        });
-        match self.has_probed {
-            // Of a fleet that starts, a box knows the boxes before it only after some heartbeats.
-            _ if !Self::is_primary(others) && now_ms < primaries_ms => {
-                StandbyTurn::WaitMs(primaries_ms - now_ms)
-            }
-            _ if others.before < Self::STANDBY_RANKS => StandbyTurn::Probe,
-            false if now_ms < first_probe_ms => StandbyTurn::WaitMs(first_probe_ms - now_ms),
-            false => {
-                self.has_probed = true;
-                StandbyTurn::Probe
-            }
-            true if draw < drawn_fraction => StandbyTurn::Probe,
-            true => StandbyTurn::WaitMs(Self::STANDBY_INTERVAL_MS),
+        match now_ms < primaries_ms && !Self::is_primary(others) {
+            true => StandbyTurn::WaitMs(primaries_ms - now_ms),
+            false => self.search.turn(others.before, others.live, draw, now_ms),
         }
     }
 
@@ -196,7 +156,7 @@
         // No grace is needed if those that reached the store report that they no longer do.
         let all_lost = self.had_reaching_peer && others.reaching == 0;
         let grace_ms = if all_lost { 0 } else { Self::PRIMARY_GRACE_MS };
-        let rank = (others.before - Self::FOLLOWERS).min(Self::STANDBY_RANKS);
+        let rank = (others.before - Self::FOLLOWERS).min(StoreSearch::FIRST_RANKS);
         let stagger_ms = rank as u64 * Self::STAGGER_MS;
         now_ms >= answered_ms.max(shortage_ms + grace_ms) + stagger_ms
     }
