fix: concurrent fleets of a test process use different loopback subnets

Cause: the number of the subnet was computed in u8 and wrapped, so that the second and the tenth fleet of a process shared their addresses for process ids that leave 193 to 199 when divided by 200. The daemons of one fleet then received the configuration of the other: 'the plan is based on version 0, but version 1 is in force'. Ruled out: a lost answer of the store (a repeated commit finds its own plan in the log). Change: the number is computed in u32; a test goes over all process ids.

--- a/dockgate-bench/src/fleet.rs
+++ b/dockgate-bench/src/fleet.rs
@@ -21,7 +21,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -98,13 +98,28 @@
 /// Longest time that a fleet may take to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Number of loopback subnets that fleets use.
+const LOOPBACK_NETWORKS: u32 = 200;
+
 /// Returns the second octet of a loopback subnet for a fleet. It depends on the process id and
 /// changes with each call, so that concurrent fleets don't share addresses.
 fn next_loopback_network() -> u8 {
-    static NEXT: AtomicU8 = AtomicU8::new(0);
-    let offset = NEXT.fetch_add(1, Ordering::Relaxed);
-    let base = (std::process::id() % 200) as u8;
-    20 + (base.wrapping_add(offset.wrapping_mul(7))) % 200
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loopback_network(std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Returns the second octet of the subnet of the fleet with an index in a process.
+///
+/// Two fleets of a process share a subnet only if their indexes are [`LOOPBACK_NETWORKS`] apart.
+/// Arithmetic on `u8` would wrap and give two concurrent fleets the same addresses, so that the
+/// daemons of one would receive the configuration of the other.
+const fn loopback_network(process: u32, index: u32) -> u8 {
+    const FIRST: u32 = 20;
+    /// Coprime with the number of subnets, so that every subnet is used once before any is reused.
+    const STRIDE: u32 = 7;
+    let index = index % LOOPBACK_NETWORKS;
+    let offset = (process % LOOPBACK_NETWORKS + index * STRIDE) % LOOPBACK_NETWORKS;
+    (FIRST + offset) as u8
 }
 
 impl BenchFleet {
@@ -321,3 +336,6 @@
         self.folder.path().to_path_buf()
     }
 }
+
+#[cfg(test)]
+mod tests;
