feat: a gateway keeps its memory below 0.8 of its machine's

Cause: all callers of one workspace connected to a box of 88 MB exceed its memory with connections, open streams and bodies, while processor time is to spare, and the box is killed.

Change: MemoryBudget in dockgate-core counts connections, requests, bodies and buffered answers; guards release them on drop. Samples of the resident memory correct the count. At 0.7 of [box] memory_mb workspaces beyond their max-min portion are refused as out_of_memory (503, not run) before their body is read, the box is not ready and closes connections after answers and idle ones; at 0.75 no connection is accepted, at 0.8 nothing is admitted. Bodies are read into one buffer in place of frames that are joined, and a refused body is discarded as it arrives, so that its answer is not lost.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -153,6 +153,34 @@
         pipe.write_all(&text).map_err(io_error)
     }
 
+    /// Replaces its settings by the result of `edit`, and starts it again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot be rewritten or the process cannot be started.
+    pub fn restart_with_settings(
+        &mut self,
+        edit: impl FnOnce(&str) -> String,
+    ) -> Result<(), BenchError> {
+        let path = self.settings.display().to_string();
+        let text = std::fs::read_to_string(&self.settings)
+            .map_err(|cause| BenchError::Io("read", path, cause))?;
+        write(&self.settings, &edit(&text))?;
+        self.kill();
+        self.restart()
+    }
+
+    /// Returns a size of its process in kB, as `/proc/PID/status` names it; 0 if it does not run.
+    pub fn memory_kb(&self, field: &str) -> u64 {
+        let process = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{process}/status"));
+        let status = status.unwrap_or_default();
+        let mut values = status.lines().filter_map(|line| line.strip_prefix(field));
+        let value = values.find_map(|value| value.strip_prefix(':'));
+        let value = value.and_then(|value| value.trim().strip_suffix(" kB"));
+        value.and_then(|value| value.parse().ok()).unwrap_or(0)
+    }
+
     fn suspension_file(&self) -> PathBuf {
         self.settings.with_extension("away")
     }
--- /dev/null
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -0,0 +1,250 @@
+//! Memory budget of a box.
+//!
+//! The callers of one workspace may all be connected to one small box, and send several times what
+//! it can hold: request bodies of up to 1 MB, thousands of open streams, and readers that take 100
+//! bytes a second. A box that exceeds the memory of its machine is killed, and with it the requests
+//! of all workspaces. Processor time may be to spare then, so that [`LoadShedder`] refuses nothing.
+//!
+//! Bytes are counted when they are allocated and released. The resident memory of the process,
+//! sampled by the daemon, corrects the count when it grows beyond it. The correction is attributed
+//! to the bytes that were counted at that time, and shrinks with them: the allocator keeps most of
+//! the released memory and uses it again, so the process stays large after a flood although the box
+//! has room.
+//!
+//! [`LoadShedder`]: super::LoadShedder
+//!
+//! ```
+//! use dockgate_core::gateway::MemoryBudget;
+//!
+//! let mut budget = MemoryBudget::new(Some(100 << 20));
+//! budget.record_sample(Some(20 << 20), 0);
+//! assert!(budget.try_charge(1, 49 << 20), "the flood may use what no one else needs");
+//! assert!(!budget.try_charge(1, 1 << 20));
+//! assert!(budget.try_charge(2, 1 << 20));
+//! ```
+
+use super::load_shedder::max_min_level;
+use std::collections::HashMap;
+
+/// The memory that a box may use, and what its connections and requests use of it.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryBudget {
+    /// The memory of the machine in bytes; `None` if there is no budget.
+    machine: Option<u64>,
+    /// The resident memory of the idle process.
+    idle: u64,
+    /// The counted bytes of all connections, requests, bodies and answers.
+    counted: u64,
+    /// The part of them that is attributed to a workspace.
+    held: HashMap<u64, u64>,
+    /// Whether more than a few connections have been open.
+    has_served: bool,
+    /// The largest sample.
+    peak: u64,
+    /// The correction of the count by the largest sample under load.
+    excess: u64,
+    /// The counted bytes at the time of that sample.
+    counted_at_peak: u64,
+    /// Time until which new connections are diverted to other boxes.
+    divert_until_ms: u64,
+    /// Whether they were diverted at the last sample.
+    is_short: bool,
+}
+
+/// Change of the state of a box by a sample of its memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MemoryChange {
+    /// The state is unchanged.
+    None,
+    /// The box has become short of memory.
+    Short,
+    /// The box has memory again.
+    Back,
+}
+
+impl MemoryBudget {
+    /// The bytes of an open connection without a request: buffers of the HTTP library and its task.
+    /// Measured: 13.9 kB.
+    pub const CONNECTION_BYTES: u64 = 16 << 10;
+    /// The bytes of a request in progress without its body: the head, the connection to the
+    /// endpoint with its buffers, and the state of the request. Measured: 22.8 kB for a stream.
+    pub const REQUEST_BYTES: u64 = 28 << 10;
+    /// The use, as a fraction of the machine's memory, above which a workspace is limited to its
+    /// portion. Leaves room for others while the excess of the workspace is refused.
+    const LIMITED_FRACTION: f64 = 0.7;
+    /// The use above which nothing more is admitted. The rest is left to the operating system, its
+    /// socket buffers, and what is allocated between two samples.
+    const FULL_FRACTION: f64 = 0.8;
+    /// The counted bytes below which a sample shows the idle process: a few connections.
+    const IDLE_BYTES: u64 = 8 * Self::CONNECTION_BYTES;
+    /// The use above which no connection is accepted. What is left up to the full use is for the
+    /// requests of workspaces within their portion.
+    const ACCEPT_FRACTION: f64 = 0.75;
+    /// The counted bytes, as a fraction of the machine's memory, from which on a correction shows
+    /// what requests take rather than how the process has grown otherwise.
+    const TYPICAL_FRACTION: f64 = 0.06;
+    /// Duration of a diversion in milliseconds. The load balancer polls readiness once per second
+    /// and acts on the second answer.
+    const DIVERT_MS: u64 = 3_000;
+
+    /// Creates the budget of a machine with this memory in bytes; `None` limits nothing.
+    pub fn new(machine: Option<u64>) -> Self {
+        Self {
+            machine,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the memory of the machine in bytes.
+    pub const fn set_machine(&mut self, machine: Option<u64>) {
+        self.machine = machine;
+    }
+
+    /// Returns whether the resident memory has to be sampled.
+    pub const fn is_limited(&self) -> bool {
+        self.machine.is_some()
+    }
+
+    /// Counts bytes of a workspace, or of no known one.
+    pub fn charge(&mut self, workspace: Option<u64>, bytes: u64) {
+        self.counted += bytes;
+        if let Some(workspace) = workspace {
+            *self.held.entry(workspace).or_default() += bytes;
+        }
+    }
+
+    /// Counts bytes of a workspace if they fit; returns whether they do.
+    pub fn try_charge(&mut self, workspace: u64, bytes: u64) -> bool {
+        let fits = self.fits(workspace, bytes);
+        if fits {
+            self.charge(Some(workspace), bytes);
+        }
+        fits
+    }
+
+    fn fits(&self, workspace: u64, bytes: u64) -> bool {
+        let Some(limits) = self.limits() else {
+            return true;
+        };
+        let use_after = self.use_bytes() + bytes;
+        let held = self.held.get(&workspace).copied().unwrap_or(0);
+        match () {
+            () if use_after < limits.limited => true,
+            () if use_after > limits.full => false,
+            () => ((held + bytes) as f64) <= self.portion(limits),
+        }
+    }
+
+    /// Returns the bytes that a workspace may hold while the use is above the lower limit: its
+    /// max-min fair portion, among the workspaces that hold any and one that may come.
+    ///
+    /// Connections and the correction of the count belong to no workspace. At least what lies
+    /// between the two limits is divided.
+    fn portion(&self, limits: MemoryLimits) -> f64 {
+        let held: u64 = self.held.values().sum();
+        let unattributed = self.use_bytes().saturating_sub(held);
+        let capacity = limits.limited.saturating_sub(unattributed);
+        let capacity = capacity.max(limits.full - limits.limited);
+        let demands = self.held.values().map(|bytes| *bytes as f64);
+        let demands: Vec<f64> = demands.chain([f64::INFINITY]).collect();
+        max_min_level(&demands, capacity as f64)
+    }
+
+    /// Releases bytes that were counted.
+    pub fn release(&mut self, workspace: Option<u64>, bytes: u64) {
+        self.counted = self.counted.saturating_sub(bytes);
+        let Some(workspace) = workspace else {
+            return;
+        };
+        if let Some(held) = self.held.get_mut(&workspace) {
+            *held = held.saturating_sub(bytes);
+            if *held == 0 {
+                self.held.remove(&workspace);
+            }
+        }
+    }
+
+    /// Records the resident memory of the process in bytes, if it can be read.
+    ///
+    /// A sample below the largest one does not correct the count, since it includes released memory
+    /// that the allocator keeps.
+    pub fn record_sample(&mut self, resident: Option<u64>, now_ms: u64) -> MemoryChange {
+        let resident = resident.unwrap_or(0);
+        let growth = resident.saturating_sub(self.peak);
+        self.peak = self.peak.max(resident);
+        self.has_served |= self.counted > Self::IDLE_BYTES;
+        match growth > 0 {
+            true if !self.has_served => self.idle = resident,
+            true if self.counted >= self.counted_at_peak / 2 => {
+                self.excess = resident.saturating_sub(self.idle + self.counted);
+                self.counted_at_peak = self.counted;
+            }
+            // What a lower load allocates beyond the memory that the allocator keeps stays.
+            true => self.idle += growth,
+            false => {}
+        }
+        let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
+        if self.limits().is_some_and(is_limited) {
+            self.divert_until_ms = now_ms + Self::DIVERT_MS;
+        }
+        let is_short = self.diverts_connections(now_ms);
+        match (std::mem::replace(&mut self.is_short, is_short), is_short) {
+            (false, true) => MemoryChange::Short,
+            (true, false) => MemoryChange::Back,
+            _ => MemoryChange::None,
+        }
+    }
+
+    /// Returns the estimated use of memory in bytes.
+    pub fn use_bytes(&self) -> u64 {
+        let counted = self.counted as f64;
+        let typical = self.machine.unwrap_or(0) as f64 * Self::TYPICAL_FRACTION;
+        let at_peak = self.counted_at_peak.max(1) as f64;
+        let part = (counted / at_peak)
+            .min(1.0)
+            .max(counted / at_peak.max(typical).max(1.0));
+        self.idle + self.counted + (self.excess as f64 * part) as u64
+    }
+
+    /// Returns whether new connections should go to other boxes.
+    pub const fn diverts_connections(&self, now_ms: u64) -> bool {
+        now_ms < self.divert_until_ms
+    }
+
+    /// Returns whether the box has memory for one more connection.
+    pub fn accepts_connections(&self) -> bool {
+        let needed = self.use_bytes() + Self::CONNECTION_BYTES;
+        self.limits().is_none_or(|limits| needed <= limits.accept)
+    }
+
+    /// Returns how many connections would have to be closed to get below the lower limit.
+    pub fn surplus_connections(&self) -> usize {
+        let surplus = self
+            .limits()
+            .map_or(0, |limits| self.use_bytes().saturating_sub(limits.limited));
+        surplus.div_ceil(Self::CONNECTION_BYTES) as usize
+    }
+
+    fn limits(&self) -> Option<MemoryLimits> {
+        let machine = self.machine? as f64;
+        Some(MemoryLimits {
+            limited: (machine * Self::LIMITED_FRACTION) as u64,
+            accept: (machine * Self::ACCEPT_FRACTION) as u64,
+            full: (machine * Self::FULL_FRACTION) as u64,
+        })
+    }
+}
+
+/// The uses of memory in bytes from which on a box refuses.
+#[derive(Debug, Clone, Copy)]
+struct MemoryLimits {
+    /// Workspaces beyond their portion are refused.
+    limited: u64,
+    /// No connection is accepted.
+    accept: u64,
+    /// Everything is refused.
+    full: u64,
+}
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -8,6 +8,7 @@
 mod call;
 mod call_body;
 mod caller_listener;
+mod counted_body;
 mod datagram_receiver;
 mod datagrams;
 mod domain_watch;
@@ -22,6 +23,7 @@
 mod gateway_runtime;
 mod gateway_state;
 mod membership;
+mod memory_guard;
 mod notices;
 mod overload;
 mod peer_state;
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -1,14 +1,16 @@
 //! Reads a request and resolves its route, service, workspace and deadline.
 
+use super::super::counted_body::{ReadFailure, read_counted};
 use super::super::events::{GatewayEvent, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
+use super::super::memory_guard::MemoryGuard;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
 use super::quarantine_check::{check_quarantine, fingerprint_of};
-use crate::clock::{ClockInstant, now_ms, timeout};
+use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::shared_stream::DisconnectMonitor;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
@@ -19,7 +21,7 @@
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
 use http::{HeaderMap, Method, Request, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::Arc;
 use std::time::Duration;
@@ -80,6 +82,8 @@
     pub(in super::super) caller: DisconnectMonitor,
     /// How far the request has progressed.
     pub(in super::super) progress: CallProgress,
+    /// Counts the request and its body in the memory budget.
+    _memory: MemoryGuard,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -112,6 +116,11 @@
         self.table.config().version
     }
 
+    /// Creates a guard that counts bytes of an answer in the memory budget.
+    pub(in super::super) fn answer_memory(&self) -> MemoryGuard {
+        MemoryGuard::answer(&self.state, name_hash(self.workspace_name()))
+    }
+
     /// Returns the time since the request arrived.
     pub(in super::super) fn age(&self) -> Duration {
         self.arrived.elapsed()
@@ -195,19 +204,30 @@
         .map_err(|problem| rejected("", RefusalReason::BadHead(problem).into()))?;
     let found = find_route(&state, &table, &head, &parts.uri)
         .map_err(|refusal| rejected(&head.id, refusal))?;
-    let body = read_body(body, &parts, &table.config().limits)
-        .await
-        .map_err(|reason| rejected(&head.id, reason.into()))?;
     let FoundRoute {
         route,
         service,
         workspace,
     } = found;
+    let limits = &table.config().limits;
+    let name = workspace_name(&table, workspace);
+    let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits)
+        .await
+        .map_err(|reason| {
+            let refusal = match reason {
+                RefusalReason::OutOfMemory => refuse_for_memory(&state),
+                reason => reason.into(),
+            };
+            RejectedRequest {
+                route: table.route(route).name.clone(),
+                workspace: name.to_owned(),
+                ..rejected(&head.id, refusal)
+            }
+        })?;
     // These checks follow the body: an answer that leaves a body unread may be lost when the
     // connection is closed.
     let route_spec = table.route(route);
     let objective_ms = route_spec.objective.as_millis() as u64;
-    let name = workspace_name(&table, workspace);
     let rejected_on_route = |refusal: CallRefusal| RejectedRequest {
         route: route_spec.name.clone(),
         workspace: name.to_owned(),
@@ -245,6 +265,7 @@
         head,
         caller,
         progress: CallProgress::default(),
+        _memory: memory,
         table,
         route,
         service,
@@ -345,25 +366,51 @@
     (route.objective + generation).min(budget)
 }
 
+/// Returns the refusal of a request for which the box has no memory.
+fn refuse_for_memory(state: &GatewayState) -> CallRefusal {
+    let after = state.with(|view| view.shedder.retry_after(rand::random()));
+    CallRefusal::with_retry(RefusalReason::OutOfMemory, after)
+}
+
+/// Reads the body of a request, and counts the request in the memory budget.
+///
+/// A body for which the box has no memory is discarded as it arrives: an answer that leaves it
+/// unread may be lost when the connection is closed, and it would stay in the socket.
 async fn read_body(
-    body: Incoming,
+    state: &Arc<GatewayState>,
+    workspace: u64,
+    mut body: Incoming,
     parts: &Parts,
     limits: &GatewayLimits,
-) -> Result<Bytes, RefusalReason> {
-    let limit = limits.body_bytes;
+) -> Result<(Bytes, MemoryGuard), RefusalReason> {
     let declared = body.size_hint().lower();
-    if declared > limit as u64 {
+    if declared > limits.body_bytes as u64 {
         return Err(RefusalReason::BodyTooLarge);
     }
+    let until = ClockInstant::now() + limits.idle_timeout;
+    let Some(mut memory) = MemoryGuard::request(state, workspace, declared) else {
+        tokio::spawn(discard_body(body, until));
+        return Err(RefusalReason::OutOfMemory);
+    };
     if body.is_end_stream() || parts.method == Method::HEAD {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), memory));
     }
-    let read = Limited::new(body, limit).collect();
-    let read = timeout(limits.idle_timeout, read).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
-        Ok(Err(_)) => Err(RefusalReason::BodyBroken),
+    let read = read_counted(&mut body, limits.body_bytes, declared, |bytes| {
+        memory.try_grow(bytes)
+    });
+    match timeout_at(until, read).await {
+        Ok(Ok(bytes)) => Ok((bytes, memory)),
+        Ok(Err(ReadFailure::TooLarge)) => Err(RefusalReason::BodyTooLarge),
+        Ok(Err(ReadFailure::Broken(_))) => Err(RefusalReason::BodyBroken),
+        Ok(Err(ReadFailure::OutOfMemory)) => {
+            tokio::spawn(discard_body(body, until));
+            Err(RefusalReason::OutOfMemory)
+        }
         Err(_) => Err(RefusalReason::BodyTooSlow),
     }
 }
+
+/// Reads the rest of a body without keeping it.
+async fn discard_body(mut body: Incoming, until: ClockInstant) {
+    while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
+}
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -1,6 +1,7 @@
 //! Sends a request to endpoints until one answers or no further attempt is allowed.
 
 use super::super::call_body::{CallBody, whole_body};
+use super::super::counted_body::read_counted;
 use super::super::end_check::{record_interruption, record_stopped};
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
@@ -20,7 +21,7 @@
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -31,6 +32,9 @@
 /// long is lost, overloaded, or behind a dead connection.
 const ANSWER_TIMEOUT_FACTOR: f64 = 1.4;
 
+/// The largest buffer that is allocated for an answer before any of it has arrived.
+const MAX_PREALLOCATED_BYTES: u64 = 1 << 20;
+
 impl AdmittedCall {
     /// Sends the request until an answer can be forwarded.
     ///
@@ -330,24 +334,33 @@
     ) -> Result<Response<CallBody>, AttemptFailure> {
         let JudgedAnswer {
             parts,
-            body,
+            mut body,
             connection,
             head,
             verdict,
             ..
         } = answer;
-        let read = timeout_at(self.deadline(), body.collect()).await;
+        let mut memory = self.answer_memory();
+        let declared = body.size_hint().lower().min(MAX_PREALLOCATED_BYTES);
+        memory.grow(declared);
+        let read = read_counted(&mut body, usize::MAX, declared, |bytes| {
+            memory.grow(bytes);
+            true
+        });
+        let read = timeout_at(self.deadline(), read).await;
         let read = read.map_err(|_| AttemptFailure::broken_off("timed out in the answer", true));
         let read = read.and_then(|read| {
-            read.map_err(|error| AttemptFailure::broken_off(error.to_string(), false))
+            read.map_err(|failure| AttemptFailure::broken_off(failure.to_string(), false))
         });
-        let bytes = read
-            .inspect_err(|_| placement.guard.record(EndpointOutcome::Failed))?
-            .to_bytes();
+        let bytes = read.inspect_err(|_| placement.guard.record(EndpointOutcome::Failed))?;
         if !head.closes_connection {
             connection.keep(head.idle_timeout);
         }
-        let response = forward_answer(parts.status, &parts.headers, whole_body(bytes));
+        let response = forward_answer(
+            parts.status,
+            &parts.headers,
+            whole_body(memory.attach_to(bytes)),
+        );
         if verdict == AnswerVerdict::Failed {
             // An error status is common on some routes and does not mean that the endpoint failed.
             placement.guard.record(EndpointOutcome::Answered);
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -3,6 +3,7 @@
 use super::call::serve_call;
 use super::call_body::CallBody;
 use super::gateway_state::GatewayState;
+use super::memory_guard::MemoryGuard;
 use super::sockets::{has_stream_options, set_stream_options};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
@@ -104,7 +105,13 @@
     /// Accepts connections until the process ends.
     pub(super) async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
-            if self.open() >= self.max_connections() {
+            let has_memory = self
+                .state
+                .with_memory(|memory| memory.accepts_connections());
+            if !has_memory {
+                self.close_surplus();
+            }
+            if !has_memory || self.open() >= self.max_connections() {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
@@ -129,8 +136,10 @@
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
         let connection = Arc::new(ConnectionState::new());
         self.locked().insert(number, connection.clone());
+        let memory = MemoryGuard::connection(&self.state);
         tokio::spawn(async move {
             self.serve(stream, &connection).await;
+            drop(memory);
             self.locked().remove(&number);
         });
     }
@@ -146,7 +155,10 @@
             async move {
                 let stopping = state.clone();
                 let response = serve_call(state, request, caller).await;
-                let ends = stopping.is_stopping() || stopping.is_overloaded() || self.is_crowded();
+                let ends = stopping.is_stopping()
+                    || stopping.is_overloaded()
+                    || stopping.is_short_of_memory()
+                    || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
                 Ok::<_, Infallible>(finish_answer(ends, response, busy))
             }
@@ -163,11 +175,16 @@
         }
     }
 
-    /// Closes the connections that have been idle longest if the limit is nearly reached.
+    /// Closes the connections that have been idle longest if the limit is nearly reached, or if the
+    /// box is short of memory.
     fn close_surplus(&self) {
         let surplus = self
             .open()
             .saturating_sub((self.max_connections() as f64 * FULL_FRACTION) as usize);
+        let surplus = surplus.max(
+            self.state
+                .with_memory(|memory| memory.surplus_connections()),
+        );
         if surplus == 0 {
             return;
         }
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -25,7 +25,6 @@
 const PAUSE_FACTOR: f64 = 4.5;
 /// The upper bound of such a pause, shorter than the timeouts of callers.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
-
 /// The endpoint and connection that a stream is read from.
 pub(super) struct StreamSource {
     pub(super) target: EndpointTarget,
@@ -136,7 +135,9 @@
     async fn next(mut self) -> Option<(Result<Bytes, BrokenAnswer>, Self)> {
         loop {
             if let Some(bytes) = self.ready.take() {
-                return Some((Ok(bytes), self));
+                let mut memory = self.call.answer_memory();
+                memory.grow(bytes.len() as u64);
+                return Some((Ok(memory.attach_to(bytes)), self));
             }
             if self.ended {
                 return self.finish();
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -132,6 +132,18 @@
     Overloaded { lag_ms: u64 },
     /// The overload is over.
     CaughtUp { lag_ms: u64, for_ms: u64 },
+    /// The use of memory has reached the limit from which on workspaces beyond their portion are
+    /// refused; new callers are diverted to other boxes.
+    MemoryShort {
+        used_kb: u64,
+        /// Resident memory of the process, if it can be read.
+        resident_kb: Option<u64>,
+    },
+    /// The box has memory again.
+    MemoryBack {
+        used_kb: u64,
+        resident_kb: Option<u64>,
+    },
     /// A first heartbeat of another box was received.
     BoxSeen { peer: &'a str, domain: &'a str },
     /// The heartbeats of a box have ceased.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -47,6 +47,10 @@
         GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
         "endpoint event under"
     },
+    memory_short = {
+        GatewayEvent::MemoryShort { used_kb: 62_000, resident_kb: Some(60_000) },
+        "event resident_kb used_kb"
+    },
     woke = { GatewayEvent::Woke { away_ms: 2_500 }, "away_ms event" },
     task_panicked = {
         GatewayEvent::TaskPanicked { task: "beats", problem: "p", again_ms: 50 },
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -22,6 +22,7 @@
     connections: IntGauge,
     cold_endpoints: IntGauge,
     evacuated_domains: IntGauge,
+    memory_used: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -89,6 +90,10 @@
                 "dockgate_evacuated_domains",
                 "Failure domains whose endpoints get nothing by order of the operator",
             ),
+            memory_used: gauge(
+                "dockgate_memory_used_bytes",
+                "Memory that this box believes to use, of which it may use 0.8 of its machine's",
+            ),
         }
     }
 
@@ -96,6 +101,8 @@
     pub(super) fn update(&self, state: &GatewayState) {
         let now = now_ms();
         self.connections.set(state.pools.open() as i64);
+        self.memory_used
+            .set(state.with_memory(|memory| memory.use_bytes()) as i64);
         self.config_age_ms.set(state.config_age_ms() as i64);
         self.endpoints_age_ms.set(state.endpoints_age_ms() as i64);
         state.with(|view| {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -6,6 +6,7 @@
 use super::encoded_updates::EncodedUpdates;
 use super::events::{GatewayEvent, log_gateway};
 use super::membership::DigestCache;
+use super::memory_guard::resident_bytes;
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
@@ -16,9 +17,9 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
-    LoadShedder, LoopLag, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
-    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
+    LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate,
+    RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower,
+    StoreProbe, StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -122,6 +123,8 @@
     /// The configuration in force in encoded form, once another box has requested it.
     encoded_config: Mutex<Option<EncodedConfig>>,
     view: Mutex<GatewayView>,
+    /// The memory of the box. Apart from the view, since guards release it on drop.
+    memory: Mutex<MemoryBudget>,
     role: watch::Sender<StoreRole>,
     recoveries: watch::Sender<u64>,
     run_counter: AtomicU32,
@@ -179,12 +182,15 @@
             watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
         };
+        let mut memory = MemoryBudget::new(settings.memory_bytes());
+        memory.record_sample(resident_bytes(), now_ms());
         Self {
             own_key: BoxKey::from_name(&settings.name),
             incarnation: Incarnation(rand::random()),
             table: ArcSwap::default(),
             encoded_config: Mutex::new(None),
             view: Mutex::new(view),
+            memory: Mutex::new(memory),
             role: watch::channel(StoreRole::default()).0,
             recoveries: watch::channel(0).0,
             // A random start avoids reusing recent run numbers after a restart.
@@ -213,6 +219,7 @@
             view.shares
                 .set_window(settings.share_window.as_millis() as u64);
         });
+        self.with_memory(|memory| memory.set_machine(settings.memory_bytes()));
         self.settings
             .store(Arc::new(GatewaySettings { listen, ..settings }));
     }
@@ -287,6 +294,17 @@
         change(&mut view)
     }
 
+    /// Locks the memory budget and passes it to `change`, which must not block.
+    pub(super) fn with_memory<T>(&self, change: impl FnOnce(&mut MemoryBudget) -> T) -> T {
+        let mut memory = self.memory.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut memory)
+    }
+
+    /// Returns whether the box is short of memory, so that other boxes serve callers better.
+    pub(super) fn is_short_of_memory(&self) -> bool {
+        self.with_memory(|memory| memory.diverts_connections(now_ms()))
+    }
+
     /// Puts a configuration in force if it is newer than the current one.
     pub(super) fn apply_routes(&self, config: RouteConfig, source: &str) {
         let (old, new) = (self.table.load().config().version, config.version);
@@ -473,6 +491,7 @@
             let is_busy = view.lag.is_overloaded() || view.shedder.diverts_connections(now_ms());
             view.endpoints.iter().next().is_some() && !is_busy
         });
+        let can_serve = can_serve && !self.is_short_of_memory();
         is_configured && can_serve && !self.is_stopping() && self.is_fresh()
     }
 }
--- /dev/null
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -0,0 +1,102 @@
+//! Counts memory in the budget of the box for as long as it is allocated.
+
+use super::gateway_state::GatewayState;
+use bytes::Bytes;
+use dockgate_core::gateway::MemoryBudget;
+use std::sync::Arc;
+
+/// Returns the resident memory of the process; `None` where the system does not tell it.
+pub(super) fn resident_bytes() -> Option<u64> {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = pages.split_ascii_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as u64)
+}
+
+/// Counts bytes in the memory budget until it is dropped.
+pub(super) struct MemoryGuard {
+    state: Arc<GatewayState>,
+    workspace: Option<u64>,
+    bytes: u64,
+}
+
+impl MemoryGuard {
+    /// Counts an open connection of a caller.
+    pub(super) fn connection(state: &Arc<GatewayState>) -> Self {
+        let bytes = MemoryBudget::CONNECTION_BYTES;
+        state.with_memory(|memory| memory.charge(None, bytes));
+        Self {
+            state: state.clone(),
+            workspace: None,
+            bytes,
+        }
+    }
+
+    /// Counts a request of a workspace and `body` bytes of its body; returns `None` if they do not
+    /// fit.
+    pub(super) fn request(state: &Arc<GatewayState>, workspace: u64, body: u64) -> Option<Self> {
+        let bytes = MemoryBudget::REQUEST_BYTES + body;
+        let fits = state.with_memory(|memory| memory.try_charge(workspace, bytes));
+        fits.then(|| Self {
+            state: state.clone(),
+            workspace: Some(workspace),
+            bytes,
+        })
+    }
+
+    /// Counts further bytes; returns whether they fit.
+    pub(super) fn try_grow(&mut self, bytes: u64) -> bool {
+        let Some(workspace) = self.workspace else {
+            return false;
+        };
+        let fits = self
+            .state
+            .with_memory(|memory| memory.try_charge(workspace, bytes));
+        if fits {
+            self.bytes += bytes;
+        }
+        fits
+    }
+
+    /// Creates a guard for bytes of an answer to a workspace.
+    pub(super) fn answer(state: &Arc<GatewayState>, workspace: u64) -> Self {
+        Self {
+            state: state.clone(),
+            workspace: Some(workspace),
+            bytes: 0,
+        }
+    }
+
+    /// Counts further bytes, whether or not they fit.
+    pub(super) fn grow(&mut self, bytes: u64) {
+        self.state
+            .with_memory(|memory| memory.charge(self.workspace, bytes));
+        self.bytes += bytes;
+    }
+
+    /// Returns bytes that stay counted until they were written to their reader.
+    pub(super) fn attach_to(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(CountedBytes {
+            bytes,
+            _memory: self,
+        })
+    }
+}
+
+impl Drop for MemoryGuard {
+    fn drop(&mut self) {
+        self.state
+            .with_memory(|memory| memory.release(self.workspace, self.bytes));
+    }
+}
+
+/// Bytes that are counted until the last slice of them is dropped.
+struct CountedBytes {
+    bytes: Bytes,
+    _memory: MemoryGuard,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/dockgate/src/gateway/overload.rs
+++ b/dockgate/src/gateway/overload.rs
@@ -2,9 +2,10 @@
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
+use super::memory_guard::resident_bytes;
 use super::suspension;
 use crate::clock::{ClockInstant, now_ms};
-use dockgate_core::gateway::{LagChange, LoadShedder};
+use dockgate_core::gateway::{LagChange, LoadShedder, MemoryChange};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -35,6 +36,31 @@
     }
 }
 
+/// Samples the resident memory of the process, if the memory of the box is limited, and logs when
+/// the box begins or ceases to be short of it.
+fn record_memory(state: &GatewayState) {
+    if !state.with_memory(|memory| memory.is_limited()) {
+        return;
+    }
+    let resident = resident_bytes();
+    let (change, used) = state.with_memory(|memory| {
+        let change = memory.record_sample(resident, now_ms());
+        (change, memory.use_bytes())
+    });
+    let (used_kb, resident_kb) = (used >> 10, resident.map(|bytes| bytes >> 10));
+    match change {
+        MemoryChange::None => {}
+        MemoryChange::Short => log_gateway(&GatewayEvent::MemoryShort {
+            used_kb,
+            resident_kb,
+        }),
+        MemoryChange::Back => log_gateway(&GatewayEvent::MemoryBack {
+            used_kb,
+            resident_kb,
+        }),
+    }
+}
+
 /// Measures how late a timer fires, until the process ends.
 ///
 /// All tasks run on one thread, so ready tasks are delayed as long as the timer.
@@ -54,6 +80,7 @@
             let change = view.lag.record(late_ms, now);
             (change, view.lag.lag_ms())
         });
+        record_memory(&state);
         match change {
             LagChange::None => {}
             LagChange::Overloaded => log_gateway(&GatewayEvent::Overloaded { lag_ms }),
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -29,6 +29,8 @@
     Overloaded,
     /// This box is overloaded, and new connections of its callers are diverted to other boxes.
     Diverted,
+    /// This box has no memory for the request.
+    OutOfMemory,
     /// The service has no endpoint that accepts requests.
     NoEndpoint,
     /// No engine is predicted to send a first event in time.
@@ -69,6 +71,7 @@
             Self::Stopping => "stopping",
             Self::Overloaded => "overloaded",
             Self::Diverted => "sent_elsewhere",
+            Self::OutOfMemory => "out_of_memory",
             Self::NoEndpoint => "no_endpoint",
             Self::WouldBeLate => "would_be_late",
             Self::BeyondShare => "beyond_share",
@@ -97,6 +100,7 @@
             | Self::Stopping
             | Self::Overloaded
             | Self::Diverted
+            | Self::OutOfMemory
             | Self::NoEndpoint
             | Self::WouldBeLate
             | Self::EndpointsFull
@@ -131,7 +135,8 @@
     *response.headers_mut() = encode_refusal(id, retry_after);
     let plain = HeaderValue::from_static("text/plain");
     response.headers_mut().insert(header::CONTENT_TYPE, plain);
-    if reason == RefusalReason::Diverted {
+    // A caller whose connection is closed may reach another box, and its memory is released.
+    if matches!(reason, RefusalReason::Diverted | RefusalReason::OutOfMemory) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -12,6 +12,7 @@
 const NUMBER: &str = "a number of at least 0";
 const AT_LEAST_ONE: &str = "a number of at least 1";
 const PROCESSOR: &str = "a fraction of a core above 0";
+const BYTES_PER_MB: f64 = (1 << 20) as f64;
 const SECTION: &str = "gateway";
 const SECTIONS: [&str; 5] = ["box", "listen", "platform", SECTION, "admission"];
 
@@ -39,6 +40,9 @@
     pub(crate) domain: String,
     /// CPU share of the box, in thousandths of a core.
     pub(crate) processor: u32,
+    /// Memory of the box in MB, if it is limited.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) memory_mb: Option<f64>,
     /// Addresses to listen on.
     pub(crate) listen: GatewayListen,
     /// Address of the platform's store.
@@ -71,6 +75,11 @@
 }
 
 impl GatewaySettings {
+    /// Returns the memory of the box in bytes, if it is limited.
+    pub(crate) fn memory_bytes(&self) -> Option<u64> {
+        self.memory_mb.map(|mb| (mb * BYTES_PER_MB) as u64)
+    }
+
     /// Returns the retry budget of the fleet.
     pub(crate) const fn retry_rule(&self) -> RetryRule {
         RetryRule {
@@ -162,6 +171,8 @@
     let name = identity.take_required("name", "the box's name");
     let domain = identity.take_required("domain", "the box's failure domain");
     let processor = identity.take_checked("processor", 1.0, PROCESSOR, |fraction| *fraction > 0.0);
+    let memory_mb =
+        identity.take_checked("memory_mb", f64::INFINITY, AT_LEAST_ONE, |mb| *mb >= 1.0);
     let mut take_address = |key: &str| listen.take_required::<SocketAddr>(key, ADDRESS);
     let callers = take_address("callers");
     let readiness = take_address("readiness");
@@ -186,6 +197,7 @@
         name: name?,
         domain: domain?,
         processor: (processor * 1_000.0) as u32,
+        memory_mb: Some(memory_mb).filter(|mb| mb.is_finite()),
         listen: GatewayListen {
             callers: callers?,
             readiness: readiness?,
--- a/dockgate/src/gateway/settings/tests.rs
+++ b/dockgate/src/gateway/settings/tests.rs
@@ -24,6 +24,7 @@
     let settings = parse_settings("f.ini", TEXT).unwrap();
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.retry_slack, 52.0);
+    assert_eq!(settings.memory_bytes(), None);
     assert_eq!(
         (settings.warmup_overshoot, settings.warmup_slack),
         (1.5, 5.0)
@@ -37,9 +38,11 @@
     let text = TEXT
         .replace("name = a1\n", "")
         .replace("retry_slack = 52", "retry_slack = -1")
-        .replace("warmup_overshoot = 1.5", "warmup_overshoot = 0.5");
+        .replace("warmup_overshoot = 1.5", "warmup_overshoot = 0.5")
+        .replace("domain = a\n", "domain = a\nmemory_mb = 0\n");
     let problems = parse_settings("f.ini", &text).unwrap_err().to_string();
     assert!(problems.contains("lacks name"), "{problems}");
     assert!(problems.contains("retry_slack = -1"), "{problems}");
+    assert!(problems.contains("memory_mb = 0"), "{problems}");
     assert!(problems.contains("warmup_overshoot = 0.5"), "{problems}");
 }
