perf: streams release bodies that no further attempt can use

Cause: the body of a request is kept until its answer ends, also where the route allows no further attempt, and the future of a stream has room for its rare resumption.

Change: once the answer of a request that may not be sent again has begun, a body of 1 kB or more is released and its fingerprint kept. The future that resumes a stream is boxed. Only refusals for memory name their route and workspace, so that other lines are as before.

--- a/dockgate-bench/tests/memory_budget.rs
+++ b/dockgate-bench/tests/memory_budget.rs
@@ -1,10 +1,16 @@
 //! A flood from one workspace at a real daemon whose machine has little memory.
 
 use bytes::Bytes;
-use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
-use dockgate_bench::standin::caller::{connect, connect_within, request, request_with_body, text};
+use dockgate_bench::gateway_fleet::{
+    GatewayFleet, GatewayProcess, KEYS, route_config, start_fleet, wait_until,
+};
+use dockgate_bench::standin::EndpointBehavior;
+use dockgate_bench::standin::caller::{
+    call, connect, connect_within, request, request_with_body, text,
+};
 use futures::future::join_all;
 use http::StatusCode;
+use http_body_util::BodyExt;
 use std::fmt::Write as _;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -129,3 +135,34 @@
     .await;
     assert!(gateway.logged().contains("memory_short"));
 }
+
+/// Sends a stream until an event with its fingerprint is logged; returns the fingerprint. An endpoint
+/// that failed before is not used at once.
+async fn logged_print(gateway: &GatewayProcess, event: &str) -> String {
+    let event = format!(r#""event":"{event}""#);
+    wait_until(&event, async || {
+        let body = Bytes::from(vec![b'x'; 2_000]);
+        let request = request_with_body("/draft/x", "r1", Some(9), body);
+        let response = call(gateway, request).await;
+        // A stream that is broken off has no complete body.
+        let _ = response.into_body().collect().await;
+        gateway.logged().contains(&event)
+    })
+    .await;
+    let log = gateway.logged();
+    let line = log.lines().find(|line| line.contains(&event)).unwrap();
+    let print = line.split_once(r#""print":""#).unwrap().1;
+    print.split_once('"').unwrap().0.to_owned()
+}
+
+/// Guards against another fingerprint of a request whose body was released: quarantine would not
+/// find it.
+#[tokio::test]
+async fn fingerprint_is_the_same_after_the_body_is_released() {
+    let fleet = start_fleet(1, &["model"]).await;
+    fleet.endpoints[0].set_behavior(EndpointBehavior::CutsAfter(2));
+    let released = logged_print(&fleet.gateways[0], "broken_off").await;
+    fleet.endpoints[0].set_behavior(EndpointBehavior::Loses);
+    let kept = logged_print(&fleet.gateways[0], "send_failed").await;
+    assert_eq!(released, kept);
+}
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -15,15 +15,16 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RouteKey, RouteSpec,
-    RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef, name_hash,
+    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RequestFingerprint,
+    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef,
+    name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Retry delay from a box that has no configuration or no endpoints, or is short of processor: by
@@ -37,6 +38,10 @@
 /// Retry delay from a box that is about to stop: the caller should use another box at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// The least size of a body that is released before its request has ended. For a smaller one, it is
+/// not worth computing its fingerprint.
+const MIN_RELEASED_BYTES: usize = 1 << 10;
+
 /// A request that is rejected before it is placed.
 pub(super) struct RejectedRequest {
     /// The request id, or empty if its head could not be decoded.
@@ -66,6 +71,15 @@
     pub(in super::super) trail: AttemptTrail,
 }
 
+/// The body of a request, until it is released.
+struct RequestBody {
+    bytes: Bytes,
+    /// The fingerprint of the request, once the body is released.
+    released: Option<RequestFingerprint>,
+    /// Counts the request and its body in the memory budget.
+    memory: MemoryGuard,
+}
+
 /// A request whose body was read and whose route was found.
 pub(in super::super) struct AdmittedCall {
     /// The state of the gateway.
@@ -77,13 +91,11 @@
     pub(in super::super) method: Method,
     /// The path and query.
     pub(in super::super) uri: Uri,
-    pub(in super::super) body: Bytes,
     /// Whether the caller is still connected.
     pub(in super::super) caller: DisconnectMonitor,
     /// How far the request has progressed.
     pub(in super::super) progress: CallProgress,
-    /// Counts the request and its body in the memory budget.
-    _memory: MemoryGuard,
+    body: Mutex<RequestBody>,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -116,6 +128,43 @@
         self.table.config().version
     }
 
+    fn locked_body(&self) -> MutexGuard<'_, RequestBody> {
+        self.body.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the body; empty once it is released.
+    pub(super) fn body(&self) -> Bytes {
+        self.locked_body().bytes.clone()
+    }
+
+    /// Returns the fingerprint, which does not depend on the request id.
+    ///
+    /// It is computed on demand, since most requests never need it.
+    pub(in super::super) fn fingerprint(&self) -> RequestFingerprint {
+        let body = self.locked_body();
+        body.released
+            .unwrap_or_else(|| self.fingerprint_with(&body.bytes))
+    }
+
+    fn fingerprint_with(&self, body: &[u8]) -> RequestFingerprint {
+        let (workspace, host) = (self.workspace_name(), &self.head.host);
+        fingerprint_of(workspace, &self.method, host, &self.uri, body)
+    }
+
+    /// Releases the body of a request whose answer has begun, if it may not be sent again.
+    pub(in super::super) fn release_unneeded_body(&self, attempts: &CallAttempts) {
+        if self.may_send_again(attempts) {
+            return;
+        }
+        let mut body = self.locked_body();
+        let length = body.bytes.len();
+        if length >= MIN_RELEASED_BYTES && body.released.is_none() {
+            body.released = Some(self.fingerprint_with(&body.bytes));
+            body.bytes = Bytes::new();
+            body.memory.shrink(length as u64);
+        }
+    }
+
     /// Creates a guard that counts bytes of an answer in the memory budget.
     pub(in super::super) fn answer_memory(&self) -> MemoryGuard {
         MemoryGuard::answer(&self.state, name_hash(self.workspace_name()))
@@ -213,16 +262,13 @@
     let name = workspace_name(&table, workspace);
     let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits)
         .await
-        .map_err(|reason| {
-            let refusal = match reason {
-                RefusalReason::OutOfMemory => refuse_for_memory(&state),
-                reason => reason.into(),
-            };
-            RejectedRequest {
+        .map_err(|reason| match reason {
+            RefusalReason::OutOfMemory => RejectedRequest {
                 route: table.route(route).name.clone(),
                 workspace: name.to_owned(),
-                ..rejected(&head.id, refusal)
-            }
+                ..rejected(&head.id, refuse_for_memory(&state))
+            },
+            reason => rejected(&head.id, reason.into()),
         })?;
     // These checks follow the body: an answer that leaves a body unread may be lost when the
     // connection is closed.
@@ -261,11 +307,14 @@
         headers: copy_headers(&parts.headers),
         method: parts.method,
         uri,
-        body,
+        body: Mutex::new(RequestBody {
+            bytes: body,
+            released: None,
+            memory,
+        }),
         head,
         caller,
         progress: CallProgress::default(),
-        _memory: memory,
         table,
         route,
         service,
--- a/dockgate/src/gateway/call/quarantine_check.rs
+++ b/dockgate/src/gateway/call/quarantine_check.rs
@@ -3,21 +3,11 @@
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
 use super::super::{quarantine, quarantine_store};
-use super::{AdmittedCall, CallRefusal};
+use super::CallRefusal;
 use crate::clock::now_ms;
 use dockgate_core::gateway::{FingerprintInput, RequestFingerprint};
 use http::{Method, Uri};
 
-impl AdmittedCall {
-    /// Returns the fingerprint, which does not depend on the request id.
-    ///
-    /// It is computed on demand, since most requests never need it.
-    pub(in super::super) fn fingerprint(&self) -> RequestFingerprint {
-        let (workspace, host) = (self.workspace_name(), &self.head.host);
-        fingerprint_of(workspace, &self.method, host, &self.uri, &self.body)
-    }
-}
-
 /// Returns the fingerprint of a request, which does not depend on its id.
 pub(super) fn fingerprint_of(
     workspace: &str,
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -87,7 +87,7 @@
             let may_retry = unreached < MAX_UNREACHED && !self.time_left().is_zero();
             return state.retry_verdict(repeatable, may_retry);
         }
-        let allowed = attempts.sent < self.route().attempts
+        let allowed = self.has_attempts_left(attempts)
             && !self.time_left().is_zero()
             && quarantine::find_quarantine(&self.state, || self.fingerprint()).is_none();
         // The retry budget is checked last, so that it is charged only for actual retries.
@@ -103,6 +103,15 @@
         state.retry_verdict(repeatable, may_retry)
     }
 
+    fn has_attempts_left(&self, attempts: &CallAttempts) -> bool {
+        attempts.sent < self.route().attempts
+    }
+
+    /// Returns whether a request whose answer has begun may be sent to another endpoint.
+    pub(super) fn may_send_again(&self, attempts: &CallAttempts) -> bool {
+        self.route().may_repeat() && self.has_attempts_left(attempts)
+    }
+
     /// Returns the refusal for a request whose last attempt ended in `state`.
     fn refusal_after(
         &self,
@@ -153,7 +162,7 @@
             workspace,
             last_event: last_event.or(self.head.last_event),
         };
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = encode_send(&self.headers, &head);
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -110,6 +110,7 @@
                 self.ready = Some(bytes);
                 self.call.progress.record_answer();
                 self.first_event_age = self.call.age();
+                self.call.release_unneeded_body(&self.attempts);
                 Ok(())
             }
             StreamStep::End => {
@@ -154,7 +155,8 @@
                 StreamStep::Events(bytes) => self.ready = Some(self.read_ready(bytes).await),
                 StreamStep::End => self.ended = true,
                 StreamStep::Lost(problem) => {
-                    if let Err(broken) = self.fail_over(problem).await {
+                    // Boxed, as the stream would hold room for this rare future all its life.
+                    if let Err(broken) = Box::pin(self.fail_over(problem)).await {
                         self.ended = true;
                         self.source = None;
                         return Some((Err(broken), self));
@@ -284,6 +286,7 @@
                     problem,
                 });
                 self.source = Some(source);
+                self.call.release_unneeded_body(&self.attempts);
                 return Ok(());
             }
             Err(reason) => reason,
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -73,6 +73,14 @@
         self.bytes += bytes;
     }
 
+    /// Releases a part of the counted bytes.
+    pub(super) fn shrink(&mut self, bytes: u64) {
+        let bytes = bytes.min(self.bytes);
+        self.state
+            .with_memory(|memory| memory.release(self.workspace, bytes));
+        self.bytes -= bytes;
+    }
+
     /// Returns bytes that stay counted until they were written to their reader.
     pub(super) fn attach_to(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(CountedBytes {
