--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -1,27 +1,30 @@
 //! Reads a request and resolves its route, service, workspace and deadline.
 
+use super::super::counted_body::{ReadFailure, read_counted};
 use super::super::events::{GatewayEvent, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
+use super::super::memory_guard::MemoryGuard;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
 use super::quarantine_check::{check_quarantine, fingerprint_of};
-use crate::clock::{ClockInstant, now_ms, timeout};
+use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::shared_stream::DisconnectMonitor;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RouteKey, RouteSpec,
-    RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef, name_hash,
+    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RequestFingerprint,
+    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef,
+    name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
-use http::{HeaderMap, Method, Request, Uri};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// Retry delay from a box that has no configuration or no endpoints, or is short of processor: by
@@ -35,6 +38,10 @@
 /// Retry delay from a box that is about to stop: the caller should use another box at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
+/// The least size of a body that is released before its request has ended. For a smaller one, it is
+/// not worth computing its fingerprint.
+const MIN_RELEASED_BYTES: usize = 1 << 10;
+
 /// A request that is rejected before it is placed.
 pub(super) struct RejectedRequest {
     /// The request id, or empty if its head could not be decoded.
@@ -64,6 +71,15 @@
     pub(in super::super) trail: AttemptTrail,
 }
 
+/// The body of a request, until it is released.
+struct RequestBody {
+    bytes: Bytes,
+    /// The fingerprint of the request, once the body is released.
+    released: Option<RequestFingerprint>,
+    /// Counts the request and its body in the memory budget.
+    memory: MemoryGuard,
+}
+
 /// A request whose body was read and whose route was found.
 pub(in super::super) struct AdmittedCall {
     /// The state of the gateway.
@@ -75,11 +91,11 @@
     pub(in super::super) method: Method,
     /// The path and query.
     pub(in super::super) uri: Uri,
-    pub(in super::super) body: Bytes,
     /// Whether the caller is still connected.
     pub(in super::super) caller: DisconnectMonitor,
     /// How far the request has progressed.
     pub(in super::super) progress: CallProgress,
+    body: Mutex<RequestBody>,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -112,6 +128,48 @@
         self.table.config().version
     }
 
+    fn locked_body(&self) -> MutexGuard<'_, RequestBody> {
+        self.body.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the body; empty once it is released.
+    pub(super) fn body(&self) -> Bytes {
+        self.locked_body().bytes.clone()
+    }
+
+    /// Returns the fingerprint, which does not depend on the request id.
+    ///
+    /// It is computed on demand, since most requests never need it.
+    pub(in super::super) fn fingerprint(&self) -> RequestFingerprint {
+        let body = self.locked_body();
+        body.released
+            .unwrap_or_else(|| self.fingerprint_with(&body.bytes))
+    }
+
+    fn fingerprint_with(&self, body: &[u8]) -> RequestFingerprint {
+        let (workspace, host) = (self.workspace_name(), &self.head.host);
+        fingerprint_of(workspace, &self.method, host, &self.uri, body)
+    }
+
+    /// Releases the body of a request whose answer has begun, if it may not be sent again.
+    pub(in super::super) fn release_unneeded_body(&self, attempts: &CallAttempts) {
+        if self.may_send_again(attempts) {
+            return;
+        }
+        let mut body = self.locked_body();
+        let length = body.bytes.len();
+        if length >= MIN_RELEASED_BYTES && body.released.is_none() {
+            body.released = Some(self.fingerprint_with(&body.bytes));
+            body.bytes = Bytes::new();
+            body.memory.shrink(length as u64);
+        }
+    }
+
+    /// Creates a guard that counts bytes of an answer in the memory budget.
+    pub(in super::super) fn answer_memory(&self) -> MemoryGuard {
+        MemoryGuard::answer(&self.state, name_hash(self.workspace_name()))
+    }
+
     /// Returns the time since the request arrived.
     pub(in super::super) fn age(&self) -> Duration {
         self.arrived.elapsed()
@@ -195,19 +253,27 @@
         .map_err(|problem| rejected("", RefusalReason::BadHead(problem).into()))?;
     let found = find_route(&state, &table, &head, &parts.uri)
         .map_err(|refusal| rejected(&head.id, refusal))?;
-    let body = read_body(body, &parts, &table.config().limits)
-        .await
-        .map_err(|reason| rejected(&head.id, reason.into()))?;
     let FoundRoute {
         route,
         service,
         workspace,
     } = found;
+    let limits = &table.config().limits;
+    let name = workspace_name(&table, workspace);
+    let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits)
+        .await
+        .map_err(|reason| match reason {
+            RefusalReason::OutOfMemory => RejectedRequest {
+                route: table.route(route).name.clone(),
+                workspace: name.to_owned(),
+                ..rejected(&head.id, refuse_for_memory(&state))
+            },
+            reason => rejected(&head.id, reason.into()),
+        })?;
     // These checks follow the body: an answer that leaves a body unread may be lost when the
     // connection is closed.
     let route_spec = table.route(route);
     let objective_ms = route_spec.objective.as_millis() as u64;
-    let name = workspace_name(&table, workspace);
     let rejected_on_route = |refusal: CallRefusal| RejectedRequest {
         route: route_spec.name.clone(),
         workspace: name.to_owned(),
@@ -238,10 +304,14 @@
         state,
         deadline: arrived + budget,
         arrived,
-        headers: parts.headers,
+        headers: copy_headers(&parts.headers),
         method: parts.method,
         uri,
-        body,
+        body: Mutex::new(RequestBody {
+            bytes: body,
+            released: None,
+            memory,
+        }),
         head,
         caller,
         progress: CallProgress::default(),
@@ -345,25 +415,63 @@
     (route.objective + generation).min(budget)
 }
 
+/// Copies headers into one buffer of their size; as received, they keep the whole read buffer of
+/// the connection for the life of the request.
+fn copy_headers(headers: &HeaderMap) -> HeaderMap {
+    let values = headers.values().map(HeaderValue::as_bytes);
+    let mut buffer = Bytes::from(values.collect::<Vec<&[u8]>>().concat());
+    let copy_value = |(name, value): (&HeaderName, &HeaderValue)| {
+        let copied = HeaderValue::from_maybe_shared(buffer.split_to(value.len()));
+        (name.clone(), copied.unwrap_or_else(|_| value.clone()))
+    };
+    headers.iter().map(copy_value).collect()
+}
+
+/// Returns the refusal of a request for which the box has no memory.
+fn refuse_for_memory(state: &GatewayState) -> CallRefusal {
+    let after = state.with(|view| view.shedder.retry_after(rand::random()));
+    CallRefusal::with_retry(RefusalReason::OutOfMemory, after)
+}
+
+/// Reads the body of a request, and counts the request in the memory budget.
+///
+/// A body for which the box has no memory is discarded as it arrives: an answer that leaves it
+/// unread may be lost when the connection is closed, and it would stay in the socket.
 async fn read_body(
-    body: Incoming,
+    state: &Arc<GatewayState>,
+    workspace: u64,
+    mut body: Incoming,
     parts: &Parts,
     limits: &GatewayLimits,
-) -> Result<Bytes, RefusalReason> {
-    let limit = limits.body_bytes;
+) -> Result<(Bytes, MemoryGuard), RefusalReason> {
     let declared = body.size_hint().lower();
-    if declared > limit as u64 {
+    if declared > limits.body_bytes as u64 {
         return Err(RefusalReason::BodyTooLarge);
     }
+    let until = ClockInstant::now() + limits.idle_timeout;
+    let Some(mut memory) = MemoryGuard::request(state, workspace, declared) else {
+        tokio::spawn(discard_body(body, until));
+        return Err(RefusalReason::OutOfMemory);
+    };
     if body.is_end_stream() || parts.method == Method::HEAD {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), memory));
     }
-    let read = Limited::new(body, limit).collect();
-    let read = timeout(limits.idle_timeout, read).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::BodyTooLarge),
-        Ok(Err(_)) => Err(RefusalReason::BodyBroken),
+    let read = read_counted(&mut body, limits.body_bytes, declared, |bytes| {
+        memory.try_grow(bytes)
+    });
+    match timeout_at(until, read).await {
+        Ok(Ok(bytes)) => Ok((bytes, memory)),
+        Ok(Err(ReadFailure::TooLarge)) => Err(RefusalReason::BodyTooLarge),
+        Ok(Err(ReadFailure::Broken(_))) => Err(RefusalReason::BodyBroken),
+        Ok(Err(ReadFailure::OutOfMemory)) => {
+            tokio::spawn(discard_body(body, until));
+            Err(RefusalReason::OutOfMemory)
+        }
         Err(_) => Err(RefusalReason::BodyTooSlow),
     }
 }
+
+/// Reads the rest of a body without keeping it.
+async fn discard_body(mut body: Incoming, until: ClockInstant) {
+    while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
+}
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -25,6 +25,9 @@
 const PAUSE_FACTOR: f64 = 4.5;
 /// The upper bound of such a pause, shorter than the timeouts of callers.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+/// The number of bytes from which on no further events are added to a write, so that little is
+/// buffered for a slow reader.
+const MAX_WRITE_BYTES: usize = 16 << 10;
 
 /// The endpoint and connection that a stream is read from.
 pub(super) struct StreamSource {
@@ -107,6 +110,7 @@
                 self.ready = Some(bytes);
                 self.call.progress.record_answer();
                 self.first_event_age = self.call.age();
+                self.call.release_unneeded_body(&self.attempts);
                 Ok(())
             }
             StreamStep::End => {
@@ -136,7 +140,9 @@
     async fn next(mut self) -> Option<(Result<Bytes, BrokenAnswer>, Self)> {
         loop {
             if let Some(bytes) = self.ready.take() {
-                return Some((Ok(bytes), self));
+                let mut memory = self.call.answer_memory();
+                memory.grow(bytes.len() as u64);
+                return Some((Ok(memory.attach_to(bytes)), self));
             }
             if self.ended {
                 return self.finish();
@@ -149,7 +155,8 @@
                 StreamStep::Events(bytes) => self.ready = Some(self.read_ready(bytes).await),
                 StreamStep::End => self.ended = true,
                 StreamStep::Lost(problem) => {
-                    if let Err(broken) = self.fail_over(problem).await {
+                    // Boxed, as the stream would hold room for this rare future all its life.
+                    if let Err(broken) = Box::pin(self.fail_over(problem)).await {
                         self.ended = true;
                         self.source = None;
                         return Some((Err(broken), self));
@@ -205,7 +212,7 @@
     /// system call. A step that follows them is kept in `pending_step`.
     async fn read_ready(&mut self, first: Bytes) -> Bytes {
         let mut bytes = BytesMut::from(first);
-        while self.pending_step.is_none() {
+        while self.pending_step.is_none() && bytes.len() < MAX_WRITE_BYTES {
             let Some(source) = self.source.as_mut() else {
                 break;
             };
@@ -279,6 +286,7 @@
                     problem,
                 });
                 self.source = Some(source);
+                self.call.release_unneeded_body(&self.attempts);
                 return Ok(());
             }
             Err(reason) => reason,
