feat: requests wait at the owner of a full endpoint in a bounded queue

Cause: a burst that exceeds the capacity of the endpoints for a fraction of an objective is refused, and its callers return after a delay, while slots become free much earlier.

Change: where the conditions of the fleet name `pressure`, a request that all endpoints declined for lack of capacity is offered to the queue of the one with the shortest predicted wait (message `wait`, a new last variant). The queue (`wait_queue.rs`) orders by priority, share and latest useful start, and holds at most as many requests as the endpoint has slots. A request waits only if its predicted wait is within the time that it can spend, and is refused within a quarter of its objective, 60 ms for a silent owner included. Without the word no request waits, and no message is sent.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -58,6 +58,7 @@
 mod store_revision;
 mod store_search;
 mod suspect_registry;
+mod wait_queue;
 mod warmup_limit;
 mod warmup_tracker;
 mod watch_check;
@@ -113,6 +114,9 @@
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
+pub use wait_queue::{
+    WaitBudget, WaitOffer, WaitOutcome, WaitQueue, WaitRank, WaitTerms, WaitingRequest,
+};
 pub use warmup_limit::WarmupLimit;
 pub use warmup_tracker::WarmupTracker;
 pub use watch_check::WatchCheck;
--- a/dockgate-core/src/gateway/admission_rule.rs
+++ b/dockgate-core/src/gateway/admission_rule.rs
@@ -6,7 +6,7 @@
 
 use super::engine_load::EngineLoad;
 use super::engine_registry::AdmissionRequest;
-use super::prefill_model::PrefillModel;
+use super::prefill_model::{PrefillModel, PrefillWork};
 use super::share_level::ShareLevel;
 use serde::{Deserialize, Serialize};
 
@@ -135,6 +135,32 @@
         }
     }
 
+    /// Returns how long an engine with this backlog declines a prompt, in milliseconds.
+    ///
+    /// Returns `None` if it would decline the prompt even without a backlog. The backlog of an
+    /// engine shrinks by one millisecond in each, and the limit is that of a prompt that has just
+    /// arrived.
+    pub fn wait_ms(
+        &self,
+        model: &PrefillModel,
+        work: PrefillWork,
+        request: &AdmissionRequest,
+        backlog_ms: f64,
+    ) -> Option<f64> {
+        let prefill_ms = model.prefill_ms(work);
+        let limit_ms = self.limit_ms(model, request);
+        let long_wait_ms = request.strictest_objective_ms() * self.long_prompt_fraction;
+        let is_long = prefill_ms > limit_ms - long_wait_ms;
+        let share_limit_ms = limit_ms * self.share_fraction(request.level);
+        let regular_ms =
+            (limit_ms - prefill_ms).min(share_limit_ms - prefill_ms * self.own_prefill_weight);
+        let allowed_ms = match is_long && !request.level.is_beyond() {
+            true => regular_ms.max(long_wait_ms),
+            false => regular_ms,
+        };
+        (allowed_ms >= 0.0).then(|| (backlog_ms - allowed_ms).max(0.0))
+    }
+
     /// Declines a prompt of a workspace beyond its share without a request to the engine's owner.
     ///
     /// Returns the minimum time to the first event in milliseconds, or `None` if the engine's
@@ -169,6 +195,11 @@
         is_declined.then_some(fastest.fixed_ms() + prefill_ms)
     }
 
+    /// Returns whether slots and memory of an engine of this box allow one more prompt.
+    pub fn has_room_for(&self, load: &EngineLoad, request: &AdmissionRequest) -> bool {
+        self.has_room(load, request, 1.0)
+    }
+
     /// Returns whether slots and memory allow one more prompt; a prompt of any size may run alone.
     fn has_room(&self, load: &EngineLoad, request: &AdmissionRequest, senders: f64) -> bool {
         let spec = load.spec();
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -365,6 +365,13 @@
     pub fn workspace(&self, key: WorkspaceRef) -> &WorkspaceKeys {
         &self.config.workspaces[key.0]
     }
+
+    /// Returns the priority of requests: that of the workspace if it has one, or else that of the
+    /// route.
+    pub fn priority(&self, route: RouteKey, workspace: Option<WorkspaceRef>) -> u8 {
+        let own = workspace.and_then(|workspace| self.workspace(workspace).priority);
+        own.unwrap_or(self.route(route).priority)
+    }
 }
 
 fn shortest_objective_of(routes: &[RouteSpec], service: &str) -> Option<Duration> {
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -7,6 +7,7 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EvacuationOrder,
     FleetDigest, PrefillSpeed, PromptPart, RouteConfig, StoreRevision, SuspectReport, UsageRow,
+    WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::{Deserialize, Serialize};
@@ -152,6 +153,18 @@
         /// The events of these requests.
         rows: Vec<SuspectReport>,
     },
+    /// Entry to owner: requests a slot at the endpoint, for which the request may wait. The answer
+    /// is a verdict, at once or when the wait ends; `Ended` withdraws the request.
+    WaitRequest {
+        /// The number of the run at the entry.
+        run: u32,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The prompt.
+        request: AdmissionRequest,
+        /// The priority and the longest wait.
+        terms: WaitTerms,
+    },
 }
 
 impl GatewayMessage {
@@ -168,6 +181,7 @@
             Self::Ended { .. } => "ended",
             Self::EndpointLeaving { .. } => "leaves",
             Self::Suspects { .. } => "suspects",
+            Self::WaitRequest { .. } => "wait",
         }
     }
 }
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -9,6 +9,7 @@
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxReport, BoxStatus, BoxSummary,
     DigestScope, EndpointId, FleetDigest, PrefillSpeed, PromptPart, QuarantineStage,
     RequestFingerprint, ShareLevel, StoreRevision, SuspectEvent, SuspectReport, UsageRow,
+    WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage};
@@ -212,6 +213,15 @@
                 suspect(3, SuspectEvent::Quarantine(stage)),
             ],
         },
+        GatewayMessage::WaitRequest {
+            run,
+            endpoint,
+            request: request(),
+            terms: WaitTerms {
+                priority: 2,
+                wait_ms: 130,
+            },
+        },
     ]
 }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -42,6 +42,8 @@
 mod suspension;
 mod tracked_io;
 mod upstream;
+mod wait_queues;
+mod wait_window;
 mod warmup_grants;
 mod workspace_report;
 
@@ -143,6 +145,7 @@
     spawn_with_state(state, "beats", membership::send_heartbeats);
     spawn_with_state(state, "lag", overload::watch_lag);
     spawn_with_state(state, "domains", domain_watch::watch_domains);
+    spawn_with_state(state, "waits", wait_queues::process_queues);
     for (name, kind) in [
         ("configurations of others", StateKind::Config),
         ("endpoints of others", StateKind::Endpoints),
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -5,6 +5,7 @@
 use super::super::gateway_state::GatewayState;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
+use super::super::wait_window::WaitWindow;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
 use super::quarantine_check::{check_quarantine, fingerprint_of};
@@ -131,6 +132,17 @@
         self.route().objective.saturating_sub(self.age())
     }
 
+    /// Returns the time in which the request may wait for capacity; `None` if the fleet is not
+    /// contended, or for a resumed stream, whose caller already reads events.
+    pub(super) fn wait_window(&self, resumed: bool) -> Option<WaitWindow> {
+        let may_wait = self.state.settings().conditions.contended && !resumed;
+        may_wait.then(|| WaitWindow {
+            arrived: self.arrived,
+            objective: self.route().objective,
+            priority: self.table.priority(self.route, self.workspace),
+        })
+    }
+
     /// Returns the admission request for an engine, if the request has a prompt.
     pub(in super::super) fn admission_request(&self) -> Option<AdmissionRequest> {
         let prompt = self.head.prompt.as_ref()?;
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -56,6 +56,7 @@
                     tried: &attempts.endpoints,
                     resumed,
                     level: self.share_level(request.workspace, units),
+                    wait: self.wait_window(resumed),
                 };
                 let request = request.level(query.level);
                 let found = find_engine(&self.state, query, &request).await;
@@ -74,11 +75,11 @@
                     decided_by: found.decided_by,
                 })
             }
-            _ => self.place_plain(attempts).await,
+            _ => self.place_plain(attempts, self.wait_window(resumed)).await,
         }
     }
 
-    fn share_level(&self, workspace: u64, units: u64) -> ShareLevel {
+    pub(super) fn share_level(&self, workspace: u64, units: u64) -> ShareLevel {
         self.state
             .with(|view| view.shares.level(workspace, units, now_ms()))
     }
--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -1,8 +1,11 @@
 //! Selects the endpoint of a plain service for a request.
 
-use super::super::plain_placement::{PlainDecline, PlainPlacement, request_plain_placement};
+use super::super::plain_placement::{
+    PlainDecline, PlainPlacement, PlainWait, request_plain_placement, wait_for_plain,
+};
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{ConnectionLimits, EndpointTarget};
+use super::super::wait_window::WaitWindow;
 use super::call_placement::CallPlacement;
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::now_ms;
@@ -41,9 +44,11 @@
     pub(super) async fn place_plain(
         &self,
         attempts: &CallAttempts,
+        wait: Option<WaitWindow>,
     ) -> Result<CallPlacement, CallRefusal> {
         let mut passed_over = attempts.endpoints.clone();
         let mut declines = Vec::new();
+        let mut first_free: Option<(EndpointTarget, u32)> = None;
         while let Some(target) = self.find_plain(&passed_over) {
             passed_over.push(target.id);
             match request_plain_placement(&self.state, target.id, self.time_left()).await {
@@ -55,22 +60,65 @@
                         decided_by,
                     });
                 }
-                Err(decline) => declines.push(decline),
+                Err(decline) => {
+                    if let PlainDecline::Full(wait_ms) = decline
+                        && first_free
+                            .as_ref()
+                            .is_none_or(|(_, first)| wait_ms < *first)
+                    {
+                        first_free = Some((target, wait_ms));
+                    }
+                    declines.push(decline);
+                }
+            }
+        }
+        let (Some(window), Some((target, wait_ms))) = (wait, first_free) else {
+            return Err(self.refuse_plain(&declines));
+        };
+        match self.wait_for_slot(&target, window, wait_ms).await {
+            Ok(PlainPlacement { guard, decided_by }) => Ok(CallPlacement {
+                target,
+                guard,
+                expected_ms: None,
+                decided_by,
+            }),
+            Err(PlainDecline::Full(wait_ms)) => {
+                Err(self.refuse_plain(&[PlainDecline::Full(wait_ms)]))
             }
+            Err(_) => Err(self.refuse_plain(&declines)),
         }
-        Err(self.refuse_plain(&declines))
+    }
+
+    /// Lets the request wait at the endpoint that is predicted to have a free slot first.
+    async fn wait_for_slot(
+        &self,
+        target: &EndpointTarget,
+        window: WaitWindow,
+        wait_ms: u32,
+    ) -> Result<PlainPlacement, PlainDecline> {
+        let workspace = name_hash(self.workspace_name());
+        let wait = PlainWait {
+            workspace,
+            level: self.share_level(workspace, 0),
+            window,
+            time_left: self.time_left(),
+        };
+        wait_for_plain(&self.state, target.id, wait, wait_ms).await
     }
 
     /// Creates the refusal for a request that all endpoints of a plain service declined.
     fn refuse_plain(&self, declines: &[PlainDecline]) -> CallRefusal {
         let next_grant = declines.iter().filter_map(|decline| match decline {
             PlainDecline::Warming(wait_ms) => Some(Duration::from_millis(u64::from(*wait_ms))),
-            PlainDecline::Full | PlainDecline::Leaving | PlainDecline::Unanswered => None,
+            PlainDecline::Full(_) | PlainDecline::Leaving | PlainDecline::Unanswered => None,
         });
-        let (reason, wait) = match next_grant.min() {
-            _ if declines.contains(&PlainDecline::Full) => {
-                (RefusalReason::EndpointsFull, Duration::ZERO)
-            }
+        let next_slot = declines.iter().filter_map(|decline| match decline {
+            PlainDecline::Full(wait_ms) => Some(Duration::from_millis(u64::from(*wait_ms))),
+            PlainDecline::Warming(_) | PlainDecline::Leaving | PlainDecline::Unanswered => None,
+        });
+        let next_slot = next_slot.min();
+        let (reason, wait) = match next_slot.or(next_grant.min()) {
+            Some(wait) if next_slot.is_some() => (RefusalReason::EndpointsFull, wait),
             Some(wait) => (RefusalReason::WarmingUp, wait),
             None => return self.refuse_unavailable(),
         };
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -4,14 +4,13 @@
 //! If a verdict does not arrive in time, the requesting box decides itself.
 
 use super::datagrams::send_datagram;
-use super::engine_placement::{
-    decide_locally, place_locally, receive_engine_report, record_cached,
-};
+use super::engine_placement::{place_locally, receive_engine_report, record_cached};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::{receive_digest, receive_heartbeat};
 use super::notices::receive_reported_leave;
 use super::quarantine;
+use super::wait_queues::{decide_in_turn, end_run, process_queue, receive_wait_request};
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use dockgate_core::gateway::{
@@ -116,16 +115,17 @@
         GatewayMessage::Started { run, endpoint } => {
             let key = key_of(run);
             state.with(|view| view.engines.start(endpoint, key, now, true));
+            process_queue(state, endpoint);
         }
-        GatewayMessage::Ended { run, endpoint } => {
-            let key = key_of(run);
-            state.with(|view| {
-                view.engines.end(endpoint, key);
-                view.plain_loads.end(endpoint, key);
-            });
-        }
+        GatewayMessage::Ended { run, endpoint } => end_run(state, endpoint, key_of(run)),
         GatewayMessage::EndpointLeaving { endpoint } => receive_reported_leave(state, endpoint),
         GatewayMessage::Suspects { rows } => quarantine::receive_reports(state, from, &rows),
+        GatewayMessage::WaitRequest {
+            run,
+            endpoint,
+            request,
+            terms,
+        } => receive_wait_request(state, key_of(run), endpoint, request, terms),
     }
 }
 
@@ -138,17 +138,27 @@
     key: RunKey,
     request: &AdmissionRequest,
 ) -> Option<GatewayMessage> {
-    let verdict = decide_locally(state, endpoint, key, request, 0)?;
+    let verdict = decide_in_turn(state, endpoint, key, request)?;
+    Some(verdict_message(state, run, endpoint, verdict))
+}
+
+/// Creates the message with a verdict and the load of the engine.
+pub(super) fn verdict_message(
+    state: &GatewayState,
+    run: u32,
+    endpoint: EndpointId,
+    verdict: AdmissionVerdict,
+) -> GatewayMessage {
     state.with(|view| {
         // Endpoints of plain services and those that have ended have no load.
         let load = view.engines.get(endpoint);
-        Some(GatewayMessage::Verdict {
+        GatewayMessage::Verdict {
             run,
             endpoint,
             verdict,
             backlog_ms: load.map_or(0, |load| load.backlog_ms(now_ms()) as u32),
             speed: load.map_or(PrefillSpeed::UNKNOWN, |load| load.model().speed()),
-        })
+        }
     })
 }
 
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -14,6 +14,8 @@
 use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
+use super::wait_queues::{decide_in_turn, engine_wait_ms, own_first_ms};
+use super::wait_window::WaitWindow;
 use super::warmup_grants::warmup_pace;
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
@@ -77,13 +79,16 @@
     unattainable_ms: Option<u32>,
     /// The number of engines that declined because they warm up.
     warming: usize,
+    /// The predicted time to the first event after the prompt has waited in vain.
+    after_wait_ms: Option<u32>,
 }
 
 impl EngineRefusal {
     /// Returns the shortest predicted time to a first event, or `None` if there is no engine.
     pub(super) fn first_event_ms(&self) -> Option<u32> {
         let declined = self.declined.iter().map(|engine| engine.first_event_ms);
-        declined.chain(self.unattainable_ms).min()
+        let before_wait = declined.chain(self.unattainable_ms).min();
+        self.after_wait_ms.or(before_wait)
     }
 
     /// Returns whether all engines that could be asked declined because they warm up.
@@ -117,6 +122,8 @@
     pub(super) resumed: bool,
     /// The usage of the workspace relative to its share.
     pub(super) level: ShareLevel,
+    /// The time in which it may wait for capacity; `None` if it may not.
+    pub(super) wait: Option<WaitWindow>,
 }
 
 #[derive(Debug, Clone)]
@@ -304,7 +311,7 @@
 }
 
 /// Returns the specification of an engine, if it is known.
-fn engine_spec(state: &GatewayState, endpoint: EndpointId) -> Option<EngineSpec> {
+pub(super) fn engine_spec(state: &GatewayState, endpoint: EndpointId) -> Option<EngineSpec> {
     let table = state.table();
     state.with(|view| {
         let entry = view.endpoints.get(endpoint)?;
@@ -318,6 +325,8 @@
     verdict: AdmissionVerdict,
     number: u32,
     decided_by: String,
+    /// Whether the owner of the engine decided.
+    is_by_owner: bool,
 }
 
 /// Requests admission to one home from its owner; decides locally if the owner does not answer.
@@ -329,7 +338,13 @@
     let number = state.next_run_number();
     if home.owner == state.own_key() {
         let decided_by = state.settings().name.clone();
-        return decide_home_locally(state, home, request, 0, number, decided_by);
+        let verdict = decide_in_turn(state, home.target.id, state.run_key(number), request)?;
+        return Some(HomeDecision {
+            verdict,
+            number,
+            decided_by,
+            is_by_owner: true,
+        });
     }
     if let Some(decision) = decline_locally(state, home, request, number) {
         return Some(decision);
@@ -348,6 +363,7 @@
             verdict,
             number,
             decided_by,
+            is_by_owner: true,
         });
     }
     GATEWAY_METRICS.missed_verdicts.inc();
@@ -389,6 +405,7 @@
         verdict: AdmissionVerdict::Declined(first_ms as u32),
         number,
         decided_by: settings.name.clone(),
+        is_by_owner: false,
     })
 }
 
@@ -407,6 +424,7 @@
         verdict,
         number,
         decided_by,
+        is_by_owner: false,
     })
 }
 
@@ -435,18 +453,102 @@
         return Ok(place_unconditionally(state, home, request));
     }
     let mut refusal = EngineRefusal::default();
+    let mut full_homes = Vec::new();
     for home in &homes {
         match request_placement(state, home, request).await {
             Some(decision) if is_granted(&decision) => {
                 return Ok(engine_placement(state, home, decision, request));
             }
-            Some(decision) => refusal.record(home, decision),
+            Some(decision) => {
+                full_homes.extend(full_home(home, &decision));
+                refusal.record(home, decision);
+            }
             None => {}
         }
     }
-    overflow(state, &query, &homes, request)
-        .await
-        .ok_or(refusal)
+    if let Some(placement) = overflow(state, &query, &homes, request).await {
+        return Ok(placement);
+    }
+    match wait_at_home(state, &query, &full_homes, request).await {
+        Ok(placement) => Ok(placement),
+        Err(after_wait_ms) => Err(EngineRefusal {
+            after_wait_ms,
+            ..refusal
+        }),
+    }
+}
+
+/// A home whose owner declined a prompt for lack of capacity.
+#[derive(Debug, Clone, Copy)]
+struct FullHome<'a> {
+    home: &'a HomeEngine,
+    first_event_ms: u32,
+}
+
+fn full_home<'a>(home: &'a HomeEngine, decision: &HomeDecision) -> Option<FullHome<'a>> {
+    match decision.verdict {
+        AdmissionVerdict::Declined(first_event_ms) if decision.is_by_owner => Some(FullHome {
+            home,
+            first_event_ms,
+        }),
+        _ => None,
+    }
+}
+
+/// Lets a prompt wait at the home with the shortest predicted wait, if it can be in time then.
+///
+/// # Errors
+///
+/// Returns the predicted time to the first event after the wait, if the prompt has waited.
+async fn wait_at_home(
+    state: &Arc<GatewayState>,
+    query: &EngineQuery<'_>,
+    full_homes: &[FullHome<'_>],
+    request: &AdmissionRequest,
+) -> Result<EnginePlacement, Option<u32>> {
+    let window = query.wait.ok_or(None)?;
+    let request = window.refreshed(request);
+    let waits = full_homes.iter().filter_map(|full| {
+        let endpoint = full.home.target.id;
+        let own_ms = own_first_ms(state, endpoint, &request);
+        let backlog_ms = f64::from(full.first_event_ms) - own_ms;
+        let wait_ms = engine_wait_ms(state, endpoint, &request, backlog_ms)?;
+        Some((full.home, own_ms, wait_ms))
+    });
+    let (home, own_ms, wait_ms) = waits.min_by(|a, b| a.2.total_cmp(&b.2)).ok_or(None)?;
+    let terms = window.terms(own_ms);
+    let terms = terms.filter(|terms| wait_ms <= f64::from(terms.wait_ms));
+    let terms = terms.ok_or(None)?;
+    let number = state.next_run_number();
+    let endpoint = home.target.id;
+    let owner = home.owner;
+    let pending =
+        PendingSlotRequest::send_wait(state, number, endpoint, owner, request.clone(), terms);
+    let verdict = pending.verdict().await;
+    match verdict {
+        Some(AdmissionVerdict::Granted(_)) => {}
+        Some(AdmissionVerdict::Leaving) => {
+            receive_reported_leave(state, endpoint);
+            return Err(None);
+        }
+        Some(AdmissionVerdict::Declined(first_ms) | AdmissionVerdict::Warming(first_ms)) => {
+            return Err(Some(first_ms));
+        }
+        None => {
+            GATEWAY_METRICS.missed_verdicts.inc();
+            return Err(None);
+        }
+    }
+    if owner != state.own_key() {
+        place_locally(state, endpoint, state.run_key(number), &request);
+    }
+    let decision = HomeDecision {
+        verdict: verdict.unwrap_or(AdmissionVerdict::Granted(0)),
+        number,
+        decided_by: state.with(|view| view.fleet.name(owner).to_owned()),
+        is_by_owner: true,
+    };
+    Ok(engine_placement(state, home, decision, &request))
 }
 
 /// Asks further engines for a prompt that its `homes` declined, in the same order on all boxes, so
@@ -515,6 +617,7 @@
         verdict: AdmissionVerdict::Granted(0),
         number,
         decided_by: "resume".to_owned(),
+        is_by_owner: false,
     };
     engine_placement(state, home, decision, request)
 }
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -47,6 +47,7 @@
         } else {
             ShareLevel::WITHIN
         },
+        wait: None,
     };
     let all = (0..100).map(EndpointId);
     let order = best_homes(7, all, 100, |_| true);
@@ -143,6 +144,7 @@
             tried: &[],
             resumed: false,
             level,
+            wait: None,
         };
         let request = AdmissionRequest::new(1, &prompt, LIMITS).level(level);
         match find_engine(state, query, &request).await {
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -22,6 +22,7 @@
     connections: IntGauge,
     cold_endpoints: IntGauge,
     evacuated_domains: IntGauge,
+    waiting: IntGaugeVec,
 }
 
 /// The gateway's gauges.
@@ -38,8 +39,15 @@
         let endpoints = Opts::new("dockgate_endpoints", "Endpoints known, by state");
         let endpoints = IntGaugeVec::new(endpoints, &["state"]).expect("a constant name is valid");
         METRICS.register(endpoints.clone());
+        let waiting = Opts::new(
+            "dockgate_endpoint_waiting_requests",
+            "Requests that wait for capacity at endpoints of this box, by service",
+        );
+        let waiting = IntGaugeVec::new(waiting, &["service"]).expect("a constant name is valid");
+        METRICS.register(waiting.clone());
         Self {
             endpoints,
+            waiting,
             is_coordinator: gauge(
                 "dockgate_coordinates",
                 "Whether this box coordinates its failure domain: 1 or 0",
@@ -132,6 +140,13 @@
             self.evacuated_domains.set(evacuated as i64);
             let quarantined = view.suspects.quarantined_count(now);
             self.quarantined.set(quarantined as i64);
+            self.waiting.reset();
+            for (endpoint, queue) in &view.wait_queues {
+                let entry = view.endpoints.get(*endpoint);
+                let service = entry.map_or("", |entry| &entry.record.service);
+                let gauge = self.waiting.with_label_values(&[service]);
+                gauge.add(queue.len() as i64);
+            }
             let loads = || view.engines.iter();
             self.unread_tokens
                 .set(loads().map(|load| load.pending_tokens() as i64).sum());
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -2,7 +2,7 @@
 //! `gateway_gauges`.
 
 use crate::metrics::METRICS;
-use dockgate_core::gateway::EndpointNotice;
+use dockgate_core::gateway::{EndpointNotice, WaitOutcome};
 use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts};
 use std::sync::LazyLock;
 use std::time::Duration;
@@ -47,6 +47,8 @@
     notices: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
+    waits: IntCounterVec,
+    wait_times: HistogramVec,
 }
 
 /// The gateway's metrics.
@@ -180,6 +182,16 @@
                 "Bytes of datagrams between boxes, by kind and direction",
                 &["kind", "direction"],
             ),
+            waits: counter_vec(
+                "dockgate_endpoint_waits_total",
+                "Requests that were offered to the queue of an endpoint of this box, by service and outcome",
+                &["service", "outcome"],
+            ),
+            wait_times: histogram_vec(
+                "dockgate_endpoint_wait_seconds",
+                "Time that requests waited for capacity at an endpoint of this box, by service",
+                &["service"],
+            ),
         }
     }
 
@@ -238,6 +250,14 @@
         counter.inc_by(bytes as u64);
     }
 
+    /// Records how and after which time the wait for capacity at an endpoint of this box ended.
+    pub(super) fn record_wait(&self, service: &str, outcome: WaitOutcome, waited: Duration) {
+        let outcomes = self.waits.with_label_values(&[service, outcome.as_str()]);
+        outcomes.inc();
+        let times = self.wait_times.with_label_values(&[service]);
+        times.observe(waited.as_secs_f64());
+    }
+
     /// Counts a request for the state of another box, and records its duration.
     pub(super) fn record_state_request(&self, kind: &str, answered: bool, took: Duration) {
         let outcome = if answered { "answered" } else { "unanswered" };
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -18,7 +18,7 @@
     EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
     LoadShedder, LoopLag, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
     RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
-    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
+    StoreRevision, SuspectRegistry, WaitQueue, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -29,7 +29,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 /// How long a call to the store may take. Its answers take 4 ms, and sixty times that when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -105,6 +105,9 @@
     pub(super) watch_check: WatchCheck,
     /// The endpoints that warm up.
     pub(super) warmups: WarmupTracker,
+    /// The requests that wait at the endpoints that this box owns; none unless the fleet is
+    /// contended.
+    pub(super) wait_queues: BTreeMap<EndpointId, WaitQueue>,
 }
 
 /// A configuration, encoded for other boxes.
@@ -138,6 +141,8 @@
     pub(super) datagrams: UdpSocket,
     /// Connections to endpoints.
     pub(super) pools: Arc<EndpointPools>,
+    /// Notified when a request begins to wait at an endpoint that this box owns.
+    pub(super) wait_began: Notify,
 }
 
 impl GatewayState {
@@ -178,6 +183,7 @@
             gate: ResumeGate::default(),
             watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
+            wait_queues: BTreeMap::new(),
         };
         Self {
             own_key: BoxKey::from_name(&settings.name),
@@ -196,6 +202,7 @@
             end_ms: AtomicU64::new(0),
             datagrams,
             pools: Arc::default(),
+            wait_began: Notify::new(),
             settings: ArcSwap::from_pointee(settings),
         }
     }
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -11,6 +11,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayState, GatewayView};
 use super::quarantine;
+use super::wait_queues;
 use super::workspace_report::{REPORT_INTERVAL_MS, log_shares};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
@@ -268,6 +269,7 @@
             logged_ms = now;
         }
         state.expire(since_ms);
+        wait_queues::expire_queues(&state);
         end_check::record_restarts(&state);
         report_runs(&state, |owner, reported_to| owner != reported_to);
         since_ms = now;
@@ -406,6 +408,9 @@
                 domain: &domain,
             });
         }
+        if *change == BoxChange::Restarted {
+            wait_queues::forget_entry(state, *peer);
+        }
         peers.push(*peer);
     }
     if !peers.is_empty() {
--- a/dockgate/src/gateway/pending_slot_request/tests.rs
+++ b/dockgate/src/gateway/pending_slot_request/tests.rs
@@ -85,3 +85,31 @@
     socket.readable().await.unwrap();
     assert_eq!(received_kinds(&socket), expected);
 }
+
+/// Guards against a wait that the owner goes on counting after its entry has given up, as the owner
+/// is cut off or its verdict is lost.
+#[parameterized(
+    unanswered = { None, &["wait", "ended"] },
+    granted = { Some(AdmissionVerdict::Granted(40)), &["wait"] },
+    declined = { Some(AdmissionVerdict::Declined(900)), &["wait"] },
+)]
+#[test_macro(tokio::test)]
+async fn unanswered_waits_are_withdrawn(answer: Option<AdmissionVerdict>, expected: &[&str]) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let (state, owner) = state_with_owner(socket.local_addr().unwrap()).await;
+    let terms = WaitTerms {
+        priority: 1,
+        wait_ms: 5,
+    };
+    let request =
+        PendingSlotRequest::send_wait(&state, RUN, ENGINE, owner, admission_request(), terms);
+    if let Some(answer) = answer {
+        let sender = state.with(|view| view.slot_requests.remove(&RUN)).unwrap();
+        sender.send(answer).unwrap();
+    }
+    assert_eq!(request.verdict().await, answer);
+    assert!(state.with(|view| view.slot_requests.is_empty()));
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    socket.readable().await.unwrap();
+    assert_eq!(received_kinds(&socket), expected);
+}
--- a/dockgate/src/gateway/plain_placement.rs
+++ b/dockgate/src/gateway/plain_placement.rs
@@ -13,6 +13,8 @@
 use super::notices::receive_reported_leave;
 use super::pending_slot_request::PendingSlotRequest;
 use super::run_guard::RunGuard;
+use super::wait_queues::decide_in_turn;
+use super::wait_window::WaitWindow;
 use super::warmup_grants::warmup_pace;
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
@@ -25,8 +27,9 @@
 /// Why a request was not placed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PlainDecline {
-    /// All its slots are taken, and more requests wait.
-    Full,
+    /// All its slots are taken, and more requests wait; a slot is predicted to be free after this
+    /// many milliseconds, or 0 if there is no prediction.
+    Full(u32),
     /// It warms up; its owner may grant a request after this many milliseconds.
     Warming(u32),
     /// It leaves or has ended.
@@ -62,7 +65,7 @@
     let owner = owner.ok_or(PlainDecline::Leaving)?;
     let key = state.run_key(number);
     let verdict = match owner == state.own_key() {
-        true => decide_plain(state, endpoint, key, &request),
+        true => decide_in_turn(state, endpoint, key, &request),
         false => {
             let pending = PendingSlotRequest::send(state, number, endpoint, owner, &request);
             pending.verdict().await
@@ -70,12 +73,7 @@
     };
     let decided_by = match verdict {
         Some(AdmissionVerdict::Granted(_)) => state.with(|view| view.fleet.name(owner).to_owned()),
-        Some(AdmissionVerdict::Declined(_)) => return Err(PlainDecline::Full),
-        Some(AdmissionVerdict::Warming(wait_ms)) => return Err(PlainDecline::Warming(wait_ms)),
-        Some(AdmissionVerdict::Leaving) => {
-            receive_reported_leave(state, endpoint);
-            return Err(PlainDecline::Leaving);
-        }
+        Some(verdict) => return Err(decline_of(state, endpoint, verdict)),
         None => {
             place_alone(state, endpoint, number, owner, &request)?;
             "entry alone".to_owned()
@@ -87,6 +85,79 @@
     })
 }
 
+/// Returns why a request was declined, and records that the endpoint leaves if that is the reason.
+fn decline_of(
+    state: &GatewayState,
+    endpoint: EndpointId,
+    verdict: AdmissionVerdict,
+) -> PlainDecline {
+    match verdict {
+        AdmissionVerdict::Granted(wait_ms) | AdmissionVerdict::Declined(wait_ms) => {
+            PlainDecline::Full(wait_ms)
+        }
+        AdmissionVerdict::Warming(wait_ms) => PlainDecline::Warming(wait_ms),
+        AdmissionVerdict::Leaving => {
+            receive_reported_leave(state, endpoint);
+            PlainDecline::Leaving
+        }
+    }
+}
+
+/// A request that may wait for a slot of a plain endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PlainWait {
+    /// The hash of the workspace's name.
+    pub(super) workspace: u64,
+    /// The share level of the workspace.
+    pub(super) level: ShareLevel,
+    /// The time in which it may wait.
+    pub(super) window: WaitWindow,
+    /// The time for which the caller waits.
+    pub(super) time_left: Duration,
+}
+
+/// Lets a request wait for a slot of an endpoint, which is predicted to be free after `predicted_ms`.
+///
+/// # Errors
+///
+/// Returns the reason if the request does not wait, or waits in vain.
+pub(super) async fn wait_for_plain(
+    state: &Arc<GatewayState>,
+    endpoint: EndpointId,
+    wait: PlainWait,
+    predicted_ms: u32,
+) -> Result<PlainPlacement, PlainDecline> {
+    let full = PlainDecline::Full(predicted_ms);
+    // The answer times of plain services are not predicted.
+    let terms = wait.window.terms(0.0);
+    let terms = terms.filter(|terms| predicted_ms <= terms.wait_ms);
+    let terms = terms.ok_or(full)?;
+    let request = AdmissionRequest {
+        workspace: wait.workspace,
+        level: wait.level,
+        ..wait.window.refreshed(&plain_request(wait.time_left))
+    };
+    let number = state.next_run_number();
+    let owner = state.with(|view| {
+        let entry = view.endpoints.get(endpoint)?;
+        Some(view.fleet.owner(endpoint, &entry.record.domain, now_ms()))
+    });
+    let owner = owner.ok_or(PlainDecline::Leaving)?;
+    let pending =
+        PendingSlotRequest::send_wait(state, number, endpoint, owner, request.clone(), terms);
+    match pending.verdict().await {
+        Some(AdmissionVerdict::Granted(_)) => Ok(PlainPlacement {
+            guard: RunGuard::new(state, endpoint, number, owner, request),
+            decided_by: state.with(|view| view.fleet.name(owner).to_owned()),
+        }),
+        Some(verdict) => Err(decline_of(state, endpoint, verdict)),
+        None => {
+            GATEWAY_METRICS.missed_verdicts.inc();
+            Err(full)
+        }
+    }
+}
+
 /// Places a request whose owner does not answer, and reports it to the owner.
 ///
 /// # Errors
--- a/dockgate/src/gateway/plain_placement/tests.rs
+++ b/dockgate/src/gateway/plain_placement/tests.rs
@@ -42,7 +42,7 @@
             Err(decline) => break decline,
         }
     };
-    assert_eq!(declined, PlainDecline::Full);
+    assert_eq!(declined, PlainDecline::Full(0));
     assert!(placed.len() >= SLOTS as usize && placed.len() < 2 * SLOTS as usize);
     placed.pop();
     assert!(
--- a/dockgate/src/gateway/run_guard.rs
+++ b/dockgate/src/gateway/run_guard.rs
@@ -2,6 +2,7 @@
 
 use super::datagrams::send_to;
 use super::gateway_state::{GatewayState, PlacedRun};
+use super::wait_queues::{end_run, process_queue};
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{AdmissionRequest, EndpointId, EndpointOutcome};
@@ -79,6 +80,7 @@
             view.engines.start(self.endpoint, key, now_ms(), is_owner);
             owner
         });
+        process_queue(&self.state, self.endpoint);
         self.notify_owner(
             owner,
             GatewayMessage::Started {
@@ -100,10 +102,9 @@
         let key = self.state.run_key(self.number);
         let owner = self.state.with(|view| {
             view.endpoints.note_request_ended(self.endpoint);
-            view.engines.end(self.endpoint, key);
-            view.plain_loads.end(self.endpoint, key);
             view.runs.remove(&key.number).map(|run| run.owner)
         });
+        end_run(&self.state, self.endpoint, key);
         self.notify_owner(
             owner,
             GatewayMessage::Ended {
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -3,6 +3,7 @@
 use crate::error::DaemonError;
 use dockgate_core::gateway::{AdmissionRule, RetryRule};
 use dockgate_core::{IniDocument, IniProblems, SectionReader};
+use dockgate_platform::FleetConditions;
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -68,6 +69,9 @@
     /// Rule by which engines admit prompts.
     #[serde(skip)]
     pub(crate) admission: AdmissionRule,
+    /// The announced conditions of the fleet.
+    #[serde(skip)]
+    pub(crate) conditions: FleetConditions,
 }
 
 impl GatewaySettings {
@@ -182,6 +186,7 @@
     let warmup_overshoot =
         gateway.take_checked("warmup_overshoot", 1.0, AT_LEAST_ONE, |value| *value >= 1.0);
     let warmup_slack = gateway.take_checked("warmup_slack", 0.0, NUMBER, |value| *value >= 0.0);
+    let conditions = gateway.take_list("conditions");
     Some(GatewaySettings {
         name: name?,
         domain: domain?,
@@ -207,6 +212,7 @@
         warmup_overshoot,
         warmup_slack,
         admission: AdmissionRule::default(),
+        conditions: FleetConditions::decode(conditions.iter().map(String::as_str)),
     })
 }
 
--- a/dockgate/src/gateway/settings/tests.rs
+++ b/dockgate/src/gateway/settings/tests.rs
@@ -43,3 +43,11 @@
     assert!(problems.contains("retry_slack = -1"), "{problems}");
     assert!(problems.contains("warmup_overshoot = 0.5"), "{problems}");
 }
+
+/// Guards against requests that wait in a fleet whose conditions do not ask for it.
+#[test]
+fn conditions_are_read_as_a_list() {
+    let contended = |text: &str| parse_settings("f.ini", text).unwrap().conditions.contended;
+    assert!(!contended(TEXT) && !contended(&format!("{TEXT}conditions =\n")));
+    assert!(contended(&format!("{TEXT}conditions = drain, pressure\n")));
+}
