test: waiting at engines and over real processes; withdrawn waits stay out

Cause: a copy of a request that was declined could wait again, though nobody awaits it; an owner believed any wait that a message stated.

Change: the owner remembers declined requests for a second as it does withdrawn ones, and shortens a wait to a quarter of the objective.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -130,6 +130,17 @@
         Ok(())
     }
 
+    /// Adds a line to the `[gateway]` section of its settings, which are read on SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be written.
+    pub fn add_setting(&self, line: &str) -> Result<(), BenchError> {
+        let io_error = |cause| BenchError::Io("write", self.settings.display().to_string(), cause);
+        let file = File::options().append(true).open(&self.settings);
+        writeln!(file.map_err(io_error)?, "{line}").map_err(io_error)
+    }
+
     /// Starts a new process and sends it a signal before it can read its settings.
     ///
     /// # Errors
--- a/dockgate-core/src/gateway/wait_queue.rs
+++ b/dockgate-core/src/gateway/wait_queue.rs
@@ -33,6 +33,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
 
+/// The part of its objective within which a request is refused if it is refused at all. Later
+/// refusals cost the caller the retry.
+const REFUSAL_FRACTION: f64 = 0.25;
+
 /// How a request may wait at the owner of an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitTerms {
@@ -56,15 +60,11 @@
 }
 
 impl WaitBudget {
-    /// The part of its objective within which a request is refused if it is refused at all. Later
-    /// refusals cost the caller the retry.
-    const REFUSAL_FRACTION: f64 = 0.25;
-
     /// Returns the longest useful wait in milliseconds; 0 if the request must not wait.
     pub fn usable_wait_ms(&self) -> u32 {
         let until_late = self.objective_ms - self.age_ms - self.own_first_ms;
         let until_refusal =
-            self.objective_ms * Self::REFUSAL_FRACTION - self.age_ms - self.refusal_delay_ms;
+            self.objective_ms * REFUSAL_FRACTION - self.age_ms - self.refusal_delay_ms;
         until_late.min(until_refusal).max(0.0) as u32
     }
 }
@@ -97,7 +97,7 @@
 
 impl WaitingRequest {
     /// Creates a request whose wait begins now; `own_first_ms` is its predicted time to the first
-    /// event without waiting.
+    /// event without waiting. A wait that exceeds what the objective allows is shortened.
     pub fn new(
         key: RunKey,
         request: AdmissionRequest,
@@ -105,7 +105,9 @@
         own_first_ms: f64,
         now_ms: u64,
     ) -> Self {
-        let start_within = (f64::from(request.objective_ms) - own_first_ms).max(0.0);
+        let objective_ms = f64::from(request.objective_ms);
+        let start_within = (objective_ms - own_first_ms).max(0.0);
+        let wait_ms = f64::from(terms.wait_ms).min(objective_ms * REFUSAL_FRACTION);
         Self {
             rank: WaitRank {
                 priority: terms.priority,
@@ -115,7 +117,7 @@
             key,
             request,
             arrived_ms: now_ms,
-            until_ms: now_ms + u64::from(terms.wait_ms),
+            until_ms: now_ms + wait_ms as u64,
         }
     }
 }
@@ -165,7 +167,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct WaitQueue {
     waiting: Vec<WaitingRequest>,
-    /// The runs that ended recently: a request that arrives after its withdrawal is not queued.
+    /// The requests that were withdrawn or declined recently: a copy that arrives later does not
+    /// wait, as nobody would end its run.
     withdrawn: VecDeque<(RunKey, u64)>,
     /// The time of the last end of a run while the endpoint was full.
     last_release_ms: Option<u64>,
@@ -300,8 +303,8 @@
         self.waiting.extract_if(.., is_late).collect()
     }
 
-    /// Removes a request whose run has ended or whose caller has left, and ignores it if it arrives
-    /// later.
+    /// Removes a request that was declined, whose run has ended or whose caller has left, and ignores
+    /// it if it arrives later.
     pub fn withdraw(&mut self, key: RunKey, now_ms: u64) -> Option<WaitingRequest> {
         let is_old = |(_, at_ms): &(RunKey, u64)| at_ms + Self::WITHDRAWAL_MS < now_ms;
         while self.withdrawn.front().is_some_and(is_old)
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -1,9 +1,14 @@
 use super::*;
+use crate::clock::ClockInstant;
 use crate::gateway::gateway_state::tests::state_with_seed;
+use crate::gateway::settings::GatewaySettings;
 use dockgate_core::gateway::{
-    EndpointChange, EndpointRecord, EndpointState, LatencyLimits, RouteConfig, StoreRevision,
+    EndpointChange, EndpointRecord, EndpointState, EngineLoad, LatencyLimits, RouteConfig,
+    StoreRevision, WaitQueue,
 };
+use dockgate_platform::FleetConditions;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use yare::parameterized;
 
@@ -194,3 +199,66 @@
         "the budget is used up"
     );
 }
+
+/// What becomes of a prompt whose home is full.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum FullHomeCase {
+    WaitsInTime,
+    KnownToBeLate,
+    /// It continues a stream, which is not queued.
+    Resumed,
+}
+
+/// Guards against a prompt that is refused although its home has capacity in time, one that is held
+/// although it would be late, and a stream that breaks off as its home is full.
+#[parameterized(
+    waits_in_time = { FullHomeCase::WaitsInTime },
+    known_to_be_late = { FullHomeCase::KnownToBeLate },
+    resumed = { FullHomeCase::Resumed },
+)]
+#[test_macro(tokio::test)]
+async fn only_prompts_that_can_be_in_time_wait_at_a_full_home(case: FullHomeCase) {
+    let state = state_with_engines(1).await;
+    state.set_settings(GatewaySettings {
+        conditions: FleetConditions { contended: true },
+        ..GatewaySettings::clone(&state.settings())
+    });
+    let (placed, refused) = place_burst(&state, 30, ShareLevel::WITHIN).await;
+    assert!(refused > 0);
+    let service = model_service();
+    let prompt = PromptShape {
+        input: 4_000,
+        output: 7,
+        ..PromptShape::default()
+    };
+    let is_late = case == FullHomeCase::KnownToBeLate;
+    let window = WaitWindow {
+        arrived: ClockInstant::now(),
+        objective: Duration::from_millis(if is_late { 240 } else { 60_000 }),
+        priority: 1,
+    };
+    let resumed = case == FullHomeCase::Resumed;
+    let query = EngineQuery {
+        service: &service,
+        prompt: &prompt,
+        own_subject: 99,
+        tried: &[],
+        resumed,
+        level: ShareLevel::WITHIN,
+        wait: (!resumed).then_some(window),
+    };
+    let waiting =
+        || state.with(|view| view.wait_queues.values().map(WaitQueue::len).sum::<usize>());
+    let request = AdmissionRequest::new(1, &prompt, LIMITS);
+    let free = async {
+        while case == FullHomeCase::WaitsInTime && waiting() == 0 {
+            tokio::task::yield_now().await;
+        }
+        drop(placed);
+    };
+    let (found, ()) = tokio::join!(find_engine(&state, query, &request), free);
+    assert_eq!(found.is_ok(), !is_late);
+    drop(found);
+    let runs = state.with(|view| view.engines.iter().map(EngineLoad::runs).sum::<usize>());
+    assert_eq!((waiting(), runs), (0, 0));
+}
--- a/dockgate/src/gateway/wait_queues.rs
+++ b/dockgate/src/gateway/wait_queues.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 /// The interval at which all queues are processed while a request waits: short compared with the
-/// usable wait of a request, which is at least 60 ms for the shortest objective.
+/// wait that an objective of 500 ms allows, about 60 ms.
 const PROCESS_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The verdict on a request that waits at an endpoint that is no longer known.
@@ -302,6 +302,13 @@
     verdict: AdmissionVerdict,
 ) {
     record_wait(state, endpoint, waiting, outcome);
+    if outcome != WaitOutcome::Granted {
+        let now = now_ms();
+        state.with(|view| {
+            let queue = view.wait_queues.get_mut(&endpoint);
+            queue.and_then(|queue| queue.withdraw(waiting.key, now))
+        });
+    }
     let RunKey { entry, number } = waiting.key;
     if entry == state.own_key() {
         let sender = state.with(|view| view.slot_requests.remove(&number));
--- a/dockgate/src/gateway/wait_queues/tests.rs
+++ b/dockgate/src/gateway/wait_queues/tests.rs
@@ -159,7 +159,7 @@
     CallerLeaves,
     /// The entry restarts while the request waits.
     EntryRestarts,
-    /// The endpoint leaves while the request waits.
+    /// The endpoint leaves while the request waits, and the request arrives once more.
     EndpointLeaves,
 }
 
@@ -191,6 +191,8 @@
             write(&state, EndpointState::Draining, 2);
             process_queue(&state, endpoint());
             assert_eq!(verdict_at(&socket).await.1, AdmissionVerdict::Leaving);
+            wait_request(&state, entry, 0, RUN);
+            assert_eq!(counts(&state).0, 0);
         }
     }
     drop(placed);
