test: predicted waits agree with the rule, and whose priority counts

Cause: the rule that admits prompts and the prediction of their wait state the same limits twice, and could drift apart.

Change: a property test compares both over backlogs, prompts and shares; a test of the priority of a workspace and of a route without one.

--- a/dockgate-core/src/gateway/admission_rule/tests.rs
+++ b/dockgate-core/src/gateway/admission_rule/tests.rs
@@ -249,3 +249,25 @@
         }
     }
 }
+
+proptest! {
+    /// Guards against predicted waits that differ from what the rule admits.
+    #[test]
+    fn prompts_are_admitted_once_their_predicted_wait_is_over(
+        backlog_tokens in 1..40_000_u32,
+        input in 1..30_000_u32,
+        share in prop::sample::select(vec![0.0, 1.2, 2.5]),
+    ) {
+        let load = load_with(1, backlog_tokens);
+        let request = request(9, input).level(ShareLevel::new(share));
+        let work = load.work_of(&request);
+        let backlog_ms = load.backlog_ms(1_000);
+        let wait_ms = RULE.wait_ms(load.model(), work, &request, backlog_ms);
+        prop_assume!(RULE.has_room_for(&load, &request));
+        prop_assert_eq!(granted(&load, &request, request.level, 0), wait_ms == Some(0.0));
+        let later_ms = 1_000 + wait_ms.unwrap_or(60_000.0).ceil() as u64 + 1;
+        let verdict = RULE.decide(&load, &request, 0, later_ms);
+        let is_granted = matches!(verdict, AdmissionVerdict::Granted(_));
+        prop_assert_eq!(is_granted, wait_ms.is_some());
+    }
+}
--- a/dockgate-core/src/gateway/route_table/tests.rs
+++ b/dockgate-core/src/gateway/route_table/tests.rs
@@ -87,3 +87,15 @@
             .all(|id| route.service_for(id) == route.service_for(id))
     );
 }
+
+/// Guards against workspaces whose priority is ignored, or lost where they have none.
+#[test]
+fn priority_of_the_workspace_overrides_that_of_the_route() {
+    let mut config = table().config().clone();
+    config.workspaces[0].priority = Some(0);
+    for (table, expected) in [(table(), 1), (RouteTable::new(config), 0)] {
+        let route = table.find_route("a.example", "/chat/1").unwrap();
+        assert_eq!(table.priority(route, table.find_workspace("k1")), expected);
+        assert_eq!(table.priority(route, None), 1);
+    }
+}
