fix: copies of a granted wait are ignored

Cause: a copy of a wait request that arrived after its grant was decided on again, which replaced the run in the load of an engine and made a prompt that was answered already count as unread until its end.

Change: the owner remembers every request that it decided on for a second, not only withdrawn and declined ones, and ignores copies.

--- a/dockgate-core/src/gateway/wait_queue.rs
+++ b/dockgate-core/src/gateway/wait_queue.rs
@@ -159,7 +159,7 @@
     Displaces(Box<WaitingRequest>),
     /// It does not wait: it would be late, or the queue is full.
     Declined,
-    /// It waits already, or it was withdrawn before it arrived.
+    /// It waits already, or it was closed before it arrived.
     Ignored,
 }
 
@@ -167,9 +167,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct WaitQueue {
     waiting: Vec<WaitingRequest>,
-    /// The requests that were withdrawn or declined recently: a copy that arrives later does not
-    /// wait, as nobody would end its run.
-    withdrawn: VecDeque<(RunKey, u64)>,
+    /// The requests that were decided on, withdrawn or ended recently: a copy that arrives later does
+    /// not wait, as nobody would end its run.
+    closed: VecDeque<(RunKey, u64)>,
     /// The time of the last end of a run while the endpoint was full.
     last_release_ms: Option<u64>,
     /// The average time between two ends of runs while the endpoint is full.
@@ -177,14 +177,14 @@
 }
 
 impl WaitQueue {
-    /// How long a withdrawal is remembered, in milliseconds. Datagrams between boxes overtake each
-    /// other by less.
-    const WITHDRAWAL_MS: u64 = 1_000;
-    /// The maximum number of remembered withdrawals, which bounds the memory of a queue: an endpoint
+    /// How long a closed request is remembered, in milliseconds. Datagrams between boxes overtake
+    /// each other by less.
+    const CLOSED_MS: u64 = 1_000;
+    /// The maximum number of remembered requests, which bounds the memory of a queue: an endpoint
     /// ends at most some hundred runs a second.
-    const MAX_WITHDRAWALS: usize = 512;
+    const MAX_CLOSED: usize = 512;
     /// The weight of a new interval between two ends of runs: the average follows a change within
-    /// about ten of them, half a burst of a full queue.
+    /// about ten of them, which is within one burst at an endpoint with six slots.
     const INTERVAL_WEIGHT: f64 = 0.2;
 
     /// Returns the number of waiting requests.
@@ -202,11 +202,11 @@
         self.waiting.iter()
     }
 
-    /// Returns whether a request is new: it does not wait yet, and was not withdrawn before it
+    /// Returns whether a request is new: it does not wait yet, and was not closed before it
     /// arrived.
     pub fn accepts(&self, key: RunKey) -> bool {
         let is_waiting = self.waiting.iter().any(|other| other.key == key);
-        !is_waiting && !self.withdrawn.iter().any(|(ended, _)| *ended == key)
+        !is_waiting && !self.closed.iter().any(|(ended, _)| *ended == key)
     }
 
     /// Returns the request that is served next.
@@ -303,16 +303,14 @@
         self.waiting.extract_if(.., is_late).collect()
     }
 
-    /// Removes a request that was declined, whose run has ended or whose caller has left, and ignores
-    /// it if it arrives later.
-    pub fn withdraw(&mut self, key: RunKey, now_ms: u64) -> Option<WaitingRequest> {
-        let is_old = |(_, at_ms): &(RunKey, u64)| at_ms + Self::WITHDRAWAL_MS < now_ms;
-        while self.withdrawn.front().is_some_and(is_old)
-            || self.withdrawn.len() >= Self::MAX_WITHDRAWALS
-        {
-            self.withdrawn.pop_front();
+    /// Removes a request that was decided on, whose run has ended or whose caller has left, and
+    /// ignores it if it arrives later.
+    pub fn close(&mut self, key: RunKey, now_ms: u64) -> Option<WaitingRequest> {
+        let is_old = |(_, at_ms): &(RunKey, u64)| at_ms + Self::CLOSED_MS < now_ms;
+        while self.closed.front().is_some_and(is_old) || self.closed.len() >= Self::MAX_CLOSED {
+            self.closed.pop_front();
         }
-        self.withdrawn.push_back((key, now_ms));
+        self.closed.push_back((key, now_ms));
         let place = self.waiting.iter().position(|other| other.key == key)?;
         Some(self.waiting.remove(place))
     }
--- a/dockgate-core/src/gateway/wait_queue/tests.rs
+++ b/dockgate-core/src/gateway/wait_queue/tests.rs
@@ -64,7 +64,7 @@
     };
     let mut queue = WaitQueue::default();
     let request = waiting(1, 1, false, terms, 1_000);
-    assert_eq!(queue.withdraw(request.key, 1_000), None);
+    assert_eq!(queue.close(request.key, 1_000), None);
     let offer = queue.offer(request, CAPACITY, 0.0);
     assert_eq!((offer, queue.len()), (WaitOffer::Ignored, 0));
 }
@@ -113,7 +113,7 @@
     fn queue_keeps_its_order_and_bounds(steps in prop::collection::vec(step(), 1..80)) {
         let mut queue = WaitQueue::default();
         let (mut now_ms, mut number) = (1_000, 0);
-        let mut withdrawn = Vec::new();
+        let mut closed = Vec::new();
         for step in steps {
             match step {
                 Step::Offer { workspace, is_beyond, terms, predicted_ms, is_duplicate } => {
@@ -124,7 +124,7 @@
                     let ahead: Vec<RunKey> = queue.ahead_of(rank).map(|other| other.key).collect();
                     let offer = queue.offer(new, CAPACITY, f64::from(predicted_ms));
                     prop_assert!(!was_known || offer == WaitOffer::Ignored);
-                    prop_assert!(!withdrawn.contains(&key) || offer == WaitOffer::Ignored);
+                    prop_assert!(!closed.contains(&key) || offer == WaitOffer::Ignored);
                     if let WaitOffer::Displaces(displaced) = &offer {
                         // The displaced workspace held at least as many as any other.
                         let lost = count_of(&queue, displaced.request.workspace) + 1;
@@ -146,8 +146,8 @@
                 }
                 Step::Leave(number) => {
                     let key = RunKey { entry: BoxKey(number % 3), number };
-                    queue.withdraw(key, now_ms);
-                    withdrawn.push(key);
+                    queue.close(key, now_ms);
+                    closed.push(key);
                     prop_assert!(queue.iter().all(|waiting| waiting.key != key));
                 }
                 Step::Restart(entry) => {
@@ -156,7 +156,7 @@
                 }
                 Step::Pass(ms) => {
                     now_ms += ms;
-                    withdrawn.clear();
+                    closed.clear();
                     queue.expire(now_ms);
                     prop_assert!(queue.iter().all(|waiting| waiting.until_ms > now_ms));
                 }
--- a/dockgate/src/gateway/wait_queues.rs
+++ b/dockgate/src/gateway/wait_queues.rs
@@ -302,13 +302,11 @@
     verdict: AdmissionVerdict,
 ) {
     record_wait(state, endpoint, waiting, outcome);
-    if outcome != WaitOutcome::Granted {
-        let now = now_ms();
-        state.with(|view| {
-            let queue = view.wait_queues.get_mut(&endpoint);
-            queue.and_then(|queue| queue.withdraw(waiting.key, now))
-        });
-    }
+    let now = now_ms();
+    state.with(|view| {
+        let queue = view.wait_queues.get_mut(&endpoint);
+        queue.and_then(|queue| queue.close(waiting.key, now))
+    });
     let RunKey { entry, number } = waiting.key;
     if entry == state.own_key() {
         let sender = state.with(|view| view.slot_requests.remove(&number));
@@ -352,7 +350,7 @@
         if has_ended {
             queue.record_end(was_full, now);
         }
-        queue.withdraw(key, now)
+        queue.close(key, now)
     });
     if let Some(withdrawn) = withdrawn {
         record_wait(state, endpoint, &withdrawn, WaitOutcome::Left);
--- a/dockgate/src/gateway/wait_queues/tests.rs
+++ b/dockgate/src/gateway/wait_queues/tests.rs
@@ -203,7 +203,9 @@
             end_run(&state, endpoint(), key);
         }
         MessageFault::Doubled => {
+            assert_eq!(verdict_at(&socket).await.1, AdmissionVerdict::Granted(0));
             wait_request(&state, entry, 0, RUN);
+            assert!(socket.try_recv_from(&mut [0; 100]).is_err());
             assert_eq!(counts(&state), (0, 1));
             end_run(&state, endpoint(), key);
         }
