fix: boxes short of memory accept connections and refuse their requests

The resident memory also held pages mapped from files, so that boxes counted as short at 61 MB of 88.

Change: the sample leaves out pages mapped from files; connections are accepted up to the full use; a refusal for memory diverts new callers even if no sample shows the load.

--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -47,6 +47,9 @@
     counted_at_peak: u64,
     /// Time until which new connections are diverted to other boxes.
     divert_until_ms: u64,
+    /// Whether something did not fit since the last sample. The load between two samples may be
+    /// refused before any of them shows it.
+    has_refused: bool,
     /// Whether they were diverted at the last sample.
     is_short: bool,
 }
@@ -77,9 +80,6 @@
     const FULL_FRACTION: f64 = 0.8;
     /// The counted bytes below which a sample shows the idle process: a few connections.
     const IDLE_BYTES: u64 = 8 * Self::CONNECTION_BYTES;
-    /// The use above which no connection is accepted. What is left up to the full use is for the
-    /// requests of workspaces within their portion.
-    const ACCEPT_FRACTION: f64 = 0.75;
     /// The counted bytes, as a fraction of the machine's memory, from which on a correction shows
     /// what requests take rather than how the process has grown otherwise.
     const TYPICAL_FRACTION: f64 = 0.06;
@@ -116,8 +116,9 @@
     /// Counts bytes of a workspace if they fit; returns whether they do.
     pub fn try_charge(&mut self, workspace: u64, bytes: u64) -> bool {
         let fits = self.fits(workspace, bytes);
-        if fits {
-            self.charge(Some(workspace), bytes);
+        match fits {
+            true => self.charge(Some(workspace), bytes),
+            false => self.has_refused = true,
         }
         fits
     }
@@ -183,8 +184,9 @@
             true => self.idle += growth,
             false => {}
         }
+        let has_refused = std::mem::take(&mut self.has_refused);
         let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
-        if self.limits().is_some_and(is_limited) {
+        if has_refused || self.limits().is_some_and(is_limited) {
             self.divert_until_ms = now_ms + Self::DIVERT_MS;
         }
         let is_short = self.diverts_connections(now_ms);
@@ -212,9 +214,12 @@
     }
 
     /// Returns whether the box has memory for one more connection.
+    ///
+    /// Below the full use a connection is accepted even if its request will be refused: a caller
+    /// that waits to be accepted learns nothing until its deadline passes.
     pub fn accepts_connections(&self) -> bool {
         let needed = self.use_bytes() + Self::CONNECTION_BYTES;
-        self.limits().is_none_or(|limits| needed <= limits.accept)
+        self.limits().is_none_or(|limits| needed <= limits.full)
     }
 
     /// Returns how many connections would have to be closed to get below the lower limit.
@@ -229,7 +234,6 @@
         let machine = self.machine? as f64;
         Some(MemoryLimits {
             limited: (machine * Self::LIMITED_FRACTION) as u64,
-            accept: (machine * Self::ACCEPT_FRACTION) as u64,
             full: (machine * Self::FULL_FRACTION) as u64,
         })
     }
@@ -240,9 +244,7 @@
 struct MemoryLimits {
     /// Workspaces beyond their portion are refused.
     limited: u64,
-    /// No connection is accepted.
-    accept: u64,
-    /// Everything is refused.
+    /// Everything is refused, and no connection is accepted.
     full: u64,
 }
 
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -5,11 +5,14 @@
 use dockgate_core::gateway::MemoryBudget;
 use std::sync::Arc;
 
-/// Returns the resident memory of the process; `None` where the system does not tell it.
+/// Returns the resident memory of the process without the pages that are mapped from files, which
+/// the system can drop and read again; `None` where the system does not tell it.
 pub(super) fn resident_bytes() -> Option<u64> {
-    let pages = std::fs::read_to_string("/proc/self/statm").ok()?;
-    let pages: u64 = pages.split_ascii_whitespace().nth(1)?.parse().ok()?;
-    Some(pages * rustix::param::page_size() as u64)
+    let line = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let mut pages = line.split_ascii_whitespace().skip(1);
+    let mut next_pages = || pages.next()?.parse::<u64>().ok();
+    let (resident, shared) = (next_pages()?, next_pages()?);
+    Some(resident.saturating_sub(shared) * rustix::param::page_size() as u64)
 }
 
 /// Counts bytes in the memory budget until it is dropped.
