feat: weights of engines by measured prefill rates, and weighted rendezvous hashing

Cause: rendezvous hashing gives engines of 0.6, 1.0 and 1.6 times the nominal speed the same number of subjects, so that slow engines decline prompts while fast ones are idle.

Change: PrefillMeter measures the prefilled work over the busy time of an engine in intervals of 300 ms within 6 s, with the slowest 0.7 of that time left out. EngineWeights turns the rates into steps of a quarter octave and weights, and merges and selects the rows that boxes report. weighted_homes selects homes by weight and needs a logarithm only for engines that may be selected. The prefill model that admission uses is unchanged.

The rows of all engines of a service are reported while some differ, not only of those that differ: a box cannot know the median, to which weights are relative, without the others. A row has an age, so that one that circulates between coordinators expires.

--- a/dockgate-core/benches/placing.rs
+++ b/dockgate-core/benches/placing.rs
@@ -1,9 +1,10 @@
-//! Cost of placing a prompt, receiving a heartbeat and building a digest, by the number of boxes in
-//! the fleet and of engines of a service.
+//! Cost of placing a prompt, also with weights of engines, receiving a heartbeat and building a
+//! digest, by the number of boxes in the fleet and of engines of a service.
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use dockgate_core::gateway::{
-    BoxHeartbeat, BoxStatus, DigestScope, EndpointId, FleetView, best_homes,
+    BoxHeartbeat, BoxStatus, DigestScope, EndpointId, FleetView, HomeWeights, best_homes,
+    weighted_homes,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use std::hint::black_box;
@@ -60,6 +61,34 @@
     group.finish();
 }
 
+fn select_homes(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("select_homes");
+    for engines in [60, 1_000_u64] {
+        let weight = |id: u64| [0.6, 1.0, 1.6][id as usize % 3];
+        let weights = (0..engines).map(|id| (EndpointId(id), weight(id)));
+        let weights: HomeWeights = weights.collect();
+        let mut key = 0;
+        group.bench_function(format!("{engines}-engines"), |bencher| {
+            bencher.iter(|| {
+                key += 1;
+                black_box(best_homes(key, (0..engines).map(EndpointId), HOMES, |_| {
+                    true
+                }))
+            });
+        });
+        for (name, weights) in [("equal", HomeWeights::default()), ("three-speeds", weights)] {
+            group.bench_function(format!("{engines}-engines-{name}"), |bencher| {
+                bencher.iter(|| {
+                    key += 1;
+                    let all = (0..engines).map(EndpointId);
+                    black_box(weighted_homes(key, all, &weights, HOMES, |_| true))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
 fn receive_heartbeat(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("take_beat");
     for boxes in BOXES {
@@ -92,6 +121,6 @@
         .sample_size(20)
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1));
-    targets = place_prompt, receive_heartbeat, build_digest
+    targets = place_prompt, select_homes, receive_heartbeat, build_digest
 }
 criterion_main!(placing);
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -5,6 +5,7 @@
 //! the prompt itself, and a fixed time for each first event ([`PrefillModel`]).
 
 use super::engine_registry::{AdmissionRequest, RunKey};
+use super::prefill_meter::{MeterSample, PrefillMeter};
 use super::prefill_model::{PrefillModel, PrefillSample, PrefillSpeed, PrefillWork};
 use super::prefix_cache::PrefixCache;
 use super::prompt_shape::PromptPart;
@@ -40,6 +41,10 @@
     /// The end of the backlog as reported by the owner of the engine.
     reported_until_ms: f64,
     memory: u64,
+    meter: PrefillMeter,
+    /// Whether a run has ended before its first event since the latest first event: it is not known
+    /// how much of its prompt was prefilled.
+    is_interval_partial: bool,
 }
 
 impl EngineLoad {
@@ -59,6 +64,8 @@
             last_first_ms: f64::NEG_INFINITY,
             reported_until_ms: f64::NEG_INFINITY,
             memory: 0,
+            meter: PrefillMeter::default(),
+            is_interval_partial: false,
         }
     }
 
@@ -77,6 +84,17 @@
         &self.model
     }
 
+    /// Returns whether the prefill rate is known.
+    pub const fn is_measured(&self) -> bool {
+        self.meter.is_known()
+    }
+
+    /// Returns the measured prefill rate in tokens per millisecond, given the fixed time of each
+    /// first event; `None` until enough first events were observed.
+    pub fn prefill_rate(&self, fixed_ms: f64) -> Option<f64> {
+        self.meter.rate(fixed_ms)
+    }
+
     /// Returns the number of requests at the engine.
     pub fn runs(&self) -> usize {
         self.runs.len()
@@ -181,6 +199,9 @@
         if updates_model && is_first {
             self.learn(&run, now_ms as f64);
         }
+        if updates_model && self.waiting.contains(&key) {
+            self.measure(&run, now_ms);
+        }
         self.waiting.retain(|waiting| *waiting != key);
         self.drop_overtaken(run.placed_ms);
         self.last_first_ms = self.last_first_ms.max(now_ms as f64);
@@ -197,6 +218,40 @@
         });
     }
 
+    /// Measures the work of a run with a first event, in whichever order first events arrive, and
+    /// of the runs that it has overtaken.
+    fn measure(&mut self, run: &EngineRun, now_ms: u64) {
+        let now = now_ms as f64;
+        let oldest_ms = self.waiting_runs().map(|waiting| waiting.placed_ms).min();
+        let oldest = oldest_ms.unwrap_or(run.placed_ms) as f64;
+        let was_idle = self.last_first_ms - self.model.fixed_ms() <= oldest;
+        let since = if was_idle { oldest } else { self.last_first_ms };
+        // The fixed time of a short prompt at an idle engine hides its prefill time.
+        let is_hidden =
+            was_idle && PrefillMeter::nominal_ms(run.work) * 2.0 < self.model.fixed_ms();
+        if std::mem::take(&mut self.is_interval_partial) || is_hidden {
+            return;
+        }
+        let overtaken = self
+            .waiting_runs()
+            .filter(|waiting| waiting.placed_ms + Self::OVERTAKEN_MS < run.placed_ms);
+        let overtaken: Vec<PrefillWork> = overtaken.map(|waiting| waiting.work).collect();
+        let sample = MeterSample {
+            work: run.work,
+            busy_ms: now - since,
+            was_idle,
+        };
+        self.meter.record(sample, now_ms);
+        for work in overtaken {
+            let sample = MeterSample {
+                work,
+                busy_ms: 0.0,
+                was_idle: false,
+            };
+            self.meter.record(sample, now_ms);
+        }
+    }
+
     /// Counts runs placed well before a run with a first event as prefilled.
     fn drop_overtaken(&mut self, placed_ms: u64) {
         let runs = &self.runs;
@@ -210,6 +265,7 @@
     pub fn end(&mut self, key: RunKey) {
         if let Some(run) = self.runs.remove(&key) {
             self.memory -= u64::from(run.memory);
+            self.is_interval_partial |= self.waiting.contains(&key);
             self.waiting.retain(|waiting| *waiting != key);
         }
     }
--- a/dockgate-core/src/gateway/engine_load/tests.rs
+++ b/dockgate-core/src/gateway/engine_load/tests.rs
@@ -168,3 +168,57 @@
         }
     }
 }
+
+/// Guards against rates that depend on the order of first events, on whether the engine was idle,
+/// or on prompts whose callers have left.
+#[test]
+fn measured_rate_is_that_of_the_engine() {
+    for (overlaps, reversed, cancelled) in [
+        (false, false, false),
+        (true, false, false),
+        (true, true, false),
+        (true, false, true),
+    ] {
+        let mut load = engine();
+        let mut now_ms = 1_000;
+        for number in 0..60_u32 {
+            let pair = [number * 3, number * 3 + 1];
+            let parts = pair.map(|number| u64::from(number) * 10);
+            load.place(
+                key(pair[0]),
+                &request(parts[0], parts[0] + 1, 3_400),
+                now_ms,
+            );
+            if !overlaps {
+                load.start(key(pair[0]), now_ms + 120, true);
+                now_ms += 300;
+                continue;
+            }
+            load.place(
+                key(pair[1]),
+                &request(parts[1], parts[1] + 1, 3_400),
+                now_ms + 1,
+            );
+            if cancelled && number % 3 == 0 {
+                let gone = key(number * 3 + 2);
+                load.place(
+                    gone,
+                    &request(parts[1] + 2, parts[1] + 3, 3_400),
+                    now_ms + 2,
+                );
+                load.end(gone);
+            }
+            let order = if reversed { [pair[1], pair[0]] } else { pair };
+            load.start(key(order[0]), now_ms + 120, true);
+            load.start(key(order[1]), now_ms + 220, true);
+            now_ms += 300;
+        }
+        let expected = PrefillMeter::nominal_ms(PrefillWork::new(0, 3_400)) / 100.0;
+        let typical_ms = PrefillMeter::nominal_ms(PrefillWork::new(0, 2_000));
+        let ratio = load.prefill_rate(20.0).unwrap() * typical_ms / 2_000.0 / expected;
+        assert!(
+            (ratio - 1.0).abs() < 0.05,
+            "{ratio}: {overlaps} {reversed} {cancelled}"
+        );
+    }
+}
--- a/dockgate-core/src/gateway/engine_registry.rs
+++ b/dockgate-core/src/gateway/engine_registry.rs
@@ -136,6 +136,34 @@
         self.loads.values()
     }
 
+    /// Returns the measured prefill rates of engines, in tokens per millisecond.
+    ///
+    /// The fixed time of a first event is the median of the engines of a kind: the one that is
+    /// learned for a single engine follows its slow phases.
+    pub fn prefill_rates(&self) -> Vec<(EndpointId, f64)> {
+        let mut fixed: HashMap<EngineSpec, f64> = HashMap::new();
+        let measured = self.loads.iter().filter(|(_, load)| load.is_measured());
+        let rates = measured.filter_map(|(id, load)| {
+            let spec = load.spec();
+            let fixed_ms = *fixed
+                .entry(spec)
+                .or_insert_with(|| self.median_fixed_ms(spec));
+            Some((*id, load.prefill_rate(fixed_ms)?))
+        });
+        rates.collect()
+    }
+
+    /// Returns the median of the fixed times of the engines of a kind, in milliseconds.
+    fn median_fixed_ms(&self, spec: EngineSpec) -> f64 {
+        let loads = self.loads.values().filter(|load| load.spec() == spec);
+        let mut times: Vec<f64> = loads.map(|load| load.model().fixed_ms()).collect();
+        let middle = times.len() / 2;
+        match times.is_empty() {
+            true => PrefillModel::default().fixed_ms(),
+            false => *times.select_nth_unstable_by(middle, f64::total_cmp).1,
+        }
+    }
+
     /// Records the first event of a run.
     ///
     /// `updates_model` is set if this box receives reports of every run at the engine.
