feat: prompts are placed by the weights of engines, whose rates boxes exchange

Cause: boxes other than the owner of an engine do not know its speed, and a fleet with engines of several speeds asks slow ones as often as fast ones.

Change: heartbeats and digests carry the rates of engines behind the evacuation orders, while some rates of a service differ. Each box updates the weights before its heartbeat, and select_homes uses them.

In a fleet of equal engines the datagrams are byte for byte as before, and homes are those of best_homes; the recorded datagrams are unchanged.

--- a/dockgate-bench/src/standin/peer.rs
+++ b/dockgate-bench/src/standin/peer.rs
@@ -120,6 +120,7 @@
                 shares: Vec::new(),
             },
             evacuations: Vec::new(),
+            rates: Vec::new(),
         };
         if let Ok(bytes) = datagram.encode() {
             // The next datagram replaces a lost one.
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -5,16 +5,18 @@
 //! nothing more is reported about them.
 
 use dockgate_core::gateway::{
-    AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EvacuationOrder,
-    FleetDigest, PrefillSpeed, PromptPart, RouteConfig, StoreRevision, SuspectReport, UsageRow,
+    AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EngineRate,
+    EvacuationOrder, FleetDigest, PrefillSpeed, PromptPart, RouteConfig, StoreRevision,
+    SuspectReport, UsageRow,
 };
 use dockgate_core::{BoxKey, Incarnation};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// A datagram.
 ///
-/// The evacuation orders follow the message and are left out if there are none; boxes that do not
-/// know of them ignore the bytes after the message.
+/// The evacuation orders follow the message, and the rates of engines follow the orders. Empty
+/// lists at the end are left out; boxes that do not know of a list ignore its bytes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GatewayDatagram {
     /// The box that sends it.
@@ -25,6 +27,8 @@
     pub message: GatewayMessage,
     /// The evacuation orders that the sender knows, in heartbeats and digests.
     pub evacuations: Vec<EvacuationOrder>,
+    /// The rates of engines that the sender reports, in heartbeats and digests.
+    pub rates: Vec<EngineRate>,
 }
 
 /// The first bytes of each datagram; the last one is the version of the format. A box with another
@@ -40,9 +44,10 @@
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let message = (&self.from, &self.incarnation, &self.message);
         let bytes = postcard::to_extend(&message, FORMAT_PREFIX.to_vec())?;
-        match self.evacuations.is_empty() {
-            true => Ok(bytes),
-            false => postcard::to_extend(&self.evacuations, bytes),
+        match (self.evacuations.is_empty(), self.rates.is_empty()) {
+            (true, true) => Ok(bytes),
+            (false, true) => postcard::to_extend(&self.evacuations, bytes),
+            (_, false) => postcard::to_extend(&(&self.evacuations, &self.rates), bytes),
         }
     }
 
@@ -55,19 +60,27 @@
         let message = bytes.strip_prefix(&FORMAT_PREFIX);
         let message = message.ok_or(postcard::Error::DeserializeBadEncoding)?;
         let ((from, incarnation, message), rest) = postcard::take_from_bytes(message)?;
-        let evacuations = match rest.is_empty() {
-            true => Vec::new(),
-            false => postcard::from_bytes(rest)?,
-        };
+        let (evacuations, rest) = take_list(rest)?;
+        let (rates, _) = take_list(rest)?;
         Ok(Self {
             from,
             incarnation,
             message,
             evacuations,
+            rates,
         })
     }
 }
 
+/// Decodes a list at the start of the bytes and returns it with the rest; no bytes are an empty
+/// list.
+fn take_list<T: DeserializeOwned>(bytes: &[u8]) -> Result<(Vec<T>, &[u8]), postcard::Error> {
+    match bytes.is_empty() {
+        true => Ok((Vec::new(), bytes)),
+        false => postcard::take_from_bytes(bytes),
+    }
+}
+
 /// A message between boxes. A run is identified by its number at the entry box and its endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatewayMessage {
--- a/dockgate-proto/src/gateway/tests.rs
+++ b/dockgate-proto/src/gateway/tests.rs
@@ -7,6 +7,7 @@
         incarnation: Incarnation(7),
         message,
         evacuations: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
@@ -78,6 +79,37 @@
     }
 }
 
+/// What a box decodes that knows of no rates.
+type RatelessDatagram = (BoxKey, Incarnation, GatewayMessage, Vec<EvacuationOrder>);
+
+/// Guards against boxes that take rates for evacuation orders.
+#[test]
+fn rates_follow_the_evacuation_orders() {
+    let order = EvacuationOrder {
+        domain: DomainKey(9),
+        revision: StoreRevision::new(2, 5),
+        is_active: true,
+    };
+    let rates = vec![EngineRate {
+        endpoint: EndpointId(u64::MAX),
+        step: -3,
+        counter: 300,
+        age_ds: 99,
+    }];
+    for (message, orders) in messages().into_iter().zip([0, 1, 0, 1]) {
+        let sent = GatewayDatagram {
+            evacuations: vec![order; orders],
+            rates: rates.clone(),
+            ..datagram(message)
+        };
+        let bytes = sent.encode().unwrap();
+        assert_eq!(GatewayDatagram::decode(&bytes), Ok(sent.clone()));
+        assert!(GatewayDatagram::decode(&bytes[..bytes.len() - 1]).is_err());
+        let known: RatelessDatagram = postcard::from_bytes(&bytes[FORMAT_PREFIX.len()..]).unwrap();
+        assert_eq!((known.2, known.3), (sent.message, sent.evacuations));
+    }
+}
+
 /// Guards against datagrams accepted across formats, the one without a prefix included.
 #[test]
 fn datagrams_of_other_formats_are_rejected() {
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -224,6 +224,7 @@
             incarnation: Incarnation(7),
             message,
             evacuations: Vec::new(),
+            rates: Vec::new(),
         };
         let bytes = datagram.encode().unwrap();
         let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -14,6 +14,7 @@
 mod encoded_updates;
 mod end_check;
 mod engine_placement;
+mod engine_rates;
 mod event_stream;
 mod events;
 mod follow;
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -7,6 +7,7 @@
 use super::engine_placement::{
     decide_locally, place_locally, receive_engine_report, record_cached,
 };
+use super::engine_rates::receive_rates;
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::{receive_digest, receive_heartbeat};
@@ -52,8 +53,10 @@
         incarnation,
         message,
         evacuations,
+        rates,
     } = datagram;
     state.apply_evacuations(evacuations, "box");
+    receive_rates(state, &rates);
     let now = now_ms();
     let key_of = |number| RunKey {
         entry: peer,
--- a/dockgate/src/gateway/datagram_receiver/tests.rs
+++ b/dockgate/src/gateway/datagram_receiver/tests.rs
@@ -98,6 +98,7 @@
             speed,
         },
         evacuations: Vec::new(),
+        rates: Vec::new(),
     }
 }
 
--- a/dockgate/src/gateway/datagrams.rs
+++ b/dockgate/src/gateway/datagrams.rs
@@ -3,6 +3,7 @@
 //! Datagrams leave no connections hanging in a partition. Messages are independent of each other,
 //! and one that cannot be sent counts as lost.
 
+use super::engine_rates::reported_rates;
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use crate::metrics::METRICS;
@@ -17,10 +18,18 @@
     bytes: Vec<u8>,
 }
 
+#[cfg(test)]
+impl EncodedMessage {
+    /// Returns the datagram.
+    pub(super) fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Encodes a message of this box; returns `None`, and counts the failure, if encoding fails.
 ///
 /// Heartbeats and digests carry the evacuation orders, so that these reach every box as fast as the
-/// state of the fleet and do not wait for a larger transfer.
+/// state of the fleet and do not wait for a larger transfer, and the rates of engines that differ.
 pub(super) fn encode(state: &GatewayState, message: GatewayMessage) -> Option<EncodedMessage> {
     let kind = message.kind();
     let evacuations = match message {
@@ -29,11 +38,13 @@
         }
         _ => Vec::new(),
     };
+    let rates = reported_rates(state, &message);
     let datagram = GatewayDatagram {
         from: state.own_key(),
         incarnation: state.incarnation(),
         message,
         evacuations,
+        rates,
     };
     match datagram.encode() {
         Ok(bytes) => Some(EncodedMessage { kind, bytes }),
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -19,8 +19,8 @@
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, DomainKey, EndpointId, EndpointObjection, EngineSpec,
-    PrefillSpeed, PromptPart, PromptShape, ReadyEndpoint, RunKey, ServiceSpec, ShareLevel,
-    best_homes, placement_key,
+    HomeWeights, PrefillSpeed, PromptPart, PromptShape, ReadyEndpoint, RunKey, ServiceSpec,
+    ShareLevel, placement_key, weighted_homes,
 };
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
@@ -134,6 +134,7 @@
     counts: HomeCounts,
     ready: &[ReadyEndpoint],
     local: DomainKey,
+    weights: &HomeWeights,
     accepts: impl Fn(EndpointId) -> bool,
 ) -> Vec<EndpointId> {
     let own = query.own_subject;
@@ -141,23 +142,24 @@
     let subject = placement_key(subject, own, query.tried.len());
     if query.prompt.shared_tokens() >= LOCAL_BELOW_TOKENS {
         let all = ready.iter().map(|ready| ready.id);
-        return best_homes(subject, all, counts.shared, accepts);
+        return weighted_homes(subject, all, weights, counts.shared, accepts);
     }
     let of_domain = |is_local: bool| {
         let ready = ready.iter();
         let ready = ready.filter(move |ready| (ready.domain == local) == is_local);
         ready.map(|ready| ready.id)
     };
-    let mut homes = best_homes(subject, of_domain(true), counts.local, &accepts);
+    let mut homes = weighted_homes(subject, of_domain(true), weights, counts.local, &accepts);
     let remote_homes = if query.level.is_beyond() {
         0
     } else {
         counts.remote
     };
     let missing = counts.local - homes.len();
-    homes.extend(best_homes(
+    homes.extend(weighted_homes(
         subject,
         of_domain(false),
+        weights,
         missing + remote_homes,
         &accepts,
     ));
@@ -168,6 +170,7 @@
     let now = now_ms();
     let ready = view.endpoints.ready(&query.service.name);
     let local = DomainKey::from_name(&view.fleet.own().domain);
+    let weights = view.engine_weights.homes();
     let entry = |id: EndpointId| view.endpoints.get(id);
     let is_eligible =
         |id: EndpointId| view.endpoints.is_eligible(id, now) && !query.tried.contains(&id);
@@ -175,14 +178,14 @@
         let unreliable = entry(id).is_none_or(|entry| entry.health.is_unreliable(now));
         is_eligible(id) && !unreliable
     };
-    let mut order = select_homes(query, counts, ready, local, is_usable);
+    let mut order = select_homes(query, counts, ready, local, weights, is_usable);
     if order.is_empty() {
-        order = select_homes(query, counts, ready, local, is_eligible);
+        order = select_homes(query, counts, ready, local, weights, is_eligible);
     }
     // A cold engine is asked for its few grants; another one stands in for it.
     let is_warm = |id: EndpointId| !view.warmups.is_cold(id, now);
     if !order.iter().copied().all(is_warm) {
-        let spares = select_homes(query, counts, ready, local, |id| {
+        let spares = select_homes(query, counts, ready, local, weights, |id| {
             is_usable(id) && is_warm(id)
         });
         let spares = spares.into_iter().filter(|id| !order.contains(id));
@@ -545,4 +548,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -2,6 +2,7 @@
 use crate::gateway::gateway_state::tests::state_with_seed;
 use dockgate_core::gateway::{
     EndpointChange, EndpointRecord, EndpointState, LatencyLimits, RouteConfig, StoreRevision,
+    best_homes,
 };
 use std::collections::BTreeSet;
 use tokio::net::UdpSocket;
@@ -63,19 +64,20 @@
         ready.collect()
     };
     let ready = [of_domain(local, 1), of_domain(remote, 2)].concat();
-    let found = select_homes(&query, HOMES, &ready, DomainKey(1), |_| true);
+    let weights = HomeWeights::default();
+    let found = select_homes(&query, HOMES, &ready, DomainKey(1), &weights, |_| true);
     let expected: Vec<EndpointId> = homes.iter().map(engine_at).collect();
     assert_eq!(found, expected);
 }
 
 /// The time limits of a prompt whose first event is due in 600 ms.
-const LIMITS: LatencyLimits = LatencyLimits {
+pub(in super::super) const LIMITS: LatencyLimits = LatencyLimits {
     objective_ms: 600,
     shortest_objective_ms: 600,
     budget_ms: 6_000,
 };
 
-fn model_service() -> ServiceSpec {
+pub(in super::super) fn model_service() -> ServiceSpec {
     ServiceSpec {
         name: "model".to_owned(),
         connections: 2_000,
@@ -88,7 +90,7 @@
 }
 
 /// Creates the state of a box that owns `count` engines.
-async fn state_with_engines(count: u64) -> Arc<GatewayState> {
+pub(in super::super) async fn state_with_engines(count: u64) -> Arc<GatewayState> {
     let datagrams = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let own = datagrams.local_addr().unwrap();
     let state = Arc::new(state_with_seed(datagrams, own));
@@ -192,3 +194,36 @@
         "the budget is used up"
     );
 }
+
+/// Guards against slow engines that are asked as often as the others.
+#[test]
+fn engines_are_homes_by_their_weight() {
+    let service = model_service();
+    let prompt = PromptShape::default();
+    let ready = |id| ReadyEndpoint {
+        id: EndpointId(id),
+        domain: DomainKey(1),
+    };
+    let ready: Vec<ReadyEndpoint> = (0..40).map(ready).collect();
+    let times_home = |weight: f64| {
+        let weights = HomeWeights::from_iter([(EndpointId(7), weight)]);
+        let subjects = (0..2_000).filter(|subject| {
+            let query = EngineQuery {
+                service: &service,
+                prompt: &prompt,
+                own_subject: *subject,
+                tried: &[],
+                resumed: false,
+                level: ShareLevel::WITHIN,
+            };
+            let homes = select_homes(&query, HOMES, &ready, DomainKey(1), &weights, |_| true);
+            homes.contains(&EndpointId(7))
+        });
+        subjects.count()
+    };
+    let [slow, equal, fast] = [0.25, 1.0, 4.0].map(times_home);
+    assert!(
+        slow * 3 < equal && equal * 2 < fast,
+        "{slow} {equal} {fast}"
+    );
+}
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -114,6 +114,13 @@
         revision: u64,
         source: &'a str,
     },
+    /// The weight of an engine in the placement of prompts changed, as its speed did relative to
+    /// the other engines of its service; logged by the box that owns it.
+    EngineWeight {
+        endpoint: &'a str,
+        from: f64,
+        to: f64,
+    },
     /// A call to the store failed after the store was reachable.
     StoreLost { step: &'a str, problem: String },
     /// The store is reachable again.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -86,6 +86,10 @@
     domain_cut = { GatewayEvent::DomainCut { domain: "a" }, "domain event" },
     domain_back = { GatewayEvent::DomainBack { domain: "a", for_ms: 900 }, "domain event for_ms" },
     held_back = { GatewayEvent::LinesHeldBack { count: 3 }, "count event" },
+    engine_weight = {
+        GatewayEvent::EngineWeight { endpoint: "e", from: 1.0, to: 0.5 },
+        "endpoint event from to"
+    },
     store_back = {
         GatewayEvent::StoreBack { step: "op", away_ms: 4 },
         "away_ms event step"
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -22,6 +22,7 @@
     connections: IntGauge,
     cold_endpoints: IntGauge,
     evacuated_domains: IntGauge,
+    weighted_engines: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -89,6 +90,10 @@
                 "dockgate_evacuated_domains",
                 "Failure domains whose endpoints get nothing by order of the operator",
             ),
+            weighted_engines: gauge(
+                "dockgate_weighted_engines",
+                "Engines whose weight in the placement of prompts is not 1, as their speed differs",
+            ),
         }
     }
 
@@ -130,6 +135,8 @@
             let evacuations = view.endpoints.evacuations().iter();
             let evacuated = evacuations.filter(|order| order.is_active).count();
             self.evacuated_domains.set(evacuated as i64);
+            let weighted = view.engine_weights.homes().iter().count();
+            self.weighted_engines.set(weighted as i64);
             let quarantined = view.suspects.quarantined_count(now);
             self.quarantined.set(quarantined as i64);
             let loads = || view.engines.iter();
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -29,6 +29,8 @@
     pub(super) declined_locally: IntCounter,
     /// Prompts that were admitted by an engine other than their homes.
     pub(super) overflowed: IntCounter,
+    /// Changes of the weights of engines that this box owns.
+    pub(super) weight_changes: IntCounter,
     withheld_sends: IntCounterVec,
     /// Log lines about requests that exceeded the rate limit.
     pub(super) suppressed_lines: IntCounter,
@@ -118,6 +120,10 @@
                 "dockgate_overflowed_prompts_total",
                 "Prompts admitted by an engine other than their homes, which had declined",
             ),
+            weight_changes: counter(
+                "dockgate_engine_weight_changes_total",
+                "Changes of the weights of engines that this box decides for",
+            ),
             withheld_sends: counter_vec(
                 "dockgate_withheld_sends_total",
                 "Requests that were not written to an endpoint once that was decided, by reason",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -15,10 +15,10 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
-    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
-    LoadShedder, LoopLag, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower, StoreProbe,
-    StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
+    EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
+    InterruptionTracker, LoadShedder, LoopLag, OverflowBudget, PlainLoads, PrefixHistory,
+    ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker,
+    StoreFollower, StoreProbe, StoreRevision, SuspectRegistry, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -105,6 +105,8 @@
     pub(super) watch_check: WatchCheck,
     /// The endpoints that warm up.
     pub(super) warmups: WarmupTracker,
+    /// The prefill rates of engines and their weights in the placement of prompts.
+    pub(super) engine_weights: EngineWeights,
 }
 
 /// A configuration, encoded for other boxes.
@@ -178,6 +180,7 @@
             gate: ResumeGate::default(),
             watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
+            engine_weights: EngineWeights::default(),
         };
         Self {
             own_key: BoxKey::from_name(&settings.name),
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -8,6 +8,7 @@
 use super::datagrams::{EncodedMessage, encode, send_datagram, send_encoded, send_to};
 use super::end_check;
 use super::engine_placement::placed_message;
+use super::engine_rates;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayState, GatewayView};
 use super::quarantine;
@@ -249,6 +250,7 @@
     for scope in scopes {
         let wait_ms = rand::random_range(HEARTBEAT_MS);
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        engine_rates::update_weights(&state);
         send_heartbeat(&state);
         send_remote_digests(&state, scope);
         quarantine::broadcast_reports(&state);
