fix: weights need an identifiable fixed time of first events and half of the rates

All prompts had the same length and found the engine idle, so that the model could not tell the fixed time from the prefill; boxes with different estimates measured equal engines two steps apart. Also, the first two known rates gave weights by their median for a moment, as 4 for a fast engine.

Change: an engine has no rate while the standard deviation of the fixed time makes up more than 0.2 of its busy time. Weights stay 1 until the rates of half of the ready engines of a service are known; rates are reported before that. New tests: real processes of which all learn that an engine is slow, boxes that agree although half of the datagrams are lost, repeated or late.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -81,7 +81,7 @@
 };
 pub use engine_load::{EngineLoad, EngineRun};
 pub use engine_registry::{AdmissionRequest, EngineRegistry, LatencyLimits, RunKey};
-pub use engine_weights::{EngineRate, EngineWeights, RateAudience, WeightChange};
+pub use engine_weights::{EngineRate, EngineWeights, RateAudience, ReadyService, WeightChange};
 pub use era_tracker::{EraChange, EraTracker};
 pub use evacuation_orders::{EvacuationOrder, EvacuationOrders};
 pub use event_splitter::{EventSplitter, SplitEvent};
@@ -93,7 +93,7 @@
 pub use notice_registry::{NoticeRegistry, NoticeUpdate};
 pub use overflow_budget::OverflowBudget;
 pub use plain_loads::PlainLoads;
-pub use prefill_meter::{MeterSample, PrefillMeter};
+pub use prefill_meter::{FixedTime, MeterSample, PrefillMeter};
 pub use prefill_model::{PrefillModel, PrefillSample, PrefillSpeed, PrefillWork};
 pub use prefix_cache::PrefixCache;
 pub use prefix_history::{PrefixHistory, PrefixReport};
--- a/dockgate-core/src/gateway/engine_load.rs
+++ b/dockgate-core/src/gateway/engine_load.rs
@@ -5,7 +5,7 @@
 //! the prompt itself, and a fixed time for each first event ([`PrefillModel`]).
 
 use super::engine_registry::{AdmissionRequest, RunKey};
-use super::prefill_meter::{MeterSample, PrefillMeter};
+use super::prefill_meter::{FixedTime, MeterSample, PrefillMeter};
 use super::prefill_model::{PrefillModel, PrefillSample, PrefillSpeed, PrefillWork};
 use super::prefix_cache::PrefixCache;
 use super::prompt_shape::PromptPart;
@@ -84,15 +84,18 @@
         &self.model
     }
 
-    /// Returns whether the prefill rate is known.
+    /// Returns whether enough first events were observed for the prefill rate.
     pub const fn is_measured(&self) -> bool {
         self.meter.is_known()
     }
 
     /// Returns the measured prefill rate in tokens per millisecond, given the fixed time of each
-    /// first event; `None` until enough first events were observed.
+    /// first event; `None` while it is uncertain.
     pub fn prefill_rate(&self, fixed_ms: f64) -> Option<f64> {
-        self.meter.rate(fixed_ms)
+        self.meter.rate(FixedTime {
+            ms: fixed_ms,
+            deviation_ms: self.model.fixed_deviation_ms(),
+        })
     }
 
     /// Returns the number of requests at the engine.
--- a/dockgate-core/src/gateway/engine_load/tests.rs
+++ b/dockgate-core/src/gateway/engine_load/tests.rs
@@ -180,45 +180,33 @@
         (true, false, true),
     ] {
         let mut load = engine();
-        let mut now_ms = 1_000;
         for number in 0..60_u32 {
-            let pair = [number * 3, number * 3 + 1];
-            let parts = pair.map(|number| u64::from(number) * 10);
-            load.place(
-                key(pair[0]),
-                &request(parts[0], parts[0] + 1, 3_400),
-                now_ms,
-            );
-            if !overlaps {
-                load.start(key(pair[0]), now_ms + 120, true);
-                now_ms += 300;
-                continue;
+            let placed_ms = 1_000 + 1_000 * u64::from(number);
+            let input = [1_000, 3_400][number as usize % 2];
+            let took_ms = (PrefillMeter::nominal_ms(PrefillWork::new(0, input)) * 1.25) as u64;
+            let place = |load: &mut EngineLoad, run: u32, after_ms| {
+                let part = u64::from(number * 10 + run);
+                let request = request(part * 2, part * 2 + 1, input);
+                load.place(key(number * 3 + run), &request, placed_ms + after_ms);
+            };
+            place(&mut load, 0, 0);
+            if overlaps {
+                place(&mut load, 1, 1);
             }
-            load.place(
-                key(pair[1]),
-                &request(parts[1], parts[1] + 1, 3_400),
-                now_ms + 1,
-            );
             if cancelled && number % 3 == 0 {
-                let gone = key(number * 3 + 2);
-                load.place(
-                    gone,
-                    &request(parts[1] + 2, parts[1] + 3, 3_400),
-                    now_ms + 2,
-                );
-                load.end(gone);
+                place(&mut load, 2, 2);
+                load.end(key(number * 3 + 2));
+            }
+            let order = if reversed { [1, 0] } else { [0, 1] };
+            let order = if overlaps { &order[..] } else { &[0] };
+            for (run, rank) in order.iter().zip(1..) {
+                let started_ms = placed_ms + 20 + took_ms * rank;
+                load.start(key(number * 3 + run), started_ms, true);
             }
-            let order = if reversed { [pair[1], pair[0]] } else { pair };
-            load.start(key(order[0]), now_ms + 120, true);
-            load.start(key(order[1]), now_ms + 220, true);
-            now_ms += 300;
         }
-        let expected = PrefillMeter::nominal_ms(PrefillWork::new(0, 3_400)) / 100.0;
         let typical_ms = PrefillMeter::nominal_ms(PrefillWork::new(0, 2_000));
-        let ratio = load.prefill_rate(20.0).unwrap() * typical_ms / 2_000.0 / expected;
-        assert!(
-            (ratio - 1.0).abs() < 0.05,
-            "{ratio}: {overlaps} {reversed} {cancelled}"
-        );
+        let ratio = load.prefill_rate(20.0).unwrap() * typical_ms / 2_000.0 * 1.25;
+        let is_close = (ratio - 1.0).abs() < 0.05;
+        assert!(is_close, "{ratio}: {overlaps} {reversed} {cancelled}");
     }
 }
--- a/dockgate-core/src/gateway/engine_weights.rs
+++ b/dockgate-core/src/gateway/engine_weights.rs
@@ -11,13 +11,14 @@
 //! circulates between coordinators does not outlive its source.
 //!
 //! ```
-//! use dockgate_core::gateway::{EndpointId, EngineWeights};
+//! use dockgate_core::gateway::{EndpointId, EngineWeights, ReadyService};
 //!
 //! let mut weights = EngineWeights::default();
 //! for (id, rate) in [(1, 30.0), (2, 30.0), (3, 15.0)] {
 //!     weights.measure(EndpointId(id), rate, 0);
 //! }
-//! weights.refresh(|_| Some(7), 0);
+//! let service = ReadyService { key: 7, engines: 4 };
+//! weights.refresh(|_| Some(service), 0);
 //! assert_eq!(weights.homes().get(EndpointId(1)), 1.0);
 //! assert_eq!(weights.homes().get(EndpointId(3)), 0.5);
 //! ```
@@ -57,6 +58,15 @@
     const COUNT: usize = 3;
 }
 
+/// The service of an engine that is ready.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReadyService {
+    /// A key of the service.
+    pub key: u64,
+    /// The number of its engines that are ready.
+    pub engines: usize,
+}
+
 /// A changed weight of an engine that this box owns.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WeightChange {
@@ -207,15 +217,16 @@
     /// Removes outdated rates and updates the weights; returns the changed weights of engines that
     /// this box owns.
     ///
-    /// `service_of` returns a key of the service of an engine, or `None` if it is not ready.
+    /// `service_of` returns the service of an engine, or `None` if the engine is not ready. Weights
+    /// are 1 until the rates of half of its engines are known: the median of few rates is off.
     pub fn refresh(
         &mut self,
-        service_of: impl Fn(EndpointId) -> Option<u64>,
+        service_of: impl Fn(EndpointId) -> Option<ReadyService>,
         now_ms: u64,
     ) -> Vec<WeightChange> {
         self.rates
             .retain(|_, rate| rate.reported_ms + Self::LIFETIME_MS > now_ms);
-        let mut services: BTreeMap<u64, Vec<(EndpointId, i16)>> = BTreeMap::new();
+        let mut services: BTreeMap<ReadyService, Vec<(EndpointId, i16)>> = BTreeMap::new();
         for (id, rate) in &self.rates {
             if let Some(service) = service_of(*id) {
                 let engines = services.entry(service).or_default();
@@ -223,14 +234,13 @@
             }
         }
         let mut weights = Vec::new();
-        for engines in services.values() {
+        for (service, engines) in &services {
             let median = median_step(engines);
             let differing = engines
                 .iter()
                 .filter(|(_, step)| (step - median).abs() >= Self::MIN_DEVIATION);
-            let before = weights.len();
-            weights.extend(differing.map(|(id, step)| (*id, weight(step - median))));
-            if weights.len() == before {
+            let differing: Vec<(EndpointId, i16)> = differing.copied().collect();
+            if differing.is_empty() {
                 continue;
             }
             for (id, _) in engines {
@@ -238,6 +248,10 @@
                     rate.reports_until_ms = now_ms + Self::LIFETIME_MS;
                 }
             }
+            if engines.len() * 2 >= service.engines {
+                let differing = differing.into_iter();
+                weights.extend(differing.map(|(id, step)| (id, weight(step - median))));
+            }
         }
         let previous = std::mem::replace(&mut self.weights, weights.into_iter().collect());
         let own = self.rates.iter().filter(|(_, rate)| rate.is_own(now_ms));
--- a/dockgate-core/src/gateway/engine_weights/speed_simulation.rs
+++ b/dockgate-core/src/gateway/engine_weights/speed_simulation.rs
@@ -6,10 +6,15 @@
     PrefillMeter, PrefillWork, PromptPart, PromptShape, RunKey, tie_break, weighted_homes,
 };
 use crate::ids::BoxKey;
+use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use yare::parameterized;
 
 const ENGINES: u64 = 60;
+const SERVICE: ReadyService = ReadyService {
+    key: 1,
+    engines: ENGINES as usize,
+};
 const SUBJECTS: u64 = 1_200;
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
 const SPEC: EngineSpec = EngineSpec {
@@ -30,12 +35,6 @@
     tie_break(one, EndpointId(other)) as f64 / u64::MAX as f64
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Step {
-    Start,
-    End,
-}
-
 struct Fleet {
     speeds: [f64; 3],
     uses_weights: bool,
@@ -46,8 +45,8 @@
     computed: usize,
     other_than_1: usize,
     free_at: Vec<f64>,
-    /// Due steps of runs, latest first.
-    steps: BinaryHeap<std::cmp::Reverse<(u64, Step, u32, EndpointId)>>,
+    /// Due first events and, if set, ends of runs.
+    steps: BinaryHeap<Reverse<(u64, bool, u32, EndpointId)>>,
 }
 
 impl Fleet {
@@ -92,17 +91,13 @@
     }
 
     fn advance(&mut self, now_ms: u64) {
-        while let Some(std::cmp::Reverse((at_ms, step, number, engine))) =
-            self.steps.peek().copied()
-        {
-            if at_ms > now_ms {
-                return;
+        while let Some(Reverse((at_ms, is_end, run, engine))) = self.steps.peek().copied() {
+            match is_end {
+                _ if at_ms > now_ms => return,
+                true => self.engines.end(engine, key(run)),
+                false => self.engines.start(engine, key(run), at_ms, true),
             }
             self.steps.pop();
-            match step {
-                Step::Start => self.engines.start(engine, key(number), at_ms, true),
-                Step::End => self.engines.end(engine, key(number)),
-            }
         }
     }
 
@@ -110,7 +105,7 @@
         for (id, rate) in self.engines.prefill_rates() {
             self.weights.measure(id, rate, now_ms);
         }
-        self.weights.refresh(|_| Some(1), now_ms);
+        self.weights.refresh(|_| Some(SERVICE), now_ms);
         self.computed += ENGINES as usize;
         self.other_than_1 += self.weights.homes().iter().count();
     }
@@ -155,11 +150,9 @@
             let slowdown = if is_slow { 2.5 } else { 1.0 };
             *free_at = begins + nominal_ms * slowdown / self.speeds[home.0 as usize % 3];
             let first_ms = *free_at as u64 + FIXED_MS;
-            self.steps
-                .push(std::cmp::Reverse((first_ms, Step::Start, number, home)));
-            let end_ms = first_ms + OUTPUT_MS;
-            self.steps
-                .push(std::cmp::Reverse((end_ms, Step::End, number, home)));
+            let steps = [(first_ms, false), (first_ms + OUTPUT_MS, true)];
+            let steps = steps.map(|(at_ms, is_end)| Reverse((at_ms, is_end, number, home)));
+            self.steps.extend(steps);
             return true;
         }
         false
@@ -187,7 +180,6 @@
 #[parameterized(low = { 0.3 }, middle = { 0.6 }, high = { 0.75 }, near_capacity = { 0.9 })]
 fn fewer_prompts_are_declined_with_weights(load: f64) {
     let [without, with] = [false, true].map(|uses| Fleet::new(SPEEDS, uses).run(load, 15, 5_000));
-    println!("load {load}: declined {without:.4} without weights, {with:.4} with");
     assert!(
         with < without || without == 0.0 && with == 0.0,
         "{with} in place of {without}"
@@ -200,7 +192,6 @@
     let mut fleet = Fleet::new(SPEEDS, true);
     fleet.run(load, 5, 0);
     let matching = fleet.matching();
-    println!("load {load}: {matching} of {ENGINES} weights match");
     assert!(matching * 10 >= ENGINES as usize * 9, "{matching} match");
 }
 
@@ -217,7 +208,6 @@
     fleet.has_slow_phases = has_slow_phases;
     fleet.run(load, 40, 0);
     let (other, computed) = (fleet.other_than_1, fleet.computed);
-    println!("load {load}: {other} of {computed} weights are not 1");
     assert!(
         other * 1_000 <= computed * max_permille,
         "{other} of {computed}"
--- a/dockgate-core/src/gateway/engine_weights/tests.rs
+++ b/dockgate-core/src/gateway/engine_weights/tests.rs
@@ -2,6 +2,7 @@
 use proptest::prelude::*;
 
 const ENGINE: EndpointId = EndpointId(3);
+const SERVICE: ReadyService = ReadyService { key: 1, engines: 4 };
 
 /// Returns the weights of a box that owns engines with these rates.
 fn owner(rates: &[f64]) -> EngineWeights {
@@ -14,7 +15,7 @@
     for (id, rate) in rates.iter().enumerate() {
         weights.measure(EndpointId(id as u64), *rate, now_ms);
     }
-    weights.refresh(|_| Some(1), now_ms);
+    weights.refresh(|_| Some(SERVICE), now_ms);
 }
 
 fn row(step: i8, counter: u32, age_ds: u8) -> EngineRate {
@@ -29,7 +30,7 @@
 fn report(from: &mut EngineWeights, to: &mut EngineWeights, now_ms: u64) -> usize {
     let rows = from.rows(RateAudience::Domain, now_ms);
     to.merge(&rows, |_| true, now_ms);
-    to.refresh(|_| Some(1), now_ms);
+    to.refresh(|_| Some(SERVICE), now_ms);
     rows.len()
 }
 
@@ -55,13 +56,29 @@
     for (id, rate) in [(7, 30.0), (8, 30.0), (9, 15.0)] {
         mixed.measure(EndpointId(id), rate, 0);
     }
-    mixed.refresh(|_| Some(1), 0);
+    mixed.refresh(|_| Some(SERVICE), 0);
     assert_eq!(report(&mut slow, &mut mixed, 0), 0);
     assert_eq!(report(&mut mixed, &mut slow, 0), 3);
     assert_eq!(report(&mut slow, &mut mixed, 10), 5);
     assert_eq!(slow.homes(), mixed.homes());
 }
 
+/// Guards against weights by the median of the few rates that are known first.
+#[test]
+fn weights_are_1_until_half_of_the_rates_are_known() {
+    let mut weights = owner(&[30.0, 15.0]);
+    let mut weight_of = |engines| {
+        weights.refresh(|_| Some(ReadyService { key: 1, engines }), 0);
+        weights.homes().get(EndpointId(0))
+    };
+    assert_eq!([5, 4].map(&mut weight_of), [1.0, 2.0]);
+    assert_eq!(
+        weights.rows(RateAudience::Domain, 0).len(),
+        2,
+        "others learn the rates"
+    );
+}
+
 #[test]
 fn step_changes_only_with_clear_changes_of_the_rate_and_not_too_often() {
     let mut weights = EngineWeights::default();
@@ -112,7 +129,7 @@
 fn circulating_rows_expire() {
     let (mut one, mut other) = (owner(&[30.0, 30.0, 15.0]), EngineWeights::default());
     for now_ms in (0..10_300).step_by(100) {
-        one.refresh(|_| Some(1), now_ms);
+        one.refresh(|_| Some(SERVICE), now_ms);
         report(&mut one, &mut other, now_ms);
         report(&mut other, &mut one, now_ms);
     }
@@ -154,3 +171,56 @@
         prop_assert_eq!(weights.rates[&ENGINE].rank(), (9, 63 % 5));
     }
 }
+
+/// Guards against boxes that keep outdated weights after datagrams were lost, repeated or late.
+#[test]
+fn boxes_agree_although_half_of_the_datagrams_are_lost() {
+    const OWNERS: usize = 4;
+    const MEMBERS: usize = 20;
+    let draw = |one, other| crate::gateway::tie_break(one, EndpointId(other));
+    let mut boxes = vec![EngineWeights::default(); OWNERS + MEMBERS];
+    let mut late: Vec<Vec<EngineRate>> = Vec::new();
+    for tick in 0..40_u64 {
+        let now_ms = tick * 300;
+        for owner in 0..OWNERS as u64 {
+            // One engine becomes slower, and later as fast as before.
+            let slow = if (5..20).contains(&tick) {
+                1.0 / 3.5
+            } else {
+                1.0
+            };
+            for engine in 0..3 {
+                let rate = 30.0 * [0.6, 1.0, 1.6][engine as usize];
+                let rate = if owner == 0 && engine == 2 {
+                    rate * slow
+                } else {
+                    rate
+                };
+                boxes[owner as usize].measure(EndpointId(owner * 3 + engine), rate, now_ms);
+            }
+        }
+        let service = ReadyService {
+            key: 1,
+            engines: 3 * OWNERS,
+        };
+        for weights in &mut boxes {
+            weights.refresh(|_| Some(service), now_ms);
+        }
+        let rows: Vec<Vec<EngineRate>> = boxes[..OWNERS]
+            .iter_mut()
+            .map(|owner| owner.rows(RateAudience::Domain, now_ms))
+            .collect();
+        for (number, weights) in (0..).zip(&mut boxes) {
+            for (sender, rows) in (0..).zip(rows.iter().chain(&late)) {
+                if draw(tick, number * 100 + sender).is_multiple_of(2) {
+                    weights.merge(rows, |_| true, now_ms);
+                }
+            }
+        }
+        late = rows;
+    }
+    let expected = boxes[0].homes();
+    assert_eq!(expected.get(EndpointId(2)), expected.get(EndpointId(5)));
+    assert!(expected.get(EndpointId(2)) > 1.4 && expected.get(EndpointId(0)) < 0.7);
+    assert!(boxes.iter().all(|weights| weights.homes() == expected));
+}
--- a/dockgate-core/src/gateway/prefill_meter.rs
+++ b/dockgate-core/src/gateway/prefill_meter.rs
@@ -6,14 +6,15 @@
 //! the time for which the engine had prompts to prefill, with slow intervals left out.
 //!
 //! ```
-//! use dockgate_core::gateway::{MeterSample, PrefillMeter, PrefillWork};
+//! use dockgate_core::gateway::{FixedTime, MeterSample, PrefillMeter, PrefillWork};
 //!
 //! let mut meter = PrefillMeter::default();
 //! for number in 0..20 {
 //!     let work = PrefillWork::new(0, 2_000);
 //!     meter.record(MeterSample { work, busy_ms: 110.0, was_idle: true }, number * 150);
 //! }
-//! assert!((meter.rate(30.0).unwrap() - 25.0).abs() < 0.1);
+//! let fixed = FixedTime { ms: 30.0, deviation_ms: 5.0 };
+//! assert!((meter.rate(fixed).unwrap() - 25.0).abs() < 0.1);
 //! ```
 
 use super::prefill_model::{PrefillModel, PrefillWork};
@@ -32,6 +33,15 @@
     pub was_idle: bool,
 }
 
+/// The fixed time of a first event and its standard deviation, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FixedTime {
+    /// The fixed time.
+    pub ms: f64,
+    /// The standard deviation.
+    pub deviation_ms: f64,
+}
+
 /// The first events within an interval.
 #[derive(Debug, Clone, Copy, PartialEq)]
 struct MeterInterval {
@@ -81,6 +91,9 @@
     const MAX_DELAY_MS: f64 = 100.0;
     /// The number of first events before the rate is known.
     const MIN_SAMPLES: u32 = 20;
+    /// The maximum portion of the busy time that is uncertain: about the effect of one step of a
+    /// quarter octave.
+    const MAX_UNCERTAIN_PORTION: f64 = 0.2;
     /// The number of uncached tokens of a typical prompt, for which the rate is stated.
     const TYPICAL_TOKENS: u32 = 2_000;
 
@@ -132,13 +145,17 @@
     }
 
     /// Returns the rate for a typical prompt in tokens per millisecond, given the fixed time of
-    /// each first event; `None` until enough first events were observed.
-    pub fn rate(&self, fixed_ms: f64) -> Option<f64> {
-        if !self.is_known() {
+    /// each first event; `None` until enough first events were observed, and while the rate depends
+    /// on an uncertain fixed time.
+    pub fn rate(&self, fixed: FixedTime) -> Option<f64> {
+        let busy_ms: f64 = self.intervals.iter().map(|interval| interval.busy_ms).sum();
+        let idle_starts = self.intervals.iter().map(|interval| interval.idle_starts);
+        let uncertain_ms = f64::from(idle_starts.sum::<u32>()) * fixed.deviation_ms;
+        if !self.is_known() || uncertain_ms > busy_ms * Self::MAX_UNCERTAIN_PORTION {
             return None;
         }
         let intervals = self.intervals.iter();
-        let speeds = intervals.map(|interval| (interval.speed(fixed_ms), interval.span_ms()));
+        let speeds = intervals.map(|interval| (interval.speed(fixed.ms), interval.span_ms()));
         let mut speeds: Vec<(f64, u64)> = speeds.collect();
         speeds.sort_by(|(one, _), (other, _)| one.total_cmp(other));
         let slower_ms = (self.kept_ms() as f64 * Self::SLOWER_PORTION) as u64;
--- a/dockgate-core/src/gateway/prefill_model.rs
+++ b/dockgate-core/src/gateway/prefill_model.rs
@@ -151,6 +151,12 @@
         self.coefficients[0]
     }
 
+    /// Returns the standard deviation of the fixed time, in milliseconds: large while all first
+    /// events were similar, so that the fixed time and the prefill cannot be told apart.
+    pub fn fixed_deviation_ms(&self) -> f64 {
+        self.covariance[0][0].sqrt()
+    }
+
     /// Returns the prefill time, in milliseconds.
     pub fn prefill_ms(&self, work: PrefillWork) -> f64 {
         self.coefficients[1] * work.kilotokens + self.coefficients[2] * work.megapairs
--- a/dockgate/src/gateway/engine_rates.rs
+++ b/dockgate/src/gateway/engine_rates.rs
@@ -7,7 +7,8 @@
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
 use dockgate_core::gateway::{
-    DigestScope, EndpointId, EndpointState, EngineRate, RateAudience, WeightChange, name_hash,
+    DigestScope, EndpointId, EndpointState, EngineRate, RateAudience, ReadyService, WeightChange,
+    name_hash,
 };
 use dockgate_proto::GatewayMessage;
 
@@ -29,8 +30,12 @@
         self.engine_weights.retain(|id| endpoints.get(id).is_some());
         let service_of = |id: EndpointId| {
             let entry = endpoints.get(id)?;
+            let service = &entry.record.service;
             let is_ready = entry.record.state == EndpointState::Ready;
-            is_ready.then(|| name_hash(&entry.record.service))
+            is_ready.then(|| ReadyService {
+                key: name_hash(service),
+                engines: endpoints.ready(service).len(),
+            })
         };
         self.engine_weights.refresh(service_of, now_ms)
     }
--- a/dockgate/src/gateway/engine_rates/tests.rs
+++ b/dockgate/src/gateway/engine_rates/tests.rs
@@ -28,22 +28,24 @@
     (rates, is_plain)
 }
 
-/// Lets an engine prefill one prompt after the other.
-fn prefill(state: &GatewayState, endpoint: EndpointId, took_ms: u64) {
+/// Lets an engine prefill one prompt after the other, in `slowdown` times 10 ms per 1,000 tokens.
+fn prefill(state: &GatewayState, endpoint: EndpointId, slowdown: u64) {
     let spec = model_service().engine.unwrap();
     for number in 0..60 {
+        let input = [2_000, 8_000][number as usize % 2];
         let part = PromptPart {
             id: u64::from(number),
-            tokens: 2_000,
+            tokens: input,
         };
         let prompt = PromptShape {
-            input: 2_000,
+            input,
             parts: vec![part],
             ..PromptShape::default()
         };
         let request = AdmissionRequest::new(1, &prompt, LIMITS);
         let key = state.run_key(number);
-        let placed_ms = 1_000 + 400 * u64::from(number);
+        let placed_ms = 1_000 + 600 * u64::from(number);
+        let took_ms = 20 + u64::from(input) / 100 * slowdown;
         state.with(|view| {
             let load = view.engines.load_mut(endpoint, spec);
             load.place(key, &request, placed_ms);
@@ -58,14 +60,14 @@
 #[tokio::test]
 async fn rates_are_reported_once_an_engine_is_slower_than_the_others() {
     let state = state_with_engines(ENGINES).await;
-    (0..ENGINES).for_each(|number| prefill(&state, engine(number), 100));
+    (0..ENGINES).for_each(|number| prefill(&state, engine(number), 1));
     update_weights(&state);
     assert!(state.with(|view| view.engine_weights.homes().is_uniform()));
     assert_eq!(rates_in_heartbeat(&state), (Vec::new(), true));
 
     let state = state_with_engines(ENGINES).await;
-    (1..ENGINES).for_each(|number| prefill(&state, engine(number), 100));
-    prefill(&state, engine(0), 250);
+    (1..ENGINES).for_each(|number| prefill(&state, engine(number), 1));
+    prefill(&state, engine(0), 4);
     update_weights(&state);
     let (rates, is_plain) = rates_in_heartbeat(&state);
     assert_eq!((rates.len(), is_plain), (ENGINES as usize, false));
