--- a/dockgate-core/src/gateway/engine_load/tests.rs
+++ b/dockgate-core/src/gateway/engine_load/tests.rs
@@ -168,3 +168,45 @@
         }
     }
 }
+
+/// Guards against rates that depend on the order of first events, on whether the engine was idle,
+/// or on prompts whose callers have left.
+#[test]
+fn measured_rate_is_that_of_the_engine() {
+    for (overlaps, reversed, cancelled) in [
+        (false, false, false),
+        (true, false, false),
+        (true, true, false),
+        (true, false, true),
+    ] {
+        let mut load = engine();
+        for number in 0..60_u32 {
+            let placed_ms = 1_000 + 1_000 * u64::from(number);
+            let input = [1_000, 3_400][number as usize % 2];
+            let took_ms = (PrefillMeter::nominal_ms(PrefillWork::new(0, input)) * 1.25) as u64;
+            let place = |load: &mut EngineLoad, run: u32, after_ms| {
+                let part = u64::from(number * 10 + run);
+                let request = request(part * 2, part * 2 + 1, input);
+                load.place(key(number * 3 + run), &request, placed_ms + after_ms);
+            };
+            place(&mut load, 0, 0);
+            if overlaps {
+                place(&mut load, 1, 1);
+            }
+            if cancelled && number % 3 == 0 {
+                place(&mut load, 2, 2);
+                load.end(key(number * 3 + 2));
+            }
+            let order = if reversed { [1, 0] } else { [0, 1] };
+            let order = if overlaps { &order[..] } else { &[0] };
+            for (run, rank) in order.iter().zip(1..) {
+                let started_ms = placed_ms + 20 + took_ms * rank;
+                load.start(key(number * 3 + run), started_ms, true);
+            }
+        }
+        let typical_ms = PrefillMeter::nominal_ms(PrefillWork::new(0, 2_000));
+        let ratio = load.prefill_rate(20.0).unwrap() * typical_ms / 2_000.0 * 1.25;
+        let is_close = (ratio - 1.0).abs() < 0.05;
+        assert!(is_close, "{ratio}: {overlaps} {reversed} {cancelled}");
+    }
+}
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -4,7 +4,7 @@
 use crate::gateway::settings::GatewaySettings;
 use dockgate_core::gateway::{
     EndpointChange, EndpointRecord, EndpointState, EngineLoad, LatencyLimits, RouteConfig,
-    StoreRevision, WaitQueue,
+    StoreRevision, WaitQueue, best_homes,
 };
 use dockgate_platform::FleetConditions;
 use std::collections::BTreeSet;
@@ -69,19 +69,20 @@
         ready.collect()
     };
     let ready = [of_domain(local, 1), of_domain(remote, 2)].concat();
-    let found = select_homes(&query, HOMES, &ready, DomainKey(1), |_| true);
+    let weights = HomeWeights::default();
+    let found = select_homes(&query, HOMES, &ready, DomainKey(1), &weights, |_| true);
     let expected: Vec<EndpointId> = homes.iter().map(engine_at).collect();
     assert_eq!(found, expected);
 }
 
 /// The time limits of a prompt whose first event is due in 600 ms.
-const LIMITS: LatencyLimits = LatencyLimits {
+pub(in super::super) const LIMITS: LatencyLimits = LatencyLimits {
     objective_ms: 600,
     shortest_objective_ms: 600,
     budget_ms: 6_000,
 };
 
-fn model_service() -> ServiceSpec {
+pub(in super::super) fn model_service() -> ServiceSpec {
     ServiceSpec {
         name: "model".to_owned(),
         connections: 2_000,
@@ -94,7 +95,7 @@
 }
 
 /// Creates the state of a box that owns `count` engines.
-async fn state_with_engines(count: u64) -> Arc<GatewayState> {
+pub(in super::super) async fn state_with_engines(count: u64) -> Arc<GatewayState> {
     let datagrams = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let own = datagrams.local_addr().unwrap();
     let state = Arc::new(state_with_seed(datagrams, own));
@@ -262,3 +263,37 @@
     let runs = state.with(|view| view.engines.iter().map(EngineLoad::runs).sum::<usize>());
     assert_eq!((waiting(), runs), (0, 0));
 }
+
+/// Guards against slow engines that are asked as often as the others.
+#[test]
+fn engines_are_homes_by_their_weight() {
+    let service = model_service();
+    let prompt = PromptShape::default();
+    let ready = |id| ReadyEndpoint {
+        id: EndpointId(id),
+        domain: DomainKey(1),
+    };
+    let ready: Vec<ReadyEndpoint> = (0..40).map(ready).collect();
+    let times_home = |weight: f64| {
+        let weights = HomeWeights::from_iter([(EndpointId(7), weight)]);
+        let subjects = (0..2_000).filter(|subject| {
+            let query = EngineQuery {
+                service: &service,
+                prompt: &prompt,
+                own_subject: *subject,
+                tried: &[],
+                resumed: false,
+                level: ShareLevel::WITHIN,
+                wait: None,
+            };
+            let homes = select_homes(&query, HOMES, &ready, DomainKey(1), &weights, |_| true);
+            homes.contains(&EndpointId(7))
+        });
+        subjects.count()
+    };
+    let [slow, equal, fast] = [0.25, 1.0, 4.0].map(times_home);
+    assert!(
+        slow * 3 < equal && equal * 2 < fast,
+        "{slow} {equal} {fast}"
+    );
+}
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -24,6 +24,7 @@
     evacuated_domains: IntGauge,
     memory_used: IntGauge,
     waiting: IntGaugeVec,
+    weighted_engines: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -102,6 +103,10 @@
                 "dockgate_memory_used_bytes",
                 "Memory that this box believes to use, of which it may use 0.8 of its machine's",
             ),
+            weighted_engines: gauge(
+                "dockgate_weighted_engines",
+                "Engines whose weight in the placement of prompts is not 1, as their speed differs",
+            ),
         }
     }
 
@@ -145,6 +150,8 @@
             let evacuations = view.endpoints.evacuations().iter();
             let evacuated = evacuations.filter(|order| order.is_active).count();
             self.evacuated_domains.set(evacuated as i64);
+            let weighted = view.engine_weights.homes().iter().count();
+            self.weighted_engines.set(weighted as i64);
             let quarantined = view.suspects.quarantined_count(now);
             self.quarantined.set(quarantined as i64);
             self.waiting.reset();
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -16,10 +16,11 @@
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
-    EndpointRegistry, EndpointUpdate, EngineRegistry, EraTracker, FleetView, InterruptionTracker,
-    LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads, PrefixHistory, ResumeGate,
-    RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StoreFollower,
-    StoreProbe, StoreRevision, SuspectRegistry, WaitQueue, WarmupTracker, WatchCheck,
+    EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
+    InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads,
+    PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally,
+    ShareTracker, StoreFollower, StoreProbe, StoreRevision, SuspectRegistry, WaitQueue,
+    WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -109,6 +110,8 @@
     /// The requests that wait at the endpoints that this box owns; none unless the fleet is
     /// contended.
     pub(super) wait_queues: BTreeMap<EndpointId, WaitQueue>,
+    /// The prefill rates of engines and their weights in the placement of prompts.
+    pub(super) engine_weights: EngineWeights,
 }
 
 /// A configuration, encoded for other boxes.
@@ -187,6 +190,7 @@
             watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
             wait_queues: BTreeMap::new(),
+            engine_weights: EngineWeights::default(),
         };
         let mut memory = MemoryBudget::new(settings.memory_bytes());
         memory.record_sample(resident_bytes(), now_ms());
