fix: a box that refuses for lack of memory diverts new callers

Cause: the load between two samples of memory can be refused before any sample shows it, so that a box at its limit refused a flood and stayed ready; the test with a real daemon failed. Change: a refusal for memory diverts at the next sample. The core's tests expect the diversion after a refusal.

--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -47,8 +47,9 @@
     counted_at_peak: u64,
     /// Time until which new connections are diverted to other boxes.
     divert_until_ms: u64,
-    /// The largest use since the last sample, since a burst may be over when the next one is taken.
-    largest_use: u64,
+    /// Whether something did not fit since the last sample, since a burst may be over when the next
+    /// one is taken.
+    has_refused: bool,
     /// Whether they were diverted at the last sample.
     is_short: bool,
 }
@@ -110,14 +111,14 @@
         if let Some(workspace) = workspace {
             *self.held.entry(workspace).or_default() += bytes;
         }
-        self.largest_use = self.largest_use.max(self.use_bytes());
     }
 
     /// Counts bytes of a workspace if they fit; returns whether they do.
     pub fn try_charge(&mut self, workspace: u64, bytes: u64) -> bool {
         let fits = self.fits(workspace, bytes);
-        if fits {
-            self.charge(Some(workspace), bytes);
+        match fits {
+            true => self.charge(Some(workspace), bytes),
+            false => self.has_refused = true,
         }
         fits
     }
@@ -183,9 +184,9 @@
             true => self.idle += growth,
             false => {}
         }
-        let largest_use = std::mem::take(&mut self.largest_use).max(self.use_bytes());
-        let is_limited = |limits: MemoryLimits| largest_use >= limits.limited;
-        if self.limits().is_some_and(is_limited) {
+        let has_refused = std::mem::take(&mut self.has_refused);
+        let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
+        if has_refused || self.limits().is_some_and(is_limited) {
             self.divert_until_ms = now_ms + Self::DIVERT_MS;
         }
         let is_short = self.diverts_connections(now_ms);
