fix: requests that the owner predicts to be late do not wait

Cause: the owner bounded a wait by the terms of the entry and a quarter of the objective, but not by its own prediction of the time to the first event.

Change: the wait of a request ends at its latest useful start at the latest, so that such a request is declined when it is offered. The end of the wait alone decides when it expires.

--- a/dockgate-core/src/gateway/wait_queue.rs
+++ b/dockgate-core/src/gateway/wait_queue.rs
@@ -91,13 +91,14 @@
     pub rank: WaitRank,
     /// The time at which its wait began.
     pub arrived_ms: u64,
-    /// The time at which its wait ends.
+    /// The time at which its wait ends, at the latest when it can no longer be in time.
     pub until_ms: u64,
 }
 
 impl WaitingRequest {
     /// Creates a request whose wait begins now; `own_first_ms` is its predicted time to the first
-    /// event without waiting. A wait that exceeds what the objective allows is shortened.
+    /// event without waiting. A wait that exceeds what the objective allows is shortened, as the
+    /// owner may predict a longer time to the first event than the entry did.
     pub fn new(
         key: RunKey,
         request: AdmissionRequest,
@@ -107,7 +108,10 @@
     ) -> Self {
         let objective_ms = f64::from(request.objective_ms);
         let start_within = (objective_ms - own_first_ms).max(0.0);
-        let wait_ms = f64::from(terms.wait_ms).min(objective_ms * REFUSAL_FRACTION);
+        let until_refusal = objective_ms * REFUSAL_FRACTION;
+        let wait_ms = f64::from(terms.wait_ms)
+            .min(until_refusal)
+            .min(start_within);
         Self {
             rank: WaitRank {
                 priority: terms.priority,
@@ -295,11 +299,9 @@
         (!self.waiting.is_empty()).then(|| self.waiting.remove(0))
     }
 
-    /// Removes and returns the requests whose wait has ended or that can no longer be in time.
+    /// Removes and returns the requests whose wait has ended.
     pub fn expire(&mut self, now_ms: u64) -> Vec<WaitingRequest> {
-        let is_late = |waiting: &mut WaitingRequest| {
-            waiting.until_ms.min(waiting.rank.latest_start_ms) <= now_ms
-        };
+        let is_late = |waiting: &mut WaitingRequest| waiting.until_ms <= now_ms;
         self.waiting.extract_if(.., is_late).collect()
     }
 
--- a/dockgate-core/src/gateway/wait_queue/tests.rs
+++ b/dockgate-core/src/gateway/wait_queue/tests.rs
@@ -69,6 +69,22 @@
     assert_eq!((offer, queue.len()), (WaitOffer::Ignored, 0));
 }
 
+/// Guards against holding a request that the owner predicts to be late, as it knows that its own
+/// time to the first event is longer than the entry assumed.
+#[test]
+fn wait_ends_at_the_latest_useful_start() {
+    let terms = WaitTerms {
+        priority: 1,
+        wait_ms: 100,
+    };
+    let WaitingRequest { key, request, .. } = waiting(1, 1, false, terms, 1_000);
+    let mut queue = WaitQueue::default();
+    // The objective of 400 ms leaves 40 ms to wait.
+    let new = WaitingRequest::new(key, request, terms, 360.0, 1_000);
+    assert_eq!(new.until_ms, 1_040);
+    assert_eq!(queue.offer(new, CAPACITY, 50.0), WaitOffer::Declined);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Offer {
