perf: ends of runs are counted only at endpoints with a queue

Cause: each end of a run looked up the slots and the runs of its endpoint, also in fleets without the condition, where no queue exists.

Change: both are looked up only if the endpoint has a queue.

Runs: cargo test -p dockgate wait: 20 passed; clippy without warnings.

--- a/dockgate/src/gateway/wait_queues.rs
+++ b/dockgate/src/gateway/wait_queues.rs
@@ -341,11 +341,13 @@
 pub(super) fn end_run(state: &GatewayState, endpoint: EndpointId, key: RunKey) {
     let now = now_ms();
     let withdrawn = state.with(|view| {
-        let (was_full, runs) = (view.is_full(endpoint), view.count_runs(endpoint));
+        // Without a queue, this box does not own the endpoint, or none had to wait for it so far.
+        let has_queue = view.wait_queues.contains_key(&endpoint);
+        let before = has_queue.then(|| (view.is_full(endpoint), view.count_runs(endpoint)));
         view.engines.end(endpoint, key);
         view.plain_loads.end(endpoint, key);
+        let (was_full, runs) = before?;
         let has_ended = view.count_runs(endpoint) < runs;
-        // Without a queue, this box does not own the endpoint, or none had to wait for it so far.
         let queue = view.wait_queues.get_mut(&endpoint)?;
         if has_ended {
             queue.record_end(was_full, now);
