fix: pauses of an endpoint with one slot are no intervals between ends

Cause: every end at an endpoint with one slot finds it full, so the time until the next end counted as an interval between two ends even if the endpoint was idle for most of it. After a pause of 8 s, the predicted wait was 1.6 s, and requests were declined instead of queued until the average had recovered.

Change: an interval does not extend over a time without runs, unless requests wait. Endpoints with several slots are predicted as before.

--- a/dockgate-core/src/gateway/wait_queue.rs
+++ b/dockgate-core/src/gateway/wait_queue.rs
@@ -248,6 +248,14 @@
         self.release_interval_ms = Some(average + (interval - average) * Self::INTERVAL_WEIGHT);
     }
 
+    /// Records that no run is left at the endpoint. Unless requests wait, the time until the next end
+    /// does not show how fast slots become free.
+    pub const fn record_idle(&mut self) {
+        if self.is_empty() {
+            self.last_release_ms = None;
+        }
+    }
+
     /// Offers a request to the queue, which holds at most `capacity` requests.
     ///
     /// The request is declined if `predicted_wait_ms` exceeds its wait. If the queue is full, the
--- a/dockgate-core/src/gateway/wait_queue/tests.rs
+++ b/dockgate-core/src/gateway/wait_queue/tests.rs
@@ -55,6 +55,18 @@
     assert_eq!(queue.slot_wait_ms(3), 80.0);
 }
 
+/// Guards against an endpoint with one slot, full until it is idle, whose pauses count as intervals:
+/// its requests would then be declined instead of queued.
+#[test]
+fn pause_of_an_idle_endpoint_is_no_interval() {
+    let mut queue = WaitQueue::default();
+    queue.record_end(true, 1_000);
+    queue.record_end(true, 1_020);
+    queue.record_idle();
+    queue.record_end(true, 9_000);
+    assert_eq!(queue.slot_wait_ms(0), 20.0);
+}
+
 /// A withdrawal may overtake the request; queueing it then would count a run that nobody ends.
 #[test]
 fn request_that_arrives_after_its_withdrawal_does_not_wait() {
--- a/dockgate/src/gateway/wait_queues.rs
+++ b/dockgate/src/gateway/wait_queues.rs
@@ -347,11 +347,14 @@
         view.engines.end(endpoint, key);
         view.plain_loads.end(endpoint, key);
         let (was_full, runs) = before?;
-        let has_ended = view.count_runs(endpoint) < runs;
+        let left = view.count_runs(endpoint);
         let queue = view.wait_queues.get_mut(&endpoint)?;
-        if has_ended {
+        if left < runs {
             queue.record_end(was_full, now);
         }
+        if left == 0 {
+            queue.record_idle();
+        }
         queue.close(key, now)
     });
     if let Some(withdrawn) = withdrawn {
