refactor: placement of waiting requests in smaller functions

Change: the predicted wait of a prompt at a home, the placement at a plain endpoint and the outcome of a verdict are functions of their own; two lists are named after what they hold; comments state when the window of a wait begins, why a slot request never overtakes, and who refuses a request that the owner ignores. The behaviour is unchanged.

--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -20,6 +20,7 @@
 const REMOTE_DOMAIN_PENALTY: f64 = 0.35;
 /// Added to the load of an endpoint that fails often, as a fraction of its slots.
 const UNRELIABLE_PENALTY: f64 = 3.0;
+
 /// Returns the load of an endpoint as a fraction of its slots, as a box in `own_domain` sees it, with
 /// penalties for distance and failures.
 fn visible_load(entry: &EndpointEntry, own_domain: &str, now_ms: u64) -> f64 {
@@ -35,6 +36,16 @@
     used + remote_penalty + unreliable_penalty
 }
 
+fn call_placement(target: EndpointTarget, placement: PlainPlacement) -> CallPlacement {
+    let PlainPlacement { guard, decided_by } = placement;
+    CallPlacement {
+        target,
+        guard,
+        expected_ms: None,
+        decided_by,
+    }
+}
+
 impl AdmittedCall {
     /// Selects an endpoint of a plain service. Its owner may decline; others are tried then.
     ///
@@ -52,23 +63,18 @@
         while let Some(target) = self.find_plain(&passed_over) {
             passed_over.push(target.id);
             match request_plain_placement(&self.state, target.id, self.time_left()).await {
-                Ok(PlainPlacement { guard, decided_by }) => {
-                    return Ok(CallPlacement {
-                        target,
-                        guard,
-                        expected_ms: None,
-                        decided_by,
-                    });
-                }
+                Ok(placement) => return Ok(call_placement(target, placement)),
                 Err(decline) => {
-                    if let PlainDecline::Full(wait_ms) = decline
-                        && first_free
-                            .as_ref()
-                            .is_none_or(|(_, first)| wait_ms < *first)
-                    {
-                        first_free = Some((target, wait_ms));
-                    }
                     declines.push(decline);
+                    let first_ms = first_free
+                        .as_ref()
+                        .map_or(u32::MAX, |(_, wait_ms)| *wait_ms);
+                    match decline {
+                        PlainDecline::Full(wait_ms) if wait_ms < first_ms => {
+                            first_free = Some((target, wait_ms));
+                        }
+                        _ => {}
+                    }
                 }
             }
         }
@@ -76,12 +82,7 @@
             return Err(self.refuse_plain(&declines));
         };
         match self.wait_for_slot(&target, window, wait_ms).await {
-            Ok(PlainPlacement { guard, decided_by }) => Ok(CallPlacement {
-                target,
-                guard,
-                expected_ms: None,
-                decided_by,
-            }),
+            Ok(placement) => Ok(call_placement(target, placement)),
             Err(PlainDecline::Full(wait_ms)) => {
                 Err(self.refuse_plain(&[PlainDecline::Full(wait_ms)]))
             }
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -498,6 +498,33 @@
     }
 }
 
+/// The predicted wait of a prompt at a home that declined it.
+struct HomeWait<'a> {
+    home: &'a HomeEngine,
+    /// The predicted time to the first event without waiting, in milliseconds.
+    own_first_ms: f64,
+    /// The predicted time until the home admits the prompt, in milliseconds.
+    wait_ms: f64,
+}
+
+/// Predicts the wait of a prompt at a home; returns `None` if the home would decline the prompt even
+/// when idle.
+fn predict_wait<'a>(
+    state: &GatewayState,
+    full: &FullHome<'a>,
+    request: &AdmissionRequest,
+) -> Option<HomeWait<'a>> {
+    let endpoint = full.home.target.id;
+    let own_first_ms = own_first_ms(state, endpoint, request);
+    let backlog_ms = f64::from(full.first_event_ms) - own_first_ms;
+    let wait_ms = engine_wait_ms(state, endpoint, request, backlog_ms)?;
+    Some(HomeWait {
+        home: full.home,
+        own_first_ms,
+        wait_ms,
+    })
+}
+
 /// Lets a prompt wait at the home with the shortest predicted wait, if it can be in time then.
 ///
 /// # Errors
@@ -511,15 +538,16 @@
 ) -> Result<EnginePlacement, Option<u32>> {
     let window = query.wait.ok_or(None)?;
     let request = window.refreshed(request);
-    let waits = full_homes.iter().filter_map(|full| {
-        let endpoint = full.home.target.id;
-        let own_ms = own_first_ms(state, endpoint, &request);
-        let backlog_ms = f64::from(full.first_event_ms) - own_ms;
-        let wait_ms = engine_wait_ms(state, endpoint, &request, backlog_ms)?;
-        Some((full.home, own_ms, wait_ms))
-    });
-    let (home, own_ms, wait_ms) = waits.min_by(|a, b| a.2.total_cmp(&b.2)).ok_or(None)?;
-    let terms = window.terms(own_ms);
+    let waits = full_homes
+        .iter()
+        .filter_map(|full| predict_wait(state, full, &request));
+    let wait = waits.min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms));
+    let HomeWait {
+        home,
+        own_first_ms,
+        wait_ms,
+    } = wait.ok_or(None)?;
+    let terms = window.terms(own_first_ms);
     let terms = terms.filter(|terms| wait_ms <= f64::from(terms.wait_ms));
     let terms = terms.ok_or(None)?;
     let number = state.next_run_number();
--- a/dockgate/src/gateway/wait_queues.rs
+++ b/dockgate/src/gateway/wait_queues.rs
@@ -29,8 +29,9 @@
 
 /// Decides on a slot request as the owner of an endpoint, with the state of this box.
 ///
-/// No request is admitted ahead of those that wait: one that precedes them asks again to wait, with
-/// its priority. Returns `None` if the endpoint is unknown.
+/// No request is admitted ahead of those that wait. A slot request states no priority; if its
+/// request precedes those that wait, its entry asks to queue it, with its priority. Returns `None`
+/// if the endpoint is unknown.
 pub(super) fn decide_in_turn(
     state: &GatewayState,
     endpoint: EndpointId,
@@ -175,7 +176,7 @@
     terms: WaitTerms,
 ) {
     if !state.settings().conditions.contended || !is_known(state, endpoint) {
-        // The box of another configuration refuses the request when its wait ends.
+        // The configuration of the entry differs; it refuses the request when its wait times out.
         METRICS.ignored.with_label_values(&["wait"]).inc();
         return;
     }
@@ -183,11 +184,7 @@
     let new = WaitingRequest::new(key, request, terms, own_ms, now_ms());
     process_queue(state, endpoint);
     if let Some(verdict) = decide_at_once(state, endpoint, &new) {
-        let outcome = match verdict {
-            AdmissionVerdict::Granted(_) => WaitOutcome::Granted,
-            _ => WaitOutcome::Declined,
-        };
-        return finish(state, endpoint, &new, outcome, verdict);
+        return finish(state, endpoint, &new, outcome_of(verdict), verdict);
     }
     let predicted_ms = predicted_wait_ms(state, endpoint, &new);
     let capacity = capacity_of(state, endpoint);
@@ -270,15 +267,19 @@
         if is_known(state, endpoint) && is_full(state, endpoint, verdict) {
             return;
         }
-        let outcome = match verdict {
-            AdmissionVerdict::Granted(_) => WaitOutcome::Granted,
-            _ => WaitOutcome::Declined,
-        };
         state.with(|view| {
             let queue = view.wait_queues.get_mut(&endpoint);
             queue.and_then(WaitQueue::take_first)
         });
-        finish(state, endpoint, &first, outcome, verdict);
+        finish(state, endpoint, &first, outcome_of(verdict), verdict);
+    }
+}
+
+/// Returns how a wait ends with this verdict of the endpoint.
+const fn outcome_of(verdict: AdmissionVerdict) -> WaitOutcome {
+    match verdict {
+        AdmissionVerdict::Granted(_) => WaitOutcome::Granted,
+        _ => WaitOutcome::Declined,
     }
 }
 
@@ -387,7 +388,7 @@
 /// Ends the waits of boxes that are gone, and removes the queues that are no longer used.
 pub(super) fn expire_queues(state: &GatewayState) {
     let now = now_ms();
-    let is_gone: Vec<BoxKey> = state.with(|view| {
+    let gone: Vec<BoxKey> = state.with(|view| {
         let waiting = view.wait_queues.values().flat_map(WaitQueue::iter);
         let entries = waiting.map(|waiting| waiting.key.entry);
         let remote = entries.filter(|entry| *entry != state.own_key());
@@ -396,7 +397,7 @@
             .collect()
     });
     remove_waiting(state, |queue| {
-        let removed = is_gone.iter().map(|entry| queue.forget_entry(*entry));
+        let removed = gone.iter().map(|entry| queue.forget_entry(*entry));
         removed.flatten().collect::<Vec<_>>()
     });
     state.with(|view| {
@@ -432,16 +433,16 @@
 /// Processes all queues while a request waits, until the process ends.
 pub(super) async fn process_queues(state: Arc<GatewayState>) {
     loop {
-        let waited_for = state.with(|view| {
+        let endpoints = state.with(|view| {
             let queues = view.wait_queues.iter();
             let used = queues.filter(|(_, queue)| !queue.is_empty());
             used.map(|(endpoint, _)| *endpoint)
                 .collect::<Vec<EndpointId>>()
         });
-        if waited_for.is_empty() {
+        if endpoints.is_empty() {
             state.wait_began.notified().await;
         }
-        for endpoint in waited_for {
+        for endpoint in endpoints {
             process_queue(&state, endpoint);
         }
         tokio::time::sleep(PROCESS_INTERVAL).await;
--- a/dockgate/src/gateway/wait_window.rs
+++ b/dockgate/src/gateway/wait_window.rs
@@ -5,7 +5,8 @@
 use dockgate_core::gateway::{AdmissionRequest, WaitBudget, WaitTerms};
 use std::time::Duration;
 
-/// The time in which a request may wait, which is not over before it was offered to the endpoints.
+/// The time in which a request may wait. It begins with the arrival of the request, so that asking
+/// the endpoints takes part of it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WaitWindow {
     /// When the request arrived.
