--- a/dockgate-core/src/gateway/wait_queue/tests.rs
+++ b/dockgate-core/src/gateway/wait_queue/tests.rs
@@ -55,6 +55,18 @@
     assert_eq!(queue.slot_wait_ms(3), 80.0);
 }
 
+/// Guards against an endpoint with one slot, full until it is idle, whose pauses count as intervals:
+/// its requests would then be declined instead of queued.
+#[test]
+fn pause_of_an_idle_endpoint_is_no_interval() {
+    let mut queue = WaitQueue::default();
+    queue.record_end(true, 1_000);
+    queue.record_end(true, 1_020);
+    queue.record_idle();
+    queue.record_end(true, 9_000);
+    assert_eq!(queue.slot_wait_ms(0), 20.0);
+}
+
 /// A withdrawal may overtake the request; queueing it then would count a run that nobody ends.
 #[test]
 fn request_that_arrives_after_its_withdrawal_does_not_wait() {
@@ -69,6 +81,22 @@
     assert_eq!((offer, queue.len()), (WaitOffer::Ignored, 0));
 }
 
+/// Guards against holding a request that the owner predicts to be late, as it knows that its own
+/// time to the first event is longer than the entry assumed.
+#[test]
+fn wait_ends_at_the_latest_useful_start() {
+    let terms = WaitTerms {
+        priority: 1,
+        wait_ms: 100,
+    };
+    let WaitingRequest { key, request, .. } = waiting(1, 1, false, terms, 1_000);
+    let mut queue = WaitQueue::default();
+    // The objective of 400 ms leaves 40 ms to wait.
+    let new = WaitingRequest::new(key, request, terms, 360.0, 1_000);
+    assert_eq!(new.until_ms, 1_040);
+    assert_eq!(queue.offer(new, CAPACITY, 50.0), WaitOffer::Declined);
+}
+
 #[derive(Debug, Clone)]
 enum Step {
     Offer {
