fix: corrections of the memory count that later samples contradict decay

The correction by the largest sample and the growth at a low load were never reduced. A short use that is not counted (a large configuration, say) left a box of 88 MB above its lower limit at 1 MB of counted bytes for as long as it ran, although the process had returned the memory.

While the estimated use exceeds the resident memory, the correction, and with it the peak, now decays with a time constant of 10 s. The growth at a low load is kept apart from the idle memory and limited to the resident memory, so that rising and falling samples do not add up.

--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -9,7 +9,7 @@
 //! sampled by the daemon, corrects the count when it grows beyond it. The correction is attributed
 //! to the bytes that were counted at that time, and shrinks with them: the allocator keeps most of
 //! the released memory and uses it again, so the process stays large after a flood although the box
-//! has room.
+//! has room. A correction that later samples contradict decays.
 //!
 //! [`LoadShedder`]: super::LoadShedder
 //!
@@ -33,13 +33,15 @@
     machine: Option<u64>,
     /// The resident memory of the idle process.
     idle: u64,
+    /// What the process has allocated since then for other causes than its load.
+    grown: u64,
     /// The counted bytes of all connections, requests, bodies and answers.
     counted: u64,
     /// The part of them that is attributed to a workspace.
     held: HashMap<u64, u64>,
     /// Whether more than a few connections have been open.
     has_served: bool,
-    /// The largest sample.
+    /// The largest sample; it falls while the correction decays.
     peak: u64,
     /// The correction of the count by the largest sample under load.
     excess: u64,
@@ -83,6 +85,9 @@
     /// The counted bytes, as a fraction of the machine's memory, from which on a correction shows
     /// what requests take rather than how the process has grown otherwise.
     const TYPICAL_FRACTION: f64 = 0.06;
+    /// The number of samples, 10 s, in which a correction that they contradict decays to 1/e. Longer
+    /// than most bodies take to arrive, as a sample lacks what is counted but not received.
+    const DECAY_SAMPLES: f64 = 100.0;
     /// Duration of a diversion in milliseconds. The load balancer polls readiness once per second
     /// and acts on the second answer.
     const DIVERT_MS: u64 = 3_000;
@@ -167,8 +172,8 @@
 
     /// Records the resident memory of the process in bytes, if it can be read.
     ///
-    /// A sample below the largest one does not correct the count, since it includes released memory
-    /// that the allocator keeps.
+    /// A sample below the largest one does not raise the correction, since it includes released
+    /// memory that the allocator keeps.
     pub fn record_sample(&mut self, resident: Option<u64>, now_ms: u64) -> MemoryChange {
         let resident = resident.unwrap_or(0);
         let growth = resident.saturating_sub(self.peak);
@@ -177,12 +182,15 @@
         match growth > 0 {
             true if !self.has_served => self.idle = resident,
             true if self.counted >= self.counted_at_peak / 2 => {
-                self.excess = resident.saturating_sub(self.idle + self.counted);
+                self.excess = resident.saturating_sub(self.idle + self.grown + self.counted);
                 self.counted_at_peak = self.counted;
             }
             // What a lower load allocates beyond the memory that the allocator keeps stays.
-            true => self.idle += growth,
-            false => {}
+            true => {
+                let rest = resident.saturating_sub(self.idle + self.counted);
+                self.grown = self.grown.max(rest.min(self.grown + growth));
+            }
+            false => self.decay_correction(resident),
         }
         let has_refused = std::mem::take(&mut self.has_refused);
         let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
@@ -197,15 +205,35 @@
         }
     }
 
+    /// Reduces the correction while the estimated use exceeds the resident memory: the process has
+    /// returned what was attributed to its load.
+    fn decay_correction(&mut self, resident: u64) {
+        let correction = self.correction();
+        let surplus = self.use_bytes().saturating_sub(resident).min(correction);
+        if surplus == 0 {
+            return;
+        }
+        let portion = surplus as f64 / correction as f64 / Self::DECAY_SAMPLES;
+        self.excess -= (self.excess as f64 * portion).ceil() as u64;
+        self.grown -= (self.grown as f64 * portion).ceil() as u64;
+        // Otherwise the next load would not be corrected until it has grown beyond this peak.
+        self.peak -= ((self.peak - resident) as f64 / Self::DECAY_SAMPLES) as u64;
+    }
+
     /// Returns the estimated use of memory in bytes.
     pub fn use_bytes(&self) -> u64 {
+        self.idle + self.counted + self.correction()
+    }
+
+    /// Returns what the process is estimated to use beyond the idle process and the counted bytes.
+    fn correction(&self) -> u64 {
         let counted = self.counted as f64;
         let typical = self.machine.unwrap_or(0) as f64 * Self::TYPICAL_FRACTION;
         let at_peak = self.counted_at_peak.max(1) as f64;
         let part = (counted / at_peak)
             .min(1.0)
             .max(counted / at_peak.max(typical).max(1.0));
-        self.idle + self.counted + (self.excess as f64 * part) as u64
+        self.grown + (self.excess as f64 * part) as u64
     }
 
     /// Returns whether new connections should go to other boxes.
--- a/dockgate-core/src/gateway/memory_budget/tests.rs
+++ b/dockgate-core/src/gateway/memory_budget/tests.rs
@@ -67,6 +67,57 @@
     );
 }
 
+/// Guards against refusals for ever: memory that the process returns after a short use which is not
+/// counted, as for a large configuration, corrects the count no longer.
+#[test]
+fn correction_that_later_samples_contradict_ends() {
+    let mut budget = idle_box();
+    budget.charge(Some(1), MB);
+    budget.record_sample(Some(70 * MB), 100);
+    assert!(budget.diverts_connections(100));
+    for step in 2..600 {
+        budget.record_sample(Some(20 * MB), step * 100);
+    }
+    assert!(!budget.diverts_connections(60_000));
+    assert!(budget.use_bytes() < 21 * MB, "{}", budget.use_bytes());
+    assert!(budget.try_charge(2, 20 * MB));
+    // The real cost of the next load is noticed below the former peak.
+    budget.record_sample(Some(60 * MB), 60_100);
+    assert!(budget.use_bytes() >= 60 * MB);
+}
+
+/// Guards against a drift of what the process is believed to need without load, by samples that rise
+/// and fall for other causes.
+#[test]
+fn memory_that_rises_and_falls_without_load_does_not_add_up() {
+    let mut budget = idle_box();
+    budget.charge(Some(1), 10 * MB);
+    budget.record_sample(Some(30 * MB), 100);
+    budget.release(Some(1), 9 * MB);
+    for step in 2..2_000 {
+        let resident = if step % 600 < 300 { 20 * MB } else { 45 * MB };
+        budget.record_sample(Some(resident), step * 100);
+        assert!(budget.use_bytes() <= 46 * MB, "step {step}");
+    }
+    budget.release(Some(1), MB);
+    for step in 2_000..2_600 {
+        budget.record_sample(Some(20 * MB), step * 100);
+    }
+    assert!(budget.use_bytes() < 21 * MB, "{}", budget.use_bytes());
+}
+
+/// Guards against a flood of bodies that fill slowly, whose memory the first samples lack.
+#[test]
+fn correction_outlasts_a_few_lower_samples() {
+    let mut budget = idle_box();
+    budget.charge(Some(1), 10 * MB);
+    budget.record_sample(Some(IDLE + 20 * MB), 100);
+    for step in 2..7 {
+        budget.record_sample(Some(IDLE), step * 100);
+    }
+    assert!(budget.use_bytes() > IDLE + 19 * MB);
+}
+
 /// Guards against a box without a readable sample that limits nothing, and against one that refuses
 /// between two samples while new callers still arrive.
 #[test]
