fix: a released body releases its whole buffer in the memory budget

The buffer of a body without a declared length doubles as it grows and is counted so, but only the length of the body was released once no further attempt could use it. Up to as much again stayed counted until the end of the stream.

--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -158,11 +158,10 @@
             return;
         }
         let mut body = self.locked_body();
-        let length = body.bytes.len();
-        if length >= MIN_RELEASED_BYTES && body.released.is_none() {
+        if body.bytes.len() >= MIN_RELEASED_BYTES && body.released.is_none() {
             body.released = Some(self.fingerprint_with(&body.bytes));
             body.bytes = Bytes::new();
-            body.memory.shrink(length as u64);
+            body.memory.release_body();
         }
     }
 
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -76,9 +76,9 @@
         self.bytes += bytes;
     }
 
-    /// Releases a part of the counted bytes.
-    pub(super) fn shrink(&mut self, bytes: u64) {
-        let bytes = bytes.min(self.bytes);
+    /// Releases the body of a request, with the buffer that holds it.
+    pub(super) fn release_body(&mut self) {
+        let bytes = self.bytes.saturating_sub(MemoryBudget::REQUEST_BYTES);
         self.state
             .with_memory(|memory| memory.release(self.workspace, bytes));
         self.bytes -= bytes;
@@ -111,3 +111,6 @@
         &self.bytes
     }
 }
+
+#[cfg(test)]
+mod tests;
