--- a/dockgate-core/src/gateway/engine_weights.rs
+++ b/dockgate-core/src/gateway/engine_weights.rs
@@ -89,7 +89,7 @@
     measured_ms: Option<u64>,
     /// When this box changed the step.
     changed_ms: Option<u64>,
-    /// Until when it is reported, as the rates of the service differ.
+    /// Until when it is reported, because the rates of the service differ.
     reports_until_ms: u64,
 }
 
--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -5,7 +5,7 @@
 //! bytes a second. A box that exceeds the memory of its machine is killed, and with it the requests
 //! of all workspaces. Processor time may be to spare then, so that [`LoadShedder`] refuses nothing.
 //!
-//! Bytes are counted when they are allocated and released. The resident memory of the process,
+//! Bytes are counted as they are allocated and released. The resident memory of the process,
 //! sampled by the daemon, corrects the count when it grows beyond it. The correction is attributed
 //! to the bytes that were counted at that time, and shrinks with them: the allocator keeps most of
 //! the released memory and uses it again, so the process stays large after a flood although the box
@@ -49,10 +49,10 @@
     counted_at_peak: u64,
     /// Time until which new connections are diverted to other boxes.
     divert_until_ms: u64,
-    /// Whether something did not fit since the last sample, since a burst may be over when the next
-    /// one is taken.
+    /// Whether a request was refused since the last sample. A burst between two samples diverts new
+    /// connections, too.
     has_refused: bool,
-    /// Whether they were diverted at the last sample.
+    /// Whether new connections were diverted at the last sample.
     is_short: bool,
 }
 
@@ -77,8 +77,8 @@
     /// The use, as a fraction of the machine's memory, above which a workspace is limited to its
     /// portion. Leaves room for others while the excess of the workspace is refused.
     const LIMITED_FRACTION: f64 = 0.7;
-    /// The use above which nothing more is admitted. The rest is left to the operating system, its
-    /// socket buffers, and what is allocated between two samples.
+    /// The use, as a fraction of the machine's memory, above which nothing is admitted. The rest is
+    /// left to the operating system, its socket buffers, and what is allocated between two samples.
     const FULL_FRACTION: f64 = 0.8;
     /// The counted bytes below which a sample shows the idle process: a few connections.
     const IDLE_BYTES: u64 = 8 * Self::CONNECTION_BYTES;
@@ -175,7 +175,22 @@
     /// A sample below the largest one does not raise the correction, since it includes released
     /// memory that the allocator keeps.
     pub fn record_sample(&mut self, resident: Option<u64>, now_ms: u64) -> MemoryChange {
-        let resident = resident.unwrap_or(0);
+        self.correct_count(resident.unwrap_or(0));
+        let has_refused = std::mem::take(&mut self.has_refused);
+        let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
+        if has_refused || self.limits().is_some_and(is_limited) {
+            self.divert_until_ms = now_ms + Self::DIVERT_MS;
+        }
+        let is_short = self.diverts_connections(now_ms);
+        match (std::mem::replace(&mut self.is_short, is_short), is_short) {
+            (false, true) => MemoryChange::Short,
+            (true, false) => MemoryChange::Back,
+            _ => MemoryChange::None,
+        }
+    }
+
+    /// Corrects the count by a sample of the resident memory.
+    fn correct_count(&mut self, resident: u64) {
         let growth = resident.saturating_sub(self.peak);
         self.peak = self.peak.max(resident);
         self.has_served |= self.counted > Self::IDLE_BYTES;
@@ -185,24 +200,13 @@
                 self.excess = resident.saturating_sub(self.idle + self.grown + self.counted);
                 self.counted_at_peak = self.counted;
             }
-            // What a lower load allocates beyond the memory that the allocator keeps stays.
+            // A lower load has grown beyond the memory that the allocator keeps.
             true => {
                 let rest = resident.saturating_sub(self.idle + self.counted);
                 self.grown = self.grown.max(rest.min(self.grown + growth));
             }
             false => self.decay_correction(resident),
         }
-        let has_refused = std::mem::take(&mut self.has_refused);
-        let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
-        if has_refused || self.limits().is_some_and(is_limited) {
-            self.divert_until_ms = now_ms + Self::DIVERT_MS;
-        }
-        let is_short = self.diverts_connections(now_ms);
-        match (std::mem::replace(&mut self.is_short, is_short), is_short) {
-            (false, true) => MemoryChange::Short,
-            (true, false) => MemoryChange::Back,
-            _ => MemoryChange::None,
-        }
     }
 
     /// Reduces the correction while the estimated use exceeds the resident memory: the process has
@@ -267,12 +271,12 @@
     }
 }
 
-/// The uses of memory in bytes from which on a box refuses.
+/// The limits of the use of memory, in bytes.
 #[derive(Debug, Clone, Copy)]
 struct MemoryLimits {
-    /// Workspaces beyond their portion are refused.
+    /// The use from which on workspaces beyond their portion are refused.
     limited: u64,
-    /// Everything is refused, and no connection is accepted.
+    /// The use above which all requests are refused and no connection is accepted.
     full: u64,
 }
 
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -1,4 +1,4 @@
-//! Accepts and serves the connections of callers, within the limit on file descriptors.
+//! Accepts and serves the connections of callers, within the limits on file descriptors and memory.
 
 use super::call::serve_call;
 use super::call_body::CallBody;
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -84,7 +84,7 @@
         self.bytes -= bytes;
     }
 
-    /// Returns bytes that stay counted until they were written to their reader.
+    /// Returns bytes that stay counted until they have been written to their reader.
     pub(super) fn attach_to(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(CountedBytes {
             bytes,
--- a/dockgate/src/gateway/overload.rs
+++ b/dockgate/src/gateway/overload.rs
@@ -1,4 +1,5 @@
-//! Overload detection of this box by the delay of timers and the busy time of its thread.
+//! Overload detection of this box by the delay of timers, the busy time of its thread and its
+//! memory.
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
@@ -61,7 +62,7 @@
     }
 }
 
-/// Measures how late a timer fires, until the process ends.
+/// Measures how late a timer fires, and samples the processor and memory, until the process ends.
 ///
 /// All tasks run on one thread, so ready tasks are delayed as long as the timer.
 pub(super) async fn watch_lag(state: Arc<GatewayState>) {
