--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -5,11 +5,11 @@
 //! bytes a second. A box that exceeds the memory of its machine is killed, and with it the requests
 //! of all workspaces. Processor time may be to spare then, so that [`LoadShedder`] refuses nothing.
 //!
-//! Bytes are counted when they are allocated and released. The resident memory of the process,
+//! Bytes are counted as they are allocated and released. The resident memory of the process,
 //! sampled by the daemon, corrects the count when it grows beyond it. The correction is attributed
 //! to the bytes that were counted at that time, and shrinks with them: the allocator keeps most of
 //! the released memory and uses it again, so the process stays large after a flood although the box
-//! has room.
+//! has room. A correction that later samples contradict decays.
 //!
 //! [`LoadShedder`]: super::LoadShedder
 //!
@@ -33,13 +33,15 @@
     machine: Option<u64>,
     /// The resident memory of the idle process.
     idle: u64,
+    /// What the process has allocated since then for other causes than its load.
+    grown: u64,
     /// The counted bytes of all connections, requests, bodies and answers.
     counted: u64,
     /// The part of them that is attributed to a workspace.
     held: HashMap<u64, u64>,
     /// Whether more than a few connections have been open.
     has_served: bool,
-    /// The largest sample.
+    /// The largest sample; it falls while the correction decays.
     peak: u64,
     /// The correction of the count by the largest sample under load.
     excess: u64,
@@ -47,10 +49,10 @@
     counted_at_peak: u64,
     /// Time until which new connections are diverted to other boxes.
     divert_until_ms: u64,
-    /// Whether something did not fit since the last sample, since a burst may be over when the next
-    /// one is taken.
+    /// Whether a request was refused since the last sample. A burst between two samples diverts new
+    /// connections, too.
     has_refused: bool,
-    /// Whether they were diverted at the last sample.
+    /// Whether new connections were diverted at the last sample.
     is_short: bool,
 }
 
@@ -75,14 +77,19 @@
     /// The use, as a fraction of the machine's memory, above which a workspace is limited to its
     /// portion. Leaves room for others while the excess of the workspace is refused.
     const LIMITED_FRACTION: f64 = 0.7;
-    /// The use above which nothing more is admitted. The rest is left to the operating system, its
-    /// socket buffers, and what is allocated between two samples.
+    /// The use, as a fraction of the machine's memory, above which nothing is admitted. The rest is
+    /// left to the operating system, its socket buffers, and what is allocated between two samples.
     const FULL_FRACTION: f64 = 0.8;
     /// The counted bytes below which a sample shows the idle process: a few connections.
     const IDLE_BYTES: u64 = 8 * Self::CONNECTION_BYTES;
     /// The counted bytes, as a fraction of the machine's memory, from which on a correction shows
     /// what requests take rather than how the process has grown otherwise.
     const TYPICAL_FRACTION: f64 = 0.06;
+    /// The number of samples, 10 s, in which a correction that they contradict decays to 1/e. Longer
+    /// than most bodies take to arrive, as a sample lacks what is counted but not received.
+    const DECAY_SAMPLES: f64 = 100.0;
+    /// The use from which on each sample reads the resident memory.
+    const FREQUENT_SAMPLES_FRACTION: f64 = 0.4;
     /// Duration of a diversion in milliseconds. The load balancer polls readiness once per second
     /// and acts on the second answer.
     const DIVERT_MS: u64 = 3_000;
@@ -165,24 +172,22 @@
         }
     }
 
-    /// Records the resident memory of the process in bytes, if it can be read.
+    /// Returns whether each sample has to read the resident memory. Below this use, what is
+    /// allocated until a later sample fits below the limits, and reading it costs a small box a
+    /// tenth of its processor time.
+    pub fn needs_frequent_samples(&self) -> bool {
+        let threshold = |machine: u64| (machine as f64 * Self::FREQUENT_SAMPLES_FRACTION) as u64;
+        self.machine
+            .is_some_and(|machine| self.use_bytes() >= threshold(machine))
+    }
+
+    /// Records a sample of the resident memory of the process in bytes; `None` if it was not read.
     ///
-    /// A sample below the largest one does not correct the count, since it includes released memory
-    /// that the allocator keeps.
+    /// A sample below the largest one does not raise the correction, since it includes released
+    /// memory that the allocator keeps.
     pub fn record_sample(&mut self, resident: Option<u64>, now_ms: u64) -> MemoryChange {
-        let resident = resident.unwrap_or(0);
-        let growth = resident.saturating_sub(self.peak);
-        self.peak = self.peak.max(resident);
-        self.has_served |= self.counted > Self::IDLE_BYTES;
-        match growth > 0 {
-            true if !self.has_served => self.idle = resident,
-            true if self.counted >= self.counted_at_peak / 2 => {
-                self.excess = resident.saturating_sub(self.idle + self.counted);
-                self.counted_at_peak = self.counted;
-            }
-            // What a lower load allocates beyond the memory that the allocator keeps stays.
-            true => self.idle += growth,
-            false => {}
+        if let Some(resident) = resident {
+            self.correct_count(resident);
         }
         let has_refused = std::mem::take(&mut self.has_refused);
         let is_limited = |limits: MemoryLimits| self.use_bytes() >= limits.limited;
@@ -197,15 +202,55 @@
         }
     }
 
+    /// Corrects the count by a sample of the resident memory.
+    fn correct_count(&mut self, resident: u64) {
+        let growth = resident.saturating_sub(self.peak);
+        self.peak = self.peak.max(resident);
+        self.has_served |= self.counted > Self::IDLE_BYTES;
+        match growth > 0 {
+            true if !self.has_served => self.idle = resident,
+            true if self.counted >= self.counted_at_peak / 2 => {
+                self.excess = resident.saturating_sub(self.idle + self.grown + self.counted);
+                self.counted_at_peak = self.counted;
+            }
+            // A lower load has grown beyond the memory that the allocator keeps.
+            true => {
+                let rest = resident.saturating_sub(self.idle + self.counted);
+                self.grown = self.grown.max(rest.min(self.grown + growth));
+            }
+            false => self.decay_correction(resident),
+        }
+    }
+
+    /// Reduces the correction while the estimated use exceeds the resident memory: the process has
+    /// returned what was attributed to its load.
+    fn decay_correction(&mut self, resident: u64) {
+        let correction = self.correction();
+        let surplus = self.use_bytes().saturating_sub(resident).min(correction);
+        if surplus == 0 {
+            return;
+        }
+        let portion = surplus as f64 / correction as f64 / Self::DECAY_SAMPLES;
+        self.excess -= (self.excess as f64 * portion).ceil() as u64;
+        self.grown -= (self.grown as f64 * portion).ceil() as u64;
+        // Otherwise the next load would not be corrected until it has grown beyond this peak.
+        self.peak -= ((self.peak - resident) as f64 / Self::DECAY_SAMPLES) as u64;
+    }
+
     /// Returns the estimated use of memory in bytes.
     pub fn use_bytes(&self) -> u64 {
+        self.idle + self.counted + self.correction()
+    }
+
+    /// Returns what the process is estimated to use beyond the idle process and the counted bytes.
+    fn correction(&self) -> u64 {
         let counted = self.counted as f64;
         let typical = self.machine.unwrap_or(0) as f64 * Self::TYPICAL_FRACTION;
         let at_peak = self.counted_at_peak.max(1) as f64;
         let part = (counted / at_peak)
             .min(1.0)
             .max(counted / at_peak.max(typical).max(1.0));
-        self.idle + self.counted + (self.excess as f64 * part) as u64
+        self.grown + (self.excess as f64 * part) as u64
     }
 
     /// Returns whether new connections should go to other boxes.
@@ -239,12 +284,12 @@
     }
 }
 
-/// The uses of memory in bytes from which on a box refuses.
+/// The limits of the use of memory, in bytes.
 #[derive(Debug, Clone, Copy)]
 struct MemoryLimits {
-    /// Workspaces beyond their portion are refused.
+    /// The use from which on workspaces beyond their portion are refused.
     limited: u64,
-    /// Everything is refused, and no connection is accepted.
+    /// The use above which all requests are refused and no connection is accepted.
     full: u64,
 }
 
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -76,15 +76,15 @@
         self.bytes += bytes;
     }
 
-    /// Releases a part of the counted bytes.
-    pub(super) fn shrink(&mut self, bytes: u64) {
-        let bytes = bytes.min(self.bytes);
+    /// Releases the body of a request, with the buffer that holds it.
+    pub(super) fn release_body(&mut self) {
+        let bytes = self.bytes.saturating_sub(MemoryBudget::REQUEST_BYTES);
         self.state
             .with_memory(|memory| memory.release(self.workspace, bytes));
         self.bytes -= bytes;
     }
 
-    /// Returns bytes that stay counted until they were written to their reader.
+    /// Returns bytes that stay counted until they have been written to their reader.
     pub(super) fn attach_to(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(CountedBytes {
             bytes,
@@ -111,3 +111,6 @@
         &self.bytes
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/gateway/overload.rs
+++ b/dockgate/src/gateway/overload.rs
@@ -1,4 +1,5 @@
-//! Overload detection of this box by the delay of timers and the busy time of its thread.
+//! Overload detection of this box by the delay of timers, the busy time of its thread and its
+//! memory.
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
@@ -13,6 +14,9 @@
 /// Interval of the measurements. Each one wakes the thread, and overload is detected after three.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(LoadShedder::SAMPLE_MS);
 
+/// Number of samples for each one that reads the resident memory while little of it is in use.
+const MEMORY_SAMPLES: u64 = 10;
+
 /// Accumulated busy time of the runtime's thread at one instant.
 #[derive(Debug, Clone, Copy)]
 struct BusySample {
@@ -36,13 +40,14 @@
     }
 }
 
-/// Samples the resident memory of the process, if the memory of the box is limited, and logs when
-/// the box begins or ceases to be short of it.
-fn record_memory(state: &GatewayState) {
+/// Samples the memory of the box, if it is limited, and logs when the box begins or ceases to be
+/// short of it. `is_due` is set if the resident memory is read even when little is in use.
+fn record_memory(state: &GatewayState, is_due: bool) {
     if !state.with_memory(|memory| memory.is_limited()) {
         return;
     }
-    let resident = resident_bytes();
+    let is_due = is_due || state.with_memory(|memory| memory.needs_frequent_samples());
+    let resident = is_due.then(resident_bytes).flatten();
     let (change, used) = state.with_memory(|memory| {
         let change = memory.record_sample(resident, now_ms());
         (change, memory.use_bytes())
@@ -61,12 +66,12 @@
     }
 }
 
-/// Measures how late a timer fires, until the process ends.
+/// Measures how late a timer fires, and samples the processor and memory, until the process ends.
 ///
 /// All tasks run on one thread, so ready tasks are delayed as long as the timer.
 pub(super) async fn watch_lag(state: Arc<GatewayState>) {
     let mut last_sample = BusySample::now();
-    loop {
+    for number in 0_u64.. {
         let due = ClockInstant::now() + SAMPLE_INTERVAL;
         tokio::time::sleep(SAMPLE_INTERVAL).await;
         suspension::handle_suspension(&state);
@@ -80,7 +85,7 @@
             let change = view.lag.record(late_ms, now);
             (change, view.lag.lag_ms())
         });
-        record_memory(&state);
+        record_memory(&state, number % MEMORY_SAMPLES == 0);
         match change {
             LagChange::None => {}
             LagChange::Overloaded => log_gateway(&GatewayEvent::Overloaded { lag_ms }),
