feat: the software version of endpoints is decoded, kept and logged

Cause: the records' version was dropped on decoding, so that neither logs nor code could tell at which version a stream began. Change: version in endpoint records (also between boxes, absent from those of earlier builds), in endpoint_ready and sent; sent names the last event and the request that a caller takes up, and is always written then; resumed names the lost endpoint and both versions. No decision uses it yet.

--- a/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
@@ -61,6 +61,11 @@
     /// Applies a record of the same lifetime, unless it is older than what is known, and returns
     /// whether anything changed.
     pub(super) fn write(&mut self, record: EndpointRecord, revision: StoreRevision) -> bool {
+        if revision == self.revision && self.record.version.is_empty() {
+            // Boxes of an earlier build report records without the version.
+            self.record.version = record.version;
+            return !self.record.version.is_empty();
+        }
         if revision <= self.newest_revision() {
             return false;
         }
--- a/dockgate-core/src/gateway/endpoint_registry/era_tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/era_tests.rs
@@ -46,6 +46,7 @@
                     slots: 4,
                     state,
                     warmup_ms: 0,
+                    version: "v1".to_owned(),
                 };
                 self.items.insert(at, (record, self.number));
                 self.removed.remove(&at);
--- a/dockgate-core/src/gateway/endpoint_registry/notice_tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/notice_tests.rs
@@ -21,6 +21,7 @@
         slots: 4,
         state,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     }
 }
 
--- a/dockgate-core/src/gateway/endpoint_registry/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/tests.rs
@@ -17,6 +17,7 @@
         slots: 4,
         state,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     }
 }
 
@@ -449,3 +450,21 @@
         Some(EndpointObjection::Evacuated)
     );
 }
+
+/// Guards against endpoints whose version stays unknown after a box of an earlier build reported
+/// their record without it.
+#[test]
+fn version_missing_from_a_report_is_taken_from_the_record_of_the_same_revision() {
+    let mut registry = EndpointRegistry::default();
+    let complete = record("e", EndpointState::Ready);
+    let reported = EndpointRecord {
+        version: String::new(),
+        ..complete.clone()
+    };
+    let revision = StoreRevision::new(1, 4);
+    registry.apply(EndpointChange::Put(reported.clone(), revision), None);
+    assert!(registry.apply(EndpointChange::Put(complete.clone(), revision), None));
+    assert!(!registry.apply(EndpointChange::Put(reported, revision), None));
+    let entry = registry.get(complete.key()).unwrap();
+    assert_eq!(entry.record.version, complete.version);
+}
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -1,5 +1,6 @@
 //! The routes, services and workspaces of a configuration, indexed for lookups.
 
+use super::software_version::SoftwareVersion;
 use super::warmup_limit::WarmupLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -90,6 +91,9 @@
     pub state: EndpointState,
     /// The remaining warm-up time, during which it is slow, in milliseconds.
     pub warmup_ms: u64,
+    /// The version of its software; empty if the reporting box does not know it.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub version: String,
 }
 
 impl EndpointRecord {
@@ -102,6 +106,11 @@
     pub fn name(&self) -> EndpointName {
         EndpointName::new(&self.id)
     }
+
+    /// Returns the key of its software version.
+    pub fn software_version(&self) -> SoftwareVersion {
+        SoftwareVersion::from_name(&self.version)
+    }
 }
 
 /// How an answer is forwarded to the caller.
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -182,7 +182,7 @@
             .with_label_values(&[&self.service().name]);
         decision_time.observe(self.age().as_secs_f64());
         let expected_ms = placement.expected_ms;
-        if self.is_sampled() || attempt > 1 {
+        if self.is_sampled() || attempt > 1 || self.head.last_event.is_some() {
             self.log_sent(&placement, attempt);
         }
         let result = match self.route().form {
@@ -224,12 +224,16 @@
 
     fn log_sent(&self, placement: &CallPlacement, attempt: u32) {
         let revision = self.state.with(|view| view.endpoints.revision().number);
+        let version = self.state.version_name(placement.target.id);
         log_gateway(&GatewayEvent::Sent {
             request: &self.head.id,
             route: &self.route().name,
             workspace: self.workspace_name(),
             tokens: self.prompt_tokens(),
             endpoint: &placement.target.name,
+            version: &version,
+            after_event: self.head.last_event,
+            resumes: self.head.resumes.as_deref(),
             attempt,
             expected_ms: placement.expected_ms,
             decided_by: &placement.decided_by,
--- a/dockgate/src/gateway/datagram_receiver/tests.rs
+++ b/dockgate/src/gateway/datagram_receiver/tests.rs
@@ -26,6 +26,7 @@
         slots: 8,
         state: EndpointState::Ready,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     }
 }
 
--- a/dockgate/src/gateway/encoded_updates/tests.rs
+++ b/dockgate/src/gateway/encoded_updates/tests.rs
@@ -12,6 +12,7 @@
         slots: 4,
         state: EndpointState::Ready,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     };
     let endpoint = ReportedEndpoint {
         record,
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -115,6 +115,7 @@
             slots: 64,
             state: EndpointState::Ready,
             warmup_ms: 0,
+            version: "v1".to_owned(),
         };
         EndpointChange::Put(record, StoreRevision::from(number + 1))
     });
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -275,13 +275,18 @@
         if let Some(target) = &lost {
             record_interruption(&self.call.state, target, self.call.fingerprint());
         }
+        let version_name = |target: &EndpointTarget| self.call.state.version_name(target.id);
+        let began_at = lost.as_ref().map(version_name).unwrap_or_default();
         self.splitter = EventSplitter::default();
         let reason = match self.resume().await {
             Ok(source) => {
                 GATEWAY_METRICS.resumed_streams.inc();
                 log_gateway(&GatewayEvent::Resumed {
                     request: &self.call.head.id,
+                    lost: lost.as_ref().map_or("", |target| &target.name),
+                    began_at: &began_at,
                     endpoint: &source.target.name,
+                    version: &self.call.state.version_name(source.target.id),
                     after_event: self.last_event.unwrap_or_default(),
                     problem,
                 });
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -63,6 +63,8 @@
         born_ms: Option<u64>,
         service: &'a str,
         domain: &'a str,
+        /// The version of its software.
+        version: &'a str,
         revision: u64,
         source: &'a str,
     },
@@ -176,6 +178,12 @@
         /// Tokens of the prompt, for prompts.
         tokens: Option<u32>,
         endpoint: &'a str,
+        /// The version of the endpoint's software.
+        version: &'a str,
+        /// The last event that the caller received, if it takes up a stream.
+        after_event: Option<u64>,
+        /// The request that brought the first event of that stream, if the caller names it.
+        resumes: Option<&'a str>,
         attempt: u32,
         /// Predicted time to the first event, for engines.
         expected_ms: Option<u32>,
@@ -219,7 +227,13 @@
     /// A stream was resumed at another endpoint.
     Resumed {
         request: &'a str,
+        /// The endpoint that was lost.
+        lost: &'a str,
+        /// The version of the lost endpoint's software.
+        began_at: &'a str,
         endpoint: &'a str,
+        /// The version of the software of the endpoint that continues.
+        version: &'a str,
         after_event: u64,
         problem: &'a str,
     },
@@ -329,6 +343,7 @@
                 born_ms: record.started_ms,
                 service: &record.service,
                 domain: &record.domain,
+                version: &record.version,
                 revision,
                 source,
             },
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -7,12 +7,12 @@
     sent = {
         GatewayEvent::Sent {
             request: "r", route: "x", workspace: "w", tokens: Some(40), endpoint: "e",
-            attempt: 1,
+            version: "v1", after_event: Some(2), resumes: Some("q"), attempt: 1,
             expected_ms: Some(40), decided_by: "b", config: 3, config_age_ms: 10, revision: 7,
             endpoints_age_ms: 20,
         },
-        "attempt config config_age_ms decided_by endpoint endpoints_age_ms event expected_ms \
-         request revision route tokens workspace"
+        "after_event attempt config config_age_ms decided_by endpoint endpoints_age_ms event \
+         expected_ms request resumes revision route tokens version workspace"
     },
     send_failed = {
         GatewayEvent::SendFailed {
@@ -76,8 +76,9 @@
         "event lag_ms request route sends stage waited_ms workspace"
     },
     resumed = {
-        GatewayEvent::Resumed { request: "r", endpoint: "e", after_event: 2, problem: "p" },
-        "after_event endpoint event problem request"
+        GatewayEvent::Resumed {
+            request: "r", lost: "d", began_at: "v1", endpoint: "e", version: "v1", after_event: 2, problem: "p" },
+        "after_event began_at endpoint event lost problem request version"
     },
     routes = {
         GatewayEvent::RoutesInForce {
@@ -147,6 +148,7 @@
             born_ms: Some(1),
             service: "s",
             domain: "d",
+            version: "v1",
             revision: 2,
             source: "store",
         },
@@ -155,6 +157,7 @@
             born_ms: None,
             service: "s",
             domain: "d",
+            version: "v1",
             revision: 2,
             source: "store",
         },
@@ -250,6 +253,9 @@
             workspace: "w",
             tokens: Some(40),
             endpoint: "e",
+            version: "v1",
+            after_event: Some(2),
+            resumes: Some("q"),
             attempt: 1,
             expected_ms: None,
             decided_by: "b",
@@ -287,7 +293,10 @@
         },
         GatewayEvent::Resumed {
             request: "r",
+            lost: "d",
+            began_at: "v1",
             endpoint: "e",
+            version: "v1",
             after_event: 2,
             problem: "p",
         },
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -347,6 +347,14 @@
         self.record_changes(&changed, source);
     }
 
+    /// Returns the name of the software version of an endpoint; empty if it is unknown.
+    pub(super) fn version_name(&self, id: EndpointId) -> String {
+        self.with(|view| {
+            let entry = view.endpoints.get(id);
+            entry.map_or_else(String::new, |entry| entry.record.version.clone())
+        })
+    }
+
     fn record_changes(&self, changes: &[EndpointChange], source: &str) {
         if !changes.is_empty() {
             self.endpoints_changed_ms.store(now_ms(), Ordering::Relaxed);
--- a/dockgate/src/gateway/plain_placement/tests.rs
+++ b/dockgate/src/gateway/plain_placement/tests.rs
@@ -15,6 +15,7 @@
         slots: SLOTS,
         state,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     }
 }
 
--- a/dockgate/src/gateway/wait_queues/tests.rs
+++ b/dockgate/src/gateway/wait_queues/tests.rs
@@ -27,6 +27,7 @@
         slots: 2,
         state,
         warmup_ms: 0,
+        version: "v1".to_owned(),
     }
 }
 
