--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -484,10 +484,31 @@
         service: &str,
     ) -> Result<(), BenchError> {
         let endpoint = RoutedStandIn::start(id, service).await?;
+        self.add_started(domain, endpoint);
+        Ok(())
+    }
+
+    /// Starts an endpoint of a service with a software version in failure domain `a`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port is free.
+    pub async fn add_endpoint_of_version(
+        &mut self,
+        version: &str,
+        id: &str,
+        service: &str,
+    ) -> Result<(), BenchError> {
+        let mut endpoint = RoutedStandIn::start(id, service).await?;
+        version.clone_into(&mut endpoint.version);
+        self.add_started("a", endpoint);
+        Ok(())
+    }
+
+    fn add_started(&mut self, domain: &str, endpoint: RoutedStandIn) {
         let (key, value) = endpoint.record(domain, "ready");
         self.store.set(&key, value);
         self.endpoints.push(endpoint);
-        Ok(())
     }
 
     /// Starts a stand-in for a box that announces the state in `answer` to the first gateway.
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -92,6 +92,9 @@
 /// The header with the start time of the endpoint that answers, in Unix milliseconds.
 pub const STARTED_HEADER: &str = "x-born";
 
+/// The software version of an endpoint, unless it is set.
+const INITIAL_VERSION: &str = "v1";
+
 /// The id and start time of an endpoint.
 #[derive(Debug, Clone)]
 struct EndpointIdentity {
@@ -109,6 +112,8 @@
     pub service: String,
     /// The address on which it listens.
     pub address: SocketAddr,
+    /// The version of its software, as its record reports it.
+    pub version: String,
     state: Arc<RoutedState>,
     stop: CancellationToken,
 }
@@ -136,6 +141,7 @@
             started_ms,
             service: service.to_owned(),
             address,
+            version: INITIAL_VERSION.to_owned(),
             state,
             stop,
         })
@@ -144,7 +150,7 @@
     /// Returns the key and value of its store record.
     pub fn record(&self, domain: &str, state: &str) -> (String, String) {
         let value = json!({
-            "service": self.service, "address": self.address, "zone": domain, "version": "v1",
+            "service": self.service, "address": self.address, "zone": domain, "version": self.version,
             "capacity": 8, "state": state, "warmup_left_ms": 0, "sequence": 1, "born": self.started_ms,
         });
         (
