fix: a stream resumed within an answer stays at the software version that began it

Cause: the engine for the rest was sought as for a new prompt; the version that began was not kept. Change: a stream keeps the version of the endpoint whose first event it forwards, and an endpoint for its rest is chosen among those of that version only. The candidates are reduced before homes, warm spares, overflow and plain selection choose from them, so no path can leave the version. An endpoint of unknown version continues nothing.

--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -33,6 +33,7 @@
 use super::evacuation_orders::EvacuationOrders;
 use super::notice_registry::{NoticeRegistry, NoticeUpdate};
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
+use super::software_version::SoftwareVersion;
 use super::store_revision::StoreRevision;
 use lifetime_history::{LastLifetime, LifetimeHistory};
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,8 @@
     pub id: EndpointId,
     /// Its failure domain.
     pub domain: DomainKey,
+    /// The version of its software.
+    pub version: SoftwareVersion,
 }
 
 /// A change of an endpoint's record.
@@ -186,6 +189,7 @@
             let ready = ReadyEndpoint {
                 id: *id,
                 domain: entry.domain(),
+                version: entry.record.software_version(),
             };
             match self.ready.get_mut(&entry.record.service) {
                 Some(service) => service.push(ready),
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -29,6 +29,7 @@
 mod overload;
 mod peer_state;
 mod pending_slot_request;
+mod placement_goal;
 mod plain_placement;
 mod quarantine;
 mod quarantine_rpc;
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -5,6 +5,7 @@
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
 use super::super::memory_guard::MemoryGuard;
+use super::super::placement_goal::PlacementGoal;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::super::wait_window::WaitWindow;
@@ -191,8 +192,8 @@
 
     /// Returns the time in which the request may wait for capacity; `None` if the fleet is not
     /// contended, or for a resumed stream, whose caller already reads events.
-    pub(super) fn wait_window(&self, resumed: bool) -> Option<WaitWindow> {
-        let may_wait = self.state.settings().conditions.contended && !resumed;
+    pub(super) fn wait_window(&self, goal: PlacementGoal) -> Option<WaitWindow> {
+        let may_wait = self.state.settings().conditions.contended && !goal.is_resume();
         may_wait.then(|| WaitWindow {
             arrived: self.arrived,
             objective: self.route().objective,
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -1,6 +1,7 @@
 //! Selects the next target of a request: an endpoint of a plain service, or an engine for a prompt.
 
 use super::super::engine_placement::{EngineQuery, EngineRefusal, find_engine};
+use super::super::placement_goal::PlacementGoal;
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::suspension::wait_until_fresh;
@@ -42,7 +43,7 @@
     pub(super) async fn find_placement(
         &self,
         attempts: &CallAttempts,
-        resumed: bool,
+        goal: PlacementGoal,
     ) -> Result<CallPlacement, CallRefusal> {
         wait_until_fresh(&self.state, self.deadline()).await;
         match (self.service().engine, self.admission_request()) {
@@ -54,9 +55,9 @@
                     prompt,
                     own_subject: name_hash(&self.head.id),
                     tried: &attempts.endpoints,
-                    resumed,
+                    goal,
                     level: self.share_level(request.workspace, units),
-                    wait: self.wait_window(resumed),
+                    wait: self.wait_window(goal),
                 };
                 let request = request.level(query.level);
                 let found = find_engine(&self.state, query, &request).await;
@@ -75,7 +76,7 @@
                     decided_by: found.decided_by,
                 })
             }
-            _ => self.place_plain(attempts, self.wait_window(resumed)).await,
+            _ => self.place_plain(attempts, goal).await,
         }
     }
 
--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -1,5 +1,6 @@
 //! Selects the endpoint of a plain service for a request.
 
+use super::super::placement_goal::PlacementGoal;
 use super::super::plain_placement::{
     PlainDecline, PlainPlacement, PlainWait, request_plain_placement, wait_for_plain,
 };
@@ -55,12 +56,12 @@
     pub(super) async fn place_plain(
         &self,
         attempts: &CallAttempts,
-        wait: Option<WaitWindow>,
+        goal: PlacementGoal,
     ) -> Result<CallPlacement, CallRefusal> {
         let mut passed_over = attempts.endpoints.clone();
         let mut declines = Vec::new();
         let mut first_free: Option<(EndpointTarget, u32)> = None;
-        while let Some(target) = self.find_plain(&passed_over) {
+        while let Some(target) = self.find_plain(&passed_over, goal) {
             passed_over.push(target.id);
             match request_plain_placement(&self.state, target.id, self.time_left()).await {
                 Ok(placement) => return Ok(call_placement(target, placement)),
@@ -78,7 +79,7 @@
                 }
             }
         }
-        let (Some(window), Some((target, wait_ms))) = (wait, first_free) else {
+        let (Some(window), Some((target, wait_ms))) = (self.wait_window(goal), first_free) else {
             return Err(self.refuse_plain(&declines));
         };
         match self.wait_for_slot(&target, window, wait_ms).await {
@@ -130,7 +131,11 @@
 
     /// Finds the endpoint of a plain service with the least visible load, other than those passed
     /// over. Ties are broken by a draw for each request.
-    fn find_plain(&self, passed_over: &[EndpointId]) -> Option<EndpointTarget> {
+    fn find_plain(
+        &self,
+        passed_over: &[EndpointId],
+        goal: PlacementGoal,
+    ) -> Option<EndpointTarget> {
         let now = now_ms();
         let settings = self.state.settings();
         let service = self.service();
@@ -142,15 +147,18 @@
             order.then_with(ties)
         };
         self.state.with(|view| {
-            let is_untried = |id| !passed_over.contains(&id);
+            let is_untried = |id: EndpointId, entry: &EndpointEntry| {
+                !passed_over.contains(&id) && goal.allows(entry.record.software_version())
+            };
             let eligible = view.endpoints.eligible(&service.name, now);
-            let eligible = eligible.filter(|(id, _)| is_untried(*id));
+            let eligible = eligible.filter(|(id, entry)| is_untried(*id, entry));
             let notices = view.endpoints.notices();
             // If all endpoints back off after failures, one of them is still tried, unless it
             // requested the backoff itself.
             let backing_off = || {
                 let ready = view.endpoints.ready_entries(&service.name);
-                let ready = ready.filter(|(id, _)| is_untried(*id) && notices.may_send(*id, now));
+                let ready = ready
+                    .filter(|(id, entry)| is_untried(*id, entry) && notices.may_send(*id, now));
                 ready.min_by(by_load)
             };
             let (id, entry) = eligible.min_by(by_load).or_else(backing_off)?;
@@ -160,6 +168,7 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
+                version: entry.record.software_version(),
                 limits: ConnectionLimits::new(service.connections, slots, boxes),
             })
         })
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -7,6 +7,7 @@
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::notices::{receive_notice, report_leaving, send_condition};
+use super::super::placement_goal::PlacementGoal;
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, PooledConnection, SendFailure, send};
@@ -16,7 +17,7 @@
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::metrics::METRICS;
 use bytes::Bytes;
-use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointOutcome};
+use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointOutcome, SoftwareVersion};
 use dockgate_core::{AttemptState, Outcome, RetryVerdict};
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -45,7 +46,7 @@
         let mut attempts = CallAttempts::default();
         loop {
             let placement = self
-                .find_placement(&attempts, false)
+                .find_placement(&attempts, PlacementGoal::Begin)
                 .await
                 .map_err(|refusal| match attempts.sent {
                     0 => refusal,
@@ -470,7 +471,8 @@
         }
     }
 
-    /// Resumes a stream at another endpoint after the event `after_event`.
+    /// Resumes a stream that began at a software version at another endpoint, after the event
+    /// `after_event`.
     ///
     /// # Errors
     ///
@@ -479,8 +481,10 @@
         self: &Arc<Self>,
         attempts: &mut CallAttempts,
         after_event: Option<u64>,
+        began_at: SoftwareVersion,
     ) -> Result<StreamSource, String> {
-        let placement = self.find_placement(attempts, true).await;
+        let goal = PlacementGoal::Resume(began_at);
+        let placement = self.find_placement(attempts, goal).await;
         let placement = placement.map_err(|refusal| refusal.reason.as_str().to_owned())?;
         attempts.endpoints.push(placement.target.id);
         let answer = self.exchange(&placement, attempts, after_event).await;
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -11,6 +11,7 @@
 use super::gateway_state::{GatewayState, GatewayView};
 use super::notices::receive_reported_leave;
 use super::pending_slot_request::PendingSlotRequest;
+use super::placement_goal::PlacementGoal;
 use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
@@ -118,8 +119,8 @@
     pub(super) own_subject: u64,
     /// The engines that were tried already.
     pub(super) tried: &'a [EndpointId],
-    /// Whether the stream is resumed after an endpoint was lost.
-    pub(super) resumed: bool,
+    /// Whether a stream begins or continues, and at which software version.
+    pub(super) goal: PlacementGoal,
     /// The usage of the workspace relative to its share.
     pub(super) level: ShareLevel,
     /// The time in which it may wait for capacity; `None` if it may not.
@@ -176,6 +177,8 @@
 fn ordered_homes(view: &GatewayView, query: &EngineQuery, counts: HomeCounts) -> Vec<HomeEngine> {
     let now = now_ms();
     let ready = view.endpoints.ready(&query.service.name);
+    let ready = query.goal.allowed(ready);
+    let ready = &*ready;
     let local = DomainKey::from_name(&view.fleet.own().domain);
     let weights = view.engine_weights.homes();
     let entry = |id: EndpointId| view.endpoints.get(id);
@@ -206,6 +209,7 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
+                version: entry.record.software_version(),
                 limits: ConnectionLimits::new(query.service.connections, entry.record.slots, boxes),
             },
             owner: view.fleet.owner(id, &entry.record.domain, now),
@@ -452,7 +456,7 @@
         let is_cold = |id| state.with(|view| view.warmups.is_cold(id, now_ms()));
         homes.iter().find(|home| !is_cold(home.target.id))
     };
-    if let Some(home) = query.resumed.then(warm_home).flatten() {
+    if let Some(home) = query.goal.is_resume().then(warm_home).flatten() {
         return Ok(place_unconditionally(state, home, request));
     }
     let mut refusal = EngineRefusal::default();
@@ -618,7 +622,7 @@
     request: &AdmissionRequest,
 ) -> Option<u32> {
     // The fastest engine is checked only for a workspace beyond its share.
-    let is_exempt = query.resumed || !query.level.is_beyond();
+    let is_exempt = query.goal.is_resume() || !query.level.is_beyond();
     let spec = query.service.engine.filter(|_| !is_exempt)?;
     let rule = state.settings().admission;
     let first_ms = state.with(|view| {
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -4,7 +4,7 @@
 use crate::gateway::settings::GatewaySettings;
 use dockgate_core::gateway::{
     EndpointChange, EndpointRecord, EndpointState, EngineLoad, LatencyLimits, RouteConfig,
-    StoreRevision, WaitQueue, best_homes,
+    SoftwareVersion, StoreRevision, WaitQueue, best_homes,
 };
 use dockgate_platform::FleetConditions;
 use std::collections::BTreeSet;
@@ -46,7 +46,7 @@
         prompt: &prompt,
         own_subject: 7,
         tried: &[],
-        resumed: false,
+        goal: PlacementGoal::Begin,
         level: if remote_homes == 0 {
             beyond
         } else {
@@ -65,6 +65,7 @@
         let ready = ranks.iter().map(|rank| ReadyEndpoint {
             id: engine_at(rank),
             domain: DomainKey(domain),
+            version: SoftwareVersion::UNKNOWN,
         });
         ready.collect()
     };
@@ -149,7 +150,7 @@
             prompt: &prompt,
             own_subject: number,
             tried: &[],
-            resumed: false,
+            goal: PlacementGoal::Begin,
             level,
             wait: None,
         };
@@ -240,12 +241,16 @@
         priority: 1,
     };
     let resumed = case == FullHomeCase::Resumed;
+    let goal = match resumed {
+        true => PlacementGoal::Resume(SoftwareVersion::from_name("v1")),
+        false => PlacementGoal::Begin,
+    };
     let query = EngineQuery {
         service: &service,
         prompt: &prompt,
         own_subject: 99,
         tried: &[],
-        resumed,
+        goal,
         level: ShareLevel::WITHIN,
         wait: (!resumed).then_some(window),
     };
@@ -273,6 +278,7 @@
     let ready = |id| ReadyEndpoint {
         id: EndpointId(id),
         domain: DomainKey(1),
+        version: SoftwareVersion::UNKNOWN,
     };
     let ready: Vec<ReadyEndpoint> = (0..40).map(ready).collect();
     let times_home = |weight: f64| {
@@ -283,7 +289,7 @@
                 prompt: &prompt,
                 own_subject: *subject,
                 tried: &[],
-                resumed: false,
+                goal: PlacementGoal::Begin,
                 level: ShareLevel::WITHIN,
                 wait: None,
             };
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -9,7 +9,7 @@
 use super::upstream::{EndpointTarget, PooledConnection};
 use crate::clock::{ClockInstant, timeout_at};
 use bytes::{Bytes, BytesMut};
-use dockgate_core::gateway::{EndpointOutcome, EventSplitter};
+use dockgate_core::gateway::{EndpointOutcome, EventSplitter, SoftwareVersion};
 use dockgate_core::{AttemptState, RetryVerdict};
 use dockgate_platform::AnswerHead;
 use futures::{FutureExt, stream};
@@ -72,6 +72,8 @@
     pending_step: Option<StreamStep>,
     ended: bool,
     last_event: Option<u64>,
+    /// The software version of the endpoint that sent the first event.
+    version: SoftwareVersion,
     events: u64,
     status: StatusCode,
     first_event_age: Duration,
@@ -86,6 +88,7 @@
     ) -> Self {
         Self {
             last_event: call.head.last_event,
+            version: source.target.version,
             call,
             attempts,
             source: Some(source),
@@ -321,7 +324,8 @@
                 RetryVerdict::Report(_) => return Err("no further attempt is allowed".to_owned()),
             }
             let call = self.call.clone();
-            match call.resume(&mut self.attempts, self.last_event).await {
+            let resumed = call.resume(&mut self.attempts, self.last_event, self.version);
+            match resumed.await {
                 Ok(source) => return Ok(source),
                 Err(problem) if self.attempts.endpoints.len() > 4 => return Err(problem),
                 Err(problem) => log::debug!("could not resume {}: {problem}", call.head.id),
--- /dev/null
+++ b/dockgate/src/gateway/placement_goal.rs
@@ -0,0 +1,40 @@
+//! Whether a request begins a stream or continues one, which restricts its endpoints.
+
+use dockgate_core::gateway::{ReadyEndpoint, SoftwareVersion};
+use std::borrow::Cow;
+
+/// What an endpoint is sought for.
+///
+/// Endpoints of different software versions produce different events for the same request, so a
+/// stream continues only at the version that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PlacementGoal {
+    /// A request of which no event has been forwarded.
+    Begin,
+    /// A stream that continues within the same answer after its endpoint was lost.
+    Resume(SoftwareVersion),
+}
+
+impl PlacementGoal {
+    /// Returns whether a stream continues within the same answer.
+    pub(super) const fn is_resume(self) -> bool {
+        matches!(self, Self::Resume(_))
+    }
+
+    /// Returns whether an endpoint of this version may be used.
+    pub(super) fn allows(self, version: SoftwareVersion) -> bool {
+        match self {
+            Self::Begin => true,
+            Self::Resume(began_at) => began_at.is_known() && version == began_at,
+        }
+    }
+
+    /// Returns the endpoints that may be used.
+    pub(super) fn allowed(self, ready: &[ReadyEndpoint]) -> Cow<'_, [ReadyEndpoint]> {
+        if ready.iter().all(|ready| self.allows(ready.version)) {
+            return Cow::Borrowed(ready);
+        }
+        let allowed = ready.iter().filter(|ready| self.allows(ready.version));
+        allowed.copied().collect()
+    }
+}
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -6,7 +6,7 @@
 use crate::clock::now_ms;
 use crate::shared_stream::{SharedStream, StreamAbortHandle};
 use bytes::Bytes;
-use dockgate_core::gateway::EndpointId;
+use dockgate_core::gateway::{EndpointId, SoftwareVersion};
 use endpoint_io::{EndpointIo, SendGate};
 pub(super) use endpoint_io::{SendCondition, WithheldReason};
 use http::{Request, Response};
@@ -40,6 +40,8 @@
     /// The id of the endpoint's lifetime.
     pub(super) name: String,
     pub(super) address: SocketAddr,
+    /// The version of its software.
+    pub(super) version: SoftwareVersion,
     /// The connection limits of this box for the endpoint.
     pub(super) limits: ConnectionLimits,
 }
--- a/dockgate/src/gateway/upstream/tests.rs
+++ b/dockgate/src/gateway/upstream/tests.rs
@@ -70,6 +70,7 @@
         id: EndpointId::from_name("life-1"),
         name: "life-1".to_owned(),
         address: listener.local_addr().unwrap(),
+        version: SoftwareVersion::UNKNOWN,
         limits: ConnectionLimits::new(100, 8, 2),
     };
     let endpoint = tokio::spawn(answer_first(listener));
@@ -104,6 +105,7 @@
         id: EndpointId::from_name("life-1"),
         name: "life-1".to_owned(),
         address: listener.local_addr().unwrap(),
+        version: SoftwareVersion::UNKNOWN,
         limits: ConnectionLimits::new(100, 8, 2),
     };
     let endpoint = tokio::spawn(answer_first(listener));
