fix: streams that callers take up continue at the software version that began them

Cause: a request with a last event was placed like a new prompt; no box knew at which version a stream that another box carried had begun, and Resumes was not read. Change: the box that forwards a stream's first event records its version (StreamRegistry, by a hash of workspace, service and request id) and reports it to a coordinator of its own and one of another domain while the service has several versions. A box at which a stream is taken up uses what it knows, or asks the coordinators; it continues at that version only. If the service had a single version for as long as the stream can have run (VersionHistory), nothing is reported or asked. A stream that continues is placed at the soonest home even if all decline, within its caller's patience.

--- a/dockgate-bench/tests/stream_versions.rs
+++ b/dockgate-bench/tests/stream_versions.rs
@@ -11,18 +11,22 @@
 use hyper::body::{Bytes, Incoming};
 use std::collections::BTreeSet;
 use std::time::Duration;
+use yare::parameterized;
 
 /// Events of a whole stream.
 const EVENTS: u64 = 12;
 /// Time between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+/// The timeout of the route of streams.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Streams of one test.
 const STREAMS: u64 = 30;
 
 /// Starts boxes in the failure domains, three endpoints of v1 and three of v2.
 async fn start_two_versions(domains: &[&str]) -> GatewayFleet {
     let services = ["model"; 3];
-    let config = route_config(3, KEYS);
+    let other = r#"{"name":"council","api_keys":["k9"]},{"name":"captions""#;
+    let config = route_config(3, KEYS).replace(r#"{"name":"captions""#, other);
     let mut fleet = GatewayFleet::start_in(domains, &services, &config)
         .await
         .unwrap();
@@ -150,3 +154,146 @@
     let served = take_up_all(&fleet, 2, &ids).await;
     assert!(served * 2 >= ids.len(), "{served} streams were taken up");
 }
+
+/// Guards against boxes that take the version which they know for the only one: they ask the others
+/// after a restart.
+#[tokio::test]
+async fn restarted_box_keeps_streams_at_their_version() {
+    let mut fleet = start_two_versions(&["a", "a", "b"]).await;
+    let begun = begin_streams(&fleet, 0).await;
+    let ids: Vec<String> = begun.into_iter().map(|(id, _)| id).collect();
+    fleet.gateways[1].kill();
+    fleet.gateways[1].restart().unwrap();
+    wait_until("the box is ready", async || {
+        fleet.gateways[1].is_ready().await
+    })
+    .await;
+    let served = take_up_all(&fleet, 1, &ids).await;
+    assert_eq!(served, ids.len(), "streams that were taken up");
+}
+
+/// Guards against streams that are continued by guess after all records are lost.
+#[tokio::test]
+async fn streams_are_not_mixed_after_all_boxes_were_killed() {
+    let mut fleet = start_two_versions(&["a", "b"]).await;
+    let begun = begin_streams(&fleet, 0).await;
+    let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
+    for gateway in &mut fleet.gateways {
+        gateway.kill();
+    }
+    drop(begun);
+    for gateway in &mut fleet.gateways {
+        gateway.restart().unwrap();
+    }
+    for gateway in &fleet.gateways {
+        wait_until("a box is ready", async || gateway.is_ready().await).await;
+    }
+    take_up_all(&fleet, 1, &ids).await;
+}
+
+/// Guards against streams of the first version that are continued at the second one, which began
+/// while they ran.
+#[tokio::test]
+async fn streams_begun_before_the_second_version_stay_at_the_first() {
+    let mut fleet = GatewayFleet::start_in(&["a", "a", "b"], &["model"; 2], &route_config(3, KEYS))
+        .await
+        .unwrap();
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(EVENT_INTERVAL);
+    }
+    let begun = begin_streams(&fleet, 0).await;
+    let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
+    add_version(&mut fleet, "v2", 4).await;
+    // The box reports the streams that began before with a later heartbeat.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.gateways[0].kill();
+    drop(begun);
+    let served = take_up_all(&fleet, 2, &ids).await;
+    assert!(served * 2 >= ids.len(), "{served} streams were taken up");
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NamedRequest {
+    Unused,
+    Missing,
+    OfAnotherWorkspace,
+    Repeated,
+}
+
+/// Guards against streams that are continued although their version cannot be known.
+#[parameterized(
+    nobody_used_the_name = { NamedRequest::Unused },
+    no_name = { NamedRequest::Missing },
+    name_of_another_workspace = { NamedRequest::OfAnotherWorkspace },
+    two_names = { NamedRequest::Repeated },
+)]
+#[test_macro(tokio::test)]
+async fn stream_of_unknown_version_is_refused_and_not_run(named: NamedRequest) {
+    let fleet = start_two_versions(&["a", "b"]).await;
+    let mut response = call(&fleet.gateways[0], stream_request("r1")).await;
+    read_until(&mut response, 2).await;
+    let mut again = take_up_request("again", "r1", 2);
+    let headers = again.headers_mut();
+    match named {
+        NamedRequest::Unused => drop(headers.insert("resumes", "r9".parse().unwrap())),
+        NamedRequest::Missing => drop(headers.remove("resumes")),
+        NamedRequest::OfAnotherWorkspace => {
+            headers.insert("authorization", "Token k9".parse().unwrap());
+        }
+        NamedRequest::Repeated => drop(headers.append("resumes", "r1".parse().unwrap())),
+    }
+    let refused = call(&fleet.gateways[0], again).await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(!refused.headers().contains_key("retry-after"));
+    assert_eq!(text(refused).await, "not_run: version_unknown\n");
+    assert_eq!(fleet.runs_of("again"), 0);
+}
+
+/// Guards against streams whose version has left that are continued at another one, or that wait
+/// for it.
+#[tokio::test]
+async fn stream_whose_version_has_left_is_refused_at_once() {
+    let fleet = start_two_versions(&["a", "a"]).await;
+    let begun = begin_streams(&fleet, 0).await;
+    for endpoint in &fleet.endpoints[..3] {
+        let (key, value) = endpoint.record("a", "draining");
+        fleet.store.set(&key, value);
+    }
+    for gateway in &fleet.gateways {
+        wait_until("the box knows that the version leaves", async || {
+            gateway.logged().matches("endpoint_draining").count() >= 3
+        })
+        .await;
+    }
+    let mut refused = 0;
+    for (began, _) in &begun {
+        let id = format!("{began}-again");
+        let response = call(&fleet.gateways[1], take_up_request(&id, began, 2)).await;
+        if response.status() != StatusCode::OK {
+            assert!(!response.headers().contains_key("retry-after"));
+            assert_eq!(text(response).await, "not_run: version_gone\n");
+            refused += 1;
+        }
+        assert_eq!(versions_of(&fleet, &[began, &id]).len(), 1);
+    }
+    assert!(refused > 0, "no stream was of the version that left");
+}
+
+/// Guards against a service with one version whose streams are refused for want of a name.
+#[tokio::test]
+async fn service_with_one_version_needs_no_name() {
+    let fleet = GatewayFleet::start(2, &["model"; 2], &route_config(3, KEYS))
+        .await
+        .unwrap();
+    // The boxes have observed the service for as long as a stream can be taken up.
+    tokio::time::sleep(2 * ROUTE_TIMEOUT).await;
+    let mut again = take_up_request("again", "r1", 2);
+    again.headers_mut().remove("resumes");
+    let response = call(&fleet.gateways[1], again).await;
+    assert_eq!(response.status(), StatusCode::OK);
+    let metrics = fleet.gateways[1].metrics().await;
+    assert!(
+        metrics.contains("dockgate_stream_queries_total 0\n"),
+        "{metrics}"
+    );
+}
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -62,7 +62,10 @@
 mod store_probe;
 mod store_revision;
 mod store_search;
+mod stream_key;
+mod stream_registry;
 mod suspect_registry;
+mod version_history;
 mod wait_queue;
 mod warmup_limit;
 mod warmup_tracker;
@@ -123,9 +126,12 @@
 pub use store_probe::{ProbeChange, ProbeTiming, StoreProbe};
 pub use store_revision::StoreRevision;
 pub use store_search::{StandbyTurn, StoreSearch};
+pub use stream_key::StreamKey;
+pub use stream_registry::{StreamRecord, StreamRegistry};
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
+pub use version_history::VersionHistory;
 pub use wait_queue::{
     WaitBudget, WaitOffer, WaitOutcome, WaitQueue, WaitRank, WaitTerms, WaitingRequest,
 };
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -10,10 +10,11 @@
 mod peer_box;
 
 use super::box_heartbeat::{BoxHeartbeat, BoxStatus, DomainKey, StateKind};
-use super::rendezvous::{owner_of_endpoint, pair_score};
+use super::rendezvous::{box_score, owner_of_endpoint, pair_score};
 use super::route_table::EndpointId;
 use super::store_follower::StorePeers;
 use super::store_revision::StoreRevision;
+use super::stream_key::StreamKey;
 use crate::ids::{BoxKey, Incarnation};
 use peer_box::{LivenessReport, PeerBox};
 use std::cmp::Reverse;
@@ -482,6 +483,59 @@
             .any(|(_, peer)| peer.domain == self.own_domain)
     }
 
+    /// Picks the boxes to which this one reports the version of a stream: a coordinator of its own
+    /// domain and one of another domain, so that the report outlives a box as well as a domain. If
+    /// there is none in one of the two groups, both are of the other one.
+    pub fn stream_keepers(&self, key: StreamKey, now_ms: u64) -> Vec<BoxKey> {
+        const KEEPERS: usize = 2;
+        let (own_key, seed) = (self.own_key(), key.placement_key());
+        let candidates = self.ranks.keys().flat_map(|domain| {
+            let coordinators = self.coordinators_of(*domain, now_ms);
+            coordinators.map(|candidate| (*domain == self.own_domain, candidate))
+        });
+        let candidates = candidates.filter(|(_, candidate)| *candidate != own_key);
+        let mut candidates: Vec<(bool, BoxKey)> = candidates.collect();
+        candidates.sort_by_key(|(_, candidate)| Reverse(box_score(seed, *candidate)));
+        let best_of = |is_local: bool| candidates.iter().position(|(local, _)| *local == is_local);
+        let firsts = [best_of(true), best_of(false)];
+        let firsts = firsts.into_iter().flatten();
+        let mut order: Vec<usize> = firsts.collect();
+        let others = (0..candidates.len()).filter(|index| !order.contains(index));
+        let others: Vec<usize> = others.collect();
+        order.extend(others);
+        order
+            .into_iter()
+            .take(KEEPERS)
+            .map(|index| candidates[index].1)
+            .collect()
+    }
+
+    /// Lists the boxes that may know the version of a stream which began at another box: those of
+    /// highest precedence in each domain, responsive or not, since precedence changes with the load.
+    pub fn stream_witnesses(&self) -> Vec<BoxKey> {
+        let own_key = self.own_key();
+        let ranks = self.ranks.values();
+        let witnesses = ranks.flat_map(|ranked| ranked.iter().take(2 * Self::COORDINATORS));
+        witnesses.copied().filter(|key| *key != own_key).collect()
+    }
+
+    /// Returns whether this box hears of changes in the store: the store answered its domain a
+    /// moment ago, or coordinators of all other domains are responsive.
+    pub fn is_in_contact(&self, now_ms: u64) -> bool {
+        let proof_age_ms = self.store_proof_age_ms(now_ms);
+        let mut others = self
+            .ranks
+            .keys()
+            .filter(|domain| **domain != self.own_domain);
+        let is_responsive =
+            |domain: &DomainKey| self.coordinators_of(*domain, now_ms).next().is_some();
+        match proof_age_ms {
+            Some(age_ms) if age_ms <= Self::PROOF_VALID_MS => true,
+            _ if self.others.is_empty() => false,
+            _ => self.has_live_domain_peer(now_ms) && others.all(is_responsive),
+        }
+    }
+
     /// Picks the owner of an endpoint: a coordinator of its domain, or else of any domain.
     pub fn owner(&self, endpoint: EndpointId, domain: &str, now_ms: u64) -> BoxKey {
         let in_domain = self.coordinators(domain, now_ms);
--- a/dockgate-core/src/gateway/rendezvous.rs
+++ b/dockgate-core/src/gateway/rendezvous.rs
@@ -119,6 +119,11 @@
     score(request, endpoint.0)
 }
 
+/// Scores a box for a key, so that all boxes choose the same ones for it.
+pub fn box_score(key: u64, candidate: BoxKey) -> u64 {
+    score(key, u64::from(candidate.0))
+}
+
 /// Scores a pair of boxes, so that each box ranks the others in an order of its own.
 pub fn pair_score(one: BoxKey, other: BoxKey) -> u64 {
     score(u64::from(one.0), u64::from(other.0))
--- /dev/null
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -0,0 +1,111 @@
+//! The software versions of each service within the last minutes, as far as this box has observed
+//! them.
+//!
+//! If a service had a single version for as long as a stream can last, every stream of it began at
+//! that version. A box that has just started, or was cut off, does not know which versions it has
+//! missed.
+//!
+//! ```
+//! use dockgate_core::gateway::{SoftwareVersion, VersionHistory};
+//!
+//! let (service, v1) = (7, SoftwareVersion::from_name("v1"));
+//! let mut history = VersionHistory::default();
+//! history.observe([(service, v1)].into_iter(), true, 1_000);
+//! assert_eq!(history.only_version(service, 30_000, 2_000), None);
+//! history.observe([(service, v1)].into_iter(), true, 31_000);
+//! assert_eq!(history.only_version(service, 30_000, 31_000), Some(v1));
+//! ```
+
+use super::software_version::SoftwareVersion;
+use std::collections::BTreeMap;
+
+/// The software versions of the services' endpoints over time.
+#[derive(Debug, Clone, Default)]
+pub struct VersionHistory {
+    /// When an endpoint of the version was last known, by the hash of the service's name.
+    last_known_ms: BTreeMap<(u64, SoftwareVersion), u64>,
+    /// Since when all versions were observed; `None` while this box may miss some.
+    complete_since_ms: Option<u64>,
+}
+
+impl VersionHistory {
+    /// How long a version is remembered after its last endpoint left, in milliseconds; at least as
+    /// long as a stream can be taken up.
+    pub const RETENTION_MS: u64 = 120_000;
+
+    /// Records the versions of all known endpoints with the hashes of their services' names.
+    ///
+    /// `is_in_contact` is whether this box hears of changes of the endpoints.
+    pub fn observe(
+        &mut self,
+        present: impl Iterator<Item = (u64, SoftwareVersion)>,
+        is_in_contact: bool,
+        now_ms: u64,
+    ) {
+        for version in present {
+            self.last_known_ms.insert(version, now_ms);
+        }
+        self.last_known_ms
+            .retain(|_, last_ms| *last_ms + Self::RETENTION_MS >= now_ms);
+        self.complete_since_ms = match is_in_contact {
+            true => Some(self.complete_since_ms.unwrap_or(now_ms)),
+            false => None,
+        };
+    }
+
+    /// Records that changes may have been missed until now.
+    pub const fn record_gap(&mut self) {
+        self.complete_since_ms = None;
+    }
+
+    /// Records that a service had no other versions than these within the retention, as another
+    /// source shows.
+    pub fn complete(&mut self, known: impl Iterator<Item = (u64, SoftwareVersion)>, now_ms: u64) {
+        for version in known {
+            self.last_known_ms.insert(version, now_ms);
+        }
+        let since_ms = now_ms.saturating_sub(Self::RETENTION_MS);
+        self.complete_since_ms = Some(since_ms);
+    }
+
+    /// Returns the versions that a service had within the last `within_ms` milliseconds.
+    pub fn versions(
+        &self,
+        service: u64,
+        within_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = SoftwareVersion> {
+        let range = (service, SoftwareVersion(u64::MIN))..=(service, SoftwareVersion(u64::MAX));
+        let known = self.last_known_ms.range(range);
+        let recent = known.filter(move |(_, last_ms)| **last_ms + within_ms >= now_ms);
+        recent.map(|((_, version), _)| *version)
+    }
+
+    /// Returns whether a service had more than one version within the retention.
+    pub fn is_mixed(&self, service: u64, now_ms: u64) -> bool {
+        self.versions(service, Self::RETENTION_MS, now_ms)
+            .nth(1)
+            .is_some()
+    }
+
+    /// Returns the version of a service if it had no other one within the last `within_ms`
+    /// milliseconds; `None` if it had several, or this box may have missed one.
+    pub fn only_version(
+        &self,
+        service: u64,
+        within_ms: u64,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let since_ms = self.complete_since_ms?;
+        let is_complete = since_ms + within_ms <= now_ms;
+        let mut versions = self.versions(service, within_ms, now_ms);
+        let only = versions.next().filter(|_| is_complete)?;
+        match versions.next() {
+            None if only.is_known() => Some(only),
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/dockgate-core/src/gateway/version_history/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+
+const MODEL: u64 = 7;
+const PLAIN: u64 = 8;
+const V1: SoftwareVersion = SoftwareVersion(1);
+const V2: SoftwareVersion = SoftwareVersion(2);
+const WITHIN_MS: u64 = 30_000;
+
+fn observed(versions: &[SoftwareVersion], until_ms: u64) -> VersionHistory {
+    let mut history = VersionHistory::default();
+    for now_ms in (0..=until_ms).step_by(300) {
+        let present = versions.iter().map(|version| (MODEL, *version));
+        history.observe(present.chain([(PLAIN, V2)]), true, now_ms);
+    }
+    history
+}
+
+/// Guards against a version that has left and is forgotten while its streams can be taken up.
+#[test]
+fn version_that_left_counts_for_as_long_as_its_streams_can_be_taken_up() {
+    let mut history = observed(&[V1, V2], 60_000);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_000), None);
+    for now_ms in (60_300..=90_300).step_by(300) {
+        history.observe([(MODEL, V2)].into_iter(), true, now_ms);
+    }
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 90_000), None);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 90_300), Some(V2));
+    assert!(history.is_mixed(MODEL, 90_300), "within the retention");
+}
+
+/// Guards against a box that takes the one version that it knows for the only one after it was cut
+/// off.
+#[test]
+fn box_without_contact_may_have_missed_a_version() {
+    let mut history = observed(&[V1], 60_000);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_000), Some(V1));
+    history.observe([(MODEL, V1)].into_iter(), false, 60_300);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_300), None);
+    history.observe([(MODEL, V1)].into_iter(), true, 60_600);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_600), None);
+    history.complete([(MODEL, V1)].into_iter(), 60_900);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_900), Some(V1));
+    history.record_gap();
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_900), None);
+}
+
+#[test]
+fn endpoints_of_unknown_version_are_not_of_one_version() {
+    let history = observed(&[SoftwareVersion::UNKNOWN], 60_000);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_000), None);
+    assert_eq!(history.only_version(PLAIN, WITHIN_MS, 60_000), Some(V2));
+    assert_eq!(history.only_version(9, WITHIN_MS, 60_000), None);
+}
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -6,8 +6,8 @@
 
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EngineRate,
-    EvacuationOrder, FleetDigest, PrefillSpeed, PromptPart, RouteConfig, StoreRevision,
-    SuspectReport, UsageRow, WaitTerms,
+    EvacuationOrder, FleetDigest, PrefillSpeed, PromptPart, RouteConfig, SoftwareVersion,
+    StoreRevision, StreamKey, StreamRecord, SuspectReport, UsageRow, WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::de::DeserializeOwned;
@@ -177,6 +177,40 @@
         /// The priority and the longest wait.
         terms: WaitTerms,
     },
+    /// To a few coordinators: the versions at which streams of the sender's callers began.
+    StreamsBegan {
+        /// The streams.
+        streams: Vec<StreamRecord>,
+    },
+    /// Asks for the version at which a stream began.
+    StreamQuery {
+        /// The number of the query at the asking box.
+        query: u32,
+        /// The stream, if its caller named it.
+        stream: Option<StreamKey>,
+        /// The hash of the service's name.
+        service: u64,
+        /// How long ago the stream may have begun, in milliseconds.
+        within_ms: u32,
+    },
+    /// Answer to a query about a stream.
+    StreamOrigin {
+        /// The number of the query.
+        query: u32,
+        /// What the answering box knows.
+        origin: StreamOrigin,
+    },
+}
+
+/// What a box knows of the version at which a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamOrigin {
+    /// It began at this version.
+    Known(SoftwareVersion),
+    /// The stream is not known, but the service had no other version since it began.
+    OnlyVersion(SoftwareVersion),
+    /// Nothing is known of it.
+    Unknown,
 }
 
 impl GatewayMessage {
@@ -194,6 +228,9 @@
             Self::EndpointLeaving { .. } => "leaves",
             Self::Suspects { .. } => "suspects",
             Self::WaitRequest { .. } => "wait",
+            Self::StreamsBegan { .. } => "streams",
+            Self::StreamQuery { .. } => "stream_query",
+            Self::StreamOrigin { .. } => "stream_origin",
         }
     }
 }
--- a/dockgate-proto/src/lib.rs
+++ b/dockgate-proto/src/lib.rs
@@ -19,7 +19,7 @@
 mod quarantine;
 mod refusal;
 
-pub use gateway::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest};
+pub use gateway::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest, StreamOrigin};
 pub use peer::{ConfigAnswer, ExchangeRequest, HelloReply, HelloRequest, PeerMessage, methods};
 pub use quarantine::{QuarantineAnswer, QuarantineRequest, QuarantineRow};
 pub use refusal::{RefusalBody, RefusalCode, RequestStep};
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -8,11 +8,11 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxReport, BoxStatus, BoxSummary,
     DigestScope, EndpointId, FleetDigest, PrefillSpeed, PromptPart, QuarantineStage,
-    RequestFingerprint, ShareLevel, StoreRevision, SuspectEvent, SuspectReport, UsageRow,
-    WaitTerms,
+    RequestFingerprint, ShareLevel, SoftwareVersion, StoreRevision, StreamKey, StreamRecord,
+    SuspectEvent, SuspectReport, UsageRow, WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
-use dockgate_proto::{GatewayDatagram, GatewayMessage};
+use dockgate_proto::{GatewayDatagram, GatewayMessage, StreamOrigin};
 
 const ENDPOINT: EndpointId = EndpointId(0x0123_4567_89ab_cdef);
 const RUN: u32 = 300;
@@ -222,6 +222,38 @@
                 wait_ms: 130,
             },
         },
+        GatewayMessage::StreamsBegan {
+            streams: vec![StreamRecord {
+                key: StreamKey::new("captions", "model", "r1"),
+                workspace: 9,
+                version: SoftwareVersion::from_name("v1"),
+                life_ms: 30_000,
+            }],
+        },
+        GatewayMessage::StreamQuery {
+            query: 6,
+            stream: Some(StreamKey::new("captions", "model", "r1")),
+            service: 7,
+            within_ms: 30_000,
+        },
+        GatewayMessage::StreamQuery {
+            query: 6,
+            stream: None,
+            service: 7,
+            within_ms: 0,
+        },
+        GatewayMessage::StreamOrigin {
+            query: 6,
+            origin: StreamOrigin::Known(SoftwareVersion::from_name("v1")),
+        },
+        GatewayMessage::StreamOrigin {
+            query: 6,
+            origin: StreamOrigin::OnlyVersion(SoftwareVersion::from_name("v2")),
+        },
+        GatewayMessage::StreamOrigin {
+            query: 6,
+            origin: StreamOrigin::Unknown,
+        },
     ]
 }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -42,6 +42,7 @@
 mod sockets;
 mod store_contact;
 mod store_probe;
+mod stream_origins;
 mod supervised_task;
 mod suspension;
 mod tracked_io;
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -7,6 +7,7 @@
 mod plain_selection;
 mod quarantine_check;
 mod send_attempts;
+mod take_up;
 
 use super::call_body::CallBody;
 use super::events::{DeclinedEngine, GatewayEvent, log_gateway};
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -38,7 +38,7 @@
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Retry delay from a box that is about to stop: the caller should use another box at once.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
+pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
 /// The least size of a body that is released before its request has ended. For a smaller one, it is
 /// not worth computing its fingerprint.
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -17,6 +17,10 @@
 /// Retry delay if no endpoint of the service is known.
 const RETRY_UNKNOWN_SERVICE: Duration = Duration::from_millis(300);
 
+/// The shortest pause between events that the caller of a stream is assumed to bear. Callers are
+/// known to wait at least twice as long.
+const MIN_PATIENCE: Duration = Duration::from_millis(1_000);
+
 /// A prompt of unknown shape.
 static EMPTY_PROMPT: PromptShape = PromptShape {
     model: String::new(),
@@ -57,6 +61,7 @@
                     tried: &attempts.endpoints,
                     goal,
                     level: self.share_level(request.workspace, units),
+                    patience_ms: self.patience().as_millis() as u32,
                     wait: self.wait_window(goal),
                 };
                 let request = request.level(query.level);
@@ -80,6 +85,13 @@
         }
     }
 
+    /// Returns how long the caller of a stream is assumed to wait for the next event.
+    fn patience(&self) -> Duration {
+        let route = self.route();
+        let patience = MIN_PATIENCE.max(route.objective).max(route.pause * 2);
+        patience.min(self.time_left())
+    }
+
     pub(super) fn share_level(&self, workspace: u64, units: u64) -> ShareLevel {
         self.state
             .with(|view| view.shares.level(workspace, units, now_ms()))
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -43,10 +43,11 @@
     ///
     /// Returns the refusal for the caller if no endpoint's answer can be forwarded.
     pub(super) async fn run(self: Arc<Self>) -> Result<Response<CallBody>, CallRefusal> {
+        let goal = self.placement_goal().await?;
         let mut attempts = CallAttempts::default();
         loop {
             let placement = self
-                .find_placement(&attempts, PlacementGoal::Begin)
+                .find_placement(&attempts, goal)
                 .await
                 .map_err(|refusal| match attempts.sent {
                     0 => refusal,
--- /dev/null
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -0,0 +1,141 @@
+//! Finds the software version at which a stream began that its caller takes up at this box.
+
+use super::super::events::{GatewayEvent, log_gateway};
+use super::super::gateway_metrics::GATEWAY_METRICS;
+use super::super::placement_goal::PlacementGoal;
+use super::super::refusal::RefusalReason;
+use super::super::stream_origins::{ask_origin, record_begun};
+use super::admitted_call::RETRY_ELSEWHERE;
+use super::{AdmittedCall, CallRefusal};
+use crate::clock::now_ms;
+use dockgate_core::gateway::{AnswerForm, SoftwareVersion, StreamKey, StreamRecord, name_hash};
+use std::time::Duration;
+
+/// For how long a stream can be taken up after its first event, in multiples of its route's
+/// timeout: the caller's last attempt may begin when the first one has timed out.
+const TAKE_UP_TIMEOUTS: u32 = 2;
+
+/// How the version of a stream was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OriginSource {
+    /// The service had no other version since the stream began.
+    OnlyVersion,
+    /// This box knows the stream.
+    Own,
+    /// Another box told it.
+    Peer,
+}
+
+impl OriginSource {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::OnlyVersion => "only_version",
+            Self::Own => "own",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+impl AdmittedCall {
+    /// Returns what an endpoint is sought for: a request that takes up a stream is restricted to the
+    /// version that began it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if that version is not known, or is not served any more.
+    pub(super) async fn placement_goal(&self) -> Result<PlacementGoal, CallRefusal> {
+        let is_stream = matches!(self.route().form, AnswerForm::Stream { .. });
+        if !is_stream || self.head.last_event.is_none() {
+            return Ok(PlacementGoal::Begin);
+        }
+        let Some((version, source)) = self.find_origin().await else {
+            GATEWAY_METRICS.record_take_up("version_unknown");
+            return Err(self.refuse_unknown_version());
+        };
+        GATEWAY_METRICS.record_take_up(source.as_str());
+        log_gateway(&GatewayEvent::TakenUp {
+            request: &self.head.id,
+            resumes: self.head.resumes.as_deref(),
+            source: source.as_str(),
+            took_ms: self.age().as_millis() as u64,
+        });
+        match self.is_served(version) {
+            true => Ok(PlacementGoal::TakeUp(version)),
+            false => {
+                GATEWAY_METRICS.record_take_up("version_gone");
+                Err(RefusalReason::VersionGone.into())
+            }
+        }
+    }
+
+    async fn find_origin(&self) -> Option<(SoftwareVersion, OriginSource)> {
+        let service = name_hash(&self.service().name);
+        let within_ms = self.take_up_time().as_millis() as u32;
+        let stream = self.head.resumes.as_deref().map(|id| self.stream_key(id));
+        let now = now_ms();
+        let (known, only) = self.state.with(|view| {
+            let known = stream.and_then(|key| view.streams.version(key, now));
+            // A caller that names no request is not of a service with several versions; one that
+            // does may come from a box that knows of a version which this one has not heard of.
+            let is_current = stream.is_none() || view.fleet.is_in_contact(now);
+            let only = view.versions.only_version(service, within_ms.into(), now);
+            (known, only.filter(|_| is_current))
+        });
+        let own = known.map(|version| (version, OriginSource::Own));
+        let own = own.or_else(|| only.map(|version| (version, OriginSource::OnlyVersion)));
+        if own.is_some() {
+            return own;
+        }
+        let told = ask_origin(&self.state, stream, service, within_ms).await;
+        told.map(|version| (version, OriginSource::Peer))
+    }
+
+    /// Returns for how long after its first event a stream of this route can be taken up.
+    fn take_up_time(&self) -> Duration {
+        self.route().timeout * TAKE_UP_TIMEOUTS
+    }
+
+    fn stream_key(&self, request: &str) -> StreamKey {
+        StreamKey::new(self.workspace_name(), &self.service().name, request)
+    }
+
+    /// Returns whether an endpoint of the version accepts requests.
+    fn is_served(&self, version: SoftwareVersion) -> bool {
+        let service = &self.service().name;
+        self.state.with(|view| {
+            let mut ready = view.endpoints.ready(service).iter();
+            ready.any(|ready| ready.version == version)
+        })
+    }
+
+    /// Refuses a stream whose version is unknown. Another box may know it if this one is cut off;
+    /// otherwise no later attempt succeeds.
+    fn refuse_unknown_version(&self) -> CallRefusal {
+        let is_in_contact = self.state.with(|view| view.fleet.is_in_contact(now_ms()));
+        match is_in_contact {
+            true => RefusalReason::VersionUnknown.into(),
+            false => CallRefusal::with_retry(RefusalReason::VersionUnknown, RETRY_ELSEWHERE),
+        }
+    }
+
+    /// Records the version at which the stream of this request began, before its first event is
+    /// forwarded. A stream that is taken up can be named by either request.
+    pub(in super::super) fn record_stream(&self, version: SoftwareVersion) {
+        if !version.is_known() {
+            return;
+        }
+        let service = name_hash(&self.service().name);
+        let workspace = name_hash(self.workspace_name());
+        let resumes = self.head.resumes.as_deref();
+        let resumes = resumes.filter(|_| self.head.last_event.is_some());
+        for id in [Some(self.head.id.as_str()), resumes].into_iter().flatten() {
+            let record = StreamRecord {
+                key: self.stream_key(id),
+                workspace,
+                version,
+                life_ms: self.take_up_time().as_millis() as u32,
+            };
+            record_begun(&self.state, record, service);
+        }
+    }
+}
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -11,6 +11,7 @@
 use super::membership::{receive_digest, receive_heartbeat};
 use super::notices::receive_reported_leave;
 use super::quarantine;
+use super::stream_origins;
 use super::wait_queues::{decide_in_turn, end_run, process_queue, receive_wait_request};
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
@@ -129,6 +130,20 @@
             request,
             terms,
         } => receive_wait_request(state, key_of(run), endpoint, request, terms),
+        GatewayMessage::StreamsBegan { streams } => stream_origins::receive_streams(state, streams),
+        GatewayMessage::StreamQuery {
+            query,
+            stream,
+            service,
+            within_ms,
+        } => {
+            let origin = stream_origins::known_origin(state, stream, service, within_ms);
+            let answer = GatewayMessage::StreamOrigin { query, origin };
+            send_datagram(state, from, answer);
+        }
+        GatewayMessage::StreamOrigin { query, origin } => {
+            stream_origins::receive_origin(state, query, peer, origin);
+        }
     }
 }
 
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -123,6 +123,9 @@
     pub(super) goal: PlacementGoal,
     /// The usage of the workspace relative to its share.
     pub(super) level: ShareLevel,
+    /// How long the caller of a stream that continues is assumed to wait for the next event, in
+    /// milliseconds.
+    pub(super) patience_ms: u32,
     /// The time in which it may wait for capacity; `None` if it may not.
     pub(super) wait: Option<WaitWindow>,
 }
@@ -461,6 +464,7 @@
     }
     let mut refusal = EngineRefusal::default();
     let mut full_homes = Vec::new();
+    let mut soonest: Option<(&HomeEngine, u32)> = None;
     for home in &homes {
         match request_placement(state, home, request).await {
             Some(decision) if is_granted(&decision) => {
@@ -468,6 +472,9 @@
             }
             Some(decision) => {
                 full_homes.extend(full_home(home, &decision));
+                let first_ms = decision.verdict.first_event_ms();
+                let sooner = first_ms.filter(|ms| soonest.is_none_or(|(_, known)| *ms < known));
+                soonest = sooner.map(|ms| (home, ms)).or(soonest);
                 refusal.record(home, decision);
             }
             None => {}
@@ -476,6 +483,14 @@
     if let Some(placement) = overflow(state, &query, &homes, request).await {
         return Ok(placement);
     }
+    // The caller already reads events, and loses more by a refusal than by a pause.
+    let patience_ms = query.goal.continues().then_some(query.patience_ms);
+    match soonest.zip(patience_ms) {
+        Some(((home, first_ms), patience_ms)) if first_ms <= patience_ms => {
+            return Ok(place_unconditionally(state, home, request));
+        }
+        _ => {}
+    }
     match wait_at_home(state, &query, &full_homes, request).await {
         Ok(placement) => Ok(placement),
         Err(after_wait_ms) => Err(EngineRefusal {
@@ -622,7 +637,7 @@
     request: &AdmissionRequest,
 ) -> Option<u32> {
     // The fastest engine is checked only for a workspace beyond its share.
-    let is_exempt = query.goal.is_resume() || !query.level.is_beyond();
+    let is_exempt = query.goal.continues() || !query.level.is_beyond();
     let spec = query.service.engine.filter(|_| !is_exempt)?;
     let rule = state.settings().admission;
     let first_ms = state.with(|view| {
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -47,6 +47,7 @@
         own_subject: 7,
         tried: &[],
         goal: PlacementGoal::Begin,
+        patience_ms: 0,
         level: if remote_homes == 0 {
             beyond
         } else {
@@ -151,6 +152,7 @@
             own_subject: number,
             tried: &[],
             goal: PlacementGoal::Begin,
+            patience_ms: 0,
             level,
             wait: None,
         };
@@ -251,6 +253,7 @@
         own_subject: 99,
         tried: &[],
         goal,
+        patience_ms: 0,
         level: ShareLevel::WITHIN,
         wait: (!resumed).then_some(window),
     };
@@ -290,6 +293,7 @@
                 own_subject: *subject,
                 tried: &[],
                 goal: PlacementGoal::Begin,
+                patience_ms: 0,
                 level: ShareLevel::WITHIN,
                 wait: None,
             };
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -112,6 +112,7 @@
             StreamStep::Events(bytes) => {
                 self.ready = Some(bytes);
                 self.call.progress.record_answer();
+                self.call.record_stream(self.version);
                 self.first_event_age = self.call.age();
                 self.call.release_unneeded_body(&self.attempts);
                 Ok(())
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -237,6 +237,15 @@
         after_event: u64,
         problem: &'a str,
     },
+    /// A caller takes up a stream whose software version was found.
+    TakenUp {
+        request: &'a str,
+        /// The request that brought the first event, if the caller names it.
+        resumes: Option<&'a str>,
+        /// Where the version is known from.
+        source: &'a str,
+        took_ms: u64,
+    },
     /// A request was refused or abandoned.
     Refused {
         request: &'a str,
@@ -375,6 +384,7 @@
             Self::Sent { request, .. }
             | Self::SendFailed { request, .. }
             | Self::Resumed { request, .. }
+            | Self::TakenUp { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
             | Self::CallerLeft { request, .. }
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -75,6 +75,10 @@
         },
         "event lag_ms request route sends stage waited_ms workspace"
     },
+    taken_up = {
+        GatewayEvent::TakenUp { request: "r", resumes: Some("q"), source: "peer", took_ms: 3 },
+        "event request resumes source took_ms"
+    },
     resumed = {
         GatewayEvent::Resumed {
             request: "r", lost: "d", began_at: "v1", endpoint: "e", version: "v1", after_event: 2, problem: "p" },
@@ -300,6 +304,12 @@
             after_event: 2,
             problem: "p",
         },
+        GatewayEvent::TakenUp {
+            request: "r",
+            resumes: Some("q"),
+            source: "peer",
+            took_ms: 3,
+        },
         GatewayEvent::Refused {
             request: "r",
             route: "x",
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -23,6 +23,10 @@
     prompt_tokens: IntCounterVec,
     /// Streams that were resumed at another endpoint.
     pub(super) resumed_streams: IntCounter,
+    /// Streams that callers took up, by how their version was found or why they were refused.
+    taken_up: IntCounterVec,
+    /// Rounds of queries to other boxes about the versions of streams.
+    pub(super) stream_queries: IntCounter,
     /// Admission verdicts that did not arrive in time.
     pub(super) missed_verdicts: IntCounter,
     /// Prompts that were declined for an engine without a request to the box that decides for it.
@@ -110,6 +114,16 @@
                 "dockgate_streams_resumed_total",
                 "Streams that went on at another endpoint",
             ),
+            taken_up: counter_vec(
+                "dockgate_streams_taken_up_total",
+                "Streams that callers took up, by how their software version was found: \
+                 only_version, own, peer; or why they were refused: version_unknown, version_gone",
+                &["origin"],
+            ),
+            stream_queries: counter(
+                "dockgate_stream_queries_total",
+                "Rounds in which other boxes were asked for the software version of a stream",
+            ),
             missed_verdicts: counter(
                 "dockgate_missed_verdicts_total",
                 "Seeks that the deciding box did not answer in time",
@@ -206,6 +220,11 @@
         self.outcomes.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a stream that a caller takes up.
+    pub(super) fn record_take_up(&self, origin: &str) {
+        self.taken_up.with_label_values(&[origin]).inc();
+    }
+
     /// Records the duration of a suspension of this box.
     pub(super) fn record_suspension(&self, suspended: Duration) {
         self.suspensions.observe(suspended.as_secs_f64());
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -19,11 +19,12 @@
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
     InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads,
     PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally,
-    ShareTracker, StoreFollower, StoreProbe, StoreRevision, SuspectRegistry, WaitQueue,
-    WarmupTracker, WatchCheck,
+    ShareTracker, StoreFollower, StoreProbe, StoreRevision, StreamRegistry, SuspectRegistry,
+    VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
+use dockgate_proto::StreamOrigin;
 use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
@@ -31,7 +32,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 /// How long a call to the store may take. Its answers take 4 ms, and sixty times that when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -110,6 +111,12 @@
     /// The requests that wait at the endpoints that this box owns; none unless the fleet is
     /// contended.
     pub(super) wait_queues: BTreeMap<EndpointId, WaitQueue>,
+    /// The software versions of the services over time.
+    pub(super) versions: VersionHistory,
+    /// The versions at which streams began.
+    pub(super) streams: StreamRegistry,
+    /// Queries about streams that wait for answers of other boxes, by number.
+    pub(super) stream_queries: HashMap<u32, mpsc::UnboundedSender<(BoxKey, StreamOrigin)>>,
     /// The prefill rates of engines and their weights in the placement of prompts.
     pub(super) engine_weights: EngineWeights,
 }
@@ -190,6 +197,9 @@
             watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
             wait_queues: BTreeMap::new(),
+            versions: VersionHistory::default(),
+            streams: StreamRegistry::default(),
+            stream_queries: HashMap::new(),
             engine_weights: EngineWeights::default(),
         };
         let mut memory = MemoryBudget::new(settings.memory_bytes());
@@ -413,6 +423,7 @@
         let connected = self.pools.endpoints();
         let removed = self.with(|view| {
             view.fleet.set_revisions(version, view.endpoints.revision());
+            view.observe_versions(now_ms());
             view.observe_warmups(now_ms());
             let removed = connected.into_iter();
             let removed = removed.filter(|id| view.endpoints.get(*id).is_none());
@@ -435,10 +446,12 @@
                 retries,
                 interruptions,
                 suspects,
+                streams,
                 ..
             } = view;
             interruptions.expire(now);
             suspects.expire(now);
+            streams.expire(now);
             let expired = endpoints.expire(now);
             let taken_back = endpoints.expire_evacuations(now);
             let gone = fleet.expire(since_ms, now);
@@ -453,6 +466,7 @@
             let gone = gone.iter().filter(|key| fleet.has_heartbeat(**key));
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
             view.update_warmups(now);
+            view.observe_versions(now);
             (expired, taken_back, names)
         });
         self.record_evacuations(&taken_back, "lapsed");
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -12,6 +12,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayState, GatewayView};
 use super::quarantine;
+use super::stream_origins;
 use super::wait_queues;
 use super::workspace_report::{REPORT_INTERVAL_MS, log_shares};
 use crate::clock::now_ms;
@@ -271,6 +272,7 @@
             logged_ms = now;
         }
         state.expire(since_ms);
+        stream_origins::report_streams(&state);
         wait_queues::expire_queues(&state);
         end_check::record_restarts(&state);
         report_runs(&state, |owner, reported_to| owner != reported_to);
--- a/dockgate/src/gateway/placement_goal.rs
+++ b/dockgate/src/gateway/placement_goal.rs
@@ -11,6 +11,8 @@
 pub(super) enum PlacementGoal {
     /// A request of which no event has been forwarded.
     Begin,
+    /// A stream that its caller takes up at this box.
+    TakeUp(SoftwareVersion),
     /// A stream that continues within the same answer after its endpoint was lost.
     Resume(SoftwareVersion),
 }
@@ -21,11 +23,18 @@
         matches!(self, Self::Resume(_))
     }
 
+    /// Returns whether a stream continues, so that its caller has already received events.
+    pub(super) const fn continues(self) -> bool {
+        !matches!(self, Self::Begin)
+    }
+
     /// Returns whether an endpoint of this version may be used.
     pub(super) fn allows(self, version: SoftwareVersion) -> bool {
         match self {
             Self::Begin => true,
-            Self::Resume(began_at) => began_at.is_known() && version == began_at,
+            Self::TakeUp(began_at) | Self::Resume(began_at) => {
+                began_at.is_known() && version == began_at
+            }
         }
     }
 
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -47,6 +47,10 @@
     Unreachable,
     /// The request is quarantined because endpoints ended while they ran it.
     Quarantined,
+    /// A stream is taken up whose software version this box cannot find out.
+    VersionUnknown,
+    /// No endpoint serves the software version that began a stream any more.
+    VersionGone,
     /// The endpoint was lost or its response is invalid; the request may have run.
     Lost,
     /// The caller has disconnected.
@@ -80,6 +84,8 @@
             Self::WarmingUp => "warming_up",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "ends_endpoints",
+            Self::VersionUnknown => "version_unknown",
+            Self::VersionGone => "version_gone",
             Self::Lost => "lost",
             Self::CallerLeft => "caller_left",
             Self::TimedOut => "timed_out",
@@ -108,6 +114,8 @@
             | Self::WarmingUp
             | Self::Unreachable
             | Self::Quarantined
+            | Self::VersionUnknown
+            | Self::VersionGone
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost | Self::CallerLeft => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- /dev/null
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -0,0 +1,191 @@
+//! Reports the versions at which streams begin to other boxes, and asks them for those of streams
+//! that callers take up here.
+
+use super::datagrams::{send_datagram, send_to};
+use super::gateway_metrics::GATEWAY_METRICS;
+use super::gateway_state::{GatewayState, GatewayView};
+use crate::clock::{ClockInstant, now_ms, timeout_at};
+use dockgate_core::BoxKey;
+use dockgate_core::gateway::{SoftwareVersion, StreamKey, StreamRecord, name_hash};
+use dockgate_proto::{GatewayMessage, StreamOrigin};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// The number of streams in a datagram, so that it fits into one packet.
+const MAX_STREAMS_PER_DATAGRAM: usize = 24;
+/// How long to wait for answers to a query before those that are missing are asked again.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(70);
+/// The number of times that a box is asked, since datagrams get lost.
+const QUERY_ROUNDS: usize = 2;
+
+impl GatewayView {
+    /// Records which software versions the known endpoints have.
+    pub(super) fn observe_versions(&mut self, now_ms: u64) {
+        let is_in_contact = self.fleet.is_in_contact(now_ms);
+        let present = self.endpoints.iter().map(|(_, entry)| {
+            let service = name_hash(&entry.record.service);
+            (service, entry.record.software_version())
+        });
+        self.versions.observe(present, is_in_contact, now_ms);
+    }
+}
+
+/// Records the version of a stream whose first event is forwarded, and reports it to other boxes
+/// if its service has several versions. `service` is the hash of the service's name.
+pub(super) fn record_begun(state: &GatewayState, record: StreamRecord, service: u64) {
+    let now = now_ms();
+    let is_mixed = state.with(|view| {
+        view.streams.record_begun(record, service, now);
+        view.versions.is_mixed(service, now)
+    });
+    if is_mixed {
+        report_streams(state);
+    }
+}
+
+/// Reports the streams of services with several versions that were not reported yet.
+pub(super) fn report_streams(state: &GatewayState) {
+    let now = now_ms();
+    let reports = state.with(|view| {
+        let GatewayView {
+            streams,
+            versions,
+            fleet,
+            ..
+        } = view;
+        let due = streams.take_unreported(|service| versions.is_mixed(service, now), now);
+        let mut reports = BTreeMap::<BoxKey, Vec<StreamRecord>>::new();
+        for record in due {
+            for keeper in fleet.stream_keepers(record.key, now) {
+                reports.entry(keeper).or_default().push(record);
+            }
+        }
+        reports
+    });
+    for (keeper, streams) in reports {
+        for streams in streams.chunks(MAX_STREAMS_PER_DATAGRAM) {
+            let streams = streams.to_vec();
+            send_to(state, keeper, GatewayMessage::StreamsBegan { streams });
+        }
+    }
+}
+
+/// Records the streams that another box reports.
+pub(super) fn receive_streams(state: &GatewayState, streams: Vec<StreamRecord>) {
+    let now = now_ms();
+    state.with(|view| {
+        for record in streams {
+            view.streams.receive(record, now);
+        }
+    });
+}
+
+/// Returns what this box knows of the version at which a stream began.
+pub(super) fn known_origin(
+    state: &GatewayState,
+    stream: Option<StreamKey>,
+    service: u64,
+    within_ms: u32,
+) -> StreamOrigin {
+    let now = now_ms();
+    state.with(|view| {
+        let known = stream.and_then(|key| view.streams.version(key, now));
+        let is_in_contact = view.fleet.is_in_contact(now);
+        let only = || {
+            let only = view.versions.only_version(service, within_ms.into(), now);
+            only.filter(|_| is_in_contact)
+        };
+        match known {
+            Some(version) => StreamOrigin::Known(version),
+            None => only().map_or(StreamOrigin::Unknown, StreamOrigin::OnlyVersion),
+        }
+    })
+}
+
+/// Delivers another box's answer to the query that waits for it.
+pub(super) fn receive_origin(state: &GatewayState, query: u32, peer: BoxKey, origin: StreamOrigin) {
+    state.with(|view| {
+        if let Some(answers) = view.stream_queries.get(&query) {
+            // The query may have ended.
+            let _ = answers.send((peer, origin));
+        }
+    });
+}
+
+/// A query that waits for answers; it is withdrawn on drop.
+struct PendingQuery<'a> {
+    state: &'a GatewayState,
+    query: u32,
+    answers: mpsc::UnboundedReceiver<(BoxKey, StreamOrigin)>,
+}
+
+impl<'a> PendingQuery<'a> {
+    fn new(state: &'a GatewayState) -> Self {
+        let query = state.next_run_number();
+        let (sender, answers) = mpsc::unbounded_channel();
+        state.with(|view| view.stream_queries.insert(query, sender));
+        Self {
+            state,
+            query,
+            answers,
+        }
+    }
+
+    /// Waits for answers until one tells the version, all boxes have answered, or the time is over.
+    async fn next_origin(&mut self, unanswered: &mut BTreeSet<BoxKey>) -> StreamOrigin {
+        let until = ClockInstant::now() + ANSWER_TIMEOUT;
+        while !unanswered.is_empty() {
+            let Ok(Some((peer, origin))) = timeout_at(until, self.answers.recv()).await else {
+                break;
+            };
+            unanswered.remove(&peer);
+            if origin != StreamOrigin::Unknown {
+                return origin;
+            }
+        }
+        StreamOrigin::Unknown
+    }
+}
+
+impl Drop for PendingQuery<'_> {
+    fn drop(&mut self) {
+        self.state
+            .with(|view| view.stream_queries.remove(&self.query));
+    }
+}
+
+/// Asks other boxes for the version at which a stream began, or for the only one that the service
+/// had since; `None` if no box knows.
+pub(super) async fn ask_origin(
+    state: &GatewayState,
+    stream: Option<StreamKey>,
+    service: u64,
+    within_ms: u32,
+) -> Option<SoftwareVersion> {
+    let mut pending = PendingQuery::new(state);
+    let witnesses = state.with(|view| view.fleet.stream_witnesses());
+    let mut unanswered: BTreeSet<BoxKey> = witnesses.into_iter().collect();
+    for _ in 0..QUERY_ROUNDS {
+        for witness in &unanswered {
+            let Some(address) = state.with(|view| view.fleet.address(*witness)) else {
+                continue;
+            };
+            let message = GatewayMessage::StreamQuery {
+                query: pending.query,
+                stream,
+                service,
+                within_ms,
+            };
+            send_datagram(state, address, message);
+        }
+        GATEWAY_METRICS.stream_queries.inc();
+        match pending.next_origin(&mut unanswered).await {
+            StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => {
+                return Some(version);
+            }
+            StreamOrigin::Unknown => {}
+        }
+    }
+    None
+}
--- a/dockgate/src/gateway/suspension.rs
+++ b/dockgate/src/gateway/suspension.rs
@@ -27,6 +27,7 @@
         return;
     }
     state.mark_outdated();
+    state.with(|view| view.versions.record_gap());
     // An idle connection may have died meanwhile, and a request that is not repeatable cannot be
     // retried after it was written to one.
     state.pools.close_all_idle();
