fix: streams of a service with one version can be taken up after all boxes were killed

Callers saw: after every box had been killed, a stream of a service that never had a second version was refused as version_unknown for twice its route's timeout, as no box knew which versions it had missed. Cause: the history of versions was in memory only. Change: followers of the store keep the versions that services had within the retention under one key (versions/recent), written on condition of its revision when a version appears or can be forgotten; a box that has started reads it once. The clock of a box may have started after the history begins, so its start is signed. Versions of endpoints are hashed when a record changes, not on each look.

--- a/dockgate-bench/tests/stream_versions.rs
+++ b/dockgate-bench/tests/stream_versions.rs
@@ -6,6 +6,7 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, wait_until};
 use dockgate_bench::standin::EndpointBehavior;
 use dockgate_bench::standin::caller::{all_events, call, request, text};
+use dockgate_platform::VERSIONS_KEY;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -178,16 +179,57 @@
     let mut fleet = start_two_versions(&["a", "b"]).await;
     let begun = begin_streams(&fleet, 0).await;
     let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
+    restart_all(&mut fleet).await;
+    drop(begun);
+    take_up_all(&fleet, 1, &ids).await;
+}
+
+/// Kills all boxes at once and starts them again.
+async fn restart_all(fleet: &mut GatewayFleet) {
     for gateway in &mut fleet.gateways {
         gateway.kill();
     }
-    drop(begun);
     for gateway in &mut fleet.gateways {
         gateway.restart().unwrap();
     }
     for gateway in &fleet.gateways {
         wait_until("a box is ready", async || gateway.is_ready().await).await;
     }
+}
+
+/// Guards against streams of a service with one version that are refused for want of records.
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_all_boxes_were_killed() {
+    let mut fleet = GatewayFleet::start_in(&["a", "b"], &["model"; 2], &route_config(3, KEYS))
+        .await
+        .unwrap();
+    let begun = begin_streams(&fleet, 0).await;
+    let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
+    wait_until("the versions are in the store", async || {
+        fleet.store.keys().iter().any(|key| key == VERSIONS_KEY)
+    })
+    .await;
+    restart_all(&mut fleet).await;
+    drop(begun);
+    // The boxes read the stored versions with their first probes.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let served = take_up_all(&fleet, 1, &ids).await;
+    assert_eq!(served, ids.len(), "streams that were taken up");
+}
+
+/// Guards against a version that left shortly before all boxes were killed and is forgotten.
+#[tokio::test]
+async fn streams_of_a_version_that_left_are_not_mixed_after_all_boxes_were_killed() {
+    let mut fleet = start_two_versions(&["a", "b"]).await;
+    let begun = begin_streams(&fleet, 0).await;
+    let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for endpoint in &fleet.endpoints[..3] {
+        fleet.store.remove(&endpoint.record("a", "ready").0);
+    }
+    restart_all(&mut fleet).await;
+    drop(begun);
+    tokio::time::sleep(Duration::from_secs(2)).await;
     take_up_all(&fleet, 1, &ids).await;
 }
 
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -131,7 +131,7 @@
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
-pub use version_history::VersionHistory;
+pub use version_history::{ServiceVersion, VersionHistory};
 pub use wait_queue::{
     WaitBudget, WaitOffer, WaitOutcome, WaitQueue, WaitRank, WaitTerms, WaitingRequest,
 };
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -35,10 +35,11 @@
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
 use super::software_version::SoftwareVersion;
 use super::store_revision::StoreRevision;
+use super::version_history::ServiceVersion;
 use lifetime_history::{LastLifetime, LifetimeHistory};
 use serde::{Deserialize, Serialize};
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 /// An endpoint that accepts requests, unless it is backing off.
@@ -112,6 +113,8 @@
     lifetimes: HashMap<EndpointName, EndpointId>,
     /// The endpoints that accept requests, by service; rebuilt on each change.
     ready: HashMap<String, Vec<ReadyEndpoint>>,
+    /// The software versions of all endpoints, in any state; rebuilt on each change.
+    versions: BTreeSet<ServiceVersion>,
     history: LifetimeHistory,
     notices: NoticeRegistry,
     evacuations: EvacuationOrders,
@@ -178,6 +181,8 @@
 
     fn rebuild_index(&mut self) {
         self.ready.clear();
+        let entries = self.endpoints.values();
+        self.versions = entries.map(EndpointEntry::service_version).collect();
         let (notices, evacuations) = (&self.notices, &self.evacuations);
         let entries = self.endpoints.iter().filter(|(id, entry)| {
             // Answers announce that an endpoint leaves before its record does.
@@ -189,7 +194,7 @@
             let ready = ReadyEndpoint {
                 id: *id,
                 domain: entry.domain(),
-                version: entry.record.software_version(),
+                version: entry.service_version().version,
             };
             match self.ready.get_mut(&entry.record.service) {
                 Some(service) => service.push(ready),
@@ -474,6 +479,11 @@
         self.ready.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the software versions of all endpoints.
+    pub fn versions(&self) -> impl Iterator<Item = ServiceVersion> {
+        self.versions.iter().copied()
+    }
+
     /// Returns the endpoints of a service that accept requests, with their entries.
     pub fn ready_entries(
         &self,
--- a/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/endpoint_entry.rs
@@ -5,6 +5,7 @@
 use crate::gateway::endpoint_health::EndpointHealth;
 use crate::gateway::route_table::{EndpointRecord, EndpointState};
 use crate::gateway::store_revision::StoreRevision;
+use crate::gateway::version_history::ServiceVersion;
 
 /// The state of one endpoint on this box.
 #[derive(Debug, Clone)]
@@ -17,6 +18,8 @@
     pub health: EndpointHealth,
     /// The number of requests that this box has in flight to it.
     pub in_flight: u32,
+    /// Its service and software version.
+    service_version: ServiceVersion,
     /// Set while its record is missing and may only have expired.
     unconfirmed: Option<UnconfirmedSince>,
 }
@@ -25,6 +28,7 @@
     /// Creates the entry of an endpoint of which only the record is known.
     pub(super) fn new(record: EndpointRecord, revision: StoreRevision) -> Self {
         Self {
+            service_version: ServiceVersion::of(&record),
             record,
             revision,
             health: EndpointHealth::default(),
@@ -38,6 +42,11 @@
         DomainKey::from_name(&self.record.domain)
     }
 
+    /// Returns its service and software version.
+    pub const fn service_version(&self) -> ServiceVersion {
+        self.service_version
+    }
+
     /// Takes over the unconfirmed state of the previous lifetime, if the id's record was found
     /// missing after the record of this lifetime was written.
     pub(super) fn with_unconfirmed(mut self, unconfirmed: Option<UnconfirmedSince>) -> Self {
@@ -64,6 +73,7 @@
         if revision == self.revision && self.record.version.is_empty() {
             // Boxes of an earlier build report records without the version.
             self.record.version = record.version;
+            self.service_version = ServiceVersion::of(&self.record);
             return !self.record.version.is_empty();
         }
         if revision <= self.newest_revision() {
@@ -79,6 +89,7 @@
         };
         let record = EndpointRecord { state, ..record };
         let changed = self.record != record || self.unconfirmed.is_some();
+        self.service_version = ServiceVersion::of(&record);
         self.record = record;
         self.revision = revision;
         self.unconfirmed = None;
--- a/dockgate-core/src/gateway/route_table.rs
+++ b/dockgate-core/src/gateway/route_table.rs
@@ -1,6 +1,5 @@
 //! The routes, services and workspaces of a configuration, indexed for lookups.
 
-use super::software_version::SoftwareVersion;
 use super::warmup_limit::WarmupLimit;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -106,11 +105,6 @@
     pub fn name(&self) -> EndpointName {
         EndpointName::new(&self.id)
     }
-
-    /// Returns the key of its software version.
-    pub fn software_version(&self) -> SoftwareVersion {
-        SoftwareVersion::from_name(&self.version)
-    }
 }
 
 /// How an answer is forwarded to the caller.
--- a/dockgate-core/src/gateway/version_history.rs
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -6,26 +6,51 @@
 //! missed.
 //!
 //! ```
-//! use dockgate_core::gateway::{SoftwareVersion, VersionHistory};
+//! use dockgate_core::gateway::{ServiceVersion, SoftwareVersion, VersionHistory};
 //!
-//! let (service, v1) = (7, SoftwareVersion::from_name("v1"));
+//! let present = ServiceVersion {
+//!     service: 7,
+//!     version: SoftwareVersion::from_name("v1"),
+//! };
 //! let mut history = VersionHistory::default();
-//! history.observe([(service, v1)].into_iter(), true, 1_000);
-//! assert_eq!(history.only_version(service, 30_000, 2_000), None);
-//! history.observe([(service, v1)].into_iter(), true, 31_000);
-//! assert_eq!(history.only_version(service, 30_000, 31_000), Some(v1));
+//! history.observe([present].into_iter(), true, 1_000);
+//! assert_eq!(history.only_version(7, 30_000, 2_000), None);
+//! history.observe([present].into_iter(), true, 31_000);
+//! assert_eq!(history.only_version(7, 30_000, 31_000), Some(present.version));
 //! ```
 
+use super::rendezvous::name_hash;
+use super::route_table::EndpointRecord;
 use super::software_version::SoftwareVersion;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A software version of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ServiceVersion {
+    /// The hash of the service's name.
+    pub service: u64,
+    /// The version.
+    pub version: SoftwareVersion,
+}
+
+impl ServiceVersion {
+    /// Returns the service and version of an endpoint.
+    pub fn of(record: &EndpointRecord) -> Self {
+        Self {
+            service: name_hash(&record.service),
+            version: SoftwareVersion::from_name(&record.version),
+        }
+    }
+}
 
 /// The software versions of the services' endpoints over time.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
-    /// When an endpoint of the version was last known, by the hash of the service's name.
-    last_known_ms: BTreeMap<(u64, SoftwareVersion), u64>,
-    /// Since when all versions were observed; `None` while this box may miss some.
-    complete_since_ms: Option<u64>,
+    /// When an endpoint of the version was last known.
+    last_known_ms: BTreeMap<ServiceVersion, u64>,
+    /// Since when all versions are known; `None` while this box may miss some. Negative if that is
+    /// before the clock of this box started.
+    complete_since_ms: Option<i64>,
 }
 
 impl VersionHistory {
@@ -33,12 +58,12 @@
     /// long as a stream can be taken up.
     pub const RETENTION_MS: u64 = 120_000;
 
-    /// Records the versions of all known endpoints with the hashes of their services' names.
+    /// Records the versions of all known endpoints.
     ///
     /// `is_in_contact` is whether this box hears of changes of the endpoints.
     pub fn observe(
         &mut self,
-        present: impl Iterator<Item = (u64, SoftwareVersion)>,
+        present: impl Iterator<Item = ServiceVersion>,
         is_in_contact: bool,
         now_ms: u64,
     ) {
@@ -48,7 +73,7 @@
         self.last_known_ms
             .retain(|_, last_ms| *last_ms + Self::RETENTION_MS >= now_ms);
         self.complete_since_ms = match is_in_contact {
-            true => Some(self.complete_since_ms.unwrap_or(now_ms)),
+            true => Some(self.complete_since_ms.unwrap_or(now_ms as i64)),
             false => None,
         };
     }
@@ -58,14 +83,18 @@
         self.complete_since_ms = None;
     }
 
-    /// Records that a service had no other versions than these within the retention, as another
-    /// source shows.
-    pub fn complete(&mut self, known: impl Iterator<Item = (u64, SoftwareVersion)>, now_ms: u64) {
+    /// Records that services had no versions within the retention beyond these and the observed
+    /// ones, as another source shows.
+    pub fn complete(&mut self, known: impl Iterator<Item = ServiceVersion>, now_ms: u64) {
         for version in known {
             self.last_known_ms.insert(version, now_ms);
         }
-        let since_ms = now_ms.saturating_sub(Self::RETENTION_MS);
-        self.complete_since_ms = Some(since_ms);
+        self.complete_since_ms = Some(now_ms as i64 - Self::RETENTION_MS as i64);
+    }
+
+    /// Returns all versions within the retention.
+    pub fn recent(&self) -> BTreeSet<ServiceVersion> {
+        self.last_known_ms.keys().copied().collect()
     }
 
     /// Returns the versions that a service had within the last `within_ms` milliseconds.
@@ -75,10 +104,11 @@
         within_ms: u64,
         now_ms: u64,
     ) -> impl Iterator<Item = SoftwareVersion> {
-        let range = (service, SoftwareVersion(u64::MIN))..=(service, SoftwareVersion(u64::MAX));
+        let at = |version| ServiceVersion { service, version };
+        let range = at(SoftwareVersion(u64::MIN))..=at(SoftwareVersion(u64::MAX));
         let known = self.last_known_ms.range(range);
         let recent = known.filter(move |(_, last_ms)| **last_ms + within_ms >= now_ms);
-        recent.map(|((_, version), _)| *version)
+        recent.map(|(known, _)| known.version)
     }
 
     /// Returns whether a service had more than one version within the retention.
@@ -97,7 +127,7 @@
         now_ms: u64,
     ) -> Option<SoftwareVersion> {
         let since_ms = self.complete_since_ms?;
-        let is_complete = since_ms + within_ms <= now_ms;
+        let is_complete = since_ms + within_ms as i64 <= now_ms as i64;
         let mut versions = self.versions(service, within_ms, now_ms);
         let only = versions.next().filter(|_| is_complete)?;
         match versions.next() {
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -47,6 +47,7 @@
 mod suspension;
 mod tracked_io;
 mod upstream;
+mod version_store;
 mod wait_queues;
 mod wait_window;
 mod warmup_grants;
--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -148,7 +148,7 @@
         };
         self.state.with(|view| {
             let is_untried = |id: EndpointId, entry: &EndpointEntry| {
-                !passed_over.contains(&id) && goal.allows(entry.record.software_version())
+                !passed_over.contains(&id) && goal.allows(entry.service_version().version)
             };
             let eligible = view.endpoints.eligible(&service.name, now);
             let eligible = eligible.filter(|(id, entry)| is_untried(*id, entry));
@@ -168,7 +168,7 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
-                version: entry.record.software_version(),
+                version: entry.service_version().version,
                 limits: ConnectionLimits::new(service.connections, slots, boxes),
             })
         })
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -212,7 +212,7 @@
                 id,
                 name: entry.record.id.clone(),
                 address: entry.record.address,
-                version: entry.record.software_version(),
+                version: entry.service_version().version,
                 limits: ConnectionLimits::new(query.service.connections, entry.record.slots, boxes),
             },
             owner: view.fleet.owner(id, &entry.record.domain, now),
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -18,15 +18,15 @@
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
     InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads,
-    PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally,
-    ShareTracker, StoreFollower, StoreProbe, StoreRevision, StreamRegistry, SuspectRegistry,
-    VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
+    PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ServiceVersion,
+    ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision, StreamRegistry,
+    SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
 use dockgate_proto::StreamOrigin;
 use serde_json::value::{RawValue, to_raw_value};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -113,6 +113,8 @@
     pub(super) wait_queues: BTreeMap<EndpointId, WaitQueue>,
     /// The software versions of the services over time.
     pub(super) versions: VersionHistory,
+    /// The versions in the store; `None` until they were read.
+    pub(super) stored_versions: Option<BTreeSet<ServiceVersion>>,
     /// The versions at which streams began.
     pub(super) streams: StreamRegistry,
     /// Queries about streams that wait for answers of other boxes, by number.
@@ -147,6 +149,8 @@
     endpoints_changed_ms: AtomicU64,
     /// Whether a task is writing the quarantine to the store.
     pub(super) is_writing_quarantine: AtomicBool,
+    /// Whether a task is exchanging the versions of services with the store.
+    pub(super) is_writing_versions: AtomicBool,
     stop: StopFlag,
     /// When the process ends; valid once it is stopping.
     end_ms: AtomicU64,
@@ -198,6 +202,7 @@
             warmups: WarmupTracker::default(),
             wait_queues: BTreeMap::new(),
             versions: VersionHistory::default(),
+            stored_versions: None,
             streams: StreamRegistry::default(),
             stream_queries: HashMap::new(),
             engine_weights: EngineWeights::default(),
@@ -218,6 +223,7 @@
             config_changed_ms: AtomicU64::new(now_ms()),
             endpoints_changed_ms: AtomicU64::new(now_ms()),
             is_writing_quarantine: AtomicBool::new(false),
+            is_writing_versions: AtomicBool::new(false),
             stop: StopFlag::default(),
             end_ms: AtomicU64::new(0),
             datagrams,
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -6,7 +6,7 @@
 use super::gateway_state::{GatewayState, GatewayView};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use dockgate_core::BoxKey;
-use dockgate_core::gateway::{SoftwareVersion, StreamKey, StreamRecord, name_hash};
+use dockgate_core::gateway::{SoftwareVersion, StreamKey, StreamRecord};
 use dockgate_proto::{GatewayMessage, StreamOrigin};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -23,11 +23,8 @@
     /// Records which software versions the known endpoints have.
     pub(super) fn observe_versions(&mut self, now_ms: u64) {
         let is_in_contact = self.fleet.is_in_contact(now_ms);
-        let present = self.endpoints.iter().map(|(_, entry)| {
-            let service = name_hash(&entry.record.service);
-            (service, entry.record.software_version())
-        });
-        self.versions.observe(present, is_in_contact, now_ms);
+        self.versions
+            .observe(self.endpoints.versions(), is_in_contact, now_ms);
     }
 }
 
