--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -8,6 +8,7 @@
 mod disconnecting_caller;
 mod fault_injector;
 mod notice_check;
+mod resuming_caller;
 mod soak_call;
 mod store_snapshots;
 
@@ -23,6 +24,7 @@
 use notice_check::sent_despite_notices;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use resuming_caller::{RESUMING_CALLERS, ResumedStream, run_resuming_caller};
 use soak_call::{SoakCall, SoakRoute, run_soak_caller};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -36,6 +38,10 @@
 const SERVICES: [&str; 5] = ["plain", "plain", "model", "model", "model"];
 /// Number of callers that wait for their answers.
 const CALLERS: usize = 9;
+/// Number of endpoints of the second version in runs of [`SoakFaults::SoftwareVersions`].
+const SECOND_VERSION_ENDPOINTS: usize = 3;
+/// Time per stream event in these runs.
+const VERSION_EVENT_INTERVAL: Duration = Duration::from_millis(40);
 /// Number of callers that disconnect early, in runs of [`SoakFaults::CallerDisconnects`].
 const DISCONNECTING_CALLERS: u64 = 60;
 /// Time per stream event in runs of [`SoakFaults::CallerDisconnects`], so that streams outlast
@@ -84,6 +90,11 @@
     /// Evacuations of the endpoints' failure domain, while updates are delayed. Boxes are not
     /// disturbed: each must learn in time of an order, and that it was taken back.
     Evacuations,
+    /// Endpoints of several software versions in one service, replaced by further versions, while
+    /// all faults of boxes, endpoints and the store happen. Callers take up their streams at other
+    /// boxes; no stream holds events of two versions.
+    #[value(name = "versions")]
+    SoftwareVersions,
 }
 
 /// The options of a soak run.
@@ -104,6 +115,8 @@
     pub calls: usize,
     /// Number of requests whose callers disconnected.
     pub disconnects: usize,
+    /// Number of requests that took up a stream, and of those that brought further events.
+    pub taken_up: (usize, usize),
     /// Number of requests that were answered in full.
     pub answered: usize,
     /// Number of requests that were refused as not run.
@@ -127,7 +140,15 @@
         .iter()
         .map(GatewayProcess::caller_address)
         .collect();
-    let callers = (0..CALLERS as u64).map(|number| {
+    let has_versions = options.faults == SoakFaults::SoftwareVersions;
+    if has_versions {
+        add_second_version(&mut fleet).await?;
+    }
+    let callers = match has_versions {
+        true => 0,
+        false => CALLERS as u64,
+    };
+    let callers = (0..callers).map(|number| {
         let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number);
         tokio::spawn(run_soak_caller(
             number,
@@ -137,6 +158,20 @@
         ))
     });
     let callers: Vec<_> = callers.collect();
+    let resuming = match has_versions {
+        true => RESUMING_CALLERS,
+        false => 0,
+    };
+    let resuming = (0..resuming).map(|number| {
+        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(3_000) + number);
+        tokio::spawn(run_resuming_caller(
+            number,
+            rng,
+            addresses.clone(),
+            stop.clone(),
+        ))
+    });
+    let resuming: Vec<_> = resuming.collect();
     let disconnecting = match options.faults {
         SoakFaults::CallerDisconnects => DISCONNECTING_CALLERS,
         _ => 0,
@@ -197,6 +232,8 @@
     let mut disconnects = DisconnectReport::default();
     disconnects.extend(join_callers(disconnecting, &mut violations).await);
     let crash_calls = join_callers(crashing, &mut violations).await;
+    let resumed = join_callers(resuming, &mut violations).await;
+    violations.extend(resumed.iter().flat_map(ResumedStream::violations));
     let all_endpoints = crashed.crashed().iter().chain(&fleet.endpoints);
     let all_endpoints: Vec<&RoutedStandIn> = all_endpoints.collect();
     if options.faults == SoakFaults::CrashingRequests {
@@ -210,14 +247,34 @@
     }
     violations.extend(sent_despite_notices(&calls, &all_endpoints, &injector));
     disconnects.set_own_lag(own_lag.await.unwrap_or_default());
-    Ok(report(
-        &all_endpoints,
-        &calls,
-        &crash_calls,
-        &disconnects,
-        injector,
-        violations,
-    ))
+    let records = SoakRecords {
+        calls,
+        crash_calls,
+        disconnects,
+        resumed,
+    };
+    Ok(report(&all_endpoints, &records, injector, violations))
+}
+
+/// Adds endpoints of a second software version, and makes all events name their version.
+async fn add_second_version(fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+    for number in 0..SECOND_VERSION_ENDPOINTS {
+        let id = format!("second-{number}");
+        fleet.add_endpoint_of_version("v2", &id, "model").await?;
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.name_version_in_events();
+        endpoint.set_processing_time(VERSION_EVENT_INTERVAL);
+    }
+    Ok(())
+}
+
+/// The records of all callers of a run.
+struct SoakRecords {
+    calls: Vec<SoakCall>,
+    crash_calls: Vec<CrashingCall>,
+    disconnects: DisconnectReport,
+    resumed: Vec<ResumedStream>,
 }
 
 /// Waits for callers and returns their calls; a caller that panicked is reported as a violation.
@@ -255,12 +312,16 @@
 /// Compares the requests that endpoints ran with the answers that callers received.
 fn report(
     all_endpoints: &[&RoutedStandIn],
-    calls: &[SoakCall],
-    crash_calls: &[CrashingCall],
-    disconnects: &DisconnectReport,
+    records: &SoakRecords,
     injector: FaultInjector,
     mut violations: Vec<String>,
 ) -> SoakReport {
+    let SoakRecords {
+        calls,
+        crash_calls,
+        disconnects,
+        resumed,
+    } = records;
     let mut runs: HashMap<String, usize> = HashMap::new();
     for run in all_endpoints.iter().flat_map(|endpoint| endpoint.ran()) {
         *runs.entry(run.id).or_default() += 1;
@@ -300,6 +361,9 @@
     for call in crash_calls {
         runs.remove(call.id());
     }
+    for id in resumed.iter().flat_map(|stream| &stream.ids) {
+        runs.remove(id);
+    }
     violations.extend(disconnects.late_work(all_endpoints, &injector.slow));
     violations.extend(
         runs.keys()
@@ -311,13 +375,18 @@
         .iter()
         .filter(|call| call.is_final)
         .collect::<Vec<_>>();
-    if !final_calls.iter().any(|call| call.answered) {
+    let whole_streams = resumed.iter().filter(|stream| stream.is_whole()).count();
+    if !final_calls.iter().any(|call| call.answered) && whole_streams == 0 {
         violations.push("no request was answered after all faults were undone".to_owned());
     }
     SoakReport {
-        calls: calls.len(),
+        calls: calls.len() + resumed.iter().map(|stream| stream.ids.len()).sum::<usize>(),
         disconnects: disconnects.calls().len(),
-        answered: calls.iter().filter(|call| call.answered).count(),
+        taken_up: (
+            resumed.iter().map(|stream| stream.tries).sum(),
+            resumed.iter().map(|stream| stream.continued).sum(),
+        ),
+        answered: calls.iter().filter(|call| call.answered).count() + whole_streams,
         refused: calls.iter().filter(|call| call.refused).count(),
         faults: injector.fault_log,
         violations,
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -185,6 +185,10 @@
         if self.rng.random_ratio(1, STEPS_PER_FAULT) {
             match self.faults {
                 SoakFaults::All => self.begin(fleet, ALL_FAULTS).await?,
+                SoakFaults::SoftwareVersions if self.rng.random_bool(0.2) => {
+                    self.begin_release(fleet).await?;
+                }
+                SoakFaults::SoftwareVersions => self.begin(fleet, ALL_FAULTS).await?,
                 // The requests crash the endpoints in these runs.
                 SoakFaults::CrashingRequests => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
                 SoakFaults::DelayedUpdates => self.delay_updates(fleet).await?,
@@ -395,10 +399,52 @@
         let service = fleet.endpoints[endpoint].service.clone();
         let name = format!("again-{}", self.replacements);
         fleet.add_endpoint(&name, &service).await?;
+        self.prepare_added(fleet);
+        self.drain(fleet, endpoint);
+        Ok(())
+    }
+
+    /// Prepares the endpoint that was added last for the kind of run.
+    fn prepare_added(&self, fleet: &GatewayFleet) {
+        let added = fleet.endpoints.last();
+        let added = added.filter(|_| self.faults == SoakFaults::SoftwareVersions);
+        if let Some(added) = added {
+            added.name_version_in_events();
+            added.set_processing_time(super::VERSION_EVENT_INTERVAL);
+        }
+    }
+
+    fn drain(&mut self, fleet: &GatewayFleet, endpoint: usize) {
         let (key, value) = fleet.endpoints[endpoint].record("a", "draining");
         fleet.store.set(&key, value);
         self.drained
             .push(DrainedEndpoint::new(&fleet.endpoints[endpoint]));
+    }
+
+    /// Starts an endpoint of another software version, and drains one of the first endpoints.
+    async fn begin_release(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+        if self.replacements >= MAX_REPLACEMENTS {
+            return Ok(());
+        }
+        let endpoint = self.rng.random_range(0..fleet.endpoints.len());
+        if fleet.endpoints[endpoint].service != "model" {
+            return Ok(());
+        }
+        self.replacements += 1;
+        let version = format!("v{}", self.rng.random_range(1..4));
+        let id = format!("release-{}", self.replacements);
+        fleet
+            .add_endpoint_of_version(&version, &id, "model")
+            .await?;
+        self.prepare_added(fleet);
+        self.drain(fleet, endpoint);
+        let at = self.started.elapsed().as_millis();
+        self.fault_log.push(format!(
+            "{at} ms: release {version} for endpoint {endpoint}"
+        ));
+        let action = UndoAction::RemoveEndpoint(endpoint);
+        self.undo_actions
+            .push((Instant::now() + DRAIN_TIME, action));
         Ok(())
     }
 
--- a/dockgate-bench/src/gateway_soak/soak_call.rs
+++ b/dockgate-bench/src/gateway_soak/soak_call.rs
@@ -17,11 +17,11 @@
 use tokio::net::TcpStream;
 
 /// Deadline that a caller sends with a request, in milliseconds.
-const BUDGET_MS: u64 = 3_000;
+pub(super) const BUDGET_MS: u64 = 3_000;
 /// Time after which a caller considers the answer lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(BUDGET_MS + 2_000);
 /// Number of events in a stream.
-const EVENTS: u64 = 12;
+pub(super) const EVENTS: u64 = 12;
 /// Pause of a caller between requests.
 const PAUSE: Duration = Duration::from_millis(25);
 /// Number of requests that a caller makes after the faults are undone.
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -223,12 +223,15 @@
         })
         .await?;
         println!(
-            "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} left, {} promises broken",
+            "seed {seed}: {} faults, {} calls, {} answered, {} refused, {} left, \
+             {} of {} taken up, {} promises broken",
             soak_report.faults.len(),
             soak_report.calls,
             soak_report.answered,
             soak_report.refused,
             soak_report.disconnects,
+            soak_report.taken_up.1,
+            soak_report.taken_up.0,
             soak_report.violations.len(),
         );
         if !soak_report.violations.is_empty() {
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -80,6 +80,8 @@
     running: Mutex<i64>,
     processing_time: Mutex<Duration>,
     is_leaving: Mutex<bool>,
+    /// The version that the data of events name, if they name one.
+    event_version: Mutex<Option<String>>,
     backoff: Mutex<Option<Duration>>,
     rejected: Mutex<Vec<RejectedRequest>>,
     crash_bodies: Mutex<Vec<Bytes>>,
@@ -174,6 +176,11 @@
         *locked(&self.state.is_leaving) = is_leaving;
     }
 
+    /// Makes the data of its events end with its software version.
+    pub fn name_version_in_events(&self) {
+        *locked(&self.state.event_version) = Some(self.version.clone());
+    }
+
     /// Rejects all requests with a backoff from now on, or accepts them again.
     pub fn set_backoff(&self, backoff: Option<Duration>) {
         *locked(&self.state.backoff) = backoff;
@@ -397,21 +404,27 @@
         EndpointBehavior::CutsAfter(count) => Some(last + count),
         _ => None,
     };
-    let frames = stream::unfold((run, last), move |(run, last)| async move {
-        if last >= events {
-            return None;
-        }
-        tokio::time::sleep(processing_time).await;
-        let next = last + 1;
-        match cut {
-            Some(cut) if last == cut + 1 => Some((Err(AbortedConnection), (run, events))),
-            Some(cut) if last == cut => {
-                let half = Bytes::from(format!("id: {next}\nda"));
-                Some((Ok(Frame::data(half)), (run, next)))
+    let version = locked(&run.state.event_version).clone();
+    let suffix = version.map_or_else(String::new, |version| format!(" at {version}"));
+    let suffix: Arc<str> = suffix.into();
+    let frames = stream::unfold((run, last), move |(run, last)| {
+        let suffix = suffix.clone();
+        async move {
+            if last >= events {
+                return None;
             }
-            _ => {
-                let event = Bytes::from(format!("id: {next}\ndata: token {next}\n\n"));
-                Some((Ok(Frame::data(event)), (run, next)))
+            tokio::time::sleep(processing_time).await;
+            let next = last + 1;
+            match cut {
+                Some(cut) if last == cut + 1 => Some((Err(AbortedConnection), (run, events))),
+                Some(cut) if last == cut => {
+                    let half = Bytes::from(format!("id: {next}\nda"));
+                    Some((Ok(Frame::data(half)), (run, next)))
+                }
+                _ => {
+                    let event = Bytes::from(format!("id: {next}\ndata: token {next}{suffix}\n\n"));
+                    Some((Ok(Frame::data(event)), (run, next)))
+                }
             }
         }
     });
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -17,6 +17,7 @@
     endpoint_notices = { SoakFaults::Notices, 1 },
     store_restores = { SoakFaults::StoreRestores, 1 },
     evacuations = { SoakFaults::Evacuations, 1 },
+    software_versions = { SoakFaults::SoftwareVersions, 1 },
 )]
 fn soak_finds_no_broken_guarantee(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -48,24 +48,29 @@
         if !is_stream || self.head.last_event.is_none() {
             return Ok(PlacementGoal::Begin);
         }
-        let Some((version, source)) = self.find_origin().await else {
-            GATEWAY_METRICS.record_take_up("version_unknown");
-            return Err(self.refuse_unknown_version());
+        let origin = self.find_origin().await;
+        let (result, outcome) = match origin {
+            Some((version, source)) if self.is_served(version) => {
+                (Ok(PlacementGoal::TakeUp(version)), source.as_str())
+            }
+            Some(_) => {
+                let reason = RefusalReason::VersionGone;
+                (Err(reason.into()), reason.as_str())
+            }
+            None => {
+                let refusal = self.refuse_unknown_version();
+                let reason = refusal.reason;
+                (Err(refusal), reason.as_str())
+            }
         };
-        GATEWAY_METRICS.record_take_up(source.as_str());
+        GATEWAY_METRICS.record_take_up(outcome);
         log_gateway(&GatewayEvent::TakenUp {
             request: &self.head.id,
             resumes: self.head.resumes.as_deref(),
-            source: source.as_str(),
+            origin: outcome,
             took_ms: self.age().as_millis() as u64,
         });
-        match self.is_served(version) {
-            true => Ok(PlacementGoal::TakeUp(version)),
-            false => {
-                GATEWAY_METRICS.record_take_up("version_gone");
-                Err(RefusalReason::VersionGone.into())
-            }
-        }
+        result
     }
 
     async fn find_origin(&self) -> Option<(SoftwareVersion, OriginSource)> {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -237,13 +237,13 @@
         after_event: u64,
         problem: &'a str,
     },
-    /// A caller takes up a stream whose software version was found.
+    /// A caller takes up a stream.
     TakenUp {
         request: &'a str,
         /// The request that brought the first event, if the caller names it.
         resumes: Option<&'a str>,
-        /// Where the version is known from.
-        source: &'a str,
+        /// How its software version was found, or why it is refused.
+        origin: &'a str,
         took_ms: u64,
     },
     /// A request was refused or abandoned.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -76,8 +76,8 @@
         "event lag_ms request route sends stage waited_ms workspace"
     },
     taken_up = {
-        GatewayEvent::TakenUp { request: "r", resumes: Some("q"), source: "peer", took_ms: 3 },
-        "event request resumes source took_ms"
+        GatewayEvent::TakenUp { request: "r", resumes: Some("q"), origin: "peer", took_ms: 3 },
+        "event origin request resumes took_ms"
     },
     resumed = {
         GatewayEvent::Resumed {
@@ -307,7 +307,7 @@
         GatewayEvent::TakenUp {
             request: "r",
             resumes: Some("q"),
-            source: "peer",
+            origin: "peer",
             took_ms: 3,
         },
         GatewayEvent::Refused {
--- a/dockgatectl/src/explain.rs
+++ b/dockgatectl/src/explain.rs
@@ -24,11 +24,34 @@
     "stopping",
 ];
 
-/// Returns the timeline of a request, or `None` if no line names it.
+/// Returns the ids of all requests with which a caller received the stream of request `id`, or the
+/// id alone.
+fn stream_requests<'a>(id: &'a str, lines: &'a [LogLine]) -> BTreeSet<&'a str> {
+    let taken_up = lines
+        .iter()
+        .map(|line| (line.text("request"), line.text("resumes")));
+    let taken_up = taken_up.filter(|(_, began)| !began.is_empty());
+    let mut ids = BTreeSet::from([id]);
+    loop {
+        let known = ids.len();
+        for (request, began) in taken_up.clone() {
+            if ids.contains(request) || ids.contains(began) {
+                ids.extend([request, began]);
+            }
+        }
+        if ids.len() == known {
+            return ids;
+        }
+    }
+}
+
+/// Returns the timeline of a request and of those that take up the same stream, or `None` if no line
+/// names it.
 fn explain(id: &str, lines: &[LogLine]) -> Option<String> {
+    let ids = stream_requests(id, lines);
     let mut request_lines: Vec<&LogLine> = lines
         .iter()
-        .filter(|line| line.text("request") == id)
+        .filter(|line| ids.contains(line.text("request")))
         .collect();
     request_lines.sort_by_key(|line| line.at_ms);
     let first = request_lines.first()?.at_ms;
--- a/dockgatectl/src/explain/tests.rs
+++ b/dockgatectl/src/explain/tests.rs
@@ -58,3 +58,19 @@
     assert_eq!(explain("r9", &lines(LOG)), None);
     assert_eq!(explain("r1", &lines("half a li")), None);
 }
+
+/// Guards against a stream whose earlier and later requests are not found from each other's ids.
+#[test]
+fn timeline_has_all_requests_of_a_stream() {
+    const CHAIN: &str = r#"
+{"at_ms":100,"level":"INFO","box":"a","event":{"event":"sent","request":"s1","endpoint":"e1"}}
+{"at_ms":110,"level":"INFO","box":"b","event":{"event":"taken_up","request":"s2","resumes":"s1"}}
+{"at_ms":120,"level":"INFO","box":"c","event":{"event":"taken_up","request":"s3","resumes":"s1"}}
+{"at_ms":130,"level":"INFO","box":"c","event":{"event":"taken_up","request":"s5","resumes":"s4"}}
+"#;
+    for id in ["s1", "s2", "s3"] {
+        let timeline = explain(id, &lines(CHAIN)).unwrap();
+        let found = ["s1", "s2", "s3", "s5"].map(|id| timeline.contains(&format!("request={id}")));
+        assert_eq!(found, [true, true, true, false], "from {id}");
+    }
+}
