--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -299,7 +299,10 @@
         }
         if !gateway.is_ready().await {
             let logged = gateway.logged();
-            let lines: Vec<&str> = logged.lines().collect();
+            let lines = logged.lines();
+            // Lines about requests would push out those about the state of the box.
+            let lines = lines.filter(|line| !line.contains(r#","request":""#));
+            let lines: Vec<&str> = lines.collect();
             let last = lines[lines.len().saturating_sub(LOG_TAIL_LINES)..].join("\n    ");
             not_ready.push(format!(
                 "box {box_index} is not ready after the faults; last log lines:\n    {last}"
