fix: taken-up streams wait for live boxes only, are kept off cold engines, and survive a cut

Change: only homes that declined for their backlog, and are not cold, are taken without a grant; queries end when all live boxes have answered; a gap in contact counts against callers that name a stream only, since callers of services with several versions always do.

--- a/dockgate-core/src/gateway/version_history.rs
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -48,9 +48,11 @@
 pub struct VersionHistory {
     /// When an endpoint of the version was last known.
     last_known_ms: BTreeMap<ServiceVersion, u64>,
-    /// Since when all versions are known; `None` while this box may miss some. Negative if that is
-    /// before the clock of this box started.
-    complete_since_ms: Option<i64>,
+    /// Since when versions are known; `None` until they are observed. Negative if that is before the
+    /// clock of this box started.
+    known_since_ms: Option<i64>,
+    /// When this box last may have missed a version since then.
+    missed_ms: Option<u64>,
 }
 
 impl VersionHistory {
@@ -72,15 +74,15 @@
         }
         self.last_known_ms
             .retain(|_, last_ms| *last_ms + Self::RETENTION_MS >= now_ms);
-        self.complete_since_ms = match is_in_contact {
-            true => Some(self.complete_since_ms.unwrap_or(now_ms as i64)),
-            false => None,
-        };
+        self.known_since_ms.get_or_insert(now_ms as i64);
+        if !is_in_contact {
+            self.missed_ms = Some(now_ms);
+        }
     }
 
-    /// Records that changes may have been missed until now.
+    /// Forgets since when versions are known, as this box was suspended.
     pub const fn record_gap(&mut self) {
-        self.complete_since_ms = None;
+        self.known_since_ms = None;
     }
 
     /// Records that services had no versions within the retention beyond these and the observed
@@ -89,7 +91,8 @@
         for version in known {
             self.last_known_ms.insert(version, now_ms);
         }
-        self.complete_since_ms = Some(now_ms as i64 - Self::RETENTION_MS as i64);
+        self.known_since_ms = Some(now_ms as i64 - Self::RETENTION_MS as i64);
+        self.missed_ms = None;
     }
 
     /// Returns all versions within the retention.
@@ -118,15 +121,22 @@
             .is_some()
     }
 
-    /// Returns the version of a service if it had no other one within the last `within_ms`
-    /// milliseconds; `None` if it had several, or this box may have missed one.
+    /// Returns whether this box was in contact for the last `within_ms` milliseconds, so that it has
+    /// missed no version.
+    pub fn is_gapless(&self, within_ms: u64, now_ms: u64) -> bool {
+        let is_past = |missed_ms| missed_ms + within_ms < now_ms;
+        self.missed_ms.is_none_or(is_past)
+    }
+
+    /// Returns the version of a service if this box knew no other one within the last `within_ms`
+    /// milliseconds; `None` if it knew several, or has not observed them for so long.
     pub fn only_version(
         &self,
         service: u64,
         within_ms: u64,
         now_ms: u64,
     ) -> Option<SoftwareVersion> {
-        let since_ms = self.complete_since_ms?;
+        let since_ms = self.known_since_ms?;
         let is_complete = since_ms + within_ms as i64 <= now_ms as i64;
         let mut versions = self.versions(service, within_ms, now_ms);
         let only = versions.next().filter(|_| is_complete)?;
--- a/dockgate-core/src/gateway/version_history/tests.rs
+++ b/dockgate-core/src/gateway/version_history/tests.rs
@@ -36,16 +36,27 @@
 /// off.
 #[test]
 fn box_without_contact_may_have_missed_a_version() {
+    let mut history = observed(&[V1], 60_000);
+    let present = || [of(MODEL, V1)].into_iter();
+    assert!(history.is_gapless(WITHIN_MS, 60_000));
+    history.observe(present(), false, 60_300);
+    history.observe(present(), true, 60_600);
+    assert!(!history.is_gapless(WITHIN_MS, 90_300));
+    assert!(history.is_gapless(WITHIN_MS, 90_301));
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_600), Some(V1));
+    history.complete(present(), 60_900);
+    assert!(history.is_gapless(WITHIN_MS, 60_900));
+}
+
+/// Guards against a box that knows nothing of the time in which it was suspended.
+#[test]
+fn suspended_box_observes_the_versions_anew() {
     let mut history = observed(&[V1], 60_000);
     assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_000), Some(V1));
-    history.observe([of(MODEL, V1)].into_iter(), false, 60_300);
-    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_300), None);
-    history.observe([of(MODEL, V1)].into_iter(), true, 60_600);
-    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_600), None);
-    history.complete([of(MODEL, V1)].into_iter(), 60_900);
-    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_900), Some(V1));
     history.record_gap();
-    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_900), None);
+    history.observe([of(MODEL, V1)].into_iter(), true, 60_300);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_300), None);
+    assert_eq!(history.only_version(MODEL, WITHIN_MS, 90_300), Some(V1));
 }
 
 #[test]
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -80,11 +80,7 @@
         let now = now_ms();
         let (known, only) = self.state.with(|view| {
             let known = stream.and_then(|key| view.streams.version(key, now));
-            // A caller that names no request is not of a service with several versions; one that
-            // does may come from a box that knows of a version which this one has not heard of.
-            let is_current = stream.is_none() || view.fleet.is_in_contact(now);
-            let only = view.versions.only_version(service, within_ms.into(), now);
-            (known, only.filter(|_| is_current))
+            (known, view.only_version(stream, service, within_ms, now))
         });
         let own = known.map(|version| (version, OriginSource::Own));
         let own = own.or_else(|| only.map(|version| (version, OriginSource::OnlyVersion)));
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -455,10 +455,9 @@
         });
     }
     let homes = state.with(|view| ordered_homes(view, &query, HOMES));
-    let warm_home = || {
-        let is_cold = |id| state.with(|view| view.warmups.is_cold(id, now_ms()));
-        homes.iter().find(|home| !is_cold(home.target.id))
-    };
+    let is_cold =
+        |home: &HomeEngine| state.with(|view| view.warmups.is_cold(home.target.id, now_ms()));
+    let warm_home = || homes.iter().find(|home| !is_cold(home));
     if let Some(home) = query.goal.is_resume().then(warm_home).flatten() {
         return Ok(place_unconditionally(state, home, request));
     }
@@ -472,9 +471,15 @@
             }
             Some(decision) => {
                 full_homes.extend(full_home(home, &decision));
-                let first_ms = decision.verdict.first_event_ms();
-                let sooner = first_ms.filter(|ms| soonest.is_none_or(|(_, known)| *ms < known));
-                soonest = sooner.map(|ms| (home, ms)).or(soonest);
+                match decision.verdict {
+                    // An engine that warms up gets no request without a grant.
+                    AdmissionVerdict::Declined(ms)
+                        if soonest.is_none_or(|(_, known)| ms < known) && !is_cold(home) =>
+                    {
+                        soonest = Some((home, ms));
+                    }
+                    _ => {}
+                }
                 refusal.record(home, decision);
             }
             None => {}
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -26,6 +26,26 @@
         self.versions
             .observe(self.endpoints.versions(), is_in_contact, now_ms);
     }
+
+    /// Returns the version at which a stream of a service began, if the service had no other one
+    /// within that time.
+    ///
+    /// A caller that names its stream may come from a box that knows of a version of which this one
+    /// has not heard, so this box must not have been out of contact. Callers of services with
+    /// several versions always name it.
+    pub(super) fn only_version(
+        &self,
+        stream: Option<StreamKey>,
+        service: u64,
+        within_ms: u32,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let within_ms = u64::from(within_ms);
+        let is_current =
+            || self.versions.is_gapless(within_ms, now_ms) && self.fleet.is_in_contact(now_ms);
+        let only = self.versions.only_version(service, within_ms, now_ms);
+        only.filter(|_| stream.is_none() || is_current())
+    }
 }
 
 /// Records the version of a stream whose first event is forwarded, and reports it to other boxes
@@ -88,14 +108,12 @@
     let now = now_ms();
     state.with(|view| {
         let known = stream.and_then(|key| view.streams.version(key, now));
-        let is_in_contact = view.fleet.is_in_contact(now);
-        let only = || {
-            let only = view.versions.only_version(service, within_ms.into(), now);
-            only.filter(|_| is_in_contact)
-        };
         match known {
             Some(version) => StreamOrigin::Known(version),
-            None => only().map_or(StreamOrigin::Unknown, StreamOrigin::OnlyVersion),
+            None => {
+                let only = view.only_version(stream, service, within_ms, now);
+                only.map_or(StreamOrigin::Unknown, StreamOrigin::OnlyVersion)
+            }
         }
     })
 }
@@ -129,10 +147,11 @@
         }
     }
 
-    /// Waits for answers until one tells the version, all boxes have answered, or the time is over.
+    /// Waits for answers until one tells the version, all live boxes have answered, or the time is
+    /// over.
     async fn next_origin(&mut self, unanswered: &mut BTreeSet<BoxKey>) -> StreamOrigin {
         let until = ClockInstant::now() + ANSWER_TIMEOUT;
-        while !unanswered.is_empty() {
+        while has_live(self.state, unanswered) {
             let Ok(Some((peer, origin))) = timeout_at(until, self.answers.recv()).await else {
                 break;
             };
@@ -145,6 +164,11 @@
     }
 }
 
+fn has_live(state: &GatewayState, boxes: &BTreeSet<BoxKey>) -> bool {
+    let now = now_ms();
+    state.with(|view| boxes.iter().any(|key| view.fleet.is_live(*key, now)))
+}
+
 impl Drop for PendingQuery<'_> {
     fn drop(&mut self) {
         self.state
@@ -181,6 +205,7 @@
             StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => {
                 return Some(version);
             }
+            StreamOrigin::Unknown if !has_live(state, &unanswered) => break,
             StreamOrigin::Unknown => {}
         }
     }
