--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -308,3 +308,39 @@
         "{slow} {equal} {fast}"
     );
 }
+
+/// Guards against a stream that is refused although its caller would bear the pause, and one that
+/// goes on at another software version.
+#[parameterized(
+    within_the_patience = { "v1", 60_000, true },
+    beyond_the_patience = { "v1", 0, false },
+    version_not_served = { "v2", 60_000, false },
+)]
+#[test_macro(tokio::test)]
+async fn stream_that_is_taken_up_is_placed_at_a_full_home(
+    version: &str,
+    patience_ms: u32,
+    is_placed: bool,
+) {
+    let state = state_with_engines(1).await;
+    let (_placed, refused) = place_burst(&state, 30, ShareLevel::WITHIN).await;
+    assert!(refused > 0);
+    let service = model_service();
+    let prompt = PromptShape {
+        input: 4_000,
+        ..PromptShape::default()
+    };
+    let query = EngineQuery {
+        service: &service,
+        prompt: &prompt,
+        own_subject: 99,
+        tried: &[],
+        goal: PlacementGoal::TakeUp(SoftwareVersion::from_name(version)),
+        patience_ms,
+        level: ShareLevel::WITHIN,
+        wait: None,
+    };
+    let request = AdmissionRequest::new(1, &prompt, LIMITS);
+    let found = find_engine(&state, query, &request).await;
+    assert_eq!(found.is_ok(), is_placed);
+}
