--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -487,27 +487,21 @@
     /// domain and one of another domain, so that the report outlives a box as well as a domain. If
     /// there is none in one of the two groups, both are of the other one.
     pub fn stream_keepers(&self, key: StreamKey, now_ms: u64) -> Vec<BoxKey> {
-        const KEEPERS: usize = 2;
         let (own_key, seed) = (self.own_key(), key.placement_key());
-        let candidates = self.ranks.keys().flat_map(|domain| {
-            let coordinators = self.coordinators_of(*domain, now_ms);
-            coordinators.map(|candidate| (*domain == self.own_domain, candidate))
-        });
-        let candidates = candidates.filter(|(_, candidate)| *candidate != own_key);
-        let mut candidates: Vec<(bool, BoxKey)> = candidates.collect();
-        candidates.sort_by_key(|(_, candidate)| Reverse(box_score(seed, *candidate)));
-        let best_of = |is_local: bool| candidates.iter().position(|(local, _)| *local == is_local);
-        let firsts = [best_of(true), best_of(false)];
-        let firsts = firsts.into_iter().flatten();
-        let mut order: Vec<usize> = firsts.collect();
-        let others = (0..candidates.len()).filter(|index| !order.contains(index));
-        let others: Vec<usize> = others.collect();
-        order.extend(others);
-        order
-            .into_iter()
-            .take(KEEPERS)
-            .map(|index| candidates[index].1)
-            .collect()
+        let ranked = |is_local: bool| {
+            let domains = self.ranks.keys();
+            let domains = domains.filter(|domain| (**domain == self.own_domain) == is_local);
+            let candidates = domains.flat_map(|domain| self.coordinators_of(*domain, now_ms));
+            let mut candidates: Vec<BoxKey> = candidates
+                .filter(|candidate| *candidate != own_key)
+                .collect();
+            candidates.sort_by_key(|candidate| Reverse(box_score(seed, *candidate)));
+            candidates
+        };
+        match (&*ranked(true), &*ranked(false)) {
+            ([local, ..], [remote, ..]) => vec![*local, *remote],
+            (candidates, []) | ([], candidates) => candidates.iter().copied().take(2).collect(),
+        }
     }
 
     /// Lists the boxes that may know the version of a stream which began at another box: those of
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -192,3 +192,39 @@
     assert_eq!(view.store_peers(11_500).reaching, 1);
     assert_eq!(view.store_peers(11_501).reaching, 0);
 }
+
+/// Guards against reports of streams that are lost with one box or one domain.
+#[test]
+fn streams_are_reported_to_a_box_of_the_own_domain_and_one_of_another() {
+    let key = |number: u64| StreamKey::new("captions", "model", &number.to_string());
+    let [a2, b1, c1] = ["a2", "b1", "c1"].map(BoxKey::from_name);
+    let mut view = view();
+    assert!((0..50).all(|number| view.stream_keepers(key(number), 1_000) == [a2, b1]));
+    view.receive_heartbeat(heartbeat("c1", "c"), Incarnation(1), 1_000);
+    let remote = (0..50).map(|number| view.stream_keepers(key(number), 1_000)[1]);
+    let remote: BTreeSet<BoxKey> = remote.collect();
+    assert_eq!(remote, BTreeSet::from([b1, c1]), "they are spread");
+    assert_eq!(view.stream_witnesses().len(), 3);
+    let mut alone = FleetView::new(heartbeat("a1", "a"));
+    alone.receive_heartbeat(heartbeat("b1", "b"), Incarnation(1), 1_000);
+    alone.receive_heartbeat(heartbeat("c1", "c"), Incarnation(1), 1_000);
+    let mut keepers = alone.stream_keepers(key(1), 1_000);
+    keepers.sort_unstable();
+    let mut remote = vec![b1, c1];
+    remote.sort_unstable();
+    assert_eq!(keepers, remote, "without another box of the own domain");
+}
+
+/// Guards against a box that is cut off and takes what it knows for current.
+#[test]
+fn box_is_in_contact_through_the_store_or_through_all_domains() {
+    let mut view = view();
+    assert!(view.is_in_contact(1_000), "all domains are heard");
+    assert!(!view.is_in_contact(3_500));
+    view.set_store_proof(Some(3_000));
+    assert!(view.is_in_contact(3_500), "the store answered");
+    assert!(!view.is_in_contact(5_100));
+    view.receive_heartbeat(heartbeat("a2", "a").sequence(2), Incarnation(1), 5_000);
+    assert!(!view.is_in_contact(5_100), "domain b is silent");
+    assert!(!FleetView::new(heartbeat("a1", "a")).is_in_contact(1_000));
+}
