feat: requests that are aborted at the end of a process are logged

A stopping box logged how many requests it aborted and nothing about them, so that a prediction that was wrong could not be told apart from an engine that fell silent, or from a request that waited. Each now has a line with how long after the stop signal it arrived, the duration predicted when it was admitted, and how long it was there. The log is flushed after the runtime has dropped its tasks.

--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -97,7 +97,11 @@
         runtime,
         reload_signals,
     } = runtime;
-    runtime.block_on(serve(settings, path, reload_signals))
+    let served = runtime.block_on(serve(settings, path, reload_signals));
+    // Aborts the requests in progress, which log how far they came.
+    drop(runtime);
+    flush_lines(LOG_FLUSH_TIMEOUT);
+    served
 }
 
 async fn serve(
@@ -198,5 +202,4 @@
         in_time: ended.is_ok(),
         cut,
     });
-    flush_lines(LOG_FLUSH_TIMEOUT);
 }
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -103,6 +103,8 @@
     service: ServiceKey,
     workspace: Option<WorkspaceRef>,
     arrived: ClockInstant,
+    /// Time from the stop of the box to the arrival, in milliseconds; `None` if it arrived before.
+    after_stop_ms: Option<u64>,
     deadline: ClockInstant,
 }
 
@@ -218,11 +220,25 @@
 }
 
 impl Drop for AdmittedCall {
-    /// Logs a request that ends without an answer or a refusal, since its caller has left.
+    /// Logs a request that ends without an answer or a refusal, since its caller has left or the
+    /// process ends.
     fn drop(&mut self) {
         if self.progress.has_ended() {
             return;
         }
+        if self.state.is_past_end() {
+            log_gateway(&GatewayEvent::Cut {
+                request: &self.head.id,
+                route: &self.route().name,
+                workspace: self.workspace_name(),
+                stage: self.progress.stage().as_str(),
+                sends: self.progress.sends(),
+                after_stop_ms: self.after_stop_ms,
+                predicted_ms: max_duration(self.route(), &self.head).as_millis() as u64,
+                waited_ms: self.age().as_millis() as u64,
+            });
+            return;
+        }
         GATEWAY_METRICS.record_outcome(&self.service().name, "caller_left");
         log_gateway(&GatewayEvent::CallerLeft {
             request: &self.head.id,
@@ -247,6 +263,7 @@
     caller: DisconnectMonitor,
 ) -> Result<AdmittedCall, RejectedRequest> {
     let arrived = ClockInstant::now();
+    let after_stop_ms = state.stopping_for_ms();
     wait_until_fresh(&state, arrived + MAX_RESUME_WAIT).await;
     let (parts, body) = request.into_parts();
     let table = state.table();
@@ -316,6 +333,7 @@
         state,
         deadline: arrived + budget,
         arrived,
+        after_stop_ms,
         headers: copy_headers(&parts.headers),
         method: parts.method,
         uri,
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -40,6 +40,19 @@
     Stopping { open: usize },
     /// The process ends; `cut` requests are aborted.
     Stopped { in_time: bool, cut: usize },
+    /// A request is aborted because the process ends.
+    Cut {
+        request: &'a str,
+        route: &'a str,
+        workspace: &'a str,
+        stage: &'a str,
+        sends: u32,
+        /// Time from the stop signal to the arrival of the request; `None` if it arrived before.
+        after_stop_ms: Option<u64>,
+        /// The duration that was predicted when the request was admitted.
+        predicted_ms: u64,
+        waited_ms: u64,
+    },
     /// The settings were reloaded, on a signal or because the file changed.
     Reloaded {
         signal: bool,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -122,6 +122,16 @@
             again_ms: 50,
         },
         GatewayEvent::Stopping { open: 3 },
+        GatewayEvent::Cut {
+            request: "r",
+            route: "x",
+            workspace: "w",
+            stage: "sent",
+            sends: 1,
+            after_stop_ms: Some(4_300),
+            predicted_ms: 2_000,
+            waited_ms: 3_200,
+        },
         GatewayEvent::Stopped {
             in_time: true,
             cut: 4,
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -152,6 +152,8 @@
     /// Whether a task is exchanging the versions of services with the store.
     pub(super) is_writing_versions: AtomicBool,
     stop: StopFlag,
+    /// When the stop began; valid once the process is stopping.
+    stop_ms: AtomicU64,
     /// When the process ends; valid once it is stopping.
     end_ms: AtomicU64,
     /// The datagram socket to the other boxes.
@@ -225,6 +227,7 @@
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
             stop: StopFlag::default(),
+            stop_ms: AtomicU64::new(0),
             end_ms: AtomicU64::new(0),
             datagrams,
             pools: Arc::default(),
@@ -495,8 +498,10 @@
 
     /// Begins the graceful stop; the process ends `within` this time.
     pub(super) fn begin_stop(&self, within: Duration) {
-        let end_ms = now_ms() + within.as_millis() as u64;
-        self.end_ms.store(end_ms, Ordering::Release);
+        let now = now_ms();
+        self.stop_ms.store(now, Ordering::Release);
+        self.end_ms
+            .store(now + within.as_millis() as u64, Ordering::Release);
         self.stop.set();
         self.with(|view| view.fleet.set_leaving());
     }
@@ -506,6 +511,18 @@
         self.stop.is_set()
     }
 
+    /// Returns the time since the stop began, in milliseconds; `None` if the process is not stopping.
+    pub(super) fn stopping_for_ms(&self) -> Option<u64> {
+        let began_ms = self.stop_ms.load(Ordering::Acquire);
+        self.is_stopping()
+            .then(|| now_ms().saturating_sub(began_ms))
+    }
+
+    /// Returns whether the process ends, and aborts the requests in progress.
+    pub(super) fn is_past_end(&self) -> bool {
+        self.is_stopping() && now_ms() >= self.end_ms.load(Ordering::Acquire)
+    }
+
     /// Returns whether work of this duration can complete before the process ends.
     pub(super) fn can_finish(&self, duration: Duration) -> bool {
         let ends_ms = now_ms() + duration.as_millis() as u64;
