--- /dev/null
+++ b/dockgate-bench/tests/box_stop.rs
@@ -0,0 +1,116 @@
+//! Requests that callers send to a box after its SIGTERM.
+
+use bytes::Bytes;
+use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet};
+use dockgate_bench::standin::caller::{connect_within, request};
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::SendRequest;
+use nix::sys::signal::Signal;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// From this time after the signal on, callers have had time to notice that the box stops.
+const NOTICE_TIME: Duration = Duration::from_millis(1_500);
+
+/// What a caller got for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum CallResult {
+    /// The status of an answer that was complete.
+    Answered(StatusCode),
+    /// The connection ended in front of a complete answer.
+    Cut,
+}
+
+/// A request that a caller sent.
+#[derive(Debug, Clone)]
+struct SentCall {
+    id: String,
+    sent: Instant,
+    result: CallResult,
+}
+
+/// Sends requests one after the other until the box accepts no connection, and keeps the
+/// connection as long as the box does.
+async fn call_until_stopped(
+    address: SocketAddr,
+    name: String,
+    request: impl Fn(&str) -> Request<Full<Bytes>>,
+) -> Vec<SentCall> {
+    let mut calls = Vec::new();
+    let mut kept: Option<SendRequest<Full<Bytes>>> = None;
+    loop {
+        let sender = match kept.take().filter(|sender| !sender.is_closed()) {
+            Some(sender) => Some(sender),
+            None => connect_within(address, CONNECT_TIMEOUT).await,
+        };
+        let Some(mut sender) = sender else {
+            return calls;
+        };
+        let id = format!("{name}{:03}", calls.len());
+        let sent = Instant::now();
+        let result = match sender.send_request(request(&id)).await {
+            Ok(response) => {
+                let status = response.status();
+                let closes = response.headers().contains_key(header::CONNECTION);
+                let body = response.into_body().collect().await;
+                if !closes && body.is_ok() {
+                    kept = Some(sender);
+                }
+                body.map_or(CallResult::Cut, |_| CallResult::Answered(status))
+            }
+            Err(_) => CallResult::Cut,
+        };
+        if result != CallResult::Answered(StatusCode::OK) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        calls.push(SentCall { id, sent, result });
+    }
+}
+
+/// Sends requests to the first gateway while it stops; returns those sent after `NOTICE_TIME`.
+async fn calls_to_stopping_box(
+    fleet: &GatewayFleet,
+    callers: usize,
+    request: impl Fn(&str) -> Request<Full<Bytes>> + Clone + Send + 'static,
+) -> Vec<SentCall> {
+    let gateway = &fleet.gateways[0];
+    let mut tasks = JoinSet::new();
+    for caller in 0..callers {
+        let (address, request) = (gateway.caller_address(), request.clone());
+        let name = format!("r{caller}");
+        tasks.spawn(call_until_stopped(address, name, request));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let stopped = Instant::now();
+    gateway.signal(Signal::SIGTERM);
+    let calls = tasks.join_all().await.into_iter().flatten();
+    calls
+        .filter(|call| call.sent > stopped + NOTICE_TIME)
+        .collect()
+}
+
+/// Guards against admitting a prompt by its predicted duration, and aborting it when the process
+/// ends because its engine is slower.
+#[tokio::test]
+async fn prompts_sent_late_after_sigterm_are_not_cut() {
+    const EVENTS: u64 = 12;
+    let fleet = start_fleet(1, &["model", "model", "model", "model"]).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(Duration::from_millis(220));
+    }
+    let prompt = |id: &str| request("/live/x", id, Some(EVENTS));
+    let calls = calls_to_stopping_box(&fleet, 8, prompt).await;
+    let cut: Vec<&SentCall> = calls
+        .iter()
+        .filter(|call| call.result == CallResult::Cut && fleet.runs_of(&call.id) > 0)
+        .collect();
+    assert!(
+        cut.is_empty(),
+        "{} of {} were cut: {cut:?}",
+        cut.len(),
+        calls.len()
+    );
+}
