fix: a stopping box accepts requests by their deadline, not by a prediction

Callers that kept their connection saw it closed in the middle of a 200: a prompt sent 4.4 s after SIGTERM was accepted and cut when the process ended 3.2 s later.

Cause: the box accepted a prompt if its objective plus 25 ms for each token fitted into the rest of the grace period. That is a prediction for a quiet engine. Waiting, a slower batch and a second send are not in it, and nothing else ended the request before the process did.

StopWindow accepts a request whose deadline precedes the last 200 ms of the process. Placing, sending, a second send and a resumption all end at the deadline of the request, so these requests are answered. In the first 2 s after the signal, at most a quarter of the grace period, callers and the balancer cannot have noticed the stop. Only then, a predicted duration with a margin of a quarter suffices. It is the upper quantile of what streams of the service took here in the last 4 to 8 s (GenerationTimes: counts in buckets, no allocation per request), and the former estimate until 20 streams were measured. Requests that are no streams have no prediction.

The check follows the body now: a refusal that leaves a body unread may be lost when the connection closes, and the body may arrive after the signal.

It now also checks that each late answer announces that the connection closes. A second test guards against refusing what ends in time.

--- a/dockgate-bench/tests/box_stop.rs
+++ b/dockgate-bench/tests/box_stop.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet};
 use dockgate_bench::standin::caller::{connect_within, request};
-use http::{Request, StatusCode, header};
+use dockgate_bench::standin::{ReceivedRequest, RoutedStandIn};
+use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::SendRequest;
 use nix::sys::signal::Signal;
@@ -18,8 +19,8 @@
 /// What a caller got for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum CallResult {
-    /// The status of an answer that was complete.
-    Answered(StatusCode),
+    /// The status of an answer that was complete, and whether it announced that the connection closes.
+    Answered(StatusCode, bool),
     /// The connection ended in front of a complete answer.
     Cut,
 }
@@ -59,11 +60,11 @@
                 if !closes && body.is_ok() {
                     kept = Some(sender);
                 }
-                body.map_or(CallResult::Cut, |_| CallResult::Answered(status))
+                body.map_or(CallResult::Cut, |_| CallResult::Answered(status, closes))
             }
             Err(_) => CallResult::Cut,
         };
-        if result != CallResult::Answered(StatusCode::OK) {
+        if !matches!(result, CallResult::Answered(StatusCode::OK, _)) {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
         calls.push(SentCall { id, sent, result });
@@ -113,4 +114,41 @@
         cut.len(),
         calls.len()
     );
+    let kept_open = calls
+        .iter()
+        .filter(|call| matches!(call.result, CallResult::Answered(_, false)));
+    assert_eq!(kept_open.count(), 0, "a stopping box closes connections");
+}
+
+/// Guards against refusing what ends before the process does.
+#[tokio::test]
+async fn requests_that_end_in_time_are_served_by_a_stopping_box() {
+    let fleet = start_fleet(1, &["plain", "model", "model"]).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(Duration::from_millis(20));
+    }
+    let brief = |id: &str| {
+        let (path, events) = match id.ends_with(['0', '2', '4', '6', '8']) {
+            true => ("/once/x", None),
+            false => ("/draft/x", Some(3)),
+        };
+        let mut request = request(path, id, events);
+        let deadline = HeaderValue::from_static("700");
+        request.headers_mut().insert("x-deadline-ms", deadline);
+        request
+    };
+    let calls = calls_to_stopping_box(&fleet, 4, brief).await;
+    let runs = fleet.endpoints.iter().flat_map(RoutedStandIn::ran);
+    let runs: Vec<ReceivedRequest> = runs.collect();
+    let served = |path: &str| {
+        let served = calls.iter().filter(|call| {
+            matches!(call.result, CallResult::Answered(StatusCode::OK, true))
+                && runs
+                    .iter()
+                    .any(|run| run.id == call.id && run.target.ends_with(path))
+        });
+        served.count()
+    };
+    assert!(served("/once/x") > 0, "{calls:?}");
+    assert!(served("/draft/x") > 0, "{calls:?}");
 }
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -17,9 +17,9 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RequestFingerprint,
-    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef,
-    name_hash,
+    AdmissionRequest, AnswerForm, EndpointId, GatewayLimits, LatencyLimits, PromptShape,
+    RequestFingerprint, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome,
+    WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -234,7 +234,8 @@
                 stage: self.progress.stage().as_str(),
                 sends: self.progress.sends(),
                 after_stop_ms: self.after_stop_ms,
-                predicted_ms: max_duration(self.route(), &self.head).as_millis() as u64,
+                predicted_ms: predict_ms(&self.state, self.route(), self.service(), &self.head)
+                    .unwrap_or_default(),
                 waited_ms: self.age().as_millis() as u64,
             });
             return;
@@ -280,8 +281,8 @@
     };
     let head = decode_call(&parts.headers)
         .map_err(|problem| rejected("", RefusalReason::BadHead(problem).into()))?;
-    let found = find_route(&state, &table, &head, &parts.uri)
-        .map_err(|refusal| rejected(&head.id, refusal))?;
+    let found =
+        find_route(&table, &head, &parts.uri).map_err(|refusal| rejected(&head.id, refusal))?;
     let FoundRoute {
         route,
         service,
@@ -301,7 +302,7 @@
         })?;
     // These checks follow the body: an answer that leaves a body unread may be lost when the
     // connection is closed.
-    let route_spec = table.route(route);
+    let (route_spec, service_spec) = (table.route(route), table.service(service));
     let objective_ms = route_spec.objective.as_millis() as u64;
     let rejected_on_route = |refusal: CallRefusal| RejectedRequest {
         route: route_spec.name.clone(),
@@ -313,25 +314,30 @@
     check_quarantine(&state, fingerprint)
         .await
         .map_err(rejected_on_route)?;
+    let timeout = route_spec.timeout;
+    let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
+    let predicted_ms = || predict_ms(&state, route_spec, service_spec, &head);
+    if !state.can_finish(deadline, predicted_ms) {
+        let refusal = CallRefusal::with_retry(RefusalReason::Stopping, RETRY_ELSEWHERE);
+        return Err(rejected_on_route(refusal));
+    }
     if state.with(|view| view.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::with_retry(RefusalReason::Overloaded, RETRY_SOON);
         return Err(rejected_on_route(refusal));
     }
-    let engine = table.service(service).engine;
+    let engine = service_spec.engine;
     let prompt = head.prompt.as_ref().filter(|_| engine.is_some());
     let units = prompt.map_or(0, PromptShape::units);
     state.with(|view| view.tally.record_request(name_hash(name), name, units));
     shed_request(&state, name_hash(name), units).map_err(rejected_on_route)?;
-    let timeout = route_spec.timeout;
-    let budget = head.budget.unwrap_or(timeout).min(timeout);
     state.with(|view| {
-        let service = &table.service(service).name;
+        let service = &service_spec.name;
         view.retries.record_request(service, now_ms());
         view.shares.record_request(name_hash(name), units, now_ms());
     });
     Ok(AdmittedCall {
         state,
-        deadline: arrived + budget,
+        deadline,
         arrived,
         after_stop_ms,
         headers: copy_headers(&parts.headers),
@@ -396,12 +402,7 @@
     workspace.map_or("", |workspace| &table.workspace(workspace).name)
 }
 
-fn find_route(
-    state: &GatewayState,
-    table: &RouteTable,
-    head: &CallHead,
-    uri: &Uri,
-) -> Result<FoundRoute, CallRefusal> {
+fn find_route(table: &RouteTable, head: &CallHead, uri: &Uri) -> Result<FoundRoute, CallRefusal> {
     let soon = |reason| CallRefusal::with_retry(reason, RETRY_SOON);
     if table.config().version == 0 {
         return Err(soon(RefusalReason::NoConfiguration));
@@ -419,12 +420,6 @@
         .service_for(&head.id)
         .and_then(|name| table.find_service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
-    if !state.can_finish(max_duration(route, head)) {
-        return Err(CallRefusal::with_retry(
-            RefusalReason::Stopping,
-            RETRY_ELSEWHERE,
-        ));
-    }
     Ok(FoundRoute {
         route: key,
         service,
@@ -432,17 +427,26 @@
     })
 }
 
-/// Returns how long a request is expected to take at most, for a box that is about to stop.
+/// Predicts the duration of a stream in milliseconds; `None` for other requests.
 ///
-/// A request without a prompt may use its whole budget, since an endpoint may answer that late. The
-/// budget of a prompt exceeds any stop grace, so its objective and generation time count instead.
-fn max_duration(route: &RouteSpec, head: &CallHead) -> Duration {
-    let budget = head.budget.unwrap_or(route.timeout).min(route.timeout);
-    let Some(prompt) = &head.prompt else {
-        return budget;
+/// It is assumed to reach its objective at a typical rate until streams were measured.
+fn predict_ms(
+    state: &GatewayState,
+    route: &RouteSpec,
+    service: &ServiceSpec,
+    head: &CallHead,
+) -> Option<u64> {
+    let prompt = head.prompt.as_ref()?;
+    let AnswerForm::Stream { .. } = route.form else {
+        return None;
     };
-    let generation = Duration::from_millis(PromptShape::max_output_ms(prompt));
-    (route.objective + generation).min(budget)
+    let max_events = u64::from(prompt.max_output);
+    let measured = state.with(|view| {
+        let times = &view.generation_times;
+        times.predict_ms(&service.name, max_events, now_ms())
+    });
+    let assumed = || route.objective.as_millis() as u64 + prompt.max_output_ms();
+    Some(measured.unwrap_or_else(assumed))
 }
 
 /// Copies headers into one buffer of their size; as received, they keep the whole read buffer of
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -397,6 +397,25 @@
         Ok(response)
     }
 
+    /// Records the time to the first event of a stream, or to the end of the wait for it.
+    pub(in super::super) fn record_first_event(&self, first: Duration) {
+        let (service, first_ms) = (&self.service().name, first.as_millis() as u64);
+        self.state.with(|view| {
+            let times = &mut view.generation_times;
+            times.record_first(service, first_ms, now_ms());
+        });
+    }
+
+    /// Records that `events` events followed the first one of a stream, which ends now.
+    pub(in super::super) fn record_events(&self, first: Duration, events: u64) {
+        let took_ms = self.age().saturating_sub(first).as_millis() as u64;
+        let service = &self.service().name;
+        self.state.with(|view| {
+            let times = &mut view.generation_times;
+            times.record_events(service, took_ms, events, now_ms());
+        });
+    }
+
     /// Records that the request was answered.
     pub(in super::super) fn log_answered(
         &self,
@@ -464,6 +483,7 @@
             )),
             Err(problem) => {
                 stream.record_failed();
+                self.record_first_event(self.age());
                 Err(AttemptFailure::broken_off(
                     problem,
                     self.time_left().is_zero(),
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -114,6 +114,7 @@
                 self.call.progress.record_answer();
                 self.call.record_stream(self.version);
                 self.first_event_age = self.call.age();
+                self.call.record_first_event(self.first_event_age);
                 self.call.release_unneeded_body(&self.attempts);
                 Ok(())
             }
@@ -172,6 +173,8 @@
 
     fn finish(mut self) -> Option<(Result<Bytes, BrokenAnswer>, Self)> {
         let source = self.source.take()?;
+        self.call
+            .record_events(self.first_event_age, self.events.saturating_sub(1));
         self.call.log_answered(
             &source.target.name,
             self.status,
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -10,17 +10,16 @@
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
-use crate::clock::now_ms;
+use crate::clock::{ClockInstant, now_ms};
 use crate::metrics::METRICS;
-use crate::stop::StopFlag;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
-    InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget, PlainLoads,
-    PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey, ServiceVersion,
-    ShareTally, ShareTracker, StoreFollower, StoreProbe, StoreRevision, StreamRegistry,
-    SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
+    GenerationTimes, InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget,
+    PlainLoads, PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey,
+    ServiceVersion, ShareTally, ShareTracker, StopWindow, StoreFollower, StoreProbe, StoreRevision,
+    StreamRegistry, SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -29,7 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
@@ -121,6 +120,8 @@
     pub(super) stream_queries: HashMap<u32, mpsc::UnboundedSender<(BoxKey, StreamOrigin)>>,
     /// The prefill rates of engines and their weights in the placement of prompts.
     pub(super) engine_weights: EngineWeights,
+    /// How long the streams of the services take.
+    pub(super) generation_times: GenerationTimes,
 }
 
 /// A configuration, encoded for other boxes.
@@ -151,11 +152,8 @@
     pub(super) is_writing_quarantine: AtomicBool,
     /// Whether a task is exchanging the versions of services with the store.
     pub(super) is_writing_versions: AtomicBool,
-    stop: StopFlag,
-    /// When the stop began; valid once the process is stopping.
-    stop_ms: AtomicU64,
-    /// When the process ends; valid once it is stopping.
-    end_ms: AtomicU64,
+    /// The time from the signal to stop until the process ends, once it is stopping.
+    stop: OnceLock<StopWindow>,
     /// The datagram socket to the other boxes.
     pub(super) datagrams: UdpSocket,
     /// Connections to endpoints.
@@ -208,6 +206,7 @@
             streams: StreamRegistry::default(),
             stream_queries: HashMap::new(),
             engine_weights: EngineWeights::default(),
+            generation_times: GenerationTimes::default(),
         };
         let mut memory = MemoryBudget::new(settings.memory_bytes());
         memory.record_sample(resident_bytes(), now_ms());
@@ -226,9 +225,7 @@
             endpoints_changed_ms: AtomicU64::new(now_ms()),
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
-            stop: StopFlag::default(),
-            stop_ms: AtomicU64::new(0),
-            end_ms: AtomicU64::new(0),
+            stop: OnceLock::new(),
             datagrams,
             pools: Arc::default(),
             wait_began: Notify::new(),
@@ -498,35 +495,39 @@
 
     /// Begins the graceful stop; the process ends `within` this time.
     pub(super) fn begin_stop(&self, within: Duration) {
-        let now = now_ms();
-        self.stop_ms.store(now, Ordering::Release);
-        self.end_ms
-            .store(now + within.as_millis() as u64, Ordering::Release);
-        self.stop.set();
+        self.stop
+            .get_or_init(|| StopWindow::new(now_ms(), within.as_millis() as u64));
         self.with(|view| view.fleet.set_leaving());
     }
 
+    /// Returns whether a request with this deadline and predicted duration in milliseconds may be
+    /// accepted: always, unless the process is stopping.
+    pub(super) fn can_finish(
+        &self,
+        deadline: ClockInstant,
+        predicted_ms: impl FnOnce() -> Option<u64>,
+    ) -> bool {
+        let time_left_ms = deadline.remaining().as_millis() as u64;
+        self.stop
+            .get()
+            .is_none_or(|window| window.admits(now_ms(), time_left_ms, predicted_ms()))
+    }
+
     /// Returns whether the daemon is stopping.
     pub(super) fn is_stopping(&self) -> bool {
-        self.stop.is_set()
+        self.stop.get().is_some()
     }
 
     /// Returns the time since the stop began, in milliseconds; `None` if the process is not stopping.
     pub(super) fn stopping_for_ms(&self) -> Option<u64> {
-        let began_ms = self.stop_ms.load(Ordering::Acquire);
-        self.is_stopping()
-            .then(|| now_ms().saturating_sub(began_ms))
+        self.stop.get().map(|window| window.elapsed_ms(now_ms()))
     }
 
     /// Returns whether the process ends, and aborts the requests in progress.
     pub(super) fn is_past_end(&self) -> bool {
-        self.is_stopping() && now_ms() >= self.end_ms.load(Ordering::Acquire)
-    }
-
-    /// Returns whether work of this duration can complete before the process ends.
-    pub(super) fn can_finish(&self, duration: Duration) -> bool {
-        let ends_ms = now_ms() + duration.as_millis() as u64;
-        !self.is_stopping() || ends_ms < self.end_ms.load(Ordering::Acquire)
+        self.stop
+            .get()
+            .is_some_and(|window| window.is_past_end(now_ms()))
     }
 
     /// Returns whether the event loop is overloaded, so that other boxes serve callers better.
