fix: requests without an answer are answered before a stopping process ends

Requests that were accepted before SIGTERM, or in the first moments after it, and that were not answered when the grace period was over, were aborted with the process: their callers saw the connection closed and could not know whether the request had run.

A request counts as sent from before its first byte is handed to a connection, and as not run again only if every send ended without a byte sent or with an honest refusal. A body that is half read is refused with 503. Streams that have begun can only be broken off; a second test guards that this happens after a whole event, as it did before.

--- a/dockgate-bench/tests/box_stop.rs
+++ b/dockgate-bench/tests/box_stop.rs
@@ -1,8 +1,8 @@
 //! Requests that callers send to a box after its SIGTERM.
 
 use bytes::Bytes;
-use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet};
-use dockgate_bench::standin::caller::{connect_within, request};
+use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet, wait_until};
+use dockgate_bench::standin::caller::{all_events, connect, connect_within, request};
 use dockgate_bench::standin::{ReceivedRequest, RoutedStandIn};
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
@@ -10,6 +10,8 @@
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -152,3 +154,83 @@
     assert!(served("/once/x") > 0, "{calls:?}");
     assert!(served("/draft/x") > 0, "{calls:?}");
 }
+
+/// Guards against aborting requests without an answer when the process ends.
+#[tokio::test]
+async fn unanswered_requests_are_answered_before_the_process_ends() {
+    let fleet = start_fleet(1, &["plain", "plain", "model", "model"]).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(Duration::from_secs(30));
+    }
+    let gateway = &fleet.gateways[0];
+    let mut tasks = JoinSet::new();
+    for number in 0..8 {
+        let (path, events) = match number % 2 {
+            0 => ("/once/x", None),
+            _ => ("/draft/x", Some(3)),
+        };
+        let mut sender = connect(gateway.caller_address()).await;
+        let mut request = request(path, &format!("r{number}"), events);
+        let deadline = HeaderValue::from_static("4000");
+        request.headers_mut().insert("x-deadline-ms", deadline);
+        tasks.spawn(async move {
+            let response = sender.send_request(request).await.ok()?;
+            let status = response.status();
+            let body = response.into_body().collect().await.ok()?;
+            Some((status, body.to_bytes()))
+        });
+    }
+    let mut half_sent = TcpStream::connect(gateway.caller_address()).await.unwrap();
+    let half = "POST /once/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Token k1\r\n\
+                x-request-id: half\r\nx-deadline-ms: 4000\r\ncontent-length: 10\r\n\r\nhello";
+    half_sent.write_all(half.as_bytes()).await.unwrap();
+    let running = || -> i64 { fleet.endpoints.iter().map(RoutedStandIn::running).sum() };
+    wait_until("all requests run", async || running() == 8).await;
+    gateway.signal(Signal::SIGTERM);
+    let expected = (
+        StatusCode::BAD_GATEWAY,
+        Bytes::from_static(b"unknown: stopped_unanswered\n"),
+    );
+    let answers = tasks.join_all().await;
+    let missing = answers
+        .iter()
+        .filter(|answer| answer.as_ref() != Some(&expected));
+    assert_eq!(missing.count(), 0, "{answers:?}");
+    let mut answer = String::new();
+    let read = half_sent.read_to_string(&mut answer).await;
+    assert!(read.is_ok(), "the box resets a connection: {read:?}");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.ends_with("not_run: stopping\n"), "{answer}");
+}
+
+/// Guards against breaking a stream off within an event when the process ends.
+#[tokio::test]
+async fn streams_in_progress_are_broken_off_after_whole_events() {
+    let fleet = start_fleet(1, &["model", "model"]).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(Duration::from_millis(30));
+    }
+    let gateway = &fleet.gateways[0];
+    let mut tasks = JoinSet::new();
+    for number in 0..6 {
+        let mut sender = connect(gateway.caller_address()).await;
+        let request = request("/draft/x", &format!("r{number}"), Some(1_000));
+        tasks.spawn(async move {
+            let response = sender.send_request(request).await.unwrap();
+            let mut body = response.into_body();
+            let mut received = Vec::new();
+            while let Some(Ok(frame)) = body.frame().await {
+                received.extend_from_slice(frame.data_ref().unwrap());
+            }
+            String::from_utf8(received).unwrap()
+        });
+    }
+    let running = || -> i64 { fleet.endpoints.iter().map(RoutedStandIn::running).sum() };
+    wait_until("all streams run", async || running() == 6).await;
+    gateway.signal(Signal::SIGTERM);
+    for received in tasks.join_all().await {
+        let events = received.matches("\n\n").count() as u64;
+        assert!(events > 0, "{received}");
+        assert_eq!(received, all_events(events));
+    }
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -182,8 +182,8 @@
 }
 
 /// Stops gracefully: reports not ready at once, and serves requests until none is left or the grace
-/// period is over.
-async fn drain(state: &GatewayState, listener: &CallerListener) {
+/// period is over. Requests that have no answer shortly before its end are answered by the box.
+async fn drain(state: &Arc<GatewayState>, listener: &CallerListener) {
     log_gateway(&GatewayEvent::Stopping {
         open: listener.open(),
     });
@@ -191,6 +191,8 @@
     state.begin_stop(grace);
     listener.begin_stop();
     membership::send_heartbeat(state);
+    let ending = state.clone();
+    tokio::spawn(async move { ending.answer_before_end().await });
     let ended = timeout(grace, async {
         while listener.busy() > 0 || (listener.open() > 0 && !listener.is_quiet(QUIET_PERIOD)) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -17,11 +17,15 @@
 use crate::shared_stream::DisconnectMonitor;
 use admitted_call::admit;
 pub(super) use admitted_call::{AdmittedCall, CallAttempts};
+use call_progress::CallStage;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Retry delay from a box that is about to stop: the caller should use another box at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// Why a request is refused without an endpoint's answer.
 #[derive(Debug, Clone)]
 pub(super) struct CallRefusal {
@@ -45,6 +49,11 @@
             share: None,
         }
     }
+
+    /// Creates the refusal of a box that stops, which has not sent the request.
+    const fn stopping() -> Self {
+        Self::with_retry(RefusalReason::Stopping, RETRY_ELSEWHERE)
+    }
 }
 
 impl From<RefusalReason> for CallRefusal {
@@ -67,7 +76,9 @@
     match admit(state, request, caller).await {
         Ok(call) => {
             let call = Arc::new(call);
-            match call.clone().run().await {
+            let answers = call.state.final_answers.clone();
+            let answer = answers.run_until_cancelled(call.clone().run()).await;
+            match answer.unwrap_or_else(|| Err(call.refusal_at_end())) {
                 Ok(response) => response,
                 // Nobody reads this response; the drop of the call logs that the caller left.
                 Err(refusal) if refusal.reason == RefusalReason::CallerLeft => {
@@ -100,6 +111,16 @@
     }
 }
 
+impl AdmittedCall {
+    /// Returns the refusal of a request that has no answer when the process ends.
+    fn refusal_at_end(&self) -> CallRefusal {
+        match self.progress.stage() {
+            CallStage::Placing => CallRefusal::stopping(),
+            CallStage::Sent | CallStage::Answering => RefusalReason::StoppedUnanswered.into(),
+        }
+    }
+}
+
 fn to_millis(time: Option<Duration>) -> Option<u64> {
     time.map(|time| time.as_millis() as u64)
 }
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -37,9 +37,6 @@
 /// the bound of the resume gate.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Retry delay from a box that is about to stop: the caller should use another box at once.
-pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
-
 /// The least size of a body that is released before its request has ended. For a smaller one, it is
 /// not worth computing its fingerprint.
 const MIN_RELEASED_BYTES: usize = 1 << 10;
@@ -265,7 +262,8 @@
 ) -> Result<AdmittedCall, RejectedRequest> {
     let arrived = ClockInstant::now();
     let after_stop_ms = state.stopping_for_ms();
-    wait_until_fresh(&state, arrived + MAX_RESUME_WAIT).await;
+    let fresh = wait_until_fresh(&state, arrived + MAX_RESUME_WAIT);
+    state.final_answers.run_until_cancelled(fresh).await;
     let (parts, body) = request.into_parts();
     let table = state.table();
     let config = table.config().version;
@@ -298,6 +296,7 @@
                 workspace: name.to_owned(),
                 ..rejected(&head.id, refuse_for_memory(&state))
             },
+            RefusalReason::Stopping => rejected(&head.id, CallRefusal::stopping()),
             reason => rejected(&head.id, reason.into()),
         })?;
     // These checks follow the body: an answer that leaves a body unread may be lost when the
@@ -318,8 +317,7 @@
     let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
     let predicted_ms = || predict_ms(&state, route_spec, service_spec, &head);
     if !state.can_finish(deadline, predicted_ms) {
-        let refusal = CallRefusal::with_retry(RefusalReason::Stopping, RETRY_ELSEWHERE);
-        return Err(rejected_on_route(refusal));
+        return Err(rejected_on_route(CallRefusal::stopping()));
     }
     if state.with(|view| view.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::with_retry(RefusalReason::Overloaded, RETRY_SOON);
@@ -493,15 +491,17 @@
     let read = read_counted(&mut body, limits.body_bytes, declared, |bytes| {
         memory.try_grow(bytes)
     });
-    match timeout_at(until, read).await {
-        Ok(Ok(bytes)) => Ok((bytes, memory)),
-        Ok(Err(ReadFailure::TooLarge)) => Err(RefusalReason::BodyTooLarge),
-        Ok(Err(ReadFailure::Broken(_))) => Err(RefusalReason::BodyBroken),
-        Ok(Err(ReadFailure::OutOfMemory)) => {
+    let read = timeout_at(until, read);
+    match state.final_answers.run_until_cancelled(read).await {
+        Some(Ok(Ok(bytes))) => Ok((bytes, memory)),
+        Some(Ok(Err(ReadFailure::TooLarge))) => Err(RefusalReason::BodyTooLarge),
+        Some(Ok(Err(ReadFailure::Broken(_)))) => Err(RefusalReason::BodyBroken),
+        Some(Ok(Err(ReadFailure::OutOfMemory))) => {
             tokio::spawn(discard_body(body, until));
             Err(RefusalReason::OutOfMemory)
         }
-        Err(_) => Err(RefusalReason::BodyTooSlow),
+        Some(Err(_)) => Err(RefusalReason::BodyTooSlow),
+        None => Err(RefusalReason::Stopping),
     }
 }
 
--- a/dockgate/src/gateway/call/call_progress.rs
+++ b/dockgate/src/gateway/call/call_progress.rs
@@ -1,13 +1,14 @@
 //! Tracks how far a request has progressed.
 
+use dockgate_core::{AttemptState, Outcome};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 /// The stage of a request that has not ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum CallStage {
-    /// The request has not been sent to any endpoint.
+    /// No endpoint has run the request.
     Placing,
-    /// The request was sent to an endpoint; no answer has begun.
+    /// An endpoint may have run the request; no answer has begun.
     Sent,
     /// The answer has begun.
     Answering,
@@ -28,6 +29,8 @@
 #[derive(Debug, Default)]
 pub(in super::super) struct CallProgress {
     sends: AtomicU32,
+    /// The number of sends that have ended, and after which the request has not run.
+    not_run: AtomicU32,
     is_answering: AtomicBool,
     has_ended: AtomicBool,
 }
@@ -38,6 +41,13 @@
         self.sends.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Records the state in which the last send ended.
+    pub(super) fn record_failure(&self, state: AttemptState) {
+        if state.outcome(false) == Outcome::NotRun {
+            self.not_run.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Records that the answer has begun.
     pub(in super::super) fn record_answer(&self) {
         self.is_answering.store(true, Ordering::Relaxed);
@@ -59,10 +69,14 @@
     }
 
     pub(super) fn stage(&self) -> CallStage {
-        match (self.is_answering.load(Ordering::Relaxed), self.sends()) {
+        let may_have_run = self.sends() > self.not_run.load(Ordering::Relaxed);
+        match (self.is_answering.load(Ordering::Relaxed), may_have_run) {
             (true, _) => CallStage::Answering,
-            (false, 0) => CallStage::Placing,
-            (false, _) => CallStage::Sent,
+            (false, false) => CallStage::Placing,
+            (false, true) => CallStage::Sent,
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -59,6 +59,7 @@
                 Err(failure) => failure,
             };
             attempts.trail.record(failure.state);
+            self.progress.record_failure(failure.state);
             if self.caller.is_disconnected() {
                 return Err(RefusalReason::CallerLeft.into());
             }
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
-use crate::clock::{ClockInstant, now_ms};
+use crate::clock::{ClockInstant, now_ms, timeout};
 use crate::metrics::METRICS;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
@@ -32,6 +32,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
 
 /// How long a call to the store may take. Its answers take 4 ms, and sixty times that when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -154,6 +155,8 @@
     pub(super) is_writing_versions: AtomicBool,
     /// The time from the signal to stop until the process ends, once it is stopping.
     stop: OnceLock<StopWindow>,
+    /// Cancelled shortly before the process ends: requests without an answer are answered then.
+    pub(super) final_answers: CancellationToken,
     /// The datagram socket to the other boxes.
     pub(super) datagrams: UdpSocket,
     /// Connections to endpoints.
@@ -226,6 +229,7 @@
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
             stop: OnceLock::new(),
+            final_answers: CancellationToken::new(),
             datagrams,
             pools: Arc::default(),
             wait_began: Notify::new(),
@@ -513,6 +517,17 @@
             .is_none_or(|window| window.admits(now_ms(), time_left_ms, predicted_ms()))
     }
 
+    /// Answers the requests that have no answer shortly before the process ends.
+    pub(super) async fn answer_before_end(&self) {
+        let wait_ms = self.stop.get().map_or(0, |window| {
+            window.final_answer_ms().saturating_sub(now_ms())
+        });
+        let wait = Duration::from_millis(wait_ms);
+        if timeout(wait, std::future::pending::<()>()).await.is_err() {
+            self.final_answers.cancel();
+        }
+    }
+
     /// Returns whether the daemon is stopping.
     pub(super) fn is_stopping(&self) -> bool {
         self.stop.get().is_some()
--- a/dockgate/src/gateway/refusal.rs
+++ b/dockgate/src/gateway/refusal.rs
@@ -53,6 +53,8 @@
     VersionGone,
     /// The endpoint was lost or its response is invalid; the request may have run.
     Lost,
+    /// The process ends while an endpoint may be running the request.
+    StoppedUnanswered,
     /// The caller has disconnected.
     CallerLeft,
     /// The deadline has passed; the request may be running.
@@ -87,6 +89,7 @@
             Self::VersionUnknown => "version_unknown",
             Self::VersionGone => "version_gone",
             Self::Lost => "lost",
+            Self::StoppedUnanswered => "stopped_unanswered",
             Self::CallerLeft => "caller_left",
             Self::TimedOut => "timed_out",
             Self::TimedOutUnsent => "timed_out_unsent",
@@ -117,7 +120,7 @@
             | Self::VersionUnknown
             | Self::VersionGone
             | Self::TimedOutUnsent => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Lost | Self::CallerLeft => StatusCode::BAD_GATEWAY,
+            Self::Lost | Self::StoppedUnanswered | Self::CallerLeft => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -125,7 +128,9 @@
     /// Returns whether the request may have run, as reported to the caller.
     pub(super) const fn outcome(self) -> Outcome {
         match self {
-            Self::Lost | Self::CallerLeft | Self::TimedOut => Outcome::Unknown,
+            Self::Lost | Self::StoppedUnanswered | Self::CallerLeft | Self::TimedOut => {
+                Outcome::Unknown
+            }
             _ => Outcome::NotRun,
         }
     }
