test: a soak of planned stops

Callers use each connection until the box closes it, with deadlines from 300 ms to the timeout of the routes. A request that reached an endpoint must not end without an answer before its deadline, and a stream that was sent after callers could notice the stop must not be broken off.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -10,6 +10,7 @@
 mod notice_check;
 mod resuming_caller;
 mod soak_call;
+mod stop_check;
 mod store_snapshots;
 
 use crate::error::BenchError;
@@ -30,6 +31,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
+use stop_check::requests_cut_by_stops;
 use tokio::task::JoinHandle;
 
 /// Number of gateways.
@@ -95,6 +97,11 @@
     /// boxes; no stream holds events of two versions.
     #[value(name = "versions")]
     SoftwareVersions,
+    /// Boxes that are asked to stop in series and overlapping, while endpoints become slower and
+    /// callers keep their connections until the processes end. What a box has passed on is answered,
+    /// and streams that are sent after callers could notice the stop are not broken off.
+    #[value(name = "stops")]
+    PlannedStops,
 }
 
 /// The options of a soak run.
@@ -155,6 +162,7 @@
             rng,
             addresses.clone(),
             stop.clone(),
+            options.faults == SoakFaults::PlannedStops,
         ))
     });
     let callers: Vec<_> = callers.collect();
@@ -253,7 +261,13 @@
         disconnects,
         resumed,
     };
-    Ok(report(&all_endpoints, &records, injector, violations))
+    Ok(report(
+        &all_endpoints,
+        &records,
+        injector,
+        violations,
+        options.faults,
+    ))
 }
 
 /// Adds endpoints of a second software version, and makes all events name their version.
@@ -318,6 +332,7 @@
     records: &SoakRecords,
     injector: FaultInjector,
     mut violations: Vec<String>,
+    faults: SoakFaults,
 ) -> SoakReport {
     let SoakRecords {
         calls,
@@ -329,6 +344,10 @@
     for run in all_endpoints.iter().flat_map(|endpoint| endpoint.ran()) {
         *runs.entry(run.id).or_default() += 1;
     }
+    if faults == SoakFaults::PlannedStops {
+        let (stops, own_lag) = (&injector.disturbances, disconnects.own_lag());
+        violations.extend(requests_cut_by_stops(calls, &runs, stops, own_lag));
+    }
     for call in calls {
         let ran = runs.get(&call.id).copied().unwrap_or(0);
         let max_runs = call.route.max_runs();
--- a/dockgate-bench/src/gateway_soak/disconnecting_caller.rs
+++ b/dockgate-bench/src/gateway_soak/disconnecting_caller.rs
@@ -60,6 +60,11 @@
         self.own_lag = lag;
     }
 
+    /// Returns the maximum scheduling lag of this process.
+    pub(super) const fn own_lag(&self) -> Duration {
+        self.own_lag
+    }
+
     /// Returns all requests.
     pub(super) fn calls(&self) -> &[AbandonedCall] {
         &self.calls
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -45,6 +45,10 @@
 const EVACUATION_KEY: &str = "op/evacuate/a";
 /// Time after an order within which requests must stop arriving.
 const EVACUATION_DEADLINE: Duration = Duration::from_secs(2);
+/// Time that a request, or each event of a stream, takes in runs of planned stops, in milliseconds.
+const PROCESSING_MS: Range<u64> = 5..400;
+/// The same for requests whose answers do not begin before their deadlines.
+const SLOW_PROCESSING_MS: Range<u64> = 4_000..5_000;
 /// Number of unused routes in a large configuration.
 const EXTRA_ROUTES: usize = 4_000;
 
@@ -197,6 +201,7 @@
                 SoakFaults::Evacuations if self.rng.random_bool(0.3) => self.evacuate(fleet),
                 SoakFaults::Evacuations => self.delay_updates(fleet).await?,
                 SoakFaults::CallerDisconnects => self.begin_slow_fault(fleet).await,
+                SoakFaults::PlannedStops => self.stop_box(fleet),
                 SoakFaults::Notices if self.rng.random_bool(0.5) => self.begin_notice(fleet),
                 SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
             }
@@ -204,8 +209,37 @@
         Ok(())
     }
 
+    /// Asks a box to stop, unless it was asked already, and changes the speed of the endpoints.
+    fn stop_box(&mut self, fleet: &GatewayFleet) {
+        for endpoint in &fleet.endpoints {
+            let time_ms = match self.rng.random_bool(0.2) {
+                true => self.rng.random_range(SLOW_PROCESSING_MS),
+                false => self.rng.random_range(PROCESSING_MS),
+            };
+            endpoint.set_processing_time(Duration::from_millis(time_ms));
+        }
+        let box_index = self.rng.random_range(0..fleet.gateways.len());
+        let action = UndoAction::Restart(box_index);
+        let is_stopping = |(_, action): &(Instant, UndoAction)| matches!(action, UndoAction::Restart(at) if *at == box_index);
+        if self.undo_actions.iter().any(is_stopping) {
+            return;
+        }
+        fleet.gateways[box_index].signal(Signal::SIGTERM);
+        let at = self.started.elapsed().as_millis();
+        self.fault_log
+            .push(format!("{at} ms: stop box {box_index}"));
+        self.record_disturbance(action, STOP_TIME);
+        self.undo_actions.push((Instant::now() + STOP_TIME, action));
+    }
+
     /// Undoes all active faults.
     pub(super) async fn undo_all(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+        if self.faults == SoakFaults::PlannedStops {
+            // The boxes that stop have their time.
+            tokio::time::sleep(STOP_TIME).await;
+            let endpoints = fleet.endpoints.iter();
+            endpoints.for_each(|endpoint| endpoint.set_processing_time(Duration::ZERO));
+        }
         for (_, action) in std::mem::take(&mut self.undo_actions) {
             self.undo(fleet, action).await?;
         }
--- a/dockgate-bench/src/gateway_soak/soak_call.rs
+++ b/dockgate-bench/src/gateway_soak/soak_call.rs
@@ -11,6 +11,7 @@
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -18,6 +19,10 @@
 
 /// Deadline that a caller sends with a request, in milliseconds.
 pub(super) const BUDGET_MS: u64 = 3_000;
+/// Deadlines of requests of callers that keep their connections, in milliseconds; at most the
+/// timeout of the routes.
+const KEPT_BUDGET_MS: Range<u64> = 300..6_000;
+const ROUTE_TIMEOUT_MS: u64 = 4_000;
 /// Time after which a caller considers the answer lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(BUDGET_MS + 2_000);
 /// Number of events in a stream.
@@ -53,6 +58,17 @@
     }
 }
 
+/// How an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AnswerEnd {
+    /// The connection ended, or the caller gave up, in front of the answer.
+    Missing,
+    /// The connection ended within the answer.
+    BrokenOff,
+    /// The answer was complete.
+    Complete,
+}
+
 /// An answer that announces that its endpoint leaves.
 #[derive(Debug, Clone)]
 pub(super) struct LeavingAnswer {
@@ -73,6 +89,12 @@
     pub(super) box_index: usize,
     /// When it was sent.
     pub(super) started: Instant,
+    /// Its deadline.
+    pub(super) budget: Duration,
+    /// How its answer ended.
+    pub(super) end: AnswerEnd,
+    /// How long that took.
+    pub(super) took: Duration,
     /// The announcement in its answer that the endpoint leaves.
     pub(super) leaving: Option<LeavingAnswer>,
     /// Whether it was answered in full.
@@ -92,11 +114,15 @@
 }
 
 /// Makes requests until `stop` is set, and [`FINAL_CALLS`] more.
+///
+/// A caller that `keeps_connections` uses each one for as long as the box does, and its requests
+/// have different deadlines.
 pub(super) async fn run_soak_caller(
     number: u64,
     mut rng: StdRng,
     gateways: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
+    keeps_connections: bool,
 ) -> Vec<SoakCall> {
     let mut calls = Vec::new();
     let mut kept: Option<KeptConnection> = None;
@@ -108,13 +134,22 @@
         let id = format!("r{number}a{}", calls.len());
         let box_index = rng.random_range(0..gateways.len());
         // Half of the requests reuse the last connection, if it is still open.
-        let reused = kept.take().filter(|_| rng.random_bool(0.5));
+        let reused = kept
+            .take()
+            .filter(|_| keeps_connections || rng.random_bool(0.5));
+        let budget_ms = match keeps_connections {
+            true => rng.random_range(KEPT_BUDGET_MS).min(ROUTE_TIMEOUT_MS),
+            false => BUDGET_MS,
+        };
         let box_index = reused.as_ref().map_or(box_index, |reused| reused.box_index);
         let mut call = SoakCall {
             id,
             route,
             box_index,
             started: Instant::now(),
+            budget: Duration::from_millis(budget_ms),
+            end: AnswerEnd::Missing,
+            took: Duration::ZERO,
             leaving: None,
             answered: false,
             refused: false,
@@ -128,6 +163,7 @@
         )
         .await;
         let sender = sender.ok().flatten();
+        call.took = call.started.elapsed();
         kept = sender.map(|sender| KeptConnection { sender, box_index });
         calls.push(call);
         tokio::time::sleep(PAUSE).await;
@@ -163,7 +199,7 @@
         .header("host", "h.example")
         .header("authorization", "Token k1")
         .header("x-request-id", &call.id)
-        .header("x-deadline-ms", BUDGET_MS);
+        .header("x-deadline-ms", call.budget.as_millis() as u64);
     if call.route.streams() {
         builder = builder
             .header("x-model", "m")
@@ -183,7 +219,11 @@
     let has_proof = header("x-upstream-signature").is_some();
     let has_retry_after = header("retry-after").is_some();
     call.leaving = leaving_answer(response.headers());
+    call.end = AnswerEnd::BrokenOff;
     let (body, is_complete) = read_body(response).await;
+    if is_complete {
+        call.end = AnswerEnd::Complete;
+    }
     let expected: Vec<u8> = match call.route.streams() {
         true => (1..=EVENTS)
             .flat_map(|id| format!("id: {id}\ndata: token {id}\n\n").into_bytes())
