fix: a box that is held up as its process ends still answers first

A box that was paused, or got no processor time, from before the final answers were due until after the process was due to end, ended at once when it ran again: both timers had elapsed, and the drain returned before the requests were polled.

The drain now triggers the final answers itself and then gives them their 200 ms, however late it is. It may end that much later than its part of the grace period, of which 400 ms are reserved for the end of the process.

--- a/dockgate-bench/tests/box_stop.rs
+++ b/dockgate-bench/tests/box_stop.rs
@@ -155,10 +155,11 @@
     assert!(served("/draft/x") > 0, "{calls:?}");
 }
 
-/// Guards against aborting requests without an answer when the process ends.
-#[tokio::test]
-async fn unanswered_requests_are_answered_before_the_process_ends() {
-    let fleet = start_fleet(1, &["plain", "plain", "model", "model"]).await;
+/// The status and the body of an answer.
+type WholeAnswer = (StatusCode, Bytes);
+
+/// Sends requests that outlast the grace period; returns their answers once all of them run.
+async fn start_long_requests(fleet: &GatewayFleet) -> JoinSet<Option<WholeAnswer>> {
     for endpoint in &fleet.endpoints {
         endpoint.set_processing_time(Duration::from_secs(30));
     }
@@ -180,12 +181,21 @@
             Some((status, body.to_bytes()))
         });
     }
+    let running = || -> i64 { fleet.endpoints.iter().map(RoutedStandIn::running).sum() };
+    wait_until("all requests run", async || running() == 8).await;
+    tasks
+}
+
+/// Guards against aborting requests without an answer when the process ends.
+#[tokio::test]
+async fn unanswered_requests_are_answered_before_the_process_ends() {
+    let fleet = start_fleet(1, &["plain", "plain", "model", "model"]).await;
+    let gateway = &fleet.gateways[0];
+    let tasks = start_long_requests(&fleet).await;
     let mut half_sent = TcpStream::connect(gateway.caller_address()).await.unwrap();
     let half = "POST /once/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Token k1\r\n\
                 x-request-id: half\r\nx-deadline-ms: 4000\r\ncontent-length: 10\r\n\r\nhello";
     half_sent.write_all(half.as_bytes()).await.unwrap();
-    let running = || -> i64 { fleet.endpoints.iter().map(RoutedStandIn::running).sum() };
-    wait_until("all requests run", async || running() == 8).await;
     gateway.signal(Signal::SIGTERM);
     let expected = (
         StatusCode::BAD_GATEWAY,
@@ -203,6 +213,25 @@
     assert!(answer.ends_with("not_run: stopping\n"), "{answer}");
 }
 
+/// Guards against a process that ends with the pause in which it should have answered.
+#[tokio::test]
+async fn unanswered_requests_are_answered_by_a_box_that_was_paused_at_its_end() {
+    let fleet = start_fleet(1, &["plain", "plain", "model", "model"]).await;
+    let gateway = &fleet.gateways[0];
+    let tasks = start_long_requests(&fleet).await;
+    gateway.signal(Signal::SIGTERM);
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    gateway.signal(Signal::SIGSTOP);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    gateway.signal(Signal::SIGCONT);
+    let answers = tasks.join_all().await;
+    let is_answered = |answer: &Option<WholeAnswer>| {
+        let answer = answer.as_ref();
+        answer.is_some_and(|(_, body)| body.starts_with(b"unknown: "))
+    };
+    assert!(answers.iter().all(is_answered), "{answers:?}");
+}
+
 /// Guards against breaking a stream off within an event when the process ends.
 #[tokio::test]
 async fn streams_in_progress_are_broken_off_after_whole_events() {
--- a/dockgate-core/src/gateway/stop_window.rs
+++ b/dockgate-core/src/gateway/stop_window.rs
@@ -24,7 +24,7 @@
 impl StopWindow {
     /// The time before the end at which requests without an answer are answered by the box, in
     /// milliseconds: sufficient to write the answers.
-    const FINAL_ANSWER_MS: u64 = 200;
+    pub const FINAL_ANSWER_MS: u64 = 200;
     /// The longest time in which callers and the load balancer cannot have noticed the stop, in
     /// milliseconds: readiness is checked once a second, and two failures take a box out.
     const MAX_NOTICE_MS: u64 = 2_000;
@@ -52,7 +52,7 @@
     }
 
     /// Returns the time at which requests without an answer are answered by the box.
-    pub const fn final_answer_ms(&self) -> u64 {
+    const fn final_answer_ms(&self) -> u64 {
         let latest_ms = self.end_ms.saturating_sub(Self::FINAL_ANSWER_MS);
         match latest_ms > self.began_ms {
             true => latest_ms,
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -61,7 +61,7 @@
 use crate::logging::flush_lines;
 use crate::stop::wait_for_signal;
 use caller_listener::CallerListener;
-use dockgate_core::gateway::StateKind;
+use dockgate_core::gateway::{StateKind, StopWindow};
 use events::{GatewayEvent, log_gateway};
 use gateway_state::GatewayState;
 use std::path::Path;
@@ -78,6 +78,8 @@
 const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 /// How long the remaining log lines may take to be written.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long the answers to requests that have none may take to be written before the process ends.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(StopWindow::FINAL_ANSWER_MS);
 /// The part of the grace period that is reserved for the end of the process.
 const END_MARGIN: Duration = Duration::from_millis(400);
 
@@ -183,7 +185,7 @@
 
 /// Stops gracefully: reports not ready at once, and serves requests until none is left or the grace
 /// period is over. Requests that have no answer shortly before its end are answered by the box.
-async fn drain(state: &Arc<GatewayState>, listener: &CallerListener) {
+async fn drain(state: &GatewayState, listener: &CallerListener) {
     log_gateway(&GatewayEvent::Stopping {
         open: listener.open(),
     });
@@ -191,17 +193,19 @@
     state.begin_stop(grace);
     listener.begin_stop();
     membership::send_heartbeat(state);
-    let ending = state.clone();
-    tokio::spawn(async move { ending.answer_before_end().await });
-    let ended = timeout(grace, async {
+    let until_idle = async || {
         while listener.busy() > 0 || (listener.open() > 0 && !listener.is_quiet(QUIET_PERIOD)) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-    })
-    .await;
+    };
+    let in_time = match timeout(grace.saturating_sub(FINAL_ANSWER_TIME), until_idle()).await {
+        Ok(()) => true,
+        // A box that was held up at this moment needs the time for the answers all the same.
+        Err(_) => {
+            state.final_answers.cancel();
+            timeout(FINAL_ANSWER_TIME, until_idle()).await.is_ok()
+        }
+    };
     let cut = listener.busy();
-    log_gateway(&GatewayEvent::Stopped {
-        in_time: ended.is_ok(),
-        cut,
-    });
+    log_gateway(&GatewayEvent::Stopped { in_time, cut });
 }
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
-use crate::clock::{ClockInstant, now_ms, timeout};
+use crate::clock::{ClockInstant, now_ms};
 use crate::metrics::METRICS;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
@@ -517,17 +517,6 @@
             .is_none_or(|window| window.admits(now_ms(), time_left_ms, predicted_ms()))
     }
 
-    /// Answers the requests that have no answer shortly before the process ends.
-    pub(super) async fn answer_before_end(&self) {
-        let wait_ms = self.stop.get().map_or(0, |window| {
-            window.final_answer_ms().saturating_sub(now_ms())
-        });
-        let wait = Duration::from_millis(wait_ms);
-        if timeout(wait, std::future::pending::<()>()).await.is_err() {
-            self.final_answers.cancel();
-        }
-    }
-
     /// Returns whether the daemon is stopping.
     pub(super) fn is_stopping(&self) -> bool {
         self.stop.get().is_some()
