fix: a silent send is given up only for an endpoint that takes over

Callers saw 502 for repeatable requests that a sound endpoint was at work on, with most of their time left, and streams that broke off in a pause of their endpoint.

Cause: a send was ended after 1.4 objectives of silence (a stream after 4.5 pauses, 1.5 s at most), and only then was it asked whether another send is allowed and whether an endpoint is free for it. With the retry budget exhausted, or no second endpoint, the first one's work was lost. The budget was also charged for retries that were never sent, and once more for each search of an endpoint for a stream.

Now silence starts a search beside the send: a retry is reserved, an endpoint is found, and only then is the old connection closed and the request sent there. Without them the send is waited for until its deadline, and the search is repeated once per objective. It is not begun with less than half an objective left, and takes no endpoint whose last outcome is a failure, as that is no better than a silent one; so in a silence of all endpoints requests stay where they are. A reserved retry is given back unless its request is sent. The silence counts for the health of the endpoint at once, and an answer afterwards ends that. Attempts that were refused or broke off fail over as before. `dockgate_silent_sends_total` counts how the waits end.

A stream whose source is lost and that finds no endpoint searches five times within 400 ms with the same retry, in place of a new retry for each immediate search.

--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -79,6 +79,8 @@
     ends: Mutex<Vec<RunEnd>>,
     running: Mutex<i64>,
     processing_time: Mutex<Duration>,
+    /// Until when it sends nothing, if it fell silent.
+    silent_until: Mutex<Option<Instant>>,
     is_leaving: Mutex<bool>,
     /// The version that the data of events name, if they name one.
     event_version: Mutex<Option<String>>,
@@ -91,6 +93,17 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Waits until a silence of the endpoint is over.
+async fn wait_out_silence(state: &RoutedState) {
+    loop {
+        let silent_until = *locked(&state.silent_until);
+        match silent_until {
+            Some(until) if until > Instant::now() => tokio::time::sleep_until(until.into()).await,
+            _ => return,
+        }
+    }
+}
+
 /// The header with the start time of the endpoint that answers, in Unix milliseconds.
 pub const STARTED_HEADER: &str = "x-born";
 
@@ -171,6 +184,11 @@
         *locked(&self.state.processing_time) = processing_time;
     }
 
+    /// Lets it send nothing for a time from now on; it goes on with all runs afterwards.
+    pub fn fall_silent(&self, time: Duration) {
+        *locked(&self.state.silent_until) = Some(Instant::now() + time);
+    }
+
     /// Sets whether its answers announce that it leaves.
     pub fn set_leaving(&self, is_leaving: bool) {
         *locked(&self.state.is_leaving) = is_leaving;
@@ -355,6 +373,9 @@
         _ if events.is_none() => tokio::time::sleep(processing_time).await,
         _ => {}
     }
+    if events.is_none() {
+        wait_out_silence(state).await;
+    }
     let body = match events {
         Some(events) => event_body(
             run,
@@ -414,6 +435,7 @@
                 return None;
             }
             tokio::time::sleep(processing_time).await;
+            wait_out_silence(&run.state).await;
             let next = last + 1;
             match cut {
                 Some(cut) if last == cut + 1 => Some((Err(AbortedConnection), (run, events))),
--- a/dockgate-core/src/gateway/endpoint_health.rs
+++ b/dockgate-core/src/gateway/endpoint_health.rs
@@ -58,6 +58,11 @@
         self.failure_ratio > Self::UNRELIABLE_RATIO && now_ms < self.failed_ms + Self::UNRELIABLE_MS
     }
 
+    /// Returns whether the last request that succeeded or failed has failed.
+    pub const fn is_failing(&self) -> bool {
+        self.consecutive_failures > 0
+    }
+
     /// Records that a request is sent. After a failure, the request is a probe and the backoff
     /// restarts, so that no others follow it.
     pub fn note_sent(&mut self, now_ms: u64) {
--- a/dockgate-core/src/gateway/endpoint_health/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_health/tests.rs
@@ -51,3 +51,15 @@
     assert!(health.is_available(115));
     assert!(!health.is_unreliable(115));
 }
+
+/// Guards against requests that leave a silent endpoint for one that has failed since its last answer.
+#[test]
+fn endpoint_is_failing_from_a_failure_to_the_next_answer() {
+    let mut health = EndpointHealth::default();
+    assert!(!health.is_failing());
+    health.note_outcome(EndpointOutcome::Failed, 1_000);
+    health.note_outcome(EndpointOutcome::Full, 60_000);
+    assert!(health.is_available(90_000) && health.is_failing());
+    health.note_outcome(EndpointOutcome::Answered, 90_001);
+    assert!(!health.is_failing());
+}
--- a/dockgate-core/src/gateway/retry_budget.rs
+++ b/dockgate-core/src/gateway/retry_budget.rs
@@ -83,6 +83,18 @@
         is_allowed
     }
 
+    /// Gives back a retry that was taken at `taken_ms` and not sent.
+    pub fn give_back(&mut self, service: &str, taken_ms: u64) {
+        let Some(window) = self.services.get_mut(service) else {
+            return;
+        };
+        // The clock may step back, so the times are not strictly ordered.
+        let position = window.retries.iter().rposition(|at| *at == taken_ms);
+        if let Some(position) = position {
+            window.retries.remove(position);
+        }
+    }
+
     fn window(&mut self, service: &str, now_ms: u64) -> &mut ServiceWindow {
         let before_ms = now_ms.saturating_sub(self.rule.window_ms);
         let window = self.services.entry(service.to_owned()).or_default();
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -6,7 +6,9 @@
 mod call_progress;
 mod plain_selection;
 mod quarantine_check;
+mod reserved_retry;
 mod send_attempts;
+mod silent_send;
 mod take_up;
 
 use super::call_body::CallBody;
@@ -19,6 +21,7 @@
 pub(super) use admitted_call::{AdmittedCall, CallAttempts};
 use http::{Request, Response};
 use hyper::body::Incoming;
+pub(super) use silent_send::{Replacement, SilenceEnd};
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -5,13 +5,14 @@
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::gateway_state::GatewayState;
 use super::super::memory_guard::MemoryGuard;
-use super::super::placement_goal::PlacementGoal;
+use super::super::placement_goal::EndpointSearch;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::super::wait_window::WaitWindow;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
 use super::quarantine_check::{check_quarantine, fingerprint_of};
+use super::reserved_retry::ReservedRetry;
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::shared_stream::DisconnectMonitor;
 use bytes::Bytes;
@@ -63,7 +64,7 @@
 }
 
 /// The attempts made for a request so far.
-#[derive(Debug, Clone, Default)]
+#[derive(Default)]
 pub(in super::super) struct CallAttempts {
     /// The number of endpoints the request was sent to.
     pub(in super::super) sent: u32,
@@ -71,6 +72,18 @@
     pub(in super::super) endpoints: Vec<EndpointId>,
     /// The states in which the attempts ended.
     pub(in super::super) trail: AttemptTrail,
+    /// The retry that is reserved for the next attempt.
+    pub(super) retry: Option<ReservedRetry>,
+}
+
+impl CallAttempts {
+    /// Records that the request was sent to an endpoint.
+    pub(super) fn record_sent(&mut self) {
+        self.sent += 1;
+        if let Some(retry) = self.retry.take() {
+            retry.record_sent();
+        }
+    }
 }
 
 /// The body of a request, until it is released.
@@ -193,9 +206,11 @@
     }
 
     /// Returns the time in which the request may wait for capacity; `None` if the fleet is not
-    /// contended, or for a resumed stream, whose caller already reads events.
-    pub(super) fn wait_window(&self, goal: PlacementGoal) -> Option<WaitWindow> {
-        let may_wait = self.state.settings().conditions.contended && !goal.is_resume();
+    /// contended, for a resumed stream, whose caller already reads events, or while an endpoint is at
+    /// work on the request.
+    pub(super) fn wait_window(&self, search: EndpointSearch<'_>) -> Option<WaitWindow> {
+        let is_urgent = search.goal.is_resume() || search.is_replacement;
+        let may_wait = self.state.settings().conditions.contended && !is_urgent;
         may_wait.then(|| WaitWindow {
             arrived: self.arrived,
             objective: self.route().objective,
--- a/dockgate/src/gateway/call/attempt_failure.rs
+++ b/dockgate/src/gateway/call/attempt_failure.rs
@@ -1,6 +1,7 @@
 //! An attempt to send a request that gave no answer which can be forwarded.
 
 use super::super::call_body::CallBody;
+use super::silent_send::Replacement;
 use dockgate_core::AttemptState;
 use dockgate_core::gateway::EndpointOutcome;
 use http::Response;
@@ -17,17 +18,19 @@
 }
 
 /// Why an attempt gave no answer that can be forwarded.
-pub(super) struct AttemptFailure {
+pub(in super::super) struct AttemptFailure {
     /// How far the attempt had progressed.
     pub(super) state: AttemptState,
     /// The outcome recorded for the endpoint's health, if any.
     pub(super) outcome: Option<EndpointOutcome>,
     /// The description for the log.
-    pub(super) problem: String,
+    pub(in super::super) problem: String,
     /// The answer to forward if the request is not retried.
     pub(super) answer: Option<Box<Response<CallBody>>>,
     /// Whether the deadline of the request had passed.
     pub(super) timed_out: bool,
+    /// The endpoint that takes over, if the attempt was given up for it.
+    pub(in super::super) replacement: Option<Box<Replacement>>,
     /// Whether the endpoint may have ended.
     pub(super) suspicion: EndpointSuspicion,
 }
@@ -53,6 +56,7 @@
             problem: problem.into(),
             answer: None,
             timed_out: false,
+            replacement: None,
             suspicion: EndpointSuspicion::None,
         }
     }
@@ -73,4 +77,14 @@
             ..Self::new(AttemptState::Sent, EndpointOutcome::Failed, problem)
         }
     }
+
+    /// Creates the failure of an attempt at a silent endpoint that was given up for another one. The
+    /// silence has been recorded.
+    pub(super) fn replaced(replacement: Box<Replacement>) -> Self {
+        Self {
+            replacement: Some(replacement),
+            suspicion: EndpointSuspicion::MayHaveEnded,
+            ..Self::without_outcome(AttemptState::Sent, "silent for too long")
+        }
+    }
 }
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -1,16 +1,16 @@
 //! Selects the next target of a request: an endpoint of a plain service, or an engine for a prompt.
 
 use super::super::engine_placement::{EngineQuery, EngineRefusal, find_engine};
-use super::super::placement_goal::PlacementGoal;
+use super::super::placement_goal::{EndpointSearch, PlacementGoal};
 use super::super::refusal::RefusalReason;
 use super::super::run_guard::RunGuard;
 use super::super::suspension::wait_until_fresh;
 use super::super::upstream::EndpointTarget;
-use super::{AdmittedCall, CallAttempts, CallRefusal};
+use super::{AdmittedCall, CallRefusal};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    AdmissionRequest, PromptShape, RetryCause, ServiceAvailability, ShareLevel, ShareOutcome,
-    name_hash, retry_delay,
+    AdmissionRequest, EndpointId, PromptShape, RetryCause, ServiceAvailability, ShareLevel,
+    ShareOutcome, name_hash, retry_delay,
 };
 use std::time::Duration;
 
@@ -31,60 +31,103 @@
 };
 
 /// The target of the next attempt of a request.
-pub(super) struct CallPlacement {
+pub(in super::super) struct CallPlacement {
     pub(super) target: EndpointTarget,
     pub(super) guard: RunGuard,
     pub(super) expected_ms: Option<u32>,
     pub(super) decided_by: String,
+    /// What the endpoint was sought for.
+    pub(super) goal: PlacementGoal,
+}
+
+/// A prompt that no engine can serve in time.
+struct DeclinedPrompt {
+    refusal: EngineRefusal,
+    request: AdmissionRequest,
+    units: u64,
 }
 
 impl AdmittedCall {
-    /// Selects the endpoint for the next attempt.
+    /// Selects the endpoint for the next attempt, other than those that were tried.
     ///
     /// # Errors
     ///
     /// Returns the refusal for the caller if no endpoint accepts the request.
-    pub(super) async fn find_placement(
+    pub(in super::super) async fn find_placement(
         &self,
-        attempts: &CallAttempts,
+        tried: &[EndpointId],
         goal: PlacementGoal,
     ) -> Result<CallPlacement, CallRefusal> {
         wait_until_fresh(&self.state, self.deadline()).await;
+        let search = EndpointSearch {
+            tried,
+            goal,
+            is_replacement: false,
+        };
         match (self.service().engine, self.admission_request()) {
             (Some(_), Some(request)) => {
-                let prompt = self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT);
-                let units = prompt.units();
-                let query = EngineQuery {
-                    service: self.service(),
-                    prompt,
-                    own_subject: name_hash(&self.head.id),
-                    tried: &attempts.endpoints,
-                    goal,
-                    level: self.share_level(request.workspace, units),
-                    patience_ms: self.patience().as_millis() as u32,
-                    wait: self.wait_window(goal),
-                };
-                let request = request.level(query.level);
-                let found = find_engine(&self.state, query, &request).await;
-                let found =
-                    found.map_err(|refusal| self.refuse_prompt(refusal, &request, units))?;
-                self.state.with(|view| {
-                    let shares = &mut view.shares;
-                    shares.record_admission(request.workspace, units, request.level, now_ms());
-                    let outcome = ShareOutcome::Admitted;
-                    view.tally.record_outcome(request.workspace, outcome, units);
-                });
-                Ok(CallPlacement {
-                    target: found.target,
-                    guard: found.guard,
-                    expected_ms: Some(found.expected_ms),
-                    decided_by: found.decided_by,
-                })
+                let placed = self.place_prompt(request, search).await;
+                placed.map_err(|declined| self.refuse_prompt(declined))
             }
-            _ => self.place_plain(attempts, goal).await,
+            _ => self.place_plain(search).await,
+        }
+    }
+
+    /// Selects an endpoint that takes over from a silent one, if there is any. No refusal is
+    /// counted, since the request is still at work.
+    pub(super) async fn find_replacement_placement(
+        &self,
+        search: EndpointSearch<'_>,
+    ) -> Option<CallPlacement> {
+        wait_until_fresh(&self.state, self.deadline()).await;
+        match (self.service().engine, self.admission_request()) {
+            (Some(_), Some(request)) => self.place_prompt(request, search).await.ok(),
+            _ => self.place_plain(search).await.ok(),
         }
     }
 
+    async fn place_prompt(
+        &self,
+        request: AdmissionRequest,
+        search: EndpointSearch<'_>,
+    ) -> Result<CallPlacement, DeclinedPrompt> {
+        let prompt = self.head.prompt.as_ref().unwrap_or(&EMPTY_PROMPT);
+        let units = prompt.units();
+        let query = EngineQuery {
+            service: self.service(),
+            prompt,
+            own_subject: name_hash(&self.head.id),
+            search,
+            level: self.share_level(request.workspace, units),
+            patience_ms: self.patience().as_millis() as u32,
+            wait: self.wait_window(search),
+        };
+        let request = request.level(query.level);
+        let found = match find_engine(&self.state, query, &request).await {
+            Ok(found) => found,
+            Err(refusal) => {
+                return Err(DeclinedPrompt {
+                    refusal,
+                    request,
+                    units,
+                });
+            }
+        };
+        self.state.with(|view| {
+            let shares = &mut view.shares;
+            shares.record_admission(request.workspace, units, request.level, now_ms());
+            let outcome = ShareOutcome::Admitted;
+            view.tally.record_outcome(request.workspace, outcome, units);
+        });
+        Ok(CallPlacement {
+            target: found.target,
+            guard: found.guard,
+            expected_ms: Some(found.expected_ms),
+            decided_by: found.decided_by,
+            goal: search.goal,
+        })
+    }
+
     /// Returns how long the caller of a stream is assumed to wait for the next event.
     fn patience(&self) -> Duration {
         let route = self.route();
@@ -97,18 +140,18 @@
             .with(|view| view.shares.level(workspace, units, now_ms()))
     }
 
-    fn refuse_prompt(
-        &self,
-        refusal: EngineRefusal,
-        request: &AdmissionRequest,
-        units: u64,
-    ) -> CallRefusal {
+    fn refuse_prompt(&self, declined: DeclinedPrompt) -> CallRefusal {
+        let DeclinedPrompt {
+            refusal,
+            request,
+            units,
+        } = declined;
         let Some(first_ms) = refusal.first_event_ms() else {
             return self.refuse_unavailable();
         };
         let AdmissionRequest {
             workspace, level, ..
-        } = *request;
+        } = request;
         let cause = match refusal.declined.is_empty() {
             true => RetryCause::Share,
             false => RetryCause::Backlog(Duration::from_millis(u64::from(first_ms))),
--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -1,6 +1,6 @@
 //! Selects the endpoint of a plain service for a request.
 
-use super::super::placement_goal::PlacementGoal;
+use super::super::placement_goal::{EndpointSearch, PlacementGoal};
 use super::super::plain_placement::{
     PlainDecline, PlainPlacement, PlainWait, request_plain_placement, wait_for_plain,
 };
@@ -8,7 +8,7 @@
 use super::super::upstream::{ConnectionLimits, EndpointTarget};
 use super::super::wait_window::WaitWindow;
 use super::call_placement::CallPlacement;
-use super::{AdmittedCall, CallAttempts, CallRefusal};
+use super::{AdmittedCall, CallRefusal};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
     EndpointEntry, EndpointId, RetryCause, name_hash, retry_delay, tie_break,
@@ -37,34 +37,38 @@
     used + remote_penalty + unreliable_penalty
 }
 
-fn call_placement(target: EndpointTarget, placement: PlainPlacement) -> CallPlacement {
+fn call_placement(
+    target: EndpointTarget,
+    placement: PlainPlacement,
+    goal: PlacementGoal,
+) -> CallPlacement {
     let PlainPlacement { guard, decided_by } = placement;
     CallPlacement {
         target,
         guard,
         expected_ms: None,
         decided_by,
+        goal,
     }
 }
 
 impl AdmittedCall {
-    /// Selects an endpoint of a plain service. Its owner may decline; others are tried then.
+    /// Selects an endpoint of a plain service that was not tried. Its owner may decline; others are tried then.
     ///
     /// # Errors
     ///
     /// Returns the refusal for the caller if no endpoint accepts the request.
     pub(super) async fn place_plain(
         &self,
-        attempts: &CallAttempts,
-        goal: PlacementGoal,
+        search: EndpointSearch<'_>,
     ) -> Result<CallPlacement, CallRefusal> {
-        let mut passed_over = attempts.endpoints.clone();
+        let mut passed_over = search.tried.to_vec();
         let mut declines = Vec::new();
         let mut first_free: Option<(EndpointTarget, u32)> = None;
-        while let Some(target) = self.find_plain(&passed_over, goal) {
+        while let Some(target) = self.find_plain(&passed_over, search) {
             passed_over.push(target.id);
             match request_plain_placement(&self.state, target.id, self.time_left()).await {
-                Ok(placement) => return Ok(call_placement(target, placement)),
+                Ok(placement) => return Ok(call_placement(target, placement, search.goal)),
                 Err(decline) => {
                     declines.push(decline);
                     let first_ms = first_free
@@ -79,11 +83,11 @@
                 }
             }
         }
-        let (Some(window), Some((target, wait_ms))) = (self.wait_window(goal), first_free) else {
+        let (Some(window), Some((target, wait_ms))) = (self.wait_window(search), first_free) else {
             return Err(self.refuse_plain(&declines));
         };
         match self.wait_for_slot(&target, window, wait_ms).await {
-            Ok(placement) => Ok(call_placement(target, placement)),
+            Ok(placement) => Ok(call_placement(target, placement, search.goal)),
             Err(PlainDecline::Full(wait_ms)) => {
                 Err(self.refuse_plain(&[PlainDecline::Full(wait_ms)]))
             }
@@ -134,7 +138,7 @@
     fn find_plain(
         &self,
         passed_over: &[EndpointId],
-        goal: PlacementGoal,
+        search: EndpointSearch<'_>,
     ) -> Option<EndpointTarget> {
         let now = now_ms();
         let settings = self.state.settings();
@@ -148,7 +152,9 @@
         };
         self.state.with(|view| {
             let is_untried = |id: EndpointId, entry: &EndpointEntry| {
-                !passed_over.contains(&id) && goal.allows(entry.service_version().version)
+                !passed_over.contains(&id)
+                    && search.goal.allows(entry.service_version().version)
+                    && search.accepts(&entry.health)
             };
             let eligible = view.endpoints.eligible(&service.name, now);
             let eligible = eligible.filter(|(id, entry)| is_untried(*id, entry));
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -7,17 +7,17 @@
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::notices::{receive_notice, report_leaving, send_condition};
-use super::super::placement_goal::PlacementGoal;
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, PooledConnection, SendFailure, send};
 use super::attempt_failure::{AttemptFailure, EndpointSuspicion};
 use super::call_placement::CallPlacement;
+use super::reserved_retry::ReservedRetry;
+use super::silent_send::{Replacement, SilenceEnd};
 use super::{AdmittedCall, CallAttempts, CallRefusal};
-use crate::clock::{ClockInstant, now_ms, timeout_at};
-use crate::metrics::METRICS;
+use crate::clock::{ClockInstant, timeout_at};
 use bytes::Bytes;
-use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointOutcome, SoftwareVersion};
+use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointOutcome};
 use dockgate_core::{AttemptState, Outcome, RetryVerdict};
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -28,9 +28,9 @@
 
 /// How many unreachable endpoints may be tried, in addition to those the request was sent to.
 const MAX_UNREACHED: usize = 4;
-/// How long a repeatable request waits for an answer to begin before it is retried elsewhere, in
+/// How long a repeatable request waits for an answer to begin before another endpoint is sought, in
 /// multiples of its objective and in addition to the expected time. An endpoint that is silent for so
-/// long is lost, overloaded, or behind a dead connection.
+/// long is lost, overloaded, paused, or behind a dead connection.
 const ANSWER_TIMEOUT_FACTOR: f64 = 1.4;
 
 /// The largest buffer that is allocated for an answer before any of it has arrived.
@@ -45,14 +45,18 @@
     pub(super) async fn run(self: Arc<Self>) -> Result<Response<CallBody>, CallRefusal> {
         let goal = self.placement_goal().await?;
         let mut attempts = CallAttempts::default();
+        let mut replacement: Option<Box<Replacement>> = None;
         loop {
-            let placement = self
-                .find_placement(&attempts, goal)
-                .await
-                .map_err(|refusal| match attempts.sent {
-                    0 => refusal,
-                    _ => self.refusal_after(&attempts, AttemptState::Queued, false),
-                })?;
+            let placement = match replacement.take() {
+                Some(replacement) => replacement.begin(&mut attempts),
+                None => {
+                    let placed = self.find_placement(&attempts.endpoints, goal).await;
+                    placed.map_err(|refusal| match attempts.sent {
+                        0 => refusal,
+                        _ => self.refusal_after(&attempts, AttemptState::Queued, false),
+                    })?
+                }
+            };
             attempts.endpoints.push(placement.target.id);
             let mut failure = match self.clone().send_once(placement, &mut attempts).await {
                 Ok(response) => return Ok(response),
@@ -62,7 +66,11 @@
             if self.caller.is_disconnected() {
                 return Err(RefusalReason::CallerLeft.into());
             }
-            let verdict = self.after_failure(&attempts, failure.state);
+            replacement = failure.replacement.take();
+            if replacement.is_some() {
+                continue;
+            }
+            let verdict = self.after_failure(&mut attempts, failure.state);
             if verdict == RetryVerdict::Retry {
                 continue;
             }
@@ -77,9 +85,11 @@
     }
 
     /// Decides whether the request is sent to another endpoint after a failed attempt.
+    ///
+    /// The retry stays reserved in `attempts` until the request is sent.
     pub(in super::super) fn after_failure(
         &self,
-        attempts: &CallAttempts,
+        attempts: &mut CallAttempts,
         state: AttemptState,
     ) -> RetryVerdict {
         let repeatable = self.route().may_repeat();
@@ -94,15 +104,10 @@
             && quarantine::find_quarantine(&self.state, || self.fingerprint()).is_none();
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
-        let service = &self.service().name;
-        let may_retry = wanted
-            && self
-                .state
-                .with(|view| view.retries.try_take(service, now_ms()));
-        if may_retry {
-            METRICS.retries.inc();
+        if wanted && attempts.retry.is_none() {
+            attempts.retry = ReservedRetry::take(&self.state, &self.service().name);
         }
-        state.retry_verdict(repeatable, may_retry)
+        state.retry_verdict(repeatable, wanted && attempts.retry.is_some())
     }
 
     fn has_attempts_left(&self, attempts: &CallAttempts) -> bool {
@@ -139,8 +144,8 @@
         }
     }
 
-    /// Returns how long the next attempt waits for an answer to begin; an attempt that cannot be
-    /// retried waits until the deadline.
+    /// Returns how long the next attempt waits for an answer to begin until another endpoint is
+    /// sought; an attempt that cannot be retried waits until the deadline.
     fn answer_timeout(&self, expected_ms: Option<u32>, attempts: &CallAttempts) -> Duration {
         let is_last = attempts.sent + 1 >= self.route().attempts;
         if is_last || !self.route().may_repeat() {
@@ -260,11 +265,16 @@
         // Computed before `sent` is incremented, so that the timeout is that of this attempt.
         let answer_deadline =
             ClockInstant::now() + self.answer_timeout(placement.expected_ms, attempts);
-        let sent = timeout_at(answer_deadline, sent).await;
-        let sent = sent.map_err(|_| {
-            attempts.sent += 1;
-            AttemptFailure::broken_off("timed out", self.time_left().is_zero())
-        })?;
+        let mut sent = std::pin::pin!(sent);
+        let answered = timeout_at(answer_deadline, &mut sent).await;
+        let sent = match answered {
+            Ok(sent) => sent,
+            Err(_) => {
+                // Boxed, as each request would hold room for this rare future.
+                let wait = Box::pin(self.outlast_send(sent, placement, attempts));
+                wait.await.inspect_err(|_| attempts.record_sent())?
+            }
+        };
         let (response, connection) = sent.map_err(|failure| match failure {
             SendFailure::Refused(problem) => AttemptFailure::gone(AttemptState::Bound, problem),
             SendFailure::Unreachable(problem) => {
@@ -283,11 +293,11 @@
                 format!("withheld: {}", reason.as_str()),
             ),
             SendFailure::Lost(problem) => {
-                attempts.sent += 1;
+                attempts.record_sent();
                 AttemptFailure::broken_off(problem, false)
             }
         })?;
-        attempts.sent += 1;
+        attempts.record_sent();
         let head = decode_answer(response.status(), response.headers(), &self.head.id);
         let notice = head.notice.trusted(&head.attributes);
         receive_notice(&self.state, &placement.target, &self.head.id, notice);
@@ -329,6 +339,31 @@
         }
     }
 
+    /// Waits for the answer to a request whose endpoint has been silent.
+    ///
+    /// # Errors
+    ///
+    /// Returns the failure of the attempt if another endpoint takes over, or at the deadline.
+    async fn outlast_send<T>(
+        &self,
+        sent: impl Future<Output = T>,
+        placement: &CallPlacement,
+        attempts: &CallAttempts,
+    ) -> Result<T, AttemptFailure> {
+        let timed_out = || AttemptFailure::broken_off("timed out", true);
+        if self.time_left().is_zero() {
+            return Err(timed_out());
+        }
+        placement.guard.record(EndpointOutcome::Failed);
+        let sends = attempts.sent + 1;
+        let wait = self.outlast_silence(sent, attempts, sends, placement.goal);
+        match wait.await {
+            SilenceEnd::Answered(answer) => Ok(answer),
+            SilenceEnd::Replaced(replacement) => Err(AttemptFailure::replaced(replacement)),
+            SilenceEnd::TimedOut => Err(timed_out()),
+        }
+    }
+
     async fn send_whole(
         &self,
         placement: CallPlacement,
@@ -447,6 +482,7 @@
             ..
         } = answer;
         placement.guard.record(EndpointOutcome::Answered);
+        let goal = placement.goal;
         let source = StreamSource {
             target: placement.target,
             body,
@@ -454,48 +490,48 @@
             head,
             guard: placement.guard,
         };
-        let first_timeout = answer_deadline.remaining();
-        let mut stream = EventStream::new(self.clone(), attempts.clone(), source, parts.status);
-        match stream.read_first(first_timeout).await {
+        let sent = std::mem::take(attempts);
+        let mut stream = EventStream::new(self.clone(), sent, source, parts.status);
+        match stream.read_first(answer_deadline, goal).await {
             Ok(()) => Ok(forward_answer(
                 parts.status,
                 &parts.headers,
                 stream.into_body(),
             )),
-            Err(problem) => {
-                stream.record_failed();
-                Err(AttemptFailure::broken_off(
-                    problem,
-                    self.time_left().is_zero(),
-                ))
+            Err(lost) => {
+                if lost.replacement.is_none() {
+                    stream.record_failed();
+                }
+                // Closes the connection before the request is sent elsewhere.
+                *attempts = stream.into_attempts();
+                Err(match lost.replacement {
+                    Some(replacement) => AttemptFailure::replaced(replacement),
+                    None => AttemptFailure::broken_off(lost.problem, self.time_left().is_zero()),
+                })
             }
         }
     }
 
-    /// Resumes a stream that began at a software version at another endpoint, after the event
-    /// `after_event`.
+    /// Resumes a stream at another endpoint, after the event `after_event`.
     ///
     /// # Errors
     ///
-    /// Returns the problem if no endpoint resumes it.
+    /// Returns the failure if the endpoint does not resume it.
     pub(in super::super) async fn resume(
-        self: &Arc<Self>,
+        &self,
+        placement: CallPlacement,
         attempts: &mut CallAttempts,
         after_event: Option<u64>,
-        began_at: SoftwareVersion,
-    ) -> Result<StreamSource, String> {
-        let goal = PlacementGoal::Resume(began_at);
-        let placement = self.find_placement(attempts, goal).await;
-        let placement = placement.map_err(|refusal| refusal.reason.as_str().to_owned())?;
+    ) -> Result<StreamSource, AttemptFailure> {
         attempts.endpoints.push(placement.target.id);
         let answer = self.exchange(&placement, attempts, after_event).await;
         let answer = answer.inspect_err(|failure| {
             placement.guard.record_failure(failure.outcome);
             self.report_suspicion(&placement.target, failure);
-        });
-        let answer = answer.map_err(|failure| failure.problem)?;
+        })?;
         if !answer.parts.status.is_success() {
-            return Err(format!("status {}", answer.parts.status));
+            let problem = format!("status {}", answer.parts.status);
+            return Err(AttemptFailure::without_outcome(AttemptState::Sent, problem));
         }
         let JudgedAnswer {
             body,
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -11,7 +11,7 @@
 use super::gateway_state::{GatewayState, GatewayView};
 use super::notices::receive_reported_leave;
 use super::pending_slot_request::PendingSlotRequest;
-use super::placement_goal::PlacementGoal;
+use super::placement_goal::EndpointSearch;
 use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
@@ -117,10 +117,8 @@
     pub(super) prompt: &'a PromptShape,
     /// The subject of this request alone, for prompts without shared parts.
     pub(super) own_subject: u64,
-    /// The engines that were tried already.
-    pub(super) tried: &'a [EndpointId],
-    /// Whether a stream begins or continues, and at which software version.
-    pub(super) goal: PlacementGoal,
+    /// Which engines may be selected.
+    pub(super) search: EndpointSearch<'a>,
     /// The usage of the workspace relative to its share.
     pub(super) level: ShareLevel,
     /// How long the caller of a stream that continues is assumed to wait for the next event, in
@@ -150,7 +148,7 @@
 ) -> Vec<EndpointId> {
     let own = query.own_subject;
     let subject = query.prompt.affinity_key().unwrap_or(own);
-    let subject = placement_key(subject, own, query.tried.len());
+    let subject = placement_key(subject, own, query.search.tried.len());
     if query.prompt.shared_tokens() >= LOCAL_BELOW_TOKENS {
         let all = ready.iter().map(|ready| ready.id);
         return weighted_homes(subject, all, weights, counts.shared, accepts);
@@ -180,13 +178,16 @@
 fn ordered_homes(view: &GatewayView, query: &EngineQuery, counts: HomeCounts) -> Vec<HomeEngine> {
     let now = now_ms();
     let ready = view.endpoints.ready(&query.service.name);
-    let ready = query.goal.allowed(ready);
+    let ready = query.search.goal.allowed(ready);
     let ready = &*ready;
     let local = DomainKey::from_name(&view.fleet.own().domain);
     let weights = view.engine_weights.homes();
     let entry = |id: EndpointId| view.endpoints.get(id);
-    let is_eligible =
-        |id: EndpointId| view.endpoints.is_eligible(id, now) && !query.tried.contains(&id);
+    let is_accepted =
+        |id: EndpointId| entry(id).is_some_and(|entry| query.search.accepts(&entry.health));
+    let is_eligible = |id: EndpointId| {
+        view.endpoints.is_eligible(id, now) && !query.search.tried.contains(&id) && is_accepted(id)
+    };
     let is_usable = |id: EndpointId| {
         let unreliable = entry(id).is_none_or(|entry| entry.health.is_unreliable(now));
         is_eligible(id) && !unreliable
@@ -458,7 +459,7 @@
     let is_cold =
         |home: &HomeEngine| state.with(|view| view.warmups.is_cold(home.target.id, now_ms()));
     let warm_home = || homes.iter().find(|home| !is_cold(home));
-    if let Some(home) = query.goal.is_resume().then(warm_home).flatten() {
+    if let Some(home) = query.search.goal.is_resume().then(warm_home).flatten() {
         return Ok(place_unconditionally(state, home, request));
     }
     let mut refusal = EngineRefusal::default();
@@ -489,7 +490,7 @@
         return Ok(placement);
     }
     // The caller already reads events, and loses more by a refusal than by a pause.
-    let patience_ms = query.goal.continues().then_some(query.patience_ms);
+    let patience_ms = query.search.goal.continues().then_some(query.patience_ms);
     match soonest.zip(patience_ms) {
         Some(((home, first_ms), patience_ms)) if first_ms <= patience_ms => {
             return Ok(place_unconditionally(state, home, request));
@@ -642,7 +643,7 @@
     request: &AdmissionRequest,
 ) -> Option<u32> {
     // The fastest engine is checked only for a workspace beyond its share.
-    let is_exempt = query.goal.continues() || !query.level.is_beyond();
+    let is_exempt = query.search.goal.continues() || !query.level.is_beyond();
     let spec = query.service.engine.filter(|_| !is_exempt)?;
     let rule = state.settings().admission;
     let first_ms = state.with(|view| {
--- a/dockgate/src/gateway/engine_placement/tests.rs
+++ b/dockgate/src/gateway/engine_placement/tests.rs
@@ -1,3 +1,4 @@
+use super::super::placement_goal::PlacementGoal;
 use super::*;
 use crate::clock::ClockInstant;
 use crate::gateway::gateway_state::tests::state_with_seed;
@@ -12,6 +13,14 @@
 use tokio::net::UdpSocket;
 use yare::parameterized;
 
+const fn search_for(goal: PlacementGoal) -> EndpointSearch<'static> {
+    EndpointSearch {
+        tried: &[],
+        goal,
+        is_replacement: false,
+    }
+}
+
 #[parameterized(
     many_local = { &[1, 2, 3, 4, 5], &[9, 8], 0, &[1, 2, 3] },
     one_remote_last = { &[1, 2, 3, 4], &[9, 8], 1, &[1, 2, 3, 9] },
@@ -45,8 +54,7 @@
         service: &service,
         prompt: &prompt,
         own_subject: 7,
-        tried: &[],
-        goal: PlacementGoal::Begin,
+        search: search_for(PlacementGoal::Begin),
         patience_ms: 0,
         level: if remote_homes == 0 {
             beyond
@@ -150,8 +158,7 @@
             service: &service,
             prompt: &prompt,
             own_subject: number,
-            tried: &[],
-            goal: PlacementGoal::Begin,
+            search: search_for(PlacementGoal::Begin),
             patience_ms: 0,
             level,
             wait: None,
@@ -251,8 +258,7 @@
         service: &service,
         prompt: &prompt,
         own_subject: 99,
-        tried: &[],
-        goal,
+        search: search_for(goal),
         patience_ms: 0,
         level: ShareLevel::WITHIN,
         wait: (!resumed).then_some(window),
@@ -291,8 +297,7 @@
                 service: &service,
                 prompt: &prompt,
                 own_subject: *subject,
-                tried: &[],
-                goal: PlacementGoal::Begin,
+                search: search_for(PlacementGoal::Begin),
                 patience_ms: 0,
                 level: ShareLevel::WITHIN,
                 wait: None,
@@ -334,8 +339,7 @@
         service: &service,
         prompt: &prompt,
         own_subject: 99,
-        tried: &[],
-        goal: PlacementGoal::TakeUp(SoftwareVersion::from_name(version)),
+        search: search_for(PlacementGoal::TakeUp(SoftwareVersion::from_name(version))),
         patience_ms,
         level: ShareLevel::WITHIN,
         wait: None,
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -1,10 +1,11 @@
 //! Forwards a stream of events, and resumes it at another endpoint where that is allowed.
 
-use super::call::{AdmittedCall, CallAttempts};
+use super::call::{AdmittedCall, CallAttempts, Replacement, SilenceEnd};
 use super::call_body::{BrokenAnswer, CallBody};
 use super::end_check::record_interruption;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
+use super::placement_goal::PlacementGoal;
 use super::run_guard::RunGuard;
 use super::upstream::{EndpointTarget, PooledConnection};
 use crate::clock::{ClockInstant, timeout_at};
@@ -20,11 +21,20 @@
 use std::task::Poll;
 use std::time::Duration;
 
-/// How long a resumable stream may pause before it is resumed elsewhere, in multiples of the pause
+/// How long a resumable stream may pause before another endpoint is sought, in multiples of the pause
 /// that the route allows. By then the answer is late, but its caller is still there.
 const PAUSE_FACTOR: f64 = 4.5;
 /// The upper bound of such a pause, shorter than the timeouts of callers.
 const MAX_PAUSE: Duration = Duration::from_millis(1_500);
+/// How often an endpoint is sought again for a stream whose own one is lost, and at which interval.
+/// The retry stays reserved meanwhile.
+const MAX_SEARCHES: u32 = 4;
+const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// The source sent nothing for longer than expected, or until the deadline.
+const SILENT: LostSource = LostSource {
+    problem: "silent for too long",
+    replacement: None,
+};
 /// The number of bytes from which on no further events are added to a write, so that little is
 /// buffered for a slow reader.
 const MAX_WRITE_BYTES: usize = 16 << 10;
@@ -44,7 +54,25 @@
 enum StreamStep {
     Events(Bytes),
     End,
-    Lost(&'static str),
+    Lost(LostSource),
+    /// No event is complete yet, and the deadline has not passed.
+    Silent,
+}
+
+impl StreamStep {
+    const fn lost(problem: &'static str) -> Self {
+        Self::Lost(LostSource {
+            problem,
+            replacement: None,
+        })
+    }
+}
+
+/// Why the source of a stream is given up.
+pub(super) struct LostSource {
+    pub(super) problem: &'static str,
+    /// The endpoint that takes over, if the source was given up for it.
+    pub(super) replacement: Option<Box<Replacement>>,
 }
 
 /// Yields once to the tasks that are ready, without polling the I/O driver.
@@ -102,13 +130,17 @@
         }
     }
 
-    /// Reads the first events.
+    /// Reads the first events; another endpoint is sought from `silent_at` on.
     ///
     /// # Errors
     ///
     /// Returns the problem if none arrive; nothing has been forwarded then.
-    pub(super) async fn read_first(&mut self, timeout: Duration) -> Result<(), &'static str> {
-        match self.read(timeout).await {
+    pub(super) async fn read_first(
+        &mut self,
+        silent_at: ClockInstant,
+        goal: PlacementGoal,
+    ) -> Result<(), LostSource> {
+        match self.read_or_replace(silent_at, goal).await {
             StreamStep::Events(bytes) => {
                 self.ready = Some(bytes);
                 self.call.progress.record_answer();
@@ -121,10 +153,16 @@
                 self.ended = true;
                 Ok(())
             }
-            StreamStep::Lost(problem) => Err(problem),
+            StreamStep::Lost(lost) => Err(lost),
+            StreamStep::Silent => Err(SILENT),
         }
     }
 
+    /// Ends the stream before any event was forwarded, and returns the attempts made for it.
+    pub(super) fn into_attempts(self) -> CallAttempts {
+        self.attempts
+    }
+
     /// Records that the endpoint failed.
     pub(super) fn record_failed(&self) {
         if let Some(source) = &self.source {
@@ -153,14 +191,19 @@
             }
             let step = match self.pending_step.take() {
                 Some(step) => step,
-                None => self.read(self.pause_timeout()).await,
+                None => {
+                    let silent_at = ClockInstant::now() + self.pause_timeout();
+                    let goal = PlacementGoal::Resume(self.version);
+                    self.read_or_replace(silent_at, goal).await
+                }
             };
             match step {
                 StreamStep::Events(bytes) => self.ready = Some(self.read_ready(bytes).await),
                 StreamStep::End => self.ended = true,
-                StreamStep::Lost(problem) => {
+                StreamStep::Silent => self.pending_step = Some(StreamStep::Lost(SILENT)),
+                StreamStep::Lost(lost) => {
                     // Boxed, as the stream would hold room for this rare future all its life.
-                    if let Err(broken) = Box::pin(self.fail_over(problem)).await {
+                    if let Err(broken) = Box::pin(self.fail_over(lost)).await {
                         self.ended = true;
                         self.source = None;
                         return Some((Err(broken), self));
@@ -192,15 +235,56 @@
         }
     }
 
-    /// Reads until at least one event is complete.
-    async fn read(&mut self, timeout: Duration) -> StreamStep {
-        let until = self.call.deadline().min(ClockInstant::now() + timeout);
+    /// Reads until at least one event is complete; another endpoint is sought from `silent_at` on.
+    async fn read_or_replace(
+        &mut self,
+        silent_at: ClockInstant,
+        goal: PlacementGoal,
+    ) -> StreamStep {
+        match self.read(silent_at).await {
+            // Boxed, as the stream would hold room for this rare future all its life.
+            StreamStep::Silent => Box::pin(self.outlast_silence(goal)).await,
+            step => step,
+        }
+    }
+
+    /// Reads from a source that has been silent until another endpoint takes over.
+    async fn outlast_silence(&mut self, goal: PlacementGoal) -> StreamStep {
+        self.record_failed();
+        let call = self.call.clone();
+        let attempts = std::mem::take(&mut self.attempts);
+        let read = self.read(call.deadline());
+        let wait = call.outlast_silence(read, &attempts, attempts.sent, goal);
+        let end = wait.await;
+        self.attempts = attempts;
+        match (end, &self.source) {
+            (SilenceEnd::Answered(step), Some(source)) => {
+                if matches!(step, StreamStep::Events(_)) {
+                    source.guard.record(EndpointOutcome::Answered);
+                }
+                step
+            }
+            (SilenceEnd::Answered(step), None) => step,
+            (SilenceEnd::Replaced(replacement), _) => StreamStep::Lost(LostSource {
+                replacement: Some(replacement),
+                ..SILENT
+            }),
+            (SilenceEnd::TimedOut, _) => StreamStep::Lost(SILENT),
+        }
+    }
+
+    /// Reads until at least one event is complete, or until a time.
+    async fn read(&mut self, until: ClockInstant) -> StreamStep {
+        let until = self.call.deadline().min(until);
         loop {
             let Some(source) = self.source.as_mut() else {
-                return StreamStep::Lost("no endpoint");
+                return StreamStep::lost("no endpoint");
             };
             let Ok(frame) = timeout_at(until, source.body.frame()).await else {
-                return StreamStep::Lost("silent for too long");
+                return match self.call.time_left().is_zero() {
+                    true => StreamStep::Lost(SILENT),
+                    false => StreamStep::Silent,
+                };
             };
             let Some(step) = self.step_for(frame) else {
                 continue;
@@ -240,16 +324,16 @@
     ) -> Option<StreamStep> {
         let data = match frame {
             None if self.splitter.has_partial_event() => {
-                return Some(StreamStep::Lost("ended inside an event"));
+                return Some(StreamStep::lost("ended inside an event"));
             }
             None => return Some(StreamStep::End),
-            Some(Err(_)) => return Some(StreamStep::Lost("broke off")),
+            Some(Err(_)) => return Some(StreamStep::lost("broke off")),
             Some(Ok(frame)) => frame.into_data().ok()?,
         };
         match self.split_events(&data) {
             Ok(bytes) if bytes.is_empty() => None,
             Ok(bytes) => Some(StreamStep::Events(bytes)),
-            Err(problem) => Some(StreamStep::Lost(problem)),
+            Err(problem) => Some(StreamStep::lost(problem)),
         }
     }
 
@@ -272,8 +356,14 @@
     }
 
     /// Resumes the stream at another endpoint after the current one was lost.
-    async fn fail_over(&mut self, problem: &'static str) -> Result<(), BrokenAnswer> {
-        self.record_failed();
+    async fn fail_over(&mut self, lost: LostSource) -> Result<(), BrokenAnswer> {
+        let LostSource {
+            problem,
+            replacement,
+        } = lost;
+        if replacement.is_none() {
+            self.record_failed();
+        }
         // Dropping the source closes the connection before another endpoint resumes the stream.
         let lost = self.source.take().map(|source| source.target);
         if let Some(target) = &lost {
@@ -282,7 +372,7 @@
         let version_name = |target: &EndpointTarget| self.call.state.version_name(target.id);
         let began_at = lost.as_ref().map(version_name).unwrap_or_default();
         self.splitter = EventSplitter::default();
-        let reason = match self.resume().await {
+        let reason = match self.resume(replacement).await {
             Ok(source) => {
                 GATEWAY_METRICS.resumed_streams.inc();
                 log_gateway(&GatewayEvent::Resumed {
@@ -314,22 +404,48 @@
         Err(BrokenAnswer::Lost(name, problem))
     }
 
-    async fn resume(&mut self) -> Result<StreamSource, String> {
+    async fn resume(
+        &mut self,
+        mut replacement: Option<Box<Replacement>>,
+    ) -> Result<StreamSource, String> {
+        let call = self.call.clone();
+        let mut searches = 0;
         loop {
-            if self.call.caller.is_disconnected() {
+            if call.caller.is_disconnected() {
                 return Err("its caller has left".to_owned());
             }
-            // Forwarded events stay valid, so the request counts as sent.
-            match self.call.after_failure(&self.attempts, AttemptState::Sent) {
-                RetryVerdict::Retry => {}
-                RetryVerdict::Report(_) => return Err("no further attempt is allowed".to_owned()),
-            }
-            let call = self.call.clone();
-            let resumed = call.resume(&mut self.attempts, self.last_event, self.version);
+            let placement = match replacement.take() {
+                Some(replacement) => Ok(replacement.begin(&mut self.attempts)),
+                // Forwarded events stay valid, so the request counts as sent.
+                None => match call.after_failure(&mut self.attempts, AttemptState::Sent) {
+                    RetryVerdict::Retry => {
+                        let goal = PlacementGoal::Resume(self.version);
+                        call.find_placement(&self.attempts.endpoints, goal).await
+                    }
+                    RetryVerdict::Report(_) => {
+                        return Err("no further attempt is allowed".to_owned());
+                    }
+                },
+            };
+            let placement = match placement {
+                Ok(placement) => placement,
+                Err(refusal) if searches == MAX_SEARCHES => {
+                    return Err(refusal.reason.as_str().to_owned());
+                }
+                Err(_) => {
+                    searches += 1;
+                    tokio::time::sleep(SEARCH_INTERVAL).await;
+                    continue;
+                }
+            };
+            let resumed = call.resume(placement, &mut self.attempts, self.last_event);
             match resumed.await {
                 Ok(source) => return Ok(source),
-                Err(problem) if self.attempts.endpoints.len() > 4 => return Err(problem),
-                Err(problem) => log::debug!("could not resume {}: {problem}", call.head.id),
+                Err(failure) if self.attempts.endpoints.len() > 4 => return Err(failure.problem),
+                Err(failure) => {
+                    log::debug!("could not resume {}: {}", call.head.id, failure.problem);
+                    replacement = failure.replacement;
+                }
             }
         }
     }
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -36,6 +36,7 @@
     /// Changes of the weights of engines that this box owns.
     pub(super) weight_changes: IntCounter,
     withheld_sends: IntCounterVec,
+    silent_sends: IntCounterVec,
     /// Log lines about requests that exceeded the rate limit.
     pub(super) suppressed_lines: IntCounter,
     /// Restores of the store from an older copy.
@@ -145,6 +146,12 @@
                 "Requests that were not written to an endpoint once that was decided, by reason",
                 &["reason"],
             ),
+            silent_sends: counter_vec(
+                "dockgate_silent_sends_total",
+                "Requests whose endpoint was silent for longer than expected, by how the wait \
+                 ended: answered, replaced by another endpoint, timed_out",
+                &["outcome"],
+            ),
             suppressed_lines: counter(
                 "dockgate_log_lines_held_back_total",
                 "Lines about requests that were not written, as there were too many in a second",
@@ -267,6 +274,11 @@
         self.withheld_sends.with_label_values(&[reason]).inc();
     }
 
+    /// Counts the end of a wait for a silent endpoint.
+    pub(super) fn record_silent_send(&self, outcome: &str) {
+        self.silent_sends.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a datagram and its size.
     pub(super) fn record_datagram(&self, kind: &str, direction: &str, bytes: usize) {
         let labels = [kind, direction];
--- a/dockgate/src/gateway/placement_goal.rs
+++ b/dockgate/src/gateway/placement_goal.rs
@@ -1,6 +1,6 @@
 //! Whether a request begins a stream or continues one, which restricts its endpoints.
 
-use dockgate_core::gateway::{ReadyEndpoint, SoftwareVersion};
+use dockgate_core::gateway::{EndpointHealth, EndpointId, ReadyEndpoint, SoftwareVersion};
 use std::borrow::Cow;
 
 /// What an endpoint is sought for.
@@ -47,3 +47,21 @@
         allowed.copied().collect()
     }
 }
+
+/// Which endpoints may be selected for the next attempt of a request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct EndpointSearch<'a> {
+    /// The endpoints that were tried already.
+    pub(super) tried: &'a [EndpointId],
+    pub(super) goal: PlacementGoal,
+    /// Whether the endpoint takes over from one that may still answer, so that it has to be a better
+    /// choice than that one.
+    pub(super) is_replacement: bool,
+}
+
+impl EndpointSearch<'_> {
+    /// Returns whether an endpoint of this health may be used.
+    pub(super) const fn accepts(&self, health: &EndpointHealth) -> bool {
+        !self.is_replacement || !health.is_failing()
+    }
+}
