fix: an endpoint's failure is forwarded if no other endpoint answers

Callers got 502 for a request that an endpoint had answered with a failure of its own, once a retry was allowed but found no endpoint, or was lost. Cause: the answer was dropped when the retry was decided, before it was known whether another endpoint answers. It is now kept until one does.

--- a/dockgate-bench/tests/gateway.rs
+++ b/dockgate-bench/tests/gateway.rs
@@ -190,6 +190,33 @@
     }
 }
 
+/// Guards against an endpoint's failure that is replaced by one of the box, since it was dropped
+/// before it was known whether another endpoint answers.
+#[parameterized(
+    no_other_endpoint = { &["plain"] },
+    other_endpoint_loses_it = { &["plain", "plain"] },
+)]
+#[test_macro(tokio::test)]
+async fn failed_answer_is_passed_on_when_no_other_endpoint_answers(services: &[&str]) {
+    let fleet = start_fleet(1, services).await;
+    let gateway = &fleet.gateways[0];
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(Duration::from_millis(300));
+        endpoint.set_behavior(EndpointBehavior::Fails);
+    }
+    let failing = call(gateway, request("/again/x", "r1", None));
+    let lose_other = async {
+        wait_until("the request runs", async || fleet.runs_of("r1") == 1).await;
+        let others = fleet.endpoints.iter().filter(|other| other.running() == 0);
+        others.for_each(|other| other.set_behavior(EndpointBehavior::Loses));
+    };
+    let (response, ()) = tokio::join!(failing, lose_other);
+    assert_eq!(fleet.runs_of("r1"), services.len());
+    assert_eq!(response.status(), StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(response.headers().contains_key("x-upstream-signature"));
+    assert_eq!(text(response).await, "echo hello");
+}
+
 #[tokio::test]
 async fn refused_request_is_not_run_and_has_retry_after() {
     let fleet = start_fleet(1, &["plain"]).await;
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -46,16 +46,16 @@
         let goal = self.placement_goal().await?;
         let mut attempts = CallAttempts::default();
         let mut replacement: Option<Box<Replacement>> = None;
-        loop {
+        // The last failure that an endpoint answered, forwarded if no other one succeeds.
+        let mut failed_answer: Option<Box<Response<CallBody>>> = None;
+        let refusal = loop {
             let placement = match replacement.take() {
                 Some(replacement) => replacement.begin(&mut attempts),
-                None => {
-                    let placed = self.find_placement(&attempts.endpoints, goal).await;
-                    placed.map_err(|refusal| match attempts.sent {
-                        0 => refusal,
-                        _ => self.refusal_after(&attempts, AttemptState::Queued, false),
-                    })?
-                }
+                None => match self.find_placement(&attempts.endpoints, goal).await {
+                    Ok(placement) => placement,
+                    Err(refusal) if attempts.sent == 0 => break refusal,
+                    Err(_) => break self.refusal_after(&attempts, AttemptState::Queued, false),
+                },
             };
             attempts.endpoints.push(placement.target.id);
             let mut failure = match self.clone().send_once(placement, &mut attempts).await {
@@ -66,22 +66,18 @@
             if self.caller.is_disconnected() {
                 return Err(RefusalReason::CallerLeft.into());
             }
+            failed_answer = failure.answer.take().or(failed_answer);
             replacement = failure.replacement.take();
             if replacement.is_some() {
                 continue;
             }
-            let verdict = self.after_failure(&mut attempts, failure.state);
-            if verdict == RetryVerdict::Retry {
-                continue;
+            if self.after_failure(&mut attempts, failure.state) != RetryVerdict::Retry {
+                break self.refusal_after(&attempts, failure.state, failure.timed_out);
             }
-            return match failure.answer.take() {
-                Some(answer) => {
-                    self.progress.end();
-                    Ok(*answer)
-                }
-                None => Err(self.refusal_after(&attempts, failure.state, failure.timed_out)),
-            };
-        }
+        };
+        let answer = failed_answer.ok_or(refusal)?;
+        self.progress.end();
+        Ok(*answer)
     }
 
     /// Decides whether the request is sent to another endpoint after a failed attempt.
