--- a/dockgate-bench/tests/silent_endpoints.rs
+++ b/dockgate-bench/tests/silent_endpoints.rs
@@ -13,6 +13,8 @@
 /// Longer than the time after which a request to a silent endpoint is repeated elsewhere.
 const LONG_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// The slack of a retry budget that allows one retry.
+const ONE_RETRY: f64 = 1.3;
 /// The number of requests that an endpoint with eight slots gets at most.
 const MAX_RUNS: usize = 12;
 
@@ -25,6 +27,7 @@
     let fleet = GatewayFleet::start(1, services, &config).await.unwrap();
     let gateway = &fleet.gateways[0];
     gateway.add_setting("retry_ratio = 0").unwrap();
+    gateway.add_setting("retry_window_s = 60").unwrap();
     let slack = format!("retry_slack = {retry_slack}");
     gateway.add_setting(&slack).unwrap();
     gateway.signal(Signal::SIGHUP);
@@ -94,7 +97,6 @@
 /// Guards against a retry budget that is charged for a retry without an endpoint.
 #[tokio::test]
 async fn retry_without_an_endpoint_is_given_back() {
-    const ONE_RETRY: f64 = 1.3;
     let mut fleet = start(&["plain"], ONE_RETRY).await;
     fleet.endpoints[0].set_processing_time(Duration::from_millis(900));
     call_all(&fleet, plain_requests(1)).await;
@@ -112,6 +114,33 @@
     assert_eq!(fleet.runs_of("lost"), 2, "sent to both endpoints");
 }
 
+/// Guards against a retry budget that is charged for each search of an endpoint for a lost stream.
+#[tokio::test]
+async fn retry_of_a_stream_without_an_endpoint_is_given_back() {
+    let mut fleet = start(&["model"], ONE_RETRY).await;
+    fleet.endpoints[0].set_behavior(EndpointBehavior::CutsAfter(2));
+    let requests = [request("/live/x", "r1", Some(12))];
+    let answers = call_all(&fleet, requests.into_iter()).await;
+    assert_eq!(answers[0].body, None, "the stream is cut");
+    fleet.add_endpoint("life-1", "model").await.unwrap();
+    let gateway = &fleet.gateways[0];
+    wait_until("the second endpoint is known", async || {
+        gateway.logged().contains(r#""endpoint":"life-1""#)
+    })
+    .await;
+    fleet.endpoints[1].set_behavior(EndpointBehavior::CutsAfter(2));
+    let mut number = 0;
+    // An endpoint that backs off is no second one.
+    wait_until("a stream is sent to both endpoints", async || {
+        let id = format!("again{number}");
+        number += 1;
+        let requests = [request("/live/x", &id, Some(12))];
+        call_all(&fleet, requests.into_iter()).await;
+        fleet.runs_of(&id) == 2
+    })
+    .await;
+}
+
 /// Guards against streams that are cut during a silence of their endpoint, since no retry is left.
 #[tokio::test]
 async fn stream_whose_endpoint_pauses_is_completed_when_the_retry_budget_is_exhausted() {
