--- a/dockgate-bench/tests/silent_endpoints.rs
+++ b/dockgate-bench/tests/silent_endpoints.rs
@@ -193,13 +193,12 @@
         endpoint.set_processing_time(Duration::from_millis(40));
     }
     let response = call(&fleet.gateways[0], request("/live/x", "r1", Some(12))).await;
-    let runs_it = fleet
-        .endpoints
-        .iter()
-        .find(|endpoint| endpoint.running() > 0);
-    runs_it.unwrap().fall_silent(Duration::from_secs(60));
+    let silent = fleet.endpoints.iter().find(|each| each.running() > 0);
+    let silent = silent.expect("an endpoint runs the request");
+    silent.fall_silent(Duration::from_secs(60));
     assert_eq!(text(response).await, all_events(12));
     assert_eq!(fleet.runs_of("r1"), 2);
+    wait_until("the first run has ended", async || silent.running() == 0).await;
 }
 
 /// Guards against requests that stay with an endpoint that has lost them.
