--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -6,7 +6,9 @@
 mod call_progress;
 mod plain_selection;
 mod quarantine_check;
+mod reserved_retry;
 mod send_attempts;
+mod silent_send;
 mod take_up;
 
 use super::call_body::CallBody;
@@ -20,6 +22,7 @@
 use call_progress::CallStage;
 use http::{Request, Response};
 use hyper::body::Incoming;
+pub(super) use silent_send::{Replacement, SilenceEnd};
 use std::sync::Arc;
 use std::time::Duration;
 
