fix: streams that end with their connection before any event are failures

A stream whose answer has neither a length nor chunks, and whose endpoint closed the connection before the first event, was passed on as a complete answer without events: callers saw a 200 with an empty body, and nothing was sent to another endpoint.

Cause: the end of the connection is the end of such a body, so the HTTP library reports no error, and a stream counted as broken only if it ended inside an event.

An unframed stream without any event, from a request that takes up none, now counts as broken off: it is sent to another endpoint where the route allows, else it ends as 502. A stream that is taken up may have no events left and is forwarded as before.

The tests also cover what held before: whole answers, resets in front of and in a body, ends inside an event, HTTP/1.0, and keep-alive headers on answers that end with their connection.

--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -71,6 +71,8 @@
     /// The step that follows them, if it was read already.
     pending_step: Option<StreamStep>,
     ended: bool,
+    /// Whether an event was received, from this endpoint or one before it.
+    has_events: bool,
     last_event: Option<u64>,
     /// The software version of the endpoint that sent the first event.
     version: SoftwareVersion,
@@ -96,6 +98,7 @@
             ready: None,
             pending_step: None,
             ended: false,
+            has_events: false,
             events: 0,
             status,
             first_event_age: Duration::ZERO,
@@ -242,17 +245,31 @@
             None if self.splitter.has_partial_event() => {
                 return Some(StreamStep::Lost("ended inside an event"));
             }
+            None if self.lacks_first_event() => {
+                return Some(StreamStep::Lost("ended before its first event"));
+            }
             None => return Some(StreamStep::End),
             Some(Err(_)) => return Some(StreamStep::Lost("broke off")),
             Some(Ok(frame)) => frame.into_data().ok()?,
         };
         match self.split_events(&data) {
             Ok(bytes) if bytes.is_empty() => None,
-            Ok(bytes) => Some(StreamStep::Events(bytes)),
+            Ok(bytes) => {
+                self.has_events = true;
+                Some(StreamStep::Events(bytes))
+            }
             Err(problem) => Some(StreamStep::Lost(problem)),
         }
     }
 
+    /// Returns whether a stream ended with its connection before any event, so that its endpoint
+    /// may have broken it off. A stream that is taken up may have no events left.
+    fn lacks_first_event(&self) -> bool {
+        let source = self.source.as_ref();
+        let is_unframed = source.is_some_and(|source| source.head.is_unframed);
+        is_unframed && !self.has_events && self.last_event.is_none()
+    }
+
     /// Splits bytes into events, drops those that the caller has received, and detects gaps.
     fn split_events(&mut self, data: &[u8]) -> Result<Bytes, &'static str> {
         let (bytes, events) = self.splitter.push(data).ok_or("an event is too long")?;
