fix: a stopping box waits for the next request after its last answer has ended

The caller of a stream that began before SIGTERM sent its next request on the connection that it had kept, and found it closed: the box exited as soon as the stream had ended.

Cause: the quiet period, which is meant for requests that callers are about to send, counted from the head of the last answer. A stream longer than the period had used it up when it ended.

The period now also counts from the last use of each connection that is still open: the end of its answer, its first bytes of a request, or its acceptance. The grace period bounds it as before.

Test: a stream of 1.8 s, then a request on the same connection 200 ms later.

--- a/dockgate-bench/tests/caller_connections.rs
+++ b/dockgate-bench/tests/caller_connections.rs
@@ -2,6 +2,8 @@
 //! box stops.
 
 use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, start_fleet, wait_until};
+use dockgate_bench::standin::caller::{all_events, connect, request, text};
+use http::StatusCode;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use std::io;
@@ -147,3 +149,31 @@
     let body = caller.read_body(LARGE_ANSWER_BYTES).await;
     assert_eq!(body, LARGE_ANSWER_BYTES);
 }
+
+/// Guards against a stopping box that exits as soon as a stream ends, while its caller sends the
+/// next request on the connection.
+#[tokio::test]
+async fn requests_that_follow_a_stream_at_a_stopping_box_are_answered() {
+    const EVENTS: u64 = 18;
+    let fleet = start_fleet(1, &["model", "plain"]).await;
+    fleet.endpoints[0].set_processing_time(Duration::from_millis(100));
+    let gateway = &fleet.gateways[0];
+    let mut caller = connect(gateway.caller_address()).await;
+    let stream = caller
+        .send_request(request("/live/x", "r1", Some(EVENTS)))
+        .await
+        .unwrap();
+    gateway.signal(Signal::SIGTERM);
+    assert_eq!(text(stream).await, all_events(EVENTS));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut next = request("/once/x", "r2", None);
+    let budget = "200".parse().unwrap();
+    next.headers_mut().insert("x-deadline-ms", budget);
+    let response = caller.send_request(next).await;
+    let response = response.expect("the request is answered or refused");
+    let is_final = matches!(
+        response.status(),
+        StatusCode::OK | StatusCode::SERVICE_UNAVAILABLE
+    );
+    assert!(is_final, "{}", response.status());
+}
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -85,10 +85,15 @@
         self.answered_ms.store(now_ms(), Ordering::Relaxed);
     }
 
-    /// Returns whether no answer has ended and no stop has begun within `since`.
+    /// Returns whether no stop and no answer has begun, and no open connection was used, within
+    /// `since`.
     pub(super) fn is_quiet(&self, since: Duration) -> bool {
-        let answered = self.answered_ms.load(Ordering::Relaxed);
-        now_ms().saturating_sub(answered) > since.as_millis() as u64
+        let connections = self.locked();
+        let used = connections
+            .values()
+            .map(|connection| connection.last_used_ms());
+        let last_ms = used.fold(self.answered_ms.load(Ordering::Relaxed), u64::max);
+        now_ms().saturating_sub(last_ms) > since.as_millis() as u64
     }
 
     /// Returns the connection limit.
