fix: broken answers to HTTP/1.0 callers end with a reset

A stream that broke off, and could not be resumed, looked complete to a caller of HTTP/1.0: its connection was closed after the last whole event.

Cause: such an answer has neither a length nor chunks, so the close that marks it as incomplete in HTTP/1.1 is its proper end in HTTP/1.0.

The connection is reset if the body of an answer to HTTP/1.0 is dropped before its end, which also covers answers that are aborted when the process ends. Bytes that the caller has not received yet may be discarded with it.

--- a/dockgate-bench/tests/unframed_answers.rs
+++ b/dockgate-bench/tests/unframed_answers.rs
@@ -312,3 +312,24 @@
     assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
     assert_eq!(endpoints.received().len(), 1);
 }
+
+/// Guards against a broken answer that a caller of HTTP/1.0 takes for complete, since it gets no
+/// chunks either.
+#[tokio::test]
+async fn broken_streams_are_reset_at_callers_without_chunks() {
+    let broken = RawAnswer::new(all_events(2) + "id: 3\nda", ConnectionEnd::Close);
+    let endpoints = RawEndpoints::new([broken]);
+    let fleet = start_with("model", &endpoints).await;
+    let mut caller = TcpStream::connect(fleet.gateways[0].caller_address())
+        .await
+        .unwrap();
+    let request = "POST /draft/x HTTP/1.0\r\nhost: h.example\r\nauthorization: Token k1\r\n\
+                   x-request-id: r1\r\nx-deadline-ms: 3000\r\nx-model: m\r\nx-token-usage: 500,4\r\n\
+                   x-prefix-hash: a1:400,b2:100\r\ncontent-length: 0\r\n\r\n";
+    caller.write_all(request.as_bytes()).await.unwrap();
+    let mut received = Vec::new();
+    let end = caller.read_to_end(&mut received).await;
+    let received = String::from_utf8(received).unwrap();
+    assert!(received.ends_with(&event(2)), "{received}");
+    assert!(end.is_err(), "the answer looks complete: {received}");
+}
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -7,9 +7,9 @@
 use super::sockets::{has_stream_options, set_stream_options};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
-use crate::shared_stream::SharedStream;
+use crate::shared_stream::{SharedStream, StreamAbortHandle};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -152,11 +152,15 @@
     async fn serve(&self, stream: TcpStream, connection: &Arc<ConnectionState>) {
         let limits = self.state.table().config().limits;
         let stream = SharedStream::new(stream);
-        let caller = stream.disconnect_monitor();
+        let (caller, abort) = (stream.disconnect_monitor(), stream.abort_handle());
         let io = TokioIo::new(TrackedIo::new(stream, connection.clone()));
         let service = service_fn(|request: Request<Incoming>| {
             let busy = BusyGuard::new(connection.clone());
             let (state, caller) = (self.state.clone(), caller.clone());
+            // Without chunks, the caller would take the close of a broken answer for its end.
+            let has_body = request.method() != Method::HEAD;
+            let needs_abort = has_body && request.version() < Version::HTTP_11;
+            let abort = needs_abort.then(|| abort.clone());
             async move {
                 let stopping = state.clone();
                 // The HTTP library keeps room for this future as long as the connection is open.
@@ -166,7 +170,7 @@
                     || stopping.is_short_of_memory()
                     || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
-                Ok::<_, Infallible>(finish_answer(ends, response, busy))
+                Ok::<_, Infallible>(finish_answer(ends, response, busy, abort))
             }
         });
         let served = Builder::new()
@@ -246,17 +250,26 @@
     ends: bool,
     mut response: Response<CallBody>,
     busy: BusyGuard,
+    abort: Option<StreamAbortHandle>,
 ) -> Response<BusyBody> {
     if ends {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response.map(|body| BusyBody { body, _busy: busy })
+    response.map(|body| BusyBody {
+        is_complete: body.is_end_stream(),
+        body,
+        abort,
+        _busy: busy,
+    })
 }
 
 /// A body that keeps its connection marked as busy until it is dropped.
 struct BusyBody {
     body: CallBody,
+    is_complete: bool,
+    /// Resets the connection if the answer is dropped before its end.
+    abort: Option<StreamAbortHandle>,
     _busy: BusyGuard,
 }
 
@@ -268,7 +281,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.is_complete = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -279,3 +294,11 @@
         self.body.size_hint()
     }
 }
+
+impl Drop for BusyBody {
+    fn drop(&mut self) {
+        if let (Some(abort), false) = (&self.abort, self.is_complete) {
+            abort.reset_on_close();
+        }
+    }
+}
--- a/dockgate/src/shared_stream.rs
+++ b/dockgate/src/shared_stream.rs
@@ -172,7 +172,7 @@
 }
 
 /// Resets a connection without keeping it open.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct StreamAbortHandle(Weak<TcpStream>);
 
 impl StreamAbortHandle {
