fix: connections that the box closes stay open until their caller has the answer

An answer with Connection: close was cut short, and a refusal ended in a reset, if the caller sent more: the rest of a body whose request was refused by its head, or a next request that crossed the close.

Cause: after its last answer the connection was closed at once. Closing a connection with unread bytes resets it, and a reset discards what the caller has not received yet.

The box now shuts down its sending side only, and reads and discards until the caller has closed, for 2 s or 1 MiB at most. Such a connection is not busy, so it can be closed as surplus, and it keeps a stopping box no longer than its quiet period.

--- a/dockgate-bench/tests/caller_connections.rs
+++ b/dockgate-bench/tests/caller_connections.rs
@@ -14,6 +14,8 @@
 
 /// The size of an answer that does not fit into the buffers of a connection.
 const LARGE_ANSWER_BYTES: usize = 16 << 20;
+/// The size of an answer that fits into the send buffer of a connection.
+const BUFFERED_ANSWER_BYTES: usize = 1 << 20;
 
 /// Starts an endpoint that answers each request with `length` bytes.
 async fn add_large_endpoint(fleet: &GatewayFleet, length: usize) {
@@ -177,3 +179,54 @@
     );
     assert!(is_final, "{}", response.status());
 }
+
+/// Guards against a close that resets the connection, since bytes of the caller are unread, and so
+/// discards the rest of an answer.
+#[tokio::test]
+async fn answers_before_a_close_survive_bytes_that_follow_their_request() {
+    let fleet = start_fleet(1, &["model"]).await;
+    add_large_endpoint(&fleet, BUFFERED_ANSWER_BYTES).await;
+    let gateway = &fleet.gateways[0];
+    let mut caller = SlowCaller::connect(gateway.caller_address()).await;
+    gateway.signal(Signal::SIGTERM);
+    wait_until("the box is not ready", async || !gateway.is_ready().await).await;
+    caller.send_request("r1").await.unwrap();
+    caller.read_first().await;
+    for id in ["r2", "r3"] {
+        // The box may have closed the connection.
+        let _ = caller.send_request(id).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let body = caller.read_body(BUFFERED_ANSWER_BYTES).await;
+    assert_eq!(body, BUFFERED_ANSWER_BYTES);
+}
+
+/// Guards against a refusal that is lost because the rest of its request's body arrives after it.
+#[tokio::test]
+async fn refusals_survive_the_rest_of_a_body() {
+    const PART: &str = "one part of a body that is sent slowly";
+    const PARTS: usize = 6;
+    let fleet = start_fleet(1, &["plain"]).await;
+    let gateway = &fleet.gateways[0];
+    let mut caller = TcpStream::connect(gateway.caller_address()).await.unwrap();
+    gateway.signal(Signal::SIGTERM);
+    wait_until("the box is not ready", async || !gateway.is_ready().await).await;
+    // The route allows 4 s, the box exits within 3.6 s.
+    let head = format!(
+        "POST /once/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Token k1\r\nx-request-id: r1\r\n\
+         x-deadline-ms: 4000\r\ncontent-length: {}\r\n\r\n",
+        PART.len() * PARTS
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    for _ in 0..PARTS {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let written = caller.write_all(PART.as_bytes()).await;
+        written.expect("the connection is open while the body is sent");
+    }
+    let mut answer = String::new();
+    caller
+        .read_to_string(&mut answer)
+        .await
+        .expect("an orderly close");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -7,7 +7,9 @@
 use super::sockets::{has_stream_options, set_stream_options};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
-use crate::shared_stream::{SharedStream, StreamAbortHandle};
+use crate::shared_stream::{
+    DisconnectMonitor, SharedStream, StreamAbortHandle, discard_until_closed,
+};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -36,6 +38,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The interval between checks for overdue connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a connection stays open after its last answer for a caller that does not close it.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The maximum number of bytes that are read and discarded in that time.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// The minimum buffer size of a connection.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -180,8 +186,11 @@
         let ended = connection
             .serve_until_closed(served.as_mut(), &caller)
             .await;
-        if let Some(Err(error)) = ended {
-            log::debug!("connection of a caller failed: {error}");
+        match ended {
+            // Boxed, since few connections are closed by this box.
+            Some(Ok(())) => Box::pin(linger(&caller, connection)).await,
+            Some(Err(error)) => log::debug!("connection of a caller failed: {error}"),
+            None => {}
         }
     }
 
@@ -229,6 +238,18 @@
     }
 }
 
+/// Waits until the caller has closed a connection whose last answer is written.
+///
+/// Closing a connection with unread bytes resets it, which discards what the caller has not received
+/// of the answer. The caller may be sending the rest of a body, or a request that crosses the close.
+async fn linger(caller: &DisconnectMonitor, connection: &ConnectionState) {
+    tokio::select! {
+        () = discard_until_closed(caller, MAX_DISCARDED_BYTES) => {}
+        () = connection.close.notified() => {}
+        () = tokio::time::sleep(LINGER_TIMEOUT) => {}
+    }
+}
+
 /// Marks a connection as busy until the answer is complete.
 struct BusyGuard(Arc<ConnectionState>);
 
--- a/dockgate/src/shared_stream.rs
+++ b/dockgate/src/shared_stream.rs
@@ -26,6 +26,8 @@
 const CLOSE_INTEREST: Interest = Interest::READABLE;
 /// Poll interval on systems where unread bytes would wake a waiting task continuously.
 const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// The size of the reads that discard bytes.
+const DISCARD_BUFFER_BYTES: usize = 4_096;
 
 /// A connection that can be monitored and aborted while a library uses it.
 #[derive(Debug)]
@@ -166,6 +168,20 @@
     }
 }
 
+/// Reads and discards what the peer still sends, up to `max_bytes`, until it has disconnected.
+pub(crate) async fn discard_until_closed(monitor: &DisconnectMonitor, max_bytes: usize) {
+    let mut discarded = 0;
+    while discarded < max_bytes && monitor.0.readable().await.is_ok() {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        match monitor.0.try_read(&mut buffer) {
+            Ok(0) => return,
+            Ok(length) => discarded += length,
+            Err(error) if is_retryable(&error) => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Returns whether a call could not complete yet, as opposed to a failure.
 fn is_retryable(error: &io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
