fix: no request is sent behind a body that its endpoint has not read

A request was written to a kept connection whose endpoint had answered the request before it without reading its body. It waited there until the endpoint read on; if the endpoint never did, until the connection was closed by the user timeout of its socket.

Cause: the HTTP library calls a connection ready for the next request once it has buffered the body, not once it has written it.

A connection is kept only if all that the library buffered has been written, which its flush of the stream shows; otherwise it is closed once the rest is written. An endpoint that reads on gets the rest of that body and then the end of the connection.

A unit test checks that connections of written requests are still kept. A body that fits into the buffers of the system counts as written, since the box cannot see whether it was read.

--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -248,13 +248,14 @@
 impl PooledConnection {
     /// Returns the connection to its pool after a complete answer.
     ///
-    /// `idle` is the idle timeout that the endpoint announced.
+    /// It is closed instead if the endpoint answered before it had read the request: the next one would
+    /// wait behind the rest. `idle` is the idle timeout that the endpoint announced.
     pub(super) fn keep(mut self, idle: Option<Duration>) {
         let keep_alive = idle.map_or(IDLE_TIMEOUT, |idle| idle.saturating_sub(IDLE_MARGIN));
-        let connection = self
-            .connection
-            .take()
-            .filter(|connection| !connection.sender.is_closed() && !keep_alive.is_zero());
+        let connection = self.connection.take().filter(|connection| {
+            let is_open = !connection.sender.is_closed() && !keep_alive.is_zero();
+            is_open && connection.gate.is_written()
+        });
         match connection {
             Some(connection) => {
                 let until_ms = now_ms() + keep_alive.as_millis() as u64;
--- a/dockgate/src/gateway/upstream/endpoint_io.rs
+++ b/dockgate/src/gateway/upstream/endpoint_io.rs
@@ -9,6 +9,7 @@
 use crate::shared_stream::{DisconnectMonitor, SharedStream};
 use std::io::{self, ErrorKind, IoSlice};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -60,11 +61,14 @@
     }
 }
 
-/// Holds the condition of the next request on a connection, and the reason if it was withheld.
+/// Holds the condition of the next request on a connection, the reason if it was withheld, and
+/// whether the last request is written.
 #[derive(Default)]
 pub(super) struct SendGate {
     condition: Mutex<Option<SendCondition>>,
     withheld: Mutex<Option<WithheldReason>>,
+    /// Whether the HTTP library may hold bytes that are not written yet.
+    has_unwritten: AtomicBool,
 }
 
 impl SendGate {
@@ -78,12 +82,18 @@
         *locked(&self.withheld)
     }
 
+    /// Returns whether the last request is written completely; an endpoint may answer it before.
+    pub(super) fn is_written(&self) -> bool {
+        !self.has_unwritten.load(Ordering::Relaxed)
+    }
+
     /// Checks the condition once, before the first bytes of its request are written.
     ///
     /// # Errors
     ///
     /// Returns an error if the condition does not hold; nothing is written then.
     fn check(&self) -> io::Result<()> {
+        self.has_unwritten.store(true, Ordering::Relaxed);
         let condition = locked(&self.condition).take();
         let Some(reason) = condition.and_then(|condition| condition.withheld()) else {
             return Ok(());
@@ -146,7 +156,9 @@
         self.stream.is_write_vectored()
     }
 
+    /// The HTTP library flushes the stream once it has written all that it buffered.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.gate.has_unwritten.store(false, Ordering::Relaxed);
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/dockgate/src/gateway/upstream/tests.rs
+++ b/dockgate/src/gateway/upstream/tests.rs
@@ -130,3 +130,26 @@
     let trailing = endpoint.await.unwrap();
     assert_eq!(String::from_utf8_lossy(&trailing), "");
 }
+
+/// Guards against a new connection for each request.
+#[tokio::test]
+async fn connections_of_written_requests_are_kept() {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let target = EndpointTarget {
+        id: EndpointId::from_name("life-1"),
+        name: "life-1".to_owned(),
+        address: listener.local_addr().unwrap(),
+        version: SoftwareVersion::UNKNOWN,
+        limits: ConnectionLimits::new(100, 8, 2),
+    };
+    let endpoint = tokio::spawn(answer_first(listener));
+    let (_caller, accepted) = pair().await;
+    let condition = SendCondition::new(&accepted.disconnect_monitor(), || true);
+    let pools = Arc::<EndpointPools>::default();
+    let request = Request::new(Full::new(Bytes::new()));
+    let (response, connection) = send(&pools, &target, request, &condition).await.unwrap();
+    response.into_body().collect().await.unwrap();
+    connection.keep(None);
+    assert_eq!(pools.locked()[&target.id].idle.len(), 1);
+    endpoint.abort();
+}
