--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -7,9 +7,11 @@
 use super::sockets::{has_stream_options, set_stream_options};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
-use crate::shared_stream::SharedStream;
+use crate::shared_stream::{
+    DisconnectMonitor, SharedStream, StreamAbortHandle, discard_until_closed,
+};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -36,6 +38,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The interval between checks for overdue connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a connection stays open after its last answer for a caller that does not close it.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// The maximum number of bytes that are read and discarded in that time.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// The minimum buffer size of a connection.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -85,10 +91,15 @@
         self.answered_ms.store(now_ms(), Ordering::Relaxed);
     }
 
-    /// Returns whether no answer has ended and no stop has begun within `since`.
+    /// Returns whether no stop and no answer has begun, and no open connection was used, within
+    /// `since`.
     pub(super) fn is_quiet(&self, since: Duration) -> bool {
-        let answered = self.answered_ms.load(Ordering::Relaxed);
-        now_ms().saturating_sub(answered) > since.as_millis() as u64
+        let connections = self.locked();
+        let used = connections
+            .values()
+            .map(|connection| connection.last_used_ms());
+        let last_ms = used.fold(self.answered_ms.load(Ordering::Relaxed), u64::max);
+        now_ms().saturating_sub(last_ms) > since.as_millis() as u64
     }
 
     /// Returns the connection limit.
@@ -147,11 +158,15 @@
     async fn serve(&self, stream: TcpStream, connection: &Arc<ConnectionState>) {
         let limits = self.state.table().config().limits;
         let stream = SharedStream::new(stream);
-        let caller = stream.disconnect_monitor();
+        let (caller, abort) = (stream.disconnect_monitor(), stream.abort_handle());
         let io = TokioIo::new(TrackedIo::new(stream, connection.clone()));
         let service = service_fn(|request: Request<Incoming>| {
             let busy = BusyGuard::new(connection.clone());
             let (state, caller) = (self.state.clone(), caller.clone());
+            // Without chunks, the caller would take the close of a broken answer for its end.
+            let has_body = request.method() != Method::HEAD;
+            let needs_abort = has_body && request.version() < Version::HTTP_11;
+            let abort = needs_abort.then(|| abort.clone());
             async move {
                 let stopping = state.clone();
                 // The HTTP library keeps room for this future as long as the connection is open.
@@ -161,7 +176,7 @@
                     || stopping.is_short_of_memory()
                     || self.is_crowded();
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
-                Ok::<_, Infallible>(finish_answer(ends, response, busy))
+                Ok::<_, Infallible>(finish_answer(ends, response, busy, abort))
             }
         });
         let served = Builder::new()
@@ -171,8 +186,11 @@
         let ended = connection
             .serve_until_closed(served.as_mut(), &caller)
             .await;
-        if let Some(Err(error)) = ended {
-            log::debug!("connection of a caller failed: {error}");
+        match ended {
+            // Boxed, since few connections are closed by this box.
+            Some(Ok(())) => Box::pin(linger(&caller, connection)).await,
+            Some(Err(error)) => log::debug!("connection of a caller failed: {error}"),
+            None => {}
         }
     }
 
@@ -220,6 +238,18 @@
     }
 }
 
+/// Waits until the caller has closed a connection whose last answer is written.
+///
+/// Closing a connection with unread bytes resets it, which discards what the caller has not received
+/// of the answer. The caller may be sending the rest of a body, or a request that crosses the close.
+async fn linger(caller: &DisconnectMonitor, connection: &ConnectionState) {
+    tokio::select! {
+        () = discard_until_closed(caller, MAX_DISCARDED_BYTES) => {}
+        () = connection.close.notified() => {}
+        () = tokio::time::sleep(LINGER_TIMEOUT) => {}
+    }
+}
+
 /// Marks a connection as busy until the answer is complete.
 struct BusyGuard(Arc<ConnectionState>);
 
@@ -241,17 +271,26 @@
     ends: bool,
     mut response: Response<CallBody>,
     busy: BusyGuard,
+    abort: Option<StreamAbortHandle>,
 ) -> Response<BusyBody> {
     if ends {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response.map(|body| BusyBody { body, _busy: busy })
+    response.map(|body| BusyBody {
+        is_complete: body.is_end_stream(),
+        body,
+        abort,
+        _busy: busy,
+    })
 }
 
 /// A body that keeps its connection marked as busy until it is dropped.
 struct BusyBody {
     body: CallBody,
+    is_complete: bool,
+    /// Resets the connection if the answer is dropped before its end.
+    abort: Option<StreamAbortHandle>,
     _busy: BusyGuard,
 }
 
@@ -263,7 +302,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        self.is_complete = matches!(polled, Poll::Ready(None)) || self.body.is_end_stream();
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
@@ -274,3 +315,11 @@
         self.body.size_hint()
     }
 }
+
+impl Drop for BusyBody {
+    fn drop(&mut self) {
+        if let (Some(abort), false) = (&self.abort, self.is_complete) {
+            abort.reset_on_close();
+        }
+    }
+}
