fix: a box without connections does not end as soon as it is asked to stop

Callers that connected just after SIGTERM, before the balancer can notice, found nobody listening; a connection that was accepted in that moment would have been closed.

The quiet period of 1.5 s applied only while connections were open. A box without any ended at its first check. The quiet period now applies always, so a box that stops runs for at least 1.5 s.

box_without_connections_serves_callers_that_connect_just_after_its_stop failed in 3 of 3 runs before (no connection was accepted) and passes in 3 of 3.

--- a/dockgate-bench/tests/box_stop.rs
+++ b/dockgate-bench/tests/box_stop.rs
@@ -155,6 +155,24 @@
     assert!(served("/draft/x") > 0, "{calls:?}");
 }
 
+/// Guards against a box without connections that ends before callers and the balancer notice.
+#[tokio::test]
+async fn box_without_connections_serves_callers_that_connect_just_after_its_stop() {
+    let fleet = start_fleet(1, &["plain"]).await;
+    let gateway = &fleet.gateways[0];
+    gateway.signal(Signal::SIGTERM);
+    wait_until("the box stops", async || !gateway.is_ready().await).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let sender = connect_within(gateway.caller_address(), CONNECT_TIMEOUT).await;
+    let mut sender = sender.expect("a box that stops accepts connections for a while");
+    let mut request = request("/once/x", "r1", None);
+    let deadline = HeaderValue::from_static("1000");
+    request.headers_mut().insert("x-deadline-ms", deadline);
+    let response = sender.send_request(request).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.headers()[header::CONNECTION], "close");
+}
+
 /// The status and the body of an answer.
 type WholeAnswer = (StatusCode, Bytes);
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -74,7 +74,7 @@
 /// How often a stopping daemon checks whether all requests are answered.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a stopping daemon stays idle, after the stop began and after its last answer, before it
-/// closes open connections: requests that were sent before the callers noticed still arrive.
+/// ends: callers that have not noticed still send requests and open connections.
 const QUIET_PERIOD: Duration = Duration::from_millis(1_500);
 /// How long the remaining log lines may take to be written.
 const LOG_FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
@@ -194,7 +194,7 @@
     listener.begin_stop();
     membership::send_heartbeat(state);
     let until_idle = async || {
-        while listener.busy() > 0 || (listener.open() > 0 && !listener.is_quiet(QUIET_PERIOD)) {
+        while listener.busy() > 0 || !listener.is_quiet(QUIET_PERIOD) {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
     };
