fix: connections count as busy until their answer is written

Callers that read an answer slowly saw their connection closed in the middle of a 200 when a configuration with a shorter idle timeout came into force, when SIGHUP brought settings with less memory (or fewer descriptors), or when the box stopped.

Cause: a request ended for its connection when the HTTP library took the last bytes of the answer, not when they were written.

Evidence: `answers_to_slow_readers_are_not_cut`, an answer of 9.9 MB read at about 2.6 MB/s.

The stream of the connection records whether its last write was blocked; the library writes until it has written everything or is blocked. Such a connection is busy.

--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -173,12 +173,25 @@
         &mut self,
         edit: impl FnOnce(&str) -> String,
     ) -> Result<(), BenchError> {
+        self.edit_settings(edit)?;
+        self.kill();
+        self.restart()
+    }
+
+    /// Replaces its settings by the result of `edit`; it reads them on SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the settings cannot be rewritten.
+    pub fn edit_settings(&self, edit: impl FnOnce(&str) -> String) -> Result<(), BenchError> {
         let path = self.settings.display().to_string();
         let text = std::fs::read_to_string(&self.settings)
             .map_err(|cause| BenchError::Io("read", path, cause))?;
-        write(&self.settings, &edit(&text))?;
-        self.kill();
-        self.restart()
+        // Renamed into place, so that it is never read partially.
+        let written = self.settings.with_extension("ini-new");
+        write(&written, &edit(&text))?;
+        std::fs::rename(&written, &self.settings)
+            .map_err(|cause| BenchError::Io("rename", self.settings.display().to_string(), cause))
     }
 
     /// Returns a size of its process in kB, as `/proc/PID/status` names it; 0 if it does not run.
--- /dev/null
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -0,0 +1,133 @@
+//! Requests that are in progress while a box gets another configuration or other settings, or stops.
+
+use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, wait_until};
+use nix::sys::signal::Signal;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use yare::parameterized;
+
+/// Size of a body that fits into no socket buffer.
+const LARGE_BODY_BYTES: usize = 9_900_000;
+/// Receive buffer of a caller that reads slowly.
+const READ_BUFFER_BYTES: u32 = 64 << 10;
+
+fn config(version: u64) -> String {
+    route_config(version, KEYS).replace(
+        r#""max_body_bytes":10000"#,
+        r#""max_body_bytes":10000000,"max_header_bytes":8192"#,
+    )
+}
+
+async fn start() -> GatewayFleet {
+    GatewayFleet::start(1, &["plain", "model"], &config(3))
+        .await
+        .unwrap()
+}
+
+/// Puts a configuration in force.
+async fn apply(fleet: &GatewayFleet, version: u64, config: String) {
+    fleet.store.set(dockgate_platform::ROUTES_KEY, config);
+    let in_force = format!(r#""version":{version},"#);
+    wait_until("the configuration is in force", async || {
+        let logged = fleet.gateways[0].logged();
+        let mut lines = logged.lines();
+        lines.any(|line| line.contains("routes_in_force") && line.contains(&in_force))
+    })
+    .await;
+}
+
+/// Connects with a small receive buffer.
+async fn connect(fleet: &GatewayFleet) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(READ_BUFFER_BYTES).unwrap();
+    let address = fleet.gateways[0].caller_address();
+    socket.connect(address).await.unwrap()
+}
+
+fn head(path: &str, id: &str, body_bytes: usize, extra: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Token k1\r\n\
+         x-request-id: {id}\r\nx-deadline-ms: 3000\r\ncontent-length: {body_bytes}\r\n{extra}\r\n"
+    )
+}
+
+/// Reads the head of an answer; returns it and the bytes of the body that were read with it.
+async fn read_head(stream: &mut TcpStream) -> (String, Vec<u8>) {
+    let mut read = Vec::new();
+    loop {
+        let mut buffer = [0; 4_096];
+        let count = stream.read(&mut buffer).await.unwrap();
+        assert_ne!(count, 0, "the connection ended in the head of the answer");
+        read.extend_from_slice(&buffer[..count]);
+        let end = read.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        if let Some(end) = end {
+            let body = read.split_off(end + 4);
+            return (String::from_utf8(read).unwrap(), body);
+        }
+    }
+}
+
+/// A change that closes idle connections.
+#[derive(Debug, Clone, Copy)]
+enum IdleChange {
+    IdleTimeoutReduced,
+    MemoryReduced,
+    Stop,
+}
+
+#[tokio::main]
+async fn change_while_an_answer_is_read(change: IdleChange) {
+    let fleet = start().await;
+    let mut stream = connect(&fleet).await;
+    let head = head("/once/x", "r1", LARGE_BODY_BYTES, "");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream
+        .write_all(&vec![b'x'; LARGE_BODY_BYTES])
+        .await
+        .unwrap();
+    let (answer, body) = read_head(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    match change {
+        IdleChange::IdleTimeoutReduced => {
+            let limits = r#""max_body_bytes":10000000,"idle_timeout_ms":100"#;
+            let reduced = config(4).replace(r#""max_body_bytes":10000000"#, limits);
+            apply(&fleet, 4, reduced).await;
+        }
+        IdleChange::MemoryReduced => {
+            let reduced = |text: &str| text.replace("domain = a\n", "domain = a\nmemory_mb = 12\n");
+            fleet.gateways[0].edit_settings(reduced).unwrap();
+            fleet.gateways[0].signal(Signal::SIGHUP);
+        }
+        IdleChange::Stop => {
+            let gateway = &fleet.gateways[0];
+            let longer = |text: &str| text.replace("stop_grace_s = 4", "stop_grace_s = 12");
+            gateway.edit_settings(longer).unwrap();
+            gateway.signal(Signal::SIGHUP);
+            wait_until("the box has reloaded its settings", async || {
+                gateway.logged().contains("reloaded")
+            })
+            .await;
+            gateway.signal(Signal::SIGTERM);
+        }
+    }
+    let mut read = body.len();
+    let mut buffer = vec![0; 128 << 10];
+    while read < LARGE_BODY_BYTES + "echo ".len() {
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        let count = stream.read(&mut buffer).await;
+        let count = count.unwrap_or_else(|error| panic!("{error} after {read} bytes"));
+        assert_ne!(count, 0, "the connection ended after {read} bytes");
+        read += count;
+    }
+}
+
+/// Guards against taking a connection for idle while its caller still reads the answer.
+#[parameterized(
+    idle_timeout_reduced = { IdleChange::IdleTimeoutReduced },
+    memory_reduced = { IdleChange::MemoryReduced },
+    stop = { IdleChange::Stop },
+)]
+fn answers_to_slow_readers_are_not_cut(change: IdleChange) {
+    change_while_an_answer_is_read(change);
+}
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -15,6 +15,10 @@
 /// least once in that time.
 const FINAL_READ_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// The least time without progress after which an unread answer is overdue, in milliseconds. The
+/// system reports progress only after it has sent a third of the socket's buffer.
+const MIN_UNREAD_MS: u64 = 10_000;
+
 /// Activity of a caller's connection.
 #[derive(Debug)]
 pub(super) struct ConnectionState {
@@ -24,6 +28,8 @@
     busy: AtomicU32,
     /// Whether an incomplete request has been received.
     partial: AtomicBool,
+    /// Whether bytes of an answer wait until the caller reads.
+    is_writing: AtomicBool,
     /// Notifies the connection's task to close the connection.
     pub(super) close: Notify,
 }
@@ -35,6 +41,7 @@
             last_used_ms: AtomicU64::new(now_ms()),
             busy: AtomicU32::new(0),
             partial: AtomicBool::new(false),
+            is_writing: AtomicBool::new(false),
             close: Notify::new(),
         }
     }
@@ -57,20 +64,35 @@
         }
     }
 
+    /// Records a write; the HTTP library writes until it has written everything or cannot write more.
+    fn record_write(&self, is_blocked: bool) {
+        if self.is_writing.swap(is_blocked, Ordering::Relaxed) && !is_blocked {
+            self.last_used_ms.store(now_ms(), Ordering::Relaxed);
+        }
+    }
+
     /// Returns the time of the last use, in milliseconds of the daemon's clock.
     pub(super) fn last_used_ms(&self) -> u64 {
         self.last_used_ms.load(Ordering::Relaxed)
     }
 
-    /// Returns whether a request is in progress.
+    /// Returns whether a request is in progress, or an answer is not written completely.
+    ///
+    /// A request ends when the HTTP library takes the last bytes of its answer, however long the
+    /// caller takes to read them.
     pub(super) fn is_busy(&self) -> bool {
+        self.has_request() || self.is_writing.load(Ordering::Relaxed)
+    }
+
+    fn has_request(&self) -> bool {
         self.busy.load(Ordering::Relaxed) > 0
     }
 
     /// Serves the connection until it ends, until its caller disconnects, or until `close` is
     /// notified while no request is in progress; returns `None` in the latter two cases.
     ///
-    /// A request that was received before the close is read and answered first.
+    /// A request that was received before the close is read and answered first. A caller that does
+    /// not read the rest of an answer does not prevent the close.
     ///
     /// The HTTP library does not detect a disconnect behind bytes that it has not read, such as
     /// the next request. The operating system is therefore polled as well, and first, so that
@@ -88,26 +110,29 @@
                 output = connection.as_mut() => return Some(output),
                 () = self.close.notified() => {}
             }
+            let was_writing = self.is_writing.load(Ordering::Relaxed);
             tokio::select! {
                 biased;
                 output = connection.as_mut() => return Some(output),
                 () = tokio::time::sleep(FINAL_READ_TIMEOUT) => {}
             }
-            if !self.is_busy() {
-                return None;
+            match self.is_busy() {
+                true if self.has_request() || !was_writing => {}
+                _ => return None,
             }
         }
     }
 
-    /// Returns whether the connection has been idle or its request incomplete for too long.
+    /// Returns whether the connection has been idle, its request incomplete, or its answer unread for
+    /// too long.
     pub(super) fn is_overdue(&self, now_ms: u64, head_ms: u64, idle_ms: u64) -> bool {
         let idle_time_ms = now_ms.saturating_sub(self.last_used_ms.load(Ordering::Relaxed));
-        let limit = if self.partial.load(Ordering::Relaxed) {
-            head_ms
-        } else {
-            idle_ms
+        let limit = match self.partial.load(Ordering::Relaxed) {
+            _ if self.is_writing.load(Ordering::Relaxed) => idle_ms.max(MIN_UNREAD_MS),
+            true => head_ms,
+            false => idle_ms,
         };
-        !self.is_busy() && idle_time_ms > limit
+        !self.has_request() && idle_time_ms > limit
     }
 }
 
@@ -144,7 +169,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.state.record_write(polled.is_pending());
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -160,7 +187,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.state.record_write(polled.is_pending());
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/dockgate/src/gateway/tracked_io/tests.rs
+++ b/dockgate/src/gateway/tracked_io/tests.rs
@@ -63,3 +63,40 @@
         None
     );
 }
+
+/// Guards against taking a connection for idle whose answer the caller still reads.
+#[test]
+fn connections_are_busy_until_their_answer_is_written() {
+    let state = ConnectionState::new();
+    state.begin_request();
+    state.end_request();
+    state.record_write(true);
+    assert!(state.is_busy());
+    state.record_write(false);
+    assert!(!state.is_busy());
+}
+
+/// Guards against keeping a connection for ever whose caller does not read the answer.
+#[test]
+fn unread_answers_are_bounded_like_idle_time() {
+    let state = ConnectionState::new();
+    state.record_write(true);
+    let now = now_ms();
+    assert!(!state.is_overdue(now + MIN_UNREAD_MS - 100, 1, 1));
+    assert!(state.is_overdue(now + IDLE_MS + 100, HEAD_MS, IDLE_MS));
+}
+
+#[tokio::test]
+async fn overdue_connections_with_unread_answers_are_closed() {
+    let (_caller, stream) = pair().await;
+    let connection = ConnectionState::new();
+    connection.record_write(true);
+    connection.close.notify_one();
+    let request = std::pin::pin!(std::future::pending::<()>());
+    assert_eq!(
+        connection
+            .serve_until_closed(request, &stream.disconnect_monitor())
+            .await,
+        None
+    );
+}
