fix: refusals by the head of a request reach callers that still send the body

A caller whose route, key or service a configuration had removed, whose body exceeded a limit that it had reduced, or whose box was stopping, saw its connection reset while it still sent the body. A caller that does not read after a failed write gets neither an answer nor a refusal.

Cause: these refusals were made before the body was read. The HTTP library then writes the refusal and closes the connection, whose peer still sends; only a refusal for lack of memory read the rest.

Evidence: `callers_get_refusals_that_precede_their_bodies`, a body of 300 kB in pieces of 10 kB each 10 ms.

The body is now discarded as it arrives, for as long as a body may take and up to 16 MB, and refused then. The connection stays usable. A refusal for lack of memory is still sent at once.

--- a/dockgate-bench/tests/reconfiguration.rs
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -68,6 +68,60 @@
     }
 }
 
+/// A change that makes a box refuse requests by their heads.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    RouteRemoved,
+    KeyRevoked,
+    ServiceRemoved,
+    BodyLimitReduced,
+    Stop,
+}
+
+#[tokio::main]
+async fn refuse_while_the_body_arrives(change: Change, status: &str) {
+    let fleet = start().await;
+    let removed = match change {
+        Change::RouteRemoved => config(4).replace("/again/", "/other/"),
+        Change::KeyRevoked => config(4).replace(r#""k1","#, ""),
+        Change::ServiceRemoved => config(4).replace(r#""name":"plain""#, r#""name":"other""#),
+        Change::BodyLimitReduced => config(4).replace("10000000", "10000"),
+        Change::Stop => String::new(),
+    };
+    let mut stream = connect(&fleet).await;
+    if removed.is_empty() {
+        fleet.gateways[0].signal(Signal::SIGTERM);
+        let gateway = &fleet.gateways[0];
+        wait_until("the box is not ready", async || !gateway.is_ready().await).await;
+    } else {
+        apply(&fleet, 4, removed).await;
+    }
+    let head = head("/again/x", "r1", 300_000, "");
+    let head = head.replace("x-deadline-ms: 3000", "x-deadline-ms: 3900");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    // The refusal is written long before the body has arrived.
+    for _ in 0..30 {
+        let written = stream.write_all(&[b'x'; 10_000]).await;
+        written.expect("the box reads the body");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let (answer, _) = read_head(&mut stream).await;
+    assert!(answer.starts_with(status), "{answer}");
+}
+
+/// Guards against a refusal whose connection is closed while the caller still sends the body, so
+/// that the caller sees a reset in place of the refusal.
+#[parameterized(
+    route_removed = { Change::RouteRemoved, "HTTP/1.1 404" },
+    key_revoked = { Change::KeyRevoked, "HTTP/1.1 401" },
+    service_removed = { Change::ServiceRemoved, "HTTP/1.1 503" },
+    body_limit_reduced = { Change::BodyLimitReduced, "HTTP/1.1 413" },
+    stop = { Change::Stop, "HTTP/1.1 503" },
+)]
+fn callers_get_refusals_that_precede_their_bodies(change: Change, status: &str) {
+    refuse_while_the_body_arrives(change, status);
+}
+
 /// A change that closes idle connections.
 #[derive(Debug, Clone, Copy)]
 enum IdleChange {
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -44,6 +44,9 @@
 /// not worth computing its fingerprint.
 const MIN_RELEASED_BYTES: usize = 1 << 10;
 
+/// The bytes of a refused body that are read and discarded; beyond them, the connection is closed.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// A request that is rejected before it is placed.
 pub(super) struct RejectedRequest {
     /// The request id, or empty if its head could not be decoded.
@@ -278,16 +281,27 @@
         config_age_ms,
         endpoints_age_ms,
     };
-    let head = decode_call(&parts.headers)
-        .map_err(|problem| rejected("", RefusalReason::BadHead(problem).into()))?;
-    let found = find_route(&state, &table, &head, &parts.uri)
-        .map_err(|refusal| rejected(&head.id, refusal))?;
+    let limits = &table.config().limits;
+    let discard_until = arrived + limits.idle_timeout;
+    let head = match decode_call(&parts.headers) {
+        Ok(head) => head,
+        Err(problem) => {
+            discard_body(body, discard_until).await;
+            return Err(rejected("", RefusalReason::BadHead(problem).into()));
+        }
+    };
+    let found = match find_route(&state, &table, &head, &parts.uri) {
+        Ok(found) => found,
+        Err(refusal) => {
+            discard_body(body, discard_until).await;
+            return Err(rejected(&head.id, refusal));
+        }
+    };
     let FoundRoute {
         route,
         service,
         workspace,
     } = found;
-    let limits = &table.config().limits;
     let name = workspace_name(&table, workspace);
     let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits)
         .await
@@ -465,8 +479,8 @@
 
 /// Reads the body of a request, and counts the request in the memory budget.
 ///
-/// A body for which the box has no memory is discarded as it arrives: an answer that leaves it
-/// unread may be lost when the connection is closed, and it would stay in the socket.
+/// A body that is refused is discarded as it arrives: an answer that leaves it unread may be lost
+/// when the connection is closed, and it would stay in the socket.
 async fn read_body(
     state: &Arc<GatewayState>,
     workspace: u64,
@@ -475,10 +489,11 @@
     limits: &GatewayLimits,
 ) -> Result<(Bytes, MemoryGuard), RefusalReason> {
     let declared = body.size_hint().lower();
+    let until = ClockInstant::now() + limits.idle_timeout;
     if declared > limits.body_bytes as u64 {
+        discard_body(body, until).await;
         return Err(RefusalReason::BodyTooLarge);
     }
-    let until = ClockInstant::now() + limits.idle_timeout;
     let Some(mut memory) = MemoryGuard::request(state, workspace, declared) else {
         tokio::spawn(discard_body(body, until));
         return Err(RefusalReason::OutOfMemory);
@@ -491,7 +506,10 @@
     });
     match timeout_at(until, read).await {
         Ok(Ok(bytes)) => Ok((bytes, memory)),
-        Ok(Err(ReadFailure::TooLarge)) => Err(RefusalReason::BodyTooLarge),
+        Ok(Err(ReadFailure::TooLarge)) => {
+            discard_body(body, until).await;
+            Err(RefusalReason::BodyTooLarge)
+        }
         Ok(Err(ReadFailure::Broken(_))) => Err(RefusalReason::BodyBroken),
         Ok(Err(ReadFailure::OutOfMemory)) => {
             tokio::spawn(discard_body(body, until));
@@ -501,7 +519,14 @@
     }
 }
 
-/// Reads the rest of a body without keeping it.
+/// Reads the rest of a body without keeping it, up to [`MAX_DISCARDED_BYTES`].
 async fn discard_body(mut body: Incoming, until: ClockInstant) {
-    while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        left = match left.checked_sub(length) {
+            Some(left) => left,
+            None => return,
+        };
+    }
 }
