fix: a time that is too long in the settings does not end their reload

A settings file with a time beyond what a duration holds, such as `share_window_s = 1e300`, ended the task that reads the settings on SIGHUP: it panicked, and the box neither logged nor read any later change.

The test also sends a request on each route under unusual configurations and settings: no objective, no or the longest timeout, no slots, engine memory, connections, limits, weights or services.

--- a/dockgate-bench/tests/reconfiguration.rs
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -185,3 +185,69 @@
 fn answers_to_slow_readers_are_not_cut(change: IdleChange) {
     change_while_an_answer_is_read(change);
 }
+
+/// Guards against a panic on unusual values, by which a caller would get neither an answer nor a
+/// refusal.
+#[parameterized(
+    no_objective = { r#""target_latency_ms":500"#, r#""target_latency_ms":0,"target_gap_ms":0"# },
+    no_timeout = { r#""timeout_ms":4000"#, r#""timeout_ms":0"# },
+    longest_timeout = { r#""timeout_ms":4000"#, r#""timeout_ms":1e300"# },
+    no_slots = { r#""capacity":8"#, r#""capacity":0"# },
+    no_engine_memory = { r#""kv_capacity_tokens":100000"#, r#""kv_capacity_tokens":0"# },
+    no_connections = { r#""max_connections":100"#, r#""max_connections":0"# },
+    no_limits = { r#""max_body_bytes":10000000,"max_header_bytes":8192"#,
+        r#""max_body_bytes":0,"max_header_bytes":0,"header_timeout_ms":0,"idle_timeout_ms":0"# },
+    many_attempts = { r#""max_attempts":2"#, r#""max_attempts":4294967295"# },
+    no_weight = { r#""service":"model""#, r#""weighted_services":[{"service":"model","weight":0}]"# },
+    no_service = { r#""service":"model""#, r#""weighted_services":[]"# },
+    no_engine = { r#""name":"model","max_connections":100,"#, r#""name":"model","max_connections":100,"was":1,"# },
+    throughput = { r#""max_body_bytes":10000000"#, r#""max_body_bytes":10000000,"tokens_per_s":1e-300"# },
+)]
+fn unusual_configurations_break_no_request(from: &str, to: &str) {
+    check_unusual(Some((from, to)), None);
+}
+
+#[parameterized(
+    no_windows = { "share_window_s = 0\nretry_window_s = 0\nretry_ratio = 0\nretry_slack = 0" },
+    long_windows = { "share_window_s = 1e300\nretry_window_s = 1e300\nretry_ratio = 1e300" },
+    no_grace = { "drain_ms = 500\nwarmup_slack = 1e300\nwarmup_overshoot = 1e300" },
+)]
+fn unusual_settings_break_no_request(settings: &str) {
+    check_unusual(None, Some(settings));
+}
+
+#[tokio::main]
+async fn check_unusual(config_change: Option<(&str, &str)>, settings: Option<&str>) {
+    let fleet = start().await;
+    let gateway = &fleet.gateways[0];
+    if let Some((from, to)) = config_change {
+        let changed = config(4).replace(from, to);
+        assert_ne!(changed, config(4));
+        apply(&fleet, 4, changed).await;
+    }
+    if let Some(settings) = settings {
+        gateway.add_setting(settings).unwrap();
+        gateway.signal(Signal::SIGHUP);
+        wait_until("the box has reloaded its settings", async || {
+            gateway.logged().contains("reloaded")
+        })
+        .await;
+    }
+    for (number, path) in ["/again/x", "/once/x", "/live/x", "/draft/x"]
+        .iter()
+        .enumerate()
+    {
+        let mut stream = connect(&fleet).await;
+        let prompt = "x-model: m\r\nx-token-usage: 500,3\r\nx-prefix-hash: a1:400,b2:100\r\n";
+        let head = head(path, &format!("r{number}"), 5, prompt);
+        stream.write_all(head.as_bytes()).await.unwrap();
+        stream.write_all(b"hello").await.unwrap();
+        let (answer, _) = read_head(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
+    }
+    assert!(
+        !gateway.logged().contains("panicked"),
+        "{}",
+        gateway.logged()
+    );
+}
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -11,6 +11,8 @@
 
 const ADDRESS: &str = "an IP address and a port, such as 10.0.0.7:8000";
 const NUMBER: &str = "a number of at least 0";
+const SECONDS: &str = "a number of seconds from 0 to 86400";
+const MAX_SECONDS: f64 = 86_400.0;
 const AT_LEAST_ONE: &str = "a number of at least 1";
 const PROCESSOR: &str = "a fraction of a core above 0";
 const BYTES_PER_MB: f64 = (1 << 20) as f64;
@@ -162,7 +164,9 @@
 }
 
 fn take_seconds(section: &mut SectionReader, key: &str, default: f64) -> Duration {
-    let seconds = section.take_checked(key, default, NUMBER, |value| *value >= 0.0);
+    let seconds = section.take_checked(key, default, SECONDS, |value| {
+        (0.0..=MAX_SECONDS).contains(value)
+    });
     Duration::from_secs_f64(seconds)
 }
 
--- a/dockgate/src/gateway/settings/tests.rs
+++ b/dockgate/src/gateway/settings/tests.rs
@@ -47,6 +47,14 @@
     assert!(problems.contains("warmup_overshoot = 0.5"), "{problems}");
 }
 
+/// Guards against a panic of the task that reads the settings again.
+#[test]
+fn too_long_times_are_reported() {
+    let text = TEXT.replace("retry_slack = 52", "share_window_s = 86401");
+    let problems = parse_settings("f.ini", &text).unwrap_err().to_string();
+    assert!(problems.contains("share_window_s = 86401"), "{problems}");
+}
+
 /// Guards against requests that wait in a fleet whose conditions do not ask for it.
 #[test]
 fn conditions_are_read_as_a_list() {
