fix: a stopping box reads its settings before it relies on the grace period

The settings file may change without a signal and is read again each 3 s. A box that got SIGTERM in between admitted requests by the old grace period; with a shorter one it would be killed before they are answered.

The file is now read at SIGTERM.

--- a/dockgate-bench/tests/reconfiguration.rs
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -251,3 +251,20 @@
         gateway.logged()
     );
 }
+
+/// Guards against a stopping box that admits requests by a grace period which is no longer in the
+/// settings, and is killed before they are answered.
+#[tokio::test]
+async fn stopping_box_uses_the_grace_period_in_its_settings() {
+    let fleet = start().await;
+    let mut stream = connect(&fleet).await;
+    let gateway = &fleet.gateways[0];
+    let shorter = |text: &str| text.replace("stop_grace_s = 4", "stop_grace_s = 2");
+    gateway.edit_settings(shorter).unwrap();
+    gateway.signal(Signal::SIGTERM);
+    wait_until("the box is not ready", async || !gateway.is_ready().await).await;
+    let head = head("/once/x", "r1", 0, "").replace("x-deadline-ms: 3000", "x-deadline-ms: 2500");
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let (answer, _) = read_head(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -134,6 +134,8 @@
     tokio::spawn(listener.clone().sweep());
 
     wait_for_signal().await;
+    // The grace period may have changed since the file was read.
+    reload::reload_settings(&state, path, false, "");
     drain(&state, &listener).await;
     accepting.abort();
     Ok(())
--- a/dockgate/src/gateway/reload.rs
+++ b/dockgate/src/gateway/reload.rs
@@ -3,7 +3,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
 use super::settings::GatewaySettings;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -33,31 +33,43 @@
             () = recv_signal(&mut signals) => true,
             () = tokio::time::sleep(POLL_INTERVAL) => false,
         };
-        let problem = match GatewaySettings::load(&path) {
-            Ok(settings) => {
-                let changed = settings != *state.settings();
-                if changed {
-                    state.set_settings(settings);
-                }
-                if changed || signal {
-                    log_gateway(&GatewayEvent::Reloaded {
-                        signal,
-                        changed,
-                        problem: None,
-                    });
-                }
-                String::new()
+        last_problem = reload_settings(&state, &path, signal, &last_problem);
+    }
+}
+
+/// Reads the settings once; returns the problem if they are invalid, or an empty text.
+///
+/// A problem is logged if a `signal` asked for the reload, or if it is not the `last_problem`.
+pub(super) fn reload_settings(
+    state: &GatewayState,
+    path: &Path,
+    signal: bool,
+    last_problem: &str,
+) -> String {
+    let problem = match GatewaySettings::load(path) {
+        Ok(settings) => {
+            let changed = settings != *state.settings();
+            if changed {
+                state.set_settings(settings);
             }
-            Err(error) => error.to_string(),
-        };
-        if !problem.is_empty() && (signal || problem != last_problem) {
-            let problem = Some(problem.as_str());
-            log_gateway(&GatewayEvent::Reloaded {
-                signal,
-                changed: false,
-                problem,
-            });
+            if changed || signal {
+                log_gateway(&GatewayEvent::Reloaded {
+                    signal,
+                    changed,
+                    problem: None,
+                });
+            }
+            String::new()
         }
-        last_problem = problem;
+        Err(error) => error.to_string(),
+    };
+    if !problem.is_empty() && (signal || problem != last_problem) {
+        let problem = Some(problem.as_str());
+        log_gateway(&GatewayEvent::Reloaded {
+            signal,
+            changed: false,
+            problem,
+        });
     }
+    problem
 }
