test: soak of configurations, settings and stops that overlap

A request that was sent completely and was run, or whose connection ended more than 200 ms after its last byte, must have got an answer or a refusal.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -8,6 +8,8 @@
 mod disconnecting_caller;
 mod fault_injector;
 mod notice_check;
+mod persistent_caller;
+mod reconfiguration;
 mod resuming_caller;
 mod soak_call;
 mod store_snapshots;
@@ -22,11 +24,13 @@
 use disconnecting_caller::{DisconnectReport, measure_own_lag, run_disconnecting_caller};
 use fault_injector::FaultInjector;
 use notice_check::sent_despite_notices;
+use persistent_caller::{PERSISTENT_CALLERS, PersistentCall, run_persistent_caller};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use resuming_caller::{RESUMING_CALLERS, ResumedStream, run_resuming_caller};
 use soak_call::{SoakCall, SoakRoute, run_soak_caller};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -95,6 +99,9 @@
     /// boxes; no stream holds events of two versions.
     #[value(name = "versions")]
     SoftwareVersions,
+    /// Configurations and settings that change in many respects while boxes stop. Each request that
+    /// was sent completely is answered or refused.
+    Reconfigurations,
 }
 
 /// The options of a soak run.
@@ -140,13 +147,12 @@
         .iter()
         .map(GatewayProcess::caller_address)
         .collect();
-    let has_versions = options.faults == SoakFaults::SoftwareVersions;
-    if has_versions {
+    if options.faults == SoakFaults::SoftwareVersions {
         add_second_version(&mut fleet).await?;
     }
-    let callers = match has_versions {
-        true => 0,
-        false => CALLERS as u64,
+    let callers = match options.faults {
+        SoakFaults::SoftwareVersions | SoakFaults::Reconfigurations => 0,
+        _ => CALLERS as u64,
     };
     let callers = (0..callers).map(|number| {
         let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + number);
@@ -158,20 +164,8 @@
         ))
     });
     let callers: Vec<_> = callers.collect();
-    let resuming = match has_versions {
-        true => RESUMING_CALLERS,
-        false => 0,
-    };
-    let resuming = (0..resuming).map(|number| {
-        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(3_000) + number);
-        tokio::spawn(run_resuming_caller(
-            number,
-            rng,
-            addresses.clone(),
-            stop.clone(),
-        ))
-    });
-    let resuming: Vec<_> = resuming.collect();
+    let resuming = spawn_resuming_callers(options, &addresses, &stop);
+    let persistent = spawn_persistent_callers(options, &fleet, &addresses, &stop);
     let disconnecting = match options.faults {
         SoakFaults::CallerDisconnects => DISCONNECTING_CALLERS,
         _ => 0,
@@ -234,6 +228,7 @@
     let crash_calls = join_callers(crashing, &mut violations).await;
     let resumed = join_callers(resuming, &mut violations).await;
     violations.extend(resumed.iter().flat_map(ResumedStream::violations));
+    let persistent = join_callers(persistent, &mut violations).await;
     let all_endpoints = crashed.crashed().iter().chain(&fleet.endpoints);
     let all_endpoints: Vec<&RoutedStandIn> = all_endpoints.collect();
     if options.faults == SoakFaults::CrashingRequests {
@@ -252,10 +247,59 @@
         crash_calls,
         disconnects,
         resumed,
+        persistent,
+        started,
     };
     Ok(report(&all_endpoints, &records, injector, violations))
 }
 
+/// Spawns the callers of runs of [`SoakFaults::SoftwareVersions`].
+fn spawn_resuming_callers(
+    options: SoakOptions,
+    addresses: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Vec<ResumedStream>>> {
+    let callers = match options.faults {
+        SoakFaults::SoftwareVersions => RESUMING_CALLERS,
+        _ => 0,
+    };
+    let callers = (0..callers).map(|number| {
+        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(3_000) + number);
+        tokio::spawn(run_resuming_caller(
+            number,
+            rng,
+            addresses.to_vec(),
+            stop.clone(),
+        ))
+    });
+    callers.collect()
+}
+
+/// Spawns the callers of runs of [`SoakFaults::Reconfigurations`].
+fn spawn_persistent_callers(
+    options: SoakOptions,
+    fleet: &GatewayFleet,
+    addresses: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Vec<PersistentCall>>> {
+    if options.faults != SoakFaults::Reconfigurations {
+        return Vec::new();
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(VERSION_EVENT_INTERVAL);
+    }
+    let callers = (0..PERSISTENT_CALLERS).map(|number| {
+        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(4_000) + number);
+        tokio::spawn(run_persistent_caller(
+            number,
+            rng,
+            addresses.to_vec(),
+            stop.clone(),
+        ))
+    });
+    callers.collect()
+}
+
 /// Adds endpoints of a second software version, and makes all events name their version.
 async fn add_second_version(fleet: &mut GatewayFleet) -> Result<(), BenchError> {
     for number in 0..SECOND_VERSION_ENDPOINTS {
@@ -275,6 +319,9 @@
     crash_calls: Vec<CrashingCall>,
     disconnects: DisconnectReport,
     resumed: Vec<ResumedStream>,
+    persistent: Vec<PersistentCall>,
+    /// When the first fault could begin.
+    started: Instant,
 }
 
 /// Waits for callers and returns their calls; a caller that panicked is reported as a violation.
@@ -324,6 +371,8 @@
         crash_calls,
         disconnects,
         resumed,
+        persistent,
+        started,
     } = records;
     let mut runs: HashMap<String, usize> = HashMap::new();
     for run in all_endpoints.iter().flat_map(|endpoint| endpoint.ran()) {
@@ -351,6 +400,19 @@
         }
         runs.remove(&call.id);
     }
+    for call in persistent {
+        let ran = runs.remove(&call.id).unwrap_or(0);
+        violations.extend(call.violation(ran, *started));
+        if call.is_refused() && ran > 0 {
+            violations.push(format!(
+                "{}: refused as not run, but ran {ran} times",
+                call.id
+            ));
+        }
+        if ran > call.route.max_runs() {
+            violations.push(format!("{}: ran {ran} times", call.id));
+        }
+    }
     for call in disconnects.calls() {
         let ran = runs.remove(&call.id).unwrap_or(0);
         let max_runs = call.route.max_runs();
@@ -379,18 +441,27 @@
         .filter(|call| call.is_final)
         .collect::<Vec<_>>();
     let whole_streams = resumed.iter().filter(|stream| stream.is_whole()).count();
-    if !final_calls.iter().any(|call| call.answered) && whole_streams == 0 {
+    let mut persistent_final = persistent.iter().filter(|call| call.is_final);
+    let is_served = final_calls.iter().any(|call| call.answered)
+        || whole_streams > 0
+        || persistent_final.any(PersistentCall::is_answered);
+    if !is_served {
         violations.push("no request was answered after all faults were undone".to_owned());
     }
     SoakReport {
-        calls: calls.len() + resumed.iter().map(|stream| stream.ids.len()).sum::<usize>(),
+        calls: calls.len()
+            + persistent.len()
+            + resumed.iter().map(|stream| stream.ids.len()).sum::<usize>(),
         disconnects: disconnects.calls().len(),
         taken_up: (
             resumed.iter().map(|stream| stream.tries).sum(),
             resumed.iter().map(|stream| stream.continued).sum(),
         ),
-        answered: calls.iter().filter(|call| call.answered).count() + whole_streams,
-        refused: calls.iter().filter(|call| call.refused).count(),
+        answered: calls.iter().filter(|call| call.answered).count()
+            + persistent.iter().filter(|call| call.is_answered()).count()
+            + whole_streams,
+        refused: calls.iter().filter(|call| call.refused).count()
+            + persistent.iter().filter(|call| call.is_refused()).count(),
         faults: injector.fault_log,
         violations,
     }
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -2,6 +2,7 @@
 
 use super::SoakFaults;
 use super::crashing_caller::Disturbance;
+use super::reconfiguration::{change_settings, draw_config};
 use super::store_snapshots::StoreSnapshots;
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, large_config, route_config};
@@ -196,6 +197,7 @@
                 SoakFaults::StoreRestores => self.delay_updates(fleet).await?,
                 SoakFaults::Evacuations if self.rng.random_bool(0.3) => self.evacuate(fleet),
                 SoakFaults::Evacuations => self.delay_updates(fleet).await?,
+                SoakFaults::Reconfigurations => self.reconfigure(fleet),
                 SoakFaults::CallerDisconnects => self.begin_slow_fault(fleet).await,
                 SoakFaults::Notices if self.rng.random_bool(0.5) => self.begin_notice(fleet),
                 SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
@@ -206,6 +208,9 @@
 
     /// Undoes all active faults.
     pub(super) async fn undo_all(&mut self, fleet: &mut GatewayFleet) -> Result<(), BenchError> {
+        if self.faults == SoakFaults::Reconfigurations {
+            self.restore_config(fleet);
+        }
         for (_, action) in std::mem::take(&mut self.undo_actions) {
             self.undo(fleet, action).await?;
         }
@@ -221,6 +226,12 @@
             UndoAction::Continue(box_index) => fleet.gateways[box_index].signal(Signal::SIGCONT),
             UndoAction::Restart(box_index) => {
                 let gateway = &mut fleet.gateways[box_index];
+                // The faults may be undone before a box has stopped.
+                let must_exit = self.faults == SoakFaults::Reconfigurations;
+                let until = Instant::now() + STOP_TIME;
+                while must_exit && !gateway.has_exited() && Instant::now() < until {
+                    tokio::time::sleep(MAX_UNDO_DELAY / 10).await;
+                }
                 gateway.kill();
                 gateway.restart()?;
             }
@@ -567,6 +578,41 @@
         self.fault_log.push(format!("{at} ms: {what}"));
     }
 
+    /// Changes the configuration or the settings of a box, or stops a box.
+    fn reconfigure(&mut self, fleet: &GatewayFleet) {
+        let box_index = self.rng.random_range(0..fleet.gateways.len());
+        let gateway = &fleet.gateways[box_index];
+        let stopping = self.undo_actions.iter();
+        let stopping = stopping.filter(|(_, action)| matches!(action, UndoAction::Restart(_)));
+        let what = match self.rng.random_range(0..10) {
+            0 if stopping.count() == 0 => {
+                gateway.signal(Signal::SIGTERM);
+                let action = UndoAction::Restart(box_index);
+                self.undo_actions.push((Instant::now() + STOP_TIME, action));
+                format!("stop box {box_index}")
+            }
+            0..4 => {
+                let changed = change_settings(gateway, &mut self.rng);
+                format!("settings of box {box_index}: {changed}")
+            }
+            _ => {
+                self.version += self.rng.random_range(1..4);
+                let (config, changed) = draw_config(self.version, &mut self.rng);
+                fleet.store.set(dockgate_platform::ROUTES_KEY, config);
+                format!("configuration {}: {changed}", self.version)
+            }
+        };
+        let at = self.started.elapsed().as_millis();
+        self.fault_log.push(format!("{at} ms: {what}"));
+    }
+
+    /// Writes a configuration in which all callers are served.
+    fn restore_config(&mut self, fleet: &GatewayFleet) {
+        self.version += 1;
+        let config = route_config(self.version, KEYS).replace("10000", "1000000");
+        fleet.store.set(dockgate_platform::ROUTES_KEY, config);
+    }
+
     /// Makes an endpoint announce in its answers that it leaves, or makes some endpoints ask for a
     /// backoff.
     fn begin_notice(&mut self, fleet: &GatewayFleet) {
--- a/dockgate-bench/src/gateway_soak/soak_call.rs
+++ b/dockgate-bench/src/gateway_soak/soak_call.rs
@@ -37,7 +37,7 @@
 }
 
 impl SoakRoute {
-    const ALL: [Self; 4] = [Self::Once, Self::Again, Self::Live, Self::Draft];
+    pub(super) const ALL: [Self; 4] = [Self::Once, Self::Again, Self::Live, Self::Draft];
 
     pub(super) const fn path(self) -> &'static str {
         match self {
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -18,6 +18,7 @@
     store_restores = { SoakFaults::StoreRestores, 1 },
     evacuations = { SoakFaults::Evacuations, 1 },
     software_versions = { SoakFaults::SoftwareVersions, 1 },
+    reconfigurations = { SoakFaults::Reconfigurations, 1 },
 )]
 fn soak_finds_no_broken_guarantee(faults: SoakFaults, seed: u64) {
     let runtime = tokio::runtime::Runtime::new().unwrap();
