--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -42,6 +42,9 @@
 /// not worth computing its fingerprint.
 const MIN_RELEASED_BYTES: usize = 1 << 10;
 
+/// The bytes of a refused body that are read and discarded; beyond them, the connection is closed.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
 /// A request that is rejected before it is placed.
 pub(super) struct RejectedRequest {
     /// The request id, or empty if its head could not be decoded.
@@ -482,8 +485,7 @@
 
 /// Reads the body of a request, and counts the request in the memory budget.
 ///
-/// A body for which the box has no memory is discarded as it arrives: an answer that leaves it
-/// unread may be lost when the connection is closed, and it would stay in the socket.
+/// A body for which the box has no memory is discarded as it arrives, as it would stay in the socket.
 async fn read_body(
     state: &Arc<GatewayState>,
     workspace: u64,
@@ -492,10 +494,10 @@
     limits: &GatewayLimits,
 ) -> Result<(Bytes, MemoryGuard), RefusalReason> {
     let declared = body.size_hint().lower();
+    let until = ClockInstant::now() + limits.idle_timeout;
     if declared > limits.body_bytes as u64 {
         return Err(RefusalReason::BodyTooLarge);
     }
-    let until = ClockInstant::now() + limits.idle_timeout;
     let Some(mut memory) = MemoryGuard::request(state, workspace, declared) else {
         tokio::spawn(discard_body(body, until));
         return Err(RefusalReason::OutOfMemory);
@@ -520,7 +522,14 @@
     }
 }
 
-/// Reads the rest of a body without keeping it.
+/// Reads the rest of a body without keeping it, up to [`MAX_DISCARDED_BYTES`].
 async fn discard_body(mut body: Incoming, until: ClockInstant) {
-    while let Ok(Some(Ok(_))) = timeout_at(until, body.frame()).await {}
+    let mut left = MAX_DISCARDED_BYTES;
+    while let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        left = match left.checked_sub(length) {
+            Some(left) => left,
+            None => return,
+        };
+    }
 }
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -41,7 +41,7 @@
 /// How long a connection stays open after its last answer for a caller that does not close it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The maximum number of bytes that are read and discarded in that time.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
 /// The minimum buffer size of a connection.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
