refactor: the key of a suspect stands for a request or for a part of prompts

RequestFingerprint becomes SuspectKey; the keys of parts begin with a fixed prefix, so that boxes of the build before read them as those of requests which never come. No behaviour changes.

--- a/dockgate-core/benches/suspects.rs
+++ b/dockgate-core/benches/suspects.rs
@@ -1,12 +1,12 @@
 //! The cost of the quarantine for other requests: computing a fingerprint and looking it up.
 
 use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
-use dockgate_core::gateway::{EndpointId, FingerprintInput, RequestFingerprint, SuspectRegistry};
+use dockgate_core::gateway::{EndpointId, FingerprintInput, SuspectKey, SuspectRegistry};
 use std::hint::black_box;
 use std::time::Duration;
 
-fn fingerprint(body: &[u8]) -> RequestFingerprint {
-    RequestFingerprint::of(&FingerprintInput {
+fn fingerprint(body: &[u8]) -> SuspectKey {
+    SuspectKey::of_request(&FingerprintInput {
         workspace: "captions",
         method: "POST",
         host: "h.example",
@@ -15,7 +15,7 @@
     })
 }
 
-fn request_fingerprint(criterion: &mut Criterion) {
+fn suspect_key(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("request_print");
     for bytes in [0, 1_000, 10_000, 100_000, 1_000_000] {
         let body = vec![7; bytes];
@@ -55,6 +55,6 @@
         .sample_size(20)
         .warm_up_time(Duration::from_millis(200))
         .measurement_time(Duration::from_millis(500));
-    targets = request_fingerprint, quarantine_lookup
+    targets = suspect_key, quarantine_lookup
 }
 criterion_main!(suspects);
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -47,7 +47,6 @@
 mod prefix_history;
 mod prompt_shape;
 mod rendezvous;
-mod request_fingerprint;
 mod resume_gate;
 mod retry_budget;
 mod retry_delay;
@@ -64,6 +63,7 @@
 mod store_search;
 mod stream_key;
 mod stream_registry;
+mod suspect_key;
 mod suspect_registry;
 mod version_history;
 mod wait_queue;
@@ -108,7 +108,6 @@
 pub use rendezvous::{
     best_homes, name_hash, owner_of_endpoint, placement_key, tie_break, weighted_homes,
 };
-pub use request_fingerprint::{FingerprintInput, InvalidFingerprint, RequestFingerprint};
 pub use resume_gate::ResumeGate;
 pub use retry_budget::{RetryBudget, RetryRule};
 pub use retry_delay::{RetryCause, retry_delay};
@@ -128,6 +127,7 @@
 pub use store_search::{StandbyTurn, StoreSearch};
 pub use stream_key::StreamKey;
 pub use stream_registry::{StreamRecord, StreamRegistry};
+pub use suspect_key::{FingerprintInput, InvalidSuspectKey, SuspectKey, SuspectKind};
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
--- a/dockgate-core/src/gateway/clock_jump_tests.rs
+++ b/dockgate-core/src/gateway/clock_jump_tests.rs
@@ -3,8 +3,8 @@
 
 use super::{
     BoxHeartbeat, BoxStatus, EndpointHealth, EndpointId, EndpointOutcome, FleetView, LagChange,
-    LoadShedder, LoopLag, RequestFingerprint, ResumeGate, RetryBudget, RetryRule, ShareLevel,
-    ShareTracker, StoreAccess, StoreFollower, SuspectRegistry,
+    LoadShedder, LoopLag, ResumeGate, RetryBudget, RetryRule, ShareLevel, ShareTracker,
+    StoreAccess, StoreFollower, SuspectKey, SuspectRegistry,
 };
 use crate::ids::{BoxKey, Incarnation};
 use proptest::prelude::*;
@@ -43,7 +43,7 @@
     gate: ResumeGate,
 }
 
-const SUSPECT: RequestFingerprint = RequestFingerprint::new([1; 16]);
+const SUSPECT: SuspectKey = SuspectKey::new([1; 16]);
 
 impl SimulatedBox {
     fn new() -> Self {
--- a/dockgate-core/src/gateway/interruption_tracker.rs
+++ b/dockgate-core/src/gateway/interruption_tracker.rs
@@ -6,17 +6,17 @@
 //! then.
 //!
 //! ```
-//! use dockgate_core::gateway::{EndpointId, InterruptionTracker, RequestFingerprint};
+//! use dockgate_core::gateway::{EndpointId, InterruptionTracker, SuspectKey};
 //!
 //! let (endpoint, fingerprint) =
-//!     (EndpointId::of_lifetime("e", Some(1)), RequestFingerprint::new([7; 16]));
+//!     (EndpointId::of_lifetime("e", Some(1)), SuspectKey::new([7; 16]));
 //! let mut tracker = InterruptionTracker::default();
 //! assert!(tracker.note_interruption(fingerprint, endpoint, "e", 1_000).needs_check());
 //! assert_eq!(tracker.note_ended(endpoint, 1_030), [fingerprint]);
 //! ```
 
-use super::request_fingerprint::RequestFingerprint;
 use super::route_table::{EndpointId, EndpointName};
+use super::suspect_key::SuspectKey;
 use std::collections::HashMap;
 
 /// Whether an endpoint that broke off an answer is known to have ended.
@@ -42,7 +42,7 @@
 struct InterruptedRequests {
     name: EndpointName,
     at_ms: u64,
-    fingerprints: Vec<RequestFingerprint>,
+    fingerprints: Vec<SuspectKey>,
     /// Whether a check is running; otherwise the endpoint was found to be listening.
     is_check_running: bool,
 }
@@ -64,7 +64,7 @@
     /// Records that an answer of an endpoint broke off.
     pub fn note_interruption(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
         endpoint: EndpointId,
         name: &str,
         now_ms: u64,
@@ -107,14 +107,14 @@
     ///
     /// Returns nothing for an endpoint without interruptions, or one found to be listening since
     /// then, as it may have shut down in order.
-    pub fn note_ended(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<RequestFingerprint> {
+    pub fn note_ended(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<SuspectKey> {
         match self.interrupted.get(&endpoint) {
             Some(requests) if requests.is_check_running => self.end(endpoint, now_ms),
             _ => Vec::new(),
         }
     }
 
-    fn end(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<RequestFingerprint> {
+    fn end(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<SuspectKey> {
         self.ended.insert(endpoint, now_ms);
         let requests = self.interrupted.remove(&endpoint);
         requests
@@ -128,7 +128,7 @@
         &mut self,
         lifetime_of: impl Fn(EndpointName) -> Option<EndpointId>,
         now_ms: u64,
-    ) -> Vec<(EndpointId, Vec<RequestFingerprint>)> {
+    ) -> Vec<(EndpointId, Vec<SuspectKey>)> {
         let all = self.interrupted.iter();
         let ended = all.filter(|(id, old)| lifetime_of(old.name).is_some_and(|new| new != **id));
         let mut ended: Vec<EndpointId> = ended.map(|(id, _)| *id).collect();
--- a/dockgate-core/src/gateway/interruption_tracker/tests.rs
+++ b/dockgate-core/src/gateway/interruption_tracker/tests.rs
@@ -1,8 +1,8 @@
 use super::{InterruptionStatus, InterruptionTracker};
-use crate::gateway::{EndpointId, EndpointName, RequestFingerprint};
+use crate::gateway::{EndpointId, EndpointName, SuspectKey};
 
-const ONE: RequestFingerprint = RequestFingerprint::new([1; 16]);
-const OTHER: RequestFingerprint = RequestFingerprint::new([2; 16]);
+const ONE: SuspectKey = SuspectKey::new([1; 16]);
+const OTHER: SuspectKey = SuspectKey::new([2; 16]);
 const ENDPOINT: EndpointId = EndpointId(1);
 
 #[test]
--- a/dockgate-core/src/gateway/request_fingerprint/tests.rs
+++ b/dockgate-core/src/gateway/suspect_key/tests.rs
@@ -1,4 +1,4 @@
-use super::{FingerprintInput, InvalidFingerprint, RequestFingerprint};
+use super::{FingerprintInput, InvalidSuspectKey, SuspectKey, SuspectKind};
 use proptest::prelude::*;
 use yare::parameterized;
 
@@ -22,8 +22,8 @@
 )]
 fn different_requests_have_different_fingerprints(other: FingerprintInput) {
     assert_ne!(
-        RequestFingerprint::of(&INPUT),
-        RequestFingerprint::of(&other)
+        SuspectKey::of_request(&INPUT),
+        SuspectKey::of_request(&other)
     );
 }
 
@@ -35,13 +35,23 @@
     not_hex = { "g0112233445566778899aabbccddeeff" },
 )]
 fn invalid_texts_are_rejected(text: &str) {
-    assert_eq!(text.parse::<RequestFingerprint>(), Err(InvalidFingerprint));
+    assert_eq!(text.parse::<SuspectKey>(), Err(InvalidSuspectKey));
 }
 
 proptest! {
     #[test]
     fn a_displayed_fingerprint_parses_to_the_same_value(bytes: [u8; 16]) {
-        let fingerprint = RequestFingerprint::new(bytes);
-        prop_assert_eq!(fingerprint.to_string().parse::<RequestFingerprint>(), Ok(fingerprint));
+        let fingerprint = SuspectKey::new(bytes);
+        prop_assert_eq!(fingerprint.to_string().parse::<SuspectKey>(), Ok(fingerprint));
     }
 }
+
+#[test]
+fn parts_differ_from_requests_and_by_service() {
+    let part = SuspectKey::of_part("model", 7);
+    assert_eq!(part.kind(), SuspectKind::Part);
+    assert_eq!(part, SuspectKey::of_part("model", 7));
+    assert_ne!(part, SuspectKey::of_part("model", 8));
+    assert_ne!(part, SuspectKey::of_part("other", 7));
+    assert_eq!(SuspectKey::of_request(&INPUT).kind(), SuspectKind::Request);
+}
--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -15,9 +15,9 @@
 //! and reordered; boxes that have received the same reports reach the same verdicts.
 //!
 //! ```
-//! use dockgate_core::gateway::{EndpointId, RequestFingerprint, SuspectRegistry};
+//! use dockgate_core::gateway::{EndpointId, SuspectKey, SuspectRegistry};
 //!
-//! let fingerprint = RequestFingerprint::new([7; 16]);
+//! let fingerprint = SuspectKey::new([7; 16]);
 //! let mut registry = SuspectRegistry::default();
 //! for endpoint in 1..=3 {
 //!     registry.note_ended(fingerprint, EndpointId(endpoint), 1_000 * endpoint);
@@ -30,8 +30,8 @@
 mod quarantine;
 mod suspect_report;
 
-use super::request_fingerprint::RequestFingerprint;
 use super::route_table::EndpointId;
+use super::suspect_key::SuspectKey;
 pub use quarantine::{Quarantine, QuarantineStage};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QuarantineChange {
     /// The request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectKey,
     /// Whether the request is in quarantine now.
     pub is_quarantined: bool,
     /// The lifetimes known to this box that ended while the request was running there.
@@ -65,7 +65,7 @@
 /// Reported events may predate the start of this box, so times are signed.
 #[derive(Debug, Clone, Default)]
 pub struct SuspectRegistry {
-    suspects: HashMap<RequestFingerprint, Suspect>,
+    suspects: HashMap<SuspectKey, Suspect>,
     /// The number of suspects whose quarantine was not released, including expired quarantines.
     unreleased: usize,
 }
@@ -99,7 +99,7 @@
     }
 
     /// Returns the quarantine of a request, or `None` if it is not in quarantine.
-    pub fn quarantine(&self, fingerprint: RequestFingerprint, now_ms: u64) -> Option<&Quarantine> {
+    pub fn quarantine(&self, fingerprint: SuspectKey, now_ms: u64) -> Option<&Quarantine> {
         let suspect = self.suspects.get(&fingerprint)?;
         Some(&suspect.quarantine).filter(|quarantine| quarantine.is_active(now_ms))
     }
@@ -115,7 +115,7 @@
     /// Records that an endpoint ended while a request was running there.
     pub fn note_ended(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
         endpoint: EndpointId,
         now_ms: u64,
     ) -> Option<QuarantineChange> {
@@ -126,7 +126,7 @@
     /// Records that a request completed; ignored if it is not a suspect.
     pub fn note_completed(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
         now_ms: u64,
     ) -> Option<QuarantineChange> {
         self.apply(
@@ -136,11 +136,7 @@
     }
 
     /// Releases a request on the decision of an operator.
-    pub fn release(
-        &mut self,
-        fingerprint: RequestFingerprint,
-        now_ms: u64,
-    ) -> Option<QuarantineChange> {
+    pub fn release(&mut self, fingerprint: SuspectKey, now_ms: u64) -> Option<QuarantineChange> {
         self.suspects.get(&fingerprint)?;
         self.change(fingerprint, now_ms, |suspect| {
             suspect.ended_lifetimes.clear();
@@ -159,7 +155,7 @@
     /// Merges the quarantine of a request as known to the store or another box.
     pub fn merge(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
         known: Quarantine,
         now_ms: u64,
     ) -> Option<QuarantineChange> {
@@ -167,10 +163,10 @@
     }
 
     /// Lists the quarantines to persist, including released ones, newest first.
-    pub fn quarantines(&self, now_ms: u64) -> Vec<(RequestFingerprint, Quarantine)> {
+    pub fn quarantines(&self, now_ms: u64) -> Vec<(SuspectKey, Quarantine)> {
         let suspects = self.suspects.iter();
         let kept = suspects.filter(|(_, suspect)| suspect.quarantine.is_retained(now_ms));
-        let mut kept: Vec<(RequestFingerprint, Quarantine)> = kept
+        let mut kept: Vec<(SuspectKey, Quarantine)> = kept
             .map(|(fingerprint, suspect)| (*fingerprint, suspect.quarantine))
             .collect();
         kept.sort_unstable_by_key(|(key, quarantine)| (Reverse(quarantine.at_ms), *key));
@@ -184,7 +180,7 @@
         let is_fresh = |suspect: &Suspect| suspect.updated_ms + Self::ANNOUNCE_MS > now_ms;
         let suspects = self.suspects.iter();
         let fresh = suspects.filter(|(_, suspect)| is_fresh(suspect));
-        let mut fresh: Vec<(RequestFingerprint, &Suspect)> = fresh
+        let mut fresh: Vec<(SuspectKey, &Suspect)> = fresh
             .map(|(fingerprint, suspect)| (*fingerprint, suspect))
             .collect();
         fresh.sort_unstable_by_key(|(fingerprint, suspect)| {
@@ -265,7 +261,7 @@
     /// Applies a change to a suspect and returns the change of its quarantine, if any.
     fn change(
         &mut self,
-        fingerprint: RequestFingerprint,
+        fingerprint: SuspectKey,
         now_ms: u64,
         change: impl FnOnce(&mut Suspect),
     ) -> Option<QuarantineChange> {
@@ -358,11 +354,7 @@
             || is_cleared
     }
 
-    fn reports(
-        &self,
-        fingerprint: RequestFingerprint,
-        now_ms: u64,
-    ) -> impl Iterator<Item = SuspectReport> {
+    fn reports(&self, fingerprint: SuspectKey, now_ms: u64) -> impl Iterator<Item = SuspectReport> {
         let ends = self.ended_lifetimes.iter();
         let ends = ends.map(|(endpoint, at_ms)| (SuspectEvent::Ended(*endpoint), *at_ms));
         let completed = self.completed_ms.iter();
--- a/dockgate-core/src/gateway/suspect_registry/fleet_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/fleet_tests.rs
@@ -2,7 +2,7 @@
 //! boxes are partitioned and restarted, and the store of quarantines is unavailable at times.
 
 use super::{Quarantine, SuspectRegistry, SuspectReport};
-use crate::gateway::{EndpointId, RequestFingerprint};
+use crate::gateway::{EndpointId, SuspectKey};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -11,7 +11,7 @@
 const HEARTBEAT_MS: u64 = 300;
 /// The time within which all boxes must agree, in milliseconds.
 const CONVERGENCE_MS: u64 = 3_000;
-const HARMFUL: RequestFingerprint = RequestFingerprint::new([1; 16]);
+const HARMFUL: SuspectKey = SuspectKey::new([1; 16]);
 const HARMLESS_COUNT: u8 = 4;
 
 #[derive(Debug, Clone, Copy)]
@@ -52,7 +52,7 @@
     now_ms: u64,
     registries: Vec<SuspectRegistry>,
     partitioned: [bool; BOXES],
-    store: BTreeMap<RequestFingerprint, Quarantine>,
+    store: BTreeMap<SuspectKey, Quarantine>,
     is_store_down: bool,
     in_transit: Vec<DelayedReports>,
     draws: Vec<u8>,
@@ -170,7 +170,7 @@
             }
             FleetEvent::Harmful(_) => {}
             FleetEvent::Harmless(at, number, ends) => {
-                let request = RequestFingerprint::new([number; 16]);
+                let request = SuspectKey::new([number; 16]);
                 match ends {
                     true => {
                         self.next_endpoint += 1;
@@ -226,13 +226,13 @@
     ) {
         let mut fleet = SimulatedFleet::after(events, draws);
         for number in 2..2 + HARMLESS_COUNT {
-            let request = RequestFingerprint::new([number; 16]);
+            let request = SuspectKey::new([number; 16]);
             fleet.registries[0].note_completed(request, fleet.now_ms);
             fleet.send_reports(0, false);
         }
         fleet.advance(CONVERGENCE_MS);
         for number in 2..2 + HARMLESS_COUNT {
-            let request = RequestFingerprint::new([number; 16]);
+            let request = SuspectKey::new([number; 16]);
             for registry in &fleet.registries {
                 prop_assert!(registry.quarantine(request, fleet.now_ms).is_none());
             }
--- a/dockgate-core/src/gateway/suspect_registry/suspect_report.rs
+++ b/dockgate-core/src/gateway/suspect_registry/suspect_report.rs
@@ -1,8 +1,8 @@
 //! A report of one event of a suspect request, as boxes exchange it.
 
 use super::quarantine::QuarantineStage;
-use crate::gateway::request_fingerprint::RequestFingerprint;
 use crate::gateway::route_table::EndpointId;
+use crate::gateway::suspect_key::SuspectKey;
 use serde::{Deserialize, Serialize};
 
 /// An event of a suspect request.
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
     /// The request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: SuspectKey,
     /// The event.
     pub event: SuspectEvent,
     /// The age of the event in milliseconds; boxes share no clock.
@@ -29,7 +29,7 @@
 
 impl SuspectReport {
     /// Creates the report of an event that happens now.
-    pub const fn new(fingerprint: RequestFingerprint, event: SuspectEvent) -> Self {
+    pub const fn new(fingerprint: SuspectKey, event: SuspectEvent) -> Self {
         Self {
             fingerprint,
             event,
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -1,13 +1,13 @@
 use super::{SuspectEvent, SuspectRegistry, SuspectReport};
-use crate::gateway::{EndpointId, RequestFingerprint};
+use crate::gateway::{EndpointId, SuspectKey};
 use std::time::Duration;
 
-const HARMFUL: RequestFingerprint = RequestFingerprint::new([1; 16]);
-const HARMLESS: RequestFingerprint = RequestFingerprint::new([2; 16]);
+const HARMFUL: SuspectKey = SuspectKey::new([1; 16]);
+const HARMLESS: SuspectKey = SuspectKey::new([2; 16]);
 
 fn end(
     registry: &mut SuspectRegistry,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
     endpoint: u64,
     now_ms: u64,
 ) -> bool {
@@ -167,7 +167,7 @@
     let fingerprint = |number: u32| {
         let mut bytes = [0; 16];
         bytes[..4].copy_from_slice(&number.to_le_bytes());
-        RequestFingerprint::new(bytes)
+        SuspectKey::new(bytes)
     };
     let mut now_ms = 1;
     for number in 0..5_000 {
--- a/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
@@ -6,7 +6,7 @@
 //! requests of one kind share.
 
 use super::SuspectRegistry;
-use crate::gateway::{EndpointId, RequestFingerprint, best_homes, placement_key};
+use crate::gateway::{EndpointId, SuspectKey, best_homes, placement_key};
 use std::collections::{BTreeMap, BTreeSet};
 use yare::parameterized;
 
@@ -72,10 +72,10 @@
     result: FleetResult,
 }
 
-fn fingerprint(number: u32) -> RequestFingerprint {
+fn fingerprint(number: u32) -> SuspectKey {
     let mut bytes = [0; 16];
     bytes[..4].copy_from_slice(&number.to_le_bytes());
-    RequestFingerprint::new(bytes)
+    SuspectKey::new(bytes)
 }
 
 impl FleetSimulation {
--- a/dockgate-proto/src/gateway/tests.rs
+++ b/dockgate-proto/src/gateway/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use dockgate_core::gateway::{DigestScope, DomainKey, RequestFingerprint, SuspectEvent};
+use dockgate_core::gateway::{DigestScope, DomainKey, SuspectEvent, SuspectKey};
 
 fn datagram(message: GatewayMessage) -> GatewayDatagram {
     GatewayDatagram {
@@ -38,7 +38,7 @@
         },
         GatewayMessage::Suspects {
             rows: vec![SuspectReport::new(
-                RequestFingerprint::new([7; 16]),
+                SuspectKey::new([7; 16]),
                 SuspectEvent::Ended(EndpointId(2)),
             )],
         },
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -7,9 +7,9 @@
 
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxReport, BoxStatus, BoxSummary,
-    DigestScope, EndpointId, FleetDigest, PrefillSpeed, PromptPart, QuarantineStage,
-    RequestFingerprint, ShareLevel, SoftwareVersion, StoreRevision, StreamKey, StreamRecord,
-    SuspectEvent, SuspectReport, UsageRow, WaitTerms,
+    DigestScope, EndpointId, FleetDigest, PrefillSpeed, PromptPart, QuarantineStage, ShareLevel,
+    SoftwareVersion, StoreRevision, StreamKey, StreamRecord, SuspectEvent, SuspectKey,
+    SuspectReport, UsageRow, WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage, StreamOrigin};
@@ -143,7 +143,7 @@
 
 fn suspect(number: u8, event: SuspectEvent) -> SuspectReport {
     SuspectReport {
-        fingerprint: RequestFingerprint::new([number; 16]),
+        fingerprint: SuspectKey::new([number; 16]),
         event,
         age_ms: 1_000 + u32::from(number),
     }
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -17,9 +17,8 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RequestFingerprint,
-    RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, WorkspaceRef,
-    name_hash,
+    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RouteKey, RouteSpec,
+    RouteTable, ServiceKey, ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -77,7 +76,7 @@
 struct RequestBody {
     bytes: Bytes,
     /// The fingerprint of the request, once the body is released.
-    released: Option<RequestFingerprint>,
+    released: Option<SuspectKey>,
     /// Counts the request and its body in the memory budget.
     memory: MemoryGuard,
 }
@@ -144,13 +143,13 @@
     /// Returns the fingerprint, which does not depend on the request id.
     ///
     /// It is computed on demand, since most requests never need it.
-    pub(in super::super) fn fingerprint(&self) -> RequestFingerprint {
+    pub(in super::super) fn fingerprint(&self) -> SuspectKey {
         let body = self.locked_body();
         body.released
             .unwrap_or_else(|| self.fingerprint_with(&body.bytes))
     }
 
-    fn fingerprint_with(&self, body: &[u8]) -> RequestFingerprint {
+    fn fingerprint_with(&self, body: &[u8]) -> SuspectKey {
         let (workspace, host) = (self.workspace_name(), &self.head.host);
         fingerprint_of(workspace, &self.method, host, &self.uri, body)
     }
--- a/dockgate/src/gateway/call/quarantine_check.rs
+++ b/dockgate/src/gateway/call/quarantine_check.rs
@@ -5,7 +5,7 @@
 use super::super::{quarantine, quarantine_store};
 use super::CallRefusal;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{FingerprintInput, RequestFingerprint};
+use dockgate_core::gateway::{FingerprintInput, SuspectKey};
 use http::{Method, Uri};
 
 /// Returns the fingerprint of a request, which does not depend on its id.
@@ -15,8 +15,8 @@
     host: &str,
     uri: &Uri,
     body: &[u8],
-) -> RequestFingerprint {
-    RequestFingerprint::of(&FingerprintInput {
+) -> SuspectKey {
+    SuspectKey::of_request(&FingerprintInput {
         workspace,
         method: method.as_str(),
         host,
@@ -32,7 +32,7 @@
 /// Returns a refusal with the time of the next trial if the request is quarantined.
 pub(super) async fn check_quarantine(
     state: &GatewayState,
-    fingerprint: impl FnOnce() -> RequestFingerprint,
+    fingerprint: impl FnOnce() -> SuspectKey,
 ) -> Result<(), CallRefusal> {
     let Some((fingerprint, quarantine)) = quarantine::find_quarantine(state, fingerprint) else {
         return Ok(());
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -9,7 +9,7 @@
 use super::sockets::connect;
 use super::upstream::EndpointTarget;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EndpointId, InterruptionStatus, RequestFingerprint};
+use dockgate_core::gateway::{EndpointId, InterruptionStatus, SuspectKey};
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 pub(super) fn record_interruption(
     state: &Arc<GatewayState>,
     target: &EndpointTarget,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
 ) {
     let now = now_ms();
     let status = state.with(|view| {
@@ -50,19 +50,11 @@
 }
 
 /// Records the requests that were interrupted by the end of an endpoint.
-fn record_ends(
-    state: &GatewayState,
-    endpoint: EndpointId,
-    name: &str,
-    interrupted: &[RequestFingerprint],
-) {
+fn record_ends(state: &GatewayState, endpoint: EndpointId, name: &str, interrupted: &[SuspectKey]) {
     if interrupted.is_empty() {
         return;
     }
-    let fingerprints: Vec<String> = interrupted
-        .iter()
-        .map(RequestFingerprint::to_string)
-        .collect();
+    let fingerprints: Vec<String> = interrupted.iter().map(SuspectKey::to_string).collect();
     log_gateway(&GatewayEvent::EndpointEnded {
         endpoint: name,
         under: &fingerprints,
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -10,9 +10,7 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{
-    EndpointId, Quarantine, QuarantineChange, RequestFingerprint, SuspectReport,
-};
+use dockgate_core::gateway::{EndpointId, Quarantine, QuarantineChange, SuspectKey, SuspectReport};
 use dockgate_proto::GatewayMessage;
 use std::net::SocketAddr;
 
@@ -21,11 +19,7 @@
 const FULL_REPORT_PROBABILITY: f64 = 0.25;
 
 /// Records the requests that were interrupted by the end of an endpoint, and reports them at once.
-pub(super) fn record_ends(
-    state: &GatewayState,
-    endpoint: EndpointId,
-    interrupted: &[RequestFingerprint],
-) {
+pub(super) fn record_ends(state: &GatewayState, endpoint: EndpointId, interrupted: &[SuspectKey]) {
     let now = now_ms();
     let changes = state.with(|view| {
         let fingerprints = interrupted.iter();
@@ -39,10 +33,7 @@
 
 /// Records that a request completed, which clears it of suspicion; `fingerprint` is called only if
 /// there are suspects.
-pub(super) fn record_completed(
-    state: &GatewayState,
-    fingerprint: impl FnOnce() -> RequestFingerprint,
-) {
+pub(super) fn record_completed(state: &GatewayState, fingerprint: impl FnOnce() -> SuspectKey) {
     if state.with(|view| view.suspects.is_empty()) {
         return;
     }
@@ -56,8 +47,8 @@
 /// called only if any request is.
 pub(super) fn find_quarantine(
     state: &GatewayState,
-    fingerprint: impl FnOnce() -> RequestFingerprint,
-) -> Option<(RequestFingerprint, Quarantine)> {
+    fingerprint: impl FnOnce() -> SuspectKey,
+) -> Option<(SuspectKey, Quarantine)> {
     if !state.with(|view| view.suspects.has_quarantined()) {
         return None;
     }
@@ -68,11 +59,7 @@
 }
 
 /// Merges quarantines that are known elsewhere.
-pub(super) fn merge(
-    state: &GatewayState,
-    known: Vec<(RequestFingerprint, Quarantine)>,
-    source: &str,
-) {
+pub(super) fn merge(state: &GatewayState, known: Vec<(SuspectKey, Quarantine)>, source: &str) {
     let now = now_ms();
     let changes = state.with(|view| {
         let known = known.into_iter();
@@ -94,7 +81,7 @@
 }
 
 /// Releases a request on behalf of an operator, and reports it at once.
-pub(super) fn release(state: &GatewayState, fingerprint: RequestFingerprint) {
+pub(super) fn release(state: &GatewayState, fingerprint: SuspectKey) {
     let now = now_ms();
     let change = state.with(|view| view.suspects.release(fingerprint, now));
     log_changes(state, change.as_slice(), "operator");
--- a/dockgate/src/gateway/quarantine_rpc.rs
+++ b/dockgate/src/gateway/quarantine_rpc.rs
@@ -3,7 +3,7 @@
 use super::gateway_state::GatewayState;
 use super::quarantine::release;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{Quarantine, RequestFingerprint};
+use dockgate_core::gateway::{Quarantine, SuspectKey};
 use dockgate_proto::{QuarantineAnswer, QuarantineRequest, QuarantineRow, methods};
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::RegisterMethodError;
@@ -30,13 +30,10 @@
 }
 
 /// Parses the fingerprint of a request, and checks that it is in quarantine.
-fn parse_fingerprint(
-    state: &GatewayState,
-    text: &str,
-) -> Result<RequestFingerprint, ErrorObjectOwned> {
+fn parse_fingerprint(state: &GatewayState, text: &str) -> Result<SuspectKey, ErrorObjectOwned> {
     let refuse =
         |problem: String| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, problem, None::<()>);
-    let fingerprint = text.parse::<RequestFingerprint>().map_err(|_| {
+    let fingerprint = text.parse::<SuspectKey>().map_err(|_| {
         refuse(format!(
             "'{text}' is not a request fingerprint: expected 32 hexadecimal digits"
         ))
@@ -53,7 +50,7 @@
     let active = known
         .into_iter()
         .filter(|(_, quarantine)| quarantine.stage.is_active());
-    let row = |(fingerprint, quarantine): (RequestFingerprint, Quarantine)| QuarantineRow {
+    let row = |(fingerprint, quarantine): (SuspectKey, Quarantine)| QuarantineRow {
         fingerprint: fingerprint.to_string(),
         age_ms: (now as i64 - quarantine.at_ms).max(0) as u64,
         trials: quarantine.stage.trials,
--- a/dockgate/src/gateway/quarantine_store.rs
+++ b/dockgate/src/gateway/quarantine_store.rs
@@ -9,7 +9,7 @@
 use super::gateway_state::GatewayState;
 use super::quarantine::{broadcast_reports, merge};
 use crate::clock::{now_ms, unix_ms};
-use dockgate_core::gateway::{Quarantine, QuarantineStage, RequestFingerprint};
+use dockgate_core::gateway::{Quarantine, QuarantineStage, SuspectKey};
 use dockgate_platform::{
     ClockPair, PlatformClient, PlatformError, PutCondition, PutOutcome, QUARANTINE_KEY,
     StoreListing, StoredValue, decode_quarantines, encode_quarantines,
@@ -57,11 +57,11 @@
 /// The stage of each quarantine in the store.
 #[derive(Debug, Default, PartialEq, Eq)]
 struct StoredStages {
-    stages: BTreeMap<RequestFingerprint, QuarantineStage>,
+    stages: BTreeMap<SuspectKey, QuarantineStage>,
 }
 
 impl StoredStages {
-    fn of(known: &[(RequestFingerprint, Quarantine)]) -> Self {
+    fn of(known: &[(SuspectKey, Quarantine)]) -> Self {
         let stages = known
             .iter()
             .map(|(fingerprint, known)| (*fingerprint, known.stage));
@@ -115,7 +115,7 @@
 async fn put_quarantines(
     client: &PlatformClient,
     stored: Option<&StoredValue>,
-    quarantines: &[(RequestFingerprint, Quarantine)],
+    quarantines: &[(SuspectKey, Quarantine)],
 ) -> Result<PutOutcome, PlatformError> {
     let condition = match stored {
         Some(stored) => PutCondition::Revision(stored.revision),
@@ -127,7 +127,7 @@
 
 /// Returns whether this box may send a quarantined request once, as a trial. The store grants a
 /// trial to one box only, also across a partition, and grants none while it does not answer.
-pub(super) async fn acquire_trial(state: &GatewayState, fingerprint: RequestFingerprint) -> bool {
+pub(super) async fn acquire_trial(state: &GatewayState, fingerprint: SuspectKey) -> bool {
     let outcome = tokio::time::timeout(TRIAL_TIMEOUT, request_trial(state, fingerprint)).await;
     match outcome {
         Ok(Ok(is_granted)) => is_granted,
@@ -144,7 +144,7 @@
 
 async fn request_trial(
     state: &GatewayState,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
 ) -> Result<bool, PlatformError> {
     let client = state.store_client();
     let stored = client.get(QUARANTINE_KEY).await?;
