--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -23,6 +23,7 @@
 mod gateway_metrics;
 mod gateway_runtime;
 mod gateway_state;
+mod interrupted_parts;
 mod membership;
 mod memory_guard;
 mod notices;
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -17,8 +17,9 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptShape, RouteKey, RouteSpec,
-    RouteTable, ServiceKey, ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
+    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptPart, PromptShape, RouteKey,
+    RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef,
+    name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -126,6 +127,12 @@
         self.head.prompt.as_ref().map(|prompt| prompt.input)
     }
 
+    /// Returns the parts of the prompt that other requests may share; none without a prompt.
+    pub(in super::super) fn shared_parts(&self) -> &[PromptPart] {
+        let prompt = self.head.prompt.as_ref();
+        prompt.map_or(&[], PromptShape::shared_parts)
+    }
+
     /// Returns the version of the configuration that routed the request.
     pub(in super::super) fn config_version(&self) -> u64 {
         self.table.config().version
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -6,6 +6,7 @@
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
+use super::super::interrupted_parts::part_names;
 use super::super::notices::{receive_notice, report_leaving, send_condition};
 use super::super::placement_goal::PlacementGoal;
 use super::super::quarantine;
@@ -194,10 +195,14 @@
         result.inspect_err(|failure| {
             self.report_suspicion(&target, failure);
             let ran = failure.state.outcome(self.route().may_repeat());
+            let was_interrupted = failure.suspicion == EndpointSuspicion::MayHaveEnded;
             log_gateway(&GatewayEvent::SendFailed {
                 request: &self.head.id,
-                print: (failure.suspicion == EndpointSuspicion::MayHaveEnded)
-                    .then(|| self.fingerprint().to_string()),
+                print: was_interrupted.then(|| self.fingerprint().to_string()),
+                parts: match was_interrupted {
+                    true => part_names(self.shared_parts()),
+                    false => Vec::new(),
+                },
                 endpoint: &target.name,
                 attempt,
                 ran: ran.as_str(),
@@ -212,7 +217,7 @@
     fn report_suspicion(&self, target: &EndpointTarget, failure: &AttemptFailure) {
         match failure.suspicion {
             EndpointSuspicion::MayHaveEnded => {
-                record_interruption(&self.state, target, self.fingerprint());
+                record_interruption(self, target);
             }
             EndpointSuspicion::Gone => record_stopped(&self.state, target),
             EndpointSuspicion::None => {}
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -3,6 +3,7 @@
 //! An answer may also break off while the endpoint keeps running. If the endpoint ended,
 //! connections to its address are refused. One check covers all answers that broke off together.
 
+use super::call::AdmittedCall;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
 use super::quarantine;
@@ -25,13 +26,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Records that an endpoint broke off an answer, and starts a check unless one is running.
-pub(super) fn record_interruption(
-    state: &Arc<GatewayState>,
-    target: &EndpointTarget,
-    fingerprint: SuspectKey,
-) {
+pub(super) fn record_interruption(call: &AdmittedCall, target: &EndpointTarget) {
+    let (state, fingerprint) = (&call.state, call.fingerprint());
     let now = now_ms();
     let status = state.with(|view| {
+        view.interrupted_parts
+            .note(target.id, call.shared_parts(), now);
         let interruptions = &mut view.interruptions;
         interruptions.note_interruption(fingerprint, target.id, &target.name, now)
     });
@@ -54,10 +54,12 @@
     if interrupted.is_empty() {
         return;
     }
+    let parts = state.with(|view| view.interrupted_parts.most_frequent(endpoint));
     let fingerprints: Vec<String> = interrupted.iter().map(SuspectKey::to_string).collect();
     log_gateway(&GatewayEvent::EndpointEnded {
         endpoint: name,
         under: &fingerprints,
+        parts: &parts,
     });
     quarantine::record_ends(state, endpoint, interrupted);
 }
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -277,7 +277,7 @@
         // Dropping the source closes the connection before another endpoint resumes the stream.
         let lost = self.source.take().map(|source| source.target);
         if let Some(target) = &lost {
-            record_interruption(&self.call.state, target, self.call.fingerprint());
+            record_interruption(&self.call, target);
         }
         let version_name = |target: &EndpointTarget| self.call.state.version_name(target.id);
         let began_at = lost.as_ref().map(version_name).unwrap_or_default();
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -212,6 +212,8 @@
         endpoint: &'a str,
         /// Fingerprints of the requests that it interrupted at this box.
         under: &'a [String],
+        /// Shared parts of the interrupted prompts, those of most prompts first; limited.
+        parts: &'a [String],
     },
     /// A request was quarantined because these endpoint lifetimes ended while they ran it.
     /// `source` names the origin of the information.
@@ -229,6 +231,8 @@
         request: &'a str,
         /// Fingerprint of the request, if the response was interrupted.
         print: Option<String>,
+        /// Shared parts of its prompt, if the response was interrupted; limited.
+        parts: Vec<String>,
         endpoint: &'a str,
         attempt: u32,
         ran: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -17,10 +17,10 @@
     send_failed = {
         GatewayEvent::SendFailed {
             request: "r",
-            print: None, endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
+            print: None, parts: Vec::new(), endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
             expected_ms: None, took_ms: 5,
         },
-        "attempt endpoint event expected_ms print problem ran request took_ms"
+        "attempt endpoint event expected_ms parts print problem ran request took_ms"
     },
     refused = {
         GatewayEvent::Refused {
@@ -44,8 +44,8 @@
         "endpoint event events print reason request took_ms"
     },
     endpoint_ended = {
-        GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
-        "endpoint event under"
+        GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()], parts: &["a".to_owned()] },
+        "endpoint event parts under"
     },
     memory_short = {
         GatewayEvent::MemoryShort { used_kb: 62_000, resident_kb: Some(60_000) },
@@ -281,6 +281,7 @@
         GatewayEvent::EndpointEnded {
             endpoint: "e",
             under: &[],
+            parts: &[],
         },
         GatewayEvent::RequestQuarantined {
             print: "p",
@@ -298,6 +299,7 @@
         GatewayEvent::SendFailed {
             request: "r",
             print: Some("p".to_owned()),
+            parts: vec!["5c1e".to_owned()],
             endpoint: "e",
             attempt: 1,
             ran: "unknown",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -5,6 +5,7 @@
 
 use super::encoded_updates::EncodedUpdates;
 use super::events::{GatewayEvent, log_gateway};
+use super::interrupted_parts::InterruptedParts;
 use super::membership::DigestCache;
 use super::memory_guard::resident_bytes;
 use super::settings::GatewaySettings;
@@ -84,6 +85,8 @@
     pub(super) runs: HashMap<u32, PlacedRun>,
     /// The endpoints that broke off answers recently.
     pub(super) interruptions: InterruptionTracker,
+    /// The shared parts of the prompts that endpoints broke off.
+    pub(super) interrupted_parts: InterruptedParts,
     /// The requests that are suspected of crashing endpoints.
     pub(super) suspects: SuspectRegistry,
     /// The prompt parts that engines recently read for this box.
@@ -190,6 +193,7 @@
             encoded_updates: EncodedUpdates::default(),
             runs: HashMap::new(),
             interruptions: InterruptionTracker::default(),
+            interrupted_parts: InterruptedParts::default(),
             suspects: SuspectRegistry::default(),
             prefix_history: PrefixHistory::default(),
             lag: LoopLag::default(),
@@ -454,11 +458,13 @@
                 runs,
                 retries,
                 interruptions,
+                interrupted_parts,
                 suspects,
                 streams,
                 ..
             } = view;
             interruptions.expire(now);
+            interrupted_parts.expire(now);
             suspects.expire(now);
             streams.expire(now);
             let expired = endpoints.expire(now);
