test: parts of prompts that crash engines are not quarantined (known red)

Engines of the stand-in crash when they are about to answer a prompt with a bad shared part, and come back under a new id 2.5 s later. Three boxes, 12 to 30 engines, a bad prompt each 300 ms, no two alike, beside six sound callers.

--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -13,7 +13,7 @@
 pub use peer::PeerStandIn;
 pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreListener, StoreSnapshot};
 pub use routed::{
-    EndpointBehavior, ReceivedRequest, RejectedRequest, RoutedStandIn, STARTED_HEADER,
+    EndpointBehavior, PartCrash, ReceivedRequest, RejectedRequest, RoutedStandIn, STARTED_HEADER,
 };
 pub use service::{ServiceProfile, ServiceStandIn};
 pub use tally::{LateRunCounter, RunTally, TallySample};
--- a/dockgate-bench/src/standin/routed.rs
+++ b/dockgate-bench/src/standin/routed.rs
@@ -54,6 +54,16 @@
     pub at: Instant,
 }
 
+impl ReceivedRequest {
+    /// Returns the ids of the shared parts of its prompt: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &str> {
+        let parts = self.headers.get("x-prefix-hash");
+        let shared = parts.and_then(|parts| Some(parts.rsplit_once(',')?.0));
+        let shared = shared.into_iter().flat_map(|shared| shared.split(','));
+        shared.filter_map(|part| Some(part.split_once(':')?.0))
+    }
+}
+
 /// A request that an endpoint rejected with a backoff.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RejectedRequest {
@@ -72,6 +82,15 @@
     pub at: Instant,
 }
 
+/// A crash under a part of a prompt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PartCrash {
+    /// The part, as in the header of the request.
+    pub part: String,
+    /// When the endpoint crashed.
+    pub at: Instant,
+}
+
 #[derive(Default)]
 struct RoutedState {
     behavior: Mutex<EndpointBehavior>,
@@ -85,6 +104,19 @@
     backoff: Mutex<Option<Duration>>,
     rejected: Mutex<Vec<RejectedRequest>>,
     crash_bodies: Mutex<Vec<Bytes>>,
+    crash_parts: Mutex<Vec<String>>,
+    part_crash: Mutex<Option<PartCrash>>,
+}
+
+impl RoutedState {
+    /// Returns the first shared part of a prompt under which the endpoint crashes.
+    fn crash_part_of(&self, request: &ReceivedRequest) -> Option<String> {
+        let crash_parts = locked(&self.crash_parts);
+        let mut shared = request.shared_parts();
+        shared
+            .find(|part| crash_parts.iter().any(|crash| crash == part))
+            .map(str::to_owned)
+    }
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -194,9 +226,23 @@
         }
     }
 
+    /// Makes it crash when it is about to write the answer of a prompt with this shared part.
+    pub fn add_crash_part(&self, part: &str) {
+        let mut crash_parts = locked(&self.state.crash_parts);
+        if !crash_parts.iter().any(|known| known == part) {
+            crash_parts.push(part.to_owned());
+        }
+    }
+
+    /// Returns its crash under a part of a prompt, if it crashed.
+    pub fn part_crash(&self) -> Option<PartCrash> {
+        locked(&self.state.part_crash).clone()
+    }
+
     /// Stops it from crashing on any request.
     pub fn clear_crash_bodies(&self) {
         locked(&self.state.crash_bodies).clear();
+        locked(&self.state.crash_parts).clear();
     }
 
     /// Returns whether it was killed or has crashed.
@@ -343,12 +389,20 @@
         locked(&state.rejected).push(RejectedRequest { request, backoff });
         return reject_with_backoff(&id, backoff);
     }
+    let crash_part = state.crash_part_of(&received);
     let run = RoutedRun::new(state.clone(), received);
     if locked(&state.crash_bodies).contains(&body) {
         stop.cancel();
         return Err(AbortedConnection);
     }
     let processing_time = *locked(&state.processing_time);
+    if let Some(part) = crash_part {
+        tokio::time::sleep(processing_time).await;
+        let at = Instant::now();
+        locked(&state.part_crash).get_or_insert(PartCrash { part, at });
+        stop.cancel();
+        return Err(AbortedConnection);
+    }
     match behavior {
         EndpointBehavior::Loses => return Err(AbortedConnection),
         EndpointBehavior::Silent => std::future::pending().await,
--- /dev/null
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -0,0 +1,468 @@
+//! Quarantine of parts of prompts that crash the engines that begin to answer on them.
+//!
+//! Guards against engines that crash one after the other under prompts of which no two are alike
+//! but all hold one part, and against the refusal of prompts that share other parts with these.
+
+use bytes::Bytes;
+use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
+use dockgate_bench::standin::caller::{all_events, connect_within};
+use dockgate_bench::standin::{PartCrash, ReceivedRequest, RoutedStandIn};
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The shared first part of most prompts.
+const COMMON_PART: &str = "f1";
+/// Parts under which engines crash.
+const BAD_PARTS: [&str; 2] = ["bad1", "bad2"];
+/// Number of parts that fewer sound prompts share.
+const SUBJECTS: usize = 40;
+const EVENTS: u64 = 6;
+const EVENT_TIME: Duration = Duration::from_millis(40);
+/// Time from a crash until the successor of the engine is ready.
+const DOWNTIME: Duration = Duration::from_millis(2_500);
+/// Time from the start of the sound callers until the first bad prompt.
+const SOUND_TIME: Duration = Duration::from_millis(2_500);
+const BAD_TIME: Duration = Duration::from_millis(11_000);
+const BAD_INTERVAL: Duration = Duration::from_millis(300);
+const SOUND_PAUSE: Duration = Duration::from_millis(150);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+const STEP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Number of crashes after which the bound on further sends begins.
+const CRASHES_TO_BOUND: usize = 5;
+/// Time within which boxes in touch learn what others know.
+const SYNC_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of sends with a bad part after [`SYNC_TIME`].
+const MAX_LATE_SENDS: usize = 3;
+
+/// How prompts with bad parts are made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BadPrompts {
+    /// There are none; instead, the busiest engine is killed again and again.
+    None,
+    /// The bad part follows the first part, beside a part that sound prompts share.
+    InTheMiddle,
+    /// The bad part is the first.
+    First,
+    /// Each second prompt holds another bad part.
+    TwoInTurn,
+}
+
+impl BadPrompts {
+    fn parts(self, number: usize) -> String {
+        let subject = subject(number);
+        let private = format!("e{number:x}");
+        let (first, second) = match self {
+            Self::First => (BAD_PARTS[0], subject.as_str()),
+            Self::TwoInTurn => (COMMON_PART, BAD_PARTS[number % 2]),
+            Self::InTheMiddle | Self::None => (COMMON_PART, BAD_PARTS[0]),
+        };
+        format!("{first}:400,{second}:200,{subject}:100,{private}:50")
+    }
+}
+
+fn subject(number: usize) -> String {
+    format!("50{:02x}", number % SUBJECTS)
+}
+
+/// A fault beside the bad prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disruption {
+    None,
+    /// The store is unavailable from before the first bad prompt.
+    StoreAway,
+    /// All boxes are killed and restarted in the middle of the bad prompts.
+    BoxesKilled,
+}
+
+struct PlayPlan {
+    path: &'static str,
+    engines: usize,
+    bad: BadPrompts,
+    disruption: Disruption,
+}
+
+/// A prompt of a sound caller.
+#[derive(Debug, Clone, Copy)]
+struct SoundCall {
+    /// Whether it has its key and first part in common with bad prompts.
+    is_related: bool,
+    at: Instant,
+    is_complete: bool,
+}
+
+/// What happened in a play.
+struct PlayRecord {
+    bad_from: Instant,
+    crashes: Vec<PartCrash>,
+    /// The sends of bad prompts that reached engines, by bad part.
+    bad_sends: HashMap<&'static str, Vec<Instant>>,
+    sound: Vec<SoundCall>,
+    /// When all boxes were ready after they had been killed.
+    boxes_back: Option<Instant>,
+    logs: String,
+}
+
+fn prompt(path: &str, key: &str, id: &str, parts: &str) -> Request<Full<Bytes>> {
+    Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "h.example")
+        .header("authorization", format!("Token {key}"))
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "3000")
+        .header("x-model", "m")
+        .header("x-token-usage", format!("700,{EVENTS}"))
+        .header("x-prefix-hash", parts)
+        .body(Full::new(Bytes::from(id.to_owned())))
+        .expect("the prompt is valid")
+}
+
+/// Sends a prompt and returns whether its answer is complete.
+async fn send(address: SocketAddr, prompt: Request<Full<Bytes>>) -> bool {
+    let answered = async {
+        let mut sender = connect_within(address, ANSWER_TIMEOUT).await?;
+        let response = sender.send_request(prompt).await.ok()?;
+        let is_success = response.status() == StatusCode::OK;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some(is_success && body == all_events(EVENTS).as_bytes())
+    };
+    let answered = tokio::time::timeout(ANSWER_TIMEOUT, answered).await;
+    answered.ok().flatten().unwrap_or(false)
+}
+
+/// Sends sound prompts one after the other at boxes in turn.
+async fn run_sound_caller(
+    number: usize,
+    path: &'static str,
+    boxes: Vec<SocketAddr>,
+    calls: Arc<Mutex<Vec<SoundCall>>>,
+) {
+    let is_related = number.is_multiple_of(2);
+    let (key, first) = match is_related {
+        true => ("k1", COMMON_PART),
+        false => ("k2", "f2"),
+    };
+    for sent in 0.. {
+        let id = format!("s{number}n{sent}");
+        let parts = format!(
+            "{first}:400,{}:200,c{number:x}{sent:x}:50",
+            subject(number + 7 * sent)
+        );
+        let at = Instant::now();
+        let address = boxes[(number + sent) % boxes.len()];
+        let is_complete = send(address, prompt(path, key, &id, &parts)).await;
+        let call = SoundCall {
+            is_related,
+            at,
+            is_complete,
+        };
+        calls.lock().expect("no caller panics").push(call);
+        tokio::time::sleep(SOUND_PAUSE).await;
+    }
+}
+
+/// The engines of a play, which crash under bad parts and come back under new ids.
+struct CrashingEngines {
+    fleet: GatewayFleet,
+    ended: Vec<(RoutedStandIn, Instant)>,
+    old: Vec<RoutedStandIn>,
+    started: usize,
+}
+
+impl CrashingEngines {
+    fn prepare(engine: &RoutedStandIn) {
+        BAD_PARTS
+            .iter()
+            .for_each(|part| engine.add_crash_part(part));
+        engine.set_processing_time(EVENT_TIME);
+    }
+
+    fn new(fleet: GatewayFleet) -> Self {
+        fleet.endpoints.iter().for_each(Self::prepare);
+        Self {
+            fleet,
+            ended: Vec::new(),
+            old: Vec::new(),
+            started: 0,
+        }
+    }
+
+    /// Replaces the engines whose downtime has passed by successors with new ids.
+    async fn step(&mut self) {
+        let now = Instant::now();
+        let endpoints = &mut self.fleet.endpoints;
+        let ended = endpoints.extract_if(.., |engine| engine.has_ended());
+        self.ended.extend(ended.map(|engine| (engine, now)));
+        let due = self.ended.extract_if(.., |(_, at)| *at + DOWNTIME <= now);
+        for (engine, _) in due.collect::<Vec<_>>() {
+            self.started += 1;
+            let id = format!("next-{}", self.started);
+            let successor = RoutedStandIn::start(&id, &engine.service).await;
+            let successor = successor.expect("loopback has a port");
+            Self::prepare(&successor);
+            let (key, _) = engine.record("a", "ready");
+            self.fleet.store.remove(&key);
+            let (key, value) = successor.record("a", "ready");
+            self.fleet.store.set(&key, value);
+            self.fleet.endpoints.push(successor);
+            self.old.push(engine);
+        }
+    }
+
+    fn kill_busiest(&self) {
+        let endpoints = self
+            .fleet
+            .endpoints
+            .iter()
+            .filter(|engine| !engine.has_ended());
+        if let Some(engine) = endpoints.max_by_key(|engine| engine.running()) {
+            engine.kill();
+        }
+    }
+
+    fn all(&self) -> impl Iterator<Item = &RoutedStandIn> {
+        let ended = self.ended.iter().map(|(engine, _)| engine);
+        self.fleet.endpoints.iter().chain(ended).chain(&self.old)
+    }
+}
+
+/// Plays sound callers beside bad prompts.
+async fn play(plan: &PlayPlan) -> PlayRecord {
+    const SOUND_CALLERS: usize = 6;
+    let services = vec!["model"; plan.engines];
+    let config = route_config(3, KEYS);
+    let fleet = GatewayFleet::start(3, &services, &config).await;
+    let mut engines = CrashingEngines::new(fleet.expect("a fleet starts on loopback"));
+    let boxes = engines
+        .fleet
+        .gateways
+        .iter()
+        .map(GatewayProcess::caller_address);
+    let boxes: Vec<SocketAddr> = boxes.collect();
+    let calls = Arc::new(Mutex::new(Vec::new()));
+    let callers = (0..SOUND_CALLERS).map(|number| {
+        tokio::spawn(run_sound_caller(
+            number,
+            plan.path,
+            boxes.clone(),
+            calls.clone(),
+        ))
+    });
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(SOUND_TIME).await;
+    engines
+        .fleet
+        .store
+        .set_unavailable(plan.disruption == Disruption::StoreAway);
+    let (bad_from, mut sent, mut boxes_back) = (Instant::now(), 0, None);
+    while bad_from.elapsed() < BAD_TIME {
+        if bad_from.elapsed() >= BAD_INTERVAL * sent as u32 {
+            let address = boxes[sent % boxes.len()];
+            let parts = plan.bad.parts(sent);
+            let bad = prompt(plan.path, "k1", &format!("b{sent}"), &parts);
+            match plan.bad {
+                BadPrompts::None if sent % 2 == 0 => engines.kill_busiest(),
+                BadPrompts::None => {}
+                _ => drop(tokio::spawn(send(address, bad))),
+            }
+            sent += 1;
+        }
+        let is_kill_due = bad_from.elapsed() >= BAD_TIME / 2 && boxes_back.is_none();
+        if plan.disruption == Disruption::BoxesKilled && is_kill_due {
+            let gateways = &mut engines.fleet.gateways;
+            gateways.iter_mut().for_each(GatewayProcess::kill);
+            for gateway in gateways.iter_mut() {
+                gateway.restart().expect("the gateway restarts");
+            }
+            for gateway in gateways.iter() {
+                wait_until("a box is ready again", async || gateway.is_ready().await).await;
+            }
+            boxes_back = Some(Instant::now());
+        }
+        engines.step().await;
+        tokio::time::sleep(STEP_INTERVAL).await;
+    }
+    for caller in callers {
+        caller.abort();
+    }
+    let mut crashes: Vec<PartCrash> = engines
+        .all()
+        .filter_map(RoutedStandIn::part_crash)
+        .collect();
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let runs: Vec<ReceivedRequest> = engines.all().flat_map(RoutedStandIn::ran).collect();
+    let sends_of = |part: &'static str| {
+        let sends = runs
+            .iter()
+            .filter(|run| run.shared_parts().any(|shared| shared == part));
+        (part, sends.map(|run| run.at).collect())
+    };
+    let sound = calls.lock().expect("no caller panics").clone();
+    PlayRecord {
+        bad_from,
+        crashes,
+        bad_sends: BAD_PARTS.into_iter().map(sends_of).collect(),
+        sound,
+        boxes_back,
+        logs: engines
+            .fleet
+            .gateways
+            .iter()
+            .map(GatewayProcess::logged)
+            .collect(),
+    }
+}
+
+impl PlayRecord {
+    /// Returns the time from which on the bound for a bad part holds, if it crashed enough engines.
+    fn bound_from(&self, part: &str) -> Option<Instant> {
+        let crashes = self.crashes.iter().filter(|crash| crash.part == part);
+        let fifth = crashes.map(|crash| crash.at).nth(CRASHES_TO_BOUND - 1)?;
+        Some(fifth + SYNC_TIME)
+    }
+
+    /// Returns the number of sends that the bound limits.
+    fn late_sends(&self, part: &str) -> usize {
+        let Some(bound_from) = self.bound_from(part) else {
+            return 0;
+        };
+        let is_out_of_touch = |at: Instant| {
+            self.boxes_back
+                .is_some_and(|back| at < back + SYNC_TIME && at + SYNC_TIME > back)
+        };
+        let sends = self.bad_sends[part].iter();
+        sends
+            .filter(|at| **at > bound_from && !is_out_of_touch(**at))
+            .count()
+    }
+
+    /// Returns the fraction of sound prompts that share key and first part with bad ones and are
+    /// answered, among those sent within a time.
+    fn served_fraction(&self, from: Instant, until: Instant) -> f64 {
+        let calls = self.sound.iter().filter(|call| call.is_related);
+        let calls: Vec<_> = calls
+            .filter(|call| call.at >= from && call.at < until)
+            .collect();
+        let served = calls.iter().filter(|call| call.is_complete).count();
+        assert!(!calls.is_empty(), "no sound prompt was sent");
+        served as f64 / calls.len() as f64
+    }
+
+    fn check(&self) {
+        let late = BAD_PARTS.map(|part| self.late_sends(part));
+        let crashes = self.crashes.iter().map(|crash| crash.at - self.bad_from);
+        let sends = BAD_PARTS.map(|part| self.bad_sends[part].len());
+        let start = self.bad_from - SOUND_TIME;
+        let before = self.served_fraction(start, self.bad_from);
+        let bounds = BAD_PARTS.iter().filter_map(|part| self.bound_from(part));
+        let settled = bounds.max().unwrap_or(self.bad_from) + SYNC_TIME;
+        let settled = settled.max(self.boxes_back.unwrap_or(settled));
+        let settled = settled.min(self.bad_from + BAD_TIME - Duration::from_secs(2));
+        let after = self.served_fraction(settled, self.bad_from + BAD_TIME);
+        let seen = format!(
+            "{} crashes, {sends:?} sends with bad parts, {late:?} of them late, sound ones served: \
+             {before:.2} before, {after:.2} after; crashes at {:?}",
+            self.crashes.len(),
+            crashes.collect::<Vec<_>>(),
+        );
+        println!("{seen}");
+        assert!(!self.crashes.is_empty(), "no engine crashed: {seen}");
+        assert!(
+            late.iter().all(|late| *late <= MAX_LATE_SENDS),
+            "late sends: {seen}"
+        );
+        assert!(
+            after >= before / 2.0,
+            "sound prompts are not served: {seen}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn part_that_crashes_engines_is_quarantined() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 12,
+        bad: BadPrompts::InTheMiddle,
+        disruption: Disruption::None,
+    };
+    play(&plan).await.check();
+}
+
+#[tokio::test]
+async fn part_of_prompts_that_are_not_resumable_is_quarantined() {
+    let plan = PlayPlan {
+        path: "/draft/x",
+        engines: 12,
+        bad: BadPrompts::InTheMiddle,
+        disruption: Disruption::None,
+    };
+    play(&plan).await.check();
+}
+
+#[tokio::test]
+async fn first_part_that_crashes_engines_is_quarantined() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 12,
+        bad: BadPrompts::First,
+        disruption: Disruption::None,
+    };
+    play(&plan).await.check();
+}
+
+#[tokio::test]
+async fn two_parts_that_crash_engines_in_turn_are_quarantined() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 14,
+        bad: BadPrompts::TwoInTurn,
+        disruption: Disruption::None,
+    };
+    play(&plan).await.check();
+}
+
+#[tokio::test]
+async fn part_is_quarantined_while_the_store_is_away() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 30,
+        bad: BadPrompts::InTheMiddle,
+        disruption: Disruption::StoreAway,
+    };
+    play(&plan).await.check();
+}
+
+#[tokio::test]
+async fn quarantine_of_a_part_survives_a_restart_of_all_boxes() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 12,
+        bad: BadPrompts::InTheMiddle,
+        disruption: Disruption::BoxesKilled,
+    };
+    play(&plan).await.check();
+}
+
+/// Guards against the quarantine of parts that are at each end by chance.
+#[tokio::test]
+async fn no_part_is_quarantined_if_busy_engines_end_for_other_reasons() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 12,
+        bad: BadPrompts::None,
+        disruption: Disruption::None,
+    };
+    let record = play(&plan).await;
+    assert!(
+        record.logs.contains("\"endpoint_ended\""),
+        "no box noticed an end"
+    );
+    let quarantined = record.logs.matches("\"request_quarantined\"").count();
+    assert_eq!(quarantined, 0, "quarantined: {}", record.logs);
+}
