refactor: an interrupted request carries the shared parts of its prompt

The tracker of interruptions returns, for each endpoint that ended, the requests with the keys of their prompts' shared parts, so that both can be recorded as evidence. The daemon passes no parts yet: what is recorded and refused does not change. SuspectKey::of_shared_parts leaves out the last part and keeps at most 32 keys per prompt.

--- a/dockgate-core/src/gateway/interruption_tracker.rs
+++ b/dockgate-core/src/gateway/interruption_tracker.rs
@@ -11,12 +11,12 @@
 //! let (endpoint, fingerprint) =
 //!     (EndpointId::of_lifetime("e", Some(1)), SuspectKey::new([7; 16]));
 //! let mut tracker = InterruptionTracker::default();
-//! assert!(tracker.note_interruption(fingerprint, endpoint, "e", 1_000).needs_check());
-//! assert_eq!(tracker.note_ended(endpoint, 1_030), [fingerprint]);
+//! assert!(tracker.note_interruption(fingerprint.into(), endpoint, "e", 1_000).needs_check());
+//! assert_eq!(tracker.note_ended(endpoint, 1_030), [fingerprint.into()]);
 //! ```
 
+use super::interrupted_request::InterruptedRequest;
 use super::route_table::{EndpointId, EndpointName};
-use super::suspect_key::SuspectKey;
 use std::collections::HashMap;
 
 /// Whether an endpoint that broke off an answer is known to have ended.
@@ -42,7 +42,7 @@
 struct InterruptedRequests {
     name: EndpointName,
     at_ms: u64,
-    fingerprints: Vec<SuspectKey>,
+    requests: Vec<InterruptedRequest>,
     /// Whether a check is running; otherwise the endpoint was found to be listening.
     is_check_running: bool,
 }
@@ -59,12 +59,12 @@
     /// timeouts after which an unreachable endpoint is noticed.
     const RETENTION_MS: u64 = 10_000;
     /// The maximum number of requests remembered per endpoint.
-    const MAX_FINGERPRINTS: usize = 64;
+    const MAX_REQUESTS: usize = 64;
 
     /// Records that an answer of an endpoint broke off.
     pub fn note_interruption(
         &mut self,
-        fingerprint: SuspectKey,
+        interrupted: InterruptedRequest,
         endpoint: EndpointId,
         name: &str,
         now_ms: u64,
@@ -83,14 +83,15 @@
         let known = known.unwrap_or(InterruptedRequests {
             name: EndpointName::new(name),
             at_ms: now_ms,
-            fingerprints: Vec::new(),
+            requests: Vec::new(),
             is_check_running: true,
         });
-        let requests = self.interrupted.entry(endpoint).or_insert(known);
-        if requests.fingerprints.len() < Self::MAX_FINGERPRINTS
-            && !requests.fingerprints.contains(&fingerprint)
-        {
-            requests.fingerprints.push(fingerprint);
+        let requests = &mut self.interrupted.entry(endpoint).or_insert(known).requests;
+        let is_known = requests
+            .iter()
+            .any(|known| known.request == interrupted.request);
+        if requests.len() < Self::MAX_REQUESTS && !is_known {
+            requests.push(interrupted);
         }
         status
     }
@@ -107,18 +108,18 @@
     ///
     /// Returns nothing for an endpoint without interruptions, or one found to be listening since
     /// then, as it may have shut down in order.
-    pub fn note_ended(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<SuspectKey> {
+    pub fn note_ended(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<InterruptedRequest> {
         match self.interrupted.get(&endpoint) {
             Some(requests) if requests.is_check_running => self.end(endpoint, now_ms),
             _ => Vec::new(),
         }
     }
 
-    fn end(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<SuspectKey> {
+    fn end(&mut self, endpoint: EndpointId, now_ms: u64) -> Vec<InterruptedRequest> {
         self.ended.insert(endpoint, now_ms);
         let requests = self.interrupted.remove(&endpoint);
         requests
-            .map(|requests| requests.fingerprints)
+            .map(|requests| requests.requests)
             .unwrap_or_default()
     }
 
@@ -128,7 +129,7 @@
         &mut self,
         lifetime_of: impl Fn(EndpointName) -> Option<EndpointId>,
         now_ms: u64,
-    ) -> Vec<(EndpointId, Vec<SuspectKey>)> {
+    ) -> Vec<(EndpointId, Vec<InterruptedRequest>)> {
         let all = self.interrupted.iter();
         let ended = all.filter(|(id, old)| lifetime_of(old.name).is_some_and(|new| new != **id));
         let mut ended: Vec<EndpointId> = ended.map(|(id, _)| *id).collect();
--- a/dockgate-core/src/gateway/suspect_key.rs
+++ b/dockgate-core/src/gateway/suspect_key.rs
@@ -50,6 +50,9 @@
 /// The first bytes of the keys of parts. A request's key begins so with a chance of one in 2^32.
 const PART_PREFIX: [u8; 4] = *b"part";
 
+/// The maximum number of parts of a prompt that count; half of them at each end.
+const MAX_PARTS: usize = 32;
+
 /// What a key stands for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum SuspectKind {
@@ -93,6 +96,22 @@
         key
     }
 
+    /// Computes the keys of the parts of a prompt that other prompts may share: all but the last
+    /// one, without duplicates. Of a prompt with many parts, only the first and the last of these
+    /// count, which bounds the work per request.
+    pub fn of_shared_parts(service: &str, prompt: &[u64]) -> Vec<Self> {
+        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+        let is_kept = |at: usize| at < MAX_PARTS / 2 || at + MAX_PARTS / 2 >= shared.len();
+        let kept = (0..shared.len()).filter(|at| is_kept(*at));
+        kept.fold(Vec::new(), |mut keys, at| {
+            let key = Self::of_part(service, shared[at]);
+            if !keys.contains(&key) {
+                keys.push(key);
+            }
+            keys
+        })
+    }
+
     /// Returns what the key stands for.
     pub fn kind(self) -> SuspectKind {
         match self.0.starts_with(&PART_PREFIX) {
--- a/dockgate-core/src/gateway/suspect_key/tests.rs
+++ b/dockgate-core/src/gateway/suspect_key/tests.rs
@@ -55,3 +55,26 @@
     assert_ne!(part, SuspectKey::of_part("other", 7));
     assert_eq!(SuspectKey::of_request(&INPUT).kind(), SuspectKind::Request);
 }
+
+#[test]
+fn shared_parts_leave_out_the_last_part_and_repeated_ones() {
+    assert_eq!(SuspectKey::of_shared_parts("model", &[]), []);
+    assert_eq!(SuspectKey::of_shared_parts("model", &[7]), []);
+    let (first, second) = (
+        SuspectKey::of_part("model", 7),
+        SuspectKey::of_part("model", 8),
+    );
+    let keys = SuspectKey::of_shared_parts("model", &[7, 8, 7, 9]);
+    assert_eq!(keys, [first, second]);
+}
+
+#[test]
+fn a_prompt_with_a_thousand_parts_has_a_bounded_number_of_keys() {
+    let prompt: Vec<u64> = (0..1_000).collect();
+    let keys = SuspectKey::of_shared_parts("model", &prompt);
+    let expected = (0..16).chain(983..999);
+    let expected: Vec<SuspectKey> = expected
+        .map(|part| SuspectKey::of_part("model", part))
+        .collect();
+    assert_eq!(keys, expected);
+}
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -9,7 +9,7 @@
 use super::sockets::connect;
 use super::upstream::EndpointTarget;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EndpointId, InterruptionStatus, SuspectKey};
+use dockgate_core::gateway::{EndpointId, InterruptedRequest, InterruptionStatus, SuspectKey};
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,12 +33,14 @@
     let now = now_ms();
     let status = state.with(|view| {
         let interruptions = &mut view.interruptions;
-        interruptions.note_interruption(fingerprint, target.id, &target.name, now)
+        interruptions.note_interruption(fingerprint.into(), target.id, &target.name, now)
     });
     match status {
         InterruptionStatus::Unchecked => drop(tokio::spawn(check(state.clone(), target.clone()))),
         InterruptionStatus::CheckRunning => {}
-        InterruptionStatus::Ended => record_ends(state, target.id, &target.name, &[fingerprint]),
+        InterruptionStatus::Ended => {
+            record_ends(state, target.id, &target.name, &[fingerprint.into()]);
+        }
     }
 }
 
@@ -50,16 +52,22 @@
 }
 
 /// Records the requests that were interrupted by the end of an endpoint.
-fn record_ends(state: &GatewayState, endpoint: EndpointId, name: &str, interrupted: &[SuspectKey]) {
+fn record_ends(
+    state: &GatewayState,
+    endpoint: EndpointId,
+    name: &str,
+    interrupted: &[InterruptedRequest],
+) {
     if interrupted.is_empty() {
         return;
     }
-    let fingerprints: Vec<String> = interrupted.iter().map(SuspectKey::to_string).collect();
+    let requests = interrupted.iter().map(|known| known.request.to_string());
+    let fingerprints: Vec<String> = requests.collect();
     log_gateway(&GatewayEvent::EndpointEnded {
         endpoint: name,
         under: &fingerprints,
     });
-    quarantine::record_ends(state, endpoint, interrupted);
+    quarantine::record_ends(state, endpoint, &InterruptedRequest::keys(interrupted));
 }
 
 async fn check(state: Arc<GatewayState>, target: EndpointTarget) {
