fix: a part of prompts under which engines end is quarantined

Callers saw engines end one after the other, each under a prompt that was otherwise new: what was quarantined was the whole request, and nothing related an end to a part of a prompt. An interrupted prompt is now evidence against itself and against each of its shared parts; a whole answer clears them all. Prompts that were sent and have no event yet are withdrawn when a part of them goes into quarantine: not run if nothing was sent, else 502. A trial is one send: not while another key of the prompt is in quarantine, and not repeated. The keys of parts are worked out once a request, and only while there are suspects. refused lines name what is in quarantine (print, part).

--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -7,6 +7,7 @@
 mod plain_selection;
 mod quarantine_check;
 mod send_attempts;
+mod send_withdrawal;
 mod take_up;
 
 use super::call_body::CallBody;
@@ -17,6 +18,7 @@
 use crate::shared_stream::DisconnectMonitor;
 use admitted_call::admit;
 pub(super) use admitted_call::{AdmittedCall, CallAttempts};
+use dockgate_core::gateway::SuspectKey;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -33,6 +35,8 @@
     pub(super) declined: Vec<DeclinedEngine>,
     /// The usage of the workspace as a multiple of its share, for prompts.
     pub(super) share: Option<f64>,
+    /// The key that is in quarantine, of the request or of a part of its prompt.
+    pub(super) quarantined: Option<SuspectKey>,
 }
 
 impl CallRefusal {
@@ -43,6 +47,7 @@
             retry_after: Some(after),
             declined: Vec::new(),
             share: None,
+            quarantined: None,
         }
     }
 }
@@ -54,6 +59,7 @@
             retry_after: None,
             declined: Vec::new(),
             share: None,
+            quarantined: None,
         }
     }
 }
@@ -87,6 +93,8 @@
                 status: reason.status().as_u16(),
                 reason: reason.as_str(),
                 ran: reason.outcome().as_str(),
+                print: print_of(&rejected.refusal),
+                part: rejected.part.as_deref(),
                 waited_ms: 0,
                 retry_after_ms: to_millis(rejected.refusal.retry_after),
                 asked: &[],
@@ -100,6 +108,10 @@
     }
 }
 
+fn print_of(refusal: &CallRefusal) -> Option<String> {
+    refusal.quarantined.as_ref().map(SuspectKey::to_string)
+}
+
 fn to_millis(time: Option<Duration>) -> Option<u64> {
     time.map(|time| time.as_millis() as u64)
 }
@@ -108,6 +120,7 @@
     let reason = refusal.reason;
     call.progress.end();
     GATEWAY_METRICS.record_outcome(&call.service().name, reason.as_str());
+    let part = refusal.quarantined.and_then(|key| call.part_name(key));
     log_gateway(&GatewayEvent::Refused {
         request: &call.head.id,
         route: &call.route().name,
@@ -116,6 +129,8 @@
         status: reason.status().as_u16(),
         reason: reason.as_str(),
         ran: reason.outcome().as_str(),
+        print: print_of(refusal),
+        part: part.as_deref(),
         waited_ms: call.age().as_millis() as u64,
         retry_after_ms: to_millis(refusal.retry_after),
         asked: &refusal.declined,
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -6,27 +6,28 @@
 use super::super::gateway_state::GatewayState;
 use super::super::memory_guard::MemoryGuard;
 use super::super::placement_goal::PlacementGoal;
+use super::super::quarantine::find_quarantines;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::super::wait_window::WaitWindow;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
-use super::quarantine_check::{check_quarantine, fingerprint_of};
+use super::quarantine_check::{check_quarantine, fingerprint_of, part_keys, part_name};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::shared_stream::DisconnectMonitor;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, EndpointId, GatewayLimits, LatencyLimits, PromptPart, PromptShape, RouteKey,
-    RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef,
-    name_hash,
+    AdmissionRequest, EndpointId, GatewayLimits, InterruptedRequest, LatencyLimits, PromptPart,
+    PromptShape, Quarantine, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec,
+    ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Retry delay from a box that has no configuration or no endpoints, or is short of processor: by
@@ -54,6 +55,8 @@
     pub(super) workspace: String,
     /// The refusal sent to the caller.
     pub(super) refusal: CallRefusal,
+    /// The part of its prompt that is in quarantine, as callers name it.
+    pub(super) part: Option<String>,
     /// The version of the configuration in force.
     pub(super) config: u64,
     /// The age of that configuration on this box.
@@ -98,6 +101,10 @@
     /// How far the request has progressed.
     pub(in super::super) progress: CallProgress,
     body: Mutex<RequestBody>,
+    /// The keys of the shared parts of its prompt, once they were needed.
+    part_keys: OnceLock<Vec<SuspectKey>>,
+    /// The key in quarantine for which it is sent once, as a trial.
+    trial: Option<SuspectKey>,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -156,6 +163,43 @@
             .unwrap_or_else(|| self.fingerprint_with(&body.bytes))
     }
 
+    /// Returns the keys of the shared parts of the prompt.
+    fn part_keys(&self) -> &[SuspectKey] {
+        let keys = || part_keys(&self.service().name, self.head.prompt.as_ref());
+        self.part_keys.get_or_init(keys)
+    }
+
+    /// Returns the shared part of the prompt with a key, as callers name it.
+    pub(super) fn part_name(&self, key: SuspectKey) -> Option<String> {
+        part_name(&self.service().name, self.head.prompt.as_ref(), key)
+    }
+
+    /// Returns the request with the shared parts of its prompt, as evidence.
+    pub(in super::super) fn interrupted(&self) -> InterruptedRequest {
+        InterruptedRequest {
+            request: self.fingerprint(),
+            parts: self.part_keys().to_vec(),
+        }
+    }
+
+    /// Returns the keys under which the request may be in quarantine.
+    pub(super) fn suspect_keys(&self) -> Vec<SuspectKey> {
+        let mut keys = self.part_keys().to_vec();
+        keys.push(self.fingerprint());
+        keys
+    }
+
+    /// Returns the quarantines of the shared parts of its prompt, except of one for which it is sent
+    /// as a trial.
+    pub(super) fn quarantined_parts(&self) -> Vec<(SuspectKey, Quarantine)> {
+        if self.shared_parts().is_empty() {
+            return Vec::new();
+        }
+        let mut quarantines = find_quarantines(&self.state, || self.part_keys().to_vec());
+        quarantines.retain(|(key, _)| Some(*key) != self.trial);
+        quarantines
+    }
+
     fn fingerprint_with(&self, body: &[u8]) -> SuspectKey {
         let (workspace, host) = (self.workspace_name(), &self.head.host);
         fingerprint_of(workspace, &self.method, host, &self.uri, body)
@@ -280,6 +324,7 @@
         route: String::new(),
         workspace: String::new(),
         refusal,
+        part: None,
         config,
         config_age_ms,
         endpoints_age_ms,
@@ -315,10 +360,21 @@
         ..rejected(&head.id, refusal)
     };
     let uri = path_and_query(&parts.uri);
-    let fingerprint = || fingerprint_of(name, &parts.method, &head.host, &uri, &body);
-    check_quarantine(&state, fingerprint)
+    let service_name = &table.service(service).name;
+    let keys = || {
+        let mut keys = part_keys(service_name, head.prompt.as_ref());
+        let fingerprint = fingerprint_of(name, &parts.method, &head.host, &uri, &body);
+        keys.push(fingerprint);
+        keys
+    };
+    let trial = check_quarantine(&state, keys)
         .await
-        .map_err(rejected_on_route)?;
+        .map_err(|refusal| RejectedRequest {
+            part: refusal
+                .quarantined
+                .and_then(|key| part_name(service_name, head.prompt.as_ref(), key)),
+            ..rejected_on_route(refusal)
+        })?;
     if state.with(|view| view.lag.is_too_late_for(objective_ms)) {
         let refusal = CallRefusal::with_retry(RefusalReason::Overloaded, RETRY_SOON);
         return Err(rejected_on_route(refusal));
@@ -348,6 +404,8 @@
             released: None,
             memory,
         }),
+        part_keys: OnceLock::new(),
+        trial,
         head,
         caller,
         progress: CallProgress::default(),
--- a/dockgate/src/gateway/call/attempt_failure.rs
+++ b/dockgate/src/gateway/call/attempt_failure.rs
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Creates the failure of a request that was withdrawn before its answer began.
+    pub(super) fn withdrawn() -> Self {
+        Self::without_outcome(
+            AttemptState::Sent,
+            "withdrawn: a part of its prompt is quarantined",
+        )
+    }
+
     /// Creates the failure of an answer that broke off or did not come in time.
     pub(super) fn broken_off(problem: impl Into<String>, timed_out: bool) -> Self {
         Self {
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -125,6 +125,7 @@
             retry_after: Some(retry_delay(cause, self.time_left(), rand::random())),
             declined: refusal.declined,
             share: Some(level.share_ratio()),
+            quarantined: None,
         }
     }
 
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -14,6 +14,8 @@
 use super::super::upstream::{EndpointTarget, PooledConnection, SendFailure, send};
 use super::attempt_failure::{AttemptFailure, EndpointSuspicion};
 use super::call_placement::CallPlacement;
+use super::quarantine_check::refuse_quarantined;
+use super::send_withdrawal::SendWithdrawal;
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::metrics::METRICS;
@@ -88,11 +90,12 @@
             // Nothing was sent, so the retry budget is not charged.
             let unreached = attempts.endpoints.len() - attempts.sent as usize;
             let may_retry = unreached < MAX_UNREACHED && !self.time_left().is_zero();
+            let may_retry = may_retry && self.quarantined_parts().is_empty();
             return state.retry_verdict(repeatable, may_retry);
         }
         let allowed = self.has_attempts_left(attempts)
             && !self.time_left().is_zero()
-            && quarantine::find_quarantine(&self.state, || self.fingerprint()).is_none();
+            && quarantine::find_quarantines(&self.state, || self.suspect_keys()).is_empty();
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
         let service = &self.service().name;
@@ -133,6 +136,10 @@
             _ => RefusalReason::Lost,
         };
         let not_run = outcome == Outcome::NotRun;
+        let quarantines = self.quarantined_parts();
+        if not_run && !quarantines.is_empty() {
+            return refuse_quarantined(&quarantines);
+        }
         let retry_after = not_run.then(|| self.retry_time(self.availability()));
         CallRefusal {
             retry_after,
@@ -258,6 +265,13 @@
         attempts: &mut CallAttempts,
         last_event: Option<u64>,
     ) -> Result<JudgedAnswer, AttemptFailure> {
+        let mut withdrawal = SendWithdrawal::new(self);
+        if withdrawal.is_due() {
+            return Err(AttemptFailure::without_outcome(
+                AttemptState::Bound,
+                "a part of its prompt is quarantined",
+            ));
+        }
         let request = self.request_for(&placement.target, last_event);
         self.progress.record_send();
         let condition = send_condition(&self.state, &placement.target, &self.caller);
@@ -265,7 +279,14 @@
         // Computed before `sent` is incremented, so that the timeout is that of this attempt.
         let answer_deadline =
             ClockInstant::now() + self.answer_timeout(placement.expected_ms, attempts);
-        let sent = timeout_at(answer_deadline, sent).await;
+        let sent = tokio::select! {
+            biased;
+            sent = timeout_at(answer_deadline, sent) => sent,
+            () = withdrawal.wait() => {
+                attempts.sent += 1;
+                return Err(AttemptFailure::withdrawn());
+            }
+        };
         let sent = sent.map_err(|_| {
             attempts.sent += 1;
             AttemptFailure::broken_off("timed out", self.time_left().is_zero())
@@ -415,7 +436,7 @@
         GATEWAY_METRICS.record_outcome(&self.service().name, "answered");
         GATEWAY_METRICS.record_first_event(&self.service().name, first);
         if status.is_success() {
-            quarantine::record_completed(&self.state, || self.fingerprint());
+            quarantine::record_completed(&self.state, || self.suspect_keys());
         }
         let late = first > self.route().objective;
         if self.is_sampled() || late || attempts.sent > 1 {
@@ -461,7 +482,16 @@
         };
         let first_timeout = answer_deadline.remaining();
         let mut stream = EventStream::new(self.clone(), attempts.clone(), source, parts.status);
-        match stream.read_first(first_timeout).await {
+        let mut withdrawal = SendWithdrawal::new(&self);
+        let first = match withdrawal.is_due() {
+            true => None,
+            false => tokio::select! {
+                biased;
+                first = stream.read_first(first_timeout) => Some(first),
+                () = withdrawal.wait() => None,
+            },
+        };
+        match first.ok_or_else(AttemptFailure::withdrawn)? {
             Ok(()) => Ok(forward_answer(
                 parts.status,
                 &parts.headers,
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -27,19 +27,19 @@
 
 /// Records that an endpoint broke off an answer, and starts a check unless one is running.
 pub(super) fn record_interruption(call: &AdmittedCall, target: &EndpointTarget) {
-    let (state, fingerprint) = (&call.state, call.fingerprint());
+    let (state, interrupted) = (&call.state, call.interrupted());
     let now = now_ms();
     let status = state.with(|view| {
         view.interrupted_parts
             .note(target.id, call.shared_parts(), now);
         let interruptions = &mut view.interruptions;
-        interruptions.note_interruption(fingerprint.into(), target.id, &target.name, now)
+        interruptions.note_interruption(interrupted.clone(), target.id, &target.name, now)
     });
     match status {
         InterruptionStatus::Unchecked => drop(tokio::spawn(check(state.clone(), target.clone()))),
         InterruptionStatus::CheckRunning => {}
         InterruptionStatus::Ended => {
-            record_ends(state, target.id, &target.name, &[fingerprint.into()]);
+            record_ends(state, target.id, &target.name, &[interrupted]);
         }
     }
 }
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -273,6 +273,11 @@
         status: u16,
         reason: &'a str,
         ran: &'a str,
+        /// What is in quarantine, if that is the reason: the fingerprint of the request, or the key
+        /// of a part of its prompt.
+        print: Option<String>,
+        /// That part, as callers name it.
+        part: Option<&'a str>,
         waited_ms: u64,
         retry_after_ms: Option<u64>,
         /// For prompts: the engines that declined, with their predictions.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -26,11 +26,11 @@
         GatewayEvent::Refused {
             request: "r", route: "x", workspace: "w", tokens: None, status: 503,
             reason: "would_be_late",
-            ran: "not_run", waited_ms: 4, retry_after_ms: Some(300), asked: &[], share: Some(0.4),
+            ran: "not_run", print: None, part: None, waited_ms: 4, retry_after_ms: Some(300), asked: &[], share: Some(0.4),
             config: 3, config_age_ms: 10, endpoints_age_ms: 20,
         },
-        "asked config config_age_ms endpoints_age_ms event ran reason request retry_after_ms route \
-         share status tokens waited_ms workspace"
+        "asked config config_age_ms endpoints_age_ms event part print ran reason request \
+         retry_after_ms route share status tokens waited_ms workspace"
     },
     answered = {
         GatewayEvent::Answered {
@@ -330,6 +330,8 @@
             status: 503,
             reason: "would_be_late",
             ran: "not_run",
+            print: Some("p".to_owned()),
+            part: Some("5c1e"),
             waited_ms: 4,
             retry_after_ms: None,
             asked: &[],
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -150,6 +150,8 @@
     config_changed_ms: AtomicU64,
     /// When the last change of an endpoint was received.
     endpoints_changed_ms: AtomicU64,
+    /// Changes when a part of prompts goes into quarantine, so that sends with it are withdrawn.
+    pub(super) quarantined_parts: watch::Sender<u64>,
     /// Whether a task is writing the quarantine to the store.
     pub(super) is_writing_quarantine: AtomicBool,
     /// Whether a task is exchanging the versions of services with the store.
@@ -228,6 +230,7 @@
             run_counter: AtomicU32::new(rand::random()),
             config_changed_ms: AtomicU64::new(now_ms()),
             endpoints_changed_ms: AtomicU64::new(now_ms()),
+            quarantined_parts: watch::Sender::new(0),
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
             stop: StopFlag::default(),
--- a/dockgate/src/gateway/interrupted_parts.rs
+++ b/dockgate/src/gateway/interrupted_parts.rs
@@ -68,7 +68,7 @@
 }
 
 /// Returns the id of a part in hexadecimal, as callers send it.
-fn part_name(part: u64) -> String {
+pub(super) fn part_name(part: u64) -> String {
     format!("{part:x}")
 }
 
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -10,7 +10,9 @@
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EndpointId, Quarantine, QuarantineChange, SuspectKey, SuspectReport};
+use dockgate_core::gateway::{
+    EndpointId, Quarantine, QuarantineChange, SuspectKey, SuspectKind, SuspectReport,
+};
 use dockgate_proto::GatewayMessage;
 use std::net::SocketAddr;
 
@@ -31,31 +33,40 @@
     broadcast_reports(state);
 }
 
-/// Records that a request completed, which clears it of suspicion; `fingerprint` is called only if
-/// there are suspects.
-pub(super) fn record_completed(state: &GatewayState, fingerprint: impl FnOnce() -> SuspectKey) {
+/// Records that a request completed, which clears it and the shared parts of its prompt of
+/// suspicion; `keys` is called only if there are suspects.
+pub(super) fn record_completed(state: &GatewayState, keys: impl FnOnce() -> Vec<SuspectKey>) {
     if state.with(|view| view.suspects.is_empty()) {
         return;
     }
-    let fingerprint = fingerprint();
+    let keys = keys();
     let now = now_ms();
-    let change = state.with(|view| view.suspects.note_completed(fingerprint, now));
-    log_changes(state, change.as_slice(), "completed");
+    let changes = state.with(|view| {
+        let keys = keys.into_iter();
+        let changes = keys.filter_map(|key| view.suspects.note_completed(key, now));
+        changes.collect::<Vec<QuarantineChange>>()
+    });
+    log_changes(state, &changes, "completed");
 }
 
-/// Returns the quarantine of a request, or `None` if it is not in quarantine; `fingerprint` is
-/// called only if any request is.
-pub(super) fn find_quarantine(
+/// Returns the keys that are in quarantine, of those that `keys` returns; it is called only if
+/// anything is in quarantine.
+pub(super) fn find_quarantines(
     state: &GatewayState,
-    fingerprint: impl FnOnce() -> SuspectKey,
-) -> Option<(SuspectKey, Quarantine)> {
+    keys: impl FnOnce() -> Vec<SuspectKey>,
+) -> Vec<(SuspectKey, Quarantine)> {
     if !state.with(|view| view.suspects.has_quarantined()) {
-        return None;
+        return Vec::new();
     }
-    let fingerprint = fingerprint();
+    let keys = keys();
     let now = now_ms();
-    let quarantine = state.with(|view| view.suspects.quarantine(fingerprint, now).copied());
-    quarantine.map(|quarantine| (fingerprint, quarantine))
+    state.with(|view| {
+        let quarantines = keys.into_iter().filter_map(|key| {
+            let quarantine = view.suspects.quarantine(key, now).copied();
+            quarantine.map(|quarantine| (key, quarantine))
+        });
+        quarantines.collect()
+    })
 }
 
 /// Merges quarantines that are known elsewhere.
@@ -140,6 +151,9 @@
             continue;
         }
         GATEWAY_METRICS.record_quarantine_change("quarantined");
+        if change.fingerprint.kind() == SuspectKind::Part {
+            state.quarantined_parts.send_modify(|version| *version += 1);
+        }
         let endpoints = state.with(|view| {
             let lifetimes = change.ended_lifetimes.iter();
             let name_of = |id: &EndpointId| {
