--- a/dockgate-bench/tests/part_quarantine.rs
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -7,9 +7,10 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
 use dockgate_bench::standin::caller::{all_events, connect_within};
 use dockgate_bench::standin::{PartCrash, ReceivedRequest, RoutedStandIn};
+use dockgate_core::gateway::SuspectKey;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -84,6 +85,7 @@
     engines: usize,
     bad: BadPrompts,
     disruption: Disruption,
+    bad_interval: Duration,
 }
 
 /// A prompt of a sound caller.
@@ -104,6 +106,9 @@
     sound: Vec<SoundCall>,
     /// When all boxes were ready after they had been killed.
     boxes_back: Option<Instant>,
+    /// The keys that went into quarantine and are no bad parts, and those of them still in it.
+    blamed_wrongly: BTreeSet<String>,
+    held_wrongly: BTreeSet<String>,
     logs: String,
 }
 
@@ -261,7 +266,7 @@
         .set_unavailable(plan.disruption == Disruption::StoreAway);
     let (bad_from, mut sent, mut boxes_back) = (Instant::now(), 0, None);
     while bad_from.elapsed() < BAD_TIME {
-        if bad_from.elapsed() >= BAD_INTERVAL * sent as u32 {
+        if bad_from.elapsed() >= plan.bad_interval * sent as u32 {
             let address = boxes[sent % boxes.len()];
             let parts = plan.bad.parts(sent);
             let bad = prompt(plan.path, "k1", &format!("b{sent}"), &parts);
@@ -303,21 +308,40 @@
         (part, sends.map(|run| run.at).collect())
     };
     let sound = calls.lock().expect("no caller panics").clone();
+    let gateways = &engines.fleet.gateways;
+    let logs: String = gateways.iter().map(GatewayProcess::logged).collect();
+    let mut held = BTreeSet::new();
+    for gateway in gateways {
+        let answer = gateway.quarantine(None).await.expect("the box answers");
+        held.extend(answer.requests.into_iter().map(|row| row.fingerprint));
+    }
+    let bad_keys = bad_keys();
     PlayRecord {
+        blamed_wrongly: &quarantined_keys(&logs) - &bad_keys,
+        held_wrongly: &held - &bad_keys,
         bad_from,
         crashes,
         bad_sends: BAD_PARTS.into_iter().map(sends_of).collect(),
         sound,
         boxes_back,
-        logs: engines
-            .fleet
-            .gateways
-            .iter()
-            .map(GatewayProcess::logged)
-            .collect(),
+        logs,
     }
 }
 
+fn bad_keys() -> BTreeSet<String> {
+    let ids = BAD_PARTS.map(|part| u64::from_str_radix(part, 16).expect("a part is hexadecimal"));
+    let keys = ids.map(|id| SuspectKey::of_part("model", id).to_string());
+    keys.into_iter().collect()
+}
+
+/// Returns the keys that boxes logged as quarantined.
+fn quarantined_keys(logs: &str) -> BTreeSet<String> {
+    const EVENT: &str = r#""event":"request_quarantined","print":""#;
+    let keys = logs.split(EVENT).skip(1);
+    keys.filter_map(|rest| Some(rest.split_once('"')?.0.to_owned()))
+        .collect()
+}
+
 impl PlayRecord {
     /// Returns the time from which on the bound for a bad part holds, if it crashed enough engines.
     fn bound_from(&self, part: &str) -> Option<Instant> {
@@ -366,8 +390,11 @@
         let after = self.served_fraction(settled, self.bad_from + BAD_TIME);
         let seen = format!(
             "{} crashes, {sends:?} sends with bad parts, {late:?} of them late, sound ones served: \
-             {before:.2} before, {after:.2} after; crashes at {:?}",
+             {before:.2} before, {after:.2} after; {} sound keys quarantined, {} of them held; \
+             crashes at {:?}",
             self.crashes.len(),
+            self.blamed_wrongly.len(),
+            self.held_wrongly.len(),
             crashes.collect::<Vec<_>>(),
         );
         println!("{seen}");
@@ -390,6 +417,7 @@
         engines: 12,
         bad: BadPrompts::InTheMiddle,
         disruption: Disruption::None,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
@@ -401,10 +429,30 @@
         engines: 12,
         bad: BadPrompts::InTheMiddle,
         disruption: Disruption::None,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
 
+/// Guards against blame for the sound parts that were at the same ends, while no prompt completes.
+#[tokio::test]
+async fn sound_parts_at_the_same_ends_are_not_quarantined() {
+    let plan = PlayPlan {
+        path: "/live/x",
+        engines: 12,
+        bad: BadPrompts::InTheMiddle,
+        disruption: Disruption::None,
+        bad_interval: Duration::from_millis(60),
+    };
+    let record = play(&plan).await;
+    record.check();
+    assert!(
+        record.held_wrongly.is_empty(),
+        "in quarantine: {:?}",
+        record.held_wrongly
+    );
+}
+
 #[tokio::test]
 async fn first_part_that_crashes_engines_is_quarantined() {
     let plan = PlayPlan {
@@ -412,6 +460,7 @@
         engines: 12,
         bad: BadPrompts::First,
         disruption: Disruption::None,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
@@ -423,6 +472,7 @@
         engines: 14,
         bad: BadPrompts::TwoInTurn,
         disruption: Disruption::None,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
@@ -434,6 +484,7 @@
         engines: 30,
         bad: BadPrompts::InTheMiddle,
         disruption: Disruption::StoreAway,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
@@ -445,6 +496,7 @@
         engines: 12,
         bad: BadPrompts::InTheMiddle,
         disruption: Disruption::BoxesKilled,
+        bad_interval: BAD_INTERVAL,
     };
     play(&plan).await.check();
 }
@@ -457,6 +509,7 @@
         engines: 12,
         bad: BadPrompts::None,
         disruption: Disruption::None,
+        bad_interval: BAD_INTERVAL,
     };
     let record = play(&plan).await;
     assert!(
--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -31,7 +31,7 @@
 mod suspect_report;
 
 use super::route_table::EndpointId;
-use super::suspect_key::SuspectKey;
+use super::suspect_key::{SuspectKey, SuspectKind};
 pub use quarantine::{Quarantine, QuarantineStage};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
@@ -92,6 +92,22 @@
         self.suspects.is_empty()
     }
 
+    /// Returns the lifetimes known to this box that ended while a suspect was running there.
+    pub fn ended_lifetimes(&self, key: SuspectKey) -> Vec<EndpointId> {
+        let suspect = self.suspects.get(&key);
+        let ended = suspect
+            .into_iter()
+            .flat_map(|suspect| suspect.ended_lifetimes.keys());
+        ended.copied().collect()
+    }
+
+    /// Returns the number of requests, or of parts of prompts, in quarantine.
+    pub fn quarantined_of(&self, kind: SuspectKind, now_ms: u64) -> usize {
+        let suspects = self.suspects.iter().filter(|(key, _)| key.kind() == kind);
+        let active = suspects.filter(|(_, suspect)| suspect.quarantine.is_active(now_ms));
+        active.count()
+    }
+
     /// Returns whether any request may be in quarantine; a cheap check before computing a
     /// fingerprint.
     pub const fn has_quarantined(&self) -> bool {
--- a/dockgate-proto/src/peer.rs
+++ b/dockgate-proto/src/peer.rs
@@ -19,7 +19,7 @@
     /// Requests routes and endpoints: [`StateRequest`](crate::StateRequest) to
     /// [`StateAnswer`](crate::StateAnswer).
     pub const STATE: &str = "state";
-    /// Lists the requests in quarantine, and optionally releases one:
+    /// Lists what is in quarantine, and optionally releases one entry:
     /// [`QuarantineRequest`](crate::QuarantineRequest) to
     /// [`QuarantineAnswer`](crate::QuarantineAnswer).
     pub const QUARANTINE: &str = "quarantine";
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -215,17 +215,26 @@
         /// Shared parts of the interrupted prompts, those of most prompts first; limited.
         parts: &'a [String],
     },
-    /// A request was quarantined because these endpoint lifetimes ended while they ran it.
-    /// `source` names the origin of the information.
+    /// A request, or a part of prompts, was quarantined because these endpoint lifetimes ended while
+    /// they ran it. `source` names the origin of the information.
     RequestQuarantined {
         print: &'a str,
+        kind: &'a str,
         endpoints: &'a [String],
         source: &'a str,
     },
     /// A quarantined request is sent once as a trial.
-    RequestTried { print: &'a str, trials: u8 },
+    RequestTried {
+        print: &'a str,
+        kind: &'a str,
+        trials: u8,
+    },
     /// A request left quarantine after it completed or an operator released it.
-    RequestReleased { print: &'a str, source: &'a str },
+    RequestReleased {
+        print: &'a str,
+        kind: &'a str,
+        source: &'a str,
+    },
     /// An attempt at an endpoint gave no response that can be forwarded.
     SendFailed {
         request: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -57,16 +57,16 @@
         "again_ms event problem task"
     },
     request_quarantined = {
-        GatewayEvent::RequestQuarantined { print: "p", endpoints: &["e".to_owned()], source: "own" },
-        "endpoints event print source"
+        GatewayEvent::RequestQuarantined { print: "p", kind: "part", endpoints: &["e".to_owned()], source: "own" },
+        "endpoints event kind print source"
     },
     request_tried = {
-        GatewayEvent::RequestTried { print: "p", trials: 1 },
-        "event print trials"
+        GatewayEvent::RequestTried { print: "p", kind: "part", trials: 1 },
+        "event kind print trials"
     },
     request_released = {
-        GatewayEvent::RequestReleased { print: "p", source: "completed" },
-        "event print source"
+        GatewayEvent::RequestReleased { print: "p", kind: "part", source: "completed" },
+        "event kind print source"
     },
     caller_left = {
         GatewayEvent::CallerLeft {
@@ -285,15 +285,18 @@
         },
         GatewayEvent::RequestQuarantined {
             print: "p",
+            kind: "part",
             endpoints: &[],
             source: "own",
         },
         GatewayEvent::RequestTried {
             print: "p",
+            kind: "part",
             trials: 1,
         },
         GatewayEvent::RequestReleased {
             print: "p",
+            kind: "part",
             source: "completed",
         },
         GatewayEvent::SendFailed {
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -3,7 +3,7 @@
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
 use crate::metrics::METRICS;
-use dockgate_core::gateway::EndpointState;
+use dockgate_core::gateway::{EndpointState, SuspectKind};
 use prometheus::{IntGauge, IntGaugeVec, Opts};
 use std::sync::LazyLock;
 
@@ -14,6 +14,7 @@
     admitted_permille: IntGauge,
     live_boxes: IntGauge,
     quarantined: IntGauge,
+    quarantined_parts: IntGauge,
     unread_tokens: IntGauge,
     memory_tokens: IntGauge,
     config_age_ms: IntGauge,
@@ -66,6 +67,10 @@
                 "dockgate_quarantined_requests",
                 "Requests that go to no endpoint, as several have ended under them",
             ),
+            quarantined_parts: gauge(
+                "dockgate_quarantined_parts",
+                "Shared parts of prompts that go to no endpoint, as several have ended under them",
+            ),
             unread_tokens: gauge(
                 "dockgate_engine_unread_tokens",
                 "Prompt tokens believed unread at the engines that this box knows of",
@@ -152,8 +157,10 @@
             self.evacuated_domains.set(evacuated as i64);
             let weighted = view.engine_weights.homes().iter().count();
             self.weighted_engines.set(weighted as i64);
-            let quarantined = view.suspects.quarantined_count(now);
+            let quarantined = view.suspects.quarantined_of(SuspectKind::Request, now);
             self.quarantined.set(quarantined as i64);
+            let parts = view.suspects.quarantined_of(SuspectKind::Part, now);
+            self.quarantined_parts.set(parts as i64);
             self.waiting.reset();
             for (endpoint, queue) in &view.wait_queues {
                 let entry = view.endpoints.get(*endpoint);
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -179,7 +179,7 @@
             ),
             quarantine_changes: counter_vec(
                 "dockgate_quarantine_changes_total",
-                "Requests that went into quarantine, and that were released from it, by change",
+                "Requests and parts of prompts that went into quarantine or were released, by change",
                 &["change"],
             ),
             unusable_records: counter_vec(
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -138,6 +138,17 @@
     }
 }
 
+/// Returns the names of endpoints, or their keys if they are not known any more.
+pub(super) fn endpoint_names(state: &GatewayState, endpoints: &[EndpointId]) -> Vec<String> {
+    state.with(|view| {
+        let name_of = |id: &EndpointId| {
+            let known = view.endpoints.get(*id);
+            known.map_or_else(|| format!("{:016x}", id.0), |known| known.record.id.clone())
+        };
+        endpoints.iter().map(name_of).collect()
+    })
+}
+
 /// Logs and counts changes.
 fn log_changes(state: &GatewayState, changes: &[QuarantineChange], source: &str) {
     for change in changes {
@@ -146,6 +157,7 @@
             GATEWAY_METRICS.record_quarantine_change("released");
             log_gateway(&GatewayEvent::RequestReleased {
                 print: &fingerprint,
+                kind: change.fingerprint.kind().as_str(),
                 source,
             });
             continue;
@@ -154,16 +166,10 @@
         if change.fingerprint.kind() == SuspectKind::Part {
             state.quarantined_parts.send_modify(|version| *version += 1);
         }
-        let endpoints = state.with(|view| {
-            let lifetimes = change.ended_lifetimes.iter();
-            let name_of = |id: &EndpointId| {
-                let known = view.endpoints.get(*id);
-                known.map_or_else(|| format!("{:016x}", id.0), |known| known.record.id.clone())
-            };
-            lifetimes.map(name_of).collect::<Vec<String>>()
-        });
+        let endpoints = endpoint_names(state, &change.ended_lifetimes);
         log_gateway(&GatewayEvent::RequestQuarantined {
             print: &fingerprint,
+            kind: change.fingerprint.kind().as_str(),
             endpoints: &endpoints,
             source,
         });
--- a/dockgate/src/gateway/quarantine_rpc.rs
+++ b/dockgate/src/gateway/quarantine_rpc.rs
@@ -1,7 +1,7 @@
-//! The RPC method by which an operator lists and releases requests in quarantine.
+//! The RPC method by which an operator lists and releases what is in quarantine.
 
 use super::gateway_state::GatewayState;
-use super::quarantine::release;
+use super::quarantine::{endpoint_names, release};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{Quarantine, SuspectKey};
 use dockgate_proto::{QuarantineAnswer, QuarantineRequest, QuarantineRow, methods};
@@ -29,7 +29,7 @@
     Ok(())
 }
 
-/// Parses the fingerprint of a request, and checks that it is in quarantine.
+/// Parses the key of a request or part, and checks that it is in quarantine.
 fn parse_fingerprint(state: &GatewayState, text: &str) -> Result<SuspectKey, ErrorObjectOwned> {
     let refuse =
         |problem: String| ErrorObjectOwned::owned(INVALID_PARAMS_CODE, problem, None::<()>);
@@ -44,6 +44,12 @@
         .ok_or_else(|| refuse(format!("{fingerprint} is not in quarantine here")))
 }
 
+/// Returns the endpoints that ended while they ran a suspect.
+fn ended_endpoints(state: &GatewayState, suspect: SuspectKey) -> Vec<String> {
+    let ended = state.with(|view| view.suspects.ended_lifetimes(suspect));
+    endpoint_names(state, &ended)
+}
+
 fn list(state: &GatewayState) -> QuarantineAnswer {
     let now = now_ms();
     let known = state.with(|view| view.suspects.quarantines(now));
@@ -52,6 +58,8 @@
         .filter(|(_, quarantine)| quarantine.stage.is_active());
     let row = |(fingerprint, quarantine): (SuspectKey, Quarantine)| QuarantineRow {
         fingerprint: fingerprint.to_string(),
+        kind: fingerprint.kind().as_str().to_owned(),
+        endpoints: ended_endpoints(state, fingerprint),
         age_ms: (now as i64 - quarantine.at_ms).max(0) as u64,
         trials: quarantine.stage.trials,
         next_trial_ms: quarantine
--- a/dockgate/src/gateway/quarantine_store.rs
+++ b/dockgate/src/gateway/quarantine_store.rs
@@ -168,6 +168,7 @@
         broadcast_reports(state);
         log_gateway(&GatewayEvent::RequestTried {
             print: &fingerprint.to_string(),
+            kind: fingerprint.kind().as_str(),
             trials: updated.stage.trials,
         });
     }
--- a/dockgatectl/src/args.rs
+++ b/dockgatectl/src/args.rs
@@ -68,11 +68,12 @@
         /// Log files of any boxes; standard input if none is given.
         logs: Vec<PathBuf>,
     },
-    /// Shows the requests in quarantine, which crashed several endpoints and are sent only in trials.
+    /// Shows the requests and parts of prompts in quarantine, which crashed several endpoints and are
+    /// sent only in trials.
     ///
     /// `--operator` is the `[listen] state` address of any gateway; no token is needed.
     Quarantine {
-        /// Releases the request with this fingerprint, which log lines show as `print`.
+        /// Releases the request or part that log lines show with this `print`.
         #[arg(long)]
         release: Option<String>,
     },
--- a/dockgatectl/src/client.rs
+++ b/dockgatectl/src/client.rs
@@ -109,7 +109,7 @@
         self.call(operator::HISTORY, rpc_params![request]).await
     }
 
-    /// Releases the request with a fingerprint, if given, and returns the requests in quarantine.
+    /// Releases the request or part with a key, if given, and returns what is in quarantine.
     pub(crate) async fn quarantine(
         &self,
         release: Option<String>,
--- a/dockgatectl/src/render.rs
+++ b/dockgatectl/src/render.rs
@@ -46,18 +46,20 @@
         }
     }
 
-    /// Shows the requests in quarantine.
+    /// Shows the requests and parts of prompts in quarantine.
     pub(crate) fn quarantine(&self, answer: &QuarantineAnswer) {
         let seconds = |ms: u64| format!("{:.0} s", ms as f64 / 1_000.0);
         self.print(answer, || {
-            let mut table = table(&["print", "since", "trials", "next trial in"]);
+            let mut table = table(&["print", "kind", "since", "trials", "next trial in", "ended"]);
             for row in &answer.requests {
                 let next = row.next_trial_ms;
                 table.add_row([
                     row.fingerprint.clone(),
+                    row.kind.clone(),
                     seconds(row.age_ms),
                     row.trials.to_string(),
                     next.map_or_else(|| "none".to_owned(), seconds),
+                    row.endpoints.join(" "),
                 ]);
             }
             println!("{table}");
