--- a/dockgate-bench/tests/part_quarantine.rs
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
-use dockgate_bench::standin::caller::{all_events, connect_within};
+use dockgate_bench::standin::caller::{all_events, call, connect_within};
 use dockgate_bench::standin::{PartCrash, ReceivedRequest, RoutedStandIn};
 use dockgate_core::gateway::SuspectKey;
 use http::{Request, StatusCode};
@@ -519,3 +519,145 @@
     let quarantined = record.logs.matches("\"request_quarantined\"").count();
     assert_eq!(quarantined, 0, "quarantined: {}", record.logs);
 }
+
+/// A fleet in which a part is in quarantine.
+async fn start_with_quarantined_part() -> CrashingEngines {
+    const MAX_SENDS: usize = 12;
+    let services = ["model"; 8];
+    let fleet = GatewayFleet::start(3, &services, &route_config(3, KEYS)).await;
+    let mut engines = CrashingEngines::new(fleet.expect("a fleet starts on loopback"));
+    for number in 0..MAX_SENDS {
+        let (status, _) = engines.send_bad(number, "first").await;
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            break;
+        }
+        tokio::time::sleep(BAD_INTERVAL).await;
+        engines.step().await;
+    }
+    for gateway in &engines.fleet.gateways {
+        wait_until("the part is in quarantine", async || {
+            let metrics = gateway.metrics().await;
+            metrics.contains("dockgate_quarantined_parts 1\n")
+        })
+        .await;
+    }
+    wait_until("the quarantine is stored", async || {
+        let keys = engines.fleet.store.keys();
+        keys.iter().any(|key| key.starts_with("quarantine/"))
+    })
+    .await;
+    engines
+}
+
+impl CrashingEngines {
+    /// Sends a prompt with a bad part to a box, and returns status and body of the response.
+    async fn send_bad(&self, number: usize, series: &str) -> (StatusCode, String) {
+        let gateways = &self.fleet.gateways;
+        let id = format!("{series}{number}");
+        // No other part is shared, so that no other one is suspect.
+        let parts = format!("{}:400,e{number:x}:50", BAD_PARTS[0]);
+        let prompt = prompt("/live/x", "k1", &id, &parts);
+        let response = call(&gateways[number % gateways.len()], prompt).await;
+        let status = response.status();
+        let body = response.into_body().collect().await;
+        let body = body.map(http_body_util::Collected::to_bytes);
+        let body = body.unwrap_or_default();
+        (status, String::from_utf8_lossy(&body).into_owned())
+    }
+
+    /// Sends a prompt with a bad part, no two alike, to each of the boxes at once.
+    async fn send_bad_to_all(&self, series: &str) -> Vec<(StatusCode, String)> {
+        let sends = (0..self.fleet.gateways.len()).map(|at| self.send_bad(at, series));
+        futures::future::join_all(sends).await
+    }
+
+    fn bad_runs(&self) -> usize {
+        let runs = self.all().flat_map(RoutedStandIn::ran);
+        let is_bad = |run: &ReceivedRequest| run.shared_parts().any(|part| part == BAD_PARTS[0]);
+        runs.filter(is_bad).count()
+    }
+
+    /// Simulates a suspension of all boxes, each for a total of `time`.
+    async fn suspend_all(&self, time: Duration) {
+        for gateway in &self.fleet.gateways {
+            let before = gateway.logged().matches("\"woke\"").count();
+            let simulated = gateway.simulate_suspension(time);
+            simulated.expect("the suspension is simulated");
+            wait_until("a box has noticed the suspension", async || {
+                gateway.logged().matches("\"woke\"").count() > before
+            })
+            .await;
+        }
+    }
+
+    async fn wait_until_released(&self) {
+        for gateway in &self.fleet.gateways {
+            wait_until("the part is released", async || {
+                let metrics = gateway.metrics().await;
+                metrics.contains("dockgate_quarantined_parts 0\n")
+            })
+            .await;
+        }
+    }
+}
+
+/// Guards against trials of a part that several boxes make, or that are repeated.
+#[tokio::test]
+async fn trials_of_a_quarantined_part_are_sent_once_over_the_fleet() {
+    const FIRST_TRIAL: Duration = Duration::from_secs(31);
+    const SECOND_TRIAL: Duration = Duration::from_secs(31 + 301);
+    let mut engines = start_with_quarantined_part().await;
+    let runs = engines.bad_runs();
+    let responses = engines.send_bad_to_all("early").await;
+    assert_eq!(engines.bad_runs(), runs, "{responses:?}");
+    engines.suspend_all(FIRST_TRIAL).await;
+    let responses = engines.send_bad_to_all("second").await;
+    assert_eq!(engines.bad_runs(), runs + 1, "{responses:?}");
+    engines.step().await;
+    let endpoints = engines.fleet.endpoints.iter();
+    endpoints.for_each(RoutedStandIn::clear_crash_bodies);
+    engines.suspend_all(SECOND_TRIAL).await;
+    let responses = engines.send_bad_to_all("third").await;
+    assert!(
+        responses
+            .iter()
+            .any(|(status, _)| *status == StatusCode::OK),
+        "{responses:?}"
+    );
+    engines.wait_until_released().await;
+}
+
+/// Guards against a release by an operator that takes effect at one box only.
+#[tokio::test]
+async fn release_of_a_part_applies_to_all_boxes() {
+    let engines = start_with_quarantined_part().await;
+    let (status, text) = engines.send_bad(0, "refused").await;
+    let refused = (
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_run: ends_endpoints\n".to_owned(),
+    );
+    assert_eq!((status, text), refused);
+    let gateways = &engines.fleet.gateways;
+    let named = format!("\"part\":\"{}\"", BAD_PARTS[0]);
+    wait_until("a line names the part", async || {
+        gateways[0].logged().contains(&named)
+    })
+    .await;
+    let answer = gateways[0].quarantine(None).await.expect("the box answers");
+    let [held] = &answer.requests[..] else {
+        panic!("one part is in quarantine: {answer:?}")
+    };
+    assert_eq!((held.kind.as_str(), held.trials), ("part", 0));
+    let released = gateways[0].quarantine(Some(held.fingerprint.clone())).await;
+    assert_eq!(released.map(|answer| answer.requests.len()), Ok(0));
+    engines.wait_until_released().await;
+    let endpoints = engines.fleet.endpoints.iter();
+    endpoints.for_each(RoutedStandIn::clear_crash_bodies);
+    let responses = engines.send_bad_to_all("free").await;
+    assert!(
+        responses
+            .iter()
+            .all(|(status, _)| *status == StatusCode::OK),
+        "{responses:?}"
+    );
+}
