--- a/dockgate-bench/tests/part_quarantine.rs
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -661,3 +661,50 @@
         "{responses:?}"
     );
 }
+
+/// Guards against engines that crash after the verdict under prompts that were sent before it.
+#[tokio::test]
+async fn prompts_without_an_answer_are_withdrawn_at_the_verdict() {
+    const ENGINES: usize = 8;
+    const MIN_CRASHES: usize = 3;
+    const MAX_SENDS: usize = 40;
+    /// Longer than callers wait.
+    const SLOW: Duration = Duration::from_secs(60);
+    let config = route_config(3, KEYS);
+    let fleet = GatewayFleet::start(3, &["model"; ENGINES], &config).await;
+    let engines = CrashingEngines::new(fleet.expect("a fleet starts on loopback"));
+    let (slow, fast) = engines.fleet.endpoints.split_at(ENGINES / 2);
+    slow.iter()
+        .for_each(|engine| engine.set_processing_time(SLOW));
+    let slow_runs = || slow.iter().flat_map(RoutedStandIn::ran).count();
+    let mut sent = Vec::new();
+    for number in 0..MAX_SENDS {
+        let crashes = fast.iter().filter(|engine| engine.has_ended()).count();
+        if crashes >= MIN_CRASHES && slow_runs() > 0 {
+            break;
+        }
+        let address = engines.fleet.gateways[number % 3].caller_address();
+        // The last shared part differs, so that the prompts are spread over the engines.
+        let parts = format!("{}:400,e{number:x}:50,d{number:x}:50", BAD_PARTS[0]);
+        let prompt = prompt("/draft/x", "k1", &format!("w{number}"), &parts);
+        sent.push(tokio::spawn(async move {
+            let mut sender = connect_within(address, ANSWER_TIMEOUT).await?;
+            Some(sender.send_request(prompt).await.ok()?.status())
+        }));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(slow_runs() > 0, "no prompt reached a slow engine");
+    for status in futures::future::join_all(sent).await {
+        let status = status.expect("no caller panics").expect("the box answers");
+        let is_withdrawn = status == StatusCode::BAD_GATEWAY;
+        let is_refused = status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(
+            is_withdrawn || is_refused,
+            "a prompt waited for its answer: {status}"
+        );
+    }
+    wait_until("no withdrawn prompt runs", async || {
+        slow.iter().all(|engine| engine.running() == 0)
+    })
+    .await;
+}
