test: the soak's endpoints crash under parts of prompts (known red)

Checked: at most three sends by boxes in touch later than 3 s after the fifth crash, and nothing else is in quarantine at the end.

--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -17,7 +17,8 @@
 use crate::standin::RoutedStandIn;
 use clap::ValueEnum;
 use crashing_caller::{
-    CRASHING_REQUESTS, CrashedEndpoints, CrashingCall, excess_sends, run_crashing_caller,
+    CRASHING_REQUESTS, CrashCause, CrashedEndpoints, CrashingCall, excess_sends, held_wrongly,
+    run_crashing_caller,
 };
 use disconnecting_caller::{DisconnectReport, measure_own_lag, run_disconnecting_caller};
 use fault_injector::FaultInjector;
@@ -27,6 +28,7 @@
 use resuming_caller::{RESUMING_CALLERS, ResumedStream, run_resuming_caller};
 use soak_call::{SoakCall, SoakRoute, run_soak_caller};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -73,6 +75,11 @@
     /// only a few times.
     #[value(name = "ending")]
     CrashingRequests,
+    /// Parts of prompts that crash the endpoint that is about to answer, in prompts of which no two
+    /// are alike, with the faults of [`SoakFaults::CrashingRequests`]. Prompts that share their other
+    /// parts are not held in quarantine.
+    #[value(name = "ending-parts")]
+    CrashingParts,
     /// Callers that disconnect early, many with pipelined requests, while boxes are stopped and
     /// continued in turn, endpoints fail and configurations are large. Nothing reaches an endpoint
     /// for a caller that has disconnected.
@@ -190,23 +197,11 @@
         ))
     });
     let disconnecting: Vec<_> = disconnecting.collect();
-    let crashing = match options.faults {
-        SoakFaults::CrashingRequests => CRASHING_REQUESTS,
-        _ => 0,
-    };
-    if crashing > 0 {
+    let crash_cause = options.faults.crash_cause();
+    if crash_cause.is_some() {
         fleet.endpoints.iter().for_each(CrashedEndpoints::prepare);
     }
-    let crashing = (0..crashing).map(|number| {
-        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(2_000) + number as u64);
-        tokio::spawn(run_crashing_caller(
-            number,
-            rng,
-            addresses.clone(),
-            stop.clone(),
-        ))
-    });
-    let crashing: Vec<_> = crashing.collect();
+    let crashing = start_crashing_callers(options, &addresses, &stop);
     let mut crashed = CrashedEndpoints::default();
     let mut rng = StdRng::seed_from_u64(options.seed);
     let own_lag = tokio::spawn(measure_own_lag(stop.clone()));
@@ -236,14 +231,12 @@
     violations.extend(resumed.iter().flat_map(ResumedStream::violations));
     let all_endpoints = crashed.crashed().iter().chain(&fleet.endpoints);
     let all_endpoints: Vec<&RoutedStandIn> = all_endpoints.collect();
-    if options.faults == SoakFaults::CrashingRequests {
+    if let Some(cause) = crash_cause {
         let disturbances = &injector.disturbances;
-        violations.extend(excess_sends(
-            &crash_calls,
-            &all_endpoints,
-            disturbances,
-            &fleet.gateways,
-        ));
+        let gateways = &fleet.gateways;
+        let excess = excess_sends(&crash_calls, &all_endpoints, disturbances, gateways, cause);
+        violations.extend(excess);
+        violations.extend(held_wrongly(gateways, cause).await);
     }
     violations.extend(sent_despite_notices(&calls, &all_endpoints, &injector));
     disconnects.set_own_lag(own_lag.await.unwrap_or_default());
@@ -256,6 +249,34 @@
     Ok(report(&all_endpoints, &records, injector, violations))
 }
 
+impl SoakFaults {
+    /// Returns what crashes the endpoints, if anything does.
+    const fn crash_cause(self) -> Option<CrashCause> {
+        match self {
+            Self::CrashingRequests => Some(CrashCause::Requests),
+            Self::CrashingParts => Some(CrashCause::Parts),
+            _ => None,
+        }
+    }
+}
+
+/// Starts the callers whose requests crash endpoints, if the run has any.
+fn start_crashing_callers(
+    options: SoakOptions,
+    addresses: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Vec<CrashingCall>>> {
+    let Some(cause) = options.faults.crash_cause() else {
+        return Vec::new();
+    };
+    let callers = (0..CRASHING_REQUESTS).map(|number| {
+        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(2_000) + number as u64);
+        let (addresses, stop) = (addresses.to_vec(), stop.clone());
+        tokio::spawn(run_crashing_caller(number, rng, addresses, stop, cause))
+    });
+    callers.collect()
+}
+
 /// Adds endpoints of a second software version, and makes all events name their version.
 async fn add_second_version(fleet: &mut GatewayFleet) -> Result<(), BenchError> {
     for number in 0..SECOND_VERSION_ENDPOINTS {
--- a/dockgate-bench/src/gateway_soak/crashing_caller.rs
+++ b/dockgate-bench/src/gateway_soak/crashing_caller.rs
@@ -1,10 +1,14 @@
-//! Callers whose request crashes every endpoint that starts to run it, and is sent repeatedly.
+//! Callers whose request, or a part of whose prompts, crashes every endpoint that starts to run it,
+//! and is sent repeatedly.
 
 use super::soak_call::SoakRoute;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess};
-use crate::standin::RoutedStandIn;
 use crate::standin::caller::{connect_within, request_with_body};
+use crate::standin::{ReceivedRequest, RoutedStandIn};
 use bytes::Bytes;
+use dockgate_core::gateway::SuspectKey;
+use http::{HeaderValue, Request};
+use http_body_util::Full;
 use rand::RngExt;
 use rand::rngs::StdRng;
 use std::collections::{BTreeSet, HashMap};
@@ -13,7 +17,16 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-/// Number of crashing requests; their callers start one after the other.
+/// What crashes the endpoints of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CrashCause {
+    /// Requests that are repeated.
+    Requests,
+    /// Shared parts of prompts of which no two are alike.
+    Parts,
+}
+
+/// Number of crashing requests, or of crashing parts; their callers start one after the other.
 pub(super) const CRASHING_REQUESTS: usize = 3;
 /// Time between the starts of two callers, in milliseconds.
 const STAGGER_MS: u64 = 2_500;
@@ -25,6 +38,8 @@
 const DOWNTIME_MS: std::ops::Range<u64> = 100..1_500;
 /// Number of crashes after which a request is quarantined.
 const CRASHES_TO_QUARANTINE: usize = 3;
+/// Number of crashes after which the bound on further sends with a part begins.
+const CRASHES_TO_PART_BOUND: usize = 5;
 /// Time after the last of these crashes within which connected boxes stop sending the request. A
 /// box counts as connected once it has been undisturbed for this long.
 const SYNC_TIME: Duration = Duration::from_secs(3);
@@ -32,11 +47,33 @@
 const MAX_LATE_SENDS: usize = 3;
 const ROUTES: [SoakRoute; CRASHING_REQUESTS] = [SoakRoute::Once, SoakRoute::Live, SoakRoute::Again];
 
+const PROMPT_ROUTES: [SoakRoute; 2] = [SoakRoute::Live, SoakRoute::Draft];
+
 /// Returns the body of a crashing request.
 pub(super) fn crash_body(number: usize) -> Bytes {
     Bytes::from(format!("ends {number}"))
 }
 
+/// Returns a part of prompts under which endpoints crash.
+fn crash_part(number: usize) -> String {
+    format!("bad{number}")
+}
+
+/// Creates a prompt that is like no other one. Each second one has the crashing part; the others
+/// share its first part and its caller.
+fn crash_prompt(number: usize, sent: usize, path: &str, id: &str) -> Request<Full<Bytes>> {
+    let events = Some(4);
+    let mut request = request_with_body(path, id, events, Bytes::from(id.to_owned()));
+    let private = format!("e{number:x}{sent:x}:50");
+    let parts = match sent % 2 {
+        0 => format!("f1:400,{}:200,{private}", crash_part(number)),
+        _ => format!("f1:400,{private}"),
+    };
+    let parts = HeaderValue::from_str(&parts).expect("the parts are valid in a header");
+    request.headers_mut().insert("x-prefix-hash", parts);
+    request
+}
+
 /// A period in which a box, or all of them, may miss updates.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Disturbance {
@@ -62,21 +99,30 @@
     }
 }
 
-/// Sends one crashing request to random boxes until `stop` is set.
+/// Sends one crashing request, or prompts with a crashing part, to random boxes until `stop` is set.
 pub(super) async fn run_crashing_caller(
     number: usize,
     mut rng: StdRng,
     gateways: Vec<SocketAddr>,
     stop: Arc<AtomicBool>,
+    cause: CrashCause,
 ) -> Vec<CrashingCall> {
     tokio::time::sleep(Duration::from_millis(number as u64 * STAGGER_MS)).await;
     let mut calls = Vec::new();
     while !stop.load(Ordering::Acquire) {
         let box_index = rng.random_range(0..gateways.len());
         let id = format!("e{number}a{}", calls.len());
-        let route = ROUTES[number % ROUTES.len()];
-        let events = route.streams().then_some(4);
-        let request = request_with_body(route.path(), &id, events, crash_body(number));
+        let request = match cause {
+            CrashCause::Requests => {
+                let route = ROUTES[number % ROUTES.len()];
+                let events = route.streams().then_some(4);
+                request_with_body(route.path(), &id, events, crash_body(number))
+            }
+            CrashCause::Parts => {
+                let route = PROMPT_ROUTES[number % PROMPT_ROUTES.len()];
+                crash_prompt(number, calls.len(), route.path(), &id)
+            }
+        };
         calls.push(CrashingCall { id, box_index });
         let sent = async {
             let mut sender = connect_within(gateways[box_index], ANSWER_TIMEOUT).await?;
@@ -98,9 +144,12 @@
 }
 
 impl CrashedEndpoints {
-    /// Makes an endpoint crash on each of the crashing requests.
+    /// Makes an endpoint crash on each of the crashing requests and parts.
     pub(super) fn prepare(endpoint: &RoutedStandIn) {
-        (0..CRASHING_REQUESTS).for_each(|number| endpoint.add_crash_body(&crash_body(number)));
+        for number in 0..CRASHING_REQUESTS {
+            endpoint.add_crash_body(&crash_body(number));
+            endpoint.add_crash_part(&crash_part(number));
+        }
     }
 
     /// Restarts the endpoints whose downtime has passed.
@@ -145,6 +194,7 @@
     endpoints: &[&RoutedStandIn],
     disturbances: &[Disturbance],
     gateways: &[GatewayProcess],
+    cause: CrashCause,
 ) -> Vec<String> {
     let boxes = calls.iter().map(|call| (call.id.as_str(), call.box_index));
     let boxes: HashMap<&str, usize> = boxes.collect();
@@ -157,14 +207,25 @@
     };
     let mut found = Vec::new();
     for number in 0..CRASHING_REQUESTS {
-        let body = crash_body(number);
+        let (body, part) = (crash_body(number), crash_part(number));
+        let is_crashing = |run: &ReceivedRequest| match cause {
+            CrashCause::Requests => run.body == body,
+            CrashCause::Parts => run.shared_parts().any(|shared| shared == part),
+        };
         let runs = endpoints.iter().flat_map(|endpoint| endpoint.ran());
-        let mut runs: Vec<_> = runs.filter(|run| run.body == body).collect();
+        let mut runs: Vec<_> = runs.filter(is_crashing).collect();
         runs.sort_unstable_by_key(|run| run.at);
-        let Some(known_at) = runs
-            .get(CRASHES_TO_QUARANTINE - 1)
-            .map(|run| run.at + SYNC_TIME)
-        else {
+        let crashes = endpoints
+            .iter()
+            .filter_map(|endpoint| endpoint.part_crash());
+        let crashes = crashes.filter(|crash| crash.part == part);
+        let mut crashes: Vec<Instant> = crashes.map(|crash| crash.at).collect();
+        crashes.sort_unstable();
+        let crash = match cause {
+            CrashCause::Requests => runs.get(CRASHES_TO_QUARANTINE - 1).map(|run| run.at),
+            CrashCause::Parts => crashes.get(CRASHES_TO_PART_BOUND - 1).copied(),
+        };
+        let Some(known_at) = crash.map(|at| at + SYNC_TIME) else {
             continue;
         };
         let late = runs.iter().filter(|run| {
@@ -176,12 +237,15 @@
             .collect();
         if late.len() > MAX_LATE_SENDS {
             found.push(format!(
-                "request {number}: sent {} more times after {} crashes: {late:?}",
+                "{cause:?}, number {number}: sent {} more times after {} runs: {late:?}",
                 late.len(),
                 runs.len()
             ));
         }
     }
+    if cause == CrashCause::Parts {
+        return found;
+    }
     let logs = gateways.iter().map(GatewayProcess::logged);
     let fingerprints: BTreeSet<String> = logs
         .flat_map(|log| quarantined_fingerprints(&log))
@@ -194,6 +258,31 @@
     found
 }
 
+/// Lists what is in quarantine at a box and is no crashing part, in runs with crashing parts.
+pub(super) async fn held_wrongly(gateways: &[GatewayProcess], cause: CrashCause) -> Vec<String> {
+    if cause == CrashCause::Requests {
+        return Vec::new();
+    }
+    let parts = (0..CRASHING_REQUESTS).map(crash_part);
+    let ids = parts.map(|part| u64::from_str_radix(&part, 16).expect("a part is hexadecimal"));
+    let keys = ids.map(|id| SuspectKey::of_part("model", id).to_string());
+    let keys: BTreeSet<String> = keys.collect();
+    let mut held = Vec::new();
+    for (box_index, gateway) in gateways.iter().enumerate() {
+        match gateway.quarantine(None).await {
+            Ok(answer) => held.extend(
+                answer
+                    .requests
+                    .iter()
+                    .filter(|row| !keys.contains(&row.fingerprint))
+                    .map(|row| format!("box {box_index}: {row:?} is in quarantine by mistake")),
+            ),
+            Err(problem) => held.push(format!("box {box_index}: {problem}")),
+        }
+    }
+    held
+}
+
 /// Returns the fingerprints of the requests that a box logged as quarantined.
 fn quarantined_fingerprints(log: &str) -> Vec<String> {
     const EVENT: &str = r#""event":"request_quarantined","print":""#;
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -190,7 +190,9 @@
                 }
                 SoakFaults::SoftwareVersions => self.begin(fleet, ALL_FAULTS).await?,
                 // The requests crash the endpoints in these runs.
-                SoakFaults::CrashingRequests => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
+                SoakFaults::CrashingRequests | SoakFaults::CrashingParts => {
+                    self.begin(fleet, BOX_AND_STORE_FAULTS).await?;
+                }
                 SoakFaults::DelayedUpdates => self.delay_updates(fleet).await?,
                 SoakFaults::StoreRestores if self.rng.random_bool(0.3) => self.restore_store(fleet),
                 SoakFaults::StoreRestores => self.delay_updates(fleet).await?,
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -14,6 +14,7 @@
     reload_during_startup = { SoakFaults::All, 126 },
     caller_disconnects = { SoakFaults::CallerDisconnects, 2 },
     crashing_requests = { SoakFaults::CrashingRequests, 1 },
+    crashing_parts = { SoakFaults::CrashingParts, 1 },
     endpoint_notices = { SoakFaults::Notices, 1 },
     store_restores = { SoakFaults::StoreRestores, 1 },
     evacuations = { SoakFaults::Evacuations, 1 },
@@ -23,7 +24,7 @@
     let runtime = tokio::runtime::Runtime::new().unwrap();
     let duration_s = match faults {
         // A box counts as connected only after some seconds.
-        SoakFaults::CrashingRequests => 10,
+        SoakFaults::CrashingRequests | SoakFaults::CrashingParts => 10,
         _ => 4,
     };
     let options = SoakOptions {
