feat: parts of prompts under which endpoints end are quarantined

Callers lost their answers whenever a prompt held a part that ends each endpoint: evidence was kept for whole requests alone, and no two requests with such a part are alike. SuspectRegistry now takes the keys of the parts beside that of the request, and judges both over all its evidence:

--- a/dockgate-core/benches/suspects.rs
+++ b/dockgate-core/benches/suspects.rs
@@ -35,7 +35,7 @@
             let fingerprint = fingerprint(&number.to_le_bytes());
             let ends = if number < 64 { 3 } else { 1 };
             for end in 0..ends {
-                registry.note_ended(fingerprint, EndpointId(number * 3 + end), 1);
+                registry.note_ended(&[fingerprint], EndpointId(number * 3 + end), 1);
             }
         }
         let key = fingerprint(b"other");
--- a/dockgate-core/src/gateway/clock_jump_tests.rs
+++ b/dockgate-core/src/gateway/clock_jump_tests.rs
@@ -49,7 +49,7 @@
     fn new() -> Self {
         let mut suspects = SuspectRegistry::default();
         for endpoint in 1..=3 {
-            suspects.note_ended(SUSPECT, EndpointId(endpoint), 1);
+            suspects.note_ended(&[SUSPECT], EndpointId(endpoint), 1);
         }
         Self {
             now_ms: 1,
--- a/dockgate-core/src/gateway/suspect_registry/fleet_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/fleet_tests.rs
@@ -164,7 +164,7 @@
             FleetEvent::Harmful(at) if !self.is_quarantined(at) => {
                 self.next_endpoint += 1;
                 let endpoint = EndpointId(self.next_endpoint);
-                self.registries[at].note_ended(HARMFUL, endpoint, self.now_ms);
+                self.registries[at].note_ended(&[HARMFUL], endpoint, self.now_ms);
                 self.ends_ms.push(self.now_ms);
                 self.send_reports(at, false);
             }
@@ -175,9 +175,9 @@
                     true => {
                         self.next_endpoint += 1;
                         let endpoint = EndpointId(self.next_endpoint);
-                        self.registries[at].note_ended(request, endpoint, self.now_ms);
+                        self.registries[at].note_ended(&[request], endpoint, self.now_ms);
                     }
-                    false => drop(self.registries[at].note_completed(request, self.now_ms)),
+                    false => drop(self.registries[at].note_completed(&[request], self.now_ms)),
                 }
                 self.send_reports(at, false);
             }
@@ -227,7 +227,7 @@
         let mut fleet = SimulatedFleet::after(events, draws);
         for number in 2..2 + HARMLESS_COUNT {
             let request = SuspectKey::new([number; 16]);
-            fleet.registries[0].note_completed(request, fleet.now_ms);
+            fleet.registries[0].note_completed(&[request], fleet.now_ms);
             fleet.send_reports(0, false);
         }
         fleet.advance(CONVERGENCE_MS);
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -11,8 +11,8 @@
     endpoint: u64,
     now_ms: u64,
 ) -> bool {
-    let change = registry.note_ended(fingerprint, EndpointId(endpoint), now_ms);
-    change.is_some_and(|change| change.is_quarantined)
+    let changes = registry.note_ended(&[fingerprint], EndpointId(endpoint), now_ms);
+    changes.iter().any(|change| change.is_quarantined)
 }
 
 fn quarantined() -> SuspectRegistry {
@@ -43,7 +43,7 @@
     for number in 1..=9 {
         assert!(!end(&mut registry, HARMLESS, number, number * 100));
         if number % 2 == 0 {
-            registry.note_completed(HARMLESS, number * 100 + 50);
+            registry.note_completed(&[HARMLESS], number * 100 + 50);
         }
     }
     assert_eq!(registry.quarantined_count(1_000), 0);
@@ -53,7 +53,7 @@
 fn late_reports_of_ends_before_a_completion_are_ignored() {
     let mut registry = SuspectRegistry::default();
     end(&mut registry, HARMLESS, 1, 100);
-    registry.note_completed(HARMLESS, 1_000);
+    registry.note_completed(&[HARMLESS], 1_000);
     let late = [2, 3, 4].map(|number| SuspectReport {
         fingerprint: HARMLESS,
         event: SuspectEvent::Ended(EndpointId(number)),
@@ -71,8 +71,8 @@
         other.receive(&registry.reports(true, 3_100), 9_100).len(),
         1
     );
-    let change = registry.note_completed(HARMFUL, 3_500).unwrap();
-    assert!(!change.is_quarantined);
+    let changes = registry.note_completed(&[HARMFUL], 3_500);
+    assert!(changes.iter().all(|change| !change.is_quarantined) && changes.len() == 1);
     let changes = other.receive(&registry.reports(false, 3_600), 9_600);
     assert!(changes.iter().all(|change| !change.is_quarantined) && changes.len() == 1);
     // The report of the verdict arrives after its release.
--- a/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
@@ -159,7 +159,7 @@
         for run in &lost {
             self.interrupted.insert(run.number);
             self.registry
-                .note_ended(fingerprint(run.number), lifetime, self.now_ms);
+                .note_ended(&[fingerprint(run.number)], lifetime, self.now_ms);
         }
         for run in lost {
             if run.number != HARMFUL {
@@ -177,7 +177,7 @@
         self.runs = kept;
         for run in finished.iter().filter(|run| run.number != HARMFUL) {
             self.registry
-                .note_completed(fingerprint(run.number), now_ms);
+                .note_completed(&[fingerprint(run.number)], now_ms);
         }
         for run in finished.into_iter().filter(|run| run.number == HARMFUL) {
             // Its endpoint has not ended for another reason in the meantime.
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -21,12 +21,7 @@
 /// Records the requests that were interrupted by the end of an endpoint, and reports them at once.
 pub(super) fn record_ends(state: &GatewayState, endpoint: EndpointId, interrupted: &[SuspectKey]) {
     let now = now_ms();
-    let changes = state.with(|view| {
-        let fingerprints = interrupted.iter();
-        let changes = fingerprints
-            .filter_map(|fingerprint| view.suspects.note_ended(*fingerprint, endpoint, now));
-        changes.collect::<Vec<QuarantineChange>>()
-    });
+    let changes = state.with(|view| view.suspects.note_ended(interrupted, endpoint, now));
     log_changes(state, &changes, "own");
     broadcast_reports(state);
 }
@@ -39,8 +34,8 @@
     }
     let fingerprint = fingerprint();
     let now = now_ms();
-    let change = state.with(|view| view.suspects.note_completed(fingerprint, now));
-    log_changes(state, change.as_slice(), "completed");
+    let changes = state.with(|view| view.suspects.note_completed(&[fingerprint], now));
+    log_changes(state, &changes, "completed");
 }
 
 /// Returns the quarantine of a request, or `None` if it is not in quarantine; `fingerprint` is
@@ -64,7 +59,7 @@
     let changes = state.with(|view| {
         let known = known.into_iter();
         let changes =
-            known.filter_map(|(fingerprint, known)| view.suspects.merge(fingerprint, known, now));
+            known.flat_map(|(fingerprint, known)| view.suspects.merge(fingerprint, known, now));
         changes.collect::<Vec<QuarantineChange>>()
     });
     log_changes(state, &changes, source);
@@ -83,8 +78,8 @@
 /// Releases a request on behalf of an operator, and reports it at once.
 pub(super) fn release(state: &GatewayState, fingerprint: SuspectKey) {
     let now = now_ms();
-    let change = state.with(|view| view.suspects.release(fingerprint, now));
-    log_changes(state, change.as_slice(), "operator");
+    let changes = state.with(|view| view.suspects.release(fingerprint, now));
+    log_changes(state, &changes, "operator");
     broadcast_reports(state);
 }
 
