--- a/dockgate-bench/src/gateway_soak/soak_call.rs
+++ b/dockgate-bench/src/gateway_soak/soak_call.rs
@@ -16,6 +16,8 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
+/// The first part of all prompts, under which nothing crashes.
+pub(super) const SHARED_PART: &str = "f1";
 /// Deadline that a caller sends with a request, in milliseconds.
 pub(super) const BUDGET_MS: u64 = 3_000;
 /// Time after which a caller considers the answer lost.
@@ -168,7 +170,10 @@
         builder = builder
             .header("x-model", "m")
             .header("x-token-usage", format!("500,{EVENTS}"))
-            .header("x-prefix-hash", format!("{:x}:500", call.id.len()));
+            .header(
+                "x-prefix-hash",
+                format!("{SHARED_PART}:400,{:x}:100", call.id.len()),
+            );
     }
     let body = Full::new(Bytes::from_static(b"hello"));
     builder.body(body).expect("a request made of constants")
