perf: parts that complete are known before anything is suspect

Completions were recorded only while there were suspects, so that at the first ends nothing was known of the parts that thousands of prompts share, and each of them was as suspect as the harmful one.

--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -164,7 +164,7 @@
     }
 
     /// Returns the keys of the shared parts of the prompt.
-    fn part_keys(&self) -> &[SuspectKey] {
+    pub(super) fn part_keys(&self) -> &[SuspectKey] {
         let keys = || part_keys(&self.service().name, self.head.prompt.as_ref());
         self.part_keys.get_or_init(keys)
     }
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -436,7 +436,7 @@
         GATEWAY_METRICS.record_outcome(&self.service().name, "answered");
         GATEWAY_METRICS.record_first_event(&self.service().name, first);
         if status.is_success() {
-            quarantine::record_completed(&self.state, || self.suspect_keys());
+            self.record_completed();
         }
         let late = first > self.route().objective;
         if self.is_sampled() || late || attempts.sent > 1 {
@@ -453,6 +453,18 @@
         }
     }
 
+    /// Records that the request completed. While nothing is suspect, the parts of sampled prompts
+    /// are recorded alone, which shows the frequent ones to be sound at little cost.
+    fn record_completed(&self) {
+        match quarantine::has_suspects(&self.state) {
+            true => quarantine::record_completed(&self.state, &self.suspect_keys()),
+            false if self.is_sampled() => {
+                quarantine::record_completed(&self.state, self.part_keys());
+            }
+            false => {}
+        }
+    }
+
     async fn send_stream(
         self: Arc<Self>,
         placement: CallPlacement,
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -28,15 +28,16 @@
     broadcast_reports(state);
 }
 
-/// Records that a request completed, which clears it and the shared parts of its prompt of
-/// suspicion; `keys` is called only if there are suspects.
-pub(super) fn record_completed(state: &GatewayState, keys: impl FnOnce() -> Vec<SuspectKey>) {
-    if state.with(|view| view.suspects.is_empty()) {
-        return;
-    }
-    let keys = keys();
+/// Returns whether anything is suspected of crashing endpoints.
+pub(super) fn has_suspects(state: &GatewayState) -> bool {
+    !state.with(|view| view.suspects.is_empty())
+}
+
+/// Records that a request with these keys, its own and those of the shared parts of its prompt,
+/// completed, which clears them of suspicion.
+pub(super) fn record_completed(state: &GatewayState, keys: &[SuspectKey]) {
     let now = now_ms();
-    let changes = state.with(|view| view.suspects.note_completed(&keys, now));
+    let changes = state.with(|view| view.suspects.note_completed(keys, now));
     log_changes(state, &changes, "completed");
 }
 
