fix: sound parts that were blamed first do not shield a harmful part

Reports may come in an order in which sound parts have three ends before the harmful one. Each was then quarantined for some of the ends, and together they explained all ends of the harmful part, which stayed free however many it ended. A part that was present at all ends of a quarantined one, and at two more at least, is no longer explained by it; at its verdict the others are released, as their ends are explained.

verdicts_do_not_depend_on_the_order_of_reports found it (after 5 cases) and a_part_at_all_ends_of_the_blamed_ones_is_quarantined_in_their_place shows it alone; both failed before.

--- a/dockgate-core/src/gateway/suspect_registry/verdict.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict.rs
@@ -54,10 +54,22 @@
 }
 
 impl VerdictCase {
+    /// The number of ends by which a part must exceed one that is blamed in its place. One may be
+    /// an end for another reason.
+    const MIN_LEAD: usize = 2;
+
     fn is_part(&self) -> bool {
         self.key.kind() == SuspectKind::Part
     }
 
+    /// Returns whether this part was present at all ends of another one and at enough more, so that
+    /// the other one may have been blamed in its place.
+    fn supersedes(&self, other: &Self) -> bool {
+        let has_lead = self.ends.len() >= other.ends.len() + Self::MIN_LEAD;
+        let mut ends = other.ends.keys();
+        self.is_part() && has_lead && ends.all(|end| self.ends.contains_key(end))
+    }
+
     fn covers(&self, ends: &BTreeSet<EndpointId>) -> bool {
         ends.iter().all(|end| self.ends.contains_key(end))
     }
@@ -108,7 +120,8 @@
     fn unexplained(&self, cases: &[VerdictCase], at: usize) -> BTreeSet<EndpointId> {
         let is_explaining = |other: &usize| {
             let case = &cases[*other];
-            self.explains && *other != at && case.is_part() && case.is_blamed
+            let is_blamed = case.is_part() && case.is_blamed;
+            self.explains && *other != at && is_blamed && !cases[at].supersedes(case)
         };
         let others = (0..cases.len()).filter(is_explaining);
         cases[at].unexplained(others.map(|other| &cases[other]))
--- a/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
@@ -260,3 +260,20 @@
     assert_eq!(kept[0].0, part(1));
     assert!(ended.is_quarantined(part(1)));
 }
+
+/// Sound parts that were blamed first, each for some of its ends, must not shield a harmful part.
+#[test]
+fn a_part_at_all_ends_of_the_blamed_ones_is_quarantined_in_their_place() {
+    let mut ended = EndedEndpoints::default();
+    let report = |key, end: u64| SuspectReport::new(key, SuspectEvent::Ended(EndpointId(end)));
+    let ends = |key, all: std::ops::Range<u64>| all.map(move |end| report(key, end));
+    for (key, all, now_ms) in [(part(2), 0..3, 9_000), (part(3), 3..6, 10_000)] {
+        let reports: Vec<SuspectReport> = ends(key, all).collect();
+        ended.registry.receive(&reports, now_ms);
+    }
+    assert_eq!(ended.quarantined(&[part(2), part(3)]), [part(2), part(3)]);
+    let late: Vec<SuspectReport> = ends(part(1), 0..6).collect();
+    ended.registry.receive(&late, 10_100);
+    let keys = [part(1), part(2), part(3)];
+    assert_eq!(ended.quarantined(&keys), [part(1)]);
+}
