fix: ends that boxes noticed while out of touch are counted together

Ends were reported for two seconds. Boxes that were cut off from each other for longer kept theirs to themselves, and after the cut a harmful part had to end as many endpoints again as the verdict takes. Full reports now hold the ends of the last minute that led to no verdict: of parts, and of requests at more than one end, within the bound of 100 reports.

ends_that_boxes_noticed_out_of_touch_are_counted_together failed before.

--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -103,6 +103,9 @@
     pub const MAX_QUARANTINED: usize = 64;
     /// How long new information is repeated, in milliseconds: several heartbeats, as some are lost.
     const ANNOUNCE_MS: u64 = 2_000;
+    /// How long the ends without a verdict stay part of full reports, in milliseconds, so that boxes
+    /// that were out of touch learn of them.
+    const EVIDENCE_MS: u64 = 60_000;
     /// The maximum number of reports sent at once besides those of quarantines. Quarantined parts
     /// come first, then what has the most ended lifetimes, parts before requests, then the newest.
     const MAX_REPORTS: usize = 100;
@@ -205,12 +208,18 @@
         kept
     }
 
-    /// Lists the reports to send to another box: recent information, and all quarantines if
-    /// `is_full` is set.
+    /// Lists the reports to send to another box: recent information; all quarantines and the ends
+    /// without a verdict if `is_full` is set.
     pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
         let is_fresh = |suspect: &Suspect| suspect.updated_ms + Self::ANNOUNCE_MS > now_ms;
+        let is_evidence = |key: SuspectKey, suspect: &Suspect| {
+            let is_weighty = key.kind() == SuspectKind::Part || suspect.ended_lifetimes.len() > 1;
+            let is_recent = suspect.updated_ms + Self::EVIDENCE_MS > now_ms;
+            is_weighty && is_recent && !suspect.quarantine.is_active(now_ms)
+        };
         let suspects = self.suspects.iter();
-        let fresh = suspects.filter(|(_, suspect)| is_fresh(suspect));
+        let fresh = suspects
+            .filter(|(key, suspect)| is_fresh(suspect) || (is_full && is_evidence(**key, suspect)));
         let mut fresh: Vec<(SuspectKey, &Suspect)> = fresh
             .map(|(fingerprint, suspect)| (*fingerprint, suspect))
             .collect();
--- a/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
@@ -261,6 +261,20 @@
     assert!(ended.is_quarantined(part(1)));
 }
 
+/// Boxes that were out of touch must not begin to count anew.
+#[test]
+fn ends_that_boxes_noticed_out_of_touch_are_counted_together() {
+    let mut ended = EndedEndpoints::default();
+    ended.end(&[part(1)]);
+    ended.end(&[part(1)]);
+    let mut other = SuspectRegistry::default();
+    other.note_ended(&[part(1)], EndpointId(100), ended.now_ms());
+    let now_ms = ended.now_ms() + 10_000;
+    let reports = ended.registry.reports(true, now_ms);
+    let changes = other.receive(&reports, now_ms);
+    assert!(changes.iter().any(|change| change.is_quarantined));
+}
+
 /// Sound parts that were blamed first, each for some of its ends, must not shield a harmful part.
 #[test]
 fn a_part_at_all_ends_of_the_blamed_ones_is_quarantined_in_their_place() {
