--- a/dockgate-core/benches/suspects.rs
+++ b/dockgate-core/benches/suspects.rs
@@ -1,6 +1,7 @@
-//! The cost of the quarantine for other requests: computing a fingerprint and looking it up.
+//! The cost of the quarantine for other requests: computing keys, looking them up and recording
+//! completions; and the cost of an end.
 
-use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use criterion::{BatchSize, BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
 use dockgate_core::gateway::{EndpointId, FingerprintInput, SuspectKey, SuspectRegistry};
 use std::hint::black_box;
 use std::time::Duration;
@@ -49,12 +50,85 @@
     group.finish();
 }
 
+/// A registry in which a harmful part is in quarantine, and others are suspects.
+fn part_registry(suspects: u64) -> SuspectRegistry {
+    let mut registry = SuspectRegistry::default();
+    for end in 0..3 {
+        let others = (0..suspects / 3).map(|number| part(1_000 + end * suspects + number));
+        let keys: Vec<SuspectKey> = [part(0)].into_iter().chain(others).collect();
+        registry.note_ended(&keys, EndpointId(end), 1);
+    }
+    registry
+}
+
+fn part(number: u64) -> SuspectKey {
+    SuspectKey::of_part("model", number)
+}
+
+/// The work for each request with a prompt of four parts: its keys, the check and the completion.
+fn shared_parts(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("shared_parts");
+    for count in [4, 1_000_u64] {
+        let prompt: Vec<u64> = (0..count).collect();
+        group.bench_function(format!("keys-{count}"), |bencher| {
+            bencher.iter(|| SuspectKey::of_shared_parts("model", black_box(&prompt)));
+        });
+    }
+    for suspects in [0, 60, 900] {
+        let mut registry = part_registry(suspects);
+        let keys = [fingerprint(b"other"), part(1), part(2), part(1_001)];
+        group.bench_function(format!("check-{suspects}"), |bencher| {
+            let is_free = |key: &SuspectKey| registry.quarantine(*key, 2).is_none();
+            bencher.iter(|| black_box(&keys).iter().all(is_free));
+        });
+        group.bench_function(format!("completed-{suspects}"), |bencher| {
+            bencher.iter(|| registry.note_completed(black_box(&keys), 3));
+        });
+    }
+    group.finish();
+}
+
+/// An end with 20 requests and 40 parts, and the reports about it.
+fn part_ends(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("part_ends");
+    let parts = (0..40).map(part);
+    let requests = (0..20_u64).map(|number| fingerprint(&number.to_le_bytes()));
+    let keys: Vec<SuspectKey> = parts.chain(requests).collect();
+    for suspects in [0, 60, 900] {
+        let registry = part_registry(suspects);
+        group.bench_function(format!("ended-{suspects}"), |bencher| {
+            bencher.iter_batched_ref(
+                || registry.clone(),
+                |registry| registry.note_ended(black_box(&keys), EndpointId(9), 3),
+                BatchSize::SmallInput,
+            );
+        });
+        let mut ended = registry.clone();
+        ended.note_ended(&keys, EndpointId(9), 3);
+        group.bench_function(format!("reports-{suspects}"), |bencher| {
+            bencher.iter(|| black_box(&ended).reports(true, 4));
+        });
+        let reports = ended.reports(true, 4);
+        group.bench_function(format!("received-{suspects}"), |bencher| {
+            bencher.iter_batched_ref(
+                || registry.clone(),
+                |registry| registry.receive(black_box(&reports), 5),
+                BatchSize::SmallInput,
+            );
+        });
+        group.bench_function(format!("repeated-{suspects}"), |bencher| {
+            bencher.iter(|| ended.receive(black_box(&reports), 5));
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = suspects;
     config = Criterion::default()
         .sample_size(20)
         .warm_up_time(Duration::from_millis(200))
         .measurement_time(Duration::from_millis(500));
-    targets = suspect_key, quarantine_lookup
+    targets = suspect_key, quarantine_lookup, shared_parts, part_ends
 }
 criterion_main!(suspects);
