--- a/dockgate-core/benches/suspects.rs
+++ b/dockgate-core/benches/suspects.rs
@@ -91,7 +91,7 @@
 /// An end with 20 requests and 40 parts, and the reports about it.
 fn part_ends(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("part_ends");
-    let parts = (0..40).map(part);
+    let parts = (1..=40).map(part);
     let requests = (0..20_u64).map(|number| fingerprint(&number.to_le_bytes()));
     let keys: Vec<SuspectKey> = parts.chain(requests).collect();
     for suspects in [0, 60, 900] {
