--- a/dockgate-core/src/gateway/suspect_registry/part_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/part_tests.rs
@@ -519,6 +519,41 @@
     ..COMMON
 };
 
+/// A harmful part must be found in time, and hardly any sound part or request be refused for it.
+#[parameterized(
+    common = { COMMON },
+    frequent = { PartLoad { harmful_interval_ms: 100, ..COMMON } },
+    companion = { PartLoad { has_companion: true, ..COMMON } },
+    two = { PartLoad { harmful: 2, ..COMMON } },
+    other_ends = { PartLoad { crash_interval_ms: Some(1_000), ..COMMON } },
+)]
+fn harmful_parts_are_quarantined_and_few_others_are(load: PartLoad) {
+    let sum = simulate(load, VerdictRules::default(), 2);
+    let row = sum.row(load.harmful);
+    assert_eq!(sum.verdicts, load.harmful * sum.runs, "{row}");
+    assert_eq!(sum.late_sends, 0, "{row}");
+    assert!(sum.wrong_parts * 100 <= sum.suspected_parts, "{row}");
+    assert!(sum.refused * 1_000 <= sum.started, "{row}");
+}
+
+/// Where endpoints end for other reasons, parts must not cause more refusals than requests did.
+#[test]
+fn ends_for_other_reasons_do_not_refuse_more_than_without_parts() {
+    let without = PartLoad {
+        has_parts: false,
+        ..NO_HARMFUL
+    };
+    let rules = VerdictRules::default();
+    let (sum, today) = (simulate(NO_HARMFUL, rules, 2), simulate(without, rules, 2));
+    assert!(
+        sum.refused <= today.refused,
+        "{} {}",
+        sum.row(0),
+        today.row(0)
+    );
+    assert!(sum.refused_for_part * 100 <= sum.started, "{}", sum.row(0));
+}
+
 /// Prints the figures by which the rules were chosen, for as many seeds as `SEEDS` says.
 #[parameterized(
     common = { COMMON },
