--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -87,6 +87,8 @@
     sound: SoundParts,
     /// The number of suspects whose quarantine was not released, including expired quarantines.
     unreleased: usize,
+    /// How many of these are requests.
+    unreleased_requests: usize,
     rules: VerdictRules,
 }
 
@@ -139,6 +141,11 @@
         self.unreleased > 0
     }
 
+    /// Returns whether any whole request may be in quarantine; only then are bodies hashed.
+    pub const fn has_quarantined_requests(&self) -> bool {
+        self.unreleased_requests > 0
+    }
+
     /// Returns the quarantine of a request, or `None` if it is not in quarantine.
     pub fn quarantine(&self, fingerprint: SuspectKey, now_ms: u64) -> Option<&Quarantine> {
         let suspect = self.suspects.get(&fingerprint)?;
@@ -300,10 +307,20 @@
         for key in surplus {
             self.suspects.remove(&key);
         }
-        let suspects = self.suspects.values();
-        self.unreleased = suspects
-            .filter(|suspect| suspect.quarantine.stage.is_active())
-            .count();
+        let suspects = self.suspects.iter();
+        let unreleased = suspects.filter(|(_, suspect)| suspect.quarantine.stage.is_active());
+        let unreleased: Vec<SuspectKey> = unreleased.map(|(key, _)| *key).collect();
+        (self.unreleased, self.unreleased_requests) = (0, 0);
+        unreleased
+            .into_iter()
+            .for_each(|key| self.count_unreleased(key, 1));
+    }
+
+    fn count_unreleased(&mut self, key: SuspectKey, change: isize) {
+        self.unreleased = self.unreleased.saturating_add_signed(change);
+        if matches!(key.kind(), SuspectKind::Request) {
+            self.unreleased_requests = self.unreleased_requests.saturating_add_signed(change);
+        }
     }
 
     fn apply_all(
@@ -379,8 +396,8 @@
             before.quarantine.stage.is_active(),
             after.quarantine.stage.is_active(),
         ) {
-            (false, true) => self.unreleased += 1,
-            (true, false) => self.unreleased -= 1,
+            (false, true) => self.count_unreleased(key, 1),
+            (true, false) => self.count_unreleased(key, -1),
             _ => {}
         }
         self.suspects.insert(key, after);
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -1,5 +1,5 @@
 use super::{SuspectEvent, SuspectRegistry, SuspectReport};
-use crate::gateway::{EndpointId, SuspectKey};
+use crate::gateway::{EndpointId, SuspectKey, SuspectKind};
 use std::time::Duration;
 
 const HARMFUL: SuspectKey = SuspectKey::new([1; 16]);
@@ -204,3 +204,35 @@
     registry.expire(now_ms + 86_400_000);
     assert!(registry.is_empty() && !registry.has_quarantined());
 }
+
+#[test]
+fn a_quarantined_part_needs_no_fingerprints_of_requests() {
+    let (part, request) = (SuspectKey::of_part("model", 1), SuspectKey::new([7; 16]));
+    let mut registry = SuspectRegistry::default();
+    for endpoint in 1..=3 {
+        registry.note_ended(&[part], EndpointId(endpoint), 1_000 * endpoint);
+    }
+    let counts = |registry: &SuspectRegistry| {
+        let kinds = [SuspectKind::Part, SuspectKind::Request];
+        kinds.map(|kind| registry.quarantined_of(kind, 10_000))
+    };
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 0], false)
+    );
+    for endpoint in 4..=6 {
+        registry.note_ended(&[request], EndpointId(endpoint), 1_000 * endpoint);
+    }
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 1], true)
+    );
+    registry.expire(10_000);
+    assert!(registry.has_quarantined_requests());
+    registry.note_completed(&[request], 10_001);
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 0], false)
+    );
+    assert_eq!(registry.ended_lifetimes(part), [1, 2, 3].map(EndpointId));
+}
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -6,7 +6,7 @@
 use super::super::gateway_state::GatewayState;
 use super::super::memory_guard::MemoryGuard;
 use super::super::placement_goal::PlacementGoal;
-use super::super::quarantine::find_quarantines;
+use super::super::quarantine::find_quarantined_parts;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::super::wait_window::WaitWindow;
@@ -195,7 +195,7 @@
         if self.shared_parts().is_empty() {
             return Vec::new();
         }
-        let mut quarantines = find_quarantines(&self.state, || self.part_keys().to_vec());
+        let mut quarantines = find_quarantined_parts(&self.state, || self.part_keys().to_vec());
         quarantines.retain(|(key, _)| Some(*key) != self.trial);
         quarantines
     }
@@ -361,13 +361,9 @@
     };
     let uri = path_and_query(&parts.uri);
     let service_name = &table.service(service).name;
-    let keys = || {
-        let mut keys = part_keys(service_name, head.prompt.as_ref());
-        let fingerprint = fingerprint_of(name, &parts.method, &head.host, &uri, &body);
-        keys.push(fingerprint);
-        keys
-    };
-    let trial = check_quarantine(&state, keys)
+    let parts_of_prompt = || part_keys(service_name, head.prompt.as_ref());
+    let fingerprint = || fingerprint_of(name, &parts.method, &head.host, &uri, &body);
+    let trial = check_quarantine(&state, parts_of_prompt, fingerprint)
         .await
         .map_err(|refusal| RejectedRequest {
             part: refusal
--- a/dockgate/src/gateway/call/quarantine_check.rs
+++ b/dockgate/src/gateway/call/quarantine_check.rs
@@ -51,9 +51,10 @@
 /// Returns a refusal with the time of the next trial if the request is quarantined.
 pub(super) async fn check_quarantine(
     state: &GatewayState,
-    keys: impl FnOnce() -> Vec<SuspectKey>,
+    parts: impl FnOnce() -> Vec<SuspectKey>,
+    request: impl FnOnce() -> SuspectKey,
 ) -> Result<Option<SuspectKey>, CallRefusal> {
-    let quarantines = quarantine::find_quarantines(state, keys);
+    let quarantines = quarantine::find_quarantines(state, parts, request);
     let now = now_ms();
     // With a second key in quarantine, an end would not show which of them caused it.
     match quarantines[..] {
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -95,7 +95,7 @@
         }
         let allowed = self.has_attempts_left(attempts)
             && !self.time_left().is_zero()
-            && quarantine::find_quarantines(&self.state, || self.suspect_keys()).is_empty();
+            && !self.is_quarantined();
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
         let service = &self.service().name;
@@ -109,6 +109,14 @@
         state.retry_verdict(repeatable, may_retry)
     }
 
+    /// Returns whether the request or a shared part of its prompt is in quarantine, also if it is
+    /// sent as a trial.
+    fn is_quarantined(&self) -> bool {
+        let parts = || self.part_keys().to_vec();
+        let quarantines = quarantine::find_quarantines(&self.state, parts, || self.fingerprint());
+        !quarantines.is_empty()
+    }
+
     fn has_attempts_left(&self, attempts: &CallAttempts) -> bool {
         attempts.sent < self.route().attempts
     }
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -41,21 +41,39 @@
     log_changes(state, &changes, "completed");
 }
 
-/// Returns the keys that are in quarantine, of those that `keys` returns; it is called only if
-/// anything is in quarantine.
+/// Returns the quarantines of the shared parts of a prompt, and of the request. The functions that
+/// compute the keys are called only if anything, or any request, is in quarantine.
 pub(super) fn find_quarantines(
     state: &GatewayState,
-    keys: impl FnOnce() -> Vec<SuspectKey>,
+    parts: impl FnOnce() -> Vec<SuspectKey>,
+    request: impl FnOnce() -> SuspectKey,
 ) -> Vec<(SuspectKey, Quarantine)> {
-    if !state.with(|view| view.suspects.has_quarantined()) {
-        return Vec::new();
+    let has_requests = state.with(|view| view.suspects.has_quarantined_requests());
+    let mut quarantines = find_quarantined_parts(state, parts);
+    if has_requests {
+        quarantines.extend(active_quarantines(state, &[request()]));
     }
-    let keys = keys();
+    quarantines
+}
+
+/// Returns the quarantines of the shared parts of a prompt; `parts` is called only if anything is in
+/// quarantine.
+pub(super) fn find_quarantined_parts(
+    state: &GatewayState,
+    parts: impl FnOnce() -> Vec<SuspectKey>,
+) -> Vec<(SuspectKey, Quarantine)> {
+    match state.with(|view| view.suspects.has_quarantined()) {
+        true => active_quarantines(state, &parts()),
+        false => Vec::new(),
+    }
+}
+
+fn active_quarantines(state: &GatewayState, keys: &[SuspectKey]) -> Vec<(SuspectKey, Quarantine)> {
     let now = now_ms();
     state.with(|view| {
-        let quarantines = keys.into_iter().filter_map(|key| {
-            let quarantine = view.suspects.quarantine(key, now).copied();
-            quarantine.map(|quarantine| (key, quarantine))
+        let quarantines = keys.iter().filter_map(|key| {
+            let quarantine = view.suspects.quarantine(*key, now).copied();
+            quarantine.map(|quarantine| (*key, quarantine))
         });
         quarantines.collect()
     })
