Merge branch 'parts': parts of prompts that crash endpoints are quarantined

A send that waits for a silent endpoint is withdrawn like any other when a part of its prompt goes into quarantine, and no replacement is sought for a prompt in quarantine.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -35,6 +35,7 @@
 mod fleet_view;
 mod generation_times;
 mod home_weights;
+mod interrupted_request;
 mod interruption_tracker;
 mod load_shedder;
 mod loop_lag;
@@ -48,7 +49,6 @@
 mod prefix_history;
 mod prompt_shape;
 mod rendezvous;
-mod request_fingerprint;
 mod resume_gate;
 mod retry_budget;
 mod retry_delay;
@@ -66,6 +66,7 @@
 mod store_search;
 mod stream_key;
 mod stream_registry;
+mod suspect_key;
 mod suspect_registry;
 mod version_history;
 mod wait_queue;
@@ -96,6 +97,7 @@
 pub use fleet_view::{BoxChange, FleetView, StateSource};
 pub use generation_times::GenerationTimes;
 pub use home_weights::HomeWeights;
+pub use interrupted_request::InterruptedRequest;
 pub use interruption_tracker::{InterruptionStatus, InterruptionTracker};
 pub use load_shedder::LoadShedder;
 pub use loop_lag::{LagChange, LoopLag};
@@ -111,7 +113,6 @@
 pub use rendezvous::{
     best_homes, name_hash, owner_of_endpoint, placement_key, tie_break, weighted_homes,
 };
-pub use request_fingerprint::{FingerprintInput, InvalidFingerprint, RequestFingerprint};
 pub use resume_gate::ResumeGate;
 pub use retry_budget::{RetryBudget, RetryRule};
 pub use retry_delay::{RetryCause, retry_delay};
@@ -132,6 +133,7 @@
 pub use store_search::{StandbyTurn, StoreSearch};
 pub use stream_key::StreamKey;
 pub use stream_registry::{StreamRecord, StreamRegistry};
+pub use suspect_key::{FingerprintInput, InvalidSuspectKey, SuspectKey, SuspectKind};
 pub use suspect_registry::{
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
--- a/dockgate-core/src/gateway/clock_jump_tests.rs
+++ b/dockgate-core/src/gateway/clock_jump_tests.rs
@@ -3,8 +3,8 @@
 
 use super::{
     BoxHeartbeat, BoxStatus, EndpointHealth, EndpointId, EndpointOutcome, FleetView, LagChange,
-    LoadShedder, LoopLag, RequestFingerprint, ResumeGate, RetryBudget, RetryRule, ShareLevel,
-    ShareTracker, StoreAccess, StoreFollower, SuspectRegistry,
+    LoadShedder, LoopLag, ResumeGate, RetryBudget, RetryRule, ShareLevel, ShareTracker,
+    StoreAccess, StoreFollower, SuspectKey, SuspectRegistry,
 };
 use crate::ids::{BoxKey, Incarnation};
 use proptest::prelude::*;
@@ -43,13 +43,13 @@
     gate: ResumeGate,
 }
 
-const SUSPECT: RequestFingerprint = RequestFingerprint::new([1; 16]);
+const SUSPECT: SuspectKey = SuspectKey::new([1; 16]);
 
 impl SimulatedBox {
     fn new() -> Self {
         let mut suspects = SuspectRegistry::default();
         for endpoint in 1..=3 {
-            suspects.note_ended(SUSPECT, EndpointId(endpoint), 1);
+            suspects.note_ended(&[SUSPECT], EndpointId(endpoint), 1);
         }
         Self {
             now_ms: 1,
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -1,18 +1,18 @@
 use super::{SuspectEvent, SuspectRegistry, SuspectReport};
-use crate::gateway::{EndpointId, RequestFingerprint};
+use crate::gateway::{EndpointId, SuspectKey, SuspectKind};
 use std::time::Duration;
 
-const HARMFUL: RequestFingerprint = RequestFingerprint::new([1; 16]);
-const HARMLESS: RequestFingerprint = RequestFingerprint::new([2; 16]);
+const HARMFUL: SuspectKey = SuspectKey::new([1; 16]);
+const HARMLESS: SuspectKey = SuspectKey::new([2; 16]);
 
 fn end(
     registry: &mut SuspectRegistry,
-    fingerprint: RequestFingerprint,
+    fingerprint: SuspectKey,
     endpoint: u64,
     now_ms: u64,
 ) -> bool {
-    let change = registry.note_ended(fingerprint, EndpointId(endpoint), now_ms);
-    change.is_some_and(|change| change.is_quarantined)
+    let changes = registry.note_ended(&[fingerprint], EndpointId(endpoint), now_ms);
+    changes.iter().any(|change| change.is_quarantined)
 }
 
 fn quarantined() -> SuspectRegistry {
@@ -43,7 +43,7 @@
     for number in 1..=9 {
         assert!(!end(&mut registry, HARMLESS, number, number * 100));
         if number % 2 == 0 {
-            registry.note_completed(HARMLESS, number * 100 + 50);
+            registry.note_completed(&[HARMLESS], number * 100 + 50);
         }
     }
     assert_eq!(registry.quarantined_count(1_000), 0);
@@ -53,7 +53,7 @@
 fn late_reports_of_ends_before_a_completion_are_ignored() {
     let mut registry = SuspectRegistry::default();
     end(&mut registry, HARMLESS, 1, 100);
-    registry.note_completed(HARMLESS, 1_000);
+    registry.note_completed(&[HARMLESS], 1_000);
     let late = [2, 3, 4].map(|number| SuspectReport {
         fingerprint: HARMLESS,
         event: SuspectEvent::Ended(EndpointId(number)),
@@ -71,8 +71,8 @@
         other.receive(&registry.reports(true, 3_100), 9_100).len(),
         1
     );
-    let change = registry.note_completed(HARMFUL, 3_500).unwrap();
-    assert!(!change.is_quarantined);
+    let changes = registry.note_completed(&[HARMFUL], 3_500);
+    assert!(changes.iter().all(|change| !change.is_quarantined) && changes.len() == 1);
     let changes = other.receive(&registry.reports(false, 3_600), 9_600);
     assert!(changes.iter().all(|change| !change.is_quarantined) && changes.len() == 1);
     // The report of the verdict arrives after its release.
@@ -167,7 +167,7 @@
     let fingerprint = |number: u32| {
         let mut bytes = [0; 16];
         bytes[..4].copy_from_slice(&number.to_le_bytes());
-        RequestFingerprint::new(bytes)
+        SuspectKey::new(bytes)
     };
     let mut now_ms = 1;
     for number in 0..5_000 {
@@ -204,3 +204,35 @@
     registry.expire(now_ms + 86_400_000);
     assert!(registry.is_empty() && !registry.has_quarantined());
 }
+
+#[test]
+fn a_quarantined_part_needs_no_fingerprints_of_requests() {
+    let (part, request) = (SuspectKey::of_part("model", 1), SuspectKey::new([7; 16]));
+    let mut registry = SuspectRegistry::default();
+    for endpoint in 1..=3 {
+        registry.note_ended(&[part], EndpointId(endpoint), 1_000 * endpoint);
+    }
+    let counts = |registry: &SuspectRegistry| {
+        let kinds = [SuspectKind::Part, SuspectKind::Request];
+        kinds.map(|kind| registry.quarantined_of(kind, 10_000))
+    };
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 0], false)
+    );
+    for endpoint in 4..=6 {
+        registry.note_ended(&[request], EndpointId(endpoint), 1_000 * endpoint);
+    }
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 1], true)
+    );
+    registry.expire(10_000);
+    assert!(registry.has_quarantined_requests());
+    registry.note_completed(&[request], 10_001);
+    assert_eq!(
+        (counts(&registry), registry.has_quarantined_requests()),
+        ([1, 0], false)
+    );
+    assert_eq!(registry.ended_lifetimes(part), [1, 2, 3].map(EndpointId));
+}
--- a/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict_tests.rs
@@ -6,7 +6,7 @@
 //! requests of one kind share.
 
 use super::SuspectRegistry;
-use crate::gateway::{EndpointId, RequestFingerprint, best_homes, placement_key};
+use crate::gateway::{EndpointId, SuspectKey, best_homes, placement_key};
 use std::collections::{BTreeMap, BTreeSet};
 use yare::parameterized;
 
@@ -72,10 +72,10 @@
     result: FleetResult,
 }
 
-fn fingerprint(number: u32) -> RequestFingerprint {
+fn fingerprint(number: u32) -> SuspectKey {
     let mut bytes = [0; 16];
     bytes[..4].copy_from_slice(&number.to_le_bytes());
-    RequestFingerprint::new(bytes)
+    SuspectKey::new(bytes)
 }
 
 impl FleetSimulation {
@@ -159,7 +159,7 @@
         for run in &lost {
             self.interrupted.insert(run.number);
             self.registry
-                .note_ended(fingerprint(run.number), lifetime, self.now_ms);
+                .note_ended(&[fingerprint(run.number)], lifetime, self.now_ms);
         }
         for run in lost {
             if run.number != HARMFUL {
@@ -177,7 +177,7 @@
         self.runs = kept;
         for run in finished.iter().filter(|run| run.number != HARMFUL) {
             self.registry
-                .note_completed(fingerprint(run.number), now_ms);
+                .note_completed(&[fingerprint(run.number)], now_ms);
         }
         for run in finished.into_iter().filter(|run| run.number == HARMFUL) {
             // Its endpoint has not ended for another reason in the meantime.
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -8,6 +8,7 @@
 mod quarantine_check;
 mod reserved_retry;
 mod send_attempts;
+mod send_withdrawal;
 mod silent_send;
 mod take_up;
 
@@ -20,6 +21,7 @@
 use admitted_call::admit;
 pub(super) use admitted_call::{AdmittedCall, CallAttempts};
 use call_progress::CallStage;
+use dockgate_core::gateway::SuspectKey;
 use http::{Request, Response};
 use hyper::body::Incoming;
 pub(super) use silent_send::{Replacement, SilenceEnd};
@@ -40,6 +42,8 @@
     pub(super) declined: Vec<DeclinedEngine>,
     /// The usage of the workspace as a multiple of its share, for prompts.
     pub(super) share: Option<f64>,
+    /// The key that is in quarantine, of the request or of a part of its prompt.
+    pub(super) quarantined: Option<SuspectKey>,
 }
 
 impl CallRefusal {
@@ -50,6 +54,7 @@
             retry_after: Some(after),
             declined: Vec::new(),
             share: None,
+            quarantined: None,
         }
     }
 
@@ -66,6 +71,7 @@
             retry_after: None,
             declined: Vec::new(),
             share: None,
+            quarantined: None,
         }
     }
 }
@@ -101,6 +107,8 @@
                 status: reason.status().as_u16(),
                 reason: reason.as_str(),
                 ran: reason.outcome().as_str(),
+                print: print_of(&rejected.refusal),
+                part: rejected.part.as_deref(),
                 waited_ms: 0,
                 retry_after_ms: to_millis(rejected.refusal.retry_after),
                 asked: &[],
@@ -124,6 +132,10 @@
     }
 }
 
+fn print_of(refusal: &CallRefusal) -> Option<String> {
+    refusal.quarantined.as_ref().map(SuspectKey::to_string)
+}
+
 fn to_millis(time: Option<Duration>) -> Option<u64> {
     time.map(|time| time.as_millis() as u64)
 }
@@ -132,6 +144,7 @@
     let reason = refusal.reason;
     call.progress.end();
     GATEWAY_METRICS.record_outcome(&call.service().name, reason.as_str());
+    let part = refusal.quarantined.and_then(|key| call.part_name(key));
     log_gateway(&GatewayEvent::Refused {
         request: &call.head.id,
         route: &call.route().name,
@@ -140,6 +153,8 @@
         status: reason.status().as_u16(),
         reason: reason.as_str(),
         ran: reason.outcome().as_str(),
+        print: print_of(refusal),
+        part: part.as_deref(),
         waited_ms: call.age().as_millis() as u64,
         retry_after_ms: to_millis(refusal.retry_after),
         asked: &refusal.declined,
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -6,28 +6,29 @@
 use super::super::gateway_state::GatewayState;
 use super::super::memory_guard::MemoryGuard;
 use super::super::placement_goal::EndpointSearch;
+use super::super::quarantine::find_quarantined_parts;
 use super::super::refusal::RefusalReason;
 use super::super::suspension::wait_until_fresh;
 use super::super::wait_window::WaitWindow;
 use super::CallRefusal;
 use super::call_progress::CallProgress;
-use super::quarantine_check::{check_quarantine, fingerprint_of};
+use super::quarantine_check::{check_quarantine, fingerprint_of, part_keys, part_name};
 use super::reserved_retry::ReservedRetry;
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use crate::shared_stream::DisconnectMonitor;
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, AnswerForm, EndpointId, GatewayLimits, LatencyLimits, PromptShape,
-    RequestFingerprint, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec, ShareOutcome,
-    WorkspaceRef, name_hash,
+    AdmissionRequest, AnswerForm, EndpointId, GatewayLimits, InterruptedRequest, LatencyLimits,
+    PromptPart, PromptShape, Quarantine, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec,
+    ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Retry delay from a box that has no configuration or no endpoints, or is short of processor: by
@@ -55,6 +56,8 @@
     pub(super) workspace: String,
     /// The refusal sent to the caller.
     pub(super) refusal: CallRefusal,
+    /// The part of its prompt that is in quarantine, as callers name it.
+    pub(super) part: Option<String>,
     /// The version of the configuration in force.
     pub(super) config: u64,
     /// The age of that configuration on this box.
@@ -90,7 +93,7 @@
 struct RequestBody {
     bytes: Bytes,
     /// The fingerprint of the request, once the body is released.
-    released: Option<RequestFingerprint>,
+    released: Option<SuspectKey>,
     /// Counts the request and its body in the memory budget.
     memory: MemoryGuard,
 }
@@ -111,6 +114,10 @@
     /// How far the request has progressed.
     pub(in super::super) progress: CallProgress,
     body: Mutex<RequestBody>,
+    /// The keys of the shared parts of its prompt, once they were needed.
+    part_keys: OnceLock<Vec<SuspectKey>>,
+    /// The key in quarantine for which it is sent once, as a trial.
+    trial: Option<SuspectKey>,
     table: Arc<RouteTable>,
     route: RouteKey,
     service: ServiceKey,
@@ -140,6 +147,12 @@
         self.head.prompt.as_ref().map(|prompt| prompt.input)
     }
 
+    /// Returns the parts of the prompt that other requests may share; none without a prompt.
+    pub(in super::super) fn shared_parts(&self) -> &[PromptPart] {
+        let prompt = self.head.prompt.as_ref();
+        prompt.map_or(&[], PromptShape::shared_parts)
+    }
+
     /// Returns the version of the configuration that routed the request.
     pub(in super::super) fn config_version(&self) -> u64 {
         self.table.config().version
@@ -157,13 +170,50 @@
     /// Returns the fingerprint, which does not depend on the request id.
     ///
     /// It is computed on demand, since most requests never need it.
-    pub(in super::super) fn fingerprint(&self) -> RequestFingerprint {
+    pub(in super::super) fn fingerprint(&self) -> SuspectKey {
         let body = self.locked_body();
         body.released
             .unwrap_or_else(|| self.fingerprint_with(&body.bytes))
     }
 
-    fn fingerprint_with(&self, body: &[u8]) -> RequestFingerprint {
+    /// Returns the keys of the shared parts of the prompt.
+    pub(super) fn part_keys(&self) -> &[SuspectKey] {
+        let keys = || part_keys(&self.service().name, self.head.prompt.as_ref());
+        self.part_keys.get_or_init(keys)
+    }
+
+    /// Returns the shared part of the prompt with a key, as callers name it.
+    pub(super) fn part_name(&self, key: SuspectKey) -> Option<String> {
+        part_name(&self.service().name, self.head.prompt.as_ref(), key)
+    }
+
+    /// Returns the request with the shared parts of its prompt, as evidence.
+    pub(in super::super) fn interrupted(&self) -> InterruptedRequest {
+        InterruptedRequest {
+            request: self.fingerprint(),
+            parts: self.part_keys().to_vec(),
+        }
+    }
+
+    /// Returns the keys under which the request may be in quarantine.
+    pub(super) fn suspect_keys(&self) -> Vec<SuspectKey> {
+        let mut keys = self.part_keys().to_vec();
+        keys.push(self.fingerprint());
+        keys
+    }
+
+    /// Returns the quarantines of the shared parts of its prompt, except of one for which it is sent
+    /// as a trial.
+    pub(super) fn quarantined_parts(&self) -> Vec<(SuspectKey, Quarantine)> {
+        if self.shared_parts().is_empty() {
+            return Vec::new();
+        }
+        let mut quarantines = find_quarantined_parts(&self.state, || self.part_keys().to_vec());
+        quarantines.retain(|(key, _)| Some(*key) != self.trial);
+        quarantines
+    }
+
+    fn fingerprint_with(&self, body: &[u8]) -> SuspectKey {
         let (workspace, host) = (self.workspace_name(), &self.head.host);
         fingerprint_of(workspace, &self.method, host, &self.uri, body)
     }
@@ -291,6 +341,7 @@
         route: String::new(),
         workspace: String::new(),
         refusal,
+        part: None,
         config,
         config_age_ms,
         endpoints_age_ms,
@@ -327,10 +378,17 @@
         ..rejected(&head.id, refusal)
     };
     let uri = path_and_query(&parts.uri);
+    let service_name = &table.service(service).name;
+    let parts_of_prompt = || part_keys(service_name, head.prompt.as_ref());
     let fingerprint = || fingerprint_of(name, &parts.method, &head.host, &uri, &body);
-    check_quarantine(&state, fingerprint)
+    let trial = check_quarantine(&state, parts_of_prompt, fingerprint)
         .await
-        .map_err(rejected_on_route)?;
+        .map_err(|refusal| RejectedRequest {
+            part: refusal
+                .quarantined
+                .and_then(|key| part_name(service_name, head.prompt.as_ref(), key)),
+            ..rejected_on_route(refusal)
+        })?;
     let timeout = route_spec.timeout;
     let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
     let predicted_ms = || predict_ms(&state, route_spec, service_spec, &head);
@@ -364,6 +422,8 @@
             released: None,
             memory,
         }),
+        part_keys: OnceLock::new(),
+        trial,
         head,
         caller,
         progress: CallProgress::default(),
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -6,13 +6,16 @@
 use super::super::event_stream::{EventStream, StreamSource};
 use super::super::events::{GatewayEvent, is_sampled, log_gateway};
 use super::super::gateway_metrics::GATEWAY_METRICS;
+use super::super::interrupted_parts::part_names;
 use super::super::notices::{receive_notice, report_leaving, send_condition};
 use super::super::quarantine;
 use super::super::refusal::RefusalReason;
 use super::super::upstream::{EndpointTarget, PooledConnection, SendFailure, send};
 use super::attempt_failure::{AttemptFailure, EndpointSuspicion};
 use super::call_placement::CallPlacement;
+use super::quarantine_check::refuse_quarantined;
 use super::reserved_retry::ReservedRetry;
+use super::send_withdrawal::SendWithdrawal;
 use super::silent_send::{Replacement, SilenceEnd};
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
@@ -94,11 +97,12 @@
             // Nothing was sent, so the retry budget is not charged.
             let unreached = attempts.endpoints.len() - attempts.sent as usize;
             let may_retry = unreached < MAX_UNREACHED && !self.time_left().is_zero();
+            let may_retry = may_retry && self.quarantined_parts().is_empty();
             return state.retry_verdict(repeatable, may_retry);
         }
         let allowed = self.has_attempts_left(attempts)
             && !self.time_left().is_zero()
-            && quarantine::find_quarantine(&self.state, || self.fingerprint()).is_none();
+            && !self.is_quarantined();
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
         if wanted && attempts.retry.is_none() {
@@ -107,6 +111,14 @@
         state.retry_verdict(repeatable, wanted && attempts.retry.is_some())
     }
 
+    /// Returns whether the request or a shared part of its prompt is in quarantine, also if it is
+    /// sent as a trial.
+    pub(super) fn is_quarantined(&self) -> bool {
+        let parts = || self.part_keys().to_vec();
+        let quarantines = quarantine::find_quarantines(&self.state, parts, || self.fingerprint());
+        !quarantines.is_empty()
+    }
+
     fn has_attempts_left(&self, attempts: &CallAttempts) -> bool {
         attempts.sent < self.route().attempts
     }
@@ -134,6 +146,10 @@
             _ => RefusalReason::Lost,
         };
         let not_run = outcome == Outcome::NotRun;
+        let quarantines = self.quarantined_parts();
+        if not_run && !quarantines.is_empty() {
+            return refuse_quarantined(&quarantines);
+        }
         let retry_after = not_run.then(|| self.retry_time(self.availability()));
         CallRefusal {
             retry_after,
@@ -196,10 +212,14 @@
         result.inspect_err(|failure| {
             self.report_suspicion(&target, failure);
             let ran = failure.state.outcome(self.route().may_repeat());
+            let was_interrupted = failure.suspicion == EndpointSuspicion::MayHaveEnded;
             log_gateway(&GatewayEvent::SendFailed {
                 request: &self.head.id,
-                print: (failure.suspicion == EndpointSuspicion::MayHaveEnded)
-                    .then(|| self.fingerprint().to_string()),
+                print: was_interrupted.then(|| self.fingerprint().to_string()),
+                parts: match was_interrupted {
+                    true => part_names(self.shared_parts()),
+                    false => Vec::new(),
+                },
                 endpoint: &target.name,
                 attempt,
                 ran: ran.as_str(),
@@ -214,7 +234,7 @@
     fn report_suspicion(&self, target: &EndpointTarget, failure: &AttemptFailure) {
         match failure.suspicion {
             EndpointSuspicion::MayHaveEnded => {
-                record_interruption(&self.state, target, self.fingerprint());
+                record_interruption(self, target);
             }
             EndpointSuspicion::Gone => record_stopped(&self.state, target),
             EndpointSuspicion::None => {}
@@ -255,6 +275,13 @@
         attempts: &mut CallAttempts,
         last_event: Option<u64>,
     ) -> Result<JudgedAnswer, AttemptFailure> {
+        let mut withdrawal = SendWithdrawal::new(self);
+        if withdrawal.is_due() {
+            return Err(AttemptFailure::without_outcome(
+                AttemptState::Bound,
+                "a part of its prompt is quarantined",
+            ));
+        }
         let request = self.request_for(&placement.target, last_event);
         self.progress.record_send();
         let condition = send_condition(&self.state, &placement.target, &self.caller);
@@ -263,15 +290,19 @@
         let answer_deadline =
             ClockInstant::now() + self.answer_timeout(placement.expected_ms, attempts);
         let mut sent = std::pin::pin!(sent);
-        let answered = timeout_at(answer_deadline, &mut sent).await;
-        let sent = match answered {
-            Ok(sent) => sent,
-            Err(_) => {
+        let answered = async {
+            match timeout_at(answer_deadline, &mut sent).await {
+                Ok(sent) => Ok(sent),
                 // Boxed, as each request would hold room for this rare future.
-                let wait = Box::pin(self.outlast_send(sent, placement, attempts));
-                wait.await.inspect_err(|_| attempts.record_sent())?
+                Err(_) => Box::pin(self.outlast_send(sent, placement, attempts)).await,
             }
         };
+        let sent = tokio::select! {
+            biased;
+            answered = answered => answered,
+            () = withdrawal.wait() => Err(AttemptFailure::withdrawn()),
+        };
+        let sent = sent.inspect_err(|_| attempts.record_sent())?;
         let (response, connection) = sent.map_err(|failure| match failure {
             SendFailure::Refused(problem) => AttemptFailure::gone(AttemptState::Bound, problem),
             SendFailure::Unreachable(problem) => {
@@ -461,7 +492,7 @@
         GATEWAY_METRICS.record_outcome(&self.service().name, "answered");
         GATEWAY_METRICS.record_first_event(&self.service().name, first);
         if status.is_success() {
-            quarantine::record_completed(&self.state, || self.fingerprint());
+            self.record_completed();
         }
         let late = first > self.route().objective;
         if self.is_sampled() || late || attempts.sent > 1 {
@@ -478,6 +509,18 @@
         }
     }
 
+    /// Records that the request completed. While nothing is suspect, the parts of sampled prompts
+    /// are recorded alone, which shows the frequent ones to be sound at little cost.
+    fn record_completed(&self) {
+        match quarantine::has_suspects(&self.state) {
+            true => quarantine::record_completed(&self.state, &self.suspect_keys()),
+            false if self.is_sampled() => {
+                quarantine::record_completed(&self.state, self.part_keys());
+            }
+            false => {}
+        }
+    }
+
     async fn send_stream(
         self: Arc<Self>,
         placement: CallPlacement,
@@ -508,7 +551,20 @@
         };
         let sent = std::mem::take(attempts);
         let mut stream = EventStream::new(self.clone(), sent, source, parts.status);
-        match stream.read_first(answer_deadline, goal).await {
+        let mut withdrawal = SendWithdrawal::new(&self);
+        let first = match withdrawal.is_due() {
+            true => None,
+            false => tokio::select! {
+                biased;
+                first = stream.read_first(answer_deadline, goal) => Some(first),
+                () = withdrawal.wait() => None,
+            },
+        };
+        let Some(first) = first else {
+            *attempts = stream.into_attempts();
+            return Err(AttemptFailure::withdrawn());
+        };
+        match first {
             Ok(()) => Ok(forward_answer(
                 parts.status,
                 &parts.headers,
--- a/dockgate/src/gateway/call/silent_send.rs
+++ b/dockgate/src/gateway/call/silent_send.rs
@@ -5,7 +5,6 @@
 
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::placement_goal::{EndpointSearch, PlacementGoal};
-use super::super::quarantine;
 use super::call_placement::CallPlacement;
 use super::reserved_retry::ReservedRetry;
 use super::{AdmittedCall, CallAttempts};
@@ -96,7 +95,7 @@
             return None;
         }
         let retry = ReservedRetry::take(&self.state, &self.service().name)?;
-        if quarantine::find_quarantine(&self.state, || self.fingerprint()).is_some() {
+        if self.is_quarantined() {
             return None;
         }
         let search = EndpointSearch {
--- a/dockgate/src/gateway/end_check.rs
+++ b/dockgate/src/gateway/end_check.rs
@@ -3,13 +3,14 @@
 //! An answer may also break off while the endpoint keeps running. If the endpoint ended,
 //! connections to its address are refused. One check covers all answers that broke off together.
 
+use super::call::AdmittedCall;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
 use super::quarantine;
 use super::sockets::connect;
 use super::upstream::EndpointTarget;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{EndpointId, InterruptionStatus, RequestFingerprint};
+use dockgate_core::gateway::{EndpointId, InterruptedRequest, InterruptionStatus};
 use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,20 +26,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Records that an endpoint broke off an answer, and starts a check unless one is running.
-pub(super) fn record_interruption(
-    state: &Arc<GatewayState>,
-    target: &EndpointTarget,
-    fingerprint: RequestFingerprint,
-) {
+pub(super) fn record_interruption(call: &AdmittedCall, target: &EndpointTarget) {
+    let (state, interrupted) = (&call.state, call.interrupted());
     let now = now_ms();
     let status = state.with(|view| {
+        view.interrupted_parts
+            .note(target.id, call.shared_parts(), now);
         let interruptions = &mut view.interruptions;
-        interruptions.note_interruption(fingerprint, target.id, &target.name, now)
+        interruptions.note_interruption(interrupted.clone(), target.id, &target.name, now)
     });
     match status {
         InterruptionStatus::Unchecked => drop(tokio::spawn(check(state.clone(), target.clone()))),
         InterruptionStatus::CheckRunning => {}
-        InterruptionStatus::Ended => record_ends(state, target.id, &target.name, &[fingerprint]),
+        InterruptionStatus::Ended => {
+            record_ends(state, target.id, &target.name, &[interrupted]);
+        }
     }
 }
 
@@ -54,20 +56,20 @@
     state: &GatewayState,
     endpoint: EndpointId,
     name: &str,
-    interrupted: &[RequestFingerprint],
+    interrupted: &[InterruptedRequest],
 ) {
     if interrupted.is_empty() {
         return;
     }
-    let fingerprints: Vec<String> = interrupted
-        .iter()
-        .map(RequestFingerprint::to_string)
-        .collect();
+    let parts = state.with(|view| view.interrupted_parts.most_frequent(endpoint));
+    let requests = interrupted.iter().map(|known| known.request.to_string());
+    let fingerprints: Vec<String> = requests.collect();
     log_gateway(&GatewayEvent::EndpointEnded {
         endpoint: name,
         under: &fingerprints,
+        parts: &parts,
     });
-    quarantine::record_ends(state, endpoint, interrupted);
+    quarantine::record_ends(state, endpoint, &InterruptedRequest::keys(interrupted));
 }
 
 async fn check(state: Arc<GatewayState>, target: EndpointTarget) {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -212,23 +212,36 @@
         endpoint: &'a str,
         /// Fingerprints of the requests that it interrupted at this box.
         under: &'a [String],
+        /// Shared parts of the interrupted prompts, those of most prompts first; limited.
+        parts: &'a [String],
     },
-    /// A request was quarantined because these endpoint lifetimes ended while they ran it.
-    /// `source` names the origin of the information.
+    /// A request, or a part of prompts, was quarantined because these endpoint lifetimes ended while
+    /// they ran it. `source` names the origin of the information.
     RequestQuarantined {
         print: &'a str,
+        kind: &'a str,
         endpoints: &'a [String],
         source: &'a str,
     },
     /// A quarantined request is sent once as a trial.
-    RequestTried { print: &'a str, trials: u8 },
+    RequestTried {
+        print: &'a str,
+        kind: &'a str,
+        trials: u8,
+    },
     /// A request left quarantine after it completed or an operator released it.
-    RequestReleased { print: &'a str, source: &'a str },
+    RequestReleased {
+        print: &'a str,
+        kind: &'a str,
+        source: &'a str,
+    },
     /// An attempt at an endpoint gave no response that can be forwarded.
     SendFailed {
         request: &'a str,
         /// Fingerprint of the request, if the response was interrupted.
         print: Option<String>,
+        /// Shared parts of its prompt, if the response was interrupted; limited.
+        parts: Vec<String>,
         endpoint: &'a str,
         attempt: u32,
         ran: &'a str,
@@ -269,6 +282,11 @@
         status: u16,
         reason: &'a str,
         ran: &'a str,
+        /// What is in quarantine, if that is the reason: the fingerprint of the request, or the key
+        /// of a part of its prompt.
+        print: Option<String>,
+        /// That part, as callers name it.
+        part: Option<&'a str>,
         waited_ms: u64,
         retry_after_ms: Option<u64>,
         /// For prompts: the engines that declined, with their predictions.
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -17,20 +17,20 @@
     send_failed = {
         GatewayEvent::SendFailed {
             request: "r",
-            print: None, endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
+            print: None, parts: Vec::new(), endpoint: "e", attempt: 1, ran: "unknown", problem: "p",
             expected_ms: None, took_ms: 5,
         },
-        "attempt endpoint event expected_ms print problem ran request took_ms"
+        "attempt endpoint event expected_ms parts print problem ran request took_ms"
     },
     refused = {
         GatewayEvent::Refused {
             request: "r", route: "x", workspace: "w", tokens: None, status: 503,
             reason: "would_be_late",
-            ran: "not_run", waited_ms: 4, retry_after_ms: Some(300), asked: &[], share: Some(0.4),
+            ran: "not_run", print: None, part: None, waited_ms: 4, retry_after_ms: Some(300), asked: &[], share: Some(0.4),
             config: 3, config_age_ms: 10, endpoints_age_ms: 20,
         },
-        "asked config config_age_ms endpoints_age_ms event ran reason request retry_after_ms route \
-         share status tokens waited_ms workspace"
+        "asked config config_age_ms endpoints_age_ms event part print ran reason request \
+         retry_after_ms route share status tokens waited_ms workspace"
     },
     answered = {
         GatewayEvent::Answered {
@@ -44,8 +44,8 @@
         "endpoint event events print reason request took_ms"
     },
     endpoint_ended = {
-        GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()] },
-        "endpoint event under"
+        GatewayEvent::EndpointEnded { endpoint: "e", under: &["p".to_owned()], parts: &["a".to_owned()] },
+        "endpoint event parts under"
     },
     memory_short = {
         GatewayEvent::MemoryShort { used_kb: 62_000, resident_kb: Some(60_000) },
@@ -57,16 +57,16 @@
         "again_ms event problem task"
     },
     request_quarantined = {
-        GatewayEvent::RequestQuarantined { print: "p", endpoints: &["e".to_owned()], source: "own" },
-        "endpoints event print source"
+        GatewayEvent::RequestQuarantined { print: "p", kind: "part", endpoints: &["e".to_owned()], source: "own" },
+        "endpoints event kind print source"
     },
     request_tried = {
-        GatewayEvent::RequestTried { print: "p", trials: 1 },
-        "event print trials"
+        GatewayEvent::RequestTried { print: "p", kind: "part", trials: 1 },
+        "event kind print trials"
     },
     request_released = {
-        GatewayEvent::RequestReleased { print: "p", source: "completed" },
-        "event print source"
+        GatewayEvent::RequestReleased { print: "p", kind: "part", source: "completed" },
+        "event kind print source"
     },
     caller_left = {
         GatewayEvent::CallerLeft {
@@ -281,23 +281,28 @@
         GatewayEvent::EndpointEnded {
             endpoint: "e",
             under: &[],
+            parts: &[],
         },
         GatewayEvent::RequestQuarantined {
             print: "p",
+            kind: "part",
             endpoints: &[],
             source: "own",
         },
         GatewayEvent::RequestTried {
             print: "p",
+            kind: "part",
             trials: 1,
         },
         GatewayEvent::RequestReleased {
             print: "p",
+            kind: "part",
             source: "completed",
         },
         GatewayEvent::SendFailed {
             request: "r",
             print: Some("p".to_owned()),
+            parts: vec!["5c1e".to_owned()],
             endpoint: "e",
             attempt: 1,
             ran: "unknown",
@@ -328,6 +333,8 @@
             status: 503,
             reason: "would_be_late",
             ran: "not_run",
+            print: Some("p".to_owned()),
+            part: Some("5c1e"),
             waited_ms: 4,
             retry_after_ms: None,
             asked: &[],
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -5,6 +5,7 @@
 
 use super::encoded_updates::EncodedUpdates;
 use super::events::{GatewayEvent, log_gateway};
+use super::interrupted_parts::InterruptedParts;
 use super::membership::DigestCache;
 use super::memory_guard::resident_bytes;
 use super::settings::GatewaySettings;
@@ -84,6 +85,8 @@
     pub(super) runs: HashMap<u32, PlacedRun>,
     /// The endpoints that broke off answers recently.
     pub(super) interruptions: InterruptionTracker,
+    /// The shared parts of the prompts that endpoints broke off.
+    pub(super) interrupted_parts: InterruptedParts,
     /// The requests that are suspected of crashing endpoints.
     pub(super) suspects: SuspectRegistry,
     /// The prompt parts that engines recently read for this box.
@@ -149,6 +152,8 @@
     config_changed_ms: AtomicU64,
     /// When the last change of an endpoint was received.
     endpoints_changed_ms: AtomicU64,
+    /// Changes when a part of prompts goes into quarantine, so that sends with it are withdrawn.
+    pub(super) quarantined_parts: watch::Sender<u64>,
     /// Whether a task is writing the quarantine to the store.
     pub(super) is_writing_quarantine: AtomicBool,
     /// Whether a task is exchanging the versions of services with the store.
@@ -191,6 +196,7 @@
             encoded_updates: EncodedUpdates::default(),
             runs: HashMap::new(),
             interruptions: InterruptionTracker::default(),
+            interrupted_parts: InterruptedParts::default(),
             suspects: SuspectRegistry::default(),
             prefix_history: PrefixHistory::default(),
             lag: LoopLag::default(),
@@ -226,6 +232,7 @@
             run_counter: AtomicU32::new(rand::random()),
             config_changed_ms: AtomicU64::new(now_ms()),
             endpoints_changed_ms: AtomicU64::new(now_ms()),
+            quarantined_parts: watch::Sender::new(0),
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
             stop: OnceLock::new(),
@@ -455,11 +462,13 @@
                 runs,
                 retries,
                 interruptions,
+                interrupted_parts,
                 suspects,
                 streams,
                 ..
             } = view;
             interruptions.expire(now);
+            interrupted_parts.expire(now);
             suspects.expire(now);
             streams.expire(now);
             let expired = endpoints.expire(now);
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -11,7 +11,7 @@
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    EndpointId, Quarantine, QuarantineChange, RequestFingerprint, SuspectReport,
+    EndpointId, Quarantine, QuarantineChange, SuspectKey, SuspectKind, SuspectReport,
 };
 use dockgate_proto::GatewayMessage;
 use std::net::SocketAddr;
@@ -21,63 +21,71 @@
 const FULL_REPORT_PROBABILITY: f64 = 0.25;
 
 /// Records the requests that were interrupted by the end of an endpoint, and reports them at once.
-pub(super) fn record_ends(
-    state: &GatewayState,
-    endpoint: EndpointId,
-    interrupted: &[RequestFingerprint],
-) {
+pub(super) fn record_ends(state: &GatewayState, endpoint: EndpointId, interrupted: &[SuspectKey]) {
     let now = now_ms();
-    let changes = state.with(|view| {
-        let fingerprints = interrupted.iter();
-        let changes = fingerprints
-            .filter_map(|fingerprint| view.suspects.note_ended(*fingerprint, endpoint, now));
-        changes.collect::<Vec<QuarantineChange>>()
-    });
+    let changes = state.with(|view| view.suspects.note_ended(interrupted, endpoint, now));
     log_changes(state, &changes, "own");
     broadcast_reports(state);
 }
 
-/// Records that a request completed, which clears it of suspicion; `fingerprint` is called only if
-/// there are suspects.
-pub(super) fn record_completed(
+/// Returns whether anything is suspected of crashing endpoints.
+pub(super) fn has_suspects(state: &GatewayState) -> bool {
+    !state.with(|view| view.suspects.is_empty())
+}
+
+/// Records that a request with these keys, its own and those of the shared parts of its prompt,
+/// completed, which clears them of suspicion.
+pub(super) fn record_completed(state: &GatewayState, keys: &[SuspectKey]) {
+    let now = now_ms();
+    let changes = state.with(|view| view.suspects.note_completed(keys, now));
+    log_changes(state, &changes, "completed");
+}
+
+/// Returns the quarantines of the shared parts of a prompt, and of the request. The functions that
+/// compute the keys are called only if anything, or any request, is in quarantine.
+pub(super) fn find_quarantines(
     state: &GatewayState,
-    fingerprint: impl FnOnce() -> RequestFingerprint,
-) {
-    if state.with(|view| view.suspects.is_empty()) {
-        return;
+    parts: impl FnOnce() -> Vec<SuspectKey>,
+    request: impl FnOnce() -> SuspectKey,
+) -> Vec<(SuspectKey, Quarantine)> {
+    let has_requests = state.with(|view| view.suspects.has_quarantined_requests());
+    let mut quarantines = find_quarantined_parts(state, parts);
+    if has_requests {
+        quarantines.extend(active_quarantines(state, &[request()]));
     }
-    let fingerprint = fingerprint();
-    let now = now_ms();
-    let change = state.with(|view| view.suspects.note_completed(fingerprint, now));
-    log_changes(state, change.as_slice(), "completed");
+    quarantines
 }
 
-/// Returns the quarantine of a request, or `None` if it is not in quarantine; `fingerprint` is
-/// called only if any request is.
-pub(super) fn find_quarantine(
+/// Returns the quarantines of the shared parts of a prompt; `parts` is called only if anything is in
+/// quarantine.
+pub(super) fn find_quarantined_parts(
     state: &GatewayState,
-    fingerprint: impl FnOnce() -> RequestFingerprint,
-) -> Option<(RequestFingerprint, Quarantine)> {
-    if !state.with(|view| view.suspects.has_quarantined()) {
-        return None;
+    parts: impl FnOnce() -> Vec<SuspectKey>,
+) -> Vec<(SuspectKey, Quarantine)> {
+    match state.with(|view| view.suspects.has_quarantined()) {
+        true => active_quarantines(state, &parts()),
+        false => Vec::new(),
     }
-    let fingerprint = fingerprint();
+}
+
+fn active_quarantines(state: &GatewayState, keys: &[SuspectKey]) -> Vec<(SuspectKey, Quarantine)> {
     let now = now_ms();
-    let quarantine = state.with(|view| view.suspects.quarantine(fingerprint, now).copied());
-    quarantine.map(|quarantine| (fingerprint, quarantine))
+    state.with(|view| {
+        let quarantines = keys.iter().filter_map(|key| {
+            let quarantine = view.suspects.quarantine(*key, now).copied();
+            quarantine.map(|quarantine| (*key, quarantine))
+        });
+        quarantines.collect()
+    })
 }
 
 /// Merges quarantines that are known elsewhere.
-pub(super) fn merge(
-    state: &GatewayState,
-    known: Vec<(RequestFingerprint, Quarantine)>,
-    source: &str,
-) {
+pub(super) fn merge(state: &GatewayState, known: Vec<(SuspectKey, Quarantine)>, source: &str) {
     let now = now_ms();
     let changes = state.with(|view| {
         let known = known.into_iter();
         let changes =
-            known.filter_map(|(fingerprint, known)| view.suspects.merge(fingerprint, known, now));
+            known.flat_map(|(fingerprint, known)| view.suspects.merge(fingerprint, known, now));
         changes.collect::<Vec<QuarantineChange>>()
     });
     log_changes(state, &changes, source);
@@ -94,10 +102,10 @@
 }
 
 /// Releases a request on behalf of an operator, and reports it at once.
-pub(super) fn release(state: &GatewayState, fingerprint: RequestFingerprint) {
+pub(super) fn release(state: &GatewayState, fingerprint: SuspectKey) {
     let now = now_ms();
-    let change = state.with(|view| view.suspects.release(fingerprint, now));
-    log_changes(state, change.as_slice(), "operator");
+    let changes = state.with(|view| view.suspects.release(fingerprint, now));
+    log_changes(state, &changes, "operator");
     broadcast_reports(state);
 }
 
@@ -140,6 +148,17 @@
     }
 }
 
+/// Returns the names of endpoints, or their keys if they are not known any more.
+pub(super) fn endpoint_names(state: &GatewayState, endpoints: &[EndpointId]) -> Vec<String> {
+    state.with(|view| {
+        let name_of = |id: &EndpointId| {
+            let known = view.endpoints.get(*id);
+            known.map_or_else(|| format!("{:016x}", id.0), |known| known.record.id.clone())
+        };
+        endpoints.iter().map(name_of).collect()
+    })
+}
+
 /// Logs and counts changes.
 fn log_changes(state: &GatewayState, changes: &[QuarantineChange], source: &str) {
     for change in changes {
@@ -148,21 +167,19 @@
             GATEWAY_METRICS.record_quarantine_change("released");
             log_gateway(&GatewayEvent::RequestReleased {
                 print: &fingerprint,
+                kind: change.fingerprint.kind().as_str(),
                 source,
             });
             continue;
         }
         GATEWAY_METRICS.record_quarantine_change("quarantined");
-        let endpoints = state.with(|view| {
-            let lifetimes = change.ended_lifetimes.iter();
-            let name_of = |id: &EndpointId| {
-                let known = view.endpoints.get(*id);
-                known.map_or_else(|| format!("{:016x}", id.0), |known| known.record.id.clone())
-            };
-            lifetimes.map(name_of).collect::<Vec<String>>()
-        });
+        if change.fingerprint.kind() == SuspectKind::Part {
+            state.quarantined_parts.send_modify(|version| *version += 1);
+        }
+        let endpoints = endpoint_names(state, &change.ended_lifetimes);
         log_gateway(&GatewayEvent::RequestQuarantined {
             print: &fingerprint,
+            kind: change.fingerprint.kind().as_str(),
             endpoints: &endpoints,
             source,
         });
