fix: a retry stays charged when its caller leaves during the send

An endpoint's service could get more retries than the budget of the fleet allows: each caller that left while its retry was at work gave that retry back, and the next request was repeated as well.

Cause: a reserved retry counted as sent only once the send had a result. A caller that leaves, or the end of the process, drops the send without one, and the reservation was given back with it.

A reservation now counts as sent from the begin of the send, and is released again only if the send ends before anything was written.

Test: with a budget of one retry, a request is repeated at a silent endpoint and its caller leaves; the next request is lost.

--- a/dockgate-bench/tests/silent_endpoints.rs
+++ b/dockgate-bench/tests/silent_endpoints.rs
@@ -114,6 +114,33 @@
     assert_eq!(fleet.runs_of("lost"), 2, "sent to both endpoints");
 }
 
+/// Guards against a retry that is given back although it was sent, since its caller has left.
+#[tokio::test]
+async fn retry_of_a_caller_that_leaves_stays_charged() {
+    let fleet = start(&["plain", "plain", "plain", "plain"], ONE_RETRY).await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_behavior(EndpointBehavior::Silent);
+    }
+    tokio::select! {
+        answers = call_all(&fleet, [request("/again/x", "left", None)].into_iter()) => {
+            panic!("no endpoint answers: {answers:?}")
+        }
+        () = wait_until("it is repeated", async || fleet.runs_of("left") == 2) => {}
+    }
+    wait_until("both runs have ended", async || {
+        fleet
+            .endpoints
+            .iter()
+            .all(|endpoint| endpoint.running() == 0)
+    })
+    .await;
+    for endpoint in &fleet.endpoints {
+        endpoint.set_behavior(EndpointBehavior::Loses);
+    }
+    call(&fleet.gateways[0], request("/again/x", "lost", None)).await;
+    assert_eq!(fleet.runs_of("lost"), 1, "the budget allows one retry");
+}
+
 /// Guards against a retry budget that is charged for each search of an endpoint for a lost stream.
 #[tokio::test]
 async fn retry_of_a_stream_without_an_endpoint_is_given_back() {
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -77,12 +77,17 @@
 }
 
 impl CallAttempts {
+    /// Sets whether the send under way may have reached its endpoint.
+    pub(super) fn set_may_be_sent(&mut self, may_be_sent: bool) {
+        if let Some(retry) = &mut self.retry {
+            retry.set_may_be_sent(may_be_sent);
+        }
+    }
+
     /// Records that the request was sent to an endpoint.
     pub(super) fn record_sent(&mut self) {
         self.sent += 1;
-        if let Some(retry) = self.retry.take() {
-            retry.record_sent();
-        }
+        self.retry = None;
     }
 }
 
--- a/dockgate/src/gateway/call/reserved_retry.rs
+++ b/dockgate/src/gateway/call/reserved_retry.rs
@@ -5,12 +5,12 @@
 use crate::metrics::METRICS;
 use std::sync::Arc;
 
-/// A retry that is charged to the budget; given back on drop unless it was sent.
+/// A retry that is charged to the budget; given back on drop unless it may have been sent.
 pub(in super::super) struct ReservedRetry {
     state: Arc<GatewayState>,
     service: String,
     taken_ms: u64,
-    is_sent: bool,
+    may_be_sent: bool,
 }
 
 impl ReservedRetry {
@@ -22,23 +22,25 @@
             state: state.clone(),
             service: service.to_owned(),
             taken_ms,
-            is_sent: false,
+            may_be_sent: false,
         })
     }
 
-    /// Records that the request was sent.
-    pub(super) fn record_sent(mut self) {
-        METRICS.retries.inc();
-        self.is_sent = true;
+    /// Sets whether the request may have been sent. It may be from the begin of a send on, which ends
+    /// without a result if the caller leaves.
+    pub(super) const fn set_may_be_sent(&mut self, may_be_sent: bool) {
+        self.may_be_sent = may_be_sent;
     }
 }
 
 impl Drop for ReservedRetry {
     fn drop(&mut self) {
-        if !self.is_sent {
-            let taken_ms = self.taken_ms;
-            self.state
-                .with(|view| view.retries.give_back(&self.service, taken_ms));
+        if self.may_be_sent {
+            METRICS.retries.inc();
+            return;
         }
+        let taken_ms = self.taken_ms;
+        self.state
+            .with(|view| view.retries.give_back(&self.service, taken_ms));
     }
 }
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -257,6 +257,7 @@
     ) -> Result<JudgedAnswer, AttemptFailure> {
         let request = self.request_for(&placement.target, last_event);
         self.progress.record_send();
+        attempts.set_may_be_sent(true);
         let condition = send_condition(&self.state, &placement.target, &self.caller);
         let sent = send(&self.state.pools, &placement.target, request, &condition);
         // Computed before `sent` is incremented, so that the timeout is that of this attempt.
@@ -272,7 +273,7 @@
                 wait.await.inspect_err(|_| attempts.record_sent())?
             }
         };
-        let (response, connection) = sent.map_err(|failure| match failure {
+        let sent = sent.map_err(|failure| match failure {
             SendFailure::Refused(problem) => AttemptFailure::gone(AttemptState::Bound, problem),
             SendFailure::Unreachable(problem) => {
                 AttemptFailure::new(AttemptState::Bound, EndpointOutcome::Unreachable, problem)
@@ -289,12 +290,15 @@
                 AttemptState::Bound,
                 format!("withheld: {}", reason.as_str()),
             ),
-            SendFailure::Lost(problem) => {
-                attempts.record_sent();
-                AttemptFailure::broken_off(problem, false)
+            SendFailure::Lost(problem) => AttemptFailure::broken_off(problem, false),
+        });
+        match &sent {
+            Err(failure) if failure.state == AttemptState::Bound => {
+                attempts.set_may_be_sent(false);
             }
-        })?;
-        attempts.record_sent();
+            _ => attempts.record_sent(),
+        }
+        let (response, connection) = sent?;
         let head = decode_answer(response.status(), response.headers(), &self.head.id);
         let notice = head.notice.trusted(&head.attributes);
         receive_notice(&self.state, &placement.target, &self.head.id, notice);
