fix: discarding what a caller still sends lets other tasks run

A caller that kept sending without pause after its last answer held up all other requests of the box until 16 MiB were discarded, again for each such connection.

Cause: the daemon has one thread, and waiting for the readiness of a socket does not take part in the runtime's cooperative scheduling. A loop whose socket always has bytes never yields.

Each read now consumes the task's budget, so the loop yields after 128 reads of 4,096 bytes at most.

Test: a peer sends without pause while another task counts how often it runs.

--- a/dockgate/src/shared_stream.rs
+++ b/dockgate/src/shared_stream.rs
@@ -175,7 +175,11 @@
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         match monitor.0.try_read(&mut buffer) {
             Ok(0) => return,
-            Ok(length) => discarded += length,
+            Ok(length) => {
+                discarded += length;
+                // The readiness of a socket alone never yields to other tasks.
+                tokio::task::coop::consume_budget().await;
+            }
             Err(error) if is_retryable(&error) => {}
             Err(_) => return,
         }
--- a/dockgate/src/shared_stream/tests.rs
+++ b/dockgate/src/shared_stream/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use std::io::Write;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -98,3 +100,32 @@
     let ((), back) = tokio::join!(echo, call);
     assert!(back == bytes, "{} of {} bytes", back.len(), bytes.len());
 }
+
+/// Guards against a peer that sends without pause and keeps all other tasks from running.
+#[tokio::test]
+async fn other_tasks_run_while_bytes_are_discarded() {
+    const DISCARDED_BYTES: usize = 16 << 20;
+    let (caller, stream) = pair().await;
+    let monitor = stream.disconnect_monitor();
+    let mut caller = caller.into_std().unwrap();
+    caller.set_nonblocking(false).unwrap();
+    let flood = std::thread::spawn(move || {
+        let block = vec![0; 1 << 20];
+        while caller.write_all(&block).is_ok() {}
+    });
+    wait_for_delivery();
+    let runs = Arc::new(AtomicUsize::new(0));
+    let counter = runs.clone();
+    let other = tokio::spawn(async move {
+        loop {
+            counter.fetch_add(1, Ordering::Relaxed);
+            tokio::task::yield_now().await;
+        }
+    });
+    discard_until_closed(&monitor, DISCARDED_BYTES).await;
+    let runs = runs.load(Ordering::Relaxed);
+    other.abort();
+    drop((monitor, stream));
+    flood.join().unwrap();
+    assert!(runs >= 16, "other tasks ran {runs} times");
+}
