fix: the refusal of a head that cannot be parsed reaches a caller that still sends it

A caller whose head exceeds the limit saw its connection reset while it still sent; the 431 may be lost with it.

Cause: the HTTP library answers such a head itself, and then ends the connection with an error. Only connections that end without an error stayed open until their caller closes.

Connections that end with a parse error now linger as well.

Test: a head of 120 kB in parts of 20 kB, 50 ms apart.

--- a/dockgate-bench/tests/caller_connections.rs
+++ b/dockgate-bench/tests/caller_connections.rs
@@ -230,3 +230,23 @@
         .expect("an orderly close");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+/// Guards against a reset that discards the answer to a head that is too large.
+#[tokio::test]
+async fn refusals_survive_the_rest_of_a_head() {
+    const PART_PAUSE: Duration = Duration::from_millis(50);
+    let fleet = start_fleet(1, &["plain"]).await;
+    let address = fleet.gateways[0].caller_address();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let head = b"GET /again/x HTTP/1.1\r\nhost: h.example\r\nx-long: ";
+    stream.write_all(head).await.unwrap();
+    for _ in 0..6 {
+        let written = stream.write_all(&[b'x'; 20_000]).await;
+        written.expect("the connection is open while the head is sent");
+        tokio::time::sleep(PART_PAUSE).await;
+    }
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    read.expect("an orderly close");
+    assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
+}
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -190,7 +190,13 @@
         match ended {
             // Boxed, since few connections are closed by this box.
             Some(Ok(())) => Box::pin(linger(&caller, connection)).await,
-            Some(Err(error)) => log::debug!("connection of a caller failed: {error}"),
+            Some(Err(error)) => {
+                log::debug!("connection of a caller failed: {error}");
+                // The HTTP library has answered a request that it cannot parse.
+                if error.is_parse() {
+                    Box::pin(linger(&caller, connection)).await;
+                }
+            }
             None => {}
         }
     }
