--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -284,6 +284,7 @@
         }
         let request = self.request_for(&placement.target, last_event);
         self.progress.record_send();
+        attempts.set_may_be_sent(true);
         let condition = send_condition(&self.state, &placement.target, &self.caller);
         let sent = send(&self.state.pools, &placement.target, request, &condition);
         // Computed before `sent` is incremented, so that the timeout is that of this attempt.
@@ -291,19 +292,22 @@
             ClockInstant::now() + self.answer_timeout(placement.expected_ms, attempts);
         let mut sent = std::pin::pin!(sent);
         let answered = async {
-            match timeout_at(answer_deadline, &mut sent).await {
-                Ok(sent) => Ok(sent),
-                // Boxed, as each request would hold room for this rare future.
-                Err(_) => Box::pin(self.outlast_send(sent, placement, attempts)).await,
+            if let Ok(sent) = timeout_at(answer_deadline, &mut sent).await {
+                return Ok((sent, answer_deadline));
             }
+            // Boxed, as each request would hold room for this rare future.
+            let wait = Box::pin(self.outlast_send(sent, placement, attempts));
+            let sent = wait.await?;
+            // The endpoint has gone on, so its first event is waited for like a next search.
+            Ok((sent, ClockInstant::now() + self.search_interval()))
         };
-        let sent = tokio::select! {
+        let answered = tokio::select! {
             biased;
             answered = answered => answered,
             () = withdrawal.wait() => Err(AttemptFailure::withdrawn()),
         };
-        let sent = sent.inspect_err(|_| attempts.record_sent())?;
-        let (response, connection) = sent.map_err(|failure| match failure {
+        let (sent, answer_deadline) = answered.inspect_err(|_| attempts.record_sent())?;
+        let sent = sent.map_err(|failure| match failure {
             SendFailure::Refused(problem) => AttemptFailure::gone(AttemptState::Bound, problem),
             SendFailure::Unreachable(problem) => {
                 AttemptFailure::new(AttemptState::Bound, EndpointOutcome::Unreachable, problem)
@@ -320,12 +324,15 @@
                 AttemptState::Bound,
                 format!("withheld: {}", reason.as_str()),
             ),
-            SendFailure::Lost(problem) => {
-                attempts.record_sent();
-                AttemptFailure::broken_off(problem, false)
+            SendFailure::Lost(problem) => AttemptFailure::broken_off(problem, false),
+        });
+        match &sent {
+            Err(failure) if failure.state == AttemptState::Bound => {
+                attempts.set_may_be_sent(false);
             }
-        })?;
-        attempts.record_sent();
+            _ => attempts.record_sent(),
+        }
+        let (response, connection) = sent?;
         let head = decode_answer(response.status(), response.headers(), &self.head.id);
         let notice = head.notice.trusted(&head.attributes);
         receive_notice(&self.state, &placement.target, &self.head.id, notice);
