fix: a popular part is quarantined without waiting for a further end

A part that has completed is quarantined when it was at five ends and did not complete in the 2 s after the fifth. Verdicts were reached only when a report changed the evidence, so after those 2 s the part stayed in use until another endpoint ended under it, and every box could send it until then.

SuspectRegistry::expire, which runs with each heartbeat (270 to 330 ms), now judges the evidence if the confirmation of such a part has become due since the last judgement; otherwise the check is one pass over the suspects.

The regression test fails without the judgement in expire (no change 2,000 ms after the fifth end).

--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -89,6 +89,8 @@
     unreleased: usize,
     /// How many of these are requests.
     unreleased_requests: usize,
+    /// When the evidence was last judged.
+    judged_ms: i64,
     rules: VerdictRules,
 }
 
@@ -279,8 +281,9 @@
             .collect()
     }
 
-    /// Removes expired entries, and the surplus beyond the bounds.
-    pub fn expire(&mut self, now_ms: u64) {
+    /// Removes expired entries and the surplus beyond the bounds, and reaches the verdicts that are
+    /// due without further evidence.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<QuarantineChange> {
         let oldest_ms = now_ms as i64 - Self::RETENTION_MS as i64;
         self.ended.retain(|_, at_ms| *at_ms > oldest_ms);
         self.sound.expire(now_ms.saturating_sub(Self::RETENTION_MS));
@@ -289,6 +292,27 @@
                 || suspect.quarantine.is_retained(now_ms)
         });
         self.evict_surplus(now_ms);
+        match self.is_confirmation_due(now_ms) {
+            true => self.conclude(PriorStates::new(), now_ms),
+            false => Vec::new(),
+        }
+    }
+
+    /// Returns whether a part that has completed may have been confirmed as harmful since the
+    /// evidence was last judged.
+    fn is_confirmation_due(&self, now_ms: u64) -> bool {
+        let confirmed = self.judged_ms - self.rules.confirmation_ms + 1
+            ..=now_ms as i64 - self.rules.confirmation_ms;
+        self.suspects.iter().any(|(key, suspect)| {
+            key.kind() == SuspectKind::Part
+                && suspect.completed_ms.is_some()
+                && suspect.ended_lifetimes.len() >= self.rules.max_ends
+                && !suspect.quarantine.is_active(now_ms)
+                && suspect
+                    .ended_lifetimes
+                    .values()
+                    .any(|at_ms| confirmed.contains(at_ms))
+        })
     }
 
     fn evict_surplus(&mut self, now_ms: u64) {
@@ -429,6 +453,7 @@
 
     /// Imposes and lifts quarantines by the evidence.
     fn judge(&mut self, now_ms: u64, prior: &mut PriorStates) {
+        self.judged_ms = now_ms as i64;
         let suspects = self.suspects.iter();
         let suspects = suspects.filter(|(key, suspect)| {
             let ends = suspect.ended_lifetimes.len();
--- a/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict/tests.rs
@@ -291,3 +291,20 @@
     let keys = [part(1), part(2), part(3)];
     assert_eq!(ended.quarantined(&keys), [part(1)]);
 }
+
+/// Without further ends no report arrives at which the boxes would judge again.
+#[test]
+fn a_part_that_has_completed_is_quarantined_without_another_end() {
+    let mut ended = EndedEndpoints::default();
+    ended.registry.note_completed(&[part(1)], 9_000);
+    for _ in 0..5 {
+        ended.end(&[part(1)]);
+    }
+    let last_ms = ended.now_ms();
+    ended.registry.expire(last_ms + 1_900);
+    assert_eq!(ended.registry.quarantined_count(last_ms + 1_900), 0);
+    let changes = ended.registry.expire(last_ms + 2_000);
+    let quarantined = changes.iter().map(|change| change.fingerprint);
+    assert_eq!(quarantined.collect::<Vec<SuspectKey>>(), [part(1)]);
+    assert!(ended.registry.expire(last_ms + 2_100).is_empty());
+}
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -18,9 +18,10 @@
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
     GenerationTimes, InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget,
-    PlainLoads, PrefixHistory, ResumeGate, RetryBudget, RouteConfig, RouteTable, RunKey,
-    ServiceVersion, ShareTally, ShareTracker, StopWindow, StoreFollower, StoreProbe, StoreRevision,
-    StreamRegistry, SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker, WatchCheck,
+    PlainLoads, PrefixHistory, QuarantineChange, ResumeGate, RetryBudget, RouteConfig, RouteTable,
+    RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow, StoreFollower, StoreProbe,
+    StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker,
+    WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -449,11 +450,12 @@
         self.pools.remove(&removed);
     }
 
-    /// Removes expired endpoints, boxes, runs and suspects.
-    pub(super) fn expire(&self, since_ms: u64) {
+    /// Removes expired endpoints, boxes, runs and suspects. Returns the verdicts on suspects that
+    /// are due without further evidence.
+    pub(super) fn expire(&self, since_ms: u64) -> Vec<QuarantineChange> {
         let now = now_ms();
         let expected_boxes = self.settings().boxes;
-        let (expired, taken_back, boxes) = self.with(|view| {
+        let (expired, taken_back, boxes, quarantined) = self.with(|view| {
             let GatewayView {
                 endpoints,
                 engines,
@@ -469,7 +471,7 @@
             } = view;
             interruptions.expire(now);
             interrupted_parts.expire(now);
-            suspects.expire(now);
+            let quarantined = suspects.expire(now);
             streams.expire(now);
             let expired = endpoints.expire(now);
             let taken_back = endpoints.expire_evacuations(now);
@@ -486,7 +488,7 @@
             let names: Vec<String> = gone.map(|key| fleet.name(*key).to_owned()).collect();
             view.update_warmups(now);
             view.observe_versions(now);
-            (expired, taken_back, names)
+            (expired, taken_back, names, quarantined)
         });
         self.record_evacuations(&taken_back, "lapsed");
         for endpoint in &expired.lapsed {
@@ -504,6 +506,7 @@
         if !expired.is_empty() {
             self.publish_revisions();
         }
+        quarantined
     }
 
     /// Begins the graceful stop; the process ends `within` this time.
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -271,7 +271,8 @@
             log_shares(&state);
             logged_ms = now;
         }
-        state.expire(since_ms);
+        let quarantined = state.expire(since_ms);
+        quarantine::record_verdicts(&state, &quarantined);
         stream_origins::report_streams(&state);
         wait_queues::expire_queues(&state);
         end_check::record_restarts(&state);
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -28,6 +28,14 @@
     broadcast_reports(state);
 }
 
+/// Logs verdicts that were reached without further evidence, and reports them at once.
+pub(super) fn record_verdicts(state: &GatewayState, changes: &[QuarantineChange]) {
+    if !changes.is_empty() {
+        log_changes(state, changes, "own");
+        broadcast_reports(state);
+    }
+}
+
 /// Returns whether anything is suspected of crashing endpoints.
 pub(super) fn has_suspects(state: &GatewayState) -> bool {
     !state.with(|view| view.suspects.is_empty())
