fix: boxes of the version before do not judge parts of prompts as requests

They received reports of parts in the Suspects datagram and would so have quarantined the sound parts that are at all ends, and told that verdict to the new boxes, which take over quarantines without the evidence.

Reports of parts are now a message of their own, PartSuspects, at the end of the enumeration: older boxes fail to decode it, and count it as ignored. Parts go out before requests, as they explain ends that would count against requests.

No process of the older version was run beside this one.

--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -7,7 +7,7 @@
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, EndpointId, EndpointUpdate, EngineRate,
     EvacuationOrder, FleetDigest, PrefillSpeed, PromptPart, RouteConfig, SoftwareVersion,
-    StoreRevision, StreamKey, StreamRecord, SuspectReport, UsageRow, WaitTerms,
+    StoreRevision, StreamKey, StreamRecord, SuspectKind, SuspectReport, UsageRow, WaitTerms,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use serde::de::DeserializeOwned;
@@ -200,6 +200,12 @@
         /// What the answering box knows.
         origin: StreamOrigin,
     },
+    /// As `Suspects`, of parts of prompts; older boxes judge these as requests, and do not know
+    /// this message.
+    PartSuspects {
+        /// The events of these parts.
+        rows: Vec<SuspectReport>,
+    },
 }
 
 /// What a box knows of the version at which a stream began.
@@ -231,8 +237,19 @@
             Self::StreamsBegan { .. } => "streams",
             Self::StreamQuery { .. } => "stream_query",
             Self::StreamOrigin { .. } => "stream_origin",
+            Self::PartSuspects { .. } => "part_suspects",
         }
     }
+
+    /// Returns the messages for reports. Parts come first, as they explain ends that would count
+    /// against requests.
+    pub fn of_reports(rows: Vec<SuspectReport>) -> Vec<Self> {
+        let is_part = |row: &SuspectReport| row.fingerprint.kind() == SuspectKind::Part;
+        let (parts, requests): (Vec<_>, Vec<_>) = rows.into_iter().partition(is_part);
+        let parts = (!parts.is_empty()).then_some(Self::PartSuspects { rows: parts });
+        let requests = (!requests.is_empty()).then_some(Self::Suspects { rows: requests });
+        parts.into_iter().chain(requests).collect()
+    }
 }
 
 /// A request for the state of a box: either its configuration or its endpoints.
--- a/dockgate-proto/src/gateway/tests.rs
+++ b/dockgate-proto/src/gateway/tests.rs
@@ -55,6 +55,22 @@
     }
 }
 
+/// Older boxes would quarantine a sound part after three ends, and tell the others.
+#[test]
+fn reports_of_parts_are_not_sent_as_those_of_requests() {
+    let event = SuspectEvent::Ended(EndpointId(2));
+    let keys = [SuspectKey::new([7; 16]), SuspectKey::of_part("model", 9)];
+    let [request, part] = keys.map(|key| SuspectReport::new(key, event));
+    let messages = [
+        GatewayMessage::PartSuspects { rows: vec![part] },
+        GatewayMessage::Suspects {
+            rows: vec![request],
+        },
+    ];
+    assert_eq!(GatewayMessage::of_reports(vec![request, part]), messages);
+    assert_eq!(GatewayMessage::of_reports(vec![part]), messages[..1]);
+}
+
 /// What a box decodes that knows of no evacuation orders.
 type UnprefixedDatagram = (BoxKey, Incarnation, GatewayMessage);
 
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -254,6 +254,9 @@
             query: 6,
             origin: StreamOrigin::Unknown,
         },
+        GatewayMessage::PartSuspects {
+            rows: vec![suspect(4, SuspectEvent::Ended(endpoint))],
+        },
     ]
 }
 
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -123,7 +123,9 @@
         }
         GatewayMessage::Ended { run, endpoint } => end_run(state, endpoint, key_of(run)),
         GatewayMessage::EndpointLeaving { endpoint } => receive_reported_leave(state, endpoint),
-        GatewayMessage::Suspects { rows } => quarantine::receive_reports(state, from, &rows),
+        GatewayMessage::Suspects { rows } | GatewayMessage::PartSuspects { rows } => {
+            quarantine::receive_reports(state, from, &rows);
+        }
         GatewayMessage::WaitRequest {
             run,
             endpoint,
--- a/dockgate/src/gateway/quarantine.rs
+++ b/dockgate/src/gateway/quarantine.rs
@@ -135,12 +135,12 @@
         (!rows.is_empty()).then_some((rows, targets))
     });
     let Some((rows, targets)) = due else { return };
-    let Some(message) = encode(state, GatewayMessage::Suspects { rows }) else {
-        return;
-    };
-    targets
-        .into_iter()
-        .for_each(|address| send_encoded(state, address, &message));
+    let messages = GatewayMessage::of_reports(rows).into_iter();
+    for message in messages.filter_map(|message| encode(state, message)) {
+        targets
+            .iter()
+            .for_each(|address| send_encoded(state, *address, &message));
+    }
 }
 
 /// Sends suspect reports to a box of the own domain; complete ones if `is_new`.
@@ -151,8 +151,8 @@
         true => Vec::new(),
         false => view.suspects.reports(is_full, now),
     });
-    if !rows.is_empty() {
-        send_datagram(state, to, GatewayMessage::Suspects { rows });
+    for message in GatewayMessage::of_reports(rows) {
+        send_datagram(state, to, message);
     }
 }
 
