--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -205,7 +205,7 @@
         Ok(()) => true,
         // A box that was held up at this moment needs the time for the answers all the same.
         Err(_) => {
-            state.final_answers.cancel();
+            state.final_answers_due.cancel();
             timeout(FINAL_ANSWER_TIME, until_idle()).await.is_ok()
         }
     };
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -85,7 +85,7 @@
     match admit(state, request, caller).await {
         Ok(call) => {
             let call = Arc::new(call);
-            let answers = call.state.final_answers.clone();
+            let answers = call.state.final_answers_due.clone();
             let answer = answers.run_until_cancelled(call.clone().run()).await;
             match answer.unwrap_or_else(|| Err(call.refusal_at_end())) {
                 Ok(response) => response,
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -44,7 +44,7 @@
 const MIN_RELEASED_BYTES: usize = 1 << 10;
 
 /// The bytes of a refused body that are read and discarded; beyond them, the connection is closed.
-const MAX_DISCARDED_BYTES: usize = 16 << 20;
+const MAX_REFUSED_BODY_BYTES: usize = 16 << 20;
 
 /// A request that is rejected before it is placed.
 pub(super) struct RejectedRequest {
@@ -336,7 +336,7 @@
     let arrived = ClockInstant::now();
     let after_stop_ms = state.stopping_for_ms();
     let fresh = wait_until_fresh(&state, arrived + MAX_RESUME_WAIT);
-    state.final_answers.run_until_cancelled(fresh).await;
+    state.final_answers_due.run_until_cancelled(fresh).await;
     let (parts, body) = request.into_parts();
     let table = state.table();
     let config = table.config().version;
@@ -574,7 +574,7 @@
         memory.try_grow(bytes)
     });
     let read = timeout_at(until, read);
-    match state.final_answers.run_until_cancelled(read).await {
+    match state.final_answers_due.run_until_cancelled(read).await {
         Some(Ok(Ok(bytes))) => Ok((bytes, memory)),
         Some(Ok(Err(ReadFailure::TooLarge))) => Err(RefusalReason::BodyTooLarge),
         Some(Ok(Err(ReadFailure::Broken(_)))) => Err(RefusalReason::BodyBroken),
@@ -587,9 +587,9 @@
     }
 }
 
-/// Reads the rest of a body without keeping it, up to [`MAX_DISCARDED_BYTES`].
+/// Reads the rest of a body without keeping it, up to [`MAX_REFUSED_BODY_BYTES`].
 async fn discard_body(mut body: Incoming, until: ClockInstant) {
-    let mut left = MAX_DISCARDED_BYTES;
+    let mut left = MAX_REFUSED_BODY_BYTES;
     while let Ok(Some(Ok(frame))) = timeout_at(until, body.frame()).await {
         let length = frame.data_ref().map_or(0, Bytes::len);
         left = match left.checked_sub(length) {
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -162,7 +162,7 @@
     /// The time from the signal to stop until the process ends, once it is stopping.
     stop: OnceLock<StopWindow>,
     /// Cancelled shortly before the process ends: requests without an answer are answered then.
-    pub(super) final_answers: CancellationToken,
+    pub(super) final_answers_due: CancellationToken,
     /// The datagram socket to the other boxes.
     pub(super) datagrams: UdpSocket,
     /// Connections to endpoints.
@@ -237,7 +237,7 @@
             is_writing_quarantine: AtomicBool::new(false),
             is_writing_versions: AtomicBool::new(false),
             stop: OnceLock::new(),
-            final_answers: CancellationToken::new(),
+            final_answers_due: CancellationToken::new(),
             datagrams,
             pools: Arc::default(),
             wait_began: Notify::new(),
