refactor: names and terms that stop a new reader of the quarantine and of streams

Read as a newcomer: min_ends and max_ends were thresholds of two cases, not bounds; blame, take-up, resumption and replacement were used before they were explained; a bare 4 ended the search of a resumed stream.

--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -57,7 +57,8 @@
     quarantine: Quarantine,
     /// When this entry last gained information.
     updated_ms: u64,
-    /// The number of ended lifetimes before or after the latest change, whichever is higher.
+    /// The rank of its reports: the number of ended lifetimes before or after the latest change,
+    /// whichever is higher, so that the completion of a weighty suspect is reported early as well.
     weight: usize,
 }
 
@@ -137,8 +138,7 @@
         active.count()
     }
 
-    /// Returns whether any request may be in quarantine; a cheap check before computing a
-    /// fingerprint.
+    /// Returns whether any request or part may be in quarantine; a cheap check before computing keys.
     pub const fn has_quarantined(&self) -> bool {
         self.unreleased > 0
     }
@@ -148,13 +148,13 @@
         self.unreleased_requests > 0
     }
 
-    /// Returns the quarantine of a request, or `None` if it is not in quarantine.
+    /// Returns the quarantine of a request or part, or `None` if it is not in quarantine.
     pub fn quarantine(&self, fingerprint: SuspectKey, now_ms: u64) -> Option<&Quarantine> {
         let suspect = self.suspects.get(&fingerprint)?;
         Some(&suspect.quarantine).filter(|quarantine| quarantine.is_active(now_ms))
     }
 
-    /// Returns the number of requests in quarantine.
+    /// Returns the number of requests and parts in quarantine.
     pub fn quarantined_count(&self, now_ms: u64) -> usize {
         let suspects = self.suspects.values();
         suspects
@@ -237,14 +237,14 @@
     /// without a verdict if `is_full` is set.
     pub fn reports(&self, is_full: bool, now_ms: u64) -> Vec<SuspectReport> {
         let is_fresh = |suspect: &Suspect| suspect.updated_ms + Self::ANNOUNCE_MS > now_ms;
-        let is_evidence = |key: SuspectKey, suspect: &Suspect| {
+        let is_unjudged = |key: SuspectKey, suspect: &Suspect| {
             let is_weighty = key.kind() == SuspectKind::Part || suspect.ended_lifetimes.len() > 1;
             let is_recent = suspect.updated_ms + Self::EVIDENCE_MS > now_ms;
             is_weighty && is_recent && !suspect.quarantine.is_active(now_ms)
         };
         let suspects = self.suspects.iter();
         let fresh = suspects
-            .filter(|(key, suspect)| is_fresh(suspect) || (is_full && is_evidence(**key, suspect)));
+            .filter(|(key, suspect)| is_fresh(suspect) || (is_full && is_unjudged(**key, suspect)));
         let mut fresh: Vec<(SuspectKey, &Suspect)> = fresh
             .map(|(fingerprint, suspect)| (*fingerprint, suspect))
             .collect();
@@ -306,7 +306,7 @@
         self.suspects.iter().any(|(key, suspect)| {
             key.kind() == SuspectKind::Part
                 && suspect.completed_ms.is_some()
-                && suspect.ended_lifetimes.len() >= self.rules.max_ends
+                && suspect.ended_lifetimes.len() >= self.rules.doubtful_ends
                 && !suspect.quarantine.is_active(now_ms)
                 && suspect
                     .ended_lifetimes
--- a/dockgate-core/src/gateway/suspect_registry/part_tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/part_tests.rs
@@ -600,8 +600,20 @@
         ("+ completions", completions),
         ("+ confirmation", confirmation),
         ("+ others", all),
-        ("all, from 4", VerdictRules { min_ends: 4, ..all }),
-        ("all, from 5", VerdictRules { min_ends: 5, ..all }),
+        (
+            "all, from 4",
+            VerdictRules {
+                common_ends: 4,
+                ..all
+            },
+        ),
+        (
+            "all, from 5",
+            VerdictRules {
+                common_ends: 5,
+                ..all
+            },
+        ),
     ];
     let seeds = std::env::var("SEEDS").map_or(1, |seeds| seeds.parse().unwrap());
     let today = PartLoad {
--- a/dockgate-core/src/gateway/suspect_registry/sound_parts.rs
+++ b/dockgate-core/src/gateway/suspect_registry/sound_parts.rs
@@ -1,4 +1,5 @@
-//! The parts of prompts that recently completed at this box.
+//! The parts of prompts that recently completed at this box, and are therefore less likely to be
+//! harmful. A part may complete and be harmful later, so this is a weight and no pardon.
 
 use crate::gateway::suspect_key::SuspectKey;
 use std::cmp::Reverse;
--- a/dockgate-core/src/gateway/suspect_registry/verdict.rs
+++ b/dockgate-core/src/gateway/suspect_registry/verdict.rs
@@ -2,7 +2,8 @@
 //!
 //! A harmful part is present at the end of each endpoint that it crashes, and so are the requests
 //! and the other parts that happen to run there. The part that explains the most ends is blamed
-//! first; these ends then count against nothing else.
+//! first; these ends then count against nothing else. To blame a suspect is to put it into
+//! quarantine, or to keep it there.
 
 use super::SuspectRegistry;
 use crate::gateway::route_table::EndpointId;
@@ -25,10 +26,11 @@
 /// The numbers of ends at which a verdict falls, and what is weighed.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct VerdictRules {
-    /// The number of unexplained ends in the common case.
-    pub(super) min_ends: usize,
-    /// The number of unexplained ends of a part in a doubtful case.
-    pub(super) max_ends: usize,
+    /// The number of unexplained ends at which a verdict falls in the common case.
+    pub(super) common_ends: usize,
+    /// The number of unexplained ends at which a part is blamed in a doubtful case: it has completed
+    /// before, another part was at the same ends, or it was at few of the ends in its time.
+    pub(super) doubtful_ends: usize,
     /// Whether ends are explained by quarantined parts.
     pub(super) explains: bool,
     /// Whether a part that has completed needs more ends.
@@ -43,8 +45,8 @@
 impl Default for VerdictRules {
     fn default() -> Self {
         Self {
-            min_ends: SuspectRegistry::VERDICT_THRESHOLD,
-            max_ends: 5,
+            common_ends: SuspectRegistry::VERDICT_THRESHOLD,
+            doubtful_ends: 5,
             explains: true,
             weighs_completions: true,
             confirmation_ms: 2_000,
@@ -130,7 +132,7 @@
     fn is_request_blamed(&self, cases: &[VerdictCase], at: usize) -> bool {
         let unexplained = self.unexplained(cases, at).len();
         let all = cases[at].ends.len();
-        unexplained >= self.min_ends || (cases[at].is_blamed && unexplained == all)
+        unexplained >= self.common_ends || (cases[at].is_blamed && unexplained == all)
     }
 
     /// Returns the parts to blame next: the one with the most unexplained ends, and with it the
@@ -144,7 +146,7 @@
         let candidates =
             (0..cases.len()).filter(|at| cases[*at].is_part() && !cases[*at].is_blamed);
         let candidates = candidates.map(|at| (at, self.unexplained(cases, at)));
-        let candidates = candidates.filter(|(_, ends)| ends.len() >= self.min_ends);
+        let candidates = candidates.filter(|(_, ends)| ends.len() >= self.common_ends);
         let mut candidates: Vec<(usize, BTreeSet<EndpointId>)> = candidates.collect();
         candidates.sort_by_key(|(at, ends)| {
             let has_completed = self.weighs_completions && cases[*at].has_completed;
@@ -175,7 +177,7 @@
         now_ms: i64,
     ) -> usize {
         if !self.explains {
-            return self.min_ends;
+            return self.common_ends;
         }
         // A request that was present at all ends of the part explains them as well: the next end
         // of a harmful part is without that request, which is in quarantine.
@@ -188,7 +190,7 @@
         let has_completed = self.weighs_completions && cases[at].has_completed;
         let is_less_likely = candidates.iter().any(|(other, rival)| {
             let left = ends.difference(rival).count();
-            has_completed && !cases[*other].has_completed && left < self.min_ends
+            has_completed && !cases[*other].has_completed && left < self.common_ends
         });
         if is_less_likely || (has_completed && !self.is_confirmed(&cases[at], ends, now_ms)) {
             return usize::MAX;
@@ -199,8 +201,8 @@
         });
         let is_minor = self.weighs_others && self.is_minor(cases, at, ends, ended);
         match has_completed || has_rival || is_minor {
-            true => self.max_ends.max(self.min_ends),
-            false => self.min_ends,
+            true => self.doubtful_ends.max(self.common_ends),
+            false => self.common_ends,
         }
     }
 
@@ -208,7 +210,7 @@
     fn is_confirmed(&self, case: &VerdictCase, ends: &BTreeSet<EndpointId>, now_ms: i64) -> bool {
         let mut times = case.times(ends);
         times.sort_unstable();
-        let last = times.get(self.max_ends - 1);
+        let last = times.get(self.doubtful_ends - 1);
         last.is_some_and(|last_ms| now_ms - last_ms >= self.confirmation_ms)
     }
 
@@ -240,7 +242,7 @@
         let blamed = (0..cases.len()).filter(|at| {
             let case = &cases[*at];
             // A box that knows only some of the ends cannot tell whether they are explained.
-            case.is_part() && case.is_blamed && case.ends.len() >= self.min_ends
+            case.is_part() && case.is_blamed && case.ends.len() >= self.common_ends
         });
         let mut blamed: Vec<usize> = blamed.collect();
         blamed.sort_by_key(|at| (cases[*at].ends.len(), cases[*at].key));
--- a/dockgate/src/gateway/call.rs
+++ b/dockgate/src/gateway/call.rs
@@ -28,7 +28,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Retry delay from a box that is about to stop: the caller should use another box at once.
+/// Retry delay of a request that another box may serve at once: this one is about to stop, or is cut
+/// off from the boxes that know a stream.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
 /// Why a request is refused without an endpoint's answer.
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -30,6 +30,8 @@
 /// The retry stays reserved meanwhile.
 const MAX_SEARCHES: u32 = 4;
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of endpoints beyond which a failed attempt to resume a stream is the last one.
+const MAX_ENDPOINTS: usize = 4;
 /// The source sent nothing for longer than expected, or until the deadline.
 const SILENT: LostSource = LostSource {
     problem: "silent for too long",
@@ -461,7 +463,9 @@
             let resumed = call.resume(placement, &mut self.attempts, self.last_event);
             match resumed.await {
                 Ok(source) => return Ok(source),
-                Err(failure) if self.attempts.endpoints.len() > 4 => return Err(failure.problem),
+                Err(failure) if self.attempts.endpoints.len() > MAX_ENDPOINTS => {
+                    return Err(failure.problem);
+                }
                 Err(failure) => {
                     log::debug!("could not resume {}: {}", call.head.id, failure.problem);
                     replacement = failure.replacement;
--- a/dockgate/src/gateway/placement_goal.rs
+++ b/dockgate/src/gateway/placement_goal.rs
@@ -1,4 +1,8 @@
-//! Whether a request begins a stream or continues one, which restricts its endpoints.
+//! What an endpoint is sought for, and which endpoints that allows.
+//!
+//! A stream is *taken up* if its caller sends a new request for the rest of it, and *resumed* if the
+//! box continues it within the same answer. A *replacement* is an endpoint that takes over from one
+//! that is silent and may still answer.
 
 use dockgate_core::gateway::{EndpointHealth, EndpointId, ReadyEndpoint, SoftwareVersion};
 use std::borrow::Cow;
