--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,6 +10,8 @@
 mod json;
 mod record;
 mod server;
+mod slow_reader;
+mod small_window;
 mod stale_config;
 mod store;
 
@@ -34,6 +36,7 @@
     record.line(format!("case {case}, disruption: {is_disrupted}"));
     let played = match case.as_str() {
         "stale-config" => stale_config::play(&record, is_disrupted),
+        "slow-reader" => slow_reader::play(&record, is_disrupted),
         _ => Err(std::io::Error::other("unknown case")),
     };
     match played {
