--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,10 +4,12 @@
 //! folder and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 //! With `TROUBLE=0` in the environment, the disruption is left out.
 
+mod config_watch;
 mod fleet;
 mod gateway;
 mod http;
 mod json;
+mod large_history;
 mod record;
 mod server;
 mod slow_reader;
@@ -36,6 +38,7 @@
     record.line(format!("case {case}, disruption: {is_disrupted}"));
     let played = match case.as_str() {
         "stale-config" => stale_config::play(&record, is_disrupted),
+        "large-history" => large_history::play(&record, is_disrupted),
         "slow-reader" => slow_reader::play(&record, is_disrupted),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -12,10 +12,15 @@
 
 /// The number of entries in a page of a listing.
 const PAGE: usize = 500;
+/// How long the store keeps the history of changes, as `history_s` of the settings says.
+const HISTORY: Duration = Duration::from_secs(20);
+/// How long an answer takes.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
 
 #[derive(Debug, Clone)]
 struct Item {
-    value: Vec<u8>,
+    /// The value in base64.
+    encoded: Arc<str>,
     revision: u64,
     created: u64,
 }
@@ -26,13 +31,18 @@
     revision: u64,
     /// `None` if the key was removed.
     item: Option<Item>,
+    at: Instant,
 }
 
 #[derive(Default)]
 struct Content {
     items: BTreeMap<String, Item>,
     history: Vec<Change>,
+    /// The newest change that the history no longer has.
+    forgotten: u64,
     revision: u64,
+    /// How long each answer takes.
+    delay: Duration,
     /// Loses the answers to the waiting watches of this prefix with the next change of its keys.
     lost_prefix: Option<String>,
     answers: u64,
@@ -40,14 +50,15 @@
 }
 
 impl Content {
-    fn put(&mut self, key: &str, value: Vec<u8>) {
+    fn put(&mut self, key: &str, value: &[u8]) {
+        self.forget();
         self.revision += 1;
         let created = self
             .items
             .get(key)
             .map_or(self.revision, |item| item.created);
         let item = Item {
-            value,
+            encoded: encode_base64(value).into(),
             revision: self.revision,
             created,
         };
@@ -56,9 +67,22 @@
             key: key.to_owned(),
             revision: self.revision,
             item: Some(item),
+            at: Instant::now(),
         });
     }
 
+    /// Forgets the changes that are older than the history of the store.
+    fn forget(&mut self) {
+        let old = self
+            .history
+            .iter()
+            .take_while(|change| change.at.elapsed() > HISTORY);
+        if let Some(newest) = old.last().map(|change| change.revision) {
+            self.forgotten = newest;
+            self.history.retain(|change| change.revision > newest);
+        }
+    }
+
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
@@ -66,6 +90,7 @@
                 key: key.to_owned(),
                 revision: self.revision,
                 item: None,
+                at: Instant::now(),
             });
         }
     }
@@ -108,7 +133,7 @@
     /// Writes a key as the operator or a server; returns its revision, which is the acknowledgement.
     pub fn put(&self, key: &str, value: &str) -> u64 {
         let mut content = self.shared.content.lock().unwrap();
-        content.put(key, value.as_bytes().to_vec());
+        content.put(key, value.as_bytes());
         self.shared.changed.notify_all();
         content.revision
     }
@@ -130,6 +155,11 @@
         self.shared.content.lock().unwrap().lost_prefix = None;
     }
 
+    /// Sets by how many times its answers take longer than usual.
+    pub fn slow_down(&self, factor: u32) {
+        self.shared.content.lock().unwrap().delay = ANSWER_TIME * factor;
+    }
+
     /// Returns the number of answers so far, and how many were lost.
     pub fn answers(&self) -> (u64, u64) {
         let content = self.shared.content.lock().unwrap();
@@ -148,6 +178,8 @@
                 while let Ok(Some(_)) = reader.message() {}
                 return;
             };
+            let delay = self.shared.content.lock().unwrap().delay;
+            thread::sleep(delay.max(ANSWER_TIME));
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -219,6 +251,10 @@
         let until = Instant::now() + wait;
         let mut content = self.shared.content.lock().unwrap();
         loop {
+            content.forget();
+            if since < content.forgotten {
+                return Some((410, "{}".to_owned()));
+            }
             let changes = content.history.iter();
             let changes: Vec<String> = changes
                 .filter(|change| change.revision > since && change.key.starts_with(prefix))
@@ -263,7 +299,7 @@
         }
         for row in list("write") {
             let value = row.get("value").and_then(Json::text).unwrap_or_default();
-            content.put(&key_of(row), decode_base64(value));
+            content.put(&key_of(row), &decode_base64(value));
         }
         for key in list("remove") {
             content.remove(key.text().unwrap_or_default());
@@ -274,7 +310,7 @@
 }
 
 fn item_fields(key: &str, item: &Item) -> String {
-    let value = encode_base64(&item.value);
+    let value = &item.encoded;
     let (revision, created) = (item.revision, item.created);
     format!(
         "\"key_file\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\
