--- a/review/standins/src/slow_reader.rs
+++ b/review/standins/src/slow_reader.rs
@@ -24,7 +24,7 @@
 /// The receive buffer of a requester, about the window of its connection.
 const WINDOW_BYTES: i32 = 2_048;
 /// How long a slow requester does not read after the first event.
-const PAUSE: Duration = Duration::from_millis(3_200);
+const PAUSE: Duration = Duration::from_millis(3_500);
 const REQUESTERS: usize = 8;
 
 /// The outcome of one stream, as its requester saw it.
