--- a/review/standins/src/config_watch.rs
+++ b/review/standins/src/config_watch.rs
@@ -14,7 +14,7 @@
 
 /// `config_apply_ms` and `contact_ms` of the site.
 const CONFIG_APPLY_MS: u64 = 2_000;
-const CONTACT_MS: u64 = 3_000;
+pub const CONTACT_MS: u64 = 3_000;
 /// The pause between two requests of a requester.
 const PAUSE: Duration = Duration::from_millis(100);
 
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -51,6 +51,8 @@
     pub gateways: Vec<Gateway>,
     pub servers: Vec<Server>,
     pub store: Store,
+    /// The number of the loopback network.
+    pub network: u32,
     _folder: Folder,
 }
 
@@ -77,7 +79,8 @@
             for _ in 0..zone.servers {
                 let number = servers.len() + 1;
                 let (id, ip) = (format!("i-{number}"), ip(100 + number));
-                let server = Server::start(&id, name, zone.name, &ip, capacity, behaviour, record)?;
+                let server =
+                    Server::start(&id, "v1", name, zone.name, &ip, capacity, behaviour, record)?;
                 let (key, value) = server.entry("ready", 1);
                 store.put(&key, &value);
                 servers.push(server);
@@ -105,6 +108,7 @@
             gateways,
             servers,
             store,
+            network,
             _folder: folder,
         })
     }
@@ -132,18 +136,50 @@
     whole_config(version, &routes.join(","), service, keys)
 }
 
-/// Returns a configuration with a service of engines and a route of streams that may not be resumed.
-pub fn stream_config(version: u64, keys: &[&str]) -> String {
-    let route = "{\"name\":\"crew-question\",\"host\":\"ci.example\",\
-                 \"path_prefix\":\"/crew-question/\",\"type\":\"streaming\",\"timeout_ms\":4000,\
-                 \"target_latency_ms\":600,\"target_gap_ms\":500,\"priority\":1,\
-                 \"service\":\"brief-llm\",\"max_attempts\":1,\"public\":false,\"sticky\":true,\
-                 \"resumable\":false}";
+/// A route of streams.
+pub struct StreamRoute {
+    pub name: &'static str,
+    pub timeout_ms: u64,
+    pub attempts: u32,
+    pub resumable: bool,
+}
+
+/// `crew-question` of the site pistas-ec-grown.
+pub const CREW_QUESTION: StreamRoute = StreamRoute {
+    name: "crew-question",
+    timeout_ms: 4_000,
+    attempts: 1,
+    resumable: false,
+};
+
+/// `review-summary` of the site kcbu-dockgate.
+pub const REVIEW_SUMMARY: StreamRoute = StreamRoute {
+    name: "review-summary",
+    timeout_ms: 6_000,
+    attempts: 2,
+    resumable: true,
+};
+
+/// Returns a configuration with a service of engines and a route of streams.
+pub fn stream_config(version: u64, keys: &[&str], route: &StreamRoute) -> String {
+    let StreamRoute {
+        name,
+        timeout_ms,
+        attempts,
+        resumable,
+    } = route;
+    let route = format!(
+        "{{\"name\":\"{name}\",\"host\":\"ci.example\",\"path_prefix\":\"/{name}/\",\
+         \"type\":\"streaming\",\"timeout_ms\":{timeout_ms},\"target_latency_ms\":600,\
+         \"target_gap_ms\":500,\"priority\":1,\"service\":\"brief-llm\",\
+         \"max_attempts\":{attempts},\"public\":false,\"sticky\":true,\
+         \"resumable\":{resumable}}}"
+    );
     let service = "{\"name\":\"brief-llm\",\"health_path\":\"/healthz\",\
                    \"max_connections\":680,\"protocol\":\"h1\",\"tls\":false,\
                    \"engine\":{\"capacity\":64,\"kv_capacity_tokens\":222979,\
                    \"models\":[{\"name\":\"m\"}]}}";
-    whole_config(version, route, service, keys)
+    whole_config(version, &route, service, keys)
 }
 
 fn whole_config(version: u64, routes: &str, service: &str, keys: &[&str]) -> String {
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -142,6 +142,14 @@
         }
     }
 
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -175,10 +183,7 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.kill();
     }
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -10,7 +10,9 @@
 mod http;
 mod json;
 mod large_history;
+mod mixed_versions;
 mod record;
+mod removed_server;
 mod server;
 mod slow_reader;
 mod small_window;
@@ -39,6 +41,8 @@
     let played = match case.as_str() {
         "stale-config" => stale_config::play(&record, is_disrupted),
         "large-history" => large_history::play(&record, is_disrupted),
+        "mixed-versions" => mixed_versions::play(&record, is_disrupted),
+        "removed-server" => removed_server::play(&record, is_disrupted),
         "slow-reader" => slow_reader::play(&record, is_disrupted),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -34,6 +34,8 @@
 pub struct Server {
     pub id: String,
     pub address: SocketAddr,
+    /// The version of its software.
+    pub version: &'static str,
     service: String,
     zone: String,
     capacity: u32,
@@ -47,6 +49,7 @@
 impl Server {
     pub fn start(
         id: &str,
+        version: &'static str,
         service: &str,
         zone: &str,
         ip: &str,
@@ -58,6 +61,7 @@
         let server = Self {
             id: id.to_owned(),
             address: listener.local_addr()?,
+            version,
             service: service.to_owned(),
             zone: zone.to_owned(),
             capacity,
@@ -80,6 +84,7 @@
     pub fn entry(&self, state: &str, sequence: u64) -> (String, String) {
         let Self {
             address,
+            version,
             service,
             zone,
             capacity,
@@ -87,7 +92,7 @@
         } = self;
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"capacity\":{capacity},\"state\":\"{state}\",\
+             \"version\":\"{version}\",\"capacity\":{capacity},\"state\":\"{state}\",\
              \"warmup_left_ms\":0,\"sequence\":{sequence}}}"
         );
         (format!("servers/{}", self.id), value)
@@ -159,9 +164,12 @@
                     "{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
                 );
                 stream.write_all(head.as_bytes())?;
-                for number in 1..=events {
+                let last = request
+                    .header("last-event-id")
+                    .and_then(|last| last.parse().ok());
+                for number in last.unwrap_or(0) + 1..=events {
                     thread::sleep(interval);
-                    let event = event(number, bytes);
+                    let event = event(number, self.version, bytes);
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                     stream.write_all(chunk.as_bytes())?;
                 }
@@ -175,9 +183,10 @@
     }
 }
 
-/// Returns an event of a stream with this number as its id, of about this length.
-pub fn event(number: usize, bytes: usize) -> String {
-    let start = format!("id: {number}\ndata: ");
+/// Returns an event of a stream with this number as its id, which names the version of the server
+/// that made it, of this length.
+pub fn event(number: usize, version: &str, bytes: usize) -> String {
+    let start = format!("id: {number}\ndata: {version} ");
     let filling = bytes.saturating_sub(start.len() + 2);
     format!("{start}{}\n\n", "a".repeat(filling))
 }
--- a/review/standins/src/slow_reader.rs
+++ b/review/standins/src/slow_reader.rs
@@ -1,6 +1,6 @@
 //! Requesters that read slowly while a gateway is stopped in order.
 
-use crate::fleet::{Fleet, ServiceSpec, Zone, next_id, stream_config};
+use crate::fleet::{CREW_QUESTION, Fleet, ServiceSpec, Zone, next_id, stream_config};
 use crate::http::MessageReader;
 use crate::record::Record;
 use crate::server::{Behaviour, event};
@@ -50,7 +50,7 @@
         let read = self.read_stream(&id, &mut text);
         let events = text.matches("\n\n").count();
         let expected: String = (1..=EVENTS)
-            .map(|number| event(number, EVENT_BYTES))
+            .map(|number| event(number, "v1", EVENT_BYTES))
             .collect();
         let problem = match read {
             Ok(()) if text == expected => None,
@@ -116,7 +116,12 @@
             interval: Duration::from_millis(10),
         },
     };
-    let mut fleet = Fleet::start(&ZONES, service, &stream_config(3, &[KEY]), record)?;
+    let mut fleet = Fleet::start(
+        &ZONES,
+        service,
+        &stream_config(3, &[KEY], &CREW_QUESTION),
+        record,
+    )?;
     thread::sleep(Duration::from_secs(4));
     let pause = match is_disrupted {
         true => PAUSE,
