fix: a mute watch of the store is found while other watches deliver changes

Cause: the check for stalled watches compared the store's revision with the latest one that any watch had delivered. A watch delivers its own keys only, so one change of an endpoint, delivered by the watch of servers/, covered the configuration that the mute watch of op/ had missed. It waited for its timeout. A second loss was hidden as well, since the check remembered the revision of the last reset.

Evidence: with the answers to one watch lost in our stand-in, the only line store_lost with step=watch stems from the start of the box; none follows the loss.

Change: each watch is checked by itself. When the store's revision, which probes and other watches report, stays ahead of it for a second, a call with the same history that does not wait reads what it missed, or confirms that it missed nothing. A check without an answer counts as a lost contact. The watches of a fleet run by declarations, which compared no revision at all, use the same check. Line store_watch_mute, metric dockgate_store_watch_checks_total.

--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -231,13 +231,20 @@
     }
 }
 
+/// Returns the prefix that a request watches; `None` if it is no watch.
+fn watched_prefix(request: &Request<Incoming>) -> Option<String> {
+    let query = request.uri().query().unwrap_or_default();
+    let is_watch = request.uri().path() == routes::WATCH;
+    is_watch.then(|| CallQuery::parse(query).text("path_prefix").to_owned())
+}
+
 async fn open_listener(state: &Arc<PlatformState>) -> Result<StoreListener, BenchError> {
     let (state, listener) = (state.clone(), ListenerState::new());
     let handler_listener = listener.clone();
     let handle = move |request: Request<Incoming>| {
         let (state, listener) = (state.clone(), handler_listener.clone());
         async move {
-            let is_watch = request.uri().path() == routes::WATCH;
+            let watched = watched_prefix(&request);
             let stall_count = listener.stall_count();
             let answer = handle(state.clone(), &listener, request).await;
             let answer = answer.map(|mut answer| {
@@ -245,7 +252,7 @@
                 answer.headers_mut().insert("store-era", era);
                 answer
             });
-            listener.pass(answer, is_watch, stall_count).await
+            listener.pass(answer, watched.as_deref(), stall_count).await
         }
     };
     let address = serve(handle, CancellationToken::new()).await?;
@@ -283,9 +290,8 @@
         (&Method::GET, routes::KEY) => Ok(read(&state, &query)),
         (&Method::GET, routes::RANGE) => Ok(range(&state, &query)),
         (&Method::GET, routes::WATCH) => {
-            if query.text("path_prefix") == dockgate_platform::ENDPOINT_KEY_PREFIX {
-                listener.record_watch(Duration::from_millis(query.number("wait_ms")));
-            }
+            let wait = Duration::from_millis(query.number("wait_ms"));
+            listener.record_watch(query.text("path_prefix"), wait);
             watch_changes(&state, &query).await
         }
         (&Method::POST, routes::TXN) => reply(&state, transact(&state, &body)),
--- a/dockgate-bench/tests/endpoint_drain.rs
+++ b/dockgate-bench/tests/endpoint_drain.rs
@@ -7,7 +7,7 @@
 use dockgate_bench::standin::caller::{call, request};
 use dockgate_bench::standin::{RoutedStandIn, StoreListener};
 use dockgate_core::gateway::{EndpointUpdate, ReportedEndpoint, StoreRevision};
-use dockgate_platform::{StoredValue, decode_endpoint, decode_routes};
+use dockgate_platform::{ENDPOINT_KEY_PREFIX, StoredValue, decode_endpoint, decode_routes};
 use dockgate_proto::StateAnswer;
 use http::StatusCode;
 use std::time::{Duration, Instant};
@@ -85,8 +85,11 @@
 /// Returns the indices of the boxes that have started a store watch after `since`.
 fn boxes_watching(listeners: &[StoreListener], since: Instant) -> Vec<usize> {
     let watches = listeners.iter().enumerate();
-    let watches = watches
-        .filter(|(_, listener)| listener.watch().is_some_and(|(started, _)| started > since));
+    let watches = watches.filter(|(_, listener)| {
+        listener
+            .watch(ENDPOINT_KEY_PREFIX)
+            .is_some_and(|(started, _)| started > since)
+    });
     watches.map(|(index, _)| index).collect()
 }
 
@@ -114,7 +117,12 @@
         panic!("two boxes follow the store")
     };
     let other = (0..3).find(|index| !followers.contains(index)).unwrap();
-    let ends = [first, second].map(|index| fleet.store_listeners[index].watch().unwrap().1);
+    let ends = [first, second].map(|index| {
+        fleet.store_listeners[index]
+            .watch(ENDPOINT_KEY_PREFIX)
+            .unwrap()
+            .1
+    });
     let end = ends.into_iter().min().unwrap();
 
     for index in followers {
@@ -144,8 +152,11 @@
 async fn silent_watch_is_restarted_before_it_times_out() {
     let fleet = start(1).await;
     let listener = &fleet.store_listeners[0];
-    wait_until("the box watches", async || listener.watch().is_some()).await;
-    let (_, end) = listener.watch().unwrap();
+    wait_until("the box watches", async || {
+        listener.watch(ENDPOINT_KEY_PREFIX).is_some()
+    })
+    .await;
+    let (_, end) = listener.watch(ENDPOINT_KEY_PREFIX).unwrap();
     listener.stall_watches();
     let (key, value) = fleet.endpoints[0].record("a", "draining");
     fleet.store.set(&key, value);
--- a/dockgate-config/src/config_store.rs
+++ b/dockgate-config/src/config_store.rs
@@ -14,7 +14,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-const HEAD_KEY: &str = "config/head";
+/// The key of the head.
+pub const HEAD_KEY: &str = "config/head";
 const SNAPSHOT_PREFIX: &str = "config/snapshot/";
 const PLAN_PREFIX: &str = "plan/";
 /// The maximum number of entries in the head. A daemon that lags further loads the snapshot.
@@ -86,18 +87,17 @@
             .map_or(Ok((ConfigHead::default(), 0)), |value| parse_head(&value))
     }
 
-    /// Waits until the head changes after revision `since`; returns `None` if it does not within
-    /// `wait`.
+    /// Returns the head after a watch of [`HEAD_KEY`], with its revision; `None` if the watch ended
+    /// without a change.
     ///
     /// # Errors
     ///
     /// Returns an error if the store does not answer or the head is malformed.
-    pub async fn watch_head(
+    pub async fn head_after(
         &self,
-        since: u64,
-        wait: Duration,
+        watched: WatchOutcome,
     ) -> Result<Option<(ConfigHead, u64)>, PlatformError> {
-        match self.client.watch(HEAD_KEY, since, wait).await? {
+        match watched {
             WatchOutcome::HistoryLost => self.read_head().await.map(Some),
             WatchOutcome::Changes(StoreChanges { events, .. }) => {
                 let written = events.into_iter().rev().find_map(|event| match event {
--- a/dockgate-config/src/lib.rs
+++ b/dockgate-config/src/lib.rs
@@ -12,4 +12,4 @@
 
 mod config_store;
 
-pub use config_store::{CommitOutcome, ConfigHead, ConfigStore};
+pub use config_store::{CommitOutcome, ConfigHead, ConfigStore, HEAD_KEY};
--- a/dockgate-core/src/gateway/watch_check.rs
+++ b/dockgate-core/src/gateway/watch_check.rs
@@ -1,51 +1,54 @@
-//! Detects watches of the store that no longer deliver changes.
+//! Decides when a watch of the store must be checked, since it may no longer deliver changes.
 //!
-//! A single connection can stop delivering data while others work: probes are answered, but a
-//! pending watch receives nothing. The store's revision, which every answer includes, reveals this.
+//! A single connection can stop delivering data while others work: probes and other watches are
+//! answered, but a pending watch receives nothing. The store's revision, which every answer
+//! includes, reveals that something has changed. A watch reports only changes of its own keys, so
+//! it cannot be told from the revision alone whether it has missed any: a call that does not wait
+//! shows this. Each watch is checked by itself, because the answers to one prove nothing about
+//! another.
 //!
 //! ```
 //! use dockgate_core::gateway::{StoreRevision, WatchCheck};
 //!
 //! let mut check = WatchCheck::default();
 //! let (newer, known) = (StoreRevision::new(1, 7), StoreRevision::new(1, 6));
-//! assert!(!check.is_stalled(newer, known, 1_000), "the change may be on its way");
-//! assert!(check.is_stalled(newer, known, 2_000));
+//! assert!(!check.is_due(newer, known, 1_000), "the change may be on its way");
+//! assert!(check.is_due(newer, known, 2_000));
+//! check.confirm(newer);
+//! assert!(!check.is_due(newer, known, 9_000), "another key has changed");
 //! ```
 
 use super::store_revision::StoreRevision;
 
-/// Tracks how long the watches have lagged behind the store's revision.
+/// Tracks how long one watch has lagged behind the store's revision.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WatchCheck {
+    /// Since when the watch has lagged, in milliseconds.
     behind_since_ms: Option<u64>,
-    /// The last revision that caused a reset of the watches; it may belong to an unwatched key.
-    checked: StoreRevision,
+    /// The revision up to which a check has shown that the watch missed nothing.
+    confirmed: StoreRevision,
 }
 
 impl WatchCheck {
-    /// How long the watches may lag behind a revision, in milliseconds: covers the pause between
-    /// two watches and the answer of a slow store.
+    /// How long a watch may lag behind a revision, in milliseconds: covers the pause between two
+    /// watches and the answer of a slow store.
     const STALL_TIMEOUT_MS: u64 = 1_000;
 
-    /// Returns whether watches that delivered changes up to `known` must be recreated, given a
-    /// revision that the store returned. Outdated revisions have no effect.
-    pub fn is_stalled(
-        &mut self,
-        revision: StoreRevision,
-        known: StoreRevision,
-        now_ms: u64,
-    ) -> bool {
-        if revision <= known.max(self.checked) {
+    /// Returns whether the watch must be checked. `latest` is the store's revision, and `known` the
+    /// one up to which the watch has delivered changes. An outdated `latest` has no effect.
+    pub fn is_due(&mut self, latest: StoreRevision, known: StoreRevision, now_ms: u64) -> bool {
+        if latest <= known.max(self.confirmed) {
             self.behind_since_ms = None;
             return false;
         }
         let since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let is_stalled = now_ms >= since_ms + Self::STALL_TIMEOUT_MS;
-        if is_stalled {
-            self.checked = revision;
-            self.behind_since_ms = None;
-        }
-        is_stalled
+        now_ms >= since_ms + Self::STALL_TIMEOUT_MS
+    }
+
+    /// Records that the watched keys have not changed up to `revision`.
+    pub fn confirm(&mut self, revision: StoreRevision) {
+        self.confirmed = self.confirmed.max(revision);
+        self.behind_since_ms = None;
     }
 }
 
--- a/dockgate/src/config_cell.rs
+++ b/dockgate/src/config_cell.rs
@@ -3,8 +3,8 @@
 use crate::logging::{LogEvent, log_event};
 use crate::members::RETRY_DELAY_MS;
 use crate::metrics::METRICS;
-use crate::probed_wait::wait_with_probes;
-use dockgate_config::{ConfigHead, ConfigStore};
+use crate::probed_wait::watch_with_probes;
+use dockgate_config::{ConfigHead, ConfigStore, HEAD_KEY};
 use dockgate_core::FleetConfig;
 use dockgate_platform::PlatformError;
 use std::sync::Arc;
@@ -110,8 +110,8 @@
     revision: u64,
     watch_timeout: Duration,
 ) -> Result<u64, PlatformError> {
-    let watch = store.watch_head(revision, watch_timeout);
-    let Some((head, seen_revision)) = wait_with_probes(store.client(), watch).await? else {
+    let watched = watch_with_probes(store.client(), HEAD_KEY, revision, watch_timeout).await?;
+    let Some((head, seen_revision)) = store.head_after(watched).await? else {
         return Ok(revision);
     };
     cell.follow(store, &head).await?;
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -2,14 +2,16 @@
 //!
 //! A few boxes of each failure domain follow the store
 //! ([`dockgate_core::gateway::StoreFollower`]); the others receive changes from them. Each key
-//! prefix is listed once and then watched. A failed watch is retried, and one whose history is lost
-//! lists the keys again. The known state stays in force meanwhile.
+//! prefix is listed once and then watched. A watch that tells nothing while the store changes is
+//! checked ([`CheckedWatch`]), a failed one is retried, and one whose history is lost lists the keys
+//! again. The known state stays in force meanwhile.
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::membership::send_heartbeat;
 use super::store_contact::StoreContact;
+use crate::checked_watch::CheckedWatch;
 use crate::clock::subscribe_resumes;
 use dockgate_core::gateway::{EndpointChange, EvacuationOrder, StoreRevision};
 use dockgate_platform::{
@@ -92,11 +94,12 @@
             }
         };
         record_revision(state, prefix, since);
+        let revisions = state.store_revisions();
+        let mut watch = CheckedWatch::new(client.clone(), prefix, WATCH_TIMEOUT, revisions);
         while state.follows_store() {
-            // A watch is recreated after an outage of the store, which may have lost its answer,
-            // and if it is stalled.
+            // A watch is recreated after an outage of the store, which may have lost its answer.
             let outcome = tokio::select! {
-                outcome = client.watch(prefix, since.number, WATCH_TIMEOUT) => outcome,
+                outcome = watch.next(since, |result| contact.record_check(result, since)) => outcome,
                 Ok(()) = recoveries.changed() => {
                     let away_ms = *recoveries.borrow_and_update();
                     match state.is_current_era(since.era) {
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -41,6 +41,8 @@
     pub(super) suppressed_lines: IntCounter,
     /// Restores of the store from an older copy.
     pub(super) store_eras: IntCounter,
+    /// Checks of watches of the store by followed data and result.
+    pub(super) store_watch_checks: IntCounterVec,
     /// Calls to the store by followed data and outcome.
     pub(super) store_calls: IntCounterVec,
     /// Requests for the state of other boxes, by kind of state and outcome.
@@ -160,6 +162,12 @@
                 "dockgate_store_eras_total",
                 "Times that the store came back from an older copy, as this box heard",
             ),
+            store_watch_checks: counter_vec(
+                "dockgate_store_watch_checks_total",
+                "Calls to the platform's store that check whether a watch has missed changes, by \
+                 what is followed and result: current, missed, failed",
+                &["followed", "result"],
+            ),
             store_calls: counter_vec(
                 "dockgate_store_calls_total",
                 "Calls to the platform's store, by what is followed and outcome",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -21,7 +21,6 @@
     PlainLoads, PrefixHistory, QuarantineChange, ResumeGate, RetryBudget, RouteConfig, RouteTable,
     RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow, StoreFollower, StoreProbe,
     StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker,
-    WatchCheck,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -108,8 +107,6 @@
     pub(super) store_revisions: BTreeMap<&'static str, StoreRevision>,
     /// Whether the view was refreshed since the last suspension of the box.
     pub(super) gate: ResumeGate,
-    /// Whether the watches still deliver changes.
-    pub(super) watch_check: WatchCheck,
     /// The endpoints that warm up.
     pub(super) warmups: WarmupTracker,
     /// The requests that wait at the endpoints that this box owns; none unless the fleet is
@@ -148,6 +145,7 @@
     memory: Mutex<MemoryBudget>,
     role: watch::Sender<StoreRole>,
     recoveries: watch::Sender<u64>,
+    store_revision: watch::Sender<StoreRevision>,
     run_counter: AtomicU32,
     /// When the configuration in force was applied.
     config_changed_ms: AtomicU64,
@@ -208,7 +206,6 @@
             probe: StoreProbe::default(),
             store_revisions: BTreeMap::new(),
             gate: ResumeGate::default(),
-            watch_check: WatchCheck::default(),
             warmups: WarmupTracker::default(),
             wait_queues: BTreeMap::new(),
             versions: VersionHistory::default(),
@@ -229,6 +226,7 @@
             memory: Mutex::new(memory),
             role: watch::channel(StoreRole::default()).0,
             recoveries: watch::channel(0).0,
+            store_revision: watch::channel(StoreRevision::NONE).0,
             // A random start avoids reusing recent run numbers after a restart.
             run_counter: AtomicU32::new(rand::random()),
             config_changed_ms: AtomicU64::new(now_ms()),
--- a/dockgate/src/gateway/gateway_state/store_access.rs
+++ b/dockgate/src/gateway/gateway_state/store_access.rs
@@ -34,20 +34,6 @@
         self.publish_store_access();
         self.digest = DigestCache::default();
     }
-
-    /// Returns whether the watches have failed to deliver changes up to `revision`.
-    ///
-    /// The latest revision of any watch counts, since each watch reports only its own keys.
-    fn is_stalled(&mut self, revision: Option<StoreRevision>) -> bool {
-        let follows = self.fleet.own().status.reaches_store;
-        let known = self.store_revisions.values().max().copied();
-        match (revision, known) {
-            (Some(revision), Some(known)) if follows => {
-                self.watch_check.is_stalled(revision, known, now_ms())
-            }
-            _ => false,
-        }
-    }
 }
 
 impl GatewayState {
@@ -67,6 +53,17 @@
         self.recoveries.subscribe()
     }
 
+    /// Subscribes to the store's latest known revision, sent whenever the store answers.
+    pub(in super::super) fn store_revisions(&self) -> watch::Receiver<StoreRevision> {
+        self.store_revision.subscribe()
+    }
+
+    /// Records a revision of the store, which any answer reports.
+    fn record_store_revision(&self, revision: StoreRevision) {
+        self.store_revision
+            .send_modify(|latest| *latest = revision.max(*latest));
+    }
+
     /// Updates this box's role in following the store.
     pub(in super::super) fn update_role(&self) {
         let now = now_ms();
@@ -127,24 +124,16 @@
         revision: Option<StoreRevision>,
         sent_ms: u64,
     ) -> Option<ProbeChange> {
-        let (change, is_stalled) = self.with(|view| {
+        let change = self.with(|view| {
             let change = view.probe.record(revision.is_some(), sent_ms);
             view.publish_store_access();
-            (change, view.is_stalled(revision))
+            change
         });
-        match (change, is_stalled) {
-            (Some(ProbeChange::Up { down_ms }), _) => drop(self.recoveries.send_replace(down_ms)),
-            (_, true) => {
-                log_gateway(&GatewayEvent::StoreLost {
-                    step: "watch",
-                    problem: format!(
-                        "no change received up to revision {}",
-                        revision.unwrap_or_default()
-                    ),
-                });
-                self.recoveries.send_replace(0);
-            }
-            _ => {}
+        if let Some(ProbeChange::Up { down_ms }) = change {
+            self.recoveries.send_replace(down_ms);
+        }
+        if let Some(revision) = revision {
+            self.record_store_revision(revision);
         }
         change
     }
@@ -206,6 +195,9 @@
         prefix: &'static str,
         revision: Option<StoreRevision>,
     ) -> bool {
+        if let Some(revision) = revision {
+            self.record_store_revision(revision);
+        }
         self.with(|view| {
             match revision {
                 Some(revision) => view.store_revisions.insert(prefix, revision),
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -2,7 +2,9 @@
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
+use crate::checked_watch::CheckResult;
 use crate::clock::now_ms;
+use dockgate_core::gateway::StoreRevision;
 use dockgate_platform::PlatformError;
 use std::time::Duration;
 
@@ -77,6 +79,26 @@
         }
     }
 
+    /// Records the result of checking the watch, which has delivered changes up to `since`.
+    pub(super) fn record_check(&self, result: CheckResult, since: StoreRevision) {
+        let text = match result {
+            CheckResult::Current => "current",
+            CheckResult::Missed { .. } => "missed",
+            CheckResult::Failed => "failed",
+        };
+        GATEWAY_METRICS
+            .store_watch_checks
+            .with_label_values(&[self.prefix, text])
+            .inc();
+        if let CheckResult::Missed { latest } = result {
+            log_gateway(&GatewayEvent::StoreWatchMute {
+                what: self.prefix,
+                since: since.number,
+                latest: latest.number,
+            });
+        }
+    }
+
     /// Records the era of a listing. A store that was restored from an older copy lacks records,
     /// which endpoints rewrite just as after an outage.
     pub(super) fn record_era(&mut self, era: u64) {
--- a/dockgate/src/main.rs
+++ b/dockgate/src/main.rs
@@ -3,6 +3,7 @@
 //! `dockgate --settings FILE` runs the daemon; with `--check`, it only checks the settings.
 
 mod caller;
+mod checked_watch;
 mod clock;
 mod config_cell;
 mod daemon;
--- a/dockgate/src/members.rs
+++ b/dockgate/src/members.rs
@@ -1,7 +1,7 @@
 //! The boxes of the fleet, from the records of the platform, which may lag behind.
 
 use crate::dispatch::DispatchHandle;
-use crate::probed_wait::wait_with_probes;
+use crate::probed_wait::watch_with_probes;
 use dockgate_core::BoxKey;
 use dockgate_platform::{
     BOX_KEY_PREFIX, BoxRecord, BoxState, PlatformClient, StoreListing, WatchOutcome,
@@ -79,8 +79,7 @@
 async fn wait_for_change(client: &PlatformClient, listing: &StoreListing, watch_timeout: Duration) {
     let mut since = listing.revision;
     loop {
-        let watch = client.watch(BOX_KEY_PREFIX, since, watch_timeout);
-        match wait_with_probes(client, watch).await {
+        match watch_with_probes(client, BOX_KEY_PREFIX, since, watch_timeout).await {
             Ok(WatchOutcome::Changes(changes))
                 if changes.events.is_empty() && changes.era == listing.era =>
             {
--- a/dockgate/src/probed_wait.rs
+++ b/dockgate/src/probed_wait.rs
@@ -1,37 +1,74 @@
 //! Waits for responses of the platform's store to long polls, while probing the store.
 
-use dockgate_core::gateway::ProbeTiming;
-use dockgate_platform::{PlatformClient, PlatformError, QUARANTINE_KEY_PREFIX};
+use crate::checked_watch::{CheckResult, CheckedWatch};
+use dockgate_core::gateway::{ProbeTiming, StoreRevision};
+use dockgate_platform::{PlatformClient, PlatformError, QUARANTINE_KEY_PREFIX, WatchOutcome};
 use std::future::Future;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// Time within which a new configuration has to take effect on all boxes, in milliseconds.
 const MAX_PROPAGATION_MS: u64 = 7_000;
 
-/// Waits for a response of the store that may take long, such as that of a watch.
+/// Waits for changes of the keys of `prefix` after revision `since`, for up to `wait`.
 ///
-/// The probes detect a silent store well before the watch times out.
+/// The probes detect a silent store well before the watch times out, and the store's revision in
+/// their answers a watch that has gone mute.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer.
+pub(crate) async fn watch_with_probes(
+    client: &PlatformClient,
+    prefix: &'static str,
+    since: u64,
+    wait: Duration,
+) -> Result<WatchOutcome, PlatformError> {
+    let log_check = |result| match result {
+        CheckResult::Missed { latest } => {
+            log::warn!("a watch of {prefix} since {since} missed changes up to {latest}");
+        }
+        CheckResult::Current | CheckResult::Failed => {}
+    };
+    wait_with_probes(client, async |latest| {
+        let mut watch = CheckedWatch::new(client.clone(), prefix, wait, latest);
+        watch.next(StoreRevision::from(since), log_check).await
+    })
+    .await
+}
+
+/// Waits for a response of the store that may take long; passes the store's latest revision to
+/// `response`.
 ///
 /// # Errors
 ///
 /// Returns the error of the response, or that of a probe that was not answered in time.
-pub(crate) async fn wait_with_probes<T>(
+async fn wait_with_probes<T, F>(
     client: &PlatformClient,
-    response: impl Future<Output = Result<T, PlatformError>>,
-) -> Result<T, PlatformError> {
+    response: impl FnOnce(watch::Receiver<StoreRevision>) -> F,
+) -> Result<T, PlatformError>
+where
+    F: Future<Output = Result<T, PlatformError>>,
+{
+    let (sender, latest) = watch::channel(StoreRevision::NONE);
     tokio::select! {
-        response = response => response,
-        error = probe_until_failure(client) => Err(error),
+        response = response(latest) => response,
+        error = probe_until_failure(client, &sender) => Err(error),
     }
 }
 
-async fn probe_until_failure(client: &PlatformClient) -> PlatformError {
+async fn probe_until_failure(
+    client: &PlatformClient,
+    latest: &watch::Sender<StoreRevision>,
+) -> PlatformError {
     let timing = ProbeTiming::within(MAX_PROPAGATION_MS);
     loop {
         tokio::time::sleep(Duration::from_millis(timing.interval_ms)).await;
         let timeout = Duration::from_millis(timing.timeout_ms);
-        if let Err(error) = client.probe(QUARANTINE_KEY_PREFIX, timeout).await {
-            return error;
+        match client.probe(QUARANTINE_KEY_PREFIX, timeout).await {
+            // Revisions of the past of a restored store are compared by their number alone.
+            Ok(listing) => drop(latest.send_replace(listing.revision.into())),
+            Err(error) => return error,
         }
     }
 }
--- a/dockgate/src/probed_wait/tests.rs
+++ b/dockgate/src/probed_wait/tests.rs
@@ -34,7 +34,7 @@
 async fn watches_fail_if_the_store_is_silent() {
     let client = start_store(false).await;
     let watch = std::future::pending::<Result<(), PlatformError>>();
-    let error = wait_with_probes(&client, watch).await.unwrap_err();
+    let error = wait_with_probes(&client, |_| watch).await.unwrap_err();
     assert!(
         matches!(error, PlatformError::TimedOut("probe", _)),
         "{error}"
@@ -48,5 +48,5 @@
         tokio::time::sleep(Duration::from_millis(2_000)).await;
         Ok(9)
     };
-    assert_eq!(wait_with_probes(&client, watch).await.unwrap(), 9);
+    assert_eq!(wait_with_probes(&client, |_| watch).await.unwrap(), 9);
 }
