fix: answers survive callers that read nothing for some seconds

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for cut links, also counts the time for which a living peer has no room, although it acknowledges every probe. The system then discards what it holds, also after the process has ended.

Evidence: callers of the box that is not stopped lose their answers too, and after 3 s rather than at the limits of the box. With the timeout alone raised, nothing else changed, both variants of the new test pass. The same fault on a related path: an endpoint that pauses reading for 3.5 s lost a body of 200 kB, the caller got 502.

Change: connections of callers are given up after 10 s, the limit that the box itself has for unread answers; those to endpoints only while they carry a body of more than 4 kB. Metric dockgate_abandoned_connections_total.

--- a/dockgate-bench/tests/caller_connections.rs
+++ b/dockgate-bench/tests/caller_connections.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use yare::parameterized;
 
 /// The size of an answer that does not fit into the buffers of a connection.
 const LARGE_ANSWER_BYTES: usize = 16 << 20;
@@ -250,3 +251,43 @@
     read.expect("an orderly close");
     assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
 }
+
+/// Guards against a connection that is reset, with what the system still holds of its answer, since
+/// the caller reads nothing for a few seconds.
+#[parameterized(
+    running = { false },
+    stopping = { true },
+)]
+#[test_macro(tokio::test)]
+async fn answers_survive_callers_that_pause_reading(stops: bool) {
+    /// Longer than the time without acknowledgements after which a connection is dead.
+    const PAUSE: Duration = Duration::from_millis(4_500);
+    let fleet = start_fleet(1, &["model"]).await;
+    add_large_endpoint(&fleet, BUFFERED_ANSWER_BYTES).await;
+    let gateway = &fleet.gateways[0];
+    let mut caller = SlowCaller::connect(gateway.caller_address()).await;
+    caller.send_request("r1").await.unwrap();
+    caller.read_first().await;
+    if stops {
+        gateway.signal(Signal::SIGTERM);
+    }
+    tokio::time::sleep(PAUSE).await;
+    let body = caller.read_body(BUFFERED_ANSWER_BYTES).await;
+    assert_eq!(body, BUFFERED_ANSWER_BYTES);
+}
+
+/// Guards against connections that are kept for callers which have stopped reading for good.
+#[tokio::test]
+async fn caller_that_reads_no_more_is_given_up() {
+    let fleet = start_fleet(1, &["model"]).await;
+    add_large_endpoint(&fleet, BUFFERED_ANSWER_BYTES).await;
+    let gateway = &fleet.gateways[0];
+    let mut caller = SlowCaller::connect(gateway.caller_address()).await;
+    caller.send_request("r1").await.unwrap();
+    caller.read_first().await;
+    wait_until("the connection is given up", async || {
+        let counted = r#"dockgate_abandoned_connections_total{cause="system"} 1"#;
+        gateway.metrics().await.contains(counted)
+    })
+    .await;
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -65,6 +65,7 @@
 use dockgate_core::gateway::{StateKind, StopWindow};
 use events::{GatewayEvent, log_gateway};
 use gateway_state::GatewayState;
+use sockets::{UNREAD_TIMEOUT, USER_TIMEOUT};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,10 +113,18 @@
     path: &Path,
     reload_signals: Option<Signal>,
 ) -> Result<(), DaemonError> {
-    let callers = sockets::listen("listen for callers", settings.listen.callers)?;
-    let readiness = sockets::listen("listen for readiness", settings.listen.readiness)?;
-    let state_listener = sockets::listen("listen for state", settings.listen.state)?;
-    let metrics = sockets::listen("listen for metrics", settings.listen.metrics)?;
+    let callers = sockets::listen(
+        "listen for callers",
+        settings.listen.callers,
+        UNREAD_TIMEOUT,
+    )?;
+    let readiness = sockets::listen(
+        "listen for readiness",
+        settings.listen.readiness,
+        USER_TIMEOUT,
+    )?;
+    let state_listener = sockets::listen("listen for state", settings.listen.state, USER_TIMEOUT)?;
+    let metrics = sockets::listen("listen for metrics", settings.listen.metrics, USER_TIMEOUT)?;
     let datagrams = UdpSocket::bind(settings.listen.peers)
         .await
         .map_err(|cause| {
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -2,14 +2,13 @@
 
 use super::call::serve_call;
 use super::call_body::CallBody;
+use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::GatewayState;
 use super::memory_guard::MemoryGuard;
-use super::sockets::{has_stream_options, set_stream_options};
+use super::sockets::{UNREAD_TIMEOUT, has_stream_options, set_stream_options};
 use super::tracked_io::{ConnectionState, TrackedIo};
 use crate::clock::now_ms;
-use crate::shared_stream::{
-    DisconnectMonitor, SharedStream, StreamAbortHandle, discard_until_closed,
-};
+use crate::shared_stream::{DisconnectMonitor, SharedStream, StreamHandle, discard_until_closed};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, Version, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -18,6 +17,8 @@
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::error::Error;
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -140,8 +141,8 @@
     fn spawn_connection(self: Arc<Self>, stream: TcpStream) {
         let is_ready = *self
             .inherits_options
-            .get_or_init(|| has_stream_options(&stream));
-        if !is_ready && let Err(error) = set_stream_options(&stream) {
+            .get_or_init(|| has_stream_options(&stream, UNREAD_TIMEOUT));
+        if !is_ready && let Err(error) = set_stream_options(&stream, UNREAD_TIMEOUT) {
             log::debug!("could not set the options of a caller's connection: {error}");
             return;
         }
@@ -159,7 +160,7 @@
     async fn serve(&self, stream: TcpStream, connection: &Arc<ConnectionState>) {
         let limits = self.state.table().config().limits;
         let stream = SharedStream::new(stream);
-        let (caller, abort) = (stream.disconnect_monitor(), stream.abort_handle());
+        let (caller, abort) = (stream.disconnect_monitor(), stream.handle());
         let io = TokioIo::new(TrackedIo::new(stream, connection.clone()));
         let service = service_fn(|request: Request<Incoming>| {
             let busy = BusyGuard::new(connection.clone());
@@ -187,6 +188,9 @@
         let ended = connection
             .serve_until_closed(served.as_mut(), &caller)
             .await;
+        if caller.has_timed_out() || has_timed_out(&ended) {
+            record_abandoned("system");
+        }
         match ended {
             // Boxed, since few connections are closed by this box.
             Some(Ok(())) => Box::pin(linger(&caller, connection)).await,
@@ -250,6 +254,9 @@
             let now = now_ms();
             for connection in self.locked().values() {
                 if connection.is_overdue(now, head_ms, idle_ms) {
+                    if connection.is_unread() {
+                        record_abandoned("unread");
+                    }
                     connection.close.notify_one();
                 }
             }
@@ -271,6 +278,22 @@
     }
 }
 
+fn record_abandoned(cause: &str) {
+    GATEWAY_METRICS
+        .abandoned_connections
+        .with_label_values(&[cause])
+        .inc();
+}
+
+/// Returns whether a connection ended with a time-out of the system.
+fn has_timed_out(ended: &Option<Result<(), hyper::Error>>) -> bool {
+    let Some(Err(error)) = ended else {
+        return false;
+    };
+    let cause = error.source().and_then(<dyn Error>::downcast_ref);
+    cause.is_some_and(|cause: &io::Error| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Marks a connection as busy until the answer is complete.
 struct BusyGuard(Arc<ConnectionState>);
 
@@ -292,7 +315,7 @@
     ends: bool,
     mut response: Response<CallBody>,
     busy: BusyGuard,
-    abort: Option<StreamAbortHandle>,
+    abort: Option<StreamHandle>,
 ) -> Response<BusyBody> {
     if ends {
         let close = HeaderValue::from_static("close");
@@ -311,7 +334,7 @@
     body: CallBody,
     is_complete: bool,
     /// Resets the connection if the answer is dropped before its end.
-    abort: Option<StreamAbortHandle>,
+    abort: Option<StreamHandle>,
     _busy: BusyGuard,
 }
 
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -41,6 +41,8 @@
     pub(super) suppressed_lines: IntCounter,
     /// Restores of the store from an older copy.
     pub(super) store_eras: IntCounter,
+    /// Connections of callers that were given up, by cause.
+    pub(super) abandoned_connections: IntCounterVec,
     /// Checks of watches of the store by followed data and result.
     pub(super) store_watch_checks: IntCounterVec,
     /// Calls to the store by followed data and outcome.
@@ -162,6 +164,13 @@
                 "dockgate_store_eras_total",
                 "Times that the store came back from an older copy, as this box heard",
             ),
+            abandoned_connections: counter_vec(
+                "dockgate_abandoned_connections_total",
+                "Connections of callers that were given up with what they had not received, by \
+                 cause: unread (an answer waited to be read), system (no room or no acknowledgement \
+                 for 10 s)",
+                &["cause"],
+            ),
             store_watch_checks: counter_vec(
                 "dockgate_store_watch_checks_total",
                 "Calls to the platform's store that check whether a watch has missed changes, by \
--- a/dockgate/src/gateway/readiness.rs
+++ b/dockgate/src/gateway/readiness.rs
@@ -2,6 +2,7 @@
 
 use super::gateway_gauges::GATEWAY_GAUGES;
 use super::gateway_state::GatewayState;
+use super::sockets::{USER_TIMEOUT, set_stream_options};
 use crate::metrics::METRICS;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -28,7 +29,7 @@
                 continue;
             }
         };
-        if let Err(error) = super::sockets::set_stream_options(&stream) {
+        if let Err(error) = set_stream_options(&stream, USER_TIMEOUT) {
             log::debug!("cannot set the options of a connection: {error}");
             continue;
         }
--- a/dockgate/src/gateway/sockets.rs
+++ b/dockgate/src/gateway/sockets.rs
@@ -10,23 +10,31 @@
 /// Length of the accept queue. A full queue drops connection attempts, which are retransmitted only
 /// after seconds.
 const BACKLOG: u32 = 1_024;
-/// Time without an acknowledgement after which a connection is closed. A cut link sends no reset,
-/// and callers wait two seconds for the next event of a stream.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without an acknowledgement after which a connection is closed, since a cut link sends no
+/// reset.
+pub(super) const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The same for a connection to a peer that may pause reading. The system also counts the time for
+/// which the peer has no room for more bytes, although the peer acknowledges every probe. What the
+/// system still holds for the peer is discarded then, even after the process has ended.
+pub(super) const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// Idle time before keepalive probes are sent.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
 
-/// Opens a listener. On most systems accepted connections inherit its options, see
-/// [`has_stream_options`].
+/// Opens a listener whose connections are closed after `user_timeout` without an acknowledgement. On
+/// most systems accepted connections inherit its options, see [`has_stream_options`].
 ///
 /// # Errors
 ///
 /// Returns an error if the address is in use.
-pub(super) fn listen(step: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+pub(super) fn listen(
+    step: &'static str,
+    address: SocketAddr,
+    user_timeout: Duration,
+) -> Result<TcpListener, DaemonError> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
-        set_socket_options(&SockRef::from(&socket))?;
+        set_socket_options(&SockRef::from(&socket), user_timeout)?;
         socket.bind(address)?;
         socket.listen(BACKLOG)
     };
@@ -38,31 +46,42 @@
 /// # Errors
 ///
 /// Returns an error if the system rejects an option.
-pub(super) fn set_stream_options(stream: &TcpStream) -> io::Result<()> {
-    set_socket_options(&SockRef::from(stream))
+pub(super) fn set_stream_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
+    set_socket_options(&SockRef::from(stream), user_timeout)
 }
 
-fn set_socket_options(socket: &SockRef<'_>) -> io::Result<()> {
+/// Sets the time without an acknowledgement after which a connection is closed.
+///
+/// # Errors
+///
+/// Returns an error if the system rejects the option.
+pub(super) fn set_user_timeout(socket: &SockRef<'_>, user_timeout: Duration) -> io::Result<()> {
+    #[cfg(target_os = "linux")]
+    socket.set_tcp_user_timeout(Some(user_timeout))?;
+    #[cfg(not(target_os = "linux"))]
+    let _ = (socket, user_timeout);
+    Ok(())
+}
+
+fn set_socket_options(socket: &SockRef<'_>, user_timeout: Duration) -> io::Result<()> {
     socket.set_tcp_nodelay(true)?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(Duration::from_secs(1));
     socket.set_tcp_keepalive(&keepalive.with_retries(2))?;
-    #[cfg(target_os = "linux")]
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-    Ok(())
+    set_user_timeout(socket, user_timeout)
 }
 
 /// Returns whether a connection has the options of [`set_stream_options`].
 ///
 /// If accepted connections inherit them from the listener, setting them again can be skipped.
-pub(super) fn has_stream_options(stream: &TcpStream) -> bool {
+pub(super) fn has_stream_options(stream: &TcpStream, user_timeout: Duration) -> bool {
     let socket = SockRef::from(stream);
     #[cfg(target_os = "linux")]
     let has_user_timeout =
-        matches!(socket.tcp_user_timeout(), Ok(Some(after)) if after == USER_TIMEOUT);
+        matches!(socket.tcp_user_timeout(), Ok(Some(after)) if after == user_timeout);
     #[cfg(not(target_os = "linux"))]
-    let has_user_timeout = true;
+    let has_user_timeout = user_timeout > Duration::ZERO;
     let has_keepalive = matches!(socket.tcp_keepalive_time(), Ok(after) if after == KEEPALIVE_IDLE);
     let has_keepalive = has_keepalive && matches!(socket.keepalive(), Ok(true));
     let has_nodelay = matches!(socket.tcp_nodelay(), Ok(true));
@@ -78,7 +97,7 @@
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_stream_options(&stream)?;
+    set_stream_options(&stream, USER_TIMEOUT)?;
     Ok(stream)
 }
 
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -1,5 +1,6 @@
 //! Tracks the activity of callers' connections, so that idle and incomplete ones can be closed.
 
+use super::sockets::UNREAD_TIMEOUT;
 use crate::clock::now_ms;
 use crate::shared_stream::{DisconnectMonitor, SharedStream};
 use std::io;
@@ -17,7 +18,7 @@
 
 /// The least time without progress after which an unread answer is overdue, in milliseconds. The
 /// system reports progress only after it has sent a third of the socket's buffer.
-const MIN_UNREAD_MS: u64 = 10_000;
+const MIN_UNREAD_MS: u64 = UNREAD_TIMEOUT.as_millis() as u64;
 
 /// Activity of a caller's connection.
 #[derive(Debug)]
@@ -94,7 +95,12 @@
     /// A request ends when the HTTP library takes the last bytes of its answer, however long the
     /// caller takes to read them.
     pub(super) fn is_busy(&self) -> bool {
-        self.has_request() || self.is_writing.load(Ordering::Relaxed)
+        self.has_request() || self.is_unread()
+    }
+
+    /// Returns whether bytes of an answer wait until the caller reads.
+    pub(super) fn is_unread(&self) -> bool {
+        self.is_writing.load(Ordering::Relaxed)
     }
 
     fn has_request(&self) -> bool {
@@ -141,7 +147,7 @@
     pub(super) fn is_overdue(&self, now_ms: u64, head_ms: u64, idle_ms: u64) -> bool {
         let idle_time_ms = now_ms.saturating_sub(self.last_used_ms.load(Ordering::Relaxed));
         let limit = match self.partial.load(Ordering::Relaxed) {
-            _ if self.is_writing.load(Ordering::Relaxed) => idle_ms.max(MIN_UNREAD_MS),
+            _ if self.is_unread() => idle_ms.max(MIN_UNREAD_MS),
             true => head_ms,
             false => idle_ms,
         };
--- a/dockgate/src/gateway/upstream.rs
+++ b/dockgate/src/gateway/upstream.rs
@@ -2,16 +2,16 @@
 
 mod endpoint_io;
 
-use super::sockets::connect;
+use super::sockets::{UNREAD_TIMEOUT, USER_TIMEOUT, connect, set_user_timeout};
 use crate::clock::now_ms;
-use crate::shared_stream::{SharedStream, StreamAbortHandle};
+use crate::shared_stream::{SharedStream, StreamHandle};
 use bytes::Bytes;
 use dockgate_core::gateway::{EndpointId, SoftwareVersion};
 use endpoint_io::{EndpointIo, SendGate};
 pub(super) use endpoint_io::{SendCondition, WithheldReason};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
@@ -33,6 +33,10 @@
 /// answer, for the life of the connection.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
+/// The size of a body that fits into the buffers of any endpoint. Only beyond it can an endpoint that
+/// pauses reading hold a request up.
+const SMALL_BODY_BYTES: u64 = 4 << 10;
+
 /// The endpoint that a request is sent to.
 #[derive(Debug, Clone)]
 pub(super) struct EndpointTarget {
@@ -97,11 +101,18 @@
     Lost(String),
 }
 
-/// An open connection, with the gate that can withhold a request and the handle to reset it.
+/// An open connection, with the gate that can withhold a request and the handle to its options.
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     gate: Arc<SendGate>,
-    abort: StreamAbortHandle,
+    handle: StreamHandle,
+}
+
+impl OpenConnection {
+    fn set_user_timeout(&self, user_timeout: Duration) {
+        self.handle
+            .set_options(|socket| set_user_timeout(socket, user_timeout));
+    }
 }
 
 struct IdleConnection {
@@ -274,7 +285,7 @@
         // An orderly close would still deliver the buffered request to an endpoint that reads late;
         // a reset discards it. Once the endpoint answers, it has the whole request.
         if !self.is_answered {
-            connection.abort.reset_on_close();
+            connection.handle.reset_on_close();
         }
         self.pools.release(self.pool.id);
     }
@@ -307,7 +318,7 @@
         })?;
     let gate = Arc::<SendGate>::default();
     let stream = SharedStream::new(stream);
-    let abort = stream.abort_handle();
+    let handle = stream.handle();
     let io = EndpointIo::new(stream, gate.clone());
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
@@ -326,7 +337,7 @@
         connection: Some(OpenConnection {
             sender,
             gate,
-            abort,
+            handle,
         }),
         is_answered: false,
     })
@@ -392,8 +403,15 @@
         return Err(ExchangeFailure::NotSent(Box::new(request)));
     }
     connection.gate.set_condition(condition);
+    let is_large = request.body().size_hint().lower() > SMALL_BODY_BYTES;
+    if is_large {
+        connection.set_user_timeout(UNREAD_TIMEOUT);
+    }
     let mut error = match connection.sender.try_send_request(request).await {
         Ok(response) => {
+            if is_large {
+                connection.set_user_timeout(USER_TIMEOUT);
+            }
             pooled.is_answered = true;
             return Ok((response, pooled));
         }
--- a/dockgate/src/shared_stream.rs
+++ b/dockgate/src/shared_stream.rs
@@ -44,9 +44,9 @@
         DisconnectMonitor(self.0.clone())
     }
 
-    /// Returns a handle that can reset the connection while it is open.
-    pub(crate) fn abort_handle(&self) -> StreamAbortHandle {
-        StreamAbortHandle(Arc::downgrade(&self.0))
+    /// Returns a handle to the connection that does not keep it open.
+    pub(crate) fn handle(&self) -> StreamHandle {
+        StreamHandle(Arc::downgrade(&self.0))
     }
 
     /// Reads received bytes. A read that does not fill the buffer clears the readiness, which saves
@@ -156,6 +156,13 @@
         readiness.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
     }
 
+    /// Returns whether the system has given up the connection, since the peer did not acknowledge or
+    /// read anything for too long. Returns `true` once.
+    pub(crate) fn has_timed_out(&self) -> bool {
+        let error = self.0.take_error();
+        matches!(error, Ok(Some(error)) if error.kind() == ErrorKind::TimedOut)
+    }
+
     /// Waits until the peer has disconnected, even after unread bytes.
     pub(crate) async fn disconnected(&self) {
         loop {
@@ -191,20 +198,25 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-/// Resets a connection without keeping it open.
+/// Changes the options of a connection without keeping it open.
 #[derive(Debug, Clone)]
-pub(crate) struct StreamAbortHandle(Weak<TcpStream>);
+pub(crate) struct StreamHandle(Weak<TcpStream>);
 
-impl StreamAbortHandle {
-    /// Resets the connection when it is closed, so that undelivered bytes are discarded.
-    pub(crate) fn reset_on_close(&self) {
+impl StreamHandle {
+    /// Calls `set` with the socket, if the connection is open.
+    pub(crate) fn set_options(&self, set: impl FnOnce(&SockRef<'_>) -> io::Result<()>) {
         let Some(stream) = self.0.upgrade() else {
             return;
         };
-        if let Err(error) = stream.set_zero_linger() {
-            log::debug!("cannot set a connection to reset on close: {error}");
+        if let Err(error) = set(&SockRef::from(&*stream)) {
+            log::debug!("cannot set an option of a connection: {error}");
         }
     }
+
+    /// Resets the connection when it is closed, so that undelivered bytes are discarded.
+    pub(crate) fn reset_on_close(&self) {
+        self.set_options(|socket| socket.set_linger(Some(Duration::ZERO)));
+    }
 }
 
 #[cfg(test)]
