fix: a follower lists the store after an answer that it cannot read

Cause: the answer to a watch was larger than the 4 MiB that the client reads. The follower took that for a lost contact and asked for the same history again, which only grows; until the store forgot it, no answer could be read.

Change: the client tells an answer that cannot be read (too large, cut, delayed in its body, malformed) from a call without an answer, and a follower lists the keys after it. The head of a fleet run by declarations is read in the same way.

--- a/dockgate/src/config_cell.rs
+++ b/dockgate/src/config_cell.rs
@@ -6,7 +6,7 @@
 use crate::probed_wait::watch_with_probes;
 use dockgate_config::{ConfigHead, ConfigStore, HEAD_KEY};
 use dockgate_core::FleetConfig;
-use dockgate_platform::PlatformError;
+use dockgate_platform::{PlatformError, WatchOutcome};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -110,7 +110,12 @@
     revision: u64,
     watch_timeout: Duration,
 ) -> Result<u64, PlatformError> {
-    let watched = watch_with_probes(store.client(), HEAD_KEY, revision, watch_timeout).await?;
+    let watched = watch_with_probes(store.client(), HEAD_KEY, revision, watch_timeout).await;
+    let watched = match watched {
+        // The history only grows, while the key holds the newest head alone.
+        Err(error) if error.is_unreadable() => WatchOutcome::HistoryLost,
+        watched => watched?,
+    };
     let Some((head, seen_revision)) = store.head_after(watched).await? else {
         return Ok(revision);
     };
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -3,8 +3,8 @@
 //! A few boxes of each failure domain follow the store
 //! ([`dockgate_core::gateway::StoreFollower`]); the others receive changes from them. Each key
 //! prefix is listed once and then watched. A watch that tells nothing while the store changes is
-//! checked ([`CheckedWatch`]), a failed one is retried, and one whose history is lost lists the keys
-//! again. The known state stays in force meanwhile.
+//! checked ([`CheckedWatch`]), a failed one is retried, and one whose history is lost or cannot be
+//! read lists the keys again. The known state stays in force meanwhile.
 
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_metrics::GATEWAY_METRICS;
@@ -143,6 +143,10 @@
                     contact.record_failure(&error);
                     state.set_store_revision(prefix, None);
                     wait_before_retry().await;
+                    // The history only grows, while a listing holds each key once.
+                    if error.is_unreadable() {
+                        break;
+                    }
                 }
             }
         }
