fix: a stream that began at a new version is not taken up at the one before

Cause: a box that has not heard of the new version takes the earlier one for the only one, since it is in contact, and asks nobody. Its list may be older than the stream.

Evidence: taken_up says only_version after 0 ms for all mixed streams. Once other boxes are asked, the keepers know the version of every stream of v2, so the reports are neither late nor lost.

Change: for a stream that its caller names, the other boxes are asked before one version is taken for the only one; a box that knows the stream decides, and one that knows a second version prevails. A box that is told a version new to it waits up to 0.8 s for the record of an endpoint; it refused such streams as version_gone, which was not true.

--- a/dockgate-bench/tests/stream_versions.rs
+++ b/dockgate-bench/tests/stream_versions.rs
@@ -6,12 +6,13 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, wait_until};
 use dockgate_bench::standin::EndpointBehavior;
 use dockgate_bench::standin::caller::{all_events, call, request, text};
-use dockgate_platform::VERSIONS_KEY;
+use dockgate_platform::{OPERATOR_KEY_PREFIX, ROUTES_KEY, VERSIONS_KEY};
+use futures::future::join_all;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use std::collections::BTreeSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use yare::parameterized;
 
 /// Events of a whole stream.
@@ -340,3 +341,79 @@
         "{metrics}"
     );
 }
+
+/// Returns whether each box follows the store: those that do start a watch after a change.
+async fn find_followers(fleet: &GatewayFleet, version: u64) -> Vec<bool> {
+    let changed = Instant::now();
+    fleet.store.set(ROUTES_KEY, route_config(version, KEYS));
+    for gateway in &fleet.gateways {
+        wait_until("the configuration is in force", async || {
+            gateway.logged().contains(&format!("\"version\":{version}"))
+        })
+        .await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let watches = fleet.store_listeners.iter();
+    let watches = watches.map(|listener| listener.watch(OPERATOR_KEY_PREFIX));
+    watches
+        .map(|watch| watch.is_some_and(|(started, _)| started > changed))
+        .collect()
+}
+
+/// Guards against a stream that goes on at the version before, or is refused, at a box that has not
+/// heard of the version at which it began.
+#[parameterized(
+    after_50_ms = { 50 },
+    after_100_ms = { 100 },
+    after_200_ms = { 200 },
+    after_400_ms = { 400 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn streams_taken_up_as_a_version_appears_are_not_mixed(kill_after_ms: u64) {
+    const BOXES: usize = 6;
+    let mut fleet = GatewayFleet::start_in(&["a"; BOXES], &["model"; 2], &route_config(3, KEYS))
+        .await
+        .unwrap();
+    // All boxes have known one version for as long as a stream can be taken up.
+    tokio::time::sleep(2 * ROUTE_TIMEOUT + Duration::from_secs(1)).await;
+    let followers = find_followers(&fleet, 5).await;
+    let killed = followers.iter().position(|follows| *follows).unwrap();
+    let others: Vec<usize> = (0..BOXES).filter(|index| !followers[*index]).collect();
+    fleet
+        .add_endpoint_of_version("v2", "v2-0", "model")
+        .await
+        .unwrap();
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(EVENT_INTERVAL);
+    }
+    let begin = async |number: u64| {
+        let id = format!("r{number}");
+        let mut response = call(&fleet.gateways[killed], stream_request(&id)).await;
+        let is_begun = response.status() == StatusCode::OK;
+        if is_begun {
+            read_until(&mut response, 2).await;
+        }
+        is_begun.then_some((id, response))
+    };
+    let delay = tokio::time::sleep(Duration::from_millis(kill_after_ms));
+    let (begun, ()) = tokio::join!(join_all((0..STREAMS).map(begin)), delay);
+    fleet.gateways[killed].kill();
+    let begun: Vec<_> = begun.into_iter().flatten().collect();
+    let taken_up = begun.iter().enumerate().map(async |(number, (began, _))| {
+        let gateway = &fleet.gateways[others[number % others.len()]];
+        let id = format!("{began}-again");
+        let response = call(gateway, take_up_request(&id, began, 2)).await;
+        let status = response.status();
+        if status == StatusCode::OK {
+            text(response).await;
+        }
+        (versions_of(&fleet, &[began, &id]), status)
+    });
+    let taken_up = join_all(taken_up).await;
+    let mixed = taken_up.iter().filter(|(versions, _)| versions.len() > 1);
+    assert_eq!(mixed.count(), 0, "{taken_up:?}");
+    let at_new = taken_up
+        .iter()
+        .filter(|(versions, _)| versions.contains("v2"));
+    assert!(at_new.count() > 0, "no stream began at the new version");
+}
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -217,6 +217,8 @@
     OnlyVersion(SoftwareVersion),
     /// Nothing is known of it.
     Unknown,
+    /// The stream is not known, and the service had several versions within that time.
+    SeveralVersions,
 }
 
 impl GatewayMessage {
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -254,6 +254,10 @@
             query: 6,
             origin: StreamOrigin::Unknown,
         },
+        GatewayMessage::StreamOrigin {
+            query: 6,
+            origin: StreamOrigin::SeveralVersions,
+        },
         GatewayMessage::PartSuspects {
             rows: vec![suspect(4, SuspectEvent::Ended(endpoint))],
         },
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -6,18 +6,25 @@
 use super::super::refusal::RefusalReason;
 use super::super::stream_origins::{ask_origin, record_begun};
 use super::{AdmittedCall, CallRefusal, RETRY_ELSEWHERE};
-use crate::clock::now_ms;
-use dockgate_core::gateway::{AnswerForm, SoftwareVersion, StreamKey, StreamRecord, name_hash};
+use crate::clock::{ClockInstant, now_ms};
+use dockgate_core::gateway::{
+    AnswerForm, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, name_hash,
+};
 use std::time::Duration;
 
 /// For how long a stream can be taken up after its first event, in multiples of its route's
 /// timeout: the caller's last attempt may begin when the first one has timed out.
 const TAKE_UP_TIMEOUTS: u32 = 2;
 
+/// How long a stream waits for the record of an endpoint of its version at a box that has not heard of
+/// the version. Records reach all boxes within that time, unless the box is cut off.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
+const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How the version of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OriginSource {
-    /// The service had no other version since the stream began.
+    /// The service had no other version since the stream began, as far as any box knows.
     OnlyVersion,
     /// This box knows the stream.
     Own,
@@ -49,14 +56,14 @@
         }
         let origin = self.find_origin().await;
         let (result, outcome) = match origin {
-            Some((version, source)) if self.is_served(version) => {
+            Some((version, source)) if self.wait_until_served(version).await => {
                 (Ok(PlacementGoal::TakeUp(version)), source.as_str())
             }
-            Some(_) => {
+            Some((version, _)) if !self.is_unheard(version) => {
                 let reason = RefusalReason::VersionGone;
                 (Err(reason.into()), reason.as_str())
             }
-            None => {
+            _ => {
                 let refusal = self.refuse_unknown_version();
                 let reason = refusal.reason;
                 (Err(refusal), reason.as_str())
@@ -81,13 +88,19 @@
             let known = stream.and_then(|key| view.streams.version(key, now));
             (known, view.only_version(stream, service, within_ms, now))
         });
-        let own = known.map(|version| (version, OriginSource::Own));
-        let own = own.or_else(|| only.map(|version| (version, OriginSource::OnlyVersion)));
-        if own.is_some() {
-            return own;
+        match (known, only) {
+            (Some(version), _) => return Some((version, OriginSource::Own)),
+            (None, Some(version)) if stream.is_none() => {
+                return Some((version, OriginSource::OnlyVersion));
+            }
+            _ => {}
         }
         let told = ask_origin(&self.state, stream, service, within_ms).await;
-        told.map(|version| (version, OriginSource::Peer))
+        let source = match told == only {
+            true => OriginSource::OnlyVersion,
+            false => OriginSource::Peer,
+        };
+        told.map(|version| (version, source))
     }
 
     /// Returns for how long after its first event a stream of this route can be taken up.
@@ -99,6 +112,27 @@
         StreamKey::new(self.workspace_name(), &self.service().name, request)
     }
 
+    /// Returns whether an endpoint of the version accepts requests. If this box has not heard of the
+    /// version, it waits until the record of an endpoint arrives.
+    async fn wait_until_served(&self, version: SoftwareVersion) -> bool {
+        let until = self.deadline().min(ClockInstant::now() + RECORD_TIMEOUT);
+        loop {
+            let is_served = self.is_served(version);
+            if is_served || !self.is_unheard(version) || until.remaining().is_zero() {
+                return is_served;
+            }
+            tokio::time::sleep(RECORD_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether this box has known no endpoint of the version within the last minutes.
+    fn is_unheard(&self, version: SoftwareVersion) -> bool {
+        let service = name_hash(&self.service().name);
+        let known = ServiceVersion { service, version };
+        self.state
+            .with(|view| !view.versions.recent().contains(&known))
+    }
+
     /// Returns whether an endpoint of the version accepts requests.
     fn is_served(&self, version: SoftwareVersion) -> bool {
         let service = &self.service().name;
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -31,8 +31,9 @@
     /// within that time.
     ///
     /// A caller that names its stream may come from a box that knows of a version of which this one
-    /// has not heard, so this box must not have been out of contact. Callers of services with
-    /// several versions always name it.
+    /// has not heard, so this box must not have been out of contact. That alone proves nothing, since
+    /// the version may have appeared a moment ago; other boxes are asked too, see [`ask_origin`].
+    /// Callers of services with several versions always name it.
     pub(super) fn only_version(
         &self,
         stream: Option<StreamKey>,
@@ -112,7 +113,12 @@
             Some(version) => StreamOrigin::Known(version),
             None => {
                 let only = view.only_version(stream, service, within_ms, now);
-                only.map_or(StreamOrigin::Unknown, StreamOrigin::OnlyVersion)
+                let mut versions = view.versions.versions(service, within_ms.into(), now);
+                match (only, versions.nth(1)) {
+                    (Some(version), _) => StreamOrigin::OnlyVersion(version),
+                    (None, Some(_)) => StreamOrigin::SeveralVersions,
+                    (None, None) => StreamOrigin::Unknown,
+                }
             }
         }
     })
@@ -147,20 +153,33 @@
         }
     }
 
-    /// Waits for answers until one tells the version, all live boxes have answered, or the time is
-    /// over.
-    async fn next_origin(&mut self, unanswered: &mut BTreeSet<BoxKey>) -> StreamOrigin {
+    /// Collects answers until one tells the version, all live boxes have answered, or the time is
+    /// over; `origin` combines them.
+    async fn collect(&mut self, origin: &mut StreamOrigin, unanswered: &mut BTreeSet<BoxKey>) {
         let until = ClockInstant::now() + ANSWER_TIMEOUT;
         while has_live(self.state, unanswered) {
-            let Ok(Some((peer, origin))) = timeout_at(until, self.answers.recv()).await else {
-                break;
+            let Ok(Some((peer, told))) = timeout_at(until, self.answers.recv()).await else {
+                return;
             };
             unanswered.remove(&peer);
-            if origin != StreamOrigin::Unknown {
-                return origin;
+            *origin = combine_origins(*origin, told);
+            if matches!(origin, StreamOrigin::Known(_)) {
+                return;
             }
         }
-        StreamOrigin::Unknown
+    }
+}
+
+/// Combines what two boxes know of a stream. That a service had one version is believed only if no
+/// box knows of another one: a list of endpoints may be older than the stream.
+fn combine_origins(one: StreamOrigin, other: StreamOrigin) -> StreamOrigin {
+    use StreamOrigin::{Known, OnlyVersion, SeveralVersions, Unknown};
+    match (one, other) {
+        (Known(version), _) | (_, Known(version)) => Known(version),
+        (OnlyVersion(first), OnlyVersion(second)) if first != second => SeveralVersions,
+        (SeveralVersions, _) | (_, SeveralVersions) => SeveralVersions,
+        (OnlyVersion(version), _) | (_, OnlyVersion(version)) => OnlyVersion(version),
+        (Unknown, Unknown) => Unknown,
     }
 }
 
@@ -177,7 +196,7 @@
 }
 
 /// Asks other boxes for the version at which a stream began, or for the only one that the service
-/// had since; `None` if no box knows.
+/// had since, which they and this box have to agree on; `None` if no box knows.
 pub(super) async fn ask_origin(
     state: &GatewayState,
     stream: Option<StreamKey>,
@@ -187,6 +206,7 @@
     let mut pending = PendingQuery::new(state);
     let witnesses = state.with(|view| view.fleet.stream_witnesses());
     let mut unanswered: BTreeSet<BoxKey> = witnesses.into_iter().collect();
+    let mut origin = known_origin(state, stream, service, within_ms);
     for _ in 0..QUERY_ROUNDS {
         for witness in &unanswered {
             let Some(address) = state.with(|view| view.fleet.address(*witness)) else {
@@ -201,13 +221,16 @@
             send_datagram(state, address, message);
         }
         GATEWAY_METRICS.stream_queries.inc();
-        match pending.next_origin(&mut unanswered).await {
-            StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => {
-                return Some(version);
-            }
-            StreamOrigin::Unknown if !has_live(state, &unanswered) => break,
-            StreamOrigin::Unknown => {}
+        pending.collect(&mut origin, &mut unanswered).await;
+        if matches!(origin, StreamOrigin::Known(_)) || !has_live(state, &unanswered) {
+            break;
         }
     }
-    None
+    match origin {
+        StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => Some(version),
+        StreamOrigin::Unknown | StreamOrigin::SeveralVersions => None,
+    }
 }
+
+#[cfg(test)]
+mod tests;
