--- a/dockgate/src/gateway/call/attempt_failure.rs
+++ b/dockgate/src/gateway/call/attempt_failure.rs
@@ -91,12 +91,12 @@
     /// Creates the failure of an answer that was not read to its end. An answer that was given up for
     /// its size does not suggest that the endpoint has ended.
     pub(super) fn incomplete(failure: &ReadFailure) -> Self {
-        let cause = match failure {
+        let bound = match failure {
             ReadFailure::Broken(_) => return Self::broken_off(failure.to_string(), false),
             ReadFailure::TooLarge => "too_large",
             ReadFailure::OutOfMemory => "out_of_memory",
         };
-        GATEWAY_METRICS.record_unbounded_answer(cause);
+        GATEWAY_METRICS.record_unbounded_answer(bound);
         Self::new(
             AttemptState::Sent,
             EndpointOutcome::Failed,
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -63,7 +63,8 @@
                 let reason = RefusalReason::VersionGone;
                 (Err(reason.into()), reason.as_str())
             }
-            _ => {
+            // The version is not known, or no endpoint of it is known here yet.
+            Some(_) | None => {
                 let refusal = self.refuse_unknown_version();
                 let reason = refusal.reason;
                 (Err(refusal), reason.as_str())
