feat: the shares line says which parts of its rates a box has of a workspace

The incident's hypotheses differ in how a workspace's rates are divided among its boxes, which no line told. The line now has this box's guaranteed and fair rate, and what the fleet's sums say that the workspace requests and may have. No logic changes.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -126,7 +126,7 @@
 pub use share_level::ShareLevel;
 pub use share_reports::{ShareHeader, ShareScope, ShareSource};
 pub use share_tally::{ShareOutcome, ShareTally, TallyRow};
-pub use share_tracker::ShareTracker;
+pub use share_tracker::{ShareAllotment, ShareTracker};
 pub use software_version::SoftwareVersion;
 pub use stop_window::StopWindow;
 pub use store_follower::{StoreAccess, StoreFollower, StorePeers};
--- a/dockgate-core/src/gateway/fair_usage.rs
+++ b/dockgate-core/src/gateway/fair_usage.rs
@@ -42,6 +42,11 @@
         self
     }
 
+    /// Returns the fair rate, in service units per millisecond.
+    pub(super) const fn fair_per_ms(&self) -> f64 {
+        self.fair_per_ms
+    }
+
     fn admitted_at(&self, now_ms: u64) -> f64 {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         self.admitted * (-passed_ms / Self::DECAY_MS).exp()
--- a/dockgate-core/src/gateway/share_credit.rs
+++ b/dockgate-core/src/gateway/share_credit.rs
@@ -40,6 +40,11 @@
         self
     }
 
+    /// Returns the refill rate, in service units per millisecond.
+    pub(super) const fn per_ms(&self) -> f64 {
+        self.per_ms
+    }
+
     fn balance_at(&self, now_ms: u64) -> f64 {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         (self.balance + passed_ms * self.per_ms).min(self.max)
--- a/dockgate-core/src/gateway/share_tracker.rs
+++ b/dockgate-core/src/gateway/share_tracker.rs
@@ -38,6 +38,7 @@
 use super::share_credit::ShareCredit;
 use super::share_level::ShareLevel;
 use super::share_reports::{ShareHeader, ShareReports, ShareSource};
+use serde::Serialize;
 use std::collections::HashMap;
 
 /// Thresholds that apply to every workspace, in service units within the short decay time.
@@ -77,6 +78,21 @@
     credit: ShareCredit,
     /// Service admitted at this box, relative to the fair rate.
     usage: FairUsage,
+    /// Service requested in the fleet within the short decay time.
+    fleet_requested: f64,
+}
+
+/// What a box knows of a contending workspace, in service units per second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ShareAllotment {
+    /// This box's part of the guaranteed rate.
+    pub guaranteed_per_s: u64,
+    /// This box's part of the fair rate.
+    pub fair_per_s: u64,
+    /// Requested service in the whole fleet.
+    pub fleet_requested_per_s: u64,
+    /// Fair rate of the workspace in the whole fleet.
+    pub fleet_fair_per_s: u64,
 }
 
 /// Tracks demand and admitted service by workspace, and derives each workspace's share.
@@ -280,9 +296,24 @@
             usage: usage
                 .with_fair_rate(fair * local_fraction / short_ms)
                 .with_fleet_ratio(total.admitted / fair.max(1.0)),
+            fleet_requested: total.requested,
         }
     }
 
+    /// Returns what this box knows of a workspace; `None` if it is within its share.
+    pub fn allotment(&self, workspace: u64) -> Option<ShareAllotment> {
+        let share = self.contending.get(&workspace)?;
+        let per_s = |per_ms: f64| (per_ms * 1_000.0) as u64;
+        let short_ms = self.decay_times().short_ms;
+        let fair = self.thresholds.fair.min(share.fleet_requested);
+        Some(ShareAllotment {
+            guaranteed_per_s: per_s(share.credit.per_ms()),
+            fair_per_s: per_s(share.usage.fair_per_ms().min(fair / short_ms)),
+            fleet_requested_per_s: per_s(share.fleet_requested / short_ms),
+            fleet_fair_per_s: per_s(fair / short_ms),
+        })
+    }
+
     /// Returns the level at which a prompt of `units` service units is admitted.
     pub fn level(&self, workspace: u64, units: u64, now_ms: u64) -> ShareLevel {
         match self.contending.get(&workspace) {
--- a/dockgate/src/gateway/workspace_report.rs
+++ b/dockgate/src/gateway/workspace_report.rs
@@ -3,7 +3,7 @@
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::GatewayState;
 use crate::clock::now_ms;
-use dockgate_core::gateway::{ShareSource, TallyRow};
+use dockgate_core::gateway::{ShareAllotment, ShareSource, TallyRow};
 use serde::Serialize;
 
 /// Interval of the log, in milliseconds.
@@ -18,6 +18,9 @@
     times: f64,
     /// Service admitted at this box over the fair share.
     taken: f64,
+    /// This box's part of the workspace's rates, while it contends.
+    #[serde(flatten)]
+    allotment: Option<ShareAllotment>,
 }
 
 /// Logs the workspaces with prompts refused since the last call, if any.
@@ -27,10 +30,12 @@
         let rows = view.tally.take_refused().into_iter();
         let rows = rows.map(|counters| {
             let level = view.shares.level(counters.key, 0, now);
+            let allotment = view.shares.allotment(counters.key);
             WorkspaceReport {
                 counters,
                 times: level.share_ratio(),
                 taken: level.fair_ratio(),
+                allotment,
             }
         });
         rows.collect()
