test: a workspace whose requests are shed or lost gets less than half of the best service, known to fail

The simulation of shares gains boxes that shed requests for want of processor, engines that reject what they admitted, and callers that move between boxes. Callers that move alone do not bring it below. The engines are used (the second new test passes).

--- a/dockgate-core/src/gateway/share_tracker/fairness_tests.rs
+++ b/dockgate-core/src/gateway/share_tracker/fairness_tests.rs
@@ -1,8 +1,10 @@
 //! Fairness between workspaces under simulated load.
 
 use super::share_simulation::{BOXES, Flood, SimulationConfig, SimulationOutcome, simulate};
+use std::num::NonZeroUsize;
 use std::ops::Range;
 use std::sync::LazyLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 const SEEDS: Range<u64> = 1..3;
 /// Latency of messages between boxes, in milliseconds.
@@ -72,6 +74,47 @@
         .to_vec()
 }
 
+/// Boxes of the first workspace are short of processor time.
+fn one_shed_flood(count: usize) -> Vec<Flood> {
+    let mut floods = vec![Flood::new(2.0, 4_500); count];
+    floods[0] = Flood::new(2.0, 4_500).shed(0.7);
+    floods
+}
+
+/// Callers of the first workspace move between boxes that are short of processor time.
+fn moving_flood() -> Vec<Flood> {
+    let moving = Flood::new(2.0, 4_500).shed(0.7).boxes(2);
+    vec![
+        moving.moving_every(3_000),
+        Flood::new(1.0, 4_500).boxes(BOXES),
+        Flood::new(1.0, 4_500).boxes(BOXES).since(4.0),
+        Flood::new(1.0, 4_500).boxes(BOXES).since(8.0),
+    ]
+}
+
+/// Engines reject a part of what they admitted for the first workspace.
+fn one_lost_flood() -> Vec<Flood> {
+    let mut floods = vec![Flood::new(2.0, 4_500); 4];
+    floods[0] = Flood::new(2.0, 4_500).lost(0.35);
+    floods
+}
+
+fn shed_and_lost_floods() -> Vec<Flood> {
+    vec![
+        Flood::new(2.0, 2_000).shed(0.5).lost(0.35),
+        Flood::new(2.0, 9_000),
+        Flood::new(2.0, 4_500),
+        Flood::new(2.0, 4_500),
+    ]
+}
+
+fn shed_and_lost_before_floods() -> Vec<Flood> {
+    let others = [4.0, 8.0, 12.0].map(|start| Flood::new(2.0, 4_500).since(start));
+    let mut floods = vec![Flood::new(2.0, 4_500).shed(0.5).lost(0.35)];
+    floods.extend(others);
+    floods
+}
+
 /// Load of several workspaces, and the configured capacity.
 struct FloodCase {
     name: &'static str,
@@ -119,6 +162,26 @@
     ]
 }
 
+fn troubled_cases() -> Vec<FloodCase> {
+    let ratios = [0.3, CAPACITY_RATIO, 1.0, 1.5, 2.5];
+    let cases = ratios.into_iter().flat_map(|capacity_ratio| {
+        let case = |name, floods| FloodCase {
+            name,
+            floods,
+            capacity_ratio,
+        };
+        [
+            case("one of two sheds", one_shed_flood(2)),
+            case("one of four sheds", one_shed_flood(4)),
+            case("one moves and sheds", moving_flood()),
+            case("one loses", one_lost_flood()),
+            case("one sheds and loses", shed_and_lost_floods()),
+            case("one sheds and loses first", shed_and_lost_before_floods()),
+        ]
+    });
+    cases.collect()
+}
+
 /// Outcome of one simulation and its name.
 struct SimulatedCase {
     name: String,
@@ -126,28 +189,57 @@
 }
 
 /// Every case with several seeds and message latencies.
-static SIMULATED: LazyLock<Vec<SimulatedCase>> = LazyLock::new(|| {
-    let cases = flood_cases();
-    let simulated = cases.iter().flat_map(|case| {
-        let configs = SEEDS.flat_map(|seed| LATENCIES_MS.map(|latency_ms| (seed, latency_ms)));
-        configs.map(|(seed, latency_ms)| SimulatedCase {
-            name: format!("{}, seed {seed}, {latency_ms} ms latency", case.name),
+static SIMULATED: LazyLock<Vec<SimulatedCase>> = LazyLock::new(|| simulate_cases(&flood_cases()));
+
+/// Every troubled case with several seeds and message latencies.
+static TROUBLED: LazyLock<Vec<SimulatedCase>> = LazyLock::new(|| simulate_cases(&troubled_cases()));
+
+fn simulate_cases(cases: &[FloodCase]) -> Vec<SimulatedCase> {
+    let configs: Vec<(u64, u64)> = SEEDS
+        .flat_map(|seed| LATENCIES_MS.map(|latency_ms| (seed, latency_ms)))
+        .collect();
+    let simulate_case = |case: &FloodCase| -> Vec<SimulatedCase> {
+        let configs = configs.iter();
+        let simulated = configs.map(|(seed, latency_ms)| SimulatedCase {
+            name: format!(
+                "{}, capacity ratio {}, seed {seed}, {latency_ms} ms latency",
+                case.name, case.capacity_ratio
+            ),
             outcome: simulate(
                 &case.floods,
                 SimulationConfig {
-                    seed,
-                    latency_ms,
+                    seed: *seed,
+                    latency_ms: *latency_ms,
                     capacity_ratio: case.capacity_ratio,
                 },
             ),
-        })
-    });
-    simulated.collect()
-});
+        });
+        simulated.collect()
+    };
+    let next = AtomicUsize::new(0);
+    let simulate_remaining = || {
+        let cases = std::iter::from_fn(|| cases.get(next.fetch_add(1, Ordering::Relaxed)));
+        cases
+            .flat_map(simulate_case)
+            .collect::<Vec<SimulatedCase>>()
+    };
+    let threads = std::thread::available_parallelism().map_or(1, NonZeroUsize::get);
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..threads)
+            .map(|_| scope.spawn(simulate_remaining))
+            .collect();
+        let workers = workers.into_iter();
+        workers.flat_map(|worker| worker.join().unwrap()).collect()
+    })
+}
 
 /// Returns the names and values of the simulations in which `value` is below `min`.
-fn cases_below(min: f64, value: impl Fn(&SimulationOutcome) -> f64) -> Vec<String> {
-    let simulated = SIMULATED.iter();
+fn cases_below(
+    simulated: &[SimulatedCase],
+    min: f64,
+    value: impl Fn(&SimulationOutcome) -> f64,
+) -> Vec<String> {
+    let simulated = simulated.iter();
     let simulated = simulated.map(|case| (&case.name, value(&case.outcome)));
     let below = simulated.filter(|(_, value)| *value < min);
     below
@@ -157,18 +249,30 @@
 
 #[test]
 fn waiting_workspaces_get_half_of_the_best_service_within_six_seconds() {
-    let unfair = cases_below(0.5, |outcome| outcome.min_fair_ratio(6));
+    let unfair = cases_below(&SIMULATED, 0.5, |outcome| outcome.min_fair_ratio(6));
     assert_eq!(unfair, Vec::<String>::new());
 }
 
 #[test]
 fn no_workspace_is_starved_for_two_seconds() {
-    let starved = cases_below(0.25, |outcome| outcome.min_fair_ratio(2));
+    let starved = cases_below(&SIMULATED, 0.25, |outcome| outcome.min_fair_ratio(2));
     assert_eq!(starved, Vec::<String>::new());
 }
 
 #[test]
 fn engines_are_utilized_while_requests_are_refused() {
-    let idle = cases_below(0.9, |outcome| outcome.utilization(4..24));
+    let idle = cases_below(&SIMULATED, 0.9, |outcome| outcome.utilization(4..24));
+    assert_eq!(idle, Vec::<String>::new());
+}
+
+#[test]
+fn workspace_whose_requests_are_shed_or_lost_gets_half_of_the_best_service() {
+    let unfair = cases_below(&TROUBLED, 0.5, |outcome| outcome.min_fair_ratio(6));
+    assert_eq!(unfair, Vec::<String>::new());
+}
+
+#[test]
+fn engines_are_utilized_while_requests_are_shed_or_lost() {
+    let idle = cases_below(&TROUBLED, 0.9, |outcome| outcome.utilization(4..24));
     assert_eq!(idle, Vec::<String>::new());
 }
--- a/dockgate-core/src/gateway/share_tracker/share_simulation.rs
+++ b/dockgate-core/src/gateway/share_tracker/share_simulation.rs
@@ -26,6 +26,8 @@
 const WINDOW_MS: u64 = 4_000;
 const HEARTBEAT_MS: Range<u64> = 270..330;
 const RUN_MS: u64 = 1_000;
+/// Time after which an engine rejects an admitted prompt.
+const REJECTION_MS: u64 = 20;
 /// Simulated time in seconds.
 const DURATION_S: usize = 24;
 const SPEC: EngineSpec = EngineSpec {
@@ -44,6 +46,12 @@
     pub(super) spans: Vec<Range<f64>>,
     /// Number of boxes that receive its requests.
     pub(super) boxes: usize,
+    /// Fraction of its requests that boxes shed, as they are short of processor time.
+    pub(super) shed_fraction: f64,
+    /// Fraction of its admitted prompts that engines do not begin.
+    pub(super) lost_fraction: f64,
+    /// Time after which its callers move on to other boxes, in milliseconds.
+    pub(super) move_interval_ms: Option<u64>,
 }
 
 impl Flood {
@@ -53,6 +61,9 @@
             tokens,
             spans: vec![0.0..DURATION_S as f64],
             boxes: DEFAULT_BOXES,
+            shed_fraction: 0.0,
+            lost_fraction: 0.0,
+            move_interval_ms: None,
         }
     }
 
@@ -72,6 +83,29 @@
         self
     }
 
+    pub(super) const fn shed(mut self, fraction: f64) -> Self {
+        self.shed_fraction = fraction;
+        self
+    }
+
+    pub(super) const fn lost(mut self, fraction: f64) -> Self {
+        self.lost_fraction = fraction;
+        self
+    }
+
+    pub(super) const fn moving_every(mut self, interval_ms: u64) -> Self {
+        self.move_interval_ms = Some(interval_ms);
+        self
+    }
+
+    /// Returns a box that receives its requests; `random` is a random number from 0 to 1.
+    fn box_at(&self, ms: u64, random: f64) -> usize {
+        let moves = self.move_interval_ms.map_or(0, |interval| ms / interval) as usize;
+        let position = (moves * self.boxes + (random * self.boxes as f64) as usize) % BOXES;
+        // Boxes are selected from all domains in turn.
+        position % DOMAINS * DOMAIN_BOXES + position / DOMAINS
+    }
+
     fn is_active_at(&self, ms: u64) -> bool {
         let second = ms as f64 / 1_000.0;
         self.spans.iter().any(|span| span.contains(&second))
@@ -327,10 +361,8 @@
     fn next_request(&mut self, flood: usize) {
         let spec = self.floods[flood].clone();
         if spec.is_active_at(self.now_ms) {
-            // Boxes are selected from all domains in turn.
-            let position = (self.random() * spec.boxes as f64) as usize;
-            let index = position % DOMAINS * DOMAIN_BOXES + position / DOMAINS;
-            self.request(flood, index, spec.tokens);
+            let index = spec.box_at(self.now_ms, self.random());
+            self.request(flood, index, &spec);
         }
         let gap_ms = f64::from(spec.tokens) * 1_000.0 / (CAPACITY * spec.demand);
         let wait_ms = -gap_ms * (1.0 - self.random()).ln();
@@ -339,11 +371,21 @@
         self.schedule(self.now_ms + wait_ms, SimulationEvent::Request(flood));
     }
 
-    fn request(&mut self, flood: usize, index: usize, tokens: u32) {
+    /// Returns whether an event of this probability occurs.
+    fn occurs(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.random() < probability
+    }
+
+    fn request(&mut self, flood: usize, index: usize, spec: &Flood) {
+        let tokens = spec.tokens;
         let units = u64::from(tokens);
         let workspace = flood as u64 + 1;
         let second = self.now_ms as usize / 1_000;
         self.outcome.rows[flood][second].requested += units;
+        if self.occurs(spec.shed_fraction) {
+            self.outcome.rows[flood][second].refused += units;
+            return;
+        }
         self.trackers[index].record_request(workspace, units, self.now_ms);
         let level = self.trackers[index].level(workspace, units, self.now_ms);
         let number = self.event_count as u32;
@@ -373,9 +415,17 @@
             return;
         };
         self.trackers[index].record_admission(workspace, units, level, self.now_ms);
-        self.outcome.rows[flood][second].admitted += units;
         let first_ms = self.engines[home].first_event_ms(&request, self.now_ms) as u64;
         self.engines[home].place(run_key(number), &request, self.now_ms);
+        if self.occurs(spec.lost_fraction) {
+            self.outcome.rows[flood][second].refused += units;
+            self.schedule(
+                self.now_ms + REJECTION_MS,
+                SimulationEvent::End(home, number),
+            );
+            return;
+        }
+        self.outcome.rows[flood][second].admitted += units;
         let started_ms = self.now_ms + first_ms;
         self.schedule(started_ms, SimulationEvent::Start(home, number));
         self.schedule(started_ms + RUN_MS, SimulationEvent::End(home, number));
