feat: prompts refused because the box is late show in the shares line

Requests that would wait too long for the processor were refused before the tally saw them, so the line that says why a workspace is refused left them out. They count as asked and as no_processor now; whether they are refused, and what counts as demand of the share, is as before.

--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -405,18 +405,16 @@
     if !state.can_finish(deadline, predicted_ms) {
         return Err(rejected_on_route(CallRefusal::stopping()));
     }
-    if state.with(|view| view.lag.is_too_late_for(objective_ms)) {
-        let refusal = CallRefusal::with_retry(RefusalReason::Overloaded, RETRY_SOON);
-        return Err(rejected_on_route(refusal));
-    }
     let engine = service_spec.engine;
     let prompt = head.prompt.as_ref().filter(|_| engine.is_some());
     let units = prompt.map_or(0, PromptShape::units);
     state.with(|view| view.tally.record_request(name_hash(name), name, units));
-    shed_request(&state, name_hash(name), units).map_err(rejected_on_route)?;
+    shed_request(&state, name_hash(name), units, objective_ms).map_err(rejected_on_route)?;
     state.with(|view| {
         let service = &service_spec.name;
         view.retries.record_request(service, now_ms());
+        // Shares are divided by the demand that boxes can handle: a box that sheds most of its
+        // requests could not use the part of the share that belongs to them.
         view.shares.record_request(name_hash(name), units, now_ms());
     });
     Ok(AdmittedCall {
@@ -444,31 +442,45 @@
     })
 }
 
-/// Counts a request of a workspace and sheds it with the probability that the load requires.
+/// Sheds a request if it would wait too long for the processor, otherwise with the probability that
+/// the load requires.
 ///
 /// `units` is the size of its prompt in service units.
 ///
 /// # Errors
 ///
 /// Returns a refusal if the request is shed.
-fn shed_request(state: &GatewayState, workspace: u64, units: u64) -> Result<(), CallRefusal> {
-    state.with(|view| {
+fn shed_request(
+    state: &GatewayState,
+    workspace: u64,
+    units: u64,
+    objective_ms: u64,
+) -> Result<(), CallRefusal> {
+    let refusal = state.with(|view| {
+        if view.lag.is_too_late_for(objective_ms) {
+            return Some((RefusalReason::Overloaded, RETRY_SOON));
+        }
         let shedder = &mut view.shedder;
         shedder.record_request(workspace);
         let fraction = shedder.refused_fraction(workspace);
         if fraction <= 0.0 || !rand::random_bool(fraction) {
-            return Ok(());
+            return None;
         }
         shedder.record_refusal();
-        let outcome = ShareOutcome::NoProcessor;
-        view.tally.record_outcome(workspace, outcome, units);
         let reason = match shedder.is_out_of_rotation() {
             true => RefusalReason::Diverted,
             false => RefusalReason::Overloaded,
         };
-        let after = shedder.retry_after(rand::random());
-        Err(CallRefusal::with_retry(reason, after))
-    })
+        Some((reason, shedder.retry_after(rand::random())))
+    });
+    let Some((reason, after)) = refusal else {
+        return Ok(());
+    };
+    state.with(|view| {
+        let outcome = ShareOutcome::NoProcessor;
+        view.tally.record_outcome(workspace, outcome, units);
+    });
+    Err(CallRefusal::with_retry(reason, after))
 }
 
 /// Returns the target of a request in origin form; some callers send the absolute form.
