fix: service counts for a workspace only where an engine begins it

What callers saw: a workspace whose prompts went to endpoints that had ended, or that engines rejected, was refused as beyond its share while another one got two to six times as much.

Cause: an admission counted as service when an engine was found, and again at each further attempt, and was never taken back. Who loses attempts looked well served, used up its credit and was held back the more.

A failed attempt that has not begun now takes back what it counted, in the sums, in the credit and in the fair usage of the box; a prompt whose caller leaves still counts, as the engine has worked on it. The shares line says what engines began.

--- a/dockgate-core/src/gateway/fair_usage.rs
+++ b/dockgate-core/src/gateway/fair_usage.rs
@@ -58,6 +58,12 @@
         self.at_ms = now_ms;
     }
 
+    /// Takes back an admitted prompt, in service units.
+    pub(super) fn retract(&mut self, units: f64, now_ms: u64) {
+        self.admitted = (self.admitted_at(now_ms) - units).max(0.0);
+        self.at_ms = now_ms;
+    }
+
     /// Returns the admitted service over the fair share for a prompt of `units` service units. The
     /// ratio of the fleet replaces that of this box where prompts of that size are rare.
     pub(super) fn fair_ratio(&self, units: f64, now_ms: u64) -> f64 {
--- a/dockgate-core/src/gateway/share_credit.rs
+++ b/dockgate-core/src/gateway/share_credit.rs
@@ -61,6 +61,12 @@
         self.balance = self.balance_at(now_ms) - units;
         self.at_ms = now_ms;
     }
+
+    /// Returns service units to the balance.
+    pub(super) fn refund(&mut self, units: f64, now_ms: u64) {
+        self.balance = (self.balance_at(now_ms) + units).min(self.max);
+        self.at_ms = now_ms;
+    }
 }
 
 #[cfg(test)]
--- a/dockgate-core/src/gateway/share_level.rs
+++ b/dockgate-core/src/gateway/share_level.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Standing of a workspace relative to its guaranteed and its fair share.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ShareLevel {
     /// Service admitted for all contending workspaces over their guaranteed shares, in thousandths.
     share_permille: u32,
--- a/dockgate-core/src/gateway/share_tally.rs
+++ b/dockgate-core/src/gateway/share_tally.rs
@@ -17,8 +17,8 @@
 /// Outcome of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ShareOutcome {
-    /// Admitted by an engine.
-    Admitted,
+    /// Begun by an engine.
+    Begun,
     /// Refused because its workspace has used up its share.
     BeyondShare,
     /// Refused although its workspace is within its share.
@@ -37,7 +37,7 @@
     pub workspace: String,
     /// Requested service.
     pub asked: u64,
-    /// Admitted service.
+    /// Service that engines began.
     pub given: u64,
     /// Service refused because the workspace had used up its share.
     pub beyond_share: u64,
@@ -48,6 +48,20 @@
 }
 
 impl TallyRow {
+    const fn is_empty(&self) -> bool {
+        self.asked + self.given + self.refused() == 0
+    }
+
+    /// Returns the row and resets its counters.
+    fn take_counters(&mut self) -> Self {
+        let reset = Self {
+            key: self.key,
+            workspace: self.workspace.clone(),
+            ..Self::default()
+        };
+        std::mem::replace(self, reset)
+    }
+
     const fn refused(&self) -> u64 {
         self.beyond_share + self.would_be_late + self.no_processor
     }
@@ -73,14 +87,14 @@
         row.asked += units;
     }
 
-    /// Records the outcome of a prompt; ignores it if its request was not recorded since the
-    /// counters were last taken.
+    /// Records the outcome of a prompt; ignores it if no request of its workspace was recorded in
+    /// this period or the one before.
     pub fn record_outcome(&mut self, workspace: u64, outcome: ShareOutcome, units: u64) {
         let Some(row) = self.rows.get_mut(&workspace) else {
             return;
         };
         let counter = match outcome {
-            ShareOutcome::Admitted => &mut row.given,
+            ShareOutcome::Begun => &mut row.given,
             ShareOutcome::BeyondShare => &mut row.beyond_share,
             ShareOutcome::WouldBeLate => &mut row.would_be_late,
             ShareOutcome::NoProcessor => &mut row.no_processor,
@@ -91,7 +105,8 @@
     /// Resets all counters, and returns those of workspaces with refused prompts, by descending
     /// demand.
     pub fn take_refused(&mut self) -> Vec<TallyRow> {
-        let rows = std::mem::take(&mut self.rows).into_values();
+        self.rows.retain(|_, row| !row.is_empty());
+        let rows = self.rows.values_mut().map(TallyRow::take_counters);
         let mut rows: Vec<TallyRow> = rows.filter(|row| row.refused() > 0).collect();
         rows.sort_unstable_by_key(|row| Reverse((row.asked, row.key)));
         rows.truncate(Self::MAX_ROWS);
--- a/dockgate-core/src/gateway/share_tally/tests.rs
+++ b/dockgate-core/src/gateway/share_tally/tests.rs
@@ -4,9 +4,9 @@
 fn refused_workspaces_are_returned_once() {
     let mut tally = ShareTally::default();
     tally.record_request(1, "library", 300);
-    tally.record_outcome(1, ShareOutcome::Admitted, 300);
+    tally.record_outcome(1, ShareOutcome::Begun, 300);
     tally.record_request(2, "council", 900);
-    tally.record_outcome(2, ShareOutcome::Admitted, 400);
+    tally.record_outcome(2, ShareOutcome::Begun, 400);
     tally.record_outcome(2, ShareOutcome::WouldBeLate, 500);
     tally.record_request(3, "school", 1_000);
     tally.record_outcome(3, ShareOutcome::NoProcessor, 1_000);
@@ -35,3 +35,13 @@
     tally.record_outcome(1, ShareOutcome::BeyondShare, 10);
     assert!(tally.take_refused().is_empty());
 }
+
+#[test]
+fn prompts_that_begin_in_the_next_period_are_counted() {
+    let mut tally = ShareTally::default();
+    tally.record_request(1, "library", 300);
+    tally.take_refused();
+    tally.record_outcome(1, ShareOutcome::Begun, 300);
+    tally.record_outcome(1, ShareOutcome::BeyondShare, 100);
+    assert_eq!(tally.take_refused()[0].given, 300);
+}
--- a/dockgate-core/src/gateway/share_tracker.rs
+++ b/dockgate-core/src/gateway/share_tracker.rs
@@ -178,6 +178,25 @@
         }
     }
 
+    /// Takes back an admission at `level`, in service units, of a prompt that no engine has begun.
+    pub fn retract_admission(
+        &mut self,
+        workspace: u64,
+        units: u64,
+        level: ShareLevel,
+        now_ms: u64,
+    ) {
+        let units = units as f64;
+        self.local.recent_mut(workspace).admitted -= units;
+        let Some(share) = self.contending.get_mut(&workspace) else {
+            return;
+        };
+        share.usage.retract(units, now_ms);
+        if !level.is_beyond() {
+            share.credit.refund(units, now_ms);
+        }
+    }
+
     fn local_usage(&self, now_ms: u64) -> UsageTable {
         self.local.decayed(self.decay_times(), now_ms)
     }
--- a/dockgate-core/src/gateway/share_tracker/share_simulation.rs
+++ b/dockgate-core/src/gateway/share_tracker/share_simulation.rs
@@ -6,7 +6,7 @@
 use super::ShareTracker;
 use crate::gateway::{
     AdmissionRequest, AdmissionRule, AdmissionVerdict, DomainKey, EngineLoad, EngineSpec,
-    PrefillSpeed, PromptPart, RunKey, ShareHeader, ShareScope, UsageRow,
+    PrefillSpeed, PromptPart, RunKey, ShareHeader, ShareLevel, ShareScope, UsageRow,
 };
 use crate::ids::{BoxKey, Incarnation};
 use std::cmp::Reverse;
@@ -185,6 +185,14 @@
     },
     Start(usize, u32),
     End(usize, u32),
+    Rejection {
+        engine: usize,
+        run: u32,
+        entry: usize,
+        workspace: u64,
+        units: u64,
+        level: ShareLevel,
+    },
 }
 
 struct ShareSimulation {
@@ -281,6 +289,17 @@
                     self.engines[engine].start(run_key(run), at_ms, false);
                 }
                 SimulationEvent::End(engine, run) => self.engines[engine].end(run_key(run)),
+                SimulationEvent::Rejection {
+                    engine,
+                    run,
+                    entry,
+                    workspace,
+                    units,
+                    level,
+                } => {
+                    self.engines[engine].end(run_key(run));
+                    self.trackers[entry].retract_admission(workspace, units, level, at_ms);
+                }
             }
         }
         self.outcome
@@ -419,10 +438,15 @@
         self.engines[home].place(run_key(number), &request, self.now_ms);
         if self.occurs(spec.lost_fraction) {
             self.outcome.rows[flood][second].refused += units;
-            self.schedule(
-                self.now_ms + REJECTION_MS,
-                SimulationEvent::End(home, number),
-            );
+            let rejection = SimulationEvent::Rejection {
+                engine: home,
+                run: number,
+                entry: index,
+                workspace,
+                units,
+                level,
+            };
+            self.schedule(self.now_ms + REJECTION_MS, rejection);
             return;
         }
         self.outcome.rows[flood][second].admitted += units;
--- a/dockgate-core/src/gateway/share_tracker/tests.rs
+++ b/dockgate-core/src/gateway/share_tracker/tests.rs
@@ -276,3 +276,22 @@
         prop_assert_eq!(sender.rows(1_000).len(), sent.last().map_or(0, Vec::len));
     }
 }
+
+#[test]
+fn retracted_service_does_not_use_up_the_share() {
+    let level_after = |retracts: bool| {
+        let mut tracker = ShareTracker::new(4_000);
+        tracker.tick(1_000, 100.0);
+        tracker.record_request(1, 1_000, 1_300);
+        tracker.record_request(2, 1_000, 1_300);
+        tracker.tick(1_300, 100.0);
+        let level = tracker.level(1, 500, 1_300);
+        tracker.record_admission(1, 500, level, 1_300);
+        if retracts {
+            tracker.retract_admission(1, 500, level, 1_310);
+        }
+        tracker.level(1, 500, 1_320)
+    };
+    assert!(level_after(false).is_beyond());
+    assert!(!level_after(true).is_beyond());
+}
--- a/dockgate/src/gateway/call/call_placement.rs
+++ b/dockgate/src/gateway/call/call_placement.rs
@@ -113,12 +113,7 @@
                 });
             }
         };
-        self.state.with(|view| {
-            let shares = &mut view.shares;
-            shares.record_admission(request.workspace, units, request.level, now_ms());
-            let outcome = ShareOutcome::Admitted;
-            view.tally.record_outcome(request.workspace, outcome, units);
-        });
+        found.guard.record_admission(units);
         Ok(CallPlacement {
             target: found.target,
             guard: found.guard,
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -57,6 +57,8 @@
     pub(super) request: AdmissionRequest,
     /// Whether its first event was received.
     pub(super) started: bool,
+    /// Its size in service units, once it counts as service admitted for its workspace.
+    pub(super) admitted_units: Option<u64>,
 }
 
 /// One box's view of the fleet, the store and the endpoints, on which its decisions are based.
--- a/dockgate/src/gateway/run_guard.rs
+++ b/dockgate/src/gateway/run_guard.rs
@@ -5,7 +5,7 @@
 use super::wait_queues::{end_run, process_queue};
 use crate::clock::now_ms;
 use dockgate_core::BoxKey;
-use dockgate_core::gateway::{AdmissionRequest, EndpointId, EndpointOutcome};
+use dockgate_core::gateway::{AdmissionRequest, EndpointId, EndpointOutcome, ShareOutcome};
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
 
@@ -36,6 +36,7 @@
                 owner,
                 request,
                 started: false,
+                admitted_units: None,
             };
             view.runs.insert(number, run);
         });
@@ -47,6 +48,38 @@
         }
     }
 
+    /// Counts the prompt as service admitted for its workspace, in service units.
+    pub(super) fn record_admission(&self, units: u64) {
+        self.state.with(|view| {
+            let Some(run) = view.runs.get_mut(&self.number) else {
+                return;
+            };
+            run.admitted_units = Some(units);
+            let AdmissionRequest {
+                workspace, level, ..
+            } = run.request;
+            let shares = &mut view.shares;
+            shares.record_admission(workspace, units, level, now_ms());
+        });
+    }
+
+    /// Takes back the admitted service of a prompt that has not begun, as its attempt has failed.
+    fn retract_admission(&self) {
+        self.state.with(|view| {
+            let run = view.runs.get_mut(&self.number).filter(|run| !run.started);
+            let Some(run) = run else {
+                return;
+            };
+            let AdmissionRequest {
+                workspace, level, ..
+            } = run.request;
+            if let Some(units) = run.admitted_units.take() {
+                let shares = &mut view.shares;
+                shares.retract_admission(workspace, units, level, now_ms());
+            }
+        });
+    }
+
     /// Records an outcome for the health of the endpoint.
     pub(super) fn record(&self, outcome: EndpointOutcome) {
         let now = now_ms();
@@ -54,8 +87,9 @@
             .with(|view| view.endpoints.note_outcome(self.endpoint, outcome, now));
     }
 
-    /// Records the outcome of a failed attempt, if it counts for the endpoint.
+    /// Records that an attempt has failed, with its outcome if it counts for the endpoint.
     pub(super) fn record_failure(&self, outcome: Option<EndpointOutcome>) {
+        self.retract_admission();
         if let Some(outcome) = outcome {
             self.record(outcome);
         }
@@ -74,6 +108,9 @@
             let run = view.runs.get_mut(&number);
             let owner = run.map(|run| {
                 run.started = true;
+                let units = run.admitted_units.unwrap_or(0);
+                let tally = &mut view.tally;
+                tally.record_outcome(run.request.workspace, ShareOutcome::Begun, units);
                 run.owner
             });
             let is_owner = owner == Some(own_key);
@@ -114,3 +151,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
