fix: guaranteed shares follow what engines begin, not the configured rate alone

What callers saw: of a workspace whose boxes shed most of its requests for want of processor, nearly all that was left was refused as well, while another one, with as much to ask and more attempts, got two to ten times as much.

Cause: what is guaranteed was a part of the configured rate, whatever engines did. Where they begin less (ended, slow, long prompts with little in their caches), the guarantees alone are more than all that can begin: everybody is within its share, no pressure applies, and service goes by the number of attempts that reach an engine with room.

Guarantees are bounded now by 0.7 of the throughput that is assumed, which is at least a quarter of the configured rate in place of half. What is left is admitted under pressure, so that it goes to whoever is behind. Where engines begin more than is configured, nothing changes.

--- a/dockgate-core/src/gateway/share_tracker.rs
+++ b/dockgate-core/src/gateway/share_tracker.rs
@@ -1,7 +1,8 @@
 //! Max-min fair shares of the fleet's capacity, by workspace.
 //!
 //! When demand exceeds capacity, each workspace is guaranteed its max-min share: its demand, or an
-//! equal level with all workspaces whose demand is higher. Workspaces below that level are within
+//! equal level with all workspaces whose demand is higher. Capacity is the configured one, or a part
+//! of what engines have begun lately if that is less. Workspaces below that level are within
 //! their share. A workspace above it has two rates, which are divided among boxes in proportion to
 //! the demand at each box:
 //!
@@ -44,7 +45,8 @@
 /// Thresholds that apply to every workspace, in service units within the short decay time.
 #[derive(Debug, Clone, Copy)]
 struct ShareThresholds {
-    /// Max-min level of the configured capacity: the guaranteed share of a contending workspace.
+    /// Max-min level of the capacity that can be guaranteed: the guaranteed share of a contending
+    /// workspace.
     guaranteed: f64,
     /// Max-min level of the recent throughput: the fair share of a contending workspace.
     fair: f64,
@@ -121,7 +123,11 @@
     const GROWTH_FACTOR: f64 = 1.15;
     /// Lower bound of the assumed throughput, as a fraction of the configured capacity: the
     /// measured throughput is close to 0 after an outage of all endpoints.
-    const MIN_SERVED_FRACTION: f64 = 0.5;
+    const MIN_SERVED_FRACTION: f64 = 0.25;
+    /// Upper bound of the capacity that is guaranteed, as a fraction of the assumed throughput. If
+    /// all of it were, prompts within their shares would fill the engines, and a workspace of which
+    /// few requests reach an engine would get less than the others.
+    const GUARANTEED_FRACTION: f64 = 0.7;
     /// Demand of workspaces within their share, as a fraction of the configured capacity, at which
     /// engines are fully kept free for them.
     const PROTECTED_FRACTION: f64 = 0.2;
@@ -261,8 +267,9 @@
         let short: Vec<f64> = total.values().map(|usage| usage.requested).collect();
         let long: Vec<f64> = total.values().map(|usage| usage.requested_long).collect();
         let DecayTimes { short_ms, long_ms } = self.decay_times();
+        let guaranteed = capacity.min(served * Self::GUARANTEED_FRACTION);
         let thresholds = ShareThresholds {
-            guaranteed: max_min_level(&short, capacity),
+            guaranteed: max_min_level(&short, guaranteed),
             fair: max_min_level(&short, served),
             long: max_min_level(&long, capacity.min(served) * long_ms / short_ms),
             share_ratio: 0.0,
@@ -296,8 +303,7 @@
         let short_ms = self.decay_times().short_ms;
         let local = self.local.usage_of(workspace);
         let local_fraction = local.requested / total.requested.max(local.requested).max(1.0);
-        let guaranteed_per_ms =
-            guaranteed.min(fair).min(total.requested) * local_fraction / short_ms;
+        let guaranteed_per_ms = guaranteed.min(total.requested) * local_fraction / short_ms;
         let max_credit = guaranteed_per_ms * self.window_ms * Self::CREDIT_FRACTION;
         let known = self.contending.get(&workspace);
         let (credit, usage) = known.map_or_else(
--- a/dockgate-core/src/gateway/share_tracker/tests.rs
+++ b/dockgate-core/src/gateway/share_tracker/tests.rs
@@ -295,3 +295,19 @@
     assert!(level_after(false).is_beyond());
     assert!(!level_after(true).is_beyond());
 }
+
+/// Engines that begin a tenth of the configured capacity cannot honor shares of all of it.
+#[test]
+fn guaranteed_shares_follow_what_engines_begin() {
+    let mut tracker = ShareTracker::new(4_000);
+    for now_ms in (0..8_000).step_by(100) {
+        tracker.record_request(1, 1_000, now_ms);
+        tracker.record_request(2, 1_000, now_ms);
+        let level = tracker.level(1, 50, now_ms);
+        tracker.record_admission(1, 50, level, now_ms);
+        tracker.record_admission(2, 50, ShareLevel::WITHIN, now_ms);
+        tracker.tick(now_ms, 10_000.0);
+    }
+    let allotment = tracker.allotment(1).unwrap();
+    assert!(allotment.guaranteed_per_s < 2_500, "{allotment:?}");
+}
