fix: an answer that breaks off before its first event does not count as service

Callers saw the same as with prompts that engines reject: their workspace was held back for them. An engine that had sent the head of its answer and ended, or whose stream was given up before an event, left its admission counted, as only failures before the head took it back. Found by reading the paths that end a run. The guard's test (prompts_count_as_service_unless_they_fail_before_they_begin) covers what is called; this path has no test of its own.

--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -174,6 +174,9 @@
 
     /// Ends the stream before any event was forwarded, and returns the attempts made for it.
     pub(super) fn into_attempts(self) -> CallAttempts {
+        if let Some(source) = &self.source {
+            source.guard.record_failure(None);
+        }
         self.attempts
     }
 
