test: a simulated suspension advances the clock of its own test only

Cause: the test of the clock simulates a suspension of an hour for its whole process. If another test has read the clock before it, the clock of the process jumps by an hour, and 1,000 units counted just now are scaled as if they had come evenly over that hour: 0.2 units, reported as 0. Which test reads the clock first depends on the number of threads, so the same tests passed here.

A sleep of 12 s in place of the suspension did not make them fail.

Change: tests keep simulated suspensions by thread; the daemon's file of suspensions is as it was. No assertion changed.

--- a/dockgate/src/clock/simulated_suspension.rs
+++ b/dockgate/src/clock/simulated_suspension.rs
@@ -3,6 +3,8 @@
 //! The clock that includes suspensions is advanced by the number of milliseconds in a file. The
 //! monotonic clock and the runtime's timers are unaffected, as after a real suspension.
 
+#[cfg(test)]
+use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -14,9 +16,18 @@
 
 static SUSPENDED_MS: AtomicU64 = AtomicU64::new(0);
 
+#[cfg(test)]
+thread_local! {
+    /// Suspensions of the test on this thread; other tests of the process continue undisturbed.
+    static TEST_SUSPENSIONS: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
 /// Returns the total simulated time of suspensions.
 pub(super) fn suspended_time() -> Duration {
-    Duration::from_millis(SUSPENDED_MS.load(Ordering::Acquire))
+    let suspended = Duration::from_millis(SUSPENDED_MS.load(Ordering::Acquire));
+    #[cfg(test)]
+    let suspended = suspended + TEST_SUSPENSIONS.get();
+    suspended
 }
 
 /// Starts to watch the file, if the environment names one, until the process ends.
@@ -42,8 +53,8 @@
     }
 }
 
-/// Simulates a suspension.
+/// Simulates a suspension for the test on this thread.
 #[cfg(test)]
 pub(crate) fn simulate_suspension(time: Duration) {
-    SUSPENDED_MS.fetch_add(time.as_millis() as u64, Ordering::AcqRel);
+    TEST_SUSPENSIONS.set(TEST_SUSPENSIONS.get() + time);
 }
--- a/dockgate/src/clock/tests.rs
+++ b/dockgate/src/clock/tests.rs
@@ -1,7 +1,7 @@
 use super::simulated_suspension::simulate_suspension;
 use super::*;
 
-/// A single test, since all tests of a process share its clock.
+/// A single test, since the detection of suspensions is shared by all tests of a process.
 #[tokio::test]
 async fn timeouts_include_suspensions() {
     let _ = detect_suspension();
