fix: a removal known to other boxes ends the grace of a missing record

Cause: a box that begins to follow the store for a domain without a recent proof, or lists it for the first time after an outage, keeps what its list lacks for 1.6 s, since records lapse in outages and are rewritten. A record that was removed before the list is kept alike.

Change: such a box asks one that the store answered lately for the removals after the revision it knew (the query that boxes use for changes), until that one has told all up to the own revision or nothing is kept any more. Only explicit removals count: a full list, or one of another era, says nothing. What nobody saw removed keeps the whole grace. A box that had watched the store until the outage does not ask, as it is told of changes anyway.

--- a/dockgate-bench/src/standin/peer.rs
+++ b/dockgate-bench/src/standin/peer.rs
@@ -1,7 +1,7 @@
 //! A stand-in for another box that sends heartbeats and answers state requests.
 
 use crate::error::BenchError;
-use dockgate_core::gateway::{BoxHeartbeat, BoxStatus, StoreRevision};
+use dockgate_core::gateway::{BoxHeartbeat, BoxStatus, EndpointUpdate, RouteConfig, StoreRevision};
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest, methods};
 use jsonrpsee::RpcModule;
@@ -17,9 +17,11 @@
 /// Interval between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A box with a fixed state, whose answers with a configuration can be held back.
+/// A box whose answers with a configuration can be held back.
 pub struct PeerStandIn {
+    state_address: SocketAddr,
     is_config_held: Arc<watch::Sender<bool>>,
+    endpoints: Arc<watch::Sender<Option<EndpointUpdate>>>,
     _server: ServerHandle,
     _heartbeats: DropGuard,
 }
@@ -51,7 +53,13 @@
             .status(BoxStatus::new(4_000))
             .revisions(config_version, endpoint_revision);
         let server = Server::builder().build(own_state).await.map_err(io)?;
-        let server = server.start(state_module(answer, is_config_held.clone()));
+        let endpoints = Arc::new(watch::Sender::new(answer.endpoints));
+        let context = PeerContext {
+            config: answer.config,
+            endpoints: endpoints.clone(),
+            is_config_held: is_config_held.clone(),
+        };
+        let server = server.start(state_module(context));
         let socket = UdpSocket::bind(own).await.map_err(io)?;
         let stop = CancellationToken::new();
         let heartbeats = stop.clone().drop_guard();
@@ -62,12 +70,24 @@
             }
         });
         Ok(Self {
+            state_address: own_state,
             is_config_held,
+            endpoints,
             _server: server,
             _heartbeats: heartbeats,
         })
     }
 
+    /// Returns the address that answers state requests.
+    pub const fn state_address(&self) -> SocketAddr {
+        self.state_address
+    }
+
+    /// Changes its answer about endpoints. Its heartbeats still announce the initial revision.
+    pub fn set_endpoints(&self, update: EndpointUpdate) {
+        self.endpoints.send_replace(Some(update));
+    }
+
     /// Releases the answers with a configuration.
     pub fn release_config(&self) {
         self.is_config_held.send_replace(false);
@@ -75,18 +95,13 @@
 }
 
 struct PeerContext {
-    answer: StateAnswer,
+    config: Option<RouteConfig>,
+    endpoints: Arc<watch::Sender<Option<EndpointUpdate>>>,
     is_config_held: Arc<watch::Sender<bool>>,
 }
 
-fn state_module(
-    answer: StateAnswer,
-    is_config_held: Arc<watch::Sender<bool>>,
-) -> RpcModule<PeerContext> {
-    let mut module = RpcModule::new(PeerContext {
-        answer,
-        is_config_held,
-    });
+fn state_module(context: PeerContext) -> RpcModule<PeerContext> {
+    let mut module = RpcModule::new(context);
     module
         .register_async_method(methods::STATE, |params, context, _| async move {
             let request: StateRequest = params.one()?;
@@ -97,15 +112,14 @@
 }
 
 async fn answer_request(context: &PeerContext, request: StateRequest) -> StateAnswer {
-    let answer = &context.answer;
-    let config = answer.config.clone();
+    let config = context.config.clone();
     let config = config.filter(|config| config.version > request.config_version);
     if config.is_some() {
         let mut is_held = context.is_config_held.subscribe();
         // The context owns the sender, so the channel stays open.
         let _ = is_held.wait_for(|is_held| !is_held).await;
     }
-    let endpoints = answer.endpoints.clone();
+    let endpoints = context.endpoints.borrow().clone();
     let endpoints = endpoints.filter(|update| update.revision > request.endpoint_revision);
     StateAnswer { config, endpoints }
 }
--- a/dockgate-bench/tests/endpoint_drain.rs
+++ b/dockgate-bench/tests/endpoint_drain.rs
@@ -6,7 +6,7 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, route_config, wait_until};
 use dockgate_bench::standin::caller::{call, request};
 use dockgate_bench::standin::{RoutedStandIn, StoreListener};
-use dockgate_core::gateway::{EndpointUpdate, ReportedEndpoint, StoreRevision};
+use dockgate_core::gateway::{EndpointUpdate, RemovedEndpoint, ReportedEndpoint, StoreRevision};
 use dockgate_platform::{ENDPOINT_KEY_PREFIX, StoredValue, decode_endpoint, decode_routes};
 use dockgate_proto::StateAnswer;
 use http::StatusCode;
@@ -15,6 +15,8 @@
 const KEYS: &str = r#""k1""#;
 /// The era of a new store.
 const INITIAL_ERA: u64 = 1;
+/// An outage of the store in which records can lapse.
+const LAPSE_OUTAGE: Duration = Duration::from_millis(2_300);
 
 async fn start(gateways: usize) -> GatewayFleet {
     let services = ["plain", "plain"];
@@ -82,6 +84,74 @@
     .await;
 }
 
+/// Guards against requests to a removed endpoint by a box that takes its missing record for one
+/// that lapsed in an outage.
+#[tokio::test]
+async fn endpoint_removed_before_a_box_follows_the_store_is_dropped_with_the_other_boxes() {
+    let mut fleet = GatewayFleet::start_in(&["b"], &["plain", "plain"], &route_config(3, KEYS))
+        .await
+        .unwrap();
+    let [removed, staying] = [0, 1].map(|index| {
+        let revision = index as u64 + 2;
+        reported_endpoint(&fleet.endpoints[index], "ready", revision)
+    });
+    let name = removed.record.name();
+    let listed_at = StoreRevision::new(INITIAL_ERA, 3);
+    let list = EndpointUpdate {
+        revision: listed_at,
+        endpoints: vec![removed, staying],
+        ..EndpointUpdate::default()
+    };
+    fleet.store_listeners[0].set_silent(true);
+    fleet.gateways[0].kill();
+    let answer = StateAnswer {
+        config: None,
+        endpoints: Some(list),
+    };
+    let peer = fleet.start_peer(answer).await.unwrap();
+    let logged_before = fleet.gateways[0].logged().len();
+    fleet.gateways[0].restart().unwrap();
+    let gateway = &fleet.gateways[0];
+    let source = format!("\"source\":\"{}\"", peer.state_address());
+    let find_event = |event: &str| {
+        let logged = gateway.logged();
+        let mut lines = logged[logged_before..].lines();
+        lines.find(|line| line.contains(event)).map(str::to_owned)
+    };
+    wait_until("the box has the endpoints of the other one", async || {
+        find_event("\"endpoints_listed\"").is_some_and(|line| line.contains(&source))
+    })
+    .await;
+
+    let outage = format!("\"store_lost\",\"step\":\"{ENDPOINT_KEY_PREFIX}\"");
+    wait_until("the box is in an outage", async || {
+        find_event(&outage).is_some()
+    })
+    .await;
+    tokio::time::sleep(LAPSE_OUTAGE).await;
+
+    let (key, _) = fleet.endpoints[0].record("a", "ready");
+    fleet.store.remove(&key);
+    let removed_at = StoreRevision::new(INITIAL_ERA, 1_000);
+    peer.set_endpoints(EndpointUpdate {
+        since: Some(listed_at),
+        revision: removed_at,
+        removed: vec![RemovedEndpoint {
+            name,
+            revision: removed_at,
+            started_ms: None,
+        }],
+        ..EndpointUpdate::default()
+    });
+    fleet.store_listeners[0].set_silent(false);
+    wait_until("the endpoint is dropped", async || {
+        find_event("\"endpoint_gone\"").is_some()
+    })
+    .await;
+    let dropped = find_event("\"endpoint_gone\"").unwrap();
+    assert!(dropped.contains(&source), "{dropped}");
+}
+
 /// Returns the indices of the boxes that have started a store watch after `since`.
 fn boxes_watching(listeners: &[StoreListener], since: Instant) -> Vec<usize> {
     let watches = listeners.iter().enumerate();
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -133,6 +133,12 @@
         self.revision
     }
 
+    /// Returns whether any endpoint is kept although its record is missing.
+    pub fn has_unconfirmed(&self) -> bool {
+        let mut entries = self.endpoints.values();
+        entries.any(|entry| entry.unconfirmed().is_some())
+    }
+
     /// Applies a change and returns whether it changed the known endpoints.
     ///
     /// `kept_until_ms` is set shortly after the store returned: a record removed then may have
--- a/dockgate-core/src/gateway/endpoint_registry/endpoint_update.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/endpoint_update.rs
@@ -185,6 +185,20 @@
         }
     }
 
+    /// Merges only the removals of an update from another box, and returns those that applied.
+    ///
+    /// They settle whether the endpoints that this box keeps without a record were removed.
+    pub fn merge_removals(&mut self, removed: Vec<RemovedEndpoint>) -> Vec<EndpointChange> {
+        let removed = removed.into_iter();
+        let changes: Vec<EndpointChange> = removed
+            .filter_map(|removed| self.merge_removed(removed))
+            .collect();
+        if !changes.is_empty() {
+            self.rebuild_index();
+        }
+        changes
+    }
+
     fn merge_removed(&mut self, removed: RemovedEndpoint) -> Option<EndpointChange> {
         let RemovedEndpoint {
             name,
--- a/dockgate-core/src/gateway/endpoint_registry/tests.rs
+++ b/dockgate-core/src/gateway/endpoint_registry/tests.rs
@@ -58,6 +58,28 @@
     assert_eq!(registry.ready("x").len(), 1);
 }
 
+/// Guards against an endpoint that is kept after its removal by a box which takes it for lapsed.
+#[test]
+fn removal_known_to_another_box_ends_the_grace_of_a_missing_record() {
+    let mut started = EndpointRegistry::default();
+    for (id, revision) in [("gone", 3), ("lapsed", 4), ("back", 5)] {
+        started.apply(put(id, revision), None);
+    }
+    let mut informed = started.clone();
+    for id in ["gone", "back"] {
+        informed.apply(EndpointChange::Removed(id.to_owned(), at(7)), None);
+    }
+    started.replace(Vec::new(), at(10), Some(2_000));
+    started.apply(put("back", 11), Some(2_000));
+    let update = informed.update_since(at(5), 1_000);
+    let changes = started.merge_removals(update.removed);
+    assert_eq!(changes, [EndpointChange::Removed("gone".to_owned(), at(7))]);
+    assert_eq!(started.ready("x").len(), 2);
+    assert!(started.has_unconfirmed());
+    assert_eq!(started.expire(2_000).lapsed, ["lapsed"]);
+    assert!(!started.has_unconfirmed());
+}
+
 #[test]
 fn missing_draining_endpoint_is_removed_at_once() {
     let mut registry = EndpointRegistry::default();
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -554,10 +554,7 @@
             let peer = self.others.get(key);
             peer.filter(|peer| peer.is_responsive(now_ms))
         };
-        let reaches = |peer: &PeerBox| {
-            let store_proof_ms = peer.status.store_proof_ms(peer.last_seen_ms);
-            store_proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
-        };
+        let reaches = |peer: &PeerBox| Self::has_recent_proof(peer, now_ms);
         let others = ranks.clone().filter_map(live);
         // Only coordinators know all boxes of the domain.
         let even_count = self.live_count(now_ms) as usize / self.domains.len().max(1);
@@ -574,6 +571,12 @@
         }
     }
 
+    /// Returns whether the store has answered a box lately.
+    fn has_recent_proof(peer: &PeerBox, now_ms: u64) -> bool {
+        let store_proof_ms = peer.status.store_proof_ms(peer.last_seen_ms);
+        store_proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
+    }
+
     /// Lists the other failure domains of which every known box is silent.
     pub fn silent_domains(&self, now_ms: u64) -> BTreeSet<String> {
         let others = self.others.values();
@@ -621,6 +624,30 @@
             is_same_domain: heartbeat.domain == self.own.domain,
         })
     }
+
+    /// Finds the address of a box that can tell which endpoints were removed: one that the store
+    /// answered lately if possible, and then the one that knows the newest revision.
+    ///
+    /// The address to `avoid` is chosen last.
+    pub fn find_removal_witness(
+        &self,
+        avoid: Option<SocketAddr>,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let own_key = self.own_key();
+        let live = self.others.iter();
+        let live = live.filter(|(_, peer)| peer.is_responsive(now_ms));
+        let witnesses = live.filter_map(|(key, peer)| Some((key, peer, peer.heartbeat.as_ref()?)));
+        let witness = witnesses.max_by_key(|(key, peer, heartbeat)| {
+            (
+                Some(heartbeat.state_address) != avoid,
+                Self::has_recent_proof(peer, now_ms),
+                heartbeat.endpoint_revision,
+                pair_score(own_key, **key),
+            )
+        });
+        witness.map(|(_, _, heartbeat)| heartbeat.state_address)
+    }
 }
 
 #[cfg(test)]
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -144,6 +144,26 @@
     assert_eq!(queried, BTreeSet::from(same_domain));
 }
 
+#[test]
+fn removals_are_asked_of_a_box_that_the_store_answered_lately() {
+    let address = |host: u8| SocketAddr::from(([10, 0, 0, host], 7_500));
+    let mut view = FleetView::new(heartbeat("a1", "a"));
+    let witness = |view: &FleetView, avoid| view.find_removal_witness(avoid, 1_000);
+    assert_eq!(witness(&view, None), None);
+    let newest = heartbeat("a2", "a")
+        .revisions(5, StoreRevision::new(1, 9))
+        .state_address(address(2));
+    let answered = heartbeat("b1", "b")
+        .revisions(5, StoreRevision::new(1, 8))
+        .status(BoxStatus::new(1_000).reaches_store(true))
+        .state_address(address(3));
+    view.receive_heartbeat(newest, Incarnation(1), 1_000);
+    assert_eq!(witness(&view, None), Some(address(2)));
+    view.receive_heartbeat(answered, Incarnation(1), 1_000);
+    assert_eq!(witness(&view, None), Some(address(3)));
+    assert_eq!(witness(&view, Some(address(3))), Some(address(2)));
+}
+
 /// Guards against requests for each change going to whichever domain saw it first.
 #[test]
 fn state_sources_of_the_own_domain_are_preferred() {
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -38,6 +38,7 @@
 mod readiness;
 mod refusal;
 mod reload;
+mod removal_check;
 mod run_guard;
 mod settings;
 mod sockets;
@@ -170,6 +171,7 @@
     spawn_with_state(state, "lag", overload::watch_lag);
     spawn_with_state(state, "domains", domain_watch::watch_domains);
     spawn_with_state(state, "waits", wait_queues::process_queues);
+    spawn_with_state(state, "removals", removal_check::check_removals);
     for (name, kind) in [
         ("configurations of others", StateKind::Config),
         ("endpoints of others", StateKind::Endpoints),
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -244,12 +244,20 @@
             .map(|item| decode_endpoint_item(item, era));
         let listed = decoded.map(accept_decoded).collect();
         let revision = StoreRevision::new(era, listing.revision);
+        let known = state.endpoint_revision();
         state.replace_endpoints(listed, revision, contact.kept_until_ms());
+        if contact.keeps_removed_records() {
+            state.request_removal_check(known);
+        }
     };
     let changed = |contact: &StoreContact, events: Vec<StoreEvent>, era| {
         let decoded = events.iter().map(|event| decode_endpoint_event(event, era));
         let changes = decoded.map(accept_decoded).collect();
+        let known = state.endpoint_revision();
         state.apply_endpoints(changes, contact.kept_until_ms(), "store");
+        if contact.keeps_removed_records() {
+            state.request_removal_check(known);
+        }
     };
     let contact = StoreContact::new(ENDPOINT_KEY_PREFIX, state.settings().drain);
     follow(&state, contact, ENDPOINTS_PAUSE, listed, changed).await;
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -18,9 +18,10 @@
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
     GenerationTimes, InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget,
-    PlainLoads, PrefixHistory, QuarantineChange, ResumeGate, RetryBudget, RouteConfig, RouteTable,
-    RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow, StoreFollower, StoreProbe,
-    StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker,
+    PlainLoads, PrefixHistory, QuarantineChange, RemovedEndpoint, ResumeGate, RetryBudget,
+    RouteConfig, RouteTable, RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow,
+    StoreFollower, StoreProbe, StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory,
+    WaitQueue, WarmupTracker,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -148,6 +149,8 @@
     role: watch::Sender<StoreRole>,
     recoveries: watch::Sender<u64>,
     store_revision: watch::Sender<StoreRevision>,
+    /// The revision after which other boxes are to be asked for removals.
+    removal_check: watch::Sender<Option<StoreRevision>>,
     run_counter: AtomicU32,
     /// When the configuration in force was applied.
     config_changed_ms: AtomicU64,
@@ -229,6 +232,7 @@
             role: watch::channel(StoreRole::default()).0,
             recoveries: watch::channel(0).0,
             store_revision: watch::channel(StoreRevision::NONE).0,
+            removal_check: watch::Sender::new(None),
             // A random start avoids reusing recent run numbers after a restart.
             run_counter: AtomicU32::new(rand::random()),
             config_changed_ms: AtomicU64::new(now_ms()),
@@ -383,6 +387,37 @@
         })
     }
 
+    /// Returns the revision up to which the endpoints are known.
+    pub(super) fn endpoint_revision(&self) -> StoreRevision {
+        self.with(|view| view.endpoints.revision())
+    }
+
+    /// Requests that other boxes are asked for the endpoints removed after `since`, if any endpoint
+    /// is kept without a record.
+    pub(super) fn request_removal_check(&self, since: StoreRevision) {
+        if self.with(|view| view.endpoints.has_unconfirmed()) {
+            let earliest = |pending: Option<StoreRevision>| pending.map_or(since, |p| p.min(since));
+            self.removal_check
+                .send_modify(|pending| *pending = Some(earliest(*pending)));
+        }
+    }
+
+    /// Subscribes to the requested check of removals: the revision after which they are unknown.
+    pub(super) fn removal_checks(&self) -> watch::Receiver<Option<StoreRevision>> {
+        self.removal_check.subscribe()
+    }
+
+    /// Takes the requested check of removals.
+    pub(super) fn take_removal_check(&self) -> Option<StoreRevision> {
+        self.removal_check.send_replace(None)
+    }
+
+    /// Merges the removals reported by another box.
+    pub(super) fn merge_removals(&self, removed: Vec<RemovedEndpoint>, source: &str) {
+        let changes = self.with(|view| view.endpoints.merge_removals(removed));
+        self.record_changes(&changes, source);
+    }
+
     fn record_changes(&self, changes: &[EndpointChange], source: &str) {
         if !changes.is_empty() {
             self.endpoints_changed_ms.store(now_ms(), Ordering::Relaxed);
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -204,11 +204,7 @@
     kind: StateKind,
     timeout: Duration,
 ) -> Result<(), ClientError> {
-    let client = WsClientBuilder::new()
-        .request_timeout(timeout)
-        .connection_timeout(CONNECT_TIMEOUT)
-        .build(format!("ws://{peer}"))
-        .await?;
+    let client = connect(peer, timeout).await?;
     let source = peer.to_string();
     match kind {
         StateKind::Config => {
@@ -238,6 +234,28 @@
     Ok(())
 }
 
+async fn connect(peer: SocketAddr, timeout: Duration) -> Result<WsClient, ClientError> {
+    WsClientBuilder::new()
+        .request_timeout(timeout)
+        .connection_timeout(CONNECT_TIMEOUT)
+        .build(format!("ws://{peer}"))
+        .await
+}
+
+/// Sends one request to another box, which has `timeout` to answer.
+///
+/// # Errors
+///
+/// Returns an error if the box cannot be reached or does not answer in time.
+pub(super) async fn fetch_state(
+    peer: SocketAddr,
+    request: StateRequest,
+    timeout: Duration,
+) -> Result<StateAnswer, ClientError> {
+    let client = connect(peer, timeout).await?;
+    request_state(&client, request).await
+}
+
 async fn request_state(
     client: &WsClient,
     request: StateRequest,
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -29,6 +29,11 @@
     recovered_ms: Option<u64>,
     /// The era of the last listing.
     era: Option<u64>,
+    /// Whether the box had not listed the keys when the store answered after the last outage, so
+    /// that it has not seen which records were removed in it.
+    lacks_history: bool,
+    /// Whether the keys were listed since this box began to follow them.
+    has_listed: bool,
 }
 
 impl StoreContact {
@@ -39,6 +44,8 @@
             lost_ms: None,
             recovered_ms: None,
             era: None,
+            lacks_history: false,
+            has_listed: false,
         }
     }
 
@@ -46,6 +53,8 @@
     /// last answered a box of the domain, in milliseconds; `None` if that is unknown.
     pub(super) fn start_following(&mut self, proof_age_ms: Option<u64>) {
         self.lost_ms = None;
+        self.lacks_history = true;
+        self.has_listed = false;
         if proof_age_ms.is_none_or(|age| age >= MIN_LAPSE_OUTAGE_MS) {
             self.recovered_ms = Some(now_ms());
         }
@@ -102,6 +111,7 @@
     /// Records the era of a listing. A store that was restored from an older copy lacks records,
     /// which endpoints rewrite just as after an outage.
     pub(super) fn record_era(&mut self, era: u64) {
+        self.has_listed = true;
         let has_changed = self.era.replace(era).is_some_and(|before| before != era);
         if has_changed {
             self.recovered_ms = Some(now_ms());
@@ -118,6 +128,7 @@
     /// Records that the store answers again after an outage of `away_ms`.
     pub(super) fn record_recovery(&mut self, away_ms: u64) {
         self.lost_ms = None;
+        self.lacks_history = !self.has_listed;
         if away_ms >= MIN_LAPSE_OUTAGE_MS {
             self.recovered_ms = Some(now_ms());
         }
@@ -127,6 +138,11 @@
         });
     }
 
+    /// Returns whether missing records are kept that other boxes may have seen being removed.
+    pub(super) fn keeps_removed_records(&self) -> bool {
+        self.lacks_history && self.kept_until_ms().is_some()
+    }
+
     /// Returns until when missing records are kept; `None` if there was no recent outage.
     pub(super) fn kept_until_ms(&self) -> Option<u64> {
         let until = self.recovered_ms? + self.retention.as_millis() as u64;
--- a/dockgate/src/gateway/store_contact/tests.rs
+++ b/dockgate/src/gateway/store_contact/tests.rs
@@ -62,4 +62,22 @@
     let mut contact = StoreContact::new("test", DRAIN);
     contact.start_following(proof_age_ms);
     assert_eq!(contact.kept_until_ms().is_some(), is_kept);
+    assert_eq!(contact.keeps_removed_records(), is_kept);
+}
+
+/// A box that has watched the store until an outage learns of removals from the other boxes.
+#[parameterized(
+    listed = { true },
+    not_listed = { false },
+)]
+fn first_listing_after_an_outage_may_lack_removed_records(had_listed: bool) {
+    let mut contact = StoreContact::new("test", DRAIN);
+    contact.start_following(Some(0));
+    if had_listed {
+        contact.record_era(1);
+    }
+    contact.record_recovery(OUTAGE_MS);
+    contact.record_era(1);
+    assert!(contact.kept_until_ms().is_some());
+    assert_eq!(contact.keeps_removed_records(), !had_listed);
 }
