fix: a box that begins to follow a restored store keeps the endpoints that it lacks

Callers saw requests refused for an endpoint that was new when the store was restored from an older copy: it ran, and its record was rewritten within a second, but no request reached it in between (endpoint_added_before_a_rollback_stays_in_use, beside load).

Cause: a listing of another era starts the grace for missing records, compared with the era of the listing before. A box that begins to follow the store just then has no listing before, and as other boxes had a recent proof of the store no grace either. It dropped the endpoint, and as its owner declined it to the others, which kept it.

Change: the era of the known endpoints counts as that of the listing before. new_follower_keeps_records_that_a_restored_store_lacks fails without it (case earlier).

--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -68,7 +68,10 @@
     let mut resumes = subscribe_resumes();
     loop {
         if wait_for_follower_role(state, prefix).await {
-            contact.start_following(state.store_proof_age_ms());
+            let known =
+                Some(state.endpoint_revision()).filter(|known| *known > StoreRevision::NONE);
+            let known_era = known.map(|known| known.era);
+            contact.start_following(state.store_proof_age_ms(), known_era);
         }
         recoveries.mark_unchanged();
         let listing = client.list(prefix).await;
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -27,7 +27,7 @@
     retention: Duration,
     lost_ms: Option<u64>,
     recovered_ms: Option<u64>,
-    /// The era of the last listing.
+    /// The era of the known endpoints or of the last listing.
     era: Option<u64>,
     /// Whether the box had not listed the keys when the store answered after the last outage, so
     /// that it has not seen which records were removed in it.
@@ -50,9 +50,11 @@
     }
 
     /// Records that this box starts following the store. `proof_age_ms` is the time since the store
-    /// last answered a box of the domain, in milliseconds; `None` if that is unknown.
-    pub(super) fn start_following(&mut self, proof_age_ms: Option<u64>) {
+    /// last answered a box of the domain, in milliseconds, and `known_era` the era of the known
+    /// endpoints; both `None` if unknown.
+    pub(super) fn start_following(&mut self, proof_age_ms: Option<u64>, known_era: Option<u64>) {
         self.lost_ms = None;
+        self.era = known_era;
         self.lacks_history = true;
         self.has_listed = false;
         if proof_age_ms.is_none_or(|age| age >= MIN_LAPSE_OUTAGE_MS) {
--- a/dockgate/src/gateway/store_contact/tests.rs
+++ b/dockgate/src/gateway/store_contact/tests.rs
@@ -60,7 +60,7 @@
     is_kept: bool,
 ) {
     let mut contact = StoreContact::new("test", DRAIN);
-    contact.start_following(proof_age_ms);
+    contact.start_following(proof_age_ms, None);
     assert_eq!(contact.kept_until_ms().is_some(), is_kept);
     assert_eq!(contact.keeps_removed_records(), is_kept);
 }
@@ -72,7 +72,7 @@
 )]
 fn first_listing_after_an_outage_may_lack_removed_records(had_listed: bool) {
     let mut contact = StoreContact::new("test", DRAIN);
-    contact.start_following(Some(0));
+    contact.start_following(Some(0), None);
     if had_listed {
         contact.record_era(1);
     }
@@ -81,3 +81,17 @@
     assert!(contact.kept_until_ms().is_some());
     assert_eq!(contact.keeps_removed_records(), !had_listed);
 }
+
+/// Guards against dropping endpoints that a restored store lacks, by a box that follows it only
+/// since its return.
+#[parameterized(
+    unknown = { None, false },
+    same = { Some(2), false },
+    earlier = { Some(1), true },
+)]
+fn new_follower_keeps_records_that_a_restored_store_lacks(known_era: Option<u64>, is_kept: bool) {
+    let mut contact = StoreContact::new("test", DRAIN);
+    contact.start_following(Some(100), known_era);
+    contact.record_era(2);
+    assert_eq!(contact.kept_until_ms().is_some(), is_kept);
+}
