test: answers that break off before an event are no service of a workspace

The test reads what a box reports of the workspace to another box (the stand-in of a box keeps the usage of heartbeats).

--- a/dockgate-bench/src/standin/peer.rs
+++ b/dockgate-bench/src/standin/peer.rs
@@ -1,7 +1,9 @@
 //! A stand-in for another box that sends heartbeats and answers state requests.
 
 use crate::error::BenchError;
-use dockgate_core::gateway::{BoxHeartbeat, BoxStatus, EndpointUpdate, RouteConfig, StoreRevision};
+use dockgate_core::gateway::{
+    BoxHeartbeat, BoxStatus, EndpointUpdate, RouteConfig, StoreRevision, UsageRow,
+};
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_proto::{GatewayDatagram, GatewayMessage, StateAnswer, StateRequest, methods};
 use jsonrpsee::RpcModule;
@@ -22,6 +24,7 @@
     state_address: SocketAddr,
     is_config_held: Arc<watch::Sender<bool>>,
     endpoints: Arc<watch::Sender<Option<EndpointUpdate>>>,
+    reported_usage: watch::Receiver<Vec<UsageRow>>,
     _server: ServerHandle,
     _heartbeats: DropGuard,
 }
@@ -63,9 +66,11 @@
         let socket = UdpSocket::bind(own).await.map_err(io)?;
         let stop = CancellationToken::new();
         let heartbeats = stop.clone().drop_guard();
+        let (usage, reported_usage) = watch::channel(Vec::new());
         tokio::spawn(async move {
             tokio::select! {
-                () = send_heartbeats(socket, to, heartbeat) => {}
+                () = send_heartbeats(&socket, to, heartbeat) => {}
+                () = receive_usage(&socket, usage) => {}
                 () = stop.cancelled() => {}
             }
         });
@@ -73,6 +78,7 @@
             state_address: own_state,
             is_config_held,
             endpoints,
+            reported_usage,
             _server: server,
             _heartbeats: heartbeats,
         })
@@ -83,6 +89,14 @@
         self.state_address
     }
 
+    /// Waits for the next heartbeat and returns the usage by workspace in it.
+    pub async fn next_usage(&mut self) -> Vec<UsageRow> {
+        self.reported_usage.mark_unchanged();
+        // The sender is dropped only with this stand-in.
+        let _ = self.reported_usage.changed().await;
+        self.reported_usage.borrow().clone()
+    }
+
     /// Changes its answer about endpoints. Its heartbeats still announce the initial revision.
     pub fn set_endpoints(&self, update: EndpointUpdate) {
         self.endpoints.send_replace(Some(update));
@@ -124,7 +138,19 @@
     StateAnswer { config, endpoints }
 }
 
-async fn send_heartbeats(socket: UdpSocket, to: SocketAddr, heartbeat: BoxHeartbeat) {
+/// Keeps the usage of the last heartbeat, until the socket fails.
+async fn receive_usage(socket: &UdpSocket, usage: watch::Sender<Vec<UsageRow>>) {
+    const MAX_DATAGRAM: usize = 65_536;
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    while let Ok(length) = socket.recv(&mut buffer).await {
+        let datagram = GatewayDatagram::decode(&buffer[..length]);
+        if let Ok(GatewayMessage::Heartbeat { shares, .. }) = datagram.map(|it| it.message) {
+            usage.send_replace(shares);
+        }
+    }
+}
+
+async fn send_heartbeats(socket: &UdpSocket, to: SocketAddr, heartbeat: BoxHeartbeat) {
     for sequence in 1.. {
         let datagram = GatewayDatagram {
             from: BoxKey::from_name(&heartbeat.name),
