weights: owners report rates of engines that they cannot compare

Where each engine of a service has an owner of its own, a slow engine was placed like the others and declined prompts while fast ones were idle. Cause: a box reported its rates only after it had seen two of the service that differ, and an owner knows but its own ones until others report. A box now also reports the rates of services of which it knows no more than half, to coordinators and between domains, and in its domain if it knows fewer than half. A fleet whose boxes know most rates still sends none.

--- a/dockgate-core/src/gateway/engine_weights.rs
+++ b/dockgate-core/src/gateway/engine_weights.rs
@@ -4,7 +4,7 @@
 //! becomes several times slower for some seconds: placed alike, slow engines decline prompts while
 //! fast ones are idle. The owner of an engine measures its rate and reports it in heartbeats, and
 //! coordinators relay the rates in digests. As long as the rates of a service are about equal, its
-//! engines have weight 1, and nothing is reported.
+//! engines have weight 1, and no box reports rates of which it can tell that they are equal.
 //!
 //! A rate is a step of a quarter octave, with a counter that orders the reports on an engine by
 //! whatever path they arrive. The age of a report grows with each relay, so that a report that
@@ -91,6 +91,8 @@
     changed_ms: Option<u64>,
     /// Until when it is reported, because the rates of the service differ.
     reports_until_ms: u64,
+    /// How many rates of the service this box knows, compared to half of its engines.
+    coverage: Ordering,
 }
 
 impl KnownRate {
@@ -154,6 +156,7 @@
             measured_ms: None,
             changed_ms: None,
             reports_until_ms: 0,
+            coverage: Ordering::Greater,
         });
         known.reported_ms = now_ms;
         known.measured_ms = Some(now_ms);
@@ -194,6 +197,7 @@
             measured_ms: None,
             changed_ms: None,
             reports_until_ms: 0,
+            coverage: Ordering::Greater,
         };
         let known = self.rates.entry(row.endpoint).or_insert(reported);
         match reported.rank().cmp(&known.rank()) {
@@ -204,9 +208,9 @@
                 known.counter = row.counter.saturating_add(1);
             }
             Ordering::Greater => {
-                let reports_until_ms = known.reports_until_ms;
                 *known = KnownRate {
-                    reports_until_ms,
+                    reports_until_ms: known.reports_until_ms,
+                    coverage: known.coverage,
                     ..reported
                 };
             }
@@ -235,6 +239,12 @@
         }
         let mut weights = Vec::new();
         for (service, engines) in &services {
+            let coverage = (engines.len() * 2).cmp(&service.engines);
+            for (id, _) in engines {
+                if let Some(rate) = self.rates.get_mut(id) {
+                    rate.coverage = coverage;
+                }
+            }
             let median = median_step(engines);
             let differing = engines
                 .iter()
@@ -248,7 +258,7 @@
                     rate.reports_until_ms = now_ms + Self::LIFETIME_MS;
                 }
             }
-            if engines.len() * 2 >= service.engines {
+            if coverage.is_ge() {
                 let differing = differing.into_iter();
                 weights.extend(differing.map(|(id, step)| (id, weight(step - median))));
             }
@@ -276,7 +286,8 @@
     /// Returns the rates to report to an audience; each datagram continues after the last one.
     ///
     /// All known rates of a service are reported while some of them differ, as weights are relative
-    /// to their median.
+    /// to their median. Also reported are rates that this box cannot compare, because it knows no
+    /// more than half of the rates of their service: a box that knows the other half may.
     pub fn rows(&mut self, audience: RateAudience, now_ms: u64) -> Vec<EngineRate> {
         let cursor = &mut self.cursors[audience as usize];
         let from = cursor.map_or(Bound::Unbounded, Bound::Excluded);
@@ -287,7 +298,11 @@
             let is_own = rate.is_own(now_ms);
             let is_fresh = rate.reported_ms + Self::LIFETIME_MS > now_ms;
             let is_for_audience = is_own || audience != RateAudience::Coordinators;
-            now_ms < rate.reports_until_ms && is_fresh && is_for_audience
+            let is_uncompared = match audience {
+                RateAudience::Coordinators | RateAudience::OtherDomains => rate.coverage.is_le(),
+                RateAudience::Domain => rate.coverage.is_lt(),
+            };
+            (now_ms < rate.reports_until_ms || is_uncompared) && is_fresh && is_for_audience
         });
         let rows = due.map(|(id, rate)| {
             let age_ms = now_ms.saturating_sub(rate.reported_ms);
--- a/dockgate-core/src/gateway/engine_weights/tests.rs
+++ b/dockgate-core/src/gateway/engine_weights/tests.rs
@@ -224,3 +224,76 @@
     assert!(expected.get(EndpointId(2)) > 1.4 && expected.get(EndpointId(0)) < 0.7);
     assert!(boxes.iter().all(|weights| weights.homes() == expected));
 }
+
+/// Returns the weights at all boxes after 30 s, of a service whose engines have these rates, by
+/// domain and owner. Each domain has a coordinator and a member without engines.
+fn weights_at_all_boxes(domains: &[Vec<Vec<f64>>]) -> Vec<HomeWeights> {
+    let rates = domains.iter().flatten().flatten();
+    let service = ReadyService {
+        key: 1,
+        engines: rates.count(),
+    };
+    // The coordinator of each domain comes first, and its member last.
+    let mut boxes: Vec<Vec<EngineWeights>> = domains
+        .iter()
+        .map(|owners| vec![EngineWeights::default(); owners.len() + 2])
+        .collect();
+    for now_ms in (0..30_000).step_by(300) {
+        let mut engines = (0..).map(EndpointId);
+        for (owners, boxes) in domains.iter().zip(&mut boxes) {
+            for (rates, weights) in owners.iter().zip(&mut boxes[1..]) {
+                for rate in rates {
+                    weights.measure(engines.next().unwrap(), *rate, now_ms);
+                }
+            }
+        }
+        let mut between_domains = Vec::new();
+        for boxes in &mut boxes {
+            for weights in &mut *boxes {
+                weights.refresh(|_| Some(service), now_ms);
+            }
+            let (coordinator, others) = boxes.split_first_mut().unwrap();
+            for weights in &mut *others {
+                let rows = weights.rows(RateAudience::Coordinators, now_ms);
+                coordinator.merge(&rows, |_| true, now_ms);
+            }
+            let rows = coordinator.rows(RateAudience::Domain, now_ms);
+            for weights in others {
+                weights.merge(&rows, |_| true, now_ms);
+            }
+            between_domains.push(coordinator.rows(RateAudience::OtherDomains, now_ms));
+        }
+        for (domain, boxes) in boxes.iter_mut().enumerate() {
+            for (sender, rows) in between_domains.iter().enumerate() {
+                if sender != domain {
+                    boxes[0].merge(rows, |_| true, now_ms);
+                }
+            }
+        }
+    }
+    let boxes = boxes.iter().flatten();
+    boxes.map(|weights| weights.homes().clone()).collect()
+}
+
+/// Guards against owners each of whom knows too few rates to see that any differ.
+#[test]
+fn rates_that_no_owner_can_compare_reach_all_boxes() {
+    let fleets = [
+        vec![vec![vec![30.0], vec![30.0], vec![7.5]]],
+        vec![vec![vec![30.0], vec![7.5]]],
+        vec![vec![vec![30.0, 30.0, 30.0], vec![7.5]]],
+        vec![vec![vec![30.0, 30.0], vec![7.5, 7.5]]],
+        vec![vec![vec![30.0, 30.0]], vec![vec![7.5, 7.5]]],
+        vec![vec![vec![30.0]], vec![vec![30.0]], vec![vec![7.5]]],
+        vec![vec![vec![30.0, 30.0, 30.0]], vec![vec![30.0], vec![7.5]]],
+    ];
+    for domains in fleets {
+        let weights = weights_at_all_boxes(&domains);
+        let (first, others) = weights.split_first().unwrap();
+        assert!(!first.is_uniform(), "{domains:?}");
+        assert!(others.iter().all(|other| other == first), "{domains:?}");
+    }
+    let equal = [vec![vec![30.0], vec![31.0]], vec![vec![33.0], vec![29.0]]];
+    let mut weights = weights_at_all_boxes(&equal).into_iter();
+    assert!(weights.all(|weights| weights.is_uniform()));
+}
