callers: no refusal for the number of headers, none of a slow upload after its deadline

A request with more than 100 headers within max_header_bytes got 431, as the HTTP library takes 100 unless told otherwise; PROTOCOL.md bounds a head by its limits alone. The number follows from the limit now, at 8 bytes a header. A body that arrived slowly was read for idle_timeout_ms, whatever the route's timeout_ms or the caller's deadline; it ends at the earliest of them now with 408, not run, so that a caller learns it while it still waits.

Stand-ins accept 1,000 headers, as they answered 431 themselves.

--- a/dockgate-bench/src/standin/http.rs
+++ b/dockgate-bench/src/standin/http.rs
@@ -15,6 +15,9 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+/// The most headers of a request.
+const MAX_HEADERS: usize = 1_000;
+
 /// The body of a stand-in's answer.
 pub(super) type StandInBody = BoxBody<Bytes, AbortedConnection>;
 
@@ -65,7 +68,8 @@
             let (handle, stop) = (handle.clone(), stop.clone());
             tokio::spawn(async move {
                 let service = service_fn(handle);
-                let builder = Builder::new(TokioExecutor::new());
+                let mut builder = Builder::new(TokioExecutor::new());
+                builder.http1().max_headers(MAX_HEADERS);
                 let connection = builder.serve_connection(TokioIo::new(stream), service);
                 tokio::select! {
                     _ = connection => {}
--- a/dockgate-bench/tests/caller_connections.rs
+++ b/dockgate-bench/tests/caller_connections.rs
@@ -3,12 +3,12 @@
 
 use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, start_fleet, wait_until};
 use dockgate_bench::standin::caller::{all_events, connect, request, text};
-use http::StatusCode;
+use http::{HeaderName, HeaderValue, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use yare::parameterized;
@@ -252,6 +252,54 @@
     assert!(answer.starts_with("HTTP/1.1 431 "), "{answer}");
 }
 
+/// Guards against callers that are refused for the number of their headers.
+#[tokio::test]
+async fn request_with_many_headers_within_the_limit_of_bytes_is_served() {
+    let fleet = start_fleet(1, &["plain"]).await;
+    let mut many = request("/again/x", "r1", None);
+    for number in 0..300 {
+        let name = HeaderName::try_from(format!("x-{number}")).unwrap();
+        many.headers_mut()
+            .insert(name, HeaderValue::from_static("v"));
+    }
+    let mut sender = connect(fleet.gateways[0].caller_address()).await;
+    let response = sender.send_request(many).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+}
+
+/// Guards against callers that learn nothing at their deadline, since their body still arrives.
+#[tokio::test]
+async fn slow_upload_is_refused_at_the_deadline() {
+    const DEADLINE: Duration = Duration::from_millis(1_000);
+    let fleet = start_fleet(1, &["plain"]).await;
+    let mut caller = TcpStream::connect(fleet.gateways[0].caller_address())
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /again/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Token k1\r\n\
+         x-request-id: r1\r\nx-deadline-ms: {}\r\ncontent-length: 100\r\n\r\n",
+        DEADLINE.as_millis()
+    );
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let sent = Instant::now();
+    let (mut reader, mut writer) = caller.split();
+    let mut answer = String::new();
+    let upload = async {
+        for _ in 0..100 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let _ = writer.write_all(b"x").await;
+        }
+    };
+    tokio::select! {
+        read = reader.read_to_string(&mut answer) => { read.expect("an orderly close"); }
+        () = upload => {}
+    }
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains("not_run: body_too_slow"), "{answer}");
+    assert!(sent.elapsed() >= DEADLINE, "{:?}", sent.elapsed());
+    assert!(sent.elapsed() < DEADLINE * 4, "{:?}", sent.elapsed());
+}
+
 /// Guards against a connection that is reset, with what the system still holds of its answer, since
 /// the caller reads nothing for a few seconds.
 #[parameterized(
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -367,7 +367,9 @@
     } = found;
     let limits = &table.config().limits;
     let name = workspace_name(&table, workspace);
-    let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits)
+    let timeout = table.route(route).timeout;
+    let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
+    let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits, deadline)
         .await
         .map_err(|reason| match reason {
             RefusalReason::OutOfMemory => RejectedRequest {
@@ -399,8 +401,6 @@
                 .and_then(|key| part_name(service_name, head.prompt.as_ref(), key)),
             ..rejected_on_route(refusal)
         })?;
-    let timeout = route_spec.timeout;
-    let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
     let predicted_ms = || predict_ms(&state, route_spec, service_spec, &head);
     if !state.can_finish(deadline, predicted_ms) {
         return Err(rejected_on_route(CallRefusal::stopping()));
@@ -565,7 +565,7 @@
     CallRefusal::with_retry(RefusalReason::OutOfMemory, after)
 }
 
-/// Reads the body of a request, and counts the request in the memory budget.
+/// Reads the body of a request until its deadline, and counts the request in the memory budget.
 ///
 /// A body for which the box has no memory is discarded as it arrives, as it would stay in the socket.
 async fn read_body(
@@ -574,6 +574,7 @@
     mut body: Incoming,
     parts: &Parts,
     limits: &GatewayLimits,
+    deadline: ClockInstant,
 ) -> Result<(Bytes, MemoryGuard), RefusalReason> {
     let declared = body.size_hint().lower();
     let until = ClockInstant::now() + limits.idle_timeout;
@@ -590,7 +591,7 @@
     let read = read_counted(&mut body, limits.body_bytes, declared, |bytes| {
         memory.try_grow(bytes)
     });
-    let read = timeout_at(until, read);
+    let read = timeout_at(until.min(deadline), read);
     match state.final_answers_due.run_until_cancelled(read).await {
         Some(Ok(Ok(bytes))) => Ok((bytes, memory)),
         Some(Ok(Err(ReadFailure::TooLarge))) => Err(RefusalReason::BodyTooLarge),
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -45,6 +45,9 @@
 const MAX_DISCARDED_BYTES: usize = 16 << 20;
 /// The minimum buffer size of a connection.
 const MIN_BUFFER_BYTES: usize = 8_192;
+/// The smallest size of a header for which a head within its limit is never refused for the number
+/// of its headers, in bytes. The HTTP library reserves room for that number with each request.
+const MIN_HEADER_BYTES: usize = 8;
 
 /// Accepts the connections of callers and keeps track of them.
 pub(super) struct CallerListener {
@@ -181,8 +184,10 @@
                 Ok::<_, Infallible>(finish_answer(ends, response, busy, abort))
             }
         });
+        let buffer_bytes = limits.head_bytes.max(MIN_BUFFER_BYTES);
         let served = Builder::new()
-            .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+            .max_buf_size(buffer_bytes)
+            .max_headers(buffer_bytes / MIN_HEADER_BYTES)
             .serve_connection(io, service);
         tokio::pin!(served);
         let ended = connection
