refactor: a request is shed under one lock of the state

shed_request took the lock a second time to count what it had refused, which a reader had to check for interleavings; the draw is a function of its own now. The closure of request_removal_check named its argument by a letter.

--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -20,8 +20,8 @@
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
     AdmissionRequest, AnswerForm, EndpointId, GatewayLimits, InterruptedRequest, LatencyLimits,
-    PromptPart, PromptShape, Quarantine, RouteKey, RouteSpec, RouteTable, ServiceKey, ServiceSpec,
-    ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
+    LoadShedder, PromptPart, PromptShape, Quarantine, RouteKey, RouteSpec, RouteTable, ServiceKey,
+    ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -456,31 +456,33 @@
     units: u64,
     objective_ms: u64,
 ) -> Result<(), CallRefusal> {
-    let refusal = state.with(|view| {
-        if view.lag.is_too_late_for(objective_ms) {
-            return Some((RefusalReason::Overloaded, RETRY_SOON));
-        }
-        let shedder = &mut view.shedder;
-        shedder.record_request(workspace);
-        let fraction = shedder.refused_fraction(workspace);
-        if fraction <= 0.0 || !rand::random_bool(fraction) {
-            return None;
-        }
-        shedder.record_refusal();
-        let reason = match shedder.is_out_of_rotation() {
-            true => RefusalReason::Diverted,
-            false => RefusalReason::Overloaded,
-        };
-        Some((reason, shedder.retry_after(rand::random())))
-    });
-    let Some((reason, after)) = refusal else {
-        return Ok(());
-    };
     state.with(|view| {
+        let refusal = match view.lag.is_too_late_for(objective_ms) {
+            true => Some((RefusalReason::Overloaded, RETRY_SOON)),
+            false => draw_refusal(&mut view.shedder, workspace),
+        };
+        let Some((reason, after)) = refusal else {
+            return Ok(());
+        };
         let outcome = ShareOutcome::NoProcessor;
         view.tally.record_outcome(workspace, outcome, units);
-    });
-    Err(CallRefusal::with_retry(reason, after))
+        Err(CallRefusal::with_retry(reason, after))
+    })
+}
+
+/// Returns the reason and `Retry-After` of a request that the shedder refuses, or `None`.
+fn draw_refusal(shedder: &mut LoadShedder, workspace: u64) -> Option<(RefusalReason, Duration)> {
+    shedder.record_request(workspace);
+    let fraction = shedder.refused_fraction(workspace);
+    if fraction <= 0.0 || !rand::random_bool(fraction) {
+        return None;
+    }
+    shedder.record_refusal();
+    let reason = match shedder.is_out_of_rotation() {
+        true => RefusalReason::Diverted,
+        false => RefusalReason::Overloaded,
+    };
+    Some((reason, shedder.retry_after(rand::random())))
 }
 
 /// Returns the target of a request in origin form; some callers send the absolute form.
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -396,9 +396,10 @@
     /// is kept without a record.
     pub(super) fn request_removal_check(&self, since: StoreRevision) {
         if self.with(|view| view.endpoints.has_unconfirmed()) {
-            let earliest = |pending: Option<StoreRevision>| pending.map_or(since, |p| p.min(since));
-            self.removal_check
-                .send_modify(|pending| *pending = Some(earliest(*pending)));
+            self.removal_check.send_modify(|pending| {
+                let earliest = pending.map_or(since, |requested| requested.min(since));
+                *pending = Some(earliest);
+            });
         }
     }
 
