test: name the reason for which the flooded box refuses another workspace

The assertion is the same, that all 20 requests of the other workspace are served; it prints the reason of a refusal now.

--- a/dockgate-bench/tests/memory_budget.rs
+++ b/dockgate-bench/tests/memory_budget.rs
@@ -76,13 +76,17 @@
     Some(line)
 }
 
-/// Sends a request of the other workspace; returns its status.
-async fn send_other(gateway: &GatewayProcess, number: usize) -> StatusCode {
+/// Sends a request of the other workspace; returns the reason of its refusal, or `None` if it is
+/// served.
+async fn send_other(gateway: &GatewayProcess, number: usize) -> Option<String> {
     let mut other = request("/again/x", &format!("o{number}"), None);
     let key = "Token k9".parse().unwrap();
     other.headers_mut().insert("authorization", key);
     let mut sender = connect(gateway.caller_address()).await;
-    sender.send_request(other).await.unwrap().status()
+    let response = sender.send_request(other).await.unwrap();
+    let is_served = response.status() == StatusCode::OK;
+    let answer = text(response).await;
+    (!is_served).then_some(answer)
 }
 
 /// Guards against a box that exceeds its memory under a flood, that refuses other workspaces
@@ -100,15 +104,15 @@
     let idle = join_all(idle).await;
     let large = join_all((0..LARGE_BODIES).map(|number| send_large_body(gateway, number)));
     let others = async {
-        let mut statuses = Vec::new();
+        let mut refusals = Vec::new();
         for number in 0..20 {
-            statuses.push(send_other(gateway, number).await);
+            refusals.push(send_other(gateway, number).await);
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        statuses
+        refusals
     };
-    let (large, statuses) = futures::join!(large, others);
-    assert_eq!(statuses, vec![StatusCode::OK; 20]);
+    let (large, refusals) = futures::join!(large, others);
+    assert_eq!(refusals, vec![None; 20], "of the other workspace");
     let answers: Vec<String> = large.into_iter().flatten().collect();
     assert_eq!(answers.len(), LARGE_BODIES, "an answer was lost");
     let refused = answers
