notices: boxes repeat to an engine's owner that the engine is leaving

Some seconds after an engine had said that it is leaving, boxes that had not heard it themselves sent it prompts again. Cause: its owner learns it from one report, trusts that for 5 s, and nobody repeated it, although the registry's page says so: the box that has the notice sends the engine nothing more. An owner that changed meanwhile never had it. A box with the notice now repeats it once a second to the owner of the time, while the engine's record is ready.

--- a/dockgate-core/src/gateway/notice_registry.rs
+++ b/dockgate-core/src/gateway/notice_registry.rs
@@ -41,7 +41,7 @@
 
 impl NoticeRegistry {
     /// How long the report of another box that an endpoint is leaving is trusted, in milliseconds.
-    /// The report may be wrong; a box that received the notice itself repeats it.
+    /// The report may be wrong; a box that received the notice itself repeats it once per second.
     const REPORT_TTL_MS: u64 = 5_000;
     /// How long notices of an endpoint without a record are kept, in milliseconds. The record may
     /// expire and be rewritten while the endpoint is running.
@@ -115,6 +115,12 @@
             .is_some_and(|notice| notice.is_leaving)
     }
 
+    /// Returns the lifetimes that announced to this box that they are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = EndpointId> {
+        let leaving = self.notices.iter().filter(|(_, notice)| notice.is_leaving);
+        leaving.map(|(id, _)| *id)
+    }
+
     /// Returns the remaining backoff of a lifetime, or `None` if none is in force.
     pub fn remaining_backoff(&self, id: EndpointId, now_ms: u64) -> Option<Duration> {
         self.notices.get(&id)?.backoff.remaining(now_ms)
--- a/dockgate/src/gateway/membership.rs
+++ b/dockgate/src/gateway/membership.rs
@@ -11,6 +11,7 @@
 use super::engine_rates;
 use super::events::{GatewayEvent, log_gateway};
 use super::gateway_state::{GatewayState, GatewayView};
+use super::notices::repeat_leaving_reports;
 use super::quarantine;
 use super::stream_origins;
 use super::wait_queues;
@@ -244,7 +245,7 @@
 pub(super) async fn send_heartbeats(state: Arc<GatewayState>) {
     announce(&state).await;
     let mut since_ms = now_ms();
-    let mut logged_ms = since_ms;
+    let mut reported_ms = since_ms;
     let scopes = (0..).map(|round: u32| match round % FleetView::FULL_DIGEST_INTERVAL {
         0 => DigestScope::OtherDomainFull,
         _ => DigestScope::OtherDomain,
@@ -267,9 +268,10 @@
             let is_overloaded = view.lag.is_overloaded();
             view.fleet.set_behind(is_overloaded);
         });
-        if now >= logged_ms + REPORT_INTERVAL_MS {
+        if now >= reported_ms + REPORT_INTERVAL_MS {
             log_shares(&state);
-            logged_ms = now;
+            repeat_leaving_reports(&state);
+            reported_ms = now;
         }
         let quarantined = state.expire(since_ms);
         quarantine::record_verdicts(&state, &quarantined);
--- a/dockgate/src/gateway/notices.rs
+++ b/dockgate/src/gateway/notices.rs
@@ -7,7 +7,8 @@
 use super::upstream::{EndpointTarget, SendCondition};
 use crate::clock::now_ms;
 use crate::shared_stream::DisconnectMonitor;
-use dockgate_core::gateway::{EndpointId, EndpointNotice, NoticeUpdate};
+use dockgate_core::BoxKey;
+use dockgate_core::gateway::{EndpointId, EndpointNotice, EndpointState, NoticeUpdate};
 use dockgate_proto::GatewayMessage;
 use std::sync::Arc;
 
@@ -55,6 +56,32 @@
     }
 }
 
+/// Reports again to the owners of ready engines what these announced to this box: that they are
+/// leaving.
+///
+/// A report expires, and an engine that changes its owner needs it at the new one.
+pub(super) fn repeat_leaving_reports(state: &GatewayState) {
+    let table = state.table();
+    let is_engine = |service: &str| {
+        let key = table.find_service(service);
+        key.is_some_and(|key| table.service(key).engine.is_some())
+    };
+    let reports = state.with(|view| {
+        let leaving = view.endpoints.notices().leaving();
+        let reports = leaving.filter_map(|id| {
+            let record = &view.endpoints.get(id)?.record;
+            let is_due = record.state == EndpointState::Ready && is_engine(&record.service);
+            is_due.then(|| (view.fleet.owner(id, &record.domain, now_ms()), id))
+        });
+        reports.collect::<Vec<(BoxKey, EndpointId)>>()
+    });
+    for (owner, endpoint) in reports {
+        if owner != state.own_key() {
+            send_to(state, owner, GatewayMessage::EndpointLeaving { endpoint });
+        }
+    }
+}
+
 /// Applies a report by another box that an endpoint is leaving.
 pub(super) fn receive_reported_leave(state: &GatewayState, endpoint: EndpointId) {
     let is_accepted = state.with(|view| view.endpoints.receive_reported_leave(endpoint, now_ms()));
