feat: lines on streams taken up say who was asked and what the store holds

Whether a stream went on by a record, or by the conclusion that its service had one version, could not be told from the log together with how many boxes were asked and answered. Nor was it seen whether the versions in the store were written, or lost to another writer: the outcome of the write was ignored. taken_up names asked, answered and the versions known here; the new line versions_exchanged names what was stored and what became of the write. No logic changes.

--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -8,7 +8,7 @@
 use super::{AdmittedCall, CallRefusal, RETRY_ELSEWHERE};
 use crate::clock::{ClockInstant, now_ms};
 use dockgate_core::gateway::{
-    AnswerForm, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, name_hash,
+    AnswerForm, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, VersionHistory, name_hash,
 };
 use std::time::Duration;
 
@@ -42,6 +42,27 @@
     }
 }
 
+/// What was found out about the version at which a stream began.
+#[derive(Debug, Clone, Copy)]
+struct FoundOrigin {
+    version: Option<(SoftwareVersion, OriginSource)>,
+    /// The number of boxes that were asked.
+    asked: usize,
+    /// The number of those that answered.
+    answered: usize,
+}
+
+impl FoundOrigin {
+    /// Without a question to another box.
+    const fn at_once(version: SoftwareVersion, source: OriginSource) -> Self {
+        Self {
+            version: Some((version, source)),
+            asked: 0,
+            answered: 0,
+        }
+    }
+}
+
 impl AdmittedCall {
     /// Returns what an endpoint is sought for: a request that takes up a stream is restricted to the
     /// version that began it.
@@ -54,8 +75,8 @@
         if !is_stream || self.head.last_event.is_none() {
             return Ok(PlacementGoal::Begin);
         }
-        let origin = self.find_origin().await;
-        let (result, outcome) = match origin {
+        let found = self.find_origin().await;
+        let (result, outcome) = match found.version {
             Some((version, source)) if self.wait_until_served(version).await => {
                 (Ok(PlacementGoal::TakeUp(version)), source.as_str())
             }
@@ -75,12 +96,25 @@
             request: &self.head.id,
             resumes: self.head.resumes.as_deref(),
             origin: outcome,
+            asked: found.asked,
+            answered: found.answered,
+            versions: self.known_versions(),
             took_ms: self.age().as_millis() as u64,
         });
         result
     }
 
-    async fn find_origin(&self) -> Option<(SoftwareVersion, OriginSource)> {
+    /// Returns how many versions of the service this box has known within the last minutes.
+    fn known_versions(&self) -> usize {
+        let (service, now) = (name_hash(&self.service().name), now_ms());
+        self.state.with(|view| {
+            let versions = &view.versions;
+            let known = versions.versions(service, VersionHistory::RETENTION_MS, now);
+            known.count()
+        })
+    }
+
+    async fn find_origin(&self) -> FoundOrigin {
         let service = name_hash(&self.service().name);
         let within_ms = self.take_up_time().as_millis() as u32;
         let stream = self.head.resumes.as_deref().map(|id| self.stream_key(id));
@@ -90,18 +124,22 @@
             (known, view.only_version(stream, service, within_ms, now))
         });
         match (known, only) {
-            (Some(version), _) => return Some((version, OriginSource::Own)),
+            (Some(version), _) => return FoundOrigin::at_once(version, OriginSource::Own),
             (None, Some(version)) if stream.is_none() => {
-                return Some((version, OriginSource::OnlyVersion));
+                return FoundOrigin::at_once(version, OriginSource::OnlyVersion);
             }
             _ => {}
         }
-        let told = ask_origin(&self.state, stream, service, within_ms).await;
-        let source = match told == only {
+        let answer = ask_origin(&self.state, stream, service, within_ms).await;
+        let source = match answer.version() == only {
             true => OriginSource::OnlyVersion,
             false => OriginSource::Peer,
         };
-        told.map(|version| (version, source))
+        FoundOrigin {
+            version: answer.version().map(|version| (version, source)),
+            asked: answer.asked,
+            answered: answer.answered,
+        }
     }
 
     /// Returns for how long after its first event a stream of this route can be taken up.
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -277,8 +277,22 @@
         resumes: Option<&'a str>,
         /// How its software version was found, or why it is refused.
         origin: &'a str,
+        /// The number of boxes that were asked for it, and of those that answered.
+        asked: usize,
+        answered: usize,
+        /// The number of versions of the service that this box has known within the last minutes.
+        versions: usize,
         took_ms: u64,
     },
+    /// The versions of the services were compared with those in the store.
+    VersionsExchanged {
+        /// The number of versions in the store; none if there is no readable value.
+        stored: Option<usize>,
+        /// The number of versions that this box has known within the last minutes.
+        known: usize,
+        /// Whether they were written, or why not.
+        outcome: &'a str,
+    },
     /// A request was refused or abandoned.
     Refused {
         request: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -76,8 +76,15 @@
         "event lag_ms request route sends stage waited_ms workspace"
     },
     taken_up = {
-        GatewayEvent::TakenUp { request: "r", resumes: Some("q"), origin: "peer", took_ms: 3 },
-        "event origin request resumes took_ms"
+        GatewayEvent::TakenUp {
+            request: "r", resumes: Some("q"), origin: "peer", asked: 4, answered: 2, versions: 1,
+            took_ms: 3,
+        },
+        "answered asked event origin request resumes took_ms versions"
+    },
+    versions_exchanged = {
+        GatewayEvent::VersionsExchanged { stored: Some(2), known: 1, outcome: "written" },
+        "event known outcome stored"
     },
     resumed = {
         GatewayEvent::Resumed {
@@ -323,8 +330,16 @@
             request: "r",
             resumes: Some("q"),
             origin: "peer",
+            asked: 4,
+            answered: 2,
+            versions: 1,
             took_ms: 3,
         },
+        GatewayEvent::VersionsExchanged {
+            stored: Some(2),
+            known: 1,
+            outcome: "written",
+        },
         GatewayEvent::Refused {
             request: "r",
             route: "x",
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -195,17 +195,39 @@
     }
 }
 
+/// What the boxes of the fleet know of the version at which a stream began.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OriginAnswer {
+    /// What they know together with this box.
+    pub(super) origin: StreamOrigin,
+    /// The number of boxes that were asked.
+    pub(super) asked: usize,
+    /// The number of those that answered.
+    pub(super) answered: usize,
+}
+
+impl OriginAnswer {
+    /// Returns the version, if it is known.
+    pub(super) const fn version(&self) -> Option<SoftwareVersion> {
+        match self.origin {
+            StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => Some(version),
+            StreamOrigin::Unknown | StreamOrigin::SeveralVersions => None,
+        }
+    }
+}
+
 /// Asks other boxes for the version at which a stream began, or for the only one that the service
-/// had since, which they and this box have to agree on; `None` if no box knows.
+/// had since, which they and this box have to agree on.
 pub(super) async fn ask_origin(
     state: &GatewayState,
     stream: Option<StreamKey>,
     service: u64,
     within_ms: u32,
-) -> Option<SoftwareVersion> {
+) -> OriginAnswer {
     let mut pending = PendingQuery::new(state);
     let witnesses = state.with(|view| view.fleet.stream_witnesses());
     let mut unanswered: BTreeSet<BoxKey> = witnesses.into_iter().collect();
+    let asked = unanswered.len();
     let mut origin = known_origin(state, stream, service, within_ms);
     for _ in 0..QUERY_ROUNDS {
         for witness in &unanswered {
@@ -226,9 +248,10 @@
             break;
         }
     }
-    match origin {
-        StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => Some(version),
-        StreamOrigin::Unknown | StreamOrigin::SeveralVersions => None,
+    OriginAnswer {
+        origin,
+        asked,
+        answered: asked - unanswered.len(),
     }
 }
 
--- a/dockgate/src/gateway/version_store.rs
+++ b/dockgate/src/gateway/version_store.rs
@@ -9,7 +9,8 @@
 use crate::clock::now_ms;
 use dockgate_core::gateway::ServiceVersion;
 use dockgate_platform::{
-    PlatformClient, PlatformError, PutCondition, VERSIONS_KEY, decode_versions, encode_versions,
+    PlatformClient, PlatformError, PutCondition, PutOutcome, VERSIONS_KEY, decode_versions,
+    encode_versions,
 };
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -61,14 +62,24 @@
         }
         view.versions.recent()
     });
+    let mut outcome = "unchanged";
     if versions.as_ref() != Some(&known) {
         let condition = match &stored {
             Some(stored) => PutCondition::Revision(stored.revision),
             None => PutCondition::Absent,
         };
         let value = encode_versions(&known);
-        client.put(VERSIONS_KEY, value, condition, None).await?;
+        let put = client.put(VERSIONS_KEY, value, condition, None).await?;
+        outcome = match put {
+            PutOutcome::Done(_) => "written",
+            PutOutcome::Conflict | PutOutcome::NoLease => "conflict",
+        };
     }
+    log_gateway(&GatewayEvent::VersionsExchanged {
+        stored: versions.as_ref().map(BTreeSet::len),
+        known: known.len(),
+        outcome,
+    });
     state.with(|view| view.stored_versions = Some(known));
     Ok(())
 }
