--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -1,5 +1,7 @@
 //! Fleets of gateway processes on loopback, with stand-ins for the platform and the endpoints.
 
+mod fleet_operations;
+
 use crate::error::BenchError;
 use crate::fleet::{daemon_program, http_get};
 use crate::standin::{PeerStandIn, PlatformStandIn, RoutedStandIn, StoreListener};
--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -17,7 +17,7 @@
 
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config};
-use crate::standin::RoutedStandIn;
+use crate::standin::{ResumedStream, RoutedStandIn};
 use clap::ValueEnum;
 use crashing_caller::{
     CRASHING_REQUESTS, CrashCause, CrashedEndpoints, CrashingCall, excess_sends, held_wrongly,
@@ -29,7 +29,7 @@
 use persistent_caller::{PERSISTENT_CALLERS, PersistentCall, run_persistent_caller};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use resuming_caller::{RESUMING_CALLERS, ResumedStream, run_resuming_caller};
+use resuming_caller::{RESUMING_CALLERS, run_resuming_caller};
 use soak_call::{SoakCall, SoakRoute, run_soak_caller};
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -5,6 +5,7 @@
 mod http;
 mod peer;
 mod platform;
+mod resumed_stream;
 mod routed;
 mod service;
 mod tally;
@@ -12,6 +13,7 @@
 pub use engine::{EngineProfile, EngineStandIn, answer_token};
 pub use peer::PeerStandIn;
 pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreListener, StoreSnapshot};
+pub use resumed_stream::{ResumedStream, StreamShape};
 pub use routed::{
     EndpointBehavior, PartCrash, ReceivedRequest, RejectedRequest, RoutedStandIn, STARTED_HEADER,
 };
--- a/dockgate-bench/tests/stream_versions.rs
+++ b/dockgate-bench/tests/stream_versions.rs
@@ -6,13 +6,13 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, KEYS, route_config, wait_until};
 use dockgate_bench::standin::EndpointBehavior;
 use dockgate_bench::standin::caller::{all_events, call, request, text};
-use dockgate_platform::{OPERATOR_KEY_PREFIX, ROUTES_KEY, VERSIONS_KEY};
+use dockgate_platform::VERSIONS_KEY;
 use futures::future::join_all;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use yare::parameterized;
 
 /// Events of a whole stream.
@@ -32,30 +32,13 @@
     let mut fleet = GatewayFleet::start_in(domains, &services, &config)
         .await
         .unwrap();
-    add_version(&mut fleet, "v2", 3).await;
+    fleet.add_version("v2", 3).await.unwrap();
     for endpoint in &fleet.endpoints {
         endpoint.set_processing_time(EVENT_INTERVAL);
     }
     fleet
 }
 
-/// Starts endpoints of a version and waits until all boxes know them.
-async fn add_version(fleet: &mut GatewayFleet, version: &str, count: usize) {
-    for number in 0..count {
-        let id = format!("{version}-{number}");
-        fleet
-            .add_endpoint_of_version(version, &id, "model")
-            .await
-            .unwrap();
-        for gateway in &fleet.gateways {
-            wait_until("a gateway knows the endpoint", async || {
-                gateway.logged().contains(&format!("\"endpoint\":\"{id}\""))
-            })
-            .await;
-        }
-    }
-}
-
 fn stream_request(id: &str) -> Request<Full<Bytes>> {
     request("/live/x", id, Some(EVENTS))
 }
@@ -180,24 +163,11 @@
     let mut fleet = start_two_versions(&["a", "b"]).await;
     let begun = begin_streams(&fleet, 0).await;
     let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
-    restart_all(&mut fleet).await;
+    fleet.restart_all().await.unwrap();
     drop(begun);
     take_up_all(&fleet, 1, &ids).await;
 }
 
-/// Kills all boxes at once and starts them again.
-async fn restart_all(fleet: &mut GatewayFleet) {
-    for gateway in &mut fleet.gateways {
-        gateway.kill();
-    }
-    for gateway in &mut fleet.gateways {
-        gateway.restart().unwrap();
-    }
-    for gateway in &fleet.gateways {
-        wait_until("a box is ready", async || gateway.is_ready().await).await;
-    }
-}
-
 /// Guards against streams of a service with one version that are refused for want of records.
 #[tokio::test]
 async fn streams_of_the_only_version_go_on_after_all_boxes_were_killed() {
@@ -210,7 +180,7 @@
         fleet.store.keys().iter().any(|key| key == VERSIONS_KEY)
     })
     .await;
-    restart_all(&mut fleet).await;
+    fleet.restart_all().await.unwrap();
     drop(begun);
     // The boxes read the stored versions with their first probes.
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -228,7 +198,7 @@
     for endpoint in &fleet.endpoints[..3] {
         fleet.store.remove(&endpoint.record("a", "ready").0);
     }
-    restart_all(&mut fleet).await;
+    fleet.restart_all().await.unwrap();
     drop(begun);
     tokio::time::sleep(Duration::from_secs(2)).await;
     take_up_all(&fleet, 1, &ids).await;
@@ -246,7 +216,7 @@
     }
     let begun = begin_streams(&fleet, 0).await;
     let ids: Vec<String> = begun.iter().map(|(id, _)| id.clone()).collect();
-    add_version(&mut fleet, "v2", 4).await;
+    fleet.add_version("v2", 4).await.unwrap();
     // The box reports the streams that began before with a later heartbeat.
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.gateways[0].kill();
@@ -342,24 +312,6 @@
     );
 }
 
-/// Returns whether each box follows the store: those that do start a watch after a change.
-async fn find_followers(fleet: &GatewayFleet, version: u64) -> Vec<bool> {
-    let changed = Instant::now();
-    fleet.store.set(ROUTES_KEY, route_config(version, KEYS));
-    for gateway in &fleet.gateways {
-        wait_until("the configuration is in force", async || {
-            gateway.logged().contains(&format!("\"version\":{version}"))
-        })
-        .await;
-    }
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    let watches = fleet.store_listeners.iter();
-    let watches = watches.map(|listener| listener.watch(OPERATOR_KEY_PREFIX));
-    watches
-        .map(|watch| watch.is_some_and(|(started, _)| started > changed))
-        .collect()
-}
-
 /// Guards against a stream that goes on at the version before, or is refused, at a box that has not
 /// heard of the version at which it began.
 #[parameterized(
@@ -376,7 +328,7 @@
         .unwrap();
     // All boxes have known one version for as long as a stream can be taken up.
     tokio::time::sleep(2 * ROUTE_TIMEOUT + Duration::from_secs(1)).await;
-    let followers = find_followers(&fleet, 5).await;
+    let followers = fleet.find_followers(5).await;
     let killed = followers.iter().position(|follows| *follows).unwrap();
     let others: Vec<usize> = (0..BOXES).filter(|index| !followers[*index]).collect();
     fleet
--- /dev/null
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -0,0 +1,467 @@
+//! Streams that callers take up after the boxes which knew their versions are gone, in a release.
+//!
+//! Guards against streams that hold events of two versions, and against streams that are refused
+//! although endpoints of their version serve.
+
+use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
+use dockgate_bench::standin::{ResumedStream, StreamShape};
+use dockgate_platform::VERSIONS_KEY;
+use futures::future::join_all;
+use hyper::body::Bytes;
+use nix::sys::signal::Signal;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use yare::parameterized;
+
+/// Streams of one test, fewer than the slots of the endpoints.
+const STREAMS: u64 = 30;
+/// Streams that begin while the others are taken up.
+const NEW_STREAMS: u64 = 12;
+const LONG_STREAM: StreamShape = StreamShape {
+    events: 60,
+    budget_ms: 4_000,
+};
+const SHORT_STREAM: StreamShape = StreamShape {
+    events: 4,
+    budget_ms: 4_000,
+};
+/// Time between the events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// The number of requests with which a caller begins a stream, and with which it takes one up.
+const MAX_TRIES: usize = 12;
+const TRY_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after which a caller considers an answer lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+/// The age from which streams count as taken up.
+const COUNTED_AGE: Duration = Duration::from_secs(1);
+/// The least number of streams taken up from which their share counts.
+const COUNTED_STREAMS: usize = 12;
+/// The timeout of the route of streams.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// What became of the streams.
+#[derive(Debug, Default)]
+struct PlayOutcome {
+    /// Streams that hold events of two versions, or not each event once.
+    violations: Vec<String>,
+    /// Streams of a version that serves which their callers took up, and those that went on.
+    taken_up: usize,
+    went_on: usize,
+    new: usize,
+    begun: usize,
+    /// Refusals of requests that took up a stream.
+    refusals: BTreeMap<String, usize>,
+}
+
+impl PlayOutcome {
+    /// Counts streams; `cut_at` is when their boxes ended, and `served` lists the versions that
+    /// serve.
+    fn of(streams: &[ResumedStream], cut_at: Instant, served: &[&str]) -> Self {
+        let mut outcome = Self::default();
+        for stream in streams.iter().filter(|stream| stream.tries > 0) {
+            outcome.violations.extend(stream.violations());
+            for (reason, count) in &stream.refusals {
+                *outcome.refusals.entry(reason.clone()).or_default() += count;
+            }
+            let began_at = stream
+                .began_at
+                .expect("a stream that is taken up has begun");
+            let is_served = served
+                .iter()
+                .any(|version| stream.versions.contains(*version));
+            if is_served && began_at + COUNTED_AGE <= cut_at {
+                outcome.taken_up += 1;
+                outcome.went_on += usize::from(stream.continued > 0);
+            }
+        }
+        outcome
+    }
+
+    fn count_new(&mut self, streams: &[ResumedStream]) {
+        self.new += streams.len();
+        let begun = streams.iter().filter(|stream| stream.began_at.is_some());
+        self.begun += begun.count();
+    }
+
+    fn assert_not_mixed(&self) {
+        println!("{self:?}");
+        assert!(self.violations.is_empty(), "{self:#?}");
+    }
+
+    /// Asserts that the share of the streams that went on is at least half of the share of new ones
+    /// that began.
+    fn assert_not_refused(&self) {
+        assert!(
+            self.taken_up >= COUNTED_STREAMS,
+            "too few streams: {self:#?}"
+        );
+        let is_enough = 2 * self.went_on * self.new >= self.begun * self.taken_up;
+        assert!(is_enough, "too few streams went on: {self:#?}");
+    }
+}
+
+/// Callers whose streams run, and who take them up once they may.
+struct StreamCallers {
+    may_retry: watch::Sender<bool>,
+    callers: Vec<JoinHandle<ResumedStream>>,
+}
+
+impl StreamCallers {
+    /// Spawns callers, each at the box after that of the caller before.
+    fn start(fleet: &GatewayFleet, shape: StreamShape, numbers: std::ops::Range<u64>) -> Self {
+        let may_retry = watch::channel(false).0;
+        let boxes = addresses(fleet);
+        let callers = numbers.map(|number| {
+            let stream = ResumedStream::new(shape, number);
+            tokio::spawn(run_caller(
+                stream,
+                number,
+                boxes.clone(),
+                may_retry.subscribe(),
+            ))
+        });
+        let callers = callers.collect();
+        Self { may_retry, callers }
+    }
+
+    /// Lets the callers take up their streams, and returns the streams.
+    async fn take_up(self) -> Vec<ResumedStream> {
+        self.may_retry.send_replace(true);
+        let streams = join_all(self.callers).await;
+        streams.into_iter().map(|stream| stream.unwrap()).collect()
+    }
+}
+
+fn addresses(fleet: &GatewayFleet) -> Vec<SocketAddr> {
+    let boxes = fleet.gateways.iter();
+    boxes.map(|gateway| gateway.caller_address()).collect()
+}
+
+/// Begins a stream, and takes it up at one box after the other once its caller may.
+async fn run_caller(
+    mut stream: ResumedStream,
+    number: u64,
+    boxes: Vec<SocketAddr>,
+    mut may_retry: watch::Receiver<bool>,
+) -> ResumedStream {
+    for attempt in 0..=MAX_TRIES {
+        let address = boxes[(number as usize + attempt) % boxes.len()];
+        try_once(
+            &mut stream,
+            format!("s{number}t{attempt}"),
+            address,
+            u64::MAX >> 1,
+        )
+        .await;
+        may_retry.wait_for(|may_retry| *may_retry).await.unwrap();
+        if stream.is_whole() {
+            break;
+        }
+        tokio::time::sleep(TRY_INTERVAL).await;
+    }
+    stream
+}
+
+/// Sends one request for a stream and reads up to `leave_after` events.
+async fn try_once(stream: &mut ResumedStream, id: String, address: SocketAddr, leave_after: u64) {
+    let attempt = stream.attempt(id, address, leave_after);
+    // A lost answer is taken up with the next request.
+    let _ = tokio::time::timeout(ANSWER_TIMEOUT, attempt).await;
+}
+
+/// Begins new streams at all boxes and returns them.
+async fn begin_new_streams(fleet: &GatewayFleet) -> Vec<ResumedStream> {
+    let numbers = STREAMS..STREAMS + NEW_STREAMS;
+    StreamCallers::start(fleet, SHORT_STREAM, numbers)
+        .take_up()
+        .await
+}
+
+/// Lets callers take up their streams while new ones begin; `cut_at` is when their boxes ended.
+async fn play_take_up(
+    fleet: &GatewayFleet,
+    callers: StreamCallers,
+    cut_at: Instant,
+    served: &[&str],
+) -> PlayOutcome {
+    let (streams, new) = tokio::join!(callers.take_up(), begin_new_streams(fleet));
+    let mut outcome = PlayOutcome::of(&streams, cut_at, served);
+    outcome.count_new(&new);
+    outcome
+}
+
+/// Starts boxes and three endpoints of v1.
+async fn start_first_version(domains: &[&str]) -> GatewayFleet {
+    let config = route_config(3, KEYS);
+    let fleet = GatewayFleet::start_in(domains, &["model"; 3], &config).await;
+    let fleet = fleet.unwrap();
+    prepare_endpoints(&fleet);
+    fleet
+}
+
+fn prepare_endpoints(fleet: &GatewayFleet) {
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(EVENT_INTERVAL);
+        endpoint.name_version_in_events();
+    }
+}
+
+/// Starts three endpoints of v2.
+async fn add_second_version(fleet: &mut GatewayFleet) {
+    fleet.add_version("v2", 3).await.unwrap();
+    prepare_endpoints(fleet);
+}
+
+/// Guards against streams that are refused although their version serves, after no box is left that
+/// knew where they began.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn streams_are_not_refused_after_all_boxes_were_killed_in_a_release() {
+    let mut fleet = start_first_version(&["a"; 6]).await;
+    add_second_version(&mut fleet).await;
+    let callers = StreamCallers::start(&fleet, LONG_STREAM, 0..STREAMS);
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+    let cut_at = Instant::now();
+    fleet.restart_all().await.unwrap();
+    let outcome = play_take_up(&fleet, callers, cut_at, &["v1", "v2"]).await;
+    outcome.assert_not_mixed();
+    outcome.assert_not_refused();
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoredVersions {
+    /// The value is removed.
+    Missing,
+    /// Another writer replaced the value.
+    Replaced(&'static [u8]),
+    /// The store is restored from a copy of the time before v2 joined, and the records of v2 come
+    /// back.
+    Older,
+    /// The same, and the records of v2 come back only after streams were taken up.
+    OlderWithoutRecords,
+}
+
+/// Guards against boxes that take versions which they cannot know of for versions that never were.
+#[parameterized(
+    removed = { StoredVersions::Missing },
+    no_text = { StoredVersions::Replaced(b"\xff\xfe\x00") },
+    a_number_below_zero = {
+        StoredVersions::Replaced(br#"{"versions":[{"service":-1,"version":2}]}"#)
+    },
+    no_versions = { StoredVersions::Replaced(br#"{"versions":[]}"#) },
+    older_copy = { StoredVersions::Older },
+    older_copy_without_records = { StoredVersions::OlderWithoutRecords },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn streams_are_not_mixed_when_the_stored_versions_are_missing(stored: StoredVersions) {
+    let mut fleet = start_first_version(&["a"; 6]).await;
+    wait_until("the versions are in the store", async || {
+        fleet.store.keys().iter().any(|key| key == VERSIONS_KEY)
+    })
+    .await;
+    let older = fleet.store.snapshot();
+    add_second_version(&mut fleet).await;
+    let callers = StreamCallers::start(&fleet, LONG_STREAM, 0..STREAMS);
+    tokio::time::sleep(Duration::from_millis(1_800)).await;
+    let cut_at = Instant::now();
+    fleet.kill_all();
+    match stored {
+        StoredVersions::Missing => fleet.store.remove(VERSIONS_KEY),
+        StoredVersions::Replaced(bytes) => fleet.store.set(VERSIONS_KEY, Bytes::from_static(bytes)),
+        StoredVersions::Older | StoredVersions::OlderWithoutRecords => fleet.store.restore(older),
+    }
+    match stored {
+        StoredVersions::OlderWithoutRecords => {}
+        _ => {
+            fleet.publish_version("v2");
+            fleet.remove_version("v1");
+        }
+    }
+    fleet.start_all().await.unwrap();
+    let outcome = play_take_up(&fleet, callers, cut_at, &[]).await;
+    outcome.assert_not_mixed();
+}
+
+/// What the boxes that know the second version do once the streams have begun.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OtherBoxes {
+    Killed,
+    /// Frozen to the end.
+    Frozen,
+    /// Frozen for a time within which the streams are taken up.
+    FrozenFor(Duration),
+}
+
+/// A service with one version for as long as a stream can be taken up, whose streams are taken up
+/// at one box.
+struct LonelyBox {
+    fleet: GatewayFleet,
+    /// A box that follows the store, where the streams begin.
+    first: usize,
+    /// The box that is asked; it does not follow the store.
+    asked: usize,
+}
+
+impl LonelyBox {
+    async fn start() -> Self {
+        let fleet = start_first_version(&["a"; 6]).await;
+        tokio::time::sleep(2 * ROUTE_TIMEOUT + Duration::from_secs(1)).await;
+        let followers = fleet.find_followers(5).await;
+        let first = followers.iter().position(|follows| *follows).unwrap();
+        let asked = followers.iter().position(|follows| !*follows).unwrap();
+        Self {
+            fleet,
+            first,
+            asked,
+        }
+    }
+
+    /// Lets v2 join and begins streams for at least `time` and until some are of v2; they stay at
+    /// their third event.
+    async fn begin_streams(&mut self, time: Duration) -> Vec<ResumedStream> {
+        const BEGIN_INTERVAL: Duration = Duration::from_millis(10);
+        let joined = Instant::now();
+        let fleet = &mut self.fleet;
+        for number in 0..3 {
+            let id = format!("v2-{number}");
+            let added = fleet.add_endpoint_of_version("v2", &id, "model").await;
+            added.unwrap();
+        }
+        prepare_endpoints(fleet);
+        let address = fleet.gateways[self.first].caller_address();
+        let mut callers = Vec::new();
+        wait_until("a stream begins at the new version", async || {
+            let number = callers.len() as u64;
+            if number < STREAMS {
+                let mut stream = ResumedStream::new(LONG_STREAM, number);
+                callers.push(tokio::spawn(async move {
+                    try_once(&mut stream, format!("s{number}"), address, 2).await;
+                    stream
+                }));
+            }
+            tokio::time::sleep(BEGIN_INTERVAL).await;
+            let of_second = &self.fleet.endpoints[3..];
+            joined.elapsed() >= time && of_second.iter().any(|second| !second.ran().is_empty())
+        })
+        .await;
+        let streams = join_all(callers).await;
+        streams.into_iter().map(Result::unwrap).collect()
+    }
+
+    fn others(&mut self) -> impl Iterator<Item = &mut GatewayProcess> {
+        let asked = self.asked;
+        let boxes = self.fleet.gateways.iter_mut().enumerate();
+        boxes.filter_map(move |(index, gateway)| (index != asked).then_some(gateway))
+    }
+
+    fn kill_others(&mut self) {
+        self.others().for_each(|gateway| gateway.kill());
+    }
+
+    fn signal_others(&mut self, signal: Signal) {
+        self.others().for_each(|gateway| gateway.signal(signal));
+    }
+
+    /// Takes up streams at the box that is asked, several times each.
+    async fn take_up(&self, streams: Vec<ResumedStream>) -> Vec<ResumedStream> {
+        let address = self.fleet.gateways[self.asked].caller_address();
+        let taken_up = streams
+            .into_iter()
+            .enumerate()
+            .map(async |(number, mut stream)| {
+                let has_begun = stream.began_at.is_some();
+                for attempt in 0..MAX_TRIES {
+                    if !has_begun || stream.is_whole() {
+                        break;
+                    }
+                    try_once(&mut stream, format!("s{number}t{attempt}"), address, 3).await;
+                    tokio::time::sleep(TRY_INTERVAL).await;
+                }
+                stream
+            });
+        join_all(taken_up).await
+    }
+}
+
+fn assert_not_mixed(streams: &[ResumedStream], cut_at: Instant) {
+    PlayOutcome::of(streams, cut_at, &["v1", "v2"]).assert_not_mixed();
+    let of_second = streams
+        .iter()
+        .filter(|stream| stream.versions.contains("v2"));
+    assert!(of_second.count() > 0, "no stream began at the new version");
+}
+
+/// Guards against a box that takes silence for consent: it has not heard of the version, and no
+/// other box answers.
+#[parameterized(
+    killed_after_50_ms = { 50, OtherBoxes::Killed },
+    killed_after_150_ms = { 150, OtherBoxes::Killed },
+    killed_after_350_ms = { 350, OtherBoxes::Killed },
+    frozen_after_50_ms = { 50, OtherBoxes::Frozen },
+    frozen_after_150_ms = { 150, OtherBoxes::Frozen },
+    frozen_after_350_ms = { 350, OtherBoxes::Frozen },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn stream_is_not_continued_at_a_box_whose_peers_do_not_answer(
+    begin_ms: u64,
+    others: OtherBoxes,
+) {
+    let mut lonely = LonelyBox::start().await;
+    lonely.fleet.store_listeners[lonely.asked].set_silent(true);
+    let streams = lonely.begin_streams(Duration::from_millis(begin_ms)).await;
+    play_lonely_box(lonely, streams, others).await;
+}
+
+async fn play_lonely_box(mut lonely: LonelyBox, streams: Vec<ResumedStream>, others: OtherBoxes) {
+    let cut_at = Instant::now();
+    match others {
+        OtherBoxes::Killed => lonely.kill_others(),
+        OtherBoxes::Frozen | OtherBoxes::FrozenFor(_) => lonely.signal_others(Signal::SIGSTOP),
+    }
+    let waking = async {
+        if let OtherBoxes::FrozenFor(time) = others {
+            tokio::time::sleep(time).await;
+            let others = (0..lonely.fleet.gateways.len()).filter(|index| *index != lonely.asked);
+            others.for_each(|index| lonely.fleet.gateways[index].signal(Signal::SIGCONT));
+        }
+    };
+    let (streams, ()) = tokio::join!(lonely.take_up(streams), waking);
+    assert_not_mixed(&streams, cut_at);
+}
+
+/// Guards against the same at a box that reaches the store, until the others wake.
+#[parameterized(
+    frozen_after_50_ms = { 50 },
+    frozen_after_150_ms = { 150 },
+    frozen_after_350_ms = { 350 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn stream_is_not_continued_at_a_box_whose_peers_are_frozen(begin_ms: u64) {
+    let mut lonely = LonelyBox::start().await;
+    let streams = lonely.begin_streams(Duration::from_millis(begin_ms)).await;
+    let others = OtherBoxes::FrozenFor(Duration::from_millis(1_500));
+    play_lonely_box(lonely, streams, others).await;
+}
+
+/// Guards against a box that was frozen while the version joined, and wakes alone.
+#[parameterized(
+    frozen_for_1_s = { 1_000 },
+    frozen_for_2_s = { 2_000 },
+    frozen_for_4_s = { 4_000 },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn stream_is_not_continued_at_a_box_that_wakes_alone(frozen_ms: u64) {
+    /// Time for which the other boxes run after the box has woken.
+    const SHARED_TIME: Duration = Duration::from_millis(20);
+    let mut lonely = LonelyBox::start().await;
+    let frozen = Duration::from_millis(frozen_ms);
+    let asked = lonely.asked;
+    lonely.fleet.store_listeners[asked].set_silent(true);
+    lonely.fleet.gateways[asked].signal(Signal::SIGSTOP);
+    let streams = lonely.begin_streams(frozen).await;
+    lonely.fleet.gateways[asked].signal(Signal::SIGCONT);
+    tokio::time::sleep(SHARED_TIME).await;
+    play_lonely_box(lonely, streams, OtherBoxes::Killed).await;
+}
