--- a/dockgate-bench/tests/streams_rejoined.rs
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -5,7 +5,7 @@
 
 use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
 use dockgate_bench::standin::{ResumedStream, StreamShape};
-use dockgate_platform::VERSIONS_KEY;
+use dockgate_platform::{ENDPOINT_KEY_PREFIX, VERSIONS_KEY};
 use futures::future::join_all;
 use hyper::body::Bytes;
 use nix::sys::signal::Signal;
@@ -284,7 +284,18 @@
     outcome.assert_not_mixed();
 }
 
-/// What the boxes that know the second version do once the streams have begun.
+/// How one box does not hear of the second version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DeafBox {
+    /// It is frozen as the version joins, and the store does not answer it.
+    Frozen,
+    /// It is frozen as the version joins, and the store answers it afterwards.
+    FrozenWithStore,
+    /// It is alone in its domain, and its watches tell nothing.
+    MuteWatch,
+}
+
+/// What the other boxes do once streams have begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OtherBoxes {
     Killed,
@@ -292,47 +303,72 @@
     Frozen,
     /// Frozen for a time within which the streams are taken up.
     FrozenFor(Duration),
+    /// Killed just after the box that is asked wakes.
+    KilledAfterWake,
 }
 
-/// A service with one version for as long as a stream can be taken up, whose streams are taken up
-/// at one box.
+/// A service with one version for as long as a stream can be taken up, before a second one joins of
+/// which one box does not hear. Streams are taken up at that box.
 struct LonelyBox {
     fleet: GatewayFleet,
+    deaf: DeafBox,
     /// A box that follows the store, where the streams begin.
     first: usize,
-    /// The box that is asked; it does not follow the store.
+    /// The box that is asked.
     asked: usize,
 }
 
 impl LonelyBox {
-    async fn start() -> Self {
-        let fleet = start_first_version(&["a"; 6]).await;
+    async fn start(deaf: DeafBox) -> Self {
+        let domains = match deaf {
+            DeafBox::Frozen | DeafBox::FrozenWithStore => ["a"; 6],
+            DeafBox::MuteWatch => ["a", "a", "a", "a", "a", "b"],
+        };
+        let fleet = start_first_version(&domains).await;
         tokio::time::sleep(2 * ROUTE_TIMEOUT + Duration::from_secs(1)).await;
         let followers = fleet.find_followers(5).await;
         let first = followers.iter().position(|follows| *follows).unwrap();
-        let asked = followers.iter().position(|follows| !*follows).unwrap();
+        let asked = match deaf {
+            DeafBox::Frozen | DeafBox::FrozenWithStore => {
+                followers.iter().position(|follows| !*follows).unwrap()
+            }
+            DeafBox::MuteWatch => domains.len() - 1,
+        };
         Self {
             fleet,
+            deaf,
             first,
             asked,
         }
     }
 
-    /// Lets v2 join and begins streams for at least `time` and until some are of v2; they stay at
-    /// their third event.
+    fn asked_box(&self) -> &GatewayProcess {
+        &self.fleet.gateways[self.asked]
+    }
+
+    /// Lets the second version join and begins streams for at least `time` and until some are of
+    /// it; their callers leave after the second event.
     async fn begin_streams(&mut self, time: Duration) -> Vec<ResumedStream> {
         const BEGIN_INTERVAL: Duration = Duration::from_millis(10);
+        let listener = &self.fleet.store_listeners[self.asked];
+        match self.deaf {
+            DeafBox::MuteWatch => listener.set_loses_answers(ENDPOINT_KEY_PREFIX, true),
+            DeafBox::Frozen => listener.set_silent(true),
+            DeafBox::FrozenWithStore => {}
+        }
+        if self.deaf != DeafBox::MuteWatch {
+            self.asked_box().signal(Signal::SIGSTOP);
+        }
         let joined = Instant::now();
-        let fleet = &mut self.fleet;
         for number in 0..3 {
             let id = format!("v2-{number}");
-            let added = fleet.add_endpoint_of_version("v2", &id, "model").await;
+            let added = self.fleet.add_endpoint_of_version("v2", &id, "model").await;
             added.unwrap();
         }
-        prepare_endpoints(fleet);
-        let address = fleet.gateways[self.first].caller_address();
+        prepare_endpoints(&self.fleet);
+        let address = self.fleet.gateways[self.first].caller_address();
         let mut callers = Vec::new();
-        wait_until("a stream begins at the new version", async || {
+        wait_until("a stream begins at the second version", async || {
             let number = callers.len() as u64;
             if number < STREAMS {
                 let mut stream = ResumedStream::new(LONG_STREAM, number);
@@ -350,118 +386,111 @@
         streams.into_iter().map(Result::unwrap).collect()
     }
 
-    fn others(&mut self) -> impl Iterator<Item = &mut GatewayProcess> {
+    fn silence(&mut self, others: OtherBoxes) {
         let asked = self.asked;
         let boxes = self.fleet.gateways.iter_mut().enumerate();
-        boxes.filter_map(move |(index, gateway)| (index != asked).then_some(gateway))
-    }
-
-    fn kill_others(&mut self) {
-        self.others().for_each(|gateway| gateway.kill());
+        let boxes = boxes.filter(|(index, _)| *index != asked);
+        boxes.for_each(|(_, gateway)| match others {
+            OtherBoxes::Killed | OtherBoxes::KilledAfterWake => gateway.kill(),
+            OtherBoxes::Frozen | OtherBoxes::FrozenFor(_) => gateway.signal(Signal::SIGSTOP),
+        });
     }
 
-    fn signal_others(&mut self, signal: Signal) {
-        self.others().for_each(|gateway| gateway.signal(signal));
+    async fn wake_all_after(&self, time: Duration) {
+        tokio::time::sleep(time).await;
+        for gateway in &self.fleet.gateways {
+            gateway.signal(Signal::SIGCONT);
+        }
     }
 
     /// Takes up streams at the box that is asked, several times each.
     async fn take_up(&self, streams: Vec<ResumedStream>) -> Vec<ResumedStream> {
-        let address = self.fleet.gateways[self.asked].caller_address();
-        let taken_up = streams
+        /// The number of requests with which a stream is taken up; the others wake meanwhile.
+        const ASKED_TRIES: usize = 8;
+        let address = self.asked_box().caller_address();
+        let begun = streams
             .into_iter()
-            .enumerate()
-            .map(async |(number, mut stream)| {
-                let has_begun = stream.began_at.is_some();
-                for attempt in 0..MAX_TRIES {
-                    if !has_begun || stream.is_whole() {
-                        break;
-                    }
-                    try_once(&mut stream, format!("s{number}t{attempt}"), address, 3).await;
-                    tokio::time::sleep(TRY_INTERVAL).await;
+            .filter(|stream| stream.began_at.is_some());
+        let taken_up = begun.enumerate().map(async |(number, mut stream)| {
+            for attempt in 0..ASKED_TRIES {
+                if stream.is_whole() {
+                    break;
                 }
-                stream
-            });
+                try_once(&mut stream, format!("s{number}t{attempt}"), address, 3).await;
+                tokio::time::sleep(TRY_INTERVAL).await;
+            }
+            stream
+        });
         join_all(taken_up).await
     }
-}
 
-fn assert_not_mixed(streams: &[ResumedStream], cut_at: Instant) {
-    PlayOutcome::of(streams, cut_at, &["v1", "v2"]).assert_not_mixed();
-    let of_second = streams
-        .iter()
-        .filter(|stream| stream.versions.contains("v2"));
-    assert!(of_second.count() > 0, "no stream began at the new version");
+    /// Begins streams for at least `time`, lets the other boxes fall silent and takes the streams
+    /// up.
+    async fn play(mut self, time: Duration, others: OtherBoxes) {
+        /// Time for which all boxes run after the one that is asked has woken.
+        const SHARED_TIME: Duration = Duration::from_millis(20);
+        let streams = self.begin_streams(time).await;
+        if others == OtherBoxes::KilledAfterWake {
+            self.asked_box().signal(Signal::SIGCONT);
+            tokio::time::sleep(SHARED_TIME).await;
+        }
+        let cut_at = Instant::now();
+        self.silence(others);
+        self.asked_box().signal(Signal::SIGCONT);
+        let waking = async {
+            match others {
+                OtherBoxes::FrozenFor(time) => self.wake_all_after(time).await,
+                _ => {}
+            }
+        };
+        let (streams, ()) = tokio::join!(self.take_up(streams), waking);
+        let outcome = PlayOutcome::of(&streams, cut_at, &["v1", "v2"]);
+        outcome.assert_not_mixed();
+        let of_second = streams
+            .iter()
+            .filter(|stream| stream.versions.contains("v2"));
+        assert!(
+            of_second.count() > 0,
+            "no stream began at the second version"
+        );
+    }
 }
 
 /// Guards against a box that takes silence for consent: it has not heard of the version, and no
 /// other box answers.
 #[parameterized(
-    killed_after_50_ms = { 50, OtherBoxes::Killed },
-    killed_after_150_ms = { 150, OtherBoxes::Killed },
-    killed_after_350_ms = { 350, OtherBoxes::Killed },
-    frozen_after_50_ms = { 50, OtherBoxes::Frozen },
-    frozen_after_150_ms = { 150, OtherBoxes::Frozen },
-    frozen_after_350_ms = { 350, OtherBoxes::Frozen },
+    killed_after_200_ms = { DeafBox::Frozen, 200, OtherBoxes::Killed },
+    killed_after_600_ms = { DeafBox::Frozen, 600, OtherBoxes::Killed },
+    frozen_after_200_ms = { DeafBox::Frozen, 200, OtherBoxes::Frozen },
+    frozen_after_600_ms = { DeafBox::Frozen, 600, OtherBoxes::Frozen },
+    mute_watch_killed_after_50_ms = { DeafBox::MuteWatch, 50, OtherBoxes::Killed },
+    mute_watch_killed_after_200_ms = { DeafBox::MuteWatch, 200, OtherBoxes::Killed },
+    mute_watch_frozen_after_200_ms = { DeafBox::MuteWatch, 200, OtherBoxes::Frozen },
+    wakes_after_1_s = { DeafBox::Frozen, 1_000, OtherBoxes::KilledAfterWake },
+    wakes_after_2_s = { DeafBox::Frozen, 2_000, OtherBoxes::KilledAfterWake },
+    wakes_after_4_s = { DeafBox::Frozen, 4_000, OtherBoxes::KilledAfterWake },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
 async fn stream_is_not_continued_at_a_box_whose_peers_do_not_answer(
+    deaf: DeafBox,
     begin_ms: u64,
     others: OtherBoxes,
 ) {
-    let mut lonely = LonelyBox::start().await;
-    lonely.fleet.store_listeners[lonely.asked].set_silent(true);
-    let streams = lonely.begin_streams(Duration::from_millis(begin_ms)).await;
-    play_lonely_box(lonely, streams, others).await;
-}
-
-async fn play_lonely_box(mut lonely: LonelyBox, streams: Vec<ResumedStream>, others: OtherBoxes) {
-    let cut_at = Instant::now();
-    match others {
-        OtherBoxes::Killed => lonely.kill_others(),
-        OtherBoxes::Frozen | OtherBoxes::FrozenFor(_) => lonely.signal_others(Signal::SIGSTOP),
-    }
-    let waking = async {
-        if let OtherBoxes::FrozenFor(time) = others {
-            tokio::time::sleep(time).await;
-            let others = (0..lonely.fleet.gateways.len()).filter(|index| *index != lonely.asked);
-            others.for_each(|index| lonely.fleet.gateways[index].signal(Signal::SIGCONT));
-        }
-    };
-    let (streams, ()) = tokio::join!(lonely.take_up(streams), waking);
-    assert_not_mixed(&streams, cut_at);
+    let lonely = LonelyBox::start(deaf).await;
+    lonely.play(Duration::from_millis(begin_ms), others).await;
 }
 
 /// Guards against the same at a box that reaches the store, until the others wake.
 #[parameterized(
-    frozen_after_50_ms = { 50 },
-    frozen_after_150_ms = { 150 },
-    frozen_after_350_ms = { 350 },
+    after_100_ms = { 100 },
+    after_300_ms = { 300 },
+    after_600_ms = { 600 },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
 async fn stream_is_not_continued_at_a_box_whose_peers_are_frozen(begin_ms: u64) {
-    let mut lonely = LonelyBox::start().await;
-    let streams = lonely.begin_streams(Duration::from_millis(begin_ms)).await;
-    let others = OtherBoxes::FrozenFor(Duration::from_millis(1_500));
-    play_lonely_box(lonely, streams, others).await;
-}
-
-/// Guards against a box that was frozen while the version joined, and wakes alone.
-#[parameterized(
-    frozen_for_1_s = { 1_000 },
-    frozen_for_2_s = { 2_000 },
-    frozen_for_4_s = { 4_000 },
-)]
-#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
-async fn stream_is_not_continued_at_a_box_that_wakes_alone(frozen_ms: u64) {
-    /// Time for which the other boxes run after the box has woken.
-    const SHARED_TIME: Duration = Duration::from_millis(20);
-    let mut lonely = LonelyBox::start().await;
-    let frozen = Duration::from_millis(frozen_ms);
-    let asked = lonely.asked;
-    lonely.fleet.store_listeners[asked].set_silent(true);
-    lonely.fleet.gateways[asked].signal(Signal::SIGSTOP);
-    let streams = lonely.begin_streams(frozen).await;
-    lonely.fleet.gateways[asked].signal(Signal::SIGCONT);
-    tokio::time::sleep(SHARED_TIME).await;
-    play_lonely_box(lonely, streams, OtherBoxes::Killed).await;
+    /// Time for which the other boxes are frozen.
+    const FROZEN_TIME: Duration = Duration::from_millis(1_500);
+    let lonely = LonelyBox::start(DeafBox::FrozenWithStore).await;
+    let others = OtherBoxes::FrozenFor(FROZEN_TIME);
+    lonely.play(Duration::from_millis(begin_ms), others).await;
 }
