--- a/dockgate-bench/src/standin/resumed_stream.rs
+++ b/dockgate-bench/src/standin/resumed_stream.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Collected, Full};
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use std::collections::{BTreeMap, BTreeSet};
@@ -143,7 +143,7 @@
         };
         if response.status() != StatusCode::OK {
             let body = response.into_body().collect().await;
-            let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+            let body = body.map(Collected::to_bytes).unwrap_or_default();
             return self.refuse(String::from_utf8_lossy(&body).trim());
         }
         let until = before + leave_after;
--- a/dockgate-bench/tests/streams_rejoined.rs
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -88,7 +88,8 @@
 
     fn assert_not_mixed(&self) {
         println!("{self:?}");
-        assert!(self.violations.is_empty(), "{self:#?}");
+        let count = self.violations.len();
+        assert_eq!(count, 0, "streams with wrong events: {self:?}");
     }
 
     /// Asserts that the share of the streams that went on is at least half of the share of new ones
@@ -96,10 +97,10 @@
     fn assert_not_refused(&self) {
         assert!(
             self.taken_up >= COUNTED_STREAMS,
-            "too few streams: {self:#?}"
+            "too few streams: {self:?}"
         );
         let is_enough = 2 * self.went_on * self.new >= self.begun * self.taken_up;
-        assert!(is_enough, "too few streams went on: {self:#?}");
+        assert!(is_enough, "too few streams went on: {self:?}");
     }
 }
 
@@ -137,7 +138,7 @@
 
 fn addresses(fleet: &GatewayFleet) -> Vec<SocketAddr> {
     let boxes = fleet.gateways.iter();
-    boxes.map(|gateway| gateway.caller_address()).collect()
+    boxes.map(GatewayProcess::caller_address).collect()
 }
 
 /// Begins a stream, and takes it up at one box after the other once its caller may.
@@ -438,9 +439,8 @@
         self.silence(others);
         self.asked_box().signal(Signal::SIGCONT);
         let waking = async {
-            match others {
-                OtherBoxes::FrozenFor(time) => self.wake_all_after(time).await,
-                _ => {}
+            if let OtherBoxes::FrozenFor(time) = others {
+                self.wake_all_after(time).await;
             }
         };
         let (streams, ()) = tokio::join!(self.take_up(streams), waking);
