--- a/dockgate-bench/src/gateway_fleet/fleet_operations.rs
+++ b/dockgate-bench/src/gateway_fleet/fleet_operations.rs
@@ -10,6 +10,7 @@
 
 impl GatewayFleet {
     /// Starts endpoints of a version of the service `model`, each when all boxes know the one before.
+    /// None was removed before.
     ///
     /// # Errors
     ///
@@ -18,9 +19,13 @@
         for number in 0..count {
             let id = format!("{version}-{number}");
             self.add_endpoint_of_version(version, &id, "model").await?;
+            let line = format!("\"endpoint\":\"{id}\"");
+            // A box that has just started may list the endpoint along with all others.
+            let listing = format!("\"count\":{},", self.endpoints.len());
             for gateway in &self.gateways {
                 wait_until("a gateway knows the endpoint", async || {
-                    gateway.logged().contains(&format!("\"endpoint\":\"{id}\""))
+                    let logged = gateway.logged();
+                    logged.contains(&line) || logged.contains(&listing)
                 })
                 .await;
             }
