--- a/dockgate-bench/src/gateway_fleet/fleet_operations.rs
+++ b/dockgate-bench/src/gateway_fleet/fleet_operations.rs
@@ -9,8 +9,8 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(500);
 
 impl GatewayFleet {
-    /// Starts endpoints of a version of the service `model`, each when all boxes know the one before.
-    /// None was removed before.
+    /// Starts endpoints of a version of the service `model`, each once all boxes know the one
+    /// before. None may have been removed before.
     ///
     /// # Errors
     ///
@@ -88,8 +88,8 @@
         self.start_all().await
     }
 
-    /// Returns whether each box follows the store: those that do start a watch after a change, which
-    /// is the default configuration with this version.
+    /// Returns whether each box follows the store: those that do start a watch after a change.
+    /// The change is the default configuration with this version.
     pub async fn find_followers(&self, version: u64) -> Vec<bool> {
         let changed = Instant::now();
         self.store.set(ROUTES_KEY, route_config(version, KEYS));
