--- a/dockgate-bench/src/gateway_fleet.rs
+++ b/dockgate-bench/src/gateway_fleet.rs
@@ -79,8 +79,13 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    /// Whether its settings say that the fleet starts for the first time.
+    is_first_start: bool,
 }
 
+/// The setting of a fleet that starts for the first time.
+const FIRST_START: &str = "first_start = true\n";
+
 impl GatewayProcess {
     const fn at(&self, port: u16) -> SocketAddr {
         SocketAddr::new(IpAddr::V4(self.ip), port)
@@ -106,12 +111,25 @@
         self.at(CALLERS_PORT)
     }
 
-    /// Starts a new process with the same settings.
+    /// Starts a new process with the same settings, but for those of a first start.
     ///
     /// # Errors
     ///
     /// Returns an error if it cannot be started.
     pub fn restart(&mut self) -> Result<(), BenchError> {
+        self.end_first_start()?;
+        self.start()
+    }
+
+    /// Removes the setting of the first start, as the platform does before any later one.
+    fn end_first_start(&mut self) -> Result<(), BenchError> {
+        match std::mem::take(&mut self.is_first_start) {
+            true => self.edit_settings(|settings| settings.replace(FIRST_START, "")),
+            false => Ok(()),
+        }
+    }
+
+    fn start(&mut self) -> Result<(), BenchError> {
         let io_error = |cause| BenchError::Io("start", self.settings.display().to_string(), cause);
         let log = File::options()
             .create(true)
@@ -149,6 +167,7 @@
     ///
     /// Returns an error if it cannot be started.
     pub fn restart_with_signal(&mut self, signal: Signal) -> Result<(), BenchError> {
+        self.end_first_start()?;
         let settings = self.settings.clone();
         let io_error = |cause| BenchError::Io("hold", settings.display().to_string(), cause);
         let hidden = settings.with_extension("kept");
@@ -551,13 +570,16 @@
             .iter()
             .map(|seed| format!("{seed}:{STATE_PORT}"))
             .collect();
+        // Programs of earlier builds do not know the setting.
+        let is_first_start = spec.program == daemon_program()?;
         let text = format!(
             "[box]\nname = box-{index}\ndomain = {domain}\n\n[listen]\ncallers = {ip}:{CALLERS_PORT}\n\
              readiness = {ip}:{READINESS_PORT}\nstate = {ip}:{STATE_PORT}\npeers = {ip}:{PEERS_PORT}\n\
              metrics = {ip}:{METRICS_PORT}\n\n[platform]\nstore = {store}\n\n[gateway]\nseeds = {}\n\
-             stop_grace_s = 4\nboxes = {}\ndescriptors = 300\n",
+             stop_grace_s = 4\nboxes = {}\ndescriptors = 300\n{}",
             seeds.join(","),
             seeds.len(),
+            if is_first_start { FIRST_START } else { "" },
         );
         let path = |ending: &str| self.folder.path().join(format!("box-{index}.{ending}"));
         let mut process = GatewayProcess {
@@ -566,9 +588,10 @@
             settings: path("ini"),
             log: path("log"),
             child: None,
+            is_first_start,
         };
         write(&process.settings, &text)?;
-        process.restart()?;
+        process.start()?;
         Ok(process)
     }
 
--- a/dockgate-bench/src/gateway_fleet/fleet_operations.rs
+++ b/dockgate-bench/src/gateway_fleet/fleet_operations.rs
@@ -10,7 +10,7 @@
 
 impl GatewayFleet {
     /// Starts endpoints of a version of the service `model`, each once all boxes know the one
-    /// before. None may have been removed before.
+    /// before, and waits until streams begin there. None may have been removed before.
     ///
     /// # Errors
     ///
@@ -30,9 +30,21 @@
                 .await;
             }
         }
+        self.wait_for_admission().await;
         Ok(())
     }
 
+    /// Waits until all boxes begin streams at all versions that they know.
+    pub async fn wait_for_admission(&self) {
+        for gateway in &self.gateways {
+            wait_until("all versions are admitted", async || {
+                let metrics = gateway.metrics().await;
+                metrics.contains("dockgate_unadmitted_versions 0\n")
+            })
+            .await;
+        }
+    }
+
     /// Removes the records of the endpoints of a version, which go on with their runs.
     pub fn remove_version(&self, version: &str) {
         for endpoint in self
--- a/dockgate-bench/tests/streams_rejoined.rs
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -347,8 +347,8 @@
         &self.fleet.gateways[self.asked]
     }
 
-    /// Lets the second version join and begins streams for at least `time` and until some are of
-    /// it; their callers leave after the second event.
+    /// Lets the second version join, and begins streams until `time` after the first one of it;
+    /// their callers leave after the second event.
     async fn begin_streams(&mut self, time: Duration) -> Vec<ResumedStream> {
         const BEGIN_INTERVAL: Duration = Duration::from_millis(10);
         let listener = &self.fleet.store_listeners[self.asked];
@@ -360,7 +360,6 @@
         if self.deaf != DeafBox::MuteWatch {
             self.asked_box().signal(Signal::SIGSTOP);
         }
-        let joined = Instant::now();
         for number in 0..3 {
             let id = format!("v2-{number}");
             let added = self.fleet.add_endpoint_of_version("v2", &id, "model").await;
@@ -369,18 +368,20 @@
         prepare_endpoints(&self.fleet);
         let address = self.fleet.gateways[self.first].caller_address();
         let mut callers = Vec::new();
-        wait_until("a stream begins at the second version", async || {
+        let mut first_run = None;
+        wait_until("streams begin at the second version", async || {
             let number = callers.len() as u64;
-            if number < STREAMS {
-                let mut stream = ResumedStream::new(LONG_STREAM, number);
-                callers.push(tokio::spawn(async move {
-                    try_once(&mut stream, format!("s{number}"), address, 2).await;
-                    stream
-                }));
-            }
+            let mut stream = ResumedStream::new(LONG_STREAM, number);
+            callers.push(tokio::spawn(async move {
+                try_once(&mut stream, format!("s{number}"), address, 2).await;
+                stream
+            }));
             tokio::time::sleep(BEGIN_INTERVAL).await;
-            let of_second = &self.fleet.endpoints[3..];
-            joined.elapsed() >= time && of_second.iter().any(|second| !second.ran().is_empty())
+            let mut of_second = self.fleet.endpoints[3..].iter();
+            if first_run.is_none() && of_second.any(|second| !second.ran().is_empty()) {
+                first_run = Some(Instant::now());
+            }
+            first_run.is_some_and(|first_run| first_run.elapsed() >= time)
         })
         .await;
         let streams = join_all(callers).await;
@@ -425,8 +426,8 @@
         join_all(taken_up).await
     }
 
-    /// Begins streams for at least `time`, lets the other boxes fall silent and takes the streams
-    /// up.
+    /// Begins streams until `time` after the first one of the second version, lets the other boxes
+    /// fall silent and takes the streams up.
     async fn play(mut self, time: Duration, others: OtherBoxes) {
         /// Time for which all boxes run after the one that is asked has woken.
         const SHARED_TIME: Duration = Duration::from_millis(20);
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -70,6 +70,7 @@
 mod suspect_key;
 mod suspect_registry;
 mod version_history;
+mod version_ledger;
 mod wait_queue;
 mod warmup_limit;
 mod warmup_tracker;
@@ -140,6 +141,7 @@
     Quarantine, QuarantineChange, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport,
 };
 pub use version_history::{ServiceVersion, VersionHistory};
+pub use version_ledger::{LedgerContext, LedgerDuty, LedgerKeeper, VersionLedger, VersionStage};
 pub use wait_queue::{
     WaitBudget, WaitOffer, WaitOutcome, WaitQueue, WaitRank, WaitTerms, WaitingRequest,
 };
--- a/dockgate-core/src/gateway/endpoint_registry.rs
+++ b/dockgate-core/src/gateway/endpoint_registry.rs
@@ -32,6 +32,7 @@
 use super::endpoint_notice::EndpointNotice;
 use super::evacuation_orders::EvacuationOrders;
 use super::notice_registry::{NoticeRegistry, NoticeUpdate};
+use super::rendezvous::name_hash;
 use super::route_table::{EndpointId, EndpointName, EndpointRecord, EndpointState};
 use super::software_version::SoftwareVersion;
 use super::store_revision::StoreRevision;
@@ -490,6 +491,18 @@
         self.versions.iter().copied()
     }
 
+    /// Returns the software versions of the endpoints that accept requests.
+    pub fn ready_versions(&self) -> BTreeSet<ServiceVersion> {
+        let versions = self.ready.iter().flat_map(|(service, ready)| {
+            let service = name_hash(service);
+            ready.iter().map(move |ready| ServiceVersion {
+                service,
+                version: ready.version,
+            })
+        });
+        versions.collect()
+    }
+
     /// Returns the endpoints of a service that accept requests, with their entries.
     pub fn ready_entries(
         &self,
--- a/dockgate-core/src/gateway/version_history.rs
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -23,6 +23,7 @@
 use super::route_table::EndpointRecord;
 use super::software_version::SoftwareVersion;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 /// A software version of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,13 +42,32 @@
             version: SoftwareVersion::from_name(&record.version),
         }
     }
+
+    /// Returns the range of all versions of a service.
+    pub(super) const fn range(service: u64) -> RangeInclusive<Self> {
+        let first = Self {
+            service,
+            version: SoftwareVersion(u64::MIN),
+        };
+        let last = Self {
+            service,
+            version: SoftwareVersion(u64::MAX),
+        };
+        first..=last
+    }
+}
+
+/// When endpoints of a version were known.
+#[derive(Debug, Clone, Copy)]
+struct VersionSighting {
+    first_ms: u64,
+    last_ms: u64,
 }
 
 /// The software versions of the services' endpoints over time.
 #[derive(Debug, Clone, Default)]
 pub struct VersionHistory {
-    /// When an endpoint of the version was last known.
-    last_known_ms: BTreeMap<ServiceVersion, u64>,
+    sightings: BTreeMap<ServiceVersion, VersionSighting>,
     /// Since when versions are known; `None` until they are observed. Negative if that is before the
     /// clock of this box started.
     known_since_ms: Option<i64>,
@@ -70,10 +90,10 @@
         now_ms: u64,
     ) {
         for version in present {
-            self.last_known_ms.insert(version, now_ms);
+            self.sighting(version, now_ms).last_ms = now_ms;
         }
-        self.last_known_ms
-            .retain(|_, last_ms| *last_ms + Self::RETENTION_MS >= now_ms);
+        self.sightings
+            .retain(|_, sighting| sighting.last_ms + Self::RETENTION_MS >= now_ms);
         self.known_since_ms.get_or_insert(now_ms as i64);
         if !is_in_contact {
             self.missed_ms = Some(now_ms);
@@ -85,19 +105,54 @@
         self.known_since_ms = None;
     }
 
-    /// Records that services had no versions within the retention beyond these and the observed
-    /// ones, as another source shows.
-    pub fn complete(&mut self, known: impl Iterator<Item = ServiceVersion>, now_ms: u64) {
+    fn sighting(&mut self, version: ServiceVersion, now_ms: u64) -> &mut VersionSighting {
+        let sighting = VersionSighting {
+            first_ms: now_ms,
+            last_ms: now_ms,
+        };
+        self.sightings.entry(version).or_insert(sighting)
+    }
+
+    /// Records that services had no versions within the last `complete_ms` milliseconds beyond these
+    /// and those known before, as another source shows.
+    pub fn complete(
+        &mut self,
+        known: impl Iterator<Item = ServiceVersion>,
+        complete_ms: u64,
+        now_ms: u64,
+    ) {
+        let known_ms = self.known_ms(now_ms).max(complete_ms);
         for version in known {
-            self.last_known_ms.insert(version, now_ms);
+            self.sighting(version, now_ms);
         }
-        self.known_since_ms = Some(now_ms as i64 - Self::RETENTION_MS as i64);
+        self.known_since_ms = Some(now_ms as i64 - known_ms as i64);
         self.missed_ms = None;
     }
 
+    /// Returns for how long before now all versions are known, in milliseconds.
+    pub fn known_ms(&self, now_ms: u64) -> u64 {
+        let missed_ms = self.missed_ms.map(|missed_ms| missed_ms as i64);
+        let since_ms = self.known_since_ms.max(missed_ms);
+        let is_observed = self.known_since_ms.is_some();
+        let known_ms = since_ms.map_or(0, |since_ms| now_ms as i64 - since_ms);
+        match is_observed {
+            true => known_ms.max(0) as u64,
+            false => 0,
+        }
+    }
+
+    /// Returns whether this box knew another version of the same service earlier.
+    pub fn appeared_later(&self, version: ServiceVersion) -> bool {
+        let Some(sighting) = self.sightings.get(&version) else {
+            return false;
+        };
+        let mut others = self.sightings.range(ServiceVersion::range(version.service));
+        others.any(|(_, other)| other.first_ms < sighting.first_ms)
+    }
+
     /// Returns all versions within the retention.
     pub fn recent(&self) -> BTreeSet<ServiceVersion> {
-        self.last_known_ms.keys().copied().collect()
+        self.sightings.keys().copied().collect()
     }
 
     /// Returns the versions that a service had within the last `within_ms` milliseconds.
@@ -107,10 +162,8 @@
         within_ms: u64,
         now_ms: u64,
     ) -> impl Iterator<Item = SoftwareVersion> {
-        let at = |version| ServiceVersion { service, version };
-        let range = at(SoftwareVersion(u64::MIN))..=at(SoftwareVersion(u64::MAX));
-        let known = self.last_known_ms.range(range);
-        let recent = known.filter(move |(_, last_ms)| **last_ms + within_ms >= now_ms);
+        let known = self.sightings.range(ServiceVersion::range(service));
+        let recent = known.filter(move |(_, sighting)| sighting.last_ms + within_ms >= now_ms);
         recent.map(|(known, _)| known.version)
     }
 
--- a/dockgate-core/src/gateway/version_history/tests.rs
+++ b/dockgate-core/src/gateway/version_history/tests.rs
@@ -44,7 +44,7 @@
     assert!(!history.is_gapless(WITHIN_MS, 90_300));
     assert!(history.is_gapless(WITHIN_MS, 90_301));
     assert_eq!(history.only_version(MODEL, WITHIN_MS, 60_600), Some(V1));
-    history.complete(present(), 60_900);
+    history.complete(present(), VersionHistory::RETENTION_MS, 60_900);
     assert!(history.is_gapless(WITHIN_MS, 60_900));
 }
 
@@ -72,8 +72,16 @@
 fn versions_from_another_source_reach_back_before_the_clock_started() {
     let mut history = VersionHistory::default();
     history.observe([of(MODEL, V1)].into_iter(), true, 200);
-    history.complete([of(MODEL, V1)].into_iter(), 300);
+    history.complete(
+        [of(MODEL, V1)].into_iter(),
+        VersionHistory::RETENTION_MS,
+        300,
+    );
     assert_eq!(history.only_version(MODEL, WITHIN_MS, 300), Some(V1));
-    history.complete([of(MODEL, V2)].into_iter(), 300);
+    history.complete(
+        [of(MODEL, V2)].into_iter(),
+        VersionHistory::RETENTION_MS,
+        300,
+    );
     assert_eq!(history.only_version(MODEL, WITHIN_MS, 300), None);
 }
--- /dev/null
+++ b/dockgate-core/src/gateway/version_ledger/tests.rs
@@ -0,0 +1,202 @@
+use super::*;
+
+const MODEL: u64 = 7;
+const V1: ServiceVersion = ServiceVersion {
+    service: MODEL,
+    version: SoftwareVersion(1),
+};
+const V2: ServiceVersion = ServiceVersion {
+    service: MODEL,
+    version: SoftwareVersion(2),
+};
+const ERA: u64 = 3;
+
+/// A box, and the store's copy of the ledger.
+struct TestBox {
+    keeper: LedgerKeeper,
+    history: VersionHistory,
+    ready: BTreeSet<ServiceVersion>,
+    revision: u64,
+}
+
+impl TestBox {
+    fn new() -> Self {
+        Self {
+            keeper: LedgerKeeper::default(),
+            history: VersionHistory::default(),
+            ready: BTreeSet::new(),
+            revision: 0,
+        }
+    }
+
+    fn observe(&mut self, ready: &[ServiceVersion], now_ms: u64) {
+        self.ready = ready.iter().copied().collect();
+        self.history.observe(ready.iter().copied(), true, now_ms);
+        self.keeper.update(&self.history);
+    }
+
+    fn read(&mut self, stored: Option<VersionLedger>, is_first_start: bool, now_ms: u64) {
+        self.revision += 1;
+        let revision = StoreRevision::new(ERA, self.revision);
+        let Self {
+            keeper, history, ..
+        } = self;
+        keeper.merge(stored, revision, history, is_first_start, now_ms);
+        keeper.update(history);
+    }
+
+    const fn context(&self, now_ms: u64) -> LedgerContext<'_> {
+        LedgerContext {
+            history: &self.history,
+            ready: &self.ready,
+            era: ERA,
+            now_ms,
+        }
+    }
+
+    fn propose(&self, now_ms: u64) -> Option<VersionLedger> {
+        let context = self.context(now_ms);
+        self.keeper.propose(context, LedgerDuty::Maintain)
+    }
+
+    /// Replaces the ledger as often as that is due, and returns it.
+    fn maintain(&mut self, now_ms: u64) -> VersionLedger {
+        while let Some(next) = self.propose(now_ms) {
+            self.revision += 1;
+            let revision = StoreRevision::new(ERA, self.revision);
+            self.keeper.record_write(next, revision, now_ms);
+            self.keeper.update(&self.history);
+        }
+        self.keeper.ledger().cloned().unwrap()
+    }
+}
+
+fn ledger(
+    era: u64,
+    complete_ms: u64,
+    versions: &[(ServiceVersion, VersionStage)],
+) -> VersionLedger {
+    VersionLedger {
+        era,
+        complete_ms,
+        versions: versions.iter().copied().collect(),
+    }
+}
+
+/// Guards against streams that begin at a version of which no other box can know yet.
+#[test]
+fn version_is_announced_before_it_is_admitted() {
+    let mut first = TestBox::new();
+    first.observe(&[V1], 1_000);
+    first.read(None, true, 1_000);
+    assert_eq!(first.maintain(1_000).only_admitted(MODEL), Some(V1.version));
+    first.observe(&[V1, V2], 5_000);
+    assert!(first.keeper.is_unadmitted(V2) && !first.keeper.is_unadmitted(V1));
+    let announced = first.maintain(5_000);
+    assert_eq!(announced.versions[&V2], VersionStage::Announced);
+    assert_eq!(announced.only_admitted(MODEL), Some(V1.version));
+    let admitted_ms = 5_000 + LedgerKeeper::ADMISSION_DELAY_MS;
+    assert!(!first.maintain(admitted_ms - 1).is_admitted(V2));
+    assert!(first.maintain(admitted_ms).is_admitted(V2));
+    assert!(first.keeper.admits_all());
+}
+
+/// Guards against requests that are refused because the only version left is not admitted yet.
+#[test]
+fn version_that_alone_is_served_is_admitted_at_once() {
+    let mut first = TestBox::new();
+    first.observe(&[V1], 1_000);
+    first.read(None, true, 1_000);
+    first.maintain(1_000);
+    first.observe(&[V2], 5_000);
+    assert!(first.maintain(5_000).is_admitted(V2));
+    assert_eq!(
+        first.maintain(5_000).only_admitted(MODEL),
+        None,
+        "V1 may have streams"
+    );
+}
+
+/// Guards against a ledger begun anew that is taken for the whole history by the next box.
+#[test]
+fn ledger_that_was_missing_is_not_complete() {
+    let mut first = TestBox::new();
+    first.observe(&[V2], 1_000);
+    first.read(None, false, 1_000);
+    let written = first.maintain(1_000);
+    assert_eq!(written.complete_ms, 0);
+    let mut second = TestBox::new();
+    second.observe(&[V2], 200);
+    second.read(Some(written), false, 200);
+    assert_eq!(second.history.known_ms(200), 0);
+    second.observe(&[V2], 4_200);
+    assert_eq!(second.history.known_ms(4_200), 4_000);
+    assert_eq!(second.maintain(4_200).complete_ms, 4_000);
+}
+
+/// Guards against versions that the store lost as it came back from an older copy.
+#[test]
+fn ledger_of_an_earlier_era_is_not_complete() {
+    let older = ledger(
+        ERA - 1,
+        VersionHistory::RETENTION_MS,
+        &[(V1, VersionStage::Admitted)],
+    );
+    let mut new = TestBox::new();
+    new.observe(&[V1], 300);
+    new.read(Some(older.clone()), false, 300);
+    assert_eq!(new.history.known_ms(300), 0);
+    // A box that lived through the return knows what the copy lacks.
+    let mut lived = TestBox::new();
+    lived.observe(&[V1, V2], 1_000);
+    lived.read(None, true, 1_000);
+    lived.maintain(1_000);
+    lived.observe(&[V1], 90_000);
+    lived.read(Some(older), false, 90_000);
+    let written = lived.maintain(90_000);
+    assert!(written.is_admitted(V2) && written.era == ERA);
+    assert_eq!(written.complete_ms, VersionHistory::RETENTION_MS);
+}
+
+/// Guards against a box that removes a version of which it has not heard.
+#[test]
+fn versions_of_other_boxes_stay_listed_until_they_have_left() {
+    let mut late = TestBox::new();
+    late.observe(&[V1], 1_000);
+    late.read(None, true, 1_000);
+    late.maintain(1_000);
+    let both = ledger(
+        ERA,
+        VersionHistory::RETENTION_MS,
+        &[(V1, VersionStage::Admitted), (V2, VersionStage::Admitted)],
+    );
+    late.read(Some(both.clone()), false, 2_000);
+    assert_eq!(late.maintain(2_000), both);
+    let left_ms = 2_000 + VersionHistory::RETENTION_MS + 1;
+    late.observe(&[V1], left_ms);
+    assert_eq!(
+        late.maintain(left_ms).only_admitted(MODEL),
+        Some(V1.version)
+    );
+}
+
+/// Guards against a read that is overtaken by a later one and undoes it.
+#[test]
+fn older_read_does_not_replace_a_later_one() {
+    let mut first = TestBox::new();
+    first.observe(&[V1, V2], 1_000);
+    let both = ledger(
+        ERA,
+        0,
+        &[(V1, VersionStage::Admitted), (V2, VersionStage::Admitted)],
+    );
+    first.revision = 8;
+    first.read(Some(both.clone()), false, 1_000);
+    first.revision = 5;
+    first.read(
+        Some(ledger(ERA, 0, &[(V1, VersionStage::Admitted)])),
+        false,
+        1_100,
+    );
+    assert_eq!(first.keeper.ledger(), Some(&both));
+}
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -41,6 +41,7 @@
 mod removal_check;
 mod run_guard;
 mod settings;
+mod shared_call;
 mod sockets;
 mod store_contact;
 mod store_probe;
@@ -164,6 +165,7 @@
     tokio::spawn(readiness::serve_metrics(state.clone(), metrics));
     spawn_with_state(state, "store role", store_probe::update_role_periodically);
     spawn_with_state(state, "store probes", store_probe::run_probes);
+    spawn_with_state(state, "versions", version_store::keep_ledger);
     spawn_with_state(state, "routes", follow::follow_operator);
     spawn_with_state(state, "endpoints", follow::follow_endpoints);
     spawn_with_state(state, "datagrams", datagram_receiver::receive_datagrams);
--- a/dockgate/src/gateway/call/plain_selection.rs
+++ b/dockgate/src/gateway/call/plain_selection.rs
@@ -151,9 +151,10 @@
             order.then_with(ties)
         };
         self.state.with(|view| {
+            let is_allowed = view.version_rule(search.goal, &service.name);
             let is_untried = |id: EndpointId, entry: &EndpointEntry| {
                 !passed_over.contains(&id)
-                    && search.goal.allows(entry.service_version().version)
+                    && is_allowed(entry.service_version().version)
                     && search.accepts(&entry.health)
             };
             let eligible = view.endpoints.eligible(&service.name, now);
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -4,12 +4,14 @@
 use super::super::gateway_metrics::GATEWAY_METRICS;
 use super::super::placement_goal::PlacementGoal;
 use super::super::refusal::RefusalReason;
-use super::super::stream_origins::{ask_origin, record_begun};
+use super::super::stream_origins::{OriginAnswer, ask_origin, record_begun};
+use super::super::version_store;
 use super::{AdmittedCall, CallRefusal, RETRY_ELSEWHERE};
 use crate::clock::{ClockInstant, now_ms};
 use dockgate_core::gateway::{
     AnswerForm, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, VersionHistory, name_hash,
 };
+use dockgate_proto::StreamOrigin;
 use std::time::Duration;
 
 /// For how long a stream can be taken up after its first event, in multiples of its route's
@@ -24,7 +26,7 @@
 /// How the version of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OriginSource {
-    /// The service had no other version since the stream began, as far as any box knows.
+    /// The service had no other version since the stream began.
     OnlyVersion,
     /// This box knows the stream.
     Own,
@@ -42,14 +44,38 @@
     }
 }
 
+/// What the store says of the version at which a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoredOrigin {
+    /// The service had no other version since the stream began.
+    OnlyAdmitted(SoftwareVersion),
+    /// The service had several versions.
+    Several,
+    /// The ledger does not reach back to the begin of the stream.
+    Incomplete,
+    /// The store did not answer.
+    Unread,
+}
+
+impl StoredOrigin {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::OnlyAdmitted(_) => "only_admitted",
+            Self::Several => "several",
+            Self::Incomplete => "incomplete",
+            Self::Unread => "unread",
+        }
+    }
+}
+
 /// What was found out about the version at which a stream began.
 #[derive(Debug, Clone, Copy)]
 struct FoundOrigin {
     version: Option<(SoftwareVersion, OriginSource)>,
-    /// The number of boxes that were asked.
-    asked: usize,
-    /// The number of those that answered.
-    answered: usize,
+    /// What the other boxes answered, if they were asked.
+    answer: Option<OriginAnswer>,
+    /// What the store says, if it was read.
+    stored: Option<StoredOrigin>,
 }
 
 impl FoundOrigin {
@@ -57,8 +83,31 @@
     const fn at_once(version: SoftwareVersion, source: OriginSource) -> Self {
         Self {
             version: Some((version, source)),
-            asked: 0,
-            answered: 0,
+            answer: None,
+            stored: None,
+        }
+    }
+
+    /// Combines what the other boxes know with what the store says.
+    ///
+    /// That a service had one version is believed without the store only if every box that was
+    /// asked confirms it: silence proves nothing.
+    fn of(answer: OriginAnswer, stored: Option<StoredOrigin>) -> Self {
+        let version = match (answer.origin, stored) {
+            (StreamOrigin::Known(version), _) => Some((version, OriginSource::Peer)),
+            (_, Some(StoredOrigin::OnlyAdmitted(version))) => {
+                Some((version, OriginSource::OnlyVersion))
+            }
+            (
+                StreamOrigin::OnlyVersion(version),
+                Some(StoredOrigin::Incomplete | StoredOrigin::Unread),
+            ) if answer.is_unanimous() => Some((version, OriginSource::OnlyVersion)),
+            _ => None,
+        };
+        Self {
+            version,
+            answer: Some(answer),
+            stored,
         }
     }
 }
@@ -71,10 +120,17 @@
     ///
     /// Returns the refusal if that version is not known, or is not served any more.
     pub(super) async fn placement_goal(&self) -> Result<PlacementGoal, CallRefusal> {
-        let is_stream = matches!(self.route().form, AnswerForm::Stream { .. });
-        if !is_stream || self.head.last_event.is_none() {
-            return Ok(PlacementGoal::Begin);
+        match (self.route().form, self.head.last_event) {
+            (AnswerForm::Stream { .. }, Some(_)) => self.take_up_goal().await,
+            (AnswerForm::Stream { resumable: true }, None) => Ok(PlacementGoal::BeginResumable),
+            (AnswerForm::Stream { resumable: false }, None) | (AnswerForm::Whole, _) => {
+                Ok(PlacementGoal::Begin)
+            }
         }
+    }
+
+    /// Returns which endpoints may continue the stream that this request takes up.
+    async fn take_up_goal(&self) -> Result<PlacementGoal, CallRefusal> {
         let found = self.find_origin().await;
         let (result, outcome) = match found.version {
             Some((version, source)) if self.wait_until_served(version).await => {
@@ -86,7 +142,7 @@
             }
             // The version is not known, or no endpoint of it is known here yet.
             Some(_) | None => {
-                let refusal = self.refuse_unknown_version();
+                let refusal = self.refuse_unknown_version(found.stored);
                 let reason = refusal.reason;
                 (Err(refusal), reason.as_str())
             }
@@ -96,8 +152,9 @@
             request: &self.head.id,
             resumes: self.head.resumes.as_deref(),
             origin: outcome,
-            asked: found.asked,
-            answered: found.answered,
+            asked: found.answer.map_or(0, |answer| answer.asked),
+            answered: found.answer.map_or(0, |answer| answer.answered),
+            stored: found.stored.map(StoredOrigin::as_str),
             versions: self.known_versions(),
             took_ms: self.age().as_millis() as u64,
         });
@@ -131,15 +188,29 @@
             _ => {}
         }
         let answer = ask_origin(&self.state, stream, service, within_ms).await;
-        let source = match answer.version() == only {
-            true => OriginSource::OnlyVersion,
-            false => OriginSource::Peer,
+        let stored = match answer.origin {
+            StreamOrigin::Known(_) => None,
+            _ => Some(self.read_origin(service, within_ms).await),
         };
-        FoundOrigin {
-            version: answer.version().map(|version| (version, source)),
-            asked: answer.asked,
-            answered: answer.answered,
+        FoundOrigin::of(answer, stored)
+    }
+
+    /// Reads in the store whether the service had one version since a stream began.
+    async fn read_origin(&self, service: u64, within_ms: u32) -> StoredOrigin {
+        if version_store::refresh(&self.state).await.is_err() {
+            return StoredOrigin::Unread;
         }
+        let now = now_ms();
+        self.state.with(|view| {
+            let ledger = view.ledger.ledger();
+            let only = ledger.and_then(|ledger| ledger.only_admitted(service));
+            let is_complete = view.versions.known_ms(now) >= u64::from(within_ms);
+            match only {
+                Some(version) if is_complete => StoredOrigin::OnlyAdmitted(version),
+                Some(_) => StoredOrigin::Incomplete,
+                None => StoredOrigin::Several,
+            }
+        })
     }
 
     /// Returns for how long after its first event a stream of this route can be taken up.
@@ -181,11 +252,11 @@
         })
     }
 
-    /// Refuses a stream whose version is unknown. Another box may know it if this one is cut off;
-    /// otherwise no later attempt succeeds.
-    fn refuse_unknown_version(&self) -> CallRefusal {
+    /// Refuses a stream whose version is unknown. Another box may know it if this one is cut off, or
+    /// does not reach the store; otherwise no later attempt succeeds.
+    fn refuse_unknown_version(&self, stored: Option<StoredOrigin>) -> CallRefusal {
         let is_in_contact = self.state.with(|view| view.fleet.is_in_contact(now_ms()));
-        match is_in_contact {
+        match is_in_contact && stored != Some(StoredOrigin::Unread) {
             true => RefusalReason::VersionUnknown.into(),
             false => CallRefusal::with_retry(RefusalReason::VersionUnknown, RETRY_ELSEWHERE),
         }
--- a/dockgate/src/gateway/engine_placement.rs
+++ b/dockgate/src/gateway/engine_placement.rs
@@ -11,7 +11,7 @@
 use super::gateway_state::{GatewayState, GatewayView};
 use super::notices::receive_reported_leave;
 use super::pending_slot_request::PendingSlotRequest;
-use super::placement_goal::EndpointSearch;
+use super::placement_goal::{EndpointSearch, allowed_endpoints};
 use super::plain_placement::decide_plain;
 use super::run_guard::RunGuard;
 use super::upstream::{ConnectionLimits, EndpointTarget};
@@ -178,8 +178,8 @@
 fn ordered_homes(view: &GatewayView, query: &EngineQuery, counts: HomeCounts) -> Vec<HomeEngine> {
     let now = now_ms();
     let ready = view.endpoints.ready(&query.service.name);
-    let ready = query.search.goal.allowed(ready);
-    let ready = &*ready;
+    let is_allowed = view.version_rule(query.search.goal, &query.service.name);
+    let ready = &*allowed_endpoints(ready, is_allowed);
     let local = DomainKey::from_name(&view.fleet.own().domain);
     let weights = view.engine_weights.homes();
     let entry = |id: EndpointId| view.endpoints.get(id);
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -280,6 +280,8 @@
         /// The number of boxes that were asked for it, and of those that answered.
         asked: usize,
         answered: usize,
+        /// What the store says of the stream, if it was read.
+        stored: Option<&'a str>,
         /// The number of versions of the service that this box has known within the last minutes.
         versions: usize,
         took_ms: u64,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -77,10 +77,10 @@
     },
     taken_up = {
         GatewayEvent::TakenUp {
-            request: "r", resumes: Some("q"), origin: "peer", asked: 4, answered: 2, versions: 1,
-            took_ms: 3,
+            request: "r", resumes: Some("q"), origin: "peer", asked: 4, answered: 2,
+            stored: Some("several"), versions: 1, took_ms: 3,
         },
-        "answered asked event origin request resumes took_ms versions"
+        "answered asked event origin request resumes stored took_ms versions"
     },
     versions_exchanged = {
         GatewayEvent::VersionsExchanged { stored: Some(2), known: 1, outcome: "written" },
@@ -332,6 +332,7 @@
             origin: "peer",
             asked: 4,
             answered: 2,
+            stored: Some("several"),
             versions: 1,
             took_ms: 3,
         },
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -26,6 +26,7 @@
     memory_used: IntGauge,
     waiting: IntGaugeVec,
     weighted_engines: IntGauge,
+    unadmitted_versions: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -51,6 +52,10 @@
         Self {
             endpoints,
             waiting,
+            unadmitted_versions: gauge(
+                "dockgate_unadmitted_versions",
+                "Software versions of endpoints at which no stream begins yet",
+            ),
             is_coordinator: gauge(
                 "dockgate_coordinates",
                 "Whether this box coordinates its failure domain: 1 or 0",
@@ -151,6 +156,8 @@
             ] {
                 self.endpoints.with_label_values(&[name]).set(count);
             }
+            self.unadmitted_versions
+                .set(view.ledger.unadmitted_count() as i64);
             self.cold_endpoints.set(view.warmups.cold_count(now) as i64);
             let evacuations = view.endpoints.evacuations().iter();
             let evacuated = evacuations.filter(|order| order.is_active).count();
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -9,17 +9,19 @@
 use super::membership::DigestCache;
 use super::memory_guard::resident_bytes;
 use super::settings::GatewaySettings;
+use super::shared_call::SharedCall;
 use super::store_probe::StoreRole;
 use super::upstream::EndpointPools;
+use super::version_store::LedgerUnread;
 use crate::clock::{ClockInstant, now_ms};
 use crate::metrics::METRICS;
 use arc_swap::ArcSwap;
 use dockgate_core::gateway::{
     AdmissionRequest, AdmissionVerdict, BoxHeartbeat, BoxStatus, EndpointChange, EndpointId,
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
-    GenerationTimes, InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget,
-    PlainLoads, PrefixHistory, QuarantineChange, RemovedEndpoint, ResumeGate, RetryBudget,
-    RouteConfig, RouteTable, RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow,
+    GenerationTimes, InterruptionTracker, LedgerKeeper, LoadShedder, LoopLag, MemoryBudget,
+    OverflowBudget, PlainLoads, PrefixHistory, QuarantineChange, RemovedEndpoint, ResumeGate,
+    RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StopWindow,
     StoreFollower, StoreProbe, StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory,
     WaitQueue, WarmupTracker,
 };
@@ -27,7 +29,7 @@
 use dockgate_platform::PlatformClient;
 use dockgate_proto::StreamOrigin;
 use serde_json::value::{RawValue, to_raw_value};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -117,8 +119,8 @@
     pub(super) wait_queues: BTreeMap<EndpointId, WaitQueue>,
     /// The software versions of the services over time.
     pub(super) versions: VersionHistory,
-    /// The versions in the store; `None` until they were read.
-    pub(super) stored_versions: Option<BTreeSet<ServiceVersion>>,
+    /// The versions at which streams may have begun.
+    pub(super) ledger: LedgerKeeper,
     /// The versions at which streams began.
     pub(super) streams: StreamRegistry,
     /// Queries about streams that wait for answers of other boxes, by number.
@@ -160,8 +162,8 @@
     pub(super) quarantined_parts: watch::Sender<u64>,
     /// Whether a task is writing the quarantine to the store.
     pub(super) is_writing_quarantine: AtomicBool,
-    /// Whether a task is exchanging the versions of services with the store.
-    pub(super) is_writing_versions: AtomicBool,
+    /// Reads of the version ledger for requests.
+    pub(super) ledger_reads: SharedCall<Result<(), LedgerUnread>>,
     /// The time from the signal to stop until the process ends, once it is stopping.
     stop: OnceLock<StopWindow>,
     /// Cancelled shortly before the process ends: requests without an answer are answered then.
@@ -214,7 +216,7 @@
             warmups: WarmupTracker::default(),
             wait_queues: BTreeMap::new(),
             versions: VersionHistory::default(),
-            stored_versions: None,
+            ledger: LedgerKeeper::default(),
             streams: StreamRegistry::default(),
             stream_queries: HashMap::new(),
             engine_weights: EngineWeights::default(),
@@ -239,7 +241,7 @@
             endpoints_changed_ms: AtomicU64::new(now_ms()),
             quarantined_parts: watch::Sender::new(0),
             is_writing_quarantine: AtomicBool::new(false),
-            is_writing_versions: AtomicBool::new(false),
+            ledger_reads: SharedCall::default(),
             stop: OnceLock::new(),
             final_answers_due: CancellationToken::new(),
             datagrams,
--- a/dockgate/src/gateway/placement_goal.rs
+++ b/dockgate/src/gateway/placement_goal.rs
@@ -4,7 +4,10 @@
 //! box continues it within the same answer. A *replacement* is an endpoint that takes over from one
 //! that is silent and may still answer.
 
-use dockgate_core::gateway::{EndpointHealth, EndpointId, ReadyEndpoint, SoftwareVersion};
+use super::gateway_state::GatewayView;
+use dockgate_core::gateway::{
+    EndpointHealth, EndpointId, ReadyEndpoint, ServiceVersion, SoftwareVersion, name_hash,
+};
 use std::borrow::Cow;
 
 /// What an endpoint is sought for.
@@ -15,6 +18,9 @@
 pub(super) enum PlacementGoal {
     /// A request of which no event has been forwarded.
     Begin,
+    /// The same, if its caller may take the stream up at another box. It does not begin at a
+    /// version that the ledger does not admit, as long as another one is served.
+    BeginResumable,
     /// A stream that its caller takes up at this box.
     TakeUp(SoftwareVersion),
     /// A stream that continues within the same answer after its endpoint was lost.
@@ -29,27 +35,52 @@
 
     /// Returns whether a stream continues, so that its caller has already received events.
     pub(super) const fn continues(self) -> bool {
-        !matches!(self, Self::Begin)
+        matches!(self, Self::TakeUp(_) | Self::Resume(_))
     }
 
-    /// Returns whether an endpoint of this version may be used.
-    pub(super) fn allows(self, version: SoftwareVersion) -> bool {
+    /// Returns whether an endpoint of this version may be used as far as the stream is concerned.
+    fn allows(self, version: SoftwareVersion) -> bool {
         match self {
-            Self::Begin => true,
+            Self::Begin | Self::BeginResumable => true,
             Self::TakeUp(began_at) | Self::Resume(began_at) => {
                 began_at.is_known() && version == began_at
             }
         }
     }
+}
 
-    /// Returns the endpoints that may be used.
-    pub(super) fn allowed(self, ready: &[ReadyEndpoint]) -> Cow<'_, [ReadyEndpoint]> {
-        if ready.iter().all(|ready| self.allows(ready.version)) {
-            return Cow::Borrowed(ready);
-        }
-        let allowed = ready.iter().filter(|ready| self.allows(ready.version));
-        allowed.copied().collect()
+impl GatewayView {
+    /// Returns whether endpoints of a version of the service may be used for a goal.
+    pub(super) fn version_rule(
+        &self,
+        goal: PlacementGoal,
+        service: &str,
+    ) -> impl Fn(SoftwareVersion) -> bool + use<'_> {
+        let service_hash = name_hash(service);
+        let is_admitted = move |version| {
+            let service = service_hash;
+            !self
+                .ledger
+                .is_unadmitted(ServiceVersion { service, version })
+        };
+        let is_restricted = goal == PlacementGoal::BeginResumable && !self.ledger.admits_all() && {
+            let mut ready = self.endpoints.ready(service).iter();
+            ready.any(|ready| is_admitted(ready.version))
+        };
+        move |version| goal.allows(version) && (!is_restricted || is_admitted(version))
+    }
+}
+
+/// Returns the endpoints of the versions that may be used.
+pub(super) fn allowed_endpoints(
+    ready: &[ReadyEndpoint],
+    is_allowed: impl Fn(SoftwareVersion) -> bool,
+) -> Cow<'_, [ReadyEndpoint]> {
+    if ready.iter().all(|ready| is_allowed(ready.version)) {
+        return Cow::Borrowed(ready);
     }
+    let allowed = ready.iter().filter(|ready| is_allowed(ready.version));
+    allowed.copied().collect()
 }
 
 /// Which endpoints may be selected for the next attempt of a request.
--- a/dockgate/src/gateway/settings.rs
+++ b/dockgate/src/gateway/settings.rs
@@ -74,6 +74,8 @@
     pub(crate) warmup_overshoot: f64,
     /// Additional requests in one second to a cold endpoint.
     pub(crate) warmup_slack: f64,
+    /// Whether the fleet starts for the first time, so that the store has lost nothing of it.
+    pub(crate) first_start: bool,
     /// Rule by which engines admit prompts.
     #[serde(skip)]
     pub(crate) admission: AdmissionRule,
@@ -204,6 +206,7 @@
     let warmup_overshoot =
         gateway.take_checked("warmup_overshoot", 1.0, AT_LEAST_ONE, |value| *value >= 1.0);
     let warmup_slack = gateway.take_checked("warmup_slack", 0.0, NUMBER, |value| *value >= 0.0);
+    let first_start = gateway.take_checked("first_start", false, "true or false", |_| true);
     let conditions = gateway.take_list("conditions");
     Some(GatewaySettings {
         name: name?,
@@ -231,6 +234,7 @@
         retry_slack,
         warmup_overshoot,
         warmup_slack,
+        first_start,
         admission: AdmissionRule::default(),
         conditions: FleetConditions::decode(conditions.iter().map(String::as_str)),
     })
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -5,7 +5,6 @@
 use super::gateway_state::GatewayState;
 use super::membership::send_heartbeat;
 use super::quarantine_store;
-use super::version_store;
 use crate::clock::{now_ms, subscribe_resumes, timeout};
 use dockgate_core::gateway::{ProbeChange, ProbeTiming, StandbyTurn, StoreRevision};
 use dockgate_platform::{PlatformClient, QUARANTINE_KEY_PREFIX};
@@ -108,8 +107,5 @@
     if let Ok(listing) = answer {
         let writes = state.is_primary_watcher() || state.follows_store();
         quarantine_store::sync(state, client, listing, writes);
-        if writes {
-            version_store::sync(state, client);
-        }
     }
 }
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -25,6 +25,7 @@
         let is_in_contact = self.fleet.is_in_contact(now_ms);
         self.versions
             .observe(self.endpoints.versions(), is_in_contact, now_ms);
+        self.ledger.update(&self.versions);
     }
 
     /// Returns the version at which a stream of a service began, if the service had no other one
@@ -207,12 +208,9 @@
 }
 
 impl OriginAnswer {
-    /// Returns the version, if it is known.
-    pub(super) const fn version(&self) -> Option<SoftwareVersion> {
-        match self.origin {
-            StreamOrigin::Known(version) | StreamOrigin::OnlyVersion(version) => Some(version),
-            StreamOrigin::Unknown | StreamOrigin::SeveralVersions => None,
-        }
+    /// Returns whether there are other boxes, and all of them answered.
+    pub(super) const fn is_unanimous(&self) -> bool {
+        self.asked > 0 && self.answered == self.asked
     }
 }
 
--- a/dockgate/src/gateway/version_store.rs
+++ b/dockgate/src/gateway/version_store.rs
@@ -1,85 +1,217 @@
-//! Keeps the software versions that services had in the platform's store.
+//! Keeps the ledger of the software versions of services in the platform's store.
 //!
-//! After all boxes have lost their memory, the store shows whether a service had a single version,
-//! so that its streams can still be taken up. The value is written when a version appears, and when
-//! one can be forgotten; it is replaced only if it is unchanged since it was read.
+//! The ledger shows at which versions streams may have begun, also to a box that has just started,
+//! or that has missed a version. It is replaced only if it is unchanged since it was read.
 
 use super::events::{GatewayEvent, log_gateway};
-use super::gateway_state::GatewayState;
-use crate::clock::now_ms;
-use dockgate_core::gateway::ServiceVersion;
+use super::gateway_metrics::GATEWAY_METRICS;
+use super::gateway_state::{GatewayState, GatewayView};
+use crate::clock::{now_ms, timeout};
+use dockgate_core::gateway::{
+    LedgerContext, LedgerDuty, ServiceVersion, StoreRevision, VersionLedger,
+};
 use dockgate_platform::{
-    PlatformClient, PlatformError, PutCondition, PutOutcome, VERSIONS_KEY, decode_versions,
-    encode_versions,
+    PlatformClient, PlatformError, PutCondition, PutOutcome, StoredValue, VERSIONS_KEY,
+    decode_versions, encode_versions,
 };
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The pause between two accesses to the value.
-const ACCESS_PAUSE: Duration = Duration::from_millis(1_000);
+/// How often the ledger is compared with what this box observes.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// The delay after a failed access, or one that another box has overtaken, in milliseconds; random,
+/// so that boxes do not retry in step.
+const RETRY_MS: Range<u64> = 150..450;
+/// The same after further failures.
+const LONG_RETRY_MS: Range<u64> = 700..1_300;
 
-/// Reads the stored versions once and writes them whenever they differ from the known ones, in the
-/// background.
-pub(super) fn sync(state: &Arc<GatewayState>, client: &PlatformClient) {
-    let is_due = state.with(|view| {
-        let known = view.versions.recent();
-        view.stored_versions.as_ref() != Some(&known) && !known.is_empty()
-    });
-    if !is_due || state.is_writing_versions.swap(true, Ordering::AcqRel) {
-        return;
+/// How long a request that takes up a stream waits for the ledger.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How an access to the ledger ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LedgerOutcome {
+    Unchanged,
+    Written,
+    /// Another box has replaced the ledger meanwhile, or the answer is of an earlier era.
+    Conflict,
+}
+
+impl LedgerOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unchanged => "unchanged",
+            Self::Written => "written",
+            Self::Conflict => "conflict",
+        }
     }
-    let (state, client) = (state.clone(), client.clone());
-    tokio::spawn(async move {
-        if let Err(error) = exchange(&state, &client).await {
+}
+
+impl GatewayView {
+    /// Calls `decide` with what this box observes of versions.
+    fn with_ledger<T>(&self, decide: impl FnOnce(LedgerContext<'_>) -> T) -> T {
+        let ready = self.endpoints.ready_versions();
+        decide(LedgerContext {
+            history: &self.versions,
+            ready: &ready,
+            era: self.eras.current(),
+            now_ms: now_ms(),
+        })
+    }
+}
+
+/// Reads and replaces the ledger whenever that is due, until the process ends.
+pub(super) async fn keep_ledger(state: Arc<GatewayState>) {
+    let client = state.store_client();
+    let mut failures = 0_u32;
+    loop {
+        tokio::time::sleep(POLL_INTERVAL).await;
+        let duty = match state.is_primary_watcher() || state.follows_store() {
+            true => LedgerDuty::Maintain,
+            false => LedgerDuty::Consult,
+        };
+        let is_due =
+            state.with(|view| view.with_ledger(|context| view.ledger.is_due(context, duty)));
+        if !is_due {
+            continue;
+        }
+        let outcome = exchange(&state, &client, duty).await;
+        failures = match &outcome {
+            Ok(LedgerOutcome::Unchanged | LedgerOutcome::Written) => 0,
+            Ok(LedgerOutcome::Conflict) | Err(_) => failures + 1,
+        };
+        if let Err(error) = outcome {
             log::info!("exchange versions with the store: {error}");
         }
-        tokio::time::sleep(ACCESS_PAUSE).await;
-        state.is_writing_versions.store(false, Ordering::Release);
-    });
+        let retry_ms = match failures {
+            0 => continue,
+            1 | 2 => RETRY_MS,
+            _ => LONG_RETRY_MS,
+        };
+        tokio::time::sleep(Duration::from_millis(rand::random_range(retry_ms))).await;
+    }
 }
 
-/// Merges the stored versions, and writes the known ones if they differ.
-async fn exchange(state: &GatewayState, client: &PlatformClient) -> Result<(), PlatformError> {
-    let stored = client.get(VERSIONS_KEY).await?;
-    let versions = stored.as_ref().map(|stored| decode_versions(&stored.bytes));
-    let versions = match versions {
-        None => None,
-        Some(Ok(versions)) => Some(versions),
-        Some(Err(error)) => {
-            log_gateway(&GatewayEvent::Unreadable {
-                what: VERSIONS_KEY,
-                problem: error.to_string(),
-            });
-            None
-        }
+/// Reads the ledger into this box's view; returns the item, or `None` if the answer is of an earlier
+/// era of the store.
+async fn read(
+    state: &GatewayState,
+    client: &PlatformClient,
+) -> Result<Option<Option<StoredValue>>, PlatformError> {
+    const STEP: &str = "versions";
+    let listing = client.list(VERSIONS_KEY).await;
+    let outcome = if listing.is_ok() {
+        "answered"
+    } else {
+        "failed"
     };
-    let known: BTreeSet<ServiceVersion> = state.with(|view| {
-        let is_first = view.stored_versions.is_none();
-        if let Some(versions) = versions.as_ref().filter(|_| is_first) {
-            view.versions.complete(versions.iter().copied(), now_ms());
-        }
-        view.versions.recent()
+    let counter = &GATEWAY_METRICS.store_calls;
+    counter.with_label_values(&[STEP, outcome]).inc();
+    let listing = listing?;
+    let Some(era) = state.record_era(listing.era, STEP) else {
+        return Ok(None);
+    };
+    let revision = StoreRevision::new(era, listing.revision);
+    let mut items = listing.items.into_iter();
+    let item = items.find(|item| item.key == VERSIONS_KEY);
+    let ledger = item.as_ref().and_then(decode);
+    // A value that cannot be read shows that the fleet ran before.
+    let is_first_start = item.is_none() && state.settings().first_start;
+    state.with(|view| {
+        let GatewayView {
+            ledger: keeper,
+            versions,
+            ..
+        } = view;
+        keeper.merge(ledger, revision, versions, is_first_start, now_ms());
+        keeper.update(versions);
     });
-    let mut outcome = "unchanged";
-    if versions.as_ref() != Some(&known) {
-        let condition = match &stored {
-            Some(stored) => PutCondition::Revision(stored.revision),
-            None => PutCondition::Absent,
-        };
-        let value = encode_versions(&known);
-        let put = client.put(VERSIONS_KEY, value, condition, None).await?;
-        outcome = match put {
-            PutOutcome::Done(_) => "written",
-            PutOutcome::Conflict | PutOutcome::NoLease => "conflict",
-        };
+    Ok(Some(item))
+}
+
+fn decode(item: &StoredValue) -> Option<VersionLedger> {
+    let ledger = decode_versions(&item.bytes);
+    let unreadable = ledger.as_ref().err();
+    if let Some(error) = unreadable {
+        log_gateway(&GatewayEvent::Unreadable {
+            what: VERSIONS_KEY,
+            problem: error.to_string(),
+        });
     }
+    ledger.ok()
+}
+
+/// Reads the ledger, and replaces it if this box has to change it.
+async fn exchange(
+    state: &GatewayState,
+    client: &PlatformClient,
+    duty: LedgerDuty,
+) -> Result<LedgerOutcome, PlatformError> {
+    let Some(stored) = read(state, client).await? else {
+        return Ok(LedgerOutcome::Conflict);
+    };
+    let next = state.with(|view| view.with_ledger(|context| view.ledger.propose(context, duty)));
+    let outcome = match next {
+        Some(next) => replace(state, client, stored.as_ref(), next).await?,
+        None => LedgerOutcome::Unchanged,
+    };
+    let (listed, known): (usize, BTreeSet<ServiceVersion>) = state.with(|view| {
+        let ledger = view.ledger.ledger();
+        let listed = ledger.map_or(0, |ledger| ledger.versions.len());
+        (listed, view.versions.recent())
+    });
     log_gateway(&GatewayEvent::VersionsExchanged {
-        stored: versions.as_ref().map(BTreeSet::len),
+        stored: stored.is_some().then_some(listed),
         known: known.len(),
-        outcome,
+        outcome: outcome.as_str(),
+    });
+    Ok(outcome)
+}
+
+async fn replace(
+    state: &GatewayState,
+    client: &PlatformClient,
+    stored: Option<&StoredValue>,
+    next: VersionLedger,
+) -> Result<LedgerOutcome, PlatformError> {
+    let condition = stored.map_or(PutCondition::Absent, |stored| {
+        PutCondition::Revision(stored.revision)
     });
-    state.with(|view| view.stored_versions = Some(known));
-    Ok(())
+    let value = encode_versions(&next);
+    match client.put(VERSIONS_KEY, value, condition, None).await? {
+        PutOutcome::Done(revision) => {
+            let revision = StoreRevision::new(next.era, revision);
+            state.with(|view| {
+                let GatewayView {
+                    ledger, versions, ..
+                } = view;
+                ledger.record_write(next, revision, now_ms());
+                ledger.update(versions);
+            });
+            Ok(LedgerOutcome::Written)
+        }
+        PutOutcome::Conflict | PutOutcome::NoLease => Ok(LedgerOutcome::Conflict),
+    }
 }
+
+/// Reads the ledger with a call that begins now, or shares one that begins for another request.
+///
+/// # Errors
+///
+/// Returns an error if the store does not answer in time.
+pub(super) async fn refresh(state: &GatewayState) -> Result<(), LedgerUnread> {
+    let read_once = async || {
+        let client = state.store_client();
+        match timeout(READ_TIMEOUT, read(state, &client)).await {
+            Ok(Ok(Some(_))) => Ok(()),
+            Ok(Ok(None) | Err(_)) | Err(_) => Err(LedgerUnread),
+        }
+    };
+    state.ledger_reads.run(read_once).await
+}
+
+/// The ledger could not be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct LedgerUnread;
