feat(gateway): keep the versions of streams in the platform's store while a service has several

Cause: after all boxes lose their memory in a release, no stream can be taken up, since which stream began at which version was known to three boxes only. Change: the first box of a domain that reaches the store writes the streams of the domain, in segments under one lease. The newest segment is rewritten while it is young, expired ones are removed; all are written again when the lease is gone or the era of the store has changed. Message store_streams carries them to the writer. A listing that concurrent callers share adds the stored streams to the known ones; nothing calls it yet.

--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -66,6 +66,7 @@
 mod store_revision;
 mod store_search;
 mod stream_key;
+mod stream_log;
 mod stream_registry;
 mod suspect_key;
 mod suspect_registry;
@@ -134,6 +135,7 @@
 pub use store_revision::StoreRevision;
 pub use store_search::{StandbyTurn, StoreSearch};
 pub use stream_key::StreamKey;
+pub use stream_log::{LogBatch, LogOutcome, LogStep, SegmentRevision, SegmentWrite, StreamLog};
 pub use stream_registry::{StreamRecord, StreamRegistry};
 pub use suspect_key::{FingerprintInput, InvalidSuspectKey, SuspectKey, SuspectKind};
 pub use suspect_registry::{
--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -504,6 +504,24 @@
         }
     }
 
+    /// Picks the box that writes the versions of this box's streams to the store: the first in
+    /// precedence of its domain that reaches the store, or else of another domain. If none does, the
+    /// first of its domain keeps them until the store answers again.
+    pub fn stream_writer(&self, now_ms: u64) -> BoxKey {
+        let own_key = self.own_key();
+        let reaches = |key: &BoxKey| match self.others.get(key) {
+            Some(peer) => peer.is_responsive(now_ms) && Self::has_recent_proof(peer, now_ms),
+            None => *key == own_key && self.has_own_recent_proof(now_ms),
+        };
+        let local = || self.ranks.get(&self.own_domain).into_iter().flatten();
+        let remote = self.ranks.iter();
+        let remote = remote.filter(|(domain, _)| **domain != self.own_domain);
+        let mut candidates = local().chain(remote.flat_map(|(_, ranked)| ranked));
+        let writer = candidates.find(|key| reaches(key)).copied();
+        let first = || self.coordinators_of(self.own_domain, now_ms).next();
+        writer.or_else(first).unwrap_or(own_key)
+    }
+
     /// Lists the boxes that may know the version of a stream which began at another box: those of
     /// highest precedence in each domain, responsive or not, since precedence changes with the load.
     pub fn stream_witnesses(&self) -> Vec<BoxKey> {
@@ -577,6 +595,11 @@
         store_proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
     }
 
+    fn has_own_recent_proof(&self, now_ms: u64) -> bool {
+        let proof_ms = self.own_store_proof_ms;
+        proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
+    }
+
     /// Lists the other failure domains of which every known box is silent.
     pub fn silent_domains(&self, now_ms: u64) -> BTreeSet<String> {
         let others = self.others.values();
--- a/dockgate-core/src/gateway/fleet_view/tests.rs
+++ b/dockgate-core/src/gateway/fleet_view/tests.rs
@@ -248,3 +248,88 @@
     assert!(!view.is_in_contact(5_100), "domain b is silent");
     assert!(!FleetView::new(heartbeat("a1", "a")).is_in_contact(1_000));
 }
+
+/// Receives a heartbeat of a box with this processor whose last answer of the store is `age_ms` old;
+/// `None` if the store does not answer it.
+fn receive_store_status(
+    view: &mut FleetView,
+    (name, domain): (&str, &str),
+    processor: u32,
+    age_ms: Option<u32>,
+    now_ms: u64,
+) {
+    let mut status = BoxStatus::new(processor);
+    status.reaches_store = age_ms.is_some();
+    status.store_proof_age_ms = age_ms.unwrap_or_default();
+    let heartbeat = heartbeat(name, domain)
+        .sequence(now_ms as u32)
+        .status(status);
+    view.receive_heartbeat(heartbeat, Incarnation(1), now_ms);
+}
+
+/// Guards against streams that are given to a box which cannot write them while another one can.
+#[test]
+fn streams_are_written_by_the_first_box_that_reaches_the_store() {
+    let status = BoxStatus::new(200);
+    let mut view = FleetView::new(heartbeat("a1", "a").status(status));
+    let key = BoxKey::from_name;
+    assert_eq!(
+        view.stream_writer(11_000),
+        key("a1"),
+        "it knows no other box"
+    );
+    receive_store_status(&mut view, ("a2", "a"), 400, None, 11_000);
+    receive_store_status(&mut view, ("b1", "b"), 900, None, 11_000);
+    assert_eq!(
+        view.stream_writer(11_000),
+        key("a2"),
+        "none reaches the store"
+    );
+    receive_store_status(&mut view, ("b1", "b"), 900, Some(100), 11_100);
+    assert_eq!(
+        view.stream_writer(11_100),
+        key("b1"),
+        "only another domain does"
+    );
+    view.set_store_proof(Some(11_150));
+    assert_eq!(view.stream_writer(11_200), key("a1"), "this box does");
+    receive_store_status(&mut view, ("a2", "a"), 400, Some(100), 11_300);
+    assert_eq!(view.stream_writer(11_300), key("a2"), "it takes precedence");
+    receive_store_status(&mut view, ("a3", "a"), 500, Some(2_100), 11_300);
+    assert_eq!(
+        view.stream_writer(11_300),
+        key("a2"),
+        "the proof of a3 is too old"
+    );
+    assert_eq!(view.stream_writer(12_500), key("a1"), "a2 is silent");
+    assert_eq!(view.stream_writer(13_200), key("a1"), "no proof is recent");
+}
+
+/// Guards against a box that is about to stop and loses what it has not written.
+#[test]
+fn leaving_boxes_write_no_streams() {
+    let mut view = view();
+    view.set_store_proof(Some(1_000));
+    let writer = view.stream_writer(1_000);
+    assert_eq!(writer, view.own_key());
+    view.set_leaving();
+    assert_eq!(view.stream_writer(1_000), BoxKey::from_name("a2"));
+}
+
+/// Guards against several writers in one domain, each with calls of its own.
+#[test]
+fn boxes_with_the_same_view_choose_the_same_writer() {
+    let names = ["a1", "a2", "a3", "a4"];
+    let writers = names.map(|own| {
+        let mut view = FleetView::new(heartbeat(own, "a").status(BoxStatus::new(300)));
+        view.set_store_proof(Some(1_000));
+        for other in names.into_iter().filter(|other| *other != own) {
+            receive_store_status(&mut view, (other, "a"), 300, Some(0), 1_000);
+        }
+        view.stream_writer(1_000)
+    });
+    assert!(
+        writers.iter().all(|writer| *writer == writers[0]),
+        "{writers:?}"
+    );
+}
--- a/dockgate-proto/src/gateway.rs
+++ b/dockgate-proto/src/gateway.rs
@@ -206,6 +206,12 @@
         /// The events of these parts.
         rows: Vec<SuspectReport>,
     },
+    /// As `StreamsBegan`, to the box that also writes them to the platform's store; older boxes do
+    /// not know this message.
+    StoreStreams {
+        /// The streams.
+        streams: Vec<StreamRecord>,
+    },
 }
 
 /// What a box knows of the version at which a stream began.
@@ -240,6 +246,7 @@
             Self::StreamQuery { .. } => "stream_query",
             Self::StreamOrigin { .. } => "stream_origin",
             Self::PartSuspects { .. } => "part_suspects",
+            Self::StoreStreams { .. } => "store_streams",
         }
     }
 
--- a/dockgate-proto/tests/recorded_values.rs
+++ b/dockgate-proto/tests/recorded_values.rs
@@ -261,6 +261,14 @@
         GatewayMessage::PartSuspects {
             rows: vec![suspect(4, SuspectEvent::Ended(endpoint))],
         },
+        GatewayMessage::StoreStreams {
+            streams: vec![StreamRecord {
+                key: StreamKey::new("captions", "model", "r1"),
+                workspace: 9,
+                version: SoftwareVersion::from_name("v1"),
+                life_ms: 30_000,
+            }],
+        },
     ]
 }
 
--- a/dockgate/src/gateway.rs
+++ b/dockgate/src/gateway.rs
@@ -45,6 +45,7 @@
 mod store_contact;
 mod store_probe;
 mod stream_origins;
+mod stream_store;
 mod supervised_task;
 mod suspension;
 mod tracked_io;
@@ -172,6 +173,8 @@
     spawn_with_state(state, "domains", domain_watch::watch_domains);
     spawn_with_state(state, "waits", wait_queues::process_queues);
     spawn_with_state(state, "removals", removal_check::check_removals);
+    spawn_with_state(state, "stream writes", stream_store::write_streams);
+    spawn_with_state(state, "stream listings", stream_store::list_streams);
     for (name, kind) in [
         ("configurations of others", StateKind::Config),
         ("endpoints of others", StateKind::Endpoints),
--- a/dockgate/src/gateway/datagram_receiver.rs
+++ b/dockgate/src/gateway/datagram_receiver.rs
@@ -133,6 +133,9 @@
             terms,
         } => receive_wait_request(state, key_of(run), endpoint, request, terms),
         GatewayMessage::StreamsBegan { streams } => stream_origins::receive_streams(state, streams),
+        GatewayMessage::StoreStreams { streams } => {
+            stream_origins::receive_streams_to_store(state, streams);
+        }
         GatewayMessage::StreamQuery {
             query,
             stream,
--- a/dockgate/src/gateway/datagram_receiver/tests.rs
+++ b/dockgate/src/gateway/datagram_receiver/tests.rs
@@ -3,7 +3,8 @@
 use crate::gateway::run_guard::RunGuard;
 use dockgate_core::gateway::{
     AnswerForm, EndpointChange, EndpointRecord, EndpointState, EngineSpec, LatencyLimits,
-    PromptShape, RouteConfig, RouteSpec, ServiceSpec, ServiceWeight, StoreRevision,
+    PromptShape, RouteConfig, RouteSpec, ServiceSpec, ServiceWeight, SoftwareVersion,
+    StoreRevision, StreamKey, StreamRecord,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use std::time::Duration;
@@ -143,3 +144,31 @@
     let released = GatewayDatagram::decode(&buffer[..length]).unwrap();
     assert_eq!(released.message.kind(), "ended");
 }
+
+/// Guards against streams that their writer does not know when it is asked, and against a box that
+/// does not write them.
+#[tokio::test]
+async fn streams_to_store_are_known_and_written() {
+    let (state, owner) = state_with_engine().await;
+    let record = StreamRecord {
+        key: StreamKey::new("captions", "model", "r1"),
+        workspace: 7,
+        version: SoftwareVersion::from_name("v1"),
+        life_ms: 30_000,
+    };
+    let streams = vec![record];
+    let message = GatewayMessage::StoreStreams { streams };
+    let datagram = GatewayDatagram {
+        message,
+        ..verdict(AdmissionVerdict::Leaving, PrefillSpeed::UNKNOWN)
+    };
+    handle(&state, owner.local_addr().unwrap(), datagram);
+    state.with(|view| {
+        let known = view.streams.version(record.key, now_ms());
+        assert_eq!(known, Some(record.version));
+        assert_eq!(
+            (view.stream_log.len(), view.stream_log.stored_count()),
+            (1, 0)
+        );
+    });
+}
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -110,6 +110,13 @@
         revision: u64,
         source: &'a str,
     },
+    /// The versions of streams were read from the store.
+    StreamsLoaded {
+        streams: usize,
+        /// Number of values that could not be read.
+        unreadable: usize,
+        revision: u64,
+    },
     /// Another box did not answer a request for newer state.
     StateUnanswered {
         peer: &'a str,
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -203,6 +203,11 @@
             revision: 2,
             source: "store",
         },
+        GatewayEvent::StreamsLoaded {
+            streams: 2,
+            unreadable: 1,
+            revision: 3,
+        },
         GatewayEvent::StateUnanswered {
             peer: "b",
             what: "w",
--- a/dockgate/src/gateway/gateway_gauges.rs
+++ b/dockgate/src/gateway/gateway_gauges.rs
@@ -26,6 +26,8 @@
     memory_used: IntGauge,
     waiting: IntGaugeVec,
     weighted_engines: IntGauge,
+    stored_streams: IntGauge,
+    unstored_streams: IntGauge,
 }
 
 /// The gateway's gauges.
@@ -112,6 +114,14 @@
                 "dockgate_weighted_engines",
                 "Engines whose weight in the placement of prompts is not 1, as their speed differs",
             ),
+            stored_streams: gauge(
+                "dockgate_stored_streams",
+                "Streams whose software versions this box keeps in the platform's store",
+            ),
+            unstored_streams: gauge(
+                "dockgate_unstored_streams",
+                "Streams whose software versions this box has yet to write to the platform's store",
+            ),
         }
     }
 
@@ -157,6 +167,10 @@
             self.evacuated_domains.set(evacuated as i64);
             let weighted = view.engine_weights.homes().iter().count();
             self.weighted_engines.set(weighted as i64);
+            let stored = view.stream_log.stored_count();
+            self.stored_streams.set(stored as i64);
+            let unstored = view.stream_log.len() - stored;
+            self.unstored_streams.set(unstored as i64);
             let quarantined = view.suspects.quarantined_of(SuspectKind::Request, now);
             self.quarantined.set(quarantined as i64);
             let parts = view.suspects.quarantined_of(SuspectKind::Part, now);
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -25,6 +25,8 @@
     pub(super) resumed_streams: IntCounter,
     /// Streams that callers took up, by how their version was found or why they were refused.
     taken_up: IntCounterVec,
+    /// Streams whose versions were read from the store.
+    pub(super) loaded_streams: IntCounter,
     /// Rounds of queries to other boxes about the versions of streams.
     pub(super) stream_queries: IntCounter,
     /// Admission verdicts that did not arrive in time.
@@ -127,6 +129,10 @@
                  only_version, own, peer; or why they were refused: version_unknown, version_gone",
                 &["origin"],
             ),
+            loaded_streams: counter(
+                "dockgate_loaded_streams_total",
+                "Streams whose software versions were read from the platform's store",
+            ),
             stream_queries: counter(
                 "dockgate_stream_queries_total",
                 "Rounds in which other boxes were asked for the software version of a stream",
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -10,6 +10,7 @@
 use super::memory_guard::resident_bytes;
 use super::settings::GatewaySettings;
 use super::store_probe::StoreRole;
+use super::stream_store::StreamListings;
 use super::upstream::EndpointPools;
 use crate::clock::{ClockInstant, now_ms};
 use crate::metrics::METRICS;
@@ -20,8 +21,8 @@
     GenerationTimes, InterruptionTracker, LoadShedder, LoopLag, MemoryBudget, OverflowBudget,
     PlainLoads, PrefixHistory, QuarantineChange, RemovedEndpoint, ResumeGate, RetryBudget,
     RouteConfig, RouteTable, RunKey, ServiceVersion, ShareTally, ShareTracker, StopWindow,
-    StoreFollower, StoreProbe, StoreRevision, StreamRegistry, SuspectRegistry, VersionHistory,
-    WaitQueue, WarmupTracker,
+    StoreFollower, StoreProbe, StoreRevision, StreamLog, StreamRegistry, SuspectRegistry,
+    VersionHistory, WaitQueue, WarmupTracker,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -121,6 +122,8 @@
     pub(super) stored_versions: Option<BTreeSet<ServiceVersion>>,
     /// The versions at which streams began.
     pub(super) streams: StreamRegistry,
+    /// The versions of streams that this box writes to the store.
+    pub(super) stream_log: StreamLog,
     /// Queries about streams that wait for answers of other boxes, by number.
     pub(super) stream_queries: HashMap<u32, mpsc::UnboundedSender<(BoxKey, StreamOrigin)>>,
     /// The prefill rates of engines and their weights in the placement of prompts.
@@ -172,6 +175,10 @@
     pub(super) pools: Arc<EndpointPools>,
     /// Notified when a request begins to wait at an endpoint that this box owns.
     pub(super) wait_began: Notify,
+    /// Notified when streams are to be written to the store.
+    pub(super) streams_appended: Notify,
+    /// The listings of the stored streams.
+    pub(super) stream_listings: StreamListings,
 }
 
 impl GatewayState {
@@ -216,6 +223,7 @@
             versions: VersionHistory::default(),
             stored_versions: None,
             streams: StreamRegistry::default(),
+            stream_log: StreamLog::default(),
             stream_queries: HashMap::new(),
             engine_weights: EngineWeights::default(),
             generation_times: GenerationTimes::default(),
@@ -245,6 +253,8 @@
             datagrams,
             pools: Arc::default(),
             wait_began: Notify::new(),
+            streams_appended: Notify::new(),
+            stream_listings: StreamListings::default(),
             settings: ArcSwap::from_pointee(settings),
         }
     }
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -4,6 +4,7 @@
 use super::datagrams::{send_datagram, send_to};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayState, GatewayView};
+use super::stream_store::append_streams;
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{SoftwareVersion, StreamKey, StreamRecord};
@@ -62,10 +63,11 @@
     }
 }
 
-/// Reports the streams of services with several versions that were not reported yet.
+/// Reports the streams of services with several versions that were not reported yet: to a few boxes
+/// that keep them, and to the one that writes them to the store.
 pub(super) fn report_streams(state: &GatewayState) {
     let now = now_ms();
-    let reports = state.with(|view| {
+    let (reports, due, writer) = state.with(|view| {
         let GatewayView {
             streams,
             versions,
@@ -73,14 +75,26 @@
             ..
         } = view;
         let due = streams.take_unreported(|service| versions.is_mixed(service, now), now);
+        let writer = fleet.stream_writer(now);
         let mut reports = BTreeMap::<BoxKey, Vec<StreamRecord>>::new();
-        for record in due {
-            for keeper in fleet.stream_keepers(record.key, now) {
-                reports.entry(keeper).or_default().push(record);
+        for record in &due {
+            let keepers = fleet.stream_keepers(record.key, now).into_iter();
+            // The writer keeps them too.
+            for keeper in keepers.filter(|keeper| *keeper != writer) {
+                reports.entry(keeper).or_default().push(*record);
             }
         }
-        reports
+        (reports, due, writer)
     });
+    match writer == state.own_key() {
+        true => append_streams(state, &due),
+        false => {
+            for streams in due.chunks(MAX_STREAMS_PER_DATAGRAM) {
+                let streams = streams.to_vec();
+                send_to(state, writer, GatewayMessage::StoreStreams { streams });
+            }
+        }
+    }
     for (keeper, streams) in reports {
         for streams in streams.chunks(MAX_STREAMS_PER_DATAGRAM) {
             let streams = streams.to_vec();
@@ -99,6 +113,12 @@
     });
 }
 
+/// Records the streams that another box reports and that this one writes to the store.
+pub(super) fn receive_streams_to_store(state: &GatewayState, streams: Vec<StreamRecord>) {
+    append_streams(state, &streams);
+    receive_streams(state, streams);
+}
+
 /// Returns what this box knows of the version at which a stream began.
 pub(super) fn known_origin(
     state: &GatewayState,
