--- a/dockgate/src/gateway/stream_store.rs
+++ b/dockgate/src/gateway/stream_store.rs
@@ -117,8 +117,8 @@
                 .lease(Duration::from_millis(StreamLog::LEASE_MS))
                 .await?;
             state.with(|view| {
-                view.stream_log
-                    .record_lease(lease.id, lease.ttl_ms, sent_ms)
+                let log = &mut view.stream_log;
+                log.record_lease(lease.id, lease.ttl_ms, sent_ms);
             });
         }
         LogStep::RenewLease(id) => {
