fix: streams go on after all boxes were killed while versions differ

Cause: which stream began at which version lived in the memory of three boxes.

A request whose stream no box knows reads them. Silent boxes count as refusing to confirm while they are live or the only ones of their domain, no longer for ever after they were killed.

--- a/dockgate-core/src/gateway/stream_registry.rs
+++ b/dockgate-core/src/gateway/stream_registry.rs
@@ -116,6 +116,20 @@
         known.map(|known| known.version)
     }
 
+    /// Returns the version at which a stream began that its caller tries to take up, and keeps it
+    /// for another `life_ms` milliseconds, since the caller may try again.
+    pub fn look_up(
+        &mut self,
+        key: StreamKey,
+        life_ms: u32,
+        now_ms: u64,
+    ) -> Option<SoftwareVersion> {
+        let version = self.version(key, now_ms)?;
+        let known = self.streams.get_mut(&key)?;
+        known.until_ms = known.until_ms.max(now_ms + u64::from(life_ms));
+        Some(version)
+    }
+
     /// Returns the streams of this box that were not reported yet and whose service is due, and
     /// counts them as reported.
     pub fn take_unreported(
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -5,13 +5,16 @@
 use super::super::placement_goal::PlacementGoal;
 use super::super::refusal::RefusalReason;
 use super::super::stream_origins::{OriginAnswer, ask_origin, record_begun};
+use super::super::stream_store::load_streams;
 use super::super::version_store;
 use super::{AdmittedCall, CallRefusal, RETRY_ELSEWHERE};
 use crate::clock::{ClockInstant, now_ms};
 use dockgate_core::gateway::{
     AnswerForm, ServiceVersion, SoftwareVersion, StreamKey, StreamRecord, VersionHistory, name_hash,
 };
+use dockgate_platform::PlatformError;
 use dockgate_proto::StreamOrigin;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// For how long a stream can be taken up after its first event, in multiples of its route's
@@ -23,6 +26,9 @@
 const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
 const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a request that takes up a stream waits for the streams in the store.
+const LISTING_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// How the version of a stream was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum OriginSource {
@@ -32,6 +38,8 @@
     Own,
     /// Another box told it.
     Peer,
+    /// The stream is recorded in the store.
+    Stored,
 }
 
 impl OriginSource {
@@ -40,6 +48,7 @@
             Self::OnlyVersion => "only_version",
             Self::Own => "own",
             Self::Peer => "peer",
+            Self::Stored => "stored",
         }
     }
 }
@@ -47,9 +56,11 @@
 /// What the store says of the version at which a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoredOrigin {
+    /// The stream is recorded.
+    Recorded(SoftwareVersion),
     /// The service had no other version since the stream began.
     OnlyAdmitted(SoftwareVersion),
-    /// The service had several versions.
+    /// The service had several versions, and the stream is not recorded.
     Several,
     /// The ledger does not reach back to the begin of the stream.
     Incomplete,
@@ -60,6 +71,7 @@
 impl StoredOrigin {
     const fn as_str(self) -> &'static str {
         match self {
+            Self::Recorded(_) => "recorded",
             Self::OnlyAdmitted(_) => "only_admitted",
             Self::Several => "several",
             Self::Incomplete => "incomplete",
@@ -90,18 +102,19 @@
 
     /// Combines what the other boxes know with what the store says.
     ///
-    /// That a service had one version is believed without the store only if every box that was
-    /// asked confirms it: silence proves nothing.
+    /// That a service had one version is believed without the store only if the other boxes confirm
+    /// it: silence proves nothing.
     fn of(answer: OriginAnswer, stored: Option<StoredOrigin>) -> Self {
         let version = match (answer.origin, stored) {
             (StreamOrigin::Known(version), _) => Some((version, OriginSource::Peer)),
+            (_, Some(StoredOrigin::Recorded(version))) => Some((version, OriginSource::Stored)),
             (_, Some(StoredOrigin::OnlyAdmitted(version))) => {
                 Some((version, OriginSource::OnlyVersion))
             }
             (
                 StreamOrigin::OnlyVersion(version),
                 Some(StoredOrigin::Incomplete | StoredOrigin::Unread),
-            ) if answer.is_unanimous() => Some((version, OriginSource::OnlyVersion)),
+            ) if answer.is_confirmed => Some((version, OriginSource::OnlyVersion)),
             _ => None,
         };
         Self {
@@ -177,7 +190,7 @@
         let stream = self.head.resumes.as_deref().map(|id| self.stream_key(id));
         let now = now_ms();
         let (known, only) = self.state.with(|view| {
-            let known = stream.and_then(|key| view.streams.version(key, now));
+            let known = stream.and_then(|key| view.streams.look_up(key, within_ms, now));
             (known, view.only_version(stream, service, within_ms, now))
         });
         match (known, only) {
@@ -190,27 +203,46 @@
         let answer = ask_origin(&self.state, stream, service, within_ms).await;
         let stored = match answer.origin {
             StreamOrigin::Known(_) => None,
-            _ => Some(self.read_origin(service, within_ms).await),
+            _ => Some(self.read_origin(stream, service).await),
         };
         FoundOrigin::of(answer, stored)
     }
 
-    /// Reads in the store whether the service had one version since a stream began.
-    async fn read_origin(&self, service: u64, within_ms: u32) -> StoredOrigin {
+    /// Reads in the store at which version a stream began.
+    async fn read_origin(&self, stream: Option<StreamKey>, service: u64) -> StoredOrigin {
         if version_store::refresh(&self.state).await.is_err() {
             return StoredOrigin::Unread;
         }
         let now = now_ms();
-        self.state.with(|view| {
+        let (only, is_complete) = self.state.with(|view| {
             let ledger = view.ledger.ledger();
             let only = ledger.and_then(|ledger| ledger.only_admitted(service));
-            let is_complete = view.versions.known_ms(now) >= u64::from(within_ms);
-            match only {
-                Some(version) if is_complete => StoredOrigin::OnlyAdmitted(version),
-                Some(_) => StoredOrigin::Incomplete,
-                None => StoredOrigin::Several,
-            }
-        })
+            // A stream whose caller has tried often may be older than its route allows for one try.
+            let is_complete = view.versions.known_ms(now) >= VersionHistory::RETENTION_MS;
+            (only, is_complete)
+        });
+        match (only, stream) {
+            (Some(version), _) if is_complete => StoredOrigin::OnlyAdmitted(version),
+            (Some(_), None) => StoredOrigin::Incomplete,
+            (None, None) => StoredOrigin::Several,
+            (_, Some(stream)) => match self.read_record(stream).await {
+                Ok(Some(version)) => StoredOrigin::Recorded(version),
+                Ok(None) if only.is_some() => StoredOrigin::Incomplete,
+                Ok(None) => StoredOrigin::Several,
+                Err(_) => StoredOrigin::Unread,
+            },
+        }
+    }
+
+    /// Returns the version of a stream that is recorded in the store.
+    async fn read_record(
+        &self,
+        stream: StreamKey,
+    ) -> Result<Option<SoftwareVersion>, Arc<PlatformError>> {
+        let until = self.deadline().min(ClockInstant::now() + LISTING_TIMEOUT);
+        load_streams(&self.state, until).await?;
+        let now = now_ms();
+        Ok(self.state.with(|view| view.streams.version(stream, now)))
     }
 
     /// Returns for how long after its first event a stream of this route can be taken up.
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -4,6 +4,7 @@
 use super::datagrams::{send_datagram, send_to};
 use super::gateway_metrics::GATEWAY_METRICS;
 use super::gateway_state::{GatewayState, GatewayView};
+use super::stream_store::append_streams;
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use dockgate_core::BoxKey;
 use dockgate_core::gateway::{SoftwareVersion, StreamKey, StreamRecord};
@@ -63,10 +64,11 @@
     }
 }
 
-/// Reports the streams of services with several versions that were not reported yet.
+/// Reports the streams of services with several versions that were not reported yet: to a few boxes
+/// that keep them, and to the one that writes them to the store.
 pub(super) fn report_streams(state: &GatewayState) {
     let now = now_ms();
-    let reports = state.with(|view| {
+    let (reports, due, writer) = state.with(|view| {
         let GatewayView {
             streams,
             versions,
@@ -74,14 +76,26 @@
             ..
         } = view;
         let due = streams.take_unreported(|service| versions.is_mixed(service, now), now);
+        let writer = fleet.stream_writer(now);
         let mut reports = BTreeMap::<BoxKey, Vec<StreamRecord>>::new();
-        for record in due {
-            for keeper in fleet.stream_keepers(record.key, now) {
-                reports.entry(keeper).or_default().push(record);
+        for record in &due {
+            let keepers = fleet.stream_keepers(record.key, now).into_iter();
+            // The writer keeps them too.
+            for keeper in keepers.filter(|keeper| *keeper != writer) {
+                reports.entry(keeper).or_default().push(*record);
             }
         }
-        reports
+        (reports, due, writer)
     });
+    match writer == state.own_key() {
+        true => append_streams(state, &due),
+        false => {
+            for streams in due.chunks(MAX_STREAMS_PER_DATAGRAM) {
+                let streams = streams.to_vec();
+                send_to(state, writer, GatewayMessage::StoreStreams { streams });
+            }
+        }
+    }
     for (keeper, streams) in reports {
         for streams in streams.chunks(MAX_STREAMS_PER_DATAGRAM) {
             let streams = streams.to_vec();
@@ -100,6 +114,12 @@
     });
 }
 
+/// Records the streams that another box reports and that this one writes to the store.
+pub(super) fn receive_streams_to_store(state: &GatewayState, streams: Vec<StreamRecord>) {
+    append_streams(state, &streams);
+    receive_streams(state, streams);
+}
+
 /// Returns what this box knows of the version at which a stream began.
 pub(super) fn known_origin(
     state: &GatewayState,
@@ -109,7 +129,7 @@
 ) -> StreamOrigin {
     let now = now_ms();
     state.with(|view| {
-        let known = stream.and_then(|key| view.streams.version(key, now));
+        let known = stream.and_then(|key| view.streams.look_up(key, within_ms, now));
         match known {
             Some(version) => StreamOrigin::Known(version),
             None => {
@@ -205,13 +225,8 @@
     pub(super) asked: usize,
     /// The number of those that answered.
     pub(super) answered: usize,
-}
-
-impl OriginAnswer {
-    /// Returns whether there are other boxes, and all of them answered.
-    pub(super) const fn is_unanimous(&self) -> bool {
-        self.asked > 0 && self.answered == self.asked
-    }
+    /// Whether boxes of all failure domains answered, and all boxes that are live.
+    pub(super) is_confirmed: bool,
 }
 
 /// Asks other boxes for the version at which a stream began, or for the only one that the service
@@ -224,8 +239,8 @@
 ) -> OriginAnswer {
     let mut pending = PendingQuery::new(state);
     let witnesses = state.with(|view| view.fleet.stream_witnesses());
-    let mut unanswered: BTreeSet<BoxKey> = witnesses.into_iter().collect();
-    let asked = unanswered.len();
+    let asked: BTreeSet<BoxKey> = witnesses.into_iter().collect();
+    let mut unanswered = asked.clone();
     let mut origin = known_origin(state, stream, service, within_ms);
     for _ in 0..QUERY_ROUNDS {
         for witness in &unanswered {
@@ -246,10 +261,13 @@
             break;
         }
     }
+    let answered: BTreeSet<BoxKey> = asked.difference(&unanswered).copied().collect();
+    let covers_domains = state.with(|view| view.fleet.covers_domains(&answered));
     OriginAnswer {
         origin,
-        asked,
-        answered: asked - unanswered.len(),
+        asked: asked.len(),
+        answered: answered.len(),
+        is_confirmed: covers_domains && !has_live(state, &unanswered),
     }
 }
 
