--- a/dockgate-core/src/gateway/stream_log/tests.rs
+++ b/dockgate-core/src/gateway/stream_log/tests.rs
@@ -433,22 +433,91 @@
 /// Guards against an unbounded number of keys, and against evicted streams of a small workspace.
 #[test]
 fn flood_of_one_workspace_leaves_the_streams_of_others() {
-    let mut simulation = run_steady(4_000, 40, |number| match number % 4_000 {
+    let mut simulation = run_steady(4_000, 40, |number| match number % 100 {
         0 => 2,
         _ => 1,
     });
     simulation.settle();
     let log = &simulation.log;
     assert!(log.len() <= StreamLog::MAX_STREAMS);
-    assert!(log.segments.len() <= StreamLog::MAX_SEGMENTS + 1);
-    assert!(log.key_count() <= StreamLog::MAX_SEGMENTS + 1 + StreamLog::MAX_BATCH_ENTRIES);
-    for number in (4_000..=160_000).step_by(4_000) {
+    assert!(log.segments.len() <= StreamLog::MAX_SEGMENTS);
+    assert_eq!(log.key_count(), simulation.store.items.len());
+    assert_eq!(
+        log.key_count(),
+        log.segments.len(),
+        "merged segments are removed"
+    );
+    for number in (100..=160_000).step_by(100) {
         let kept = record(2, number, 0);
         assert!(log.is_stored(kept.key), "stream {number}");
         assert_eq!(simulation.store.version(kept.key), Some(kept.version));
     }
 }
 
+/// Guards against keys that stay until the lease ends.
+#[test]
+fn expired_segments_are_removed_while_others_live() {
+    let mut simulation = LogSimulation::new();
+    simulation.append(record(1, 0, 300_000));
+    for number in 1..200 {
+        simulation.append(record(1, number, LIFE_MS));
+        while simulation.step(CallFate::Answered) {}
+        simulation.now_ms += 500;
+    }
+    assert!(simulation.store.items.len() > 4);
+    simulation.now_ms += u64::from(LIFE_MS);
+    for _ in 0..6 {
+        while simulation.step(CallFate::Answered) {}
+        simulation.now_ms += 1_000;
+    }
+    assert_eq!(simulation.store.items.len(), 1, "one stream lives");
+    assert_eq!(simulation.log.key_count(), 1);
+}
+
+/// Guards against streams that are away while they are written again, and against the keys of the
+/// former era that stay.
+#[test]
+fn streams_stay_in_the_store_while_they_are_written_again() {
+    let mut simulation = run_steady(500, 10, |_| 1);
+    simulation.settle();
+    simulation.store.era += 1;
+    simulation
+        .log
+        .record_era(simulation.store.era, simulation.now_ms);
+    let missing = |simulation: &LogSimulation| {
+        let live = simulation.until_ms.keys();
+        let missing = live.filter(|key| simulation.store.version(**key).is_none());
+        missing.count()
+    };
+    let mut steps = 0;
+    while simulation.log.key_count() > simulation.log.segments.len()
+        || simulation.log.stored_count() < simulation.log.len()
+    {
+        while simulation.step(CallFate::Answered) {
+            assert_eq!(missing(&simulation), 0);
+            steps += 1;
+        }
+        simulation.now_ms += 50;
+    }
+    assert!(steps > 4, "{steps} steps");
+    assert_eq!(simulation.store.items.len(), simulation.log.segments.len());
+}
+
+/// Guards against streams that wait for the next renewal after their lease has ended.
+#[test]
+fn streams_are_written_again_at_once_when_a_write_finds_no_lease() {
+    let mut simulation = run_steady(100, 4, |_| 1);
+    simulation.process(&LogEvent::EndLeases);
+    assert!(simulation.store.items.is_empty());
+    simulation.append(record(1, 9_999, LIFE_MS));
+    for _ in 0..20 {
+        while simulation.step(CallFate::Answered) {}
+        simulation.now_ms += 50;
+    }
+    assert_eq!(simulation.log.stored_count(), 401);
+    simulation.check_stored();
+}
+
 /// Guards against a write per stream, and against segments that are rewritten for as long as they
 /// live.
 #[test]
