fix(gateway): reject answers of an earlier era to writes of streams

Cause: an answer of an earlier era of the store to a write could count its streams as stored. Change: such an answer counts as none, and the streams are written again.

--- a/dockgate/src/gateway/stream_store.rs
+++ b/dockgate/src/gateway/stream_store.rs
@@ -130,19 +130,34 @@
         }
         LogStep::Write(batch) => {
             let (outcome, era) = write_batch(state, client, batch).await?;
-            // A new era invalidates the outcome.
-            let era = state.record_era(era, WRITE_STEP);
+            let era = current_era(state, era, WRITE_STEP)?;
             state.with(|view| {
-                if let Some(era) = era {
-                    view.stream_log.record_era(era, now_ms());
-                }
-                view.stream_log.record_batch(batch, &outcome);
+                let log = &mut view.stream_log;
+                // A new era invalidates the outcome.
+                log.record_era(era, now_ms());
+                log.record_batch(batch, &outcome);
             });
         }
     }
     Ok(())
 }
 
+/// Records the era in an answer of the store and returns it.
+///
+/// # Errors
+///
+/// Returns an error if it is an earlier era than the known one, whose data is outdated.
+fn current_era(
+    state: &GatewayState,
+    reported: Option<u64>,
+    step: &'static str,
+) -> Result<u64, PlatformError> {
+    state.record_era(reported, step).ok_or_else(|| {
+        let cause = "the answer is of an earlier era of the store".to_owned();
+        PlatformError::Malformed(step, STREAMS_KEY_PREFIX.to_owned(), cause)
+    })
+}
+
 /// Writes a batch; returns the outcome and the era of the store.
 async fn write_batch(
     state: &GatewayState,
@@ -306,10 +321,7 @@
         unreadable,
         revision: listing.revision,
     });
-    let era = state.record_era(listing.era, LIST_STEP).ok_or_else(|| {
-        let cause = "the answer is of an earlier era of the store".to_owned();
-        PlatformError::Malformed(LIST_STEP, STREAMS_KEY_PREFIX.to_owned(), cause)
-    })?;
+    let era = current_era(state, listing.era, LIST_STEP)?;
     Ok(StreamsLoaded {
         streams,
         unreadable,
--- a/dockgate/src/gateway/stream_store/tests.rs
+++ b/dockgate/src/gateway/stream_store/tests.rs
@@ -140,3 +140,44 @@
     assert!(matches!(*failed.unwrap_err(), PlatformError::TimedOut(..)));
     drop(store);
 }
+
+/// Answers the next call, whose body is an object, with a body in an era; returns the call.
+async fn answer_in_era(store: &TcpListener, era: u64, body: &str) -> String {
+    let (mut stream, _) = store.accept().await.unwrap();
+    let mut call = Vec::new();
+    while !call.ends_with(b"}") {
+        assert!(stream.read_buf(&mut call).await.unwrap() > 0);
+    }
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\nstore-era: {era}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(answer.as_bytes()).await.unwrap();
+    stream.shutdown().await.unwrap();
+    String::from_utf8(call).unwrap()
+}
+
+/// Guards against streams that count as stored in a copy of the store that is no longer in use.
+#[tokio::test]
+async fn streams_are_written_again_after_an_answer_of_an_earlier_era() {
+    let (state, store) = state_with_store().await;
+    state.record_era(Some(3), "test");
+    tokio::spawn(write_streams(state.clone()));
+    append_streams(&state, &[record(1)]);
+    let stored = || state.with(|view| view.stream_log.stored_count());
+    let lease = answer_in_era(&store, 3, r#"{"lease":7,"ttl_ms":120000}"#).await;
+    assert!(lease.starts_with("POST /-/kv-lease "), "{lease}");
+    let write = answer_in_era(&store, 2, r#"{"revision":5}"#).await;
+    assert!(write.starts_with("POST /-/kv-txn "), "{write}");
+    let again = answer_in_era(&store, 3, r#"{"revision":5}"#).await;
+    assert!(again.starts_with("POST /-/kv-txn "), "{again}");
+    while stored() == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The lease and its keys are lost with a later era.
+    state.record_era(Some(4), "test");
+    let lease = answer_in_era(&store, 4, r#"{"lease":3,"ttl_ms":120000}"#).await;
+    assert!(lease.starts_with("POST /-/kv-lease "), "{lease}");
+    let write = answer_in_era(&store, 4, r#"{"revision":4}"#).await;
+    assert!(write.contains("/00000001"), "the key is new: {write}");
+}
