--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -13,7 +13,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use key_store::{KeyStore, TxnRejection};
+use percent_encoding::percent_decode_str;
 use serde::Serialize;
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -214,16 +216,20 @@
 }
 
 /// The query parameters of a call, by name.
-struct CallQuery<'a>(HashMap<&'a str, &'a str>);
+struct CallQuery<'a>(HashMap<&'a str, Cow<'a, str>>);
 
 impl<'a> CallQuery<'a> {
     fn parse(query: &'a str) -> Self {
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-        Self(pairs.collect())
+        let decoded = pairs.map(|(name, text)| {
+            let text = percent_decode_str(text);
+            (name, text.decode_utf8_lossy())
+        });
+        Self(decoded.collect())
     }
 
-    fn text(&self, name: &str) -> &'a str {
-        self.0.get(name).copied().unwrap_or_default()
+    fn text(&self, name: &str) -> &str {
+        self.0.get(name).map(Cow::as_ref).unwrap_or_default()
     }
 
     fn number(&self, name: &str) -> u64 {
--- a/dockgate-bench/src/standin/platform/tests.rs
+++ b/dockgate-bench/src/standin/platform/tests.rs
@@ -133,3 +133,20 @@
     standin.set_unavailable(false);
     assert!(client.get("k").await.unwrap().is_some());
 }
+
+/// Guards against a listing that skips keys, or fails, where a key of another writer ends a page.
+#[tokio::test]
+async fn listings_continue_after_any_key() {
+    let (standin, client) = start_store().await;
+    // Each odd key is the last one of a page of 500.
+    let ends = ["a b", "a&since_revision=z", "a%62", "a#?", "a+", "é\n", "z"];
+    for (page, end) in ends.iter().enumerate() {
+        for number in 1..500 {
+            standin.set(&format!("servers/{page}-{number:03}"), "");
+        }
+        standin.set(&format!("servers/{page}-{end}"), "");
+    }
+    let listing = client.list("servers/").await.unwrap();
+    let listed: Vec<String> = listing.items.into_iter().map(|item| item.key).collect();
+    assert_eq!(listed, standin.keys());
+}
