fix: the number of verdicts of a quarantine does not overflow

Seen by callers: the box that judges such a request again ends the task that does so in a debug build; in a release build the number wraps to 0, so that a request which ends endpoints is not quarantined.

Cause: the number is read from the store's value of all quarantines and incremented unchecked. Only a value of another writer holds one that large.

Fix: the number saturates, as that of trials does.

Evidence: request_of_the_largest_number_of_verdicts_is_quarantined_again failed before ('attempt to add with overflow').

--- a/dockgate-core/src/gateway/suspect_registry/quarantine.rs
+++ b/dockgate-core/src/gateway/suspect_registry/quarantine.rs
@@ -25,7 +25,7 @@
 
     const fn with_verdict(self) -> Self {
         Self {
-            verdict: self.verdict + 1,
+            verdict: self.verdict.saturating_add(1),
             released: false,
             trials: 0,
         }
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -1,4 +1,4 @@
-use super::{SuspectEvent, SuspectRegistry, SuspectReport};
+use super::{Quarantine, QuarantineStage, SuspectEvent, SuspectRegistry, SuspectReport};
 use crate::gateway::{EndpointId, SuspectKey, SuspectKind};
 use std::time::Duration;
 
@@ -37,6 +37,20 @@
     assert_eq!(registry.quarantined_count(50), 1);
 }
 
+/// Guards against a stored number of verdicts that overflows with the next verdict.
+#[test]
+fn request_of_the_largest_number_of_verdicts_is_quarantined_again() {
+    let mut registry = SuspectRegistry::default();
+    let stage = QuarantineStage {
+        verdict: u32::MAX,
+        released: true,
+        trials: u8::MAX,
+    };
+    registry.merge(HARMFUL, Quarantine { stage, at_ms: 0 }, 0);
+    let verdicts = [1, 2, 3].map(|number| end(&mut registry, HARMFUL, number, number * 1_000));
+    assert_eq!(verdicts, [false, false, true]);
+}
+
 #[test]
 fn a_request_that_completes_between_ends_is_cleared() {
     let mut registry = SuspectRegistry::default();
