test: odd entries beside and over records in a fleet of two domains

Four boxes of two domains serve requests and streams while 53 odd entries are written, beside the records of endpoints and over one of them: values that describe no usable endpoint, values that describe an unused one, and items that are odd themselves, for which the stand-in of the store answers JSON of the test.

--- a/dockgate-bench/src/standin/platform/key_store.rs
+++ b/dockgate-bench/src/standin/platform/key_store.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 use dockgate_platform::{LeaseGrant, WireChanges, WireItem, WireRange, WireTxn, WireValue};
+use serde::Serialize;
+use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -24,12 +26,29 @@
     NoLease,
 }
 
+/// A page of items, each in encoded form.
+#[derive(Debug, Serialize)]
+pub(super) struct EncodedRange {
+    entries: Vec<Box<RawValue>>,
+    has_more: bool,
+    timestamp: u64,
+}
+
+/// Changes since a revision, each in encoded form.
+#[derive(Debug, Serialize)]
+pub(super) struct EncodedChanges {
+    events: Vec<Box<RawValue>>,
+    timestamp: u64,
+}
+
 /// An in-memory key-value store.
 #[derive(Debug, Clone, Default)]
 pub(super) struct KeyStore {
     items: BTreeMap<String, WireItem>,
     leases: HashMap<u64, StoreLease>,
     history: VecDeque<WireItem>,
+    /// The items of these revisions that are answered as other JSON.
+    odd_items: HashMap<u64, Box<RawValue>>,
     /// Changes up to this revision were dropped from the history.
     dropped_revision: u64,
     revision: u64,
@@ -96,6 +115,37 @@
         self.append_change(item);
     }
 
+    /// Writes a key, and answers this JSON in place of its item until it changes.
+    pub(super) fn write_odd(&mut self, key: &str, json: Box<RawValue>) {
+        self.write(key, Bytes::new(), 0);
+        self.odd_items.insert(self.revision, json);
+    }
+
+    fn encode_items(&self, items: &[WireItem]) -> Vec<Box<RawValue>> {
+        let encoded = items.iter().map(|item| {
+            let odd = self.odd_items.get(&item.revision).cloned();
+            odd.unwrap_or_else(|| to_raw_value(item).expect("an item is serializable"))
+        });
+        encoded.collect()
+    }
+
+    /// Encodes a page of this store.
+    pub(super) fn encode_range(&self, page: &WireRange) -> EncodedRange {
+        EncodedRange {
+            entries: self.encode_items(&page.entries),
+            has_more: page.has_more,
+            timestamp: page.timestamp,
+        }
+    }
+
+    /// Encodes changes of this store.
+    pub(super) fn encode_changes(&self, changes: &WireChanges) -> EncodedChanges {
+        EncodedChanges {
+            events: self.encode_items(&changes.events),
+            timestamp: changes.timestamp,
+        }
+    }
+
     /// Removes a key, if it exists.
     pub(super) fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
