test: odd entries among boxes and the configuration are harmless

A fleet run by declarations reads odd records of boxes, and odd items among these and beside the head of the configuration. Both boxes take a change of the configuration and have a link to each other, also after both were killed and list all entries, and no listing or watch fails. The fleet of gateways in odd_records.rs now reads odd items beside the configuration and the quarantines too, and takes a new configuration.

--- a/dockgate-bench/src/fleet/daemon_process.rs
+++ b/dockgate-bench/src/fleet/daemon_process.rs
@@ -233,11 +233,11 @@
     }
 
     /// Waits until the daemon has exactly `links` open links.
-    pub(super) async fn wait_for_links(
-        &self,
-        links: usize,
-        timeout: Duration,
-    ) -> Result<(), BenchError> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not within `timeout`.
+    pub async fn wait_for_links(&self, links: usize, timeout: Duration) -> Result<(), BenchError> {
         let linked =
             async |daemon: &Self| daemon.metric("dockgate_open_links").await == Some(links as f64);
         self.wait_until("links", timeout, linked).await
--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -4,9 +4,9 @@
 use dockgate_bench::caller::{AnswerChecker, AnswerVerdict};
 use dockgate_bench::fleet::{BenchFleet, DaemonProcess, workspace_key};
 use dockgate_bench::scenario::{BenchArm, BenchScenario};
-use dockgate_config::{CommitOutcome, ConfigStore};
+use dockgate_config::{CommitOutcome, ConfigStore, HEAD_KEY};
 use dockgate_core::{ConfigChange, KindSpec, Outcome};
-use dockgate_platform::PlatformClient;
+use dockgate_platform::{BOX_KEY_PREFIX, PlatformClient};
 use dockgate_proto::operator::PlanIntent;
 use dockgate_proto::{RefusalBody, RefusalCode, headers};
 use http::{Request, Response, StatusCode, header};
@@ -406,3 +406,95 @@
     assert_eq!(fleet.tallies["media"].runs_of("behind"), 0);
     fleet.stop().await;
 }
+
+/// Guards against boxes that stop following the other boxes, or the configuration, for an odd entry
+/// of another writer.
+#[tokio::test]
+async fn odd_entries_among_boxes_are_harmless() {
+    let mut fleet = start().await;
+    let key = |name: &str| format!("{BOX_KEY_PREFIX}odd-{name}");
+    let nested = "[".repeat(40_000) + &"]".repeat(40_000);
+    let record = |address: &str, name: &str| {
+        format!(
+            r#"{{"name":{name},"domain":"hall-a","peer_address":{address},"state":"live","more":1e400}}"#
+        )
+    };
+    let values = [
+        ("empty", String::new()),
+        ("nested", nested.clone()),
+        ("name-nested", record(r#""192.0.2.1:80""#, &nested)),
+        ("name-number", record(r#""192.0.2.1:80""#, "1e400")),
+        ("port", record(r#""192.0.2.1:65536""#, r#""odd""#)),
+        ("address", record("[192,0,2,1]", r#""odd""#)),
+    ];
+    for (name, value) in values {
+        fleet.platform.set(&key(name), value);
+    }
+    let items = [
+        ("null", "null".to_owned()),
+        ("nested", nested),
+        (
+            "value",
+            r#"{"key_file":"config/head-odd","value":null,"revision":null}"#.to_owned(),
+        ),
+        (
+            "revision",
+            r#"{"key_file":"config/head-odd","value":"","revision":1e400}"#.to_owned(),
+        ),
+    ];
+    for (name, json) in items {
+        fleet
+            .platform
+            .set_odd_item(&key(&format!("item-{name}")), json.clone());
+        fleet
+            .platform
+            .set_odd_item(&format!("{HEAD_KEY}-{name}"), json);
+    }
+    for (number, is_restarted) in [false, true].into_iter().enumerate() {
+        if is_restarted {
+            for daemon in &mut fleet.daemons {
+                daemon.kill();
+            }
+            for daemon in &mut fleet.daemons {
+                daemon.restart().unwrap();
+            }
+            for daemon in &fleet.daemons {
+                let ready = daemon.wait_for_ok("readyz", Duration::from_secs(20));
+                ready.await.unwrap();
+            }
+        }
+        let spec = KindSpec {
+            name: format!("kind-{number}"),
+            repeatable: true,
+        };
+        let version = fleet.config_in_force(0).await.unwrap().version + 1;
+        let intent = PlanIntent::Changes(vec![ConfigChange::PutKind(spec)]);
+        fleet.apply_intent(0, intent).await.unwrap();
+        for index in [0, 1] {
+            let mut known = 0;
+            for _ in 0..1_000 {
+                known = fleet.config_in_force(index).await.unwrap().version;
+                if known == version {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!(known, version, "box {index}");
+        }
+        // Restarted boxes find each other by their records.
+        for daemon in &fleet.daemons {
+            daemon
+                .wait_for_links(1, Duration::from_secs(20))
+                .await
+                .unwrap();
+        }
+    }
+    for daemon in &fleet.daemons {
+        let log = std::fs::read_to_string(daemon.log_path()).unwrap();
+        let unread = [BOX_KEY_PREFIX, HEAD_KEY].map(|key| format!("platform key {key}: "));
+        let is_unread = |line: &&str| unread.iter().any(|start| line.contains(start));
+        let lines: Vec<&str> = log.lines().filter(is_unread).collect();
+        assert!(lines.is_empty(), "{} lines: {}", lines.len(), lines[0]);
+    }
+    fleet.stop().await;
+}
--- a/dockgate-bench/tests/odd_records.rs
+++ b/dockgate-bench/tests/odd_records.rs
@@ -3,7 +3,9 @@
 use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
 use dockgate_bench::standin::caller::{all_events, connect_within, request};
 use dockgate_bench::standin::{PlatformStandIn, RoutedStandIn};
-use dockgate_platform::ENDPOINT_KEY_PREFIX;
+use dockgate_platform::{
+    ENDPOINT_KEY_PREFIX, OPERATOR_KEY_PREFIX, QUARANTINE_KEY_PREFIX, ROUTES_KEY,
+};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
@@ -365,7 +367,17 @@
             .store
             .set_odd_item(&format!("{ENDPOINT_KEY_PREFIX}{name}"), json);
     }
+    for prefix in [OPERATOR_KEY_PREFIX, QUARANTINE_KEY_PREFIX] {
+        let value = format!(r#"{{"key_file":"{prefix}odd","value":null,"revision":1e400}}"#);
+        fleet
+            .store
+            .set_odd_item(&format!("{prefix}null"), "null".to_owned());
+        fleet.store.set_odd_item(&format!("{prefix}odd"), value);
+    }
     change_endpoints(&mut fleet, "items").await;
+    let skip = log_lengths(&fleet);
+    fleet.store.set(ROUTES_KEY, route_config(4, KEYS));
+    wait_for_line(&fleet, &skip, "routes_in_force", r#""version":4,"#).await;
     let (served, failed) = callers.end().await;
     assert!(
         failed.is_empty(),
