fix: do not spend trials of a quarantine on endpoints that do not run them

The store grants a trial once over the fleet. The homes of the part are the endpoints that have ended under it, so the trial was sent to these first, and a request gives up after four connections that are refused (`MAX_UNREACHED`). With three ends before the verdict and one at the first trial, all four may be homes that have no successor yet. Nor did a trial go on to another endpoint after one that refused it without running it. It now tries endpoints until its deadline as long as none has run it, and goes on after a refusal as other requests do.

It depended on the order of the homes, not on the speed of the machine, and is unchanged.

--- a/dockgate-bench/tests/part_quarantine.rs
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use dockgate_bench::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, route_config, wait_until};
 use dockgate_bench::standin::caller::{all_events, call, connect_within};
-use dockgate_bench::standin::{PartCrash, ReceivedRequest, RoutedStandIn};
+use dockgate_bench::standin::{EndpointBehavior, PartCrash, ReceivedRequest, RoutedStandIn};
 use dockgate_core::gateway::SuspectKey;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
@@ -521,9 +521,9 @@
 }
 
 /// A fleet in which a part is in quarantine.
-async fn start_with_quarantined_part() -> CrashingEngines {
+async fn start_with_quarantined_part(engines: usize) -> CrashingEngines {
     const MAX_SENDS: usize = 12;
-    let services = ["model"; 8];
+    let services = vec!["model"; engines];
     let fleet = GatewayFleet::start(3, &services, &route_config(3, KEYS)).await;
     let mut engines = CrashingEngines::new(fleet.expect("a fleet starts on loopback"));
     for number in 0..MAX_SENDS {
@@ -606,7 +606,7 @@
 async fn trials_of_a_quarantined_part_are_sent_once_over_the_fleet() {
     const FIRST_TRIAL: Duration = Duration::from_secs(31);
     const SECOND_TRIAL: Duration = Duration::from_secs(31 + 301);
-    let mut engines = start_with_quarantined_part().await;
+    let mut engines = start_with_quarantined_part(8).await;
     let runs = engines.bad_runs();
     let responses = engines.send_bad_to_all("early").await;
     assert_eq!(engines.bad_runs(), runs, "{responses:?}");
@@ -627,10 +627,55 @@
     engines.wait_until_released().await;
 }
 
+/// Guards against a trial that is spent on endpoints that have ended, which are the homes of the part.
+#[tokio::test]
+async fn trial_of_a_part_whose_homes_have_ended_reaches_another_endpoint() {
+    const FIRST_TRIAL: Duration = Duration::from_secs(31);
+    let engines = start_with_quarantined_part(24).await;
+    let endpoints = &engines.fleet.endpoints;
+    endpoints.iter().for_each(RoutedStandIn::clear_crash_bodies);
+    let running = endpoints.iter().filter(|engine| !engine.has_ended());
+    running.skip(1).for_each(RoutedStandIn::kill);
+    engines.suspend_all(FIRST_TRIAL).await;
+    let responses = engines.send_bad_to_all("trial").await;
+    assert!(
+        responses
+            .iter()
+            .any(|(status, _)| *status == StatusCode::OK),
+        "{responses:?}"
+    );
+    engines.wait_until_released().await;
+}
+
+/// Guards against a trial that is spent at an endpoint that refuses it without running it.
+#[tokio::test]
+async fn trial_that_an_endpoint_refuses_goes_on_to_another() {
+    const FIRST_TRIAL: Duration = Duration::from_secs(31);
+    let engines = start_with_quarantined_part(24).await;
+    let endpoints = &engines.fleet.endpoints;
+    let full = EndpointBehavior::Full;
+    endpoints
+        .iter()
+        .for_each(|engine| engine.set_behavior(full));
+    let runs = engines.bad_runs();
+    engines.suspend_all(FIRST_TRIAL).await;
+    let responses = engines.send_bad_to_all("trial").await;
+    // A line may be written after the answer.
+    wait_until("two endpoints have refused the trial", async || {
+        let gateways = engines.fleet.gateways.iter();
+        let logs: String = gateways.map(GatewayProcess::logged).collect();
+        let lines = logs.lines();
+        let of_trial = lines.filter(|line| line.contains(r#""request":"trial"#));
+        of_trial.filter(|line| line.contains("not run: ")).count() == 2
+    })
+    .await;
+    assert_eq!(engines.bad_runs(), runs, "{responses:?}");
+}
+
 /// Guards against a release by an operator that takes effect at one box only.
 #[tokio::test]
 async fn release_of_a_part_applies_to_all_boxes() {
-    let engines = start_with_quarantined_part().await;
+    let engines = start_with_quarantined_part(8).await;
     let (status, text) = engines.send_bad(0, "refused").await;
     let refused = (
         StatusCode::SERVICE_UNAVAILABLE,
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -218,6 +218,11 @@
         quarantines
     }
 
+    /// Returns whether the request is sent as a trial.
+    pub(super) const fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
     fn fingerprint_with(&self, body: &[u8]) -> SuspectKey {
         let (workspace, host) = (self.workspace_name(), &self.head.host);
         fingerprint_of(workspace, &self.method, host, &self.uri, body)
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -97,15 +97,21 @@
     ) -> RetryVerdict {
         let repeatable = self.route().may_repeat();
         if state == AttemptState::Bound {
-            // Nothing was sent, so the retry budget is not charged.
+            // Nothing was sent, so the retry budget is not charged. A trial is granted once, and the
+            // homes of its part are the endpoints that ended, so it may try all others.
             let unreached = attempts.endpoints.len() - attempts.sent as usize;
-            let may_retry = unreached < MAX_UNREACHED && !self.time_left().is_zero();
+            let may_retry = unreached < MAX_UNREACHED || self.is_trial();
+            let may_retry = may_retry && !self.time_left().is_zero();
             let may_retry = may_retry && self.quarantined_parts().is_empty();
             return state.retry_verdict(repeatable, may_retry);
         }
-        let allowed = self.has_attempts_left(attempts)
-            && !self.time_left().is_zero()
-            && !self.is_quarantined();
+        // A trial that was refused has not run.
+        let is_tried_on = self.is_trial() && state == AttemptState::Refused;
+        let is_held = match is_tried_on {
+            true => !self.quarantined_parts().is_empty(),
+            false => self.is_quarantined(),
+        };
+        let allowed = self.has_attempts_left(attempts) && !self.time_left().is_zero() && !is_held;
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
         if wanted && attempts.retry.is_none() {
