fix: reserve memory for answers when their requests are admitted

Callers of other workspaces saw `not_run: out_of_memory` while one workspace sent large requests, although they held next to nothing.

Requests are admitted up to 0.7 of the machine's memory, and the room up to 0.8 is for workspaces within their portion. Answers that are read whole were counted without regard to either: they fit the pool of all answers, half of the machine's memory, which requests had filled already. Nine answers of 600 kB to admitted requests took the whole room, and the two limits together allowed 1.2 of the memory.

With a request whose answer is read whole, the box now reserves the expected size of the answer: the moving mean of what the service gave to the workspace, and the mean deviation from it. The reservation counts like the request, so what does not fit is refused before it runs. Beyond their reservations, the answers of a workspace hold above 0.7 at most as much as they leave free up to 0.8, and requests of one that holds more than 128 kB do so as well. An answer that does not fit takes the place of its request's body if that one is large enough, as the request has run; it is not sent again then. Otherwise it is given up as before (502), now for the budget and not only for the pool.

It now looks while the flood is under way and waits until new callers are diverted, which is as strict: a box that does not divert under the flood never gets there.

Streams count events that wait for their reader as before, up to 16 kB and one event each.

--- a/dockgate-bench/tests/memory_budget.rs
+++ b/dockgate-bench/tests/memory_budget.rs
@@ -111,7 +111,10 @@
         }
         refusals
     };
-    let (large, refusals) = futures::join!(large, others);
+    let diverted = wait_until("new callers are diverted", async || {
+        !gateway.is_ready().await
+    });
+    let (large, refusals, ()) = futures::join!(large, others, diverted);
     assert_eq!(refusals, vec![None; 20], "of the other workspace");
     let answers: Vec<String> = large.into_iter().flatten().collect();
     assert_eq!(answers.len(), LARGE_BODIES, "an answer was lost");
@@ -119,7 +122,6 @@
         .iter()
         .filter(|line| *line == "not_run: out_of_memory\n503");
     assert!(refused.count() > 0, "{answers:?}");
-    assert!(!gateway.is_ready().await, "new callers must be diverted");
     // The system can drop pages that are mapped from files and read them again.
     let peak_kb = gateway.memory_kb("VmHWM") - gateway.memory_kb("RssFile");
     assert!(
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -19,6 +19,7 @@
 
 mod admission_rule;
 mod answer_pool;
+mod answer_sizes;
 mod answer_verdict;
 mod box_heartbeat;
 mod decaying_usage;
@@ -77,6 +78,7 @@
 
 pub use admission_rule::{AdmissionRule, AdmissionVerdict};
 pub use answer_pool::AnswerPool;
+pub use answer_sizes::{AnswerKey, AnswerSizes};
 pub use answer_verdict::{AnswerAttributes, AnswerOwner, AnswerVerdict};
 pub use box_heartbeat::{
     BoxHeartbeat, BoxReport, BoxStatus, BoxSummary, DigestScope, DomainKey, FleetDigest, StateKind,
@@ -103,7 +105,7 @@
 pub use interruption_tracker::{InterruptionStatus, InterruptionTracker};
 pub use load_shedder::LoadShedder;
 pub use loop_lag::{LagChange, LoopLag};
-pub use memory_budget::{MemoryBudget, MemoryChange};
+pub use memory_budget::{AnswerCharge, AnswerGrowth, MemoryBudget, MemoryChange};
 pub use notice_registry::{NoticeRegistry, NoticeUpdate};
 pub use overflow_budget::OverflowBudget;
 pub use plain_loads::PlainLoads;
--- a/dockgate-core/src/gateway/memory_budget.rs
+++ b/dockgate-core/src/gateway/memory_budget.rs
@@ -11,6 +11,10 @@
 //! the released memory and uses it again, so the process stays large after a flood although the box
 //! has room. A correction that later samples contradict decays.
 //!
+//! An answer that is read whole takes memory after its request was admitted, when it can no longer
+//! be refused without loss. Its expected size is therefore reserved at admission and counts like the
+//! request. What an answer takes beyond it is bounded, so that others can be admitted beside it.
+//!
 //! [`LoadShedder`]: super::LoadShedder
 //!
 //! ```
@@ -24,6 +28,7 @@
 //! ```
 
 use super::answer_pool::AnswerPool;
+use super::answer_sizes::{AnswerKey, AnswerSizes};
 use super::load_shedder::max_min_level;
 use std::collections::HashMap;
 
@@ -40,8 +45,12 @@
     counted: u64,
     /// The part of them that is attributed to a workspace.
     held: HashMap<u64, u64>,
-    /// The part that answers take which are read whole.
+    /// The part that answers which are read whole take beyond their reservations.
     answers: AnswerPool,
+    /// The answers of workspaces which are read whole.
+    answer_uses: HashMap<u64, AnswerUse>,
+    /// The expected sizes of these answers.
+    answer_sizes: AnswerSizes,
     /// Whether more than a few connections have been open.
     has_served: bool,
     /// The largest sample; it falls while the correction decays.
@@ -59,6 +68,51 @@
     is_short: bool,
 }
 
+/// The memory of one answer that is read whole: what is reserved for it, and what it holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerCharge {
+    key: AnswerKey,
+    /// Whether it counts among the reservations of its workspace.
+    has_reservation: bool,
+    reserved: u64,
+    held: u64,
+}
+
+impl AnswerCharge {
+    /// Creates the charge of an answer for which nothing is reserved.
+    pub fn unreserved(key: AnswerKey) -> Self {
+        Self {
+            key,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the bytes that it holds beyond its reservation.
+    const fn beyond(&self) -> u64 {
+        self.held.saturating_sub(self.reserved)
+    }
+}
+
+/// Whether further bytes of an answer were counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerGrowth {
+    /// They fit.
+    Counted,
+    /// The box has no memory for them.
+    OutOfMemory,
+    /// The answer would hold more than is free of what answers may take beyond their reservations.
+    TooLarge,
+}
+
+/// The answers of one workspace which are read whole.
+#[derive(Debug, Clone, Copy, Default)]
+struct AnswerUse {
+    /// The number of reservations.
+    reservations: usize,
+    /// The bytes that they hold beyond their reservations.
+    beyond: u64,
+}
+
 /// Change of the state of a box by a sample of its memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemoryChange {
@@ -83,6 +137,11 @@
     /// The use, as a fraction of the machine's memory, above which nothing is admitted. The rest is
     /// left to the operating system, its socket buffers, and what is allocated between two samples.
     const FULL_FRACTION: f64 = 0.8;
+    /// The bytes that a workspace may hold as long as they fit at all: a few small requests.
+    const SMALL_BYTES: u64 = 128 << 10;
+    /// The part of the memory between the two limits that is reserved at most for the only answer of
+    /// a workspace, so that one with large answers is admitted beside others.
+    const FIRST_ANSWER_FRACTION: f64 = 0.25;
     /// The counted bytes below which a sample shows the idle process: a few connections.
     const IDLE_BYTES: u64 = 8 * Self::CONNECTION_BYTES;
     /// The counted bytes, as a fraction of the machine's memory, from which on a correction shows
@@ -135,20 +194,107 @@
         fits
     }
 
-    /// Counts bytes of a workspace's answer that is read whole and holds `held`, if they fit; returns
-    /// whether they do. A request that has run is not refused for the use of its workspace.
-    pub fn try_charge_answer(&mut self, workspace: u64, held: u64, bytes: u64) -> bool {
-        let fits = self.answers.try_grow(held, bytes);
-        if fits {
+    /// Reserves the expected size of an answer that is read whole, if it fits.
+    pub fn try_reserve_answer(&mut self, key: AnswerKey) -> Option<AnswerCharge> {
+        let reserved = self.reservation(key);
+        if !self.try_charge(key.workspace, reserved) {
+            return None;
+        }
+        let answers = self.answer_uses.entry(key.workspace).or_default();
+        answers.reservations += 1;
+        Some(AnswerCharge {
+            has_reservation: true,
+            reserved,
+            ..AnswerCharge::unreserved(key)
+        })
+    }
+
+    /// Returns the bytes to reserve for one more answer.
+    fn reservation(&self, key: AnswerKey) -> u64 {
+        let expected = self.answer_sizes.expected(key);
+        let answers = self.answer_uses.get(&key.workspace);
+        let is_only = answers.is_none_or(|answers| answers.reservations == 0);
+        match self.limits() {
+            None => 0,
+            Some(limits) if is_only => {
+                let room = (limits.full - limits.limited) as f64;
+                expected.min((room * Self::FIRST_ANSWER_FRACTION) as u64)
+            }
+            Some(_) => expected,
+        }
+    }
+
+    /// Counts further bytes of an answer that is read whole, if they fit. What was reserved fits
+    /// always.
+    pub fn try_grow_answer(&mut self, charge: &mut AnswerCharge, bytes: u64) -> AnswerGrowth {
+        let workspace = charge.key.workspace;
+        let grown = AnswerCharge {
+            held: charge.held + bytes,
+            ..*charge
+        };
+        let (held, more) = (charge.beyond(), grown.beyond() - charge.beyond());
+        match () {
+            () if more == 0 => {}
+            () if !self.fits_beyond(workspace, more) => return AnswerGrowth::OutOfMemory,
+            () if !self.answers.try_grow(held, more) => return AnswerGrowth::TooLarge,
+            () => {}
+        }
+        self.charge_beyond(workspace, more);
+        *charge = grown;
+        AnswerGrowth::Counted
+    }
+
+    /// Reserves for an answer what was counted for the body of its request, which is given up.
+    pub fn transfer_to_answer(&mut self, charge: &mut AnswerCharge, bytes: u64) {
+        let before = charge.beyond();
+        charge.reserved += bytes;
+        self.release_beyond(charge.key.workspace, before - charge.beyond());
+    }
+
+    fn charge_beyond(&mut self, workspace: u64, bytes: u64) {
+        if bytes > 0 {
             self.charge(Some(workspace), bytes);
+            self.answer_uses.entry(workspace).or_default().beyond += bytes;
         }
-        fits
     }
 
-    /// Releases bytes of a workspace's answer that was read whole.
-    pub fn release_answer(&mut self, workspace: u64, bytes: u64) {
+    /// Releases what was reserved for an answer beyond its size, which is complete; if it
+    /// `is_typical`, its size is expected of those that follow.
+    pub fn complete_answer(&mut self, charge: &mut AnswerCharge, is_typical: bool) {
+        if is_typical && self.is_limited() {
+            self.answer_sizes.record(charge.key, charge.held);
+        }
+        let surplus = charge.reserved.saturating_sub(charge.held);
+        self.release(Some(charge.key.workspace), surplus);
+        charge.reserved -= surplus;
+    }
+
+    /// Releases what an answer holds that is given up, but not its reservation: the request may be
+    /// sent again.
+    pub fn reset_answer(&mut self, charge: &mut AnswerCharge) {
+        self.release_beyond(charge.key.workspace, charge.beyond());
+        charge.held = 0;
+    }
+
+    fn release_beyond(&mut self, workspace: u64, bytes: u64) {
         self.answers.release(bytes);
         self.release(Some(workspace), bytes);
+        if let Some(answers) = self.answer_uses.get_mut(&workspace) {
+            answers.beyond -= bytes;
+        }
+    }
+
+    /// Releases an answer that was read whole, and its reservation.
+    pub fn release_answer(&mut self, mut charge: AnswerCharge) {
+        self.reset_answer(&mut charge);
+        let workspace = charge.key.workspace;
+        self.release(Some(workspace), charge.reserved);
+        if let Some(answers) = self.answer_uses.get_mut(&workspace) {
+            answers.reservations -= usize::from(charge.has_reservation);
+            if answers.reservations == 0 && answers.beyond == 0 {
+                self.answer_uses.remove(&workspace);
+            }
+        }
     }
 
     fn fits(&self, workspace: u64, bytes: u64) -> bool {
@@ -156,14 +302,30 @@
             return true;
         };
         let use_after = self.use_bytes() + bytes;
-        let held = self.held.get(&workspace).copied().unwrap_or(0);
+        let held = self.held.get(&workspace).copied().unwrap_or(0) + bytes;
         match () {
             () if use_after < limits.limited => true,
             () if use_after > limits.full => false,
-            () => ((held + bytes) as f64) <= self.portion(limits),
+            () if held <= Self::SMALL_BYTES => true,
+            // Leaves as much room for others as the workspace holds.
+            () if held > limits.full - use_after => false,
+            () => held as f64 <= self.portion(limits),
         }
     }
 
+    /// Returns whether bytes fit that an answer holds beyond its reservation. A request that has run
+    /// is not refused for the use of its workspace, but its answers leave as much room for others as
+    /// they hold.
+    fn fits_beyond(&self, workspace: u64, bytes: u64) -> bool {
+        let Some(limits) = self.limits() else {
+            return true;
+        };
+        let use_after = self.use_bytes() + bytes;
+        let answers = self.answer_uses.get(&workspace);
+        let beyond = answers.map_or(0, |answers| answers.beyond) + bytes;
+        use_after < limits.limited || beyond <= limits.full.saturating_sub(use_after)
+    }
+
     /// Returns the bytes that a workspace may hold while the use is above the lower limit: its
     /// max-min fair portion, among the workspaces that hold any and one that may come.
     ///
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -19,9 +19,9 @@
 use bytes::Bytes;
 use dockgate_core::AttemptTrail;
 use dockgate_core::gateway::{
-    AdmissionRequest, AnswerForm, EndpointId, GatewayLimits, InterruptedRequest, LatencyLimits,
-    LoadShedder, PromptPart, PromptShape, Quarantine, RouteKey, RouteSpec, RouteTable, ServiceKey,
-    ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
+    AdmissionRequest, AnswerForm, AnswerKey, EndpointId, GatewayLimits, InterruptedRequest,
+    LatencyLimits, LoadShedder, PromptPart, PromptShape, Quarantine, RouteKey, RouteSpec,
+    RouteTable, ServiceKey, ServiceSpec, ShareOutcome, SuspectKey, WorkspaceRef, name_hash,
 };
 use dockgate_platform::{CallHead, decode_call};
 use http::request::Parts;
@@ -99,8 +99,16 @@
     bytes: Bytes,
     /// The fingerprint of the request, once the body is released.
     released: Option<SuspectKey>,
-    /// Counts the request and its body in the memory budget.
-    memory: MemoryGuard,
+    /// What the request takes of the memory budget.
+    memory: CallMemory,
+}
+
+/// What a request takes of the memory budget.
+struct CallMemory {
+    /// Counts the request and its body.
+    request: MemoryGuard,
+    /// Counts what is reserved for the answer, until it is read whole.
+    answer: Option<AnswerGuard>,
 }
 
 /// A request whose body was read and whose route was found.
@@ -235,20 +243,52 @@
         }
         let mut body = self.locked_body();
         if body.bytes.len() >= MIN_RELEASED_BYTES && body.released.is_none() {
-            body.released = Some(self.fingerprint_with(&body.bytes));
-            body.bytes = Bytes::new();
-            body.memory.release_body();
+            self.drop_body(&mut body);
+            body.memory.request.release_body();
         }
     }
 
+    /// Gives up the body in favour of the answer if it has at least `bytes`; returns whether it does.
+    /// The request cannot be sent again then.
+    pub(super) fn try_trade_body(&self, answer: &mut AnswerGuard, bytes: u64) -> bool {
+        let mut body = self.locked_body();
+        let is_enough = body.bytes.len() as u64 >= bytes && body.released.is_none();
+        if is_enough {
+            self.drop_body(&mut body);
+            answer.take_body_of(&mut body.memory.request);
+        }
+        is_enough
+    }
+
+    /// Drops the bytes of the body, and keeps their fingerprint.
+    fn drop_body(&self, body: &mut RequestBody) {
+        body.released = Some(self.fingerprint_with(&body.bytes));
+        body.bytes = Bytes::new();
+    }
+
+    /// Returns whether the body was released.
+    pub(super) fn is_body_released(&self) -> bool {
+        self.locked_body().released.is_some()
+    }
+
     /// Creates a guard that counts bytes of an answer in the memory budget.
     pub(in super::super) fn answer_memory(&self) -> MemoryGuard {
         MemoryGuard::answer(&self.state, name_hash(self.workspace_name()))
     }
 
-    /// Creates a guard that counts an answer which is read whole.
-    pub(in super::super) fn whole_answer_memory(&self) -> AnswerGuard {
-        AnswerGuard::new(&self.state, name_hash(self.workspace_name()))
+    /// Takes the guard that counts an answer which is read whole, with what is reserved for it.
+    pub(in super::super) fn take_answer_memory(&self) -> AnswerGuard {
+        let reserved = self.locked_body().memory.answer.take();
+        reserved.unwrap_or_else(|| {
+            let key = answer_key(self.workspace_name(), &self.service().name);
+            AnswerGuard::unreserved(&self.state, key)
+        })
+    }
+
+    /// Keeps the reservation of an answer that was not read to its end for the next one.
+    pub(super) fn put_back_answer_memory(&self, mut memory: AnswerGuard) {
+        memory.reset();
+        self.locked_body().memory.answer = Some(memory);
     }
 
     /// Returns the time since the request arrived.
@@ -374,7 +414,12 @@
     let name = workspace_name(&table, workspace);
     let timeout = table.route(route).timeout;
     let deadline = arrived + head.budget.unwrap_or(timeout).min(timeout);
-    let (body, memory) = read_body(&state, name_hash(name), body, &parts, limits, deadline)
+    let service_name = &table.service(service).name;
+    let needs = MemoryNeeds {
+        answer: answer_key(name, service_name),
+        is_whole: table.route(route).form == AnswerForm::Whole,
+    };
+    let (body, memory) = read_body(&state, needs, body, &parts, limits, deadline)
         .await
         .map_err(|reason| match reason {
             RefusalReason::OutOfMemory => RejectedRequest {
@@ -395,7 +440,6 @@
         ..rejected(&head.id, refusal)
     };
     let uri = path_and_query(&parts.uri);
-    let service_name = &table.service(service).name;
     let parts_of_prompt = || part_keys(service_name, head.prompt.as_ref());
     let fingerprint = || fingerprint_of(name, &parts.method, &head.host, &uri, &body);
     let trial = check_quarantine(&state, parts_of_prompt, fingerprint)
@@ -572,23 +616,55 @@
     CallRefusal::with_retry(RefusalReason::OutOfMemory, after)
 }
 
+/// Returns the key under which the sizes of answers to a workspace are known.
+fn answer_key(workspace: &str, service: &str) -> AnswerKey {
+    AnswerKey {
+        workspace: name_hash(workspace),
+        service: name_hash(service),
+    }
+}
+
+/// What has to fit into the memory of the box for a request.
+#[derive(Debug, Clone, Copy)]
+struct MemoryNeeds {
+    /// The answer.
+    answer: AnswerKey,
+    /// Whether the answer is read whole, so that its size has to be reserved.
+    is_whole: bool,
+}
+
+/// Counts a request with a body of a declared length, and reserves memory for its answer; returns
+/// `None` if they do not fit.
+fn admit_to_memory(
+    state: &Arc<GatewayState>,
+    needs: MemoryNeeds,
+    declared: u64,
+) -> Option<CallMemory> {
+    let request = MemoryGuard::request(state, needs.answer.workspace, declared)?;
+    let answer = match needs.is_whole {
+        true => Some(AnswerGuard::reserve(state, needs.answer)?),
+        false => None,
+    };
+    Some(CallMemory { request, answer })
+}
+
 /// Reads the body of a request until its deadline, and counts the request in the memory budget.
 ///
 /// A body for which the box has no memory is discarded as it arrives, as it would stay in the socket.
 async fn read_body(
     state: &Arc<GatewayState>,
-    workspace: u64,
+    needs: MemoryNeeds,
     mut body: Incoming,
     parts: &Parts,
     limits: &GatewayLimits,
     deadline: ClockInstant,
-) -> Result<(Bytes, MemoryGuard), RefusalReason> {
+) -> Result<(Bytes, CallMemory), RefusalReason> {
     let declared = body.size_hint().lower();
     let until = ClockInstant::now() + limits.idle_timeout;
     if declared > limits.body_bytes as u64 {
         return Err(RefusalReason::BodyTooLarge);
     }
-    let Some(mut memory) = MemoryGuard::request(state, workspace, declared) else {
+    let Some(mut memory) = admit_to_memory(state, needs, declared) else {
         tokio::spawn(discard_body(body, until));
         return Err(RefusalReason::OutOfMemory);
     };
@@ -596,7 +672,7 @@
         return Ok((Bytes::new(), memory));
     }
     let read = read_counted(&mut body, limits.body_bytes, declared, |bytes| {
-        memory.try_grow(bytes)
+        memory.request.try_grow(bytes)
     });
     let read = timeout_at(until.min(deadline), read);
     match state.final_answers_due.run_until_cancelled(read).await {
--- a/dockgate/src/gateway/call/send_attempts.rs
+++ b/dockgate/src/gateway/call/send_attempts.rs
@@ -21,7 +21,7 @@
 use super::{AdmittedCall, CallAttempts, CallRefusal};
 use crate::clock::{ClockInstant, now_ms, timeout_at};
 use bytes::Bytes;
-use dockgate_core::gateway::{AnswerForm, AnswerVerdict, EndpointOutcome};
+use dockgate_core::gateway::{AnswerForm, AnswerGrowth, AnswerVerdict, EndpointOutcome};
 use dockgate_core::{AttemptState, Outcome, RetryVerdict};
 use dockgate_platform::{AnswerHead, SendHead, decode_answer, encode_answer, encode_send};
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -111,7 +111,10 @@
             true => !self.quarantined_parts().is_empty(),
             false => self.is_quarantined(),
         };
-        let allowed = self.has_attempts_left(attempts) && !self.time_left().is_zero() && !is_held;
+        let allowed = self.has_attempts_left(attempts)
+            && !self.time_left().is_zero()
+            && !is_held
+            && !self.is_body_released();
         // The retry budget is checked last, so that it is charged only for actual retries.
         let wanted = state.retry_verdict(repeatable, allowed) == RetryVerdict::Retry;
         if wanted && attempts.retry.is_none() {
@@ -434,20 +437,28 @@
             verdict,
             ..
         } = answer;
-        let mut memory = self.whole_answer_memory();
+        let mut memory = self.take_answer_memory();
         let read = self.read_answer(&mut body, &mut memory);
         let read = timeout_at(self.deadline(), read).await;
         let read = read.map_err(|_| AttemptFailure::broken_off("timed out in the answer", true));
         let read =
             read.and_then(|read| read.map_err(|failure| AttemptFailure::incomplete(&failure)));
-        let bytes = read.inspect_err(|_| placement.guard.record(EndpointOutcome::Failed))?;
+        let bytes = match read {
+            Ok(bytes) => bytes,
+            Err(failure) => {
+                placement.guard.record(EndpointOutcome::Failed);
+                self.put_back_answer_memory(memory);
+                return Err(failure);
+            }
+        };
         if !head.closes_connection {
             connection.keep(head.idle_timeout);
         }
+        let is_typical = verdict == AnswerVerdict::PassOn;
         let response = forward_answer(
             parts.status,
             &parts.headers,
-            whole_body(memory.attach_to(bytes)),
+            whole_body(memory.attach_to(bytes, is_typical)),
         );
         if verdict == AnswerVerdict::Failed {
             // An error status is common on some routes and does not mean that the endpoint failed.
@@ -470,7 +481,8 @@
         Ok(response)
     }
 
-    /// Reads the body of an answer within the largest size and the memory for answers.
+    /// Reads the body of an answer within the largest size and the memory for answers. If it does not
+    /// fit beside the body of the request, that one is given up, since the request has run.
     async fn read_answer(
         &self,
         body: &mut Incoming,
@@ -482,10 +494,18 @@
             return Err(ReadFailure::TooLarge);
         }
         let allocated = declared.min(MAX_PREALLOCATED_BYTES);
-        if !memory.try_grow(allocated) {
+        let mut count = |bytes: u64| match memory.try_grow(bytes) {
+            AnswerGrowth::Counted => true,
+            AnswerGrowth::TooLarge => false,
+            AnswerGrowth::OutOfMemory => {
+                self.try_trade_body(memory, bytes)
+                    && memory.try_grow(bytes) == AnswerGrowth::Counted
+            }
+        };
+        if !count(allocated) {
             return Err(ReadFailure::OutOfMemory);
         }
-        read_counted(body, limit, allocated, |bytes| memory.try_grow(bytes)).await
+        read_counted(body, limit, allocated, count).await
     }
 
     /// Records the time to the first event of a stream, or to the end of the wait for it.
--- a/dockgate/src/gateway/memory_guard.rs
+++ b/dockgate/src/gateway/memory_guard.rs
@@ -2,7 +2,7 @@
 
 use super::gateway_state::GatewayState;
 use bytes::Bytes;
-use dockgate_core::gateway::MemoryBudget;
+use dockgate_core::gateway::{AnswerCharge, AnswerGrowth, AnswerKey, MemoryBudget};
 use std::sync::Arc;
 
 /// Returns the resident memory of the process without the pages that are mapped from files, which
@@ -78,10 +78,16 @@
 
     /// Releases the body of a request, with the buffer that holds it.
     pub(super) fn release_body(&mut self) {
-        let bytes = self.bytes.saturating_sub(MemoryBudget::REQUEST_BYTES);
+        let bytes = self.take_body();
         self.state
             .with_memory(|memory| memory.release(self.workspace, bytes));
+    }
+
+    /// Returns the bytes counted for the body of a request, which it counts no longer.
+    const fn take_body(&mut self) -> u64 {
+        let bytes = self.bytes.saturating_sub(MemoryBudget::REQUEST_BYTES);
         self.bytes -= bytes;
+        bytes
     }
 
     /// Returns bytes that stay counted until they have been written to their reader.
@@ -97,37 +103,57 @@
     }
 }
 
-/// Counts an answer that is read whole until it is dropped.
+/// Counts an answer that is read whole, and what is reserved for it, until it is dropped.
 pub(super) struct AnswerGuard {
     state: Arc<GatewayState>,
-    workspace: u64,
-    bytes: u64,
+    charge: AnswerCharge,
 }
 
 impl AnswerGuard {
-    /// Creates a guard for an answer to a workspace.
-    pub(super) fn new(state: &Arc<GatewayState>, workspace: u64) -> Self {
+    /// Reserves the expected size of an answer; returns `None` if it does not fit.
+    pub(super) fn reserve(state: &Arc<GatewayState>, key: AnswerKey) -> Option<Self> {
+        let charge = state.with_memory(|memory| memory.try_reserve_answer(key))?;
+        Some(Self {
+            state: state.clone(),
+            charge,
+        })
+    }
+
+    /// Creates a guard for an answer for which nothing is reserved.
+    pub(super) fn unreserved(state: &Arc<GatewayState>, key: AnswerKey) -> Self {
         Self {
             state: state.clone(),
-            workspace,
-            bytes: 0,
+            charge: AnswerCharge::unreserved(key),
         }
     }
 
-    /// Counts further bytes; returns whether they fit.
-    pub(super) fn try_grow(&mut self, bytes: u64) -> bool {
-        let (workspace, held) = (self.workspace, self.bytes);
-        let fits = self
-            .state
-            .with_memory(|memory| memory.try_charge_answer(workspace, held, bytes));
-        if fits {
-            self.bytes += bytes;
-        }
-        fits
+    /// Counts further bytes, if they fit.
+    pub(super) fn try_grow(&mut self, bytes: u64) -> AnswerGrowth {
+        let charge = &mut self.charge;
+        self.state
+            .with_memory(|memory| memory.try_grow_answer(charge, bytes))
     }
 
-    /// Returns the answer, which stays counted until it has been written to its reader.
-    pub(super) fn attach_to(self, bytes: Bytes) -> Bytes {
+    /// Reserves what a request counts for its body, which is given up.
+    pub(super) fn take_body_of(&mut self, request: &mut MemoryGuard) {
+        let bytes = request.take_body();
+        let charge = &mut self.charge;
+        self.state
+            .with_memory(|memory| memory.transfer_to_answer(charge, bytes));
+    }
+
+    /// Releases what an incomplete answer holds, but not the reservation.
+    pub(super) fn reset(&mut self) {
+        let charge = &mut self.charge;
+        self.state.with_memory(|memory| memory.reset_answer(charge));
+    }
+
+    /// Returns the complete answer, which stays counted until it has been written to its reader. The
+    /// size of one that `is_typical` is expected of those that follow.
+    pub(super) fn attach_to(mut self, bytes: Bytes, is_typical: bool) -> Bytes {
+        let charge = &mut self.charge;
+        self.state
+            .with_memory(|memory| memory.complete_answer(charge, is_typical));
         attach_guard(self, bytes)
     }
 }
@@ -135,7 +161,7 @@
 impl Drop for AnswerGuard {
     fn drop(&mut self) {
         self.state
-            .with_memory(|memory| memory.release_answer(self.workspace, self.bytes));
+            .with_memory(|memory| memory.release_answer(self.charge));
     }
 }
 
