fix: keep a release from quarantine when its ends are reported again

An operator who released a request or a part of a prompt within seconds of the verdict found it back in quarantine at all boxes.

A release discarded the ends that had led to the verdict. Boxes repeat ends for two seconds, and one that did not know of the release yet told the three ends again to one that did. That one took them for new evidence and reached a second verdict, which wins over the release of the first. In the log of a failed run, a box releases on the report of the first one and is told the ends by the third 12 ms later. A suspect now remembers the lifetimes that were evidence of a verdict that was lifted, and does not count their ends again; what ends afterwards is a lifetime of its own.

`ends_before_a_release_lead_to_no_new_verdict` plays these reports and fails without the change.

--- a/dockgate-bench/tests/part_quarantine.rs
+++ b/dockgate-bench/tests/part_quarantine.rs
@@ -571,6 +571,24 @@
         futures::future::join_all(sends).await
     }
 
+    /// Waits until all boxes know the successors of the engines that have ended.
+    async fn replace_ended(&mut self) {
+        wait_until("the ended engines are replaced", async || {
+            self.step().await;
+            self.ended.is_empty()
+        })
+        .await;
+        for gateway in &self.fleet.gateways {
+            wait_until("a box knows all successors", async || {
+                let log = gateway.logged();
+                let ids =
+                    (1..=self.started).map(|number| format!("\"endpoint\":\"next-{number}\""));
+                ids.into_iter().all(|id| log.contains(&id))
+            })
+            .await;
+        }
+    }
+
     fn bad_runs(&self) -> usize {
         let runs = self.all().flat_map(RoutedStandIn::ran);
         let is_bad = |run: &ReceivedRequest| run.shared_parts().any(|part| part == BAD_PARTS[0]);
@@ -675,7 +693,7 @@
 /// Guards against a release by an operator that takes effect at one box only.
 #[tokio::test]
 async fn release_of_a_part_applies_to_all_boxes() {
-    let engines = start_with_quarantined_part(8).await;
+    let mut engines = start_with_quarantined_part(8).await;
     let (status, text) = engines.send_bad(0, "refused").await;
     let refused = (
         StatusCode::SERVICE_UNAVAILABLE,
@@ -696,6 +714,8 @@
     let released = gateways[0].quarantine(Some(held.fingerprint.clone())).await;
     assert_eq!(released.map(|answer| answer.requests.len()), Ok(0));
     engines.wait_until_released().await;
+    // A request tries few endpoints that refuse connections, and the homes of the part may all do so.
+    engines.replace_ended().await;
     let endpoints = engines.fleet.endpoints.iter();
     endpoints.for_each(RoutedStandIn::clear_crash_bodies);
     let responses = engines.send_bad_to_all("free").await;
--- a/dockgate-core/src/gateway/suspect_registry.rs
+++ b/dockgate-core/src/gateway/suspect_registry.rs
@@ -53,6 +53,9 @@
     /// The lifetimes that ended while the suspect was running there, with the time of each end,
     /// since the suspect last completed.
     ended_lifetimes: BTreeMap<EndpointId, i64>,
+    /// The lifetimes whose ends were the evidence of a verdict that was lifted. Boxes that do not know
+    /// of the release report them again.
+    pardoned: BTreeSet<EndpointId>,
     completed_ms: Option<i64>,
     quarantine: Quarantine,
     /// When this entry last gained information.
@@ -192,7 +195,7 @@
         }
         let mut prior = PriorStates::new();
         self.change(fingerprint, now_ms, &mut prior, |suspect| {
-            suspect.ended_lifetimes.clear();
+            suspect.pardon_ends();
             suspect.quarantine.release(now_ms as i64);
         });
         self.conclude(prior, now_ms)
@@ -531,11 +534,18 @@
         let is_cleared = self
             .completed_ms
             .is_some_and(|completed| completed >= at_ms);
+        let is_cleared = is_cleared || self.pardoned.contains(&endpoint);
         if !is_cleared && self.ended_lifetimes.len() < Self::MAX_ENDED_LIFETIMES {
             self.ended_lifetimes.entry(endpoint).or_insert(at_ms);
         }
     }
 
+    /// Discards the evidence, also if it is reported again.
+    fn pardon_ends(&mut self) {
+        let ended = std::mem::take(&mut self.ended_lifetimes);
+        self.pardoned = ended.into_keys().collect();
+    }
+
     /// Discards the evidence up to the completion, and releases the request.
     fn note_completed(&mut self, at_ms: i64) {
         let known = self.completed_ms;
@@ -552,7 +562,7 @@
         let before = self.quarantine.stage;
         self.quarantine.merge(known);
         if self.quarantine.stage.released && self.quarantine.stage > before {
-            self.ended_lifetimes.clear();
+            self.pardon_ends();
         }
     }
 
--- a/dockgate-core/src/gateway/suspect_registry/tests.rs
+++ b/dockgate-core/src/gateway/suspect_registry/tests.rs
@@ -100,6 +100,26 @@
     );
 }
 
+/// Guards against ends that are reported again by boxes that do not know of the release yet.
+#[test]
+fn ends_before_a_release_lead_to_no_new_verdict() {
+    let (mut registry, mut other) = (quarantined(), quarantined());
+    registry.release(HARMFUL, 4_000);
+    assert!(
+        registry
+            .receive(&other.reports(true, 4_000), 4_010)
+            .is_empty()
+    );
+    let changes = other.receive(&registry.reports(true, 4_020), 4_030);
+    assert!(changes.iter().all(|change| !change.is_quarantined) && changes.len() == 1);
+    assert!(
+        other
+            .receive(&quarantined().reports(true, 4_000), 4_040)
+            .is_empty()
+    );
+    assert_eq!(other.quarantined_count(4_050), 0);
+}
+
 #[test]
 fn two_trials_are_allowed_after_increasing_delays() {
     let mut registry = quarantined();
