fix: a lost ledger of versions is not completed by boxes that may lack some of them

What callers saw: a stream of a version that was admitted a moment ago could go on at another one if the ledger was removed or unreadable then; and a service counted as one of several versions for good, since versions that had left stayed listed.

Cause, found by a model of boxes, a failing store and streams (model_tests.rs): - A box without a ledger in the store counted what it had observed. It lists a version as announced until it reads the ledger again, though another box has admitted it. Minimised: the version joins, is admitted after 1 s, the ledger is removed, and 0.1 s later a box of lag 0.2 s takes the first version for the only one. - A ledger written anew by a box that lacked a version was taken as it was by a box that knew the version, and was completed by a box that had read none before. - A read of the ledger recorded each listed version as seen now, so that a box which reads before it writes, as the daemon does, never dropped one.

Change: the only version is concluded from the completeness of the ledger alone. A ledger that is missing, of another era, or less complete than expected is one begun anew: for 2.5 s, the time in which a box hears of all versions or knows that it is out of contact, versions enter it as admitted and its completeness stays 0. Versions that a box knows and the store has lost are written again. Versions that were listed before count as seen when the box last may have missed their end.

--- a/dockgate-core/src/gateway/version_history.rs
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -113,6 +113,22 @@
         self.sightings.entry(version).or_insert(sighting)
     }
 
+    /// Records versions that another source has listed for long and lists still.
+    ///
+    /// Their endpoints may have left as early as this box began to hear of all changes: it would
+    /// know of those that it heard of later.
+    pub fn recall(&mut self, listed: impl Iterator<Item = ServiceVersion>, now_ms: u64) {
+        let known_ms = self.known_ms(now_ms);
+        let seen_ms = now_ms.saturating_sub(known_ms);
+        if known_ms > Self::RETENTION_MS {
+            return;
+        }
+        for version in listed {
+            let sighting = self.sighting(version, seen_ms);
+            sighting.last_ms = seen_ms.max(sighting.last_ms);
+        }
+    }
+
     /// Records that services had no versions within the last `complete_ms` milliseconds beyond these
     /// and those known before, as another source shows.
     pub fn complete(
--- a/dockgate-core/src/gateway/version_ledger.rs
+++ b/dockgate-core/src/gateway/version_ledger.rs
@@ -99,6 +99,12 @@
     announced_ms: BTreeMap<ServiceVersion, u64>,
     /// The versions that exist and are not admitted, of services with another version.
     unadmitted: BTreeSet<ServiceVersion>,
+    /// Whether the store lacks versions of `ledger`.
+    is_lacking: bool,
+    /// The era in which the store had no current ledger when it was last read.
+    missing_era: Option<u64>,
+    /// Until when this box may not have heard of versions that the store has lost.
+    settles_ms: Option<u64>,
 }
 
 impl LedgerKeeper {
@@ -110,6 +116,9 @@
     /// The delay after which a box that consults the ledger also writes it, in milliseconds: the
     /// boxes that maintain it are gone or do not reach the store.
     pub const TAKEOVER_DELAY_MS: u64 = 3_000;
+    /// The time after which a box that found the store without a complete ledger has heard of every
+    /// version which was admitted before, or knows that it is out of contact, in milliseconds.
+    pub const SETTLE_DELAY_MS: u64 = 2_500;
     /// The shortest completeness that is worth a write, in milliseconds.
     const MIN_COMPLETE_MS: u64 = 2_000;
 
@@ -133,6 +142,17 @@
         self.unadmitted.len()
     }
 
+    /// Returns the version of a service if streams of the last `within_ms` milliseconds can have
+    /// begun at no other one, as the ledger shows that was read last.
+    ///
+    /// What this box has observed counts only once a ledger contains it: it may not have heard of a
+    /// version that the store has lost.
+    pub fn only_version(&self, service: u64, within_ms: u64) -> Option<SoftwareVersion> {
+        let ledger = self.ledger.as_ref()?;
+        let only = ledger.only_admitted(service);
+        only.filter(|_| ledger.complete_ms >= within_ms)
+    }
+
     /// Records the ledger that was read at a revision of the store, or that there was none.
     ///
     /// In an era that the ledger does not name, the store may have lost versions; those that this
@@ -156,19 +176,41 @@
             None if is_first_start && is_first_read => VersionHistory::RETENTION_MS,
             Some(_) | None => 0,
         };
-        let is_older = stored.as_ref().is_none_or(|ledger| ledger.era != era);
+        let is_current = stored.as_ref().is_some_and(|ledger| ledger.era == era);
+        // A ledger that was begun anew is complete for a shorter time than the one before, or than
+        // a box has observed that reads it first.
+        let expected_ms = match &self.ledger {
+            Some(known) => known.complete_ms,
+            None => history.known_ms(now_ms).min(VersionHistory::RETENTION_MS),
+        };
+        let is_newly_missing = !is_current && self.missing_era != Some(era);
+        let is_begun_anew = complete_ms < expected_ms || is_newly_missing && complete_ms == 0;
+        self.missing_era = (!is_current).then_some(era);
+        let known = self.ledger.take().unwrap_or_default();
         let mut ledger = stored.unwrap_or(VersionLedger {
             era,
             ..VersionLedger::default()
         });
-        if let Some(known) = self.ledger.take().filter(|_| is_older) {
-            for (version, stage) in known.versions {
-                let listed = ledger.versions.entry(version).or_insert(stage);
-                *listed = stage.max(*listed);
+        ledger.complete_ms = complete_ms;
+        let is_kept = is_begun_anew || complete_ms == 0 || known.era != era;
+        let mut is_lacking = false;
+        for (version, stage) in known.versions.iter().filter(|_| is_kept) {
+            let listed = ledger.versions.get(version);
+            if listed.is_none_or(|listed| listed < stage) {
+                ledger.versions.insert(*version, *stage);
+                is_lacking = true;
             }
         }
-        history.complete(ledger.versions.keys().copied(), complete_ms, now_ms);
+        if is_begun_anew || is_lacking {
+            self.settles_ms = Some(now_ms + Self::SETTLE_DELAY_MS);
+        }
+        let listed = ledger.versions.keys().copied();
+        let (old, new): (Vec<_>, Vec<_>) =
+            listed.partition(|version| known.versions.contains_key(version));
+        history.recall(old.into_iter(), now_ms);
+        history.complete(new.into_iter(), complete_ms, now_ms);
         self.replace(ledger, revision, now_ms);
+        self.is_lacking = is_lacking || !is_current;
         self.read_ms = now_ms;
     }
 
@@ -187,6 +229,8 @@
     /// Records that this box wrote the ledger at a revision of the store.
     pub fn record_write(&mut self, ledger: VersionLedger, revision: StoreRevision, now_ms: u64) {
         if revision > self.revision {
+            self.is_lacking = false;
+            self.missing_era = None;
             self.replace(ledger, revision, now_ms);
         }
     }
@@ -240,7 +284,10 @@
         if duty == LedgerDuty::Maintain && is_gapless {
             versions.retain(|version, _| recent.contains(version));
         }
-        let first_stage = match stored.versions.is_empty() {
+        let is_settling = self
+            .settles_ms
+            .is_some_and(|settles_ms| now_ms < settles_ms);
+        let first_stage = match stored.versions.is_empty() || is_settling {
             // Streams may run at each of them already.
             true => VersionStage::Admitted,
             false => VersionStage::Announced,
@@ -248,14 +295,25 @@
         for version in recent {
             versions.entry(version).or_insert(first_stage);
         }
+        if duty == LedgerDuty::Maintain && is_settling {
+            // Another box may have admitted them in the ledger that was lost.
+            versions
+                .values_mut()
+                .for_each(|stage| *stage = VersionStage::Admitted);
+        }
         self.admit(&mut versions, ready, duty, now_ms);
-        let known_ms = history.known_ms(now_ms).min(VersionHistory::RETENTION_MS);
+        let known_ms = match is_settling {
+            true => 0,
+            false => history.known_ms(now_ms).min(VersionHistory::RETENTION_MS),
+        };
         let stored_ms = match stored.era == era {
             true => stored.complete_ms,
             false => 0,
         };
         let is_due = match duty {
-            LedgerDuty::Maintain => stored.era != era || Self::is_longer(known_ms, stored_ms),
+            LedgerDuty::Maintain => {
+                stored.era != era || self.is_lacking || Self::is_longer(known_ms, stored_ms)
+            }
             LedgerDuty::Consult => false,
         };
         let is_changed = versions != stored.versions;
@@ -303,5 +361,7 @@
     }
 }
 
+#[cfg(test)]
+mod model_tests;
 #[cfg(test)]
 mod tests;
--- a/dockgate-core/src/gateway/version_ledger/tests.rs
+++ b/dockgate-core/src/gateway/version_ledger/tests.rs
@@ -155,6 +155,13 @@
     lived.read(Some(older), false, 90_000);
     let written = lived.maintain(90_000);
     assert!(written.is_admitted(V2) && written.era == ERA);
+    // It may not have heard of a version that was admitted a moment before.
+    assert_eq!(written.complete_ms, 0);
+    let settled_ms = 90_000 + LedgerKeeper::SETTLE_DELAY_MS;
+    lived.observe(&[V1], settled_ms - 1);
+    assert_eq!(lived.maintain(settled_ms - 1), written);
+    let written = lived.maintain(settled_ms);
+    assert!(written.is_admitted(V2) && written.era == ERA);
     assert_eq!(written.complete_ms, VersionHistory::RETENTION_MS);
 }
 
@@ -200,3 +207,82 @@
     );
     assert_eq!(first.keeper.ledger(), Some(&both));
 }
+
+const BOTH: [(ServiceVersion, VersionStage); 2] =
+    [(V1, VersionStage::Admitted), (V2, VersionStage::Admitted)];
+
+/// Creates a box that has read a complete ledger of both versions.
+fn box_of_both() -> TestBox {
+    let mut reader = TestBox::new();
+    reader.observe(&[V1, V2], 1_000);
+    let stored = ledger(ERA, VersionHistory::RETENTION_MS, &BOTH);
+    reader.read(Some(stored), false, 1_000);
+    reader
+}
+
+/// Guards against streams of a version that was admitted and lost after this box read the ledger.
+#[test]
+fn announced_version_of_a_lost_ledger_may_have_streams() {
+    let mut reader = TestBox::new();
+    reader.observe(&[V1, V2], 1_000);
+    let announced = [(V1, VersionStage::Admitted), (V2, VersionStage::Announced)];
+    let stored = ledger(ERA, VersionHistory::RETENTION_MS, &announced);
+    reader.read(Some(stored), false, 1_000);
+    assert_eq!(reader.keeper.only_version(MODEL, 30_000), Some(V1.version));
+    reader.read(None, false, 1_100);
+    assert_eq!(reader.keeper.only_version(MODEL, 30_000), None);
+    let written = reader.maintain(1_100);
+    assert!(written.is_admitted(V2));
+    assert_eq!(written.complete_ms, 0);
+}
+
+/// Guards against a version that is lost from the ledger by a box which has not heard of it.
+#[test]
+fn version_that_another_box_has_lost_is_listed_again() {
+    let mut reader = box_of_both();
+    let anew = ledger(ERA, 0, &[(V1, VersionStage::Admitted)]);
+    reader.read(Some(anew), false, 2_000);
+    assert_eq!(reader.keeper.only_version(MODEL, 30_000), None);
+    assert!(reader.maintain(2_000).is_admitted(V2));
+}
+
+/// Guards against a box that has read no ledger before and takes one begun anew for complete.
+#[test]
+fn first_read_of_a_ledger_that_was_begun_anew_does_not_complete_it() {
+    let mut reader = TestBox::new();
+    reader.observe(&[V1], 1_000);
+    reader.observe(&[V1, V2], 15_000);
+    let anew = ledger(ERA, 0, &[(V1, VersionStage::Admitted)]);
+    reader.read(Some(anew), false, 15_000);
+    let written = reader.maintain(15_000);
+    assert!(written.is_admitted(V2));
+    assert_eq!(written.complete_ms, 0);
+}
+
+/// Guards against versions that each read of the ledger keeps listed.
+#[test]
+fn version_that_has_left_is_dropped_after_a_read() {
+    let mut reader = box_of_both();
+    let left_ms = 1_000 + VersionHistory::RETENTION_MS + 1;
+    reader.observe(&[V1], left_ms);
+    assert!(reader.propose(left_ms).is_some());
+    let stored = ledger(ERA, VersionHistory::RETENTION_MS, &BOTH);
+    reader.read(Some(stored), false, left_ms);
+    let written = reader.maintain(left_ms);
+    assert_eq!(written.only_admitted(MODEL), Some(V1.version));
+    assert_eq!(written.versions.len(), 1);
+}
+
+/// Guards against a version that a suspended box drops too early, since it served meanwhile.
+#[test]
+fn version_that_served_while_the_box_was_suspended_stays_listed() {
+    let mut reader = box_of_both();
+    let awake_ms = VersionHistory::RETENTION_MS;
+    reader.history.record_gap();
+    reader.observe(&[V1], awake_ms);
+    let stored = ledger(ERA, VersionHistory::RETENTION_MS, &BOTH);
+    reader.read(Some(stored.clone()), false, awake_ms);
+    reader.observe(&[V1], awake_ms + 5_000);
+    reader.read(Some(stored), false, awake_ms + 5_000);
+    assert!(reader.maintain(awake_ms + 5_000).is_admitted(V2));
+}
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -200,15 +200,14 @@
         if version_store::refresh(&self.state).await.is_err() {
             return StoredOrigin::Unread;
         }
-        let now = now_ms();
         self.state.with(|view| {
-            let ledger = view.ledger.ledger();
-            let only = ledger.and_then(|ledger| ledger.only_admitted(service));
-            let is_complete = view.versions.known_ms(now) >= u64::from(within_ms);
-            match only {
-                Some(version) if is_complete => StoredOrigin::OnlyAdmitted(version),
-                Some(_) => StoredOrigin::Incomplete,
-                None => StoredOrigin::Several,
+            let keeper = &view.ledger;
+            let listed = keeper.ledger();
+            let listed = listed.and_then(|ledger| ledger.only_admitted(service));
+            match (keeper.only_version(service, within_ms.into()), listed) {
+                (Some(version), _) => StoredOrigin::OnlyAdmitted(version),
+                (None, Some(_)) => StoredOrigin::Incomplete,
+                (None, None) => StoredOrigin::Several,
             }
         })
     }
