--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -213,22 +213,24 @@
         if version_store::refresh(&self.state).await.is_err() {
             return StoredOrigin::Unread;
         }
-        let now = now_ms();
-        let (only, is_complete) = self.state.with(|view| {
-            let ledger = view.ledger.ledger();
-            let only = ledger.and_then(|ledger| ledger.only_admitted(service));
+        let (only, has_one) = self.state.with(|view| {
+            let keeper = &view.ledger;
             // A stream whose caller has tried often may be older than its route allows for one try.
-            let is_complete = view.versions.known_ms(now) >= VersionHistory::RETENTION_MS;
-            (only, is_complete)
+            let only = keeper.only_version(service, VersionHistory::RETENTION_MS);
+            let listed = keeper.ledger();
+            let listed = listed.and_then(|ledger| ledger.only_admitted(service));
+            (only, listed.is_some())
         });
+        let unknown = match has_one {
+            true => StoredOrigin::Incomplete,
+            false => StoredOrigin::Several,
+        };
         match (only, stream) {
-            (Some(version), _) if is_complete => StoredOrigin::OnlyAdmitted(version),
-            (Some(_), None) => StoredOrigin::Incomplete,
-            (None, None) => StoredOrigin::Several,
-            (_, Some(stream)) => match self.read_record(stream).await {
+            (Some(version), _) => StoredOrigin::OnlyAdmitted(version),
+            (None, None) => unknown,
+            (None, Some(stream)) => match self.read_record(stream).await {
                 Ok(Some(version)) => StoredOrigin::Recorded(version),
-                Ok(None) if only.is_some() => StoredOrigin::Incomplete,
-                Ok(None) => StoredOrigin::Several,
+                Ok(None) => unknown,
                 Err(_) => StoredOrigin::Unread,
             },
         }
