--- a/dockgate-core/src/gateway/fleet_view.rs
+++ b/dockgate-core/src/gateway/fleet_view.rs
@@ -504,6 +504,24 @@
         }
     }
 
+    /// Picks the box that writes the versions of this box's streams to the store: the first in
+    /// precedence of its domain that reaches the store, or else of another domain. If none does, the
+    /// first of its domain keeps them until the store answers again.
+    pub fn stream_writer(&self, now_ms: u64) -> BoxKey {
+        let own_key = self.own_key();
+        let reaches = |key: &BoxKey| match self.others.get(key) {
+            Some(peer) => peer.is_responsive(now_ms) && Self::has_recent_proof(peer, now_ms),
+            None => *key == own_key && self.has_own_recent_proof(now_ms),
+        };
+        let local = || self.ranks.get(&self.own_domain).into_iter().flatten();
+        let remote = self.ranks.iter();
+        let remote = remote.filter(|(domain, _)| **domain != self.own_domain);
+        let mut candidates = local().chain(remote.flat_map(|(_, ranked)| ranked));
+        let writer = candidates.find(|key| reaches(key)).copied();
+        let first = || self.coordinators_of(self.own_domain, now_ms).next();
+        writer.or_else(first).unwrap_or(own_key)
+    }
+
     /// Lists the boxes that may know the version of a stream which began at another box: those of
     /// highest precedence in each domain, responsive or not, since precedence changes with the load.
     pub fn stream_witnesses(&self) -> Vec<BoxKey> {
@@ -513,6 +531,14 @@
         witnesses.copied().filter(|key| *key != own_key).collect()
     }
 
+    /// Returns whether there is a box of each other failure domain among `boxes`, and any at all.
+    pub fn covers_domains(&self, boxes: &BTreeSet<BoxKey>) -> bool {
+        let mut others = self.ranks.iter();
+        let is_covered = |ranked: &Vec<BoxKey>| ranked.iter().any(|key| boxes.contains(key));
+        !boxes.is_empty()
+            && others.all(|(domain, ranked)| *domain == self.own_domain || is_covered(ranked))
+    }
+
     /// Returns whether this box hears of changes in the store: the store answered its domain a
     /// moment ago, or coordinators of all other domains are responsive.
     pub fn is_in_contact(&self, now_ms: u64) -> bool {
@@ -577,6 +603,11 @@
         store_proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
     }
 
+    fn has_own_recent_proof(&self, now_ms: u64) -> bool {
+        let proof_ms = self.own_store_proof_ms;
+        proof_ms.is_some_and(|proof| proof + Self::PROOF_VALID_MS >= now_ms)
+    }
+
     /// Lists the other failure domains of which every known box is silent.
     pub fn silent_domains(&self, now_ms: u64) -> BTreeSet<String> {
         let others = self.others.values();
