--- a/dockgate-bench/src/gateway_soak.rs
+++ b/dockgate-bench/src/gateway_soak.rs
@@ -10,6 +10,8 @@
 mod notice_check;
 mod persistent_caller;
 mod reconfiguration;
+mod rejoining_caller;
+mod release_series;
 mod resuming_caller;
 mod soak_call;
 mod stop_check;
@@ -29,9 +31,13 @@
 use persistent_caller::{PERSISTENT_CALLERS, PersistentCall, run_persistent_caller};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rejoining_caller::{
+    REJOIN_EVENT_INTERVAL, REJOINING_CALLERS, RejoinFaults, RejoinWindow, RejoinedStream,
+    run_rejoining_caller,
+};
 use resuming_caller::{RESUMING_CALLERS, run_resuming_caller};
 use soak_call::{SoakCall, SoakRoute, run_soak_caller};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -107,6 +113,11 @@
     /// boxes; no stream holds events of two versions.
     #[value(name = "versions")]
     SoftwareVersions,
+    /// Releases in series that overlap, while all boxes are killed at once and the other faults of
+    /// boxes and the store happen. No stream holds events of two versions, and the streams that were
+    /// cut go on at half of the rate of new ones or better.
+    #[value(name = "rejoins")]
+    Rejoins,
     /// Boxes that are asked to stop in series and overlapping, while endpoints become slower and
     /// callers keep their connections until the processes end. What a box has passed on is answered,
     /// and streams that are sent after callers could notice the stop are not broken off.
@@ -137,6 +148,10 @@
     pub disconnects: usize,
     /// Number of requests that took up a stream, and of those that brought further events.
     pub taken_up: (usize, usize),
+    /// The refusals of requests for streams, by the text of the answer.
+    pub refusals: BTreeMap<String, usize>,
+    /// What became of streams after all boxes were killed at once.
+    pub rejoin_windows: Vec<RejoinWindow>,
     /// Number of requests that were answered in full.
     pub answered: usize,
     /// Number of requests that were refused as not run.
@@ -153,7 +168,8 @@
 ///
 /// Returns an error if a stand-in or a gateway cannot be started.
 pub async fn run_soak(options: SoakOptions) -> Result<SoakReport, BenchError> {
-    let mut fleet = GatewayFleet::start(GATEWAYS, &SERVICES, &route_config(1, KEYS)).await?;
+    let domains = options.faults.domains();
+    let mut fleet = GatewayFleet::start_in(&domains, &SERVICES, &route_config(1, KEYS)).await?;
     let stop = Arc::new(AtomicBool::new(false));
     let addresses: Vec<_> = fleet
         .gateways
@@ -164,7 +180,7 @@
         add_second_version(&mut fleet).await?;
     }
     let callers = match options.faults {
-        SoakFaults::SoftwareVersions | SoakFaults::Reconfigurations => 0,
+        SoakFaults::SoftwareVersions | SoakFaults::Reconfigurations | SoakFaults::Rejoins => 0,
         _ => CALLERS as u64,
     };
     let callers = (0..callers).map(|number| {
@@ -179,15 +195,14 @@
     });
     let callers: Vec<_> = callers.collect();
     let resuming = spawn_resuming_callers(options, &addresses, &stop);
+    let rejoining = spawn_rejoining_callers(options, &fleet, &addresses, &stop);
     let persistent = spawn_persistent_callers(options, &fleet, &addresses, &stop);
     let disconnecting = match options.faults {
         SoakFaults::CallerDisconnects => DISCONNECTING_CALLERS,
         _ => 0,
     };
-    if disconnecting > 0 {
-        let endpoints = fleet.endpoints.iter();
-        endpoints.for_each(|endpoint| endpoint.set_processing_time(EVENT_INTERVAL));
-    }
+    let slowed = fleet.endpoints.iter().filter(|_| disconnecting > 0);
+    slowed.for_each(|endpoint| endpoint.set_processing_time(EVENT_INTERVAL));
     let disconnecting = (0..disconnecting).map(|number| {
         let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(1_000) + CALLERS as u64 + number);
         tokio::spawn(run_disconnecting_caller(
@@ -228,7 +243,11 @@
     let mut disconnects = DisconnectReport::default();
     disconnects.extend(join_callers(disconnecting, &mut violations).await);
     let crash_calls = join_callers(crashing, &mut violations).await;
-    let resumed = join_callers(resuming, &mut violations).await;
+    let mut resumed = join_callers(resuming, &mut violations).await;
+    let rejoined = join_callers(rejoining, &mut violations).await;
+    let rejoin_windows = RejoinFaults::of(&injector).windows(&fleet, &rejoined, started);
+    violations.extend(rejoin_windows.iter().filter_map(RejoinWindow::violation));
+    resumed.extend(rejoined.into_iter().map(|rejoined| rejoined.stream));
     violations.extend(resumed.iter().flat_map(ResumedStream::violations));
     let persistent = join_callers(persistent, &mut violations).await;
     let all_endpoints = crashed.crashed().iter().chain(&fleet.endpoints);
@@ -250,13 +269,39 @@
         persistent,
         started,
     };
-    Ok(report(
+    let report = report(
         &all_endpoints,
         &records,
         injector,
         violations,
         options.faults,
-    ))
+    );
+    Ok(SoakReport {
+        rejoin_windows,
+        ..report
+    })
+}
+
+/// Spawns the callers of runs of [`SoakFaults::Rejoins`].
+fn spawn_rejoining_callers(
+    options: SoakOptions,
+    fleet: &GatewayFleet,
+    addresses: &[SocketAddr],
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<Vec<RejoinedStream>>> {
+    if options.faults != SoakFaults::Rejoins {
+        return Vec::new();
+    }
+    for endpoint in &fleet.endpoints {
+        endpoint.name_version_in_events();
+        endpoint.set_processing_time(REJOIN_EVENT_INTERVAL);
+    }
+    let callers = (0..REJOINING_CALLERS).map(|number| {
+        let rng = StdRng::seed_from_u64(options.seed.wrapping_mul(5_000) + number);
+        let caller = run_rejoining_caller(number, rng, addresses.to_vec(), stop.clone());
+        tokio::spawn(caller)
+    });
+    callers.collect()
 }
 
 /// Spawns the callers of runs of [`SoakFaults::SoftwareVersions`].
@@ -307,6 +352,14 @@
 }
 
 impl SoakFaults {
+    /// Returns the failure domain of each box.
+    const fn domains(self) -> [&'static str; GATEWAYS] {
+        match self {
+            Self::Rejoins => ["a", "a", "b"],
+            _ => ["a"; GATEWAYS],
+        }
+    }
+
     /// Returns what crashes the endpoints, if anything does.
     const fn crash_cause(self) -> Option<CrashCause> {
         match self {
@@ -501,11 +554,21 @@
             + whole_streams,
         refused: calls.iter().filter(|call| call.refused).count()
             + persistent.iter().filter(|call| call.is_refused()).count(),
+        refusals: count_refusals(resumed),
+        rejoin_windows: Vec::new(),
         faults: injector.fault_log,
         violations,
     }
 }
 
+fn count_refusals(streams: &[ResumedStream]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for (reason, count) in streams.iter().flat_map(|stream| &stream.refusals) {
+        *counts.entry(reason.clone()).or_default() += count;
+    }
+    counts
+}
+
 impl SoakRoute {
     /// Returns the maximum number of endpoints that may run one request of this route.
     const fn max_runs(self) -> usize {
--- a/dockgate-bench/src/gateway_soak/fault_injector.rs
+++ b/dockgate-bench/src/gateway_soak/fault_injector.rs
@@ -3,6 +3,7 @@
 use super::SoakFaults;
 use super::crashing_caller::Disturbance;
 use super::reconfiguration::{change_settings, draw_config};
+use super::release_series::ReleaseSeries;
 use super::store_snapshots::StoreSnapshots;
 use crate::error::BenchError;
 use crate::gateway_fleet::{GatewayFleet, GatewayProcess, KEYS, large_config, route_config};
@@ -93,6 +94,8 @@
     RewriteStore,
     /// Takes an evacuation back.
     TakeBack,
+    /// Removes the record of an endpoint, which goes on with its runs.
+    RemoveRecord(usize),
 }
 
 /// An endpoint lifetime that was drained; a later one may have the same id.
@@ -135,6 +138,8 @@
     evacuations: Vec<(Instant, Option<Instant>)>,
     /// Older snapshots of the store.
     pub(super) snapshots: StoreSnapshots,
+    /// The releases in which all boxes are killed.
+    pub(super) rejoins: ReleaseSeries,
     /// Periods in which a box ran intermittently.
     pub(super) slow: Vec<(Instant, Instant)>,
     /// Total simulated suspension of each box.
@@ -161,6 +166,7 @@
             undo_actions: Vec::new(),
             evacuations: Vec::new(),
             snapshots: StoreSnapshots::default(),
+            rejoins: ReleaseSeries::default(),
             slow: Vec::new(),
             total_suspensions: [Duration::ZERO; super::GATEWAYS],
             suspensions: Vec::new(),
@@ -187,6 +193,9 @@
         if self.faults == SoakFaults::StoreRestores {
             self.snapshots.take(&fleet.store);
         }
+        if self.faults == SoakFaults::Rejoins {
+            return self.step_release(fleet).await;
+        }
         if self.rng.random_ratio(1, STEPS_PER_FAULT) {
             match self.faults {
                 SoakFaults::All => self.begin(fleet, ALL_FAULTS).await?,
@@ -208,6 +217,7 @@
                 SoakFaults::PlannedStops => self.stop_box(fleet),
                 SoakFaults::Notices if self.rng.random_bool(0.5) => self.begin_notice(fleet),
                 SoakFaults::Notices => self.begin(fleet, BOX_AND_STORE_FAULTS).await?,
+                SoakFaults::Rejoins => {}
             }
         }
         Ok(())
@@ -288,6 +298,7 @@
                     *until = Some(Instant::now());
                 }
             }
+            UndoAction::RemoveRecord(at) => self.rejoins.remove_record(fleet, at),
             UndoAction::RemoveEndpoint(at) => {
                 let (key, _) = fleet.endpoints[at].record("a", "draining");
                 fleet.store.remove(&key);
@@ -297,7 +308,7 @@
         Ok(())
     }
 
-    async fn begin(
+    pub(super) async fn begin(
         &mut self,
         fleet: &mut GatewayFleet,
         kinds: Range<u32>,
@@ -421,7 +432,7 @@
         Ok(())
     }
 
-    fn record_disturbance(&mut self, action: UndoAction, duration: Duration) {
+    pub(super) fn record_disturbance(&mut self, action: UndoAction, duration: Duration) {
         let box_index = match action {
             UndoAction::Continue(at) | UndoAction::Restart(at) => Some(at),
             UndoAction::EndOutage | UndoAction::ResetDelay | UndoAction::KeepReplies => None,
--- a/dockgate-bench/src/main.rs
+++ b/dockgate-bench/src/main.rs
@@ -234,6 +234,11 @@
             soak_report.taken_up.0,
             soak_report.violations.len(),
         );
+        let windows = soak_report.rejoin_windows.iter();
+        windows.for_each(|window| println!("  {window}"));
+        if !soak_report.rejoin_windows.is_empty() {
+            println!("  refusals: {:?}", soak_report.refusals);
+        }
         if !soak_report.violations.is_empty() {
             soak_report
                 .faults
--- a/dockgate-bench/src/standin/resumed_stream.rs
+++ b/dockgate-bench/src/standin/resumed_stream.rs
@@ -3,13 +3,16 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Collected, Full};
-use hyper::client::conn::http1::handshake;
+use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Instant;
 use tokio::net::TcpStream;
 
+/// The sender of a connection that a caller keeps.
+pub type KeptSender = SendRequest<Full<Bytes>>;
+
 /// What a caller requests.
 #[derive(Debug, Clone, Copy)]
 pub struct StreamShape {
@@ -62,6 +65,12 @@
         }
     }
 
+    /// Returns the number of events that were received.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.last_event
+    }
+
     /// Returns whether all events were received.
     #[must_use]
     pub const fn is_whole(&self) -> bool {
@@ -126,19 +135,31 @@
     /// Sends one request and reads up to `leave_after` events of its answer. The events that were
     /// read stay received if this is cancelled.
     pub async fn attempt(&mut self, id: String, gateway: SocketAddr, leave_after: u64) {
+        self.attempt_on(&mut None, id, gateway, leave_after).await;
+    }
+
+    /// Sends one request on the connection in `kept`, or on a new one that is kept while it is open.
+    pub async fn attempt_on(
+        &mut self,
+        kept: &mut Option<KeptSender>,
+        id: String,
+        gateway: SocketAddr,
+        leave_after: u64,
+    ) {
         self.ids.push(id.clone());
         let is_taken_up = self.began.is_some();
         self.tries += usize::from(is_taken_up);
         let (continued, before) = (self.continued, self.last_event);
-        let stream = TcpStream::connect(gateway).await;
-        let Ok(stream) = stream else {
-            return self.refuse("no connection");
+        let open = kept.take().filter(|sender| !sender.is_closed());
+        let sender = match open {
+            Some(sender) => Some(sender),
+            None => connect(gateway).await,
         };
-        let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        let Some(sender) = sender else {
             return self.refuse("no connection");
         };
-        tokio::spawn(connection);
-        let Ok(mut response) = sender.send_request(self.request(&id)).await else {
+        let answered = kept.insert(sender).send_request(self.request(&id)).await;
+        let Ok(mut response) = answered else {
             return self.refuse("no answer");
         };
         if response.status() != StatusCode::OK {
@@ -168,3 +189,10 @@
         *self.refusals.entry(reason.to_owned()).or_default() += 1;
     }
 }
+
+async fn connect(gateway: SocketAddr) -> Option<KeptSender> {
+    let stream = TcpStream::connect(gateway).await.ok()?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
--- a/dockgate-bench/tests/gateway_soak.rs
+++ b/dockgate-bench/tests/gateway_soak.rs
@@ -19,6 +19,7 @@
     store_restores = { SoakFaults::StoreRestores, 1 },
     evacuations = { SoakFaults::Evacuations, 1 },
     software_versions = { SoakFaults::SoftwareVersions, 1 },
+    rejoins = { SoakFaults::Rejoins, 1 },
     planned_stops = { SoakFaults::PlannedStops, 1 },
     answers_cut_by_changed_limits = { SoakFaults::Reconfigurations, 43 },
 )]
@@ -29,6 +30,8 @@
         SoakFaults::CrashingRequests | SoakFaults::CrashingParts => 10,
         // The fault that the seed found comes late.
         SoakFaults::Reconfigurations => 10,
+        // Streams are counted some seconds after all boxes were killed.
+        SoakFaults::Rejoins => 8,
         _ => 4,
     };
     let options = SoakOptions {
