--- a/dockgate-bench/src/gateway_soak/rejoining_caller.rs
+++ b/dockgate-bench/src/gateway_soak/rejoining_caller.rs
@@ -21,6 +21,8 @@
     events: 50,
     budget_ms: 4_000,
 };
+/// More events than a stream has, so that a caller reads the end of each answer.
+const TO_THE_END: u64 = u64::MAX >> 1;
 /// Time after which a caller considers an answer lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(SHAPE.budget_ms + 500);
 /// Time for which a caller takes up a stream: twice the timeout of its route.
@@ -77,7 +79,7 @@
             }
             let id = format!("j{number}n{}t{}", streams.len(), tries.len());
             let (sent_at, before) = (Instant::now(), stream.received());
-            let attempt = stream.attempt_on(&mut kept, id, gateways[box_index], SHAPE.events);
+            let attempt = stream.attempt_on(&mut kept, id, gateways[box_index], TO_THE_END);
             let is_late = tokio::time::timeout(ANSWER_TIMEOUT, attempt).await.is_err();
             tries.push(StreamTry {
                 box_index,
