--- a/dockgate-bench/src/gateway_soak/rejoining_caller.rs
+++ b/dockgate-bench/src/gateway_soak/rejoining_caller.rs
@@ -140,7 +140,9 @@
         let serving = endpoints.filter(|(index, endpoint)| {
             let mut removals = self.removals.iter();
             let is_removed = removals.any(|(at, removed)| at == index && *removed <= until);
-            stream.versions.contains(&endpoint.version) && !is_removed
+            // Endpoints of the other service have a version too.
+            let is_alike = stream.versions.contains(&endpoint.version);
+            endpoint.service == "model" && is_alike && !is_removed
         });
         serving.count() >= SERVING_ENDPOINTS
     }
