test: boxes killed again before a version is admitted, with a slow store

A box that has started begins streams at both versions until it has read the ledger, which admits v1 only.

--- a/dockgate-bench/tests/streams_rejoined.rs
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -17,7 +17,8 @@
 use yare::parameterized;
 
 use ReleaseStep::{
-    Freeze, Join, Kill, Outage, RemoveFirst, RemoveSecond, Start, TakeUp, Wait, Wake,
+    BeginAgain, Delay, Freeze, Join, Kill, Outage, RemoveFirst, RemoveSecond, Start, TakeUp, Wait,
+    Wake,
 };
 
 /// Streams of one test, fewer than the slots of the endpoints.
@@ -259,6 +260,8 @@
     RemoveFirst(usize),
     /// Removes the records of all endpoints of v2.
     RemoveSecond,
+    /// Sets the delay of each call of the store, in milliseconds.
+    Delay(u64),
     /// Begins or ends an outage of the store.
     Outage(bool),
     /// Freezes the boxes of a failure domain.
@@ -269,6 +272,8 @@
     Kill,
     /// Starts the boxes that were killed.
     Start,
+    /// Lets callers begin streams again once all boxes that are not frozen are ready.
+    BeginAgain,
     /// Lets callers take up their streams once all boxes that are not frozen are ready.
     TakeUp,
 }
@@ -398,6 +403,9 @@
             }
             ReleaseStep::RemoveSecond => self.fleet.remove_version("v2"),
             ReleaseStep::Outage(unavailable) => self.fleet.store.set_unavailable(unavailable),
+            ReleaseStep::Delay(time_ms) => {
+                self.fleet.store.set_delay(Duration::from_millis(time_ms));
+            }
             ReleaseStep::Freeze(domain) => self.freeze(domain),
             ReleaseStep::Wake => {
                 for index in std::mem::take(&mut self.frozen) {
@@ -410,7 +418,8 @@
                     self.fleet.gateways[index].restart().unwrap();
                 }
             }
-            ReleaseStep::TakeUp => self.take_up().await,
+            ReleaseStep::BeginAgain => self.resume_callers(CallerPhase::Begin).await,
+            ReleaseStep::TakeUp => self.resume_callers(CallerPhase::TakeUp).await,
         }
     }
 
@@ -443,12 +452,12 @@
         }
     }
 
-    async fn take_up(&self) {
+    async fn resume_callers(&self, phase: CallerPhase) {
         let boxes = self.fleet.gateways.iter().enumerate();
         for (_, gateway) in boxes.filter(|(index, _)| !self.frozen.contains(index)) {
             wait_until("a box is ready", async || gateway.is_ready().await).await;
         }
-        self.phases.send_replace(CallerPhase::TakeUp);
+        self.phases.send_replace(phase);
     }
 
     /// Waits until all callers have taken up their streams while new ones begin; `served` lists the
@@ -498,6 +507,13 @@
         &["a", "a", "b"], &["v1", "v2"],
         &[Join, Wait(2_000), Kill, Start, TakeUp, Wait(500), Kill, Start, TakeUp]
     },
+    killed_again_before_the_second_version_is_admitted = {
+        &["a", "a", "b"], &["v1", "v2"],
+        &[
+            Join, Wait(300), Kill, Delay(300), Start, BeginAgain, Wait(350), Kill, Start, BeginAgain,
+            Wait(350), Kill, Delay(0), Start, TakeUp,
+        ]
+    },
     killed_beside_a_frozen_domain = {
         &["a", "a", "b"], &["v1", "v2"],
         &[Join, Wait(2_500), Freeze("b"), Wait(200), Kill, Start, TakeUp, Wait(1_000), Wake]
