fix: a box that has started begins no stream at a version before it has read the ledger

Cause: without a ledger, versions that a box sees at once all count as admitted, so that it begins streams at one that is announced only; the next box reads in the ledger that streams began at v1 alone.

Change: a request that begins a resumable stream in a service with several versions waits for the first read of the ledger, 500 ms at most and shared, and not again for 2 s after that failed. A request that takes a stream up looks for the stored record also where the ledger admits one version and announces another. And without the store, one version is believed only if boxes of all domains know it to be the only one: boxes that answered without knowing counted (read in review).

--- a/dockgate-core/src/gateway/version_ledger.rs
+++ b/dockgate-core/src/gateway/version_ledger.rs
@@ -41,12 +41,17 @@
 }
 
 impl VersionLedger {
+    /// Lists the versions of a service and their stages.
+    pub fn listed(&self, service: u64) -> impl Iterator<Item = (SoftwareVersion, VersionStage)> {
+        let listed = self.versions.range(ServiceVersion::range(service));
+        listed.map(|(listed, stage)| (listed.version, *stage))
+    }
+
     /// Lists the versions of a service at which streams may have begun.
     pub fn admitted(&self, service: u64) -> impl Iterator<Item = SoftwareVersion> {
-        let range = ServiceVersion::range(service);
-        let listed = self.versions.range(range);
-        let admitted = listed.filter(|(_, stage)| **stage == VersionStage::Admitted);
-        admitted.map(|(listed, _)| listed.version)
+        let listed = self.listed(service);
+        let admitted = listed.filter(|(_, stage)| *stage == VersionStage::Admitted);
+        admitted.map(|(version, _)| version)
     }
 
     /// Returns whether streams may have begun at the version.
@@ -103,6 +108,8 @@
     is_lacking: bool,
     /// The era in which the store had no current ledger when it was last read.
     missing_era: Option<u64>,
+    /// When a request last waited for the ledger without success.
+    unread_ms: Option<u64>,
     /// Until when this box may not have heard of versions that the store has lost.
     settles_ms: Option<u64>,
 }
@@ -119,9 +126,23 @@
     /// The time after which a box that found the store without a complete ledger has heard of every
     /// version which was admitted before, or knows that it is out of contact, in milliseconds.
     pub const SETTLE_DELAY_MS: u64 = 2_500;
+    /// For how long requests do not wait for the ledger after that failed, in milliseconds.
+    const UNREAD_PAUSE_MS: u64 = 2_000;
     /// The shortest completeness that is worth a write, in milliseconds.
     const MIN_COMPLETE_MS: u64 = 2_000;
 
+    /// Returns whether requests that begin a stream wait for the first read of the ledger, which
+    /// failed for none of them a moment ago.
+    pub fn is_awaited(&self, now_ms: u64) -> bool {
+        let has_failed = |unread_ms| unread_ms + Self::UNREAD_PAUSE_MS > now_ms;
+        self.ledger.is_none() && !self.unread_ms.is_some_and(has_failed)
+    }
+
+    /// Records that a request waited for the ledger without success.
+    pub const fn record_unread(&mut self, now_ms: u64) {
+        self.unread_ms = Some(now_ms);
+    }
+
     /// Returns the ledger as this box last read or wrote it.
     pub const fn ledger(&self) -> Option<&VersionLedger> {
         self.ledger.as_ref()
--- a/dockgate/src/gateway/call/take_up.rs
+++ b/dockgate/src/gateway/call/take_up.rs
@@ -135,13 +135,29 @@
     pub(super) async fn placement_goal(&self) -> Result<PlacementGoal, CallRefusal> {
         match (self.route().form, self.head.last_event) {
             (AnswerForm::Stream { .. }, Some(_)) => self.take_up_goal().await,
-            (AnswerForm::Stream { resumable: true }, None) => Ok(PlacementGoal::BeginResumable),
+            (AnswerForm::Stream { resumable: true }, None) => {
+                self.wait_for_ledger().await;
+                Ok(PlacementGoal::BeginResumable)
+            }
             (AnswerForm::Stream { resumable: false }, None) | (AnswerForm::Whole, _) => {
                 Ok(PlacementGoal::Begin)
             }
         }
     }
 
+    /// Reads the ledger if this box has not read it since it started and the service has several
+    /// versions, as one of them may not be admitted yet.
+    async fn wait_for_ledger(&self) {
+        let is_needed = self.state.with(|view| {
+            let mut ready = view.endpoints.ready(&self.service().name).iter();
+            let first = ready.next().map(|ready| ready.version);
+            view.ledger.is_awaited(now_ms()) && ready.any(|ready| Some(ready.version) != first)
+        });
+        if is_needed && version_store::refresh(&self.state).await.is_err() {
+            log::info!("begin a stream without the ledger of versions: the store did not answer");
+        }
+    }
+
     /// Returns which endpoints may continue the stream that this request takes up.
     async fn take_up_goal(&self) -> Result<PlacementGoal, CallRefusal> {
         let found = self.find_origin().await;
@@ -213,24 +229,26 @@
         if version_store::refresh(&self.state).await.is_err() {
             return StoredOrigin::Unread;
         }
-        let (only, has_one) = self.state.with(|view| {
+        let (unrecorded, is_sole) = self.state.with(|view| {
             let keeper = &view.ledger;
             // A stream whose caller has tried often may be older than its route allows for one try.
             let only = keeper.only_version(service, VersionHistory::RETENTION_MS);
-            let listed = keeper.ledger();
-            let listed = listed.and_then(|ledger| ledger.only_admitted(service));
-            (only, listed.is_some())
+            let ledger = keeper.ledger();
+            let admitted = ledger.and_then(|ledger| ledger.only_admitted(service));
+            let unrecorded = match (only, admitted) {
+                (Some(version), _) => StoredOrigin::OnlyAdmitted(version),
+                (None, Some(_)) => StoredOrigin::Incomplete,
+                (None, None) => StoredOrigin::Several,
+            };
+            let is_sole = ledger.is_some_and(|ledger| ledger.listed(service).count() == 1);
+            (unrecorded, is_sole)
         });
-        let unknown = match has_one {
-            true => StoredOrigin::Incomplete,
-            false => StoredOrigin::Several,
-        };
-        match (only, stream) {
-            (Some(version), _) => StoredOrigin::OnlyAdmitted(version),
-            (None, None) => unknown,
-            (None, Some(stream)) => match self.read_record(stream).await {
+        match (stream, unrecorded) {
+            (None, _) => unrecorded,
+            (Some(_), StoredOrigin::OnlyAdmitted(_)) if is_sole => unrecorded,
+            (Some(stream), _) => match self.read_record(stream).await {
                 Ok(Some(version)) => StoredOrigin::Recorded(version),
-                Ok(None) => unknown,
+                Ok(None) => unrecorded,
                 Err(_) => StoredOrigin::Unread,
             },
         }
--- a/dockgate/src/gateway/stream_origins.rs
+++ b/dockgate/src/gateway/stream_origins.rs
@@ -160,6 +160,8 @@
     state: &'a GatewayState,
     query: u32,
     answers: mpsc::UnboundedReceiver<(BoxKey, StreamOrigin)>,
+    /// The boxes that know of one version only.
+    confirming: BTreeSet<BoxKey>,
 }
 
 impl<'a> PendingQuery<'a> {
@@ -171,6 +173,7 @@
             state,
             query,
             answers,
+            confirming: BTreeSet::new(),
         }
     }
 
@@ -183,6 +186,9 @@
                 return;
             };
             unanswered.remove(&peer);
+            if matches!(told, StreamOrigin::OnlyVersion(_)) {
+                self.confirming.insert(peer);
+            }
             *origin = combine_origins(*origin, told);
             if matches!(origin, StreamOrigin::Known(_)) {
                 return;
@@ -225,7 +231,8 @@
     pub(super) asked: usize,
     /// The number of those that answered.
     pub(super) answered: usize,
-    /// Whether boxes of all failure domains answered, and all boxes that are live.
+    /// Whether all live boxes answered, and some of each failure domain know that the service had
+    /// one version.
     pub(super) is_confirmed: bool,
 }
 
@@ -239,8 +246,8 @@
 ) -> OriginAnswer {
     let mut pending = PendingQuery::new(state);
     let witnesses = state.with(|view| view.fleet.stream_witnesses());
-    let asked: BTreeSet<BoxKey> = witnesses.into_iter().collect();
-    let mut unanswered = asked.clone();
+    let mut unanswered: BTreeSet<BoxKey> = witnesses.into_iter().collect();
+    let asked = unanswered.len();
     let mut origin = known_origin(state, stream, service, within_ms);
     for _ in 0..QUERY_ROUNDS {
         for witness in &unanswered {
@@ -261,12 +268,11 @@
             break;
         }
     }
-    let answered: BTreeSet<BoxKey> = asked.difference(&unanswered).copied().collect();
-    let covers_domains = state.with(|view| view.fleet.covers_domains(&answered));
+    let covers_domains = state.with(|view| view.fleet.covers_domains(&pending.confirming));
     OriginAnswer {
         origin,
-        asked: asked.len(),
-        answered: answered.len(),
+        asked,
+        answered: asked - unanswered.len(),
         is_confirmed: covers_domains && !has_live(state, &unanswered),
     }
 }
--- a/dockgate/src/gateway/version_store.rs
+++ b/dockgate/src/gateway/version_store.rs
@@ -206,7 +206,10 @@
         let client = state.store_client();
         match timeout(READ_TIMEOUT, read(state, &client)).await {
             Ok(Ok(Some(_))) => Ok(()),
-            Ok(Ok(None) | Err(_)) | Err(_) => Err(LedgerUnread),
+            Ok(Ok(None) | Err(_)) | Err(_) => {
+                state.with(|view| view.ledger.record_unread(now_ms()));
+                Err(LedgerUnread)
+            }
         }
     };
     state.ledger_reads.run(read_once).await
