test: the model of the version ledger runs 32 cases and checks calm times less often

Calm of two retentions and 20 s, in which the readers conclude every second: 32 cases take 9 s on this machine at rest.

--- a/dockgate-core/src/gateway/version_ledger/model_tests.rs
+++ b/dockgate-core/src/gateway/version_ledger/model_tests.rs
@@ -16,7 +16,8 @@
 /// The age of the last news at which a box is not in contact any more, in milliseconds.
 const PROOF_VALID_MS: u64 = 2_000;
 const RETRY_MS: u64 = 400;
-/// The time after the last fault within which the ledger becomes stable, in milliseconds.
+/// The time after the last fault within which the ledger becomes stable, in milliseconds: a version
+/// that has left counts as seen once more if a box reads it after it was dropped and listed again.
 const CALM_MS: u64 = 2 * VersionHistory::RETENTION_MS + 20_000;
 /// The last part of it, in which the store is not accessed.
 const IDLE_MS: u64 = 10_000;
@@ -546,7 +547,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 32, ..ProptestConfig::default() })]
 
     /// Guards against streams that go on at another version than that of their begin, and against
     /// ledgers that keep versions which have left or are written again and again.
