fix: a box that has just started admits no further version while another one serves

Cause: streams of a service with one version have no records. The second of the announcement is there for boxes to report them, which no longer know them after a start.

Change: a box whose process is younger than 10 s announces a version and admits it only if no admitted one serves; a fleet that starts for the first time has no such streams.

--- a/dockgate-bench/tests/streams_rejoined.rs
+++ b/dockgate-bench/tests/streams_rejoined.rs
@@ -522,6 +522,9 @@
         &["a"; 3], &[],
         &[Join, Outage(true), Wait(2_500), Kill, Start, Wait(1_000), Outage(false), TakeUp]
     },
+    second_version_joined_while_all_were_down = {
+        &["a"; 3], &["v1"], &[Wait(2_000), Kill, Join, Start, Wait(2_000), TakeUp]
+    },
     second_version_gone_while_all_were_down = {
         &["a"; 3], &["v1"], &[Join, Wait(1_300), Kill, RemoveSecond, Start, TakeUp]
     },
--- a/dockgate-core/src/gateway/version_history.rs
+++ b/dockgate-core/src/gateway/version_history.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Returns when a version was first known within the retention, in milliseconds.
+    pub fn first_known_ms(&self, version: ServiceVersion) -> Option<u64> {
+        let sighting = self.sightings.get(&version);
+        sighting.map(|sighting| sighting.first_ms)
+    }
+
     /// Returns whether this box knew another version of the same service earlier.
     pub fn appeared_later(&self, version: ServiceVersion) -> bool {
         let Some(sighting) = self.sightings.get(&version) else {
--- a/dockgate-core/src/gateway/version_ledger.rs
+++ b/dockgate-core/src/gateway/version_ledger.rs
@@ -98,7 +98,7 @@
     ledger: Option<VersionLedger>,
     /// The store's revision at which it was read or written.
     revision: StoreRevision,
-    /// When it was read.
+    /// When it was last read or written.
     read_ms: u64,
     /// Since when this box knows that a version is announced.
     announced_ms: BTreeMap<ServiceVersion, u64>,
@@ -108,6 +108,8 @@
     is_lacking: bool,
     /// The era in which the store had no current ledger when it was last read.
     missing_era: Option<u64>,
+    /// Whether the fleet starts for the first time, so that no stream ran before.
+    is_first_start: bool,
     /// When a request last waited for the ledger without success.
     unread_ms: Option<u64>,
     /// Until when this box may not have heard of versions that the store has lost.
@@ -128,9 +130,17 @@
     pub const SETTLE_DELAY_MS: u64 = 2_500;
     /// For how long requests do not wait for the ledger after that failed, in milliseconds.
     const UNREAD_PAUSE_MS: u64 = 2_000;
+    /// The age below which a box waits before it admits a version, in milliseconds: if all boxes have
+    /// just started, streams that ran before have no record, and began at the versions admitted then.
+    pub const MIN_ADMITTING_AGE_MS: u64 = 10_000;
     /// The shortest completeness that is worth a write, in milliseconds.
     const MIN_COMPLETE_MS: u64 = 2_000;
 
+    /// Returns when the ledger was last read or written, in milliseconds; 0 if it was not.
+    pub const fn read_ms(&self) -> u64 {
+        self.read_ms
+    }
+
     /// Returns whether requests that begin a stream wait for the first read of the ledger, which
     /// failed for none of them a moment ago.
     pub fn is_awaited(&self, now_ms: u64) -> bool {
@@ -192,6 +202,7 @@
         }
         let era = revision.era;
         let is_first_read = self.ledger.is_none();
+        self.is_first_start |= is_first_start && is_first_read && stored.is_none();
         let complete_ms = match &stored {
             Some(ledger) if ledger.era == era => ledger.complete_ms,
             None if is_first_start && is_first_read => VersionHistory::RETENTION_MS,
@@ -253,6 +264,8 @@
             self.is_lacking = false;
             self.missing_era = None;
             self.replace(ledger, revision, now_ms);
+            // It was unchanged since it was read.
+            self.read_ms = now_ms;
         }
     }
 
@@ -262,7 +275,9 @@
     pub fn update(&mut self, history: &VersionHistory) {
         let is_admitted = |version: ServiceVersion| match &self.ledger {
             Some(ledger) => {
-                ledger.is_admitted(version) || ledger.admitted(version.service).next().is_none()
+                let is_admitted =
+                    ledger.is_admitted(version) && !self.is_outdated(version, history);
+                is_admitted || ledger.admitted(version.service).next().is_none()
             }
             None => !history.appeared_later(version),
         };
@@ -270,13 +285,26 @@
         self.unadmitted = known.filter(|version| !is_admitted(*version)).collect();
     }
 
+    /// Returns whether a version has appeared since this box read the ledger: another box may have
+    /// removed and announced it again meanwhile.
+    fn is_outdated(&self, version: ServiceVersion, history: &VersionHistory) -> bool {
+        history
+            .first_known_ms(version)
+            .is_some_and(|first_ms| first_ms > self.read_ms)
+    }
+
     /// Returns whether the ledger has to be read now, and replaced if it differs.
     pub fn is_due(&self, context: LedgerContext<'_>, duty: LedgerDuty) -> bool {
         let elapsed_ms = context.now_ms.saturating_sub(self.read_ms);
         match (&self.ledger, duty) {
             (None, LedgerDuty::Maintain) => !context.ready.is_empty(),
             (None, LedgerDuty::Consult) => Self::has_several(context.ready),
-            (Some(_), LedgerDuty::Maintain) => self.propose(context, duty).is_some(),
+            (Some(ledger), LedgerDuty::Maintain) => {
+                let mut unadmitted = self.unadmitted.iter();
+                let is_outdated = unadmitted.any(|version| ledger.is_admitted(*version));
+                is_outdated && elapsed_ms >= Self::CONSULT_INTERVAL_MS
+                    || self.propose(context, duty).is_some()
+            }
             (Some(_), LedgerDuty::Consult) => {
                 !self.admits_all() && elapsed_ms >= Self::CONSULT_INTERVAL_MS
             }
@@ -371,9 +399,12 @@
             .filter(|(version, stage)| **stage == VersionStage::Admitted && ready.contains(version))
             .map(|(version, _)| version.service)
             .collect();
+        // The clock starts with the process.
+        let is_old = self.is_first_start || now_ms >= Self::MIN_ADMITTING_AGE_MS;
         for (version, stage) in versions.iter_mut() {
             let announced_ms = self.announced_ms.get(version);
-            let is_due = announced_ms.is_some_and(|since_ms| since_ms + delay_ms <= now_ms);
+            let is_due =
+                is_old && announced_ms.is_some_and(|since_ms| since_ms + delay_ms <= now_ms);
             let is_needed = ready.contains(version) && !served.contains(&version.service);
             if is_due || is_needed {
                 *stage = VersionStage::Admitted;
--- a/dockgate-core/src/gateway/version_ledger/tests.rs
+++ b/dockgate-core/src/gateway/version_ledger/tests.rs
@@ -286,3 +286,37 @@
     reader.read(Some(stored), false, awake_ms + 5_000);
     assert!(reader.maintain(awake_ms + 5_000).is_admitted(V2));
 }
+
+/// Guards against streams without records that are refused after a version joined while all boxes
+/// were down.
+#[test]
+fn box_that_has_just_started_admits_no_version_beside_one_that_serves() {
+    let mut started = TestBox::new();
+    started.observe(&[V1, V2], 300);
+    let stored = ledger(
+        ERA,
+        VersionHistory::RETENTION_MS,
+        &[(V1, VersionStage::Admitted)],
+    );
+    started.read(Some(stored), false, 300);
+    started.maintain(300);
+    let last_ms = LedgerKeeper::MIN_ADMITTING_AGE_MS - 1;
+    started.observe(&[V1, V2], last_ms);
+    assert_eq!(
+        started.maintain(last_ms).only_admitted(MODEL),
+        Some(V1.version)
+    );
+    assert!(started.maintain(last_ms + 1).is_admitted(V2));
+}
+
+/// Guards against streams that begin at a version which the ledger has dropped since it was read.
+#[test]
+fn version_that_returns_is_not_admitted_by_an_older_ledger() {
+    let mut reader = box_of_both();
+    let left_ms = 1_000 + VersionHistory::RETENTION_MS + 1;
+    reader.observe(&[V1], left_ms);
+    reader.observe(&[V1, V2], left_ms + 100);
+    assert!(reader.keeper.is_unadmitted(V2));
+    let context = reader.context(left_ms + 100);
+    assert!(reader.keeper.is_due(context, LedgerDuty::Consult));
+}
--- a/dockgate/src/gateway/version_store.rs
+++ b/dockgate/src/gateway/version_store.rs
@@ -30,6 +30,9 @@
 /// How long a request that takes up a stream waits for the ledger.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The minimum interval between reads for requests, in milliseconds.
+const READ_INTERVAL_MS: u64 = 100;
+
 /// How an access to the ledger ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum LedgerOutcome {
@@ -203,6 +206,9 @@
 /// Returns an error if the store does not answer in time.
 pub(super) async fn refresh(state: &GatewayState) -> Result<(), LedgerUnread> {
     let read_once = async || {
+        let elapsed_ms = state.with(|view| now_ms().saturating_sub(view.ledger.read_ms()));
+        let pause_ms = READ_INTERVAL_MS.saturating_sub(elapsed_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         let client = state.store_client();
         match timeout(READ_TIMEOUT, read(state, &client)).await {
             Ok(Ok(Some(_))) => Ok(()),
