fix: a stream of a split route is taken up at the service that began it

Cause: the service is chosen by a hash of the request's id, and a request that takes a stream up has another one. The names of the streams contain the service, so that nobody knew them there, and a service with one version went on.

Change: a request that takes a stream up chooses by the id that it names. stream_of_a_split_route_stays_with_its_service fails without the change at the first stream. A route that moves to another service is open.

--- a/dockgate-bench/tests/stream_versions.rs
+++ b/dockgate-bench/tests/stream_versions.rs
@@ -167,16 +167,19 @@
 async fn stream_resumed_within_an_answer_stays_at_its_version() {
     let fleet = start_two_versions(&["a", "a"]).await;
     fleet.endpoints[0].set_behavior(EndpointBehavior::CutsAfter(4));
-    let mut resumed = 0;
-    for number in 0..STREAMS {
+    /// Streams within which one is placed at the endpoint that cuts.
+    const MAX_STREAMS: u64 = 300;
+    let (mut resumed, mut number) = (0, 0);
+    while number < STREAMS || resumed == 0 {
+        assert!(number < MAX_STREAMS, "no stream was resumed");
         let id = format!("r{number}");
         let response = call(&fleet.gateways[0], stream_request(&id)).await;
         assert_eq!(text(response).await, all_events(EVENTS));
         let versions = versions_of(&fleet, &[&id]);
         assert_eq!(versions.len(), 1, "versions of stream {id}");
         resumed += usize::from(fleet.runs_of(&id) > 1);
+        number += 1;
     }
-    assert!(resumed > 0, "no stream was resumed");
 }
 
 #[tokio::test]
@@ -453,3 +456,36 @@
         .filter(|(versions, _)| versions.contains("v2"));
     assert!(at_new.count() > 0, "no stream began at the new version");
 }
+
+/// Guards against streams of a split route that are taken up at the other service.
+#[tokio::test]
+async fn stream_of_a_split_route_stays_with_its_service() {
+    const SPLIT: &str =
+        r#""weighted_services":[{"service":"model","weight":1},{"service":"plain","weight":1}]"#;
+    let config = route_config(3, KEYS);
+    let (before, live) = config.split_once("/live/").unwrap();
+    let live = live.replacen(r#""service":"model""#, SPLIT, 1);
+    let config = format!("{before}/live/{live}");
+    let services = ["model", "model", "model", "plain", "plain", "plain"];
+    let fleet = GatewayFleet::start_in(&["a"; 2], &services, &config).await;
+    let fleet = fleet.unwrap();
+    for endpoint in &fleet.endpoints {
+        endpoint.set_processing_time(EVENT_INTERVAL);
+    }
+    let begun = begin_streams(&fleet, 0).await;
+    let services_of = |id: &str| {
+        let endpoints = fleet.endpoints.iter();
+        let ran = endpoints.filter(|endpoint| endpoint.ran().iter().any(|run| run.id == id));
+        ran.map(|endpoint| endpoint.service.as_str())
+            .collect::<BTreeSet<&str>>()
+    };
+    let mut used = BTreeSet::new();
+    for (began, _) in &begun {
+        let id = format!("{began}-again");
+        let response = call(&fleet.gateways[1], take_up_request(&id, began, 2)).await;
+        assert_eq!(response.status(), StatusCode::OK, "stream {began}");
+        assert_eq!(services_of(&id), services_of(began), "stream {began}");
+        used.extend(services_of(began));
+    }
+    assert_eq!(used.len(), 2, "services of the streams");
+}
--- a/dockgate/src/gateway/call/admitted_call.rs
+++ b/dockgate/src/gateway/call/admitted_call.rs
@@ -565,8 +565,13 @@
     if workspace.is_none() && table.needs_key() && !route.public {
         return Err(RefusalReason::BadKey.into());
     }
+    // A stream that is taken up stays with the service that began it.
+    let chosen_by = match head.last_event {
+        Some(_) => head.resumes.as_ref().unwrap_or(&head.id),
+        None => &head.id,
+    };
     let service = route
-        .service_for(&head.id)
+        .service_for(chosen_by)
         .and_then(|name| table.find_service(name));
     let service = service.ok_or_else(|| soon(RefusalReason::NoEndpoint))?;
     Ok(FoundRoute {
