fix: a box of a first start admits versions although another box wrote the ledger

Change: the setting counts unless the stored ledger cannot be read. box_of_a_first_start_admits_a_version_in_a_ledger_of_another_box guards it.

--- a/dockgate-core/src/gateway/version_ledger.rs
+++ b/dockgate-core/src/gateway/version_ledger.rs
@@ -202,7 +202,7 @@
         }
         let era = revision.era;
         let is_first_read = self.ledger.is_none();
-        self.is_first_start |= is_first_start && is_first_read && stored.is_none();
+        self.is_first_start |= is_first_start && is_first_read;
         let complete_ms = match &stored {
             Some(ledger) if ledger.era == era => ledger.complete_ms,
             None if is_first_start && is_first_read => VersionHistory::RETENTION_MS,
--- a/dockgate-core/src/gateway/version_ledger/tests.rs
+++ b/dockgate-core/src/gateway/version_ledger/tests.rs
@@ -320,3 +320,15 @@
     let context = reader.context(left_ms + 100);
     assert!(reader.keeper.is_due(context, LedgerDuty::Consult));
 }
+
+/// Guards against a fleet that starts for the first time and waits as if streams had run before.
+#[test]
+fn box_of_a_first_start_admits_a_version_in_a_ledger_of_another_box() {
+    let mut second = TestBox::new();
+    second.observe(&[V1, V2], 300);
+    let announced = [(V1, VersionStage::Admitted), (V2, VersionStage::Announced)];
+    let stored = ledger(ERA, VersionHistory::RETENTION_MS, &announced);
+    second.read(Some(stored), true, 300);
+    let admitted_ms = 300 + LedgerKeeper::ADMISSION_DELAY_MS;
+    assert!(second.maintain(admitted_ms).is_admitted(V2));
+}
--- a/dockgate/src/gateway/version_store.rs
+++ b/dockgate/src/gateway/version_store.rs
@@ -121,7 +121,8 @@
     let item = items.find(|item| item.key == VERSIONS_KEY);
     let ledger = item.as_ref().and_then(decode);
     // A value that cannot be read shows that the fleet ran before.
-    let is_first_start = item.is_none() && state.settings().first_start;
+    let is_unreadable = item.is_some() && ledger.is_none();
+    let is_first_start = state.settings().first_start && !is_unreadable;
     state.with(|view| {
         let GatewayView {
             ledger: keeper,
