--- /dev/null
+++ b/review/standins-2/src/store.rs
@@ -0,0 +1,301 @@
+//! A stand-in of the platform's store: keys, watches and leases as PROTOCOL.md has them.
+
+use crate::http::{parameter, Conn, Head};
+use crate::json::{decode_base64, encode_base64, Json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+#[derive(Debug, Clone)]
+struct Item {
+    value: Vec<u8>,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+struct Change {
+    key: String,
+    revision: u64,
+    /// `None` for a removal.
+    item: Option<Item>,
+}
+
+#[derive(Default)]
+struct Keys {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<Change>,
+    leases: BTreeMap<u64, (Instant, u64)>,
+    last_lease: u64,
+}
+
+impl Keys {
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.history.push(Change {
+            key: key.to_owned(),
+            revision,
+            item: Some(item),
+        });
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.history.push(Change {
+                key: key.to_owned(),
+                revision: self.revision,
+                item: None,
+            });
+        }
+    }
+
+    fn expire_leases(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, (until, _))| *until <= now);
+        let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+            keys.iter().for_each(|key| self.remove(key));
+        }
+    }
+}
+
+fn item_json(key: &str, item: &Item) -> String {
+    format!(
+        "\"key_file\":\"{key}\",\"value\":\"{}\",\"revision\":{},\"created\":{},\"lease\":{}",
+        encode_base64(&item.value),
+        item.revision,
+        item.created,
+        item.lease
+    )
+}
+
+#[derive(Clone)]
+pub struct Store(Arc<(Mutex<Keys>, Condvar)>);
+
+impl Store {
+    pub fn start(address: SocketAddr) -> io::Result<Store> {
+        let store = Store(Arc::default());
+        let listener = TcpListener::bind(address)?;
+        let serving = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = serving.clone();
+                thread::spawn(move || store.serve(Conn::new(stream)));
+            }
+        });
+        Ok(store)
+    }
+
+    /// Writes a key, as the operator or a server does.
+    pub fn put(&self, key: &str, value: &str) -> u64 {
+        let mut keys = self.0 .0.lock().unwrap();
+        keys.revision += 1;
+        keys.write(key, value.as_bytes().to_vec(), 0);
+        self.0 .1.notify_all();
+        keys.revision
+    }
+
+    /// Removes a key, as a server does.
+    pub fn remove(&self, key: &str) -> u64 {
+        let mut keys = self.0 .0.lock().unwrap();
+        keys.revision += 1;
+        keys.remove(key);
+        self.0 .1.notify_all();
+        keys.revision
+    }
+
+    fn serve(&self, mut conn: Conn) {
+        while let Ok(Some(head)) = conn.read_head() {
+            let Ok(body) = conn.read_body(&head) else {
+                return;
+            };
+            let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
+            let answer = format!(
+                "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                text.len()
+            );
+            if conn.write(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, head: &Head, body: &str) -> (u16, String) {
+        let target = head.target();
+        let path = target.split('?').next().unwrap_or("");
+        let prefix = parameter(target, "path_prefix").unwrap_or_default();
+        let since = parameter(target, "since_revision").unwrap_or_default();
+        match (head.method(), path) {
+            ("GET", "/-/kv-key") => {
+                let key = parameter(target, "key_file").unwrap_or_default();
+                let keys = self.0 .0.lock().unwrap();
+                match keys.items.get(&key) {
+                    Some(item) => {
+                        let item = item_json(&key, item);
+                        (200, format!("{{{item},\"timestamp\":{}}}", keys.revision))
+                    }
+                    None => (404, format!("{{\"timestamp\":{}}}", keys.revision)),
+                }
+            }
+            ("GET", "/-/kv-range") => self.range(&prefix, &since),
+            ("GET", "/-/kv-watch") => {
+                let wait = parameter(target, "wait_ms").and_then(|wait| wait.parse().ok());
+                let wait = Duration::from_millis(wait.unwrap_or(0));
+                self.watch(&prefix, since.parse().unwrap_or(0), wait)
+            }
+            ("POST", "/-/kv-txn") => self.transact(body),
+            ("POST", "/-/kv-lease") => {
+                let ttl_ms = Json::parse(body)
+                    .and_then(|body| body.get("ttl_ms")?.number())
+                    .unwrap_or(1_000)
+                    .clamp(1_000, 600_000);
+                let mut keys = self.0 .0.lock().unwrap();
+                keys.last_lease += 1;
+                let id = keys.last_lease;
+                let until = Instant::now() + Duration::from_millis(ttl_ms);
+                keys.leases.insert(id, (until, ttl_ms));
+                (200, format!("{{\"lease\":{id},\"ttl_ms\":{ttl_ms}}}"))
+            }
+            (method, path) => {
+                let id = path.rsplit('/').next().and_then(|id| id.parse().ok());
+                let id: u64 = id.unwrap_or(0);
+                let mut keys = self.0 .0.lock().unwrap();
+                keys.expire_leases();
+                let known = keys.leases.get(&id).copied();
+                match known {
+                    Some((_, ttl_ms)) if method == "POST" && path.starts_with("/-/kv-keep/") => {
+                        let until = Instant::now() + Duration::from_millis(ttl_ms);
+                        keys.leases.insert(id, (until, ttl_ms));
+                        (200, format!("{{\"ttl_ms\":{ttl_ms}}}"))
+                    }
+                    Some(_) if method == "DELETE" && path.starts_with("/-/kv-lease-end/") => {
+                        keys.end_lease(id);
+                        self.0 .1.notify_all();
+                        (200, "{}".to_owned())
+                    }
+                    _ => (404, "{}".to_owned()),
+                }
+            }
+        }
+    }
+
+    fn range(&self, prefix: &str, after: &str) -> (u16, String) {
+        const PAGE: usize = 500;
+        let mut keys = self.0 .0.lock().unwrap();
+        keys.expire_leases();
+        let found = keys.items.iter();
+        let found = found.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let entries: Vec<String> = found
+            .take(PAGE + 1)
+            .map(|(key, item)| format!("{{{}}}", item_json(key, item)))
+            .collect();
+        let has_more = entries.len() > PAGE;
+        let entries = entries[..entries.len().min(PAGE)].join(",");
+        let revision = keys.revision;
+        (
+            200,
+            format!("{{\"entries\":[{entries}],\"has_more\":{has_more},\"timestamp\":{revision}}}"),
+        )
+    }
+
+    fn watch(&self, prefix: &str, since: u64, wait: Duration) -> (u16, String) {
+        let until = Instant::now() + wait;
+        let mut keys = self.0 .0.lock().unwrap();
+        loop {
+            let changes = keys.history.iter();
+            let changes = changes
+                .filter(|change| change.revision > since && change.key.starts_with(prefix));
+            let events: Vec<String> = changes
+                .map(|change| match &change.item {
+                    Some(item) => format!("{{{}}}", item_json(&change.key, item)),
+                    None => format!(
+                        "{{\"key_file\":\"{}\",\"revision\":{},\"deleted\":true}}",
+                        change.key, change.revision
+                    ),
+                })
+                .collect();
+            let left = until.saturating_duration_since(Instant::now());
+            if !events.is_empty() || left.is_zero() {
+                let revision = keys.revision.max(since);
+                let events = events.join(",");
+                return (
+                    200,
+                    format!("{{\"events\":[{events}],\"timestamp\":{revision}}}"),
+                );
+            }
+            keys = self.0 .1.wait_timeout(keys, left).unwrap().0;
+        }
+    }
+
+    fn transact(&self, body: &str) -> (u16, String) {
+        let Some(txn) = Json::parse(body) else {
+            return (400, "{}".to_owned());
+        };
+        let none = Json::List(Vec::new());
+        let list = |name: &str| txn.get(name).unwrap_or(&none).list().to_vec();
+        let key_of = |row: &Json| row.get("key_file").and_then(Json::text).map(str::to_owned);
+        let number_of = |row: &Json, name: &str| row.get(name).and_then(Json::number).unwrap_or(0);
+        let mut keys = self.0 .0.lock().unwrap();
+        keys.expire_leases();
+        let conditions = list("expected_revision");
+        let holds = conditions.iter().all(|row| {
+            let item = key_of(row).and_then(|key| keys.items.get(&key).map(|item| item.revision));
+            item.unwrap_or(0) == number_of(row, "revision")
+        });
+        if !holds {
+            let current = conditions.iter().filter_map(key_of);
+            let current = current.filter_map(|key| {
+                let item = keys.items.get(&key)?;
+                Some(format!("{{{}}}", item_json(&key, item)))
+            });
+            let current: Vec<String> = current.collect();
+            return (412, format!("{{\"entries\":[{}]}}", current.join(",")));
+        }
+        let writes = list("write");
+        let has_leases = writes.iter().all(|row| {
+            let lease = number_of(row, "lease");
+            lease == 0 || keys.leases.contains_key(&lease)
+        });
+        if !has_leases {
+            return (404, "{}".to_owned());
+        }
+        keys.revision += 1;
+        for row in &writes {
+            let value = row.get("value").and_then(Json::text).unwrap_or("");
+            if let Some(key) = key_of(row) {
+                keys.write(&key, decode_base64(value), number_of(row, "lease"));
+            }
+        }
+        for key in list("remove").iter().filter_map(Json::text) {
+            keys.remove(key);
+        }
+        self.0 .1.notify_all();
+        (200, format!("{{\"revision\":{}}}", keys.revision))
+    }
+}
