--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod http;
 mod json;
+mod moved_store;
 mod record;
 mod store;
 mod wrong_event;
@@ -32,6 +33,7 @@
         let record = Record::create(&Path::new(folder).join("record.txt"))?;
         let temporary = temporary_folder()?;
         let held = match case.as_str() {
+            "moved-store" => moved_store::run(&temporary, &record, trouble),
             "wrong-event" => wrong_event::run(&temporary, &record, trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -4,7 +4,8 @@
 use crate::json::{decode_base64, encode_base64, Json};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -98,18 +99,54 @@
 #[derive(Clone)]
 pub struct Store(Arc<(Mutex<Keys>, Condvar)>);
 
+/// An address at which a store can be called until it is closed.
+#[derive(Clone, Default)]
+pub struct Door {
+    is_closed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Door {
+    /// Refuses new channels from now on, and closes those that are open.
+    pub fn close(&self, address: SocketAddr) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the listener, which ends.
+        let _ = TcpStream::connect_timeout(&address, Duration::from_millis(200));
+    }
+}
+
 impl Store {
+    pub fn empty() -> Store {
+        Store(Arc::default())
+    }
+
     pub fn start(address: SocketAddr) -> io::Result<Store> {
-        let store = Store(Arc::default());
+        let store = Store::empty();
+        store.listen(address)?;
+        Ok(store)
+    }
+
+    /// Serves the same keys at one more address.
+    pub fn listen(&self, address: SocketAddr) -> io::Result<Door> {
         let listener = TcpListener::bind(address)?;
-        let serving = store.clone();
+        let (store, door) = (self.clone(), Door::default());
+        let opened = door.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
+                if door.is_closed.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(known) = stream.try_clone() {
+                    door.open.lock().unwrap().push(known);
+                }
+                let store = store.clone();
                 thread::spawn(move || store.serve(Conn::new(stream)));
             }
         });
-        Ok(store)
+        Ok(opened)
     }
 
     /// Writes a key, as the operator or a server does.
--- a/review/standins-2/src/wrong_event.rs
+++ b/review/standins-2/src/wrong_event.rs
@@ -282,7 +282,9 @@
 
 fn call_and_check(address: SocketAddr, totals: &Totals, record: &Record) {
     let id = format!("{:016x}", number());
-    let add = |number: &AtomicUsize| drop(number.fetch_add(1, Ordering::Relaxed));
+    let add = |number: &AtomicUsize| {
+        number.fetch_add(1, Ordering::Relaxed);
+    };
     add(&totals.sent);
     let received = match call(address, &id) {
         Ok(received) => received,
