--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -138,14 +138,6 @@
         }
     }
 
-    /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        match &mut self.child {
-            Some(child) => !matches!(child.try_wait(), Ok(None)),
-            None => true,
-        }
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod moved_store;
+mod plain_server;
 mod record;
 mod store;
 mod wrong_event;
--- a/review/standins-2/src/moved_store.rs
+++ b/review/standins-2/src/moved_store.rs
@@ -3,11 +3,12 @@
 
 use crate::draw::number;
 use crate::fleet::{wait_until_ready, GatewayBox, Network, Sheet, STORE_PORT};
-use crate::http::{Conn, Head};
+use crate::http::Conn;
+use crate::plain_server::PlainServer;
 use crate::record::Record;
 use crate::store::Store;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -24,45 +25,6 @@
 /// How long requests are sent after the bound.
 const CHECK: Duration = Duration::from_secs(20);
 
-fn serve(id: &str, conn: &mut Conn, record: &Record) -> io::Result<()> {
-    while let Some(head) = conn.read_head()? {
-        conn.read_body(&head)?;
-        let request = head.get("x-request-id").unwrap_or("").to_owned();
-        let is_expected = |head: &Head| head.get("x-expected-instance").is_none_or(|name| name == id);
-        let answer = match head.target() {
-            "/healthz" => format!("200 OK\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"),
-            _ if !is_expected(&head) => format!(
-                "421 Misdirected Request\r\nX-Request-Id: {request}\r\nX-Instance-Id: {id}\r\n\
-                 Content-Length: 0\r\n\r\n"
-            ),
-            target => {
-                record.write(format!("{id} runs {request} {target}"));
-                thread::sleep(Duration::from_millis(15));
-                let body = format!("{target} by {id}");
-                format!(
-                    "200 OK\r\nX-Request-Id: {request}\r\nX-Upstream-Signature: {id}.{request}\r\n\
-                     Content-Length: {}\r\n\r\n{body}",
-                    body.len()
-                )
-            }
-        };
-        conn.write(format!("HTTP/1.1 {answer}").as_bytes())?;
-    }
-    Ok(())
-}
-
-fn listen(id: String, address: SocketAddr, record: &Record) -> io::Result<()> {
-    let listener = TcpListener::bind(address)?;
-    let record = record.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let (id, record) = (id.clone(), record.clone());
-            thread::spawn(move || serve(&id, &mut Conn::new(stream), &record));
-        }
-    });
-    Ok(())
-}
-
 /// Sends a request on a channel of its own and returns the status; 0 if there is no answer.
 fn call(address: SocketAddr, path: &str, record: &Record) -> u16 {
     let id = format!("{:016x}", number());
@@ -94,7 +56,7 @@
     for (index, zone) in ZONES.iter().enumerate() {
         let id = format!("i-{index:04x}");
         let address = SocketAddr::new(network.ip(index as u8 + 1, 100).into(), 8080);
-        listen(id.clone(), address, record)?;
+        PlainServer::start(&id, address, record)?;
         store.put(
             &format!("servers/{id}"),
             &format!(
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -158,15 +158,6 @@
         keys.revision
     }
 
-    /// Removes a key, as a server does.
-    pub fn remove(&self, key: &str) -> u64 {
-        let mut keys = self.0 .0.lock().unwrap();
-        keys.revision += 1;
-        keys.remove(key);
-        self.0 .1.notify_all();
-        keys.revision
-    }
-
     fn serve(&self, mut conn: Conn) {
         while let Ok(Some(head)) = conn.read_head() {
             let Ok(body) = conn.read_body(&head) else {
