--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod json;
 mod moved_store;
+mod mute_watch;
 mod plain_server;
 mod record;
 mod store;
@@ -35,6 +36,7 @@
         let temporary = temporary_folder()?;
         let held = match case.as_str() {
             "moved-store" => moved_store::run(&temporary, &record, trouble),
+            "mute-watch" => mute_watch::run(&temporary, &record, trouble),
             "wrong-event" => wrong_event::run(&temporary, &record, trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -21,6 +21,7 @@
 struct Change {
     key: String,
     revision: u64,
+    at: Instant,
     /// `None` for a removal.
     item: Option<Item>,
 }
@@ -32,6 +33,11 @@
     history: Vec<Change>,
     leases: BTreeMap<u64, (Instant, u64)>,
     last_lease: u64,
+    /// How old the answers to reads with `serializable` are.
+    staleness: Duration,
+    /// The prefix of the watches whose answers are lost.
+    lost_watches: Option<String>,
+    lost_answers: usize,
 }
 
 impl Keys {
@@ -48,6 +54,7 @@
         self.history.push(Change {
             key: key.to_owned(),
             revision,
+            at: Instant::now(),
             item: Some(item),
         });
     }
@@ -57,11 +64,27 @@
             self.history.push(Change {
                 key: key.to_owned(),
                 revision: self.revision,
+                at: Instant::now(),
                 item: None,
             });
         }
     }
 
+    /// Returns the items with a prefix, and the revision, as they were `staleness` ago.
+    fn stale_items(&self, prefix: &str) -> (BTreeMap<String, Item>, u64) {
+        let (mut items, mut revision) = (BTreeMap::new(), 0);
+        let is_old = |change: &&Change| change.at.elapsed() >= self.staleness;
+        for change in self.history.iter().take_while(is_old) {
+            revision = change.revision;
+            match &change.item {
+                Some(item) => items.insert(change.key.clone(), item.clone()),
+                None => items.remove(&change.key),
+            };
+        }
+        items.retain(|key, _| key.starts_with(prefix));
+        (items, revision)
+    }
+
     fn expire_leases(&mut self) {
         let now = Instant::now();
         let ended = self.leases.iter().filter(|(_, (until, _))| *until <= now);
@@ -158,12 +181,42 @@
         keys.revision
     }
 
+    /// Sets how old the answers to reads with `serializable` are.
+    pub fn set_staleness(&self, staleness: Duration) {
+        self.0 .0.lock().unwrap().staleness = staleness;
+    }
+
+    /// Loses the answers to watches of a prefix from now on, or no more.
+    pub fn lose_watches(&self, prefix: Option<&str>) {
+        self.0 .0.lock().unwrap().lost_watches = prefix.map(str::to_owned);
+    }
+
+    pub fn lost_answers(&self) -> usize {
+        self.0 .0.lock().unwrap().lost_answers
+    }
+
+    /// Returns whether the answer to a call is lost; an answer to a watch without news is not.
+    fn loses(&self, head: &Head, answer: &str) -> bool {
+        let mut keys = self.0 .0.lock().unwrap();
+        let watched = parameter(head.target(), "path_prefix").unwrap_or_default();
+        let is_lost = head.target().starts_with("/-/kv-watch")
+            && keys.lost_watches.as_deref() == Some(&watched)
+            && !answer.contains("\"events\":[]");
+        keys.lost_answers += usize::from(is_lost);
+        is_lost
+    }
+
     fn serve(&self, mut conn: Conn) {
         while let Ok(Some(head)) = conn.read_head() {
             let Ok(body) = conn.read_body(&head) else {
                 return;
             };
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
+            if self.loses(&head, &text) {
+                // Nothing more is said on this channel, which stays open.
+                thread::sleep(Duration::from_secs(600));
+                return;
+            }
             let answer = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
                 text.len()
@@ -191,7 +244,10 @@
                     None => (404, format!("{{\"timestamp\":{}}}", keys.revision)),
                 }
             }
-            ("GET", "/-/kv-range") => self.range(&prefix, &since),
+            ("GET", "/-/kv-range") => {
+                let is_stale = parameter(target, "serializable").as_deref() == Some("1");
+                self.range(&prefix, &since, is_stale)
+            }
             ("GET", "/-/kv-watch") => {
                 let wait = parameter(target, "wait_ms").and_then(|wait| wait.parse().ok());
                 let wait = Duration::from_millis(wait.unwrap_or(0));
@@ -233,11 +289,15 @@
         }
     }
 
-    fn range(&self, prefix: &str, after: &str) -> (u16, String) {
+    fn range(&self, prefix: &str, after: &str, is_stale: bool) -> (u16, String) {
         const PAGE: usize = 500;
         let mut keys = self.0 .0.lock().unwrap();
         keys.expire_leases();
-        let found = keys.items.iter();
+        let (items, revision) = match is_stale {
+            true => keys.stale_items(prefix),
+            false => (keys.items.clone(), keys.revision),
+        };
+        let found = items.iter();
         let found = found.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
         let entries: Vec<String> = found
             .take(PAGE + 1)
@@ -245,7 +305,6 @@
             .collect();
         let has_more = entries.len() > PAGE;
         let entries = entries[..entries.len().min(PAGE)].join(",");
-        let revision = keys.revision;
         (
             200,
             format!("{{\"entries\":[{entries}],\"has_more\":{has_more},\"timestamp\":{revision}}}"),
