--- a/review/standins-2/src/draw.rs
+++ b/review/standins-2/src/draw.rs
@@ -7,7 +7,9 @@
 
 pub fn number() -> u64 {
     if STATE.load(Ordering::Relaxed) == 0 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         STATE.store(since.as_nanos() as u64 | 1, Ordering::Relaxed);
     }
     let mut mixed = STATE.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -105,7 +105,8 @@
                 return Ok(Some(head));
             }
             if let Some((name, value)) = line.split_once(':') {
-                head.headers.push((name.to_owned(), value.trim().to_owned()));
+                head.headers
+                    .push((name.to_owned(), value.trim().to_owned()));
             }
         }
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod moved_store;
 mod mute_watch;
 mod plain_server;
+mod raised_limit;
 mod record;
 mod store;
 mod wrong_event;
@@ -37,6 +38,7 @@
         let held = match case.as_str() {
             "moved-store" => moved_store::run(&temporary, &record, trouble),
             "mute-watch" => mute_watch::run(&temporary, &record, trouble),
+            "raised-limit" => raised_limit::run(&temporary, &record, trouble),
             "wrong-event" => wrong_event::run(&temporary, &record, trouble),
             _ => Err(std::io::Error::other("no such case")),
         };
@@ -46,7 +48,11 @@
             false => drop(std::fs::remove_dir_all(&temporary)),
         }
         let held = held.inspect_err(|error| record.say(format!("could not run: {error}")))?;
-        record.say(if held { "the rule held" } else { "the rule was broken" });
+        record.say(if held {
+            "the rule held"
+        } else {
+            "the rule was broken"
+        });
         Ok::<bool, std::io::Error>(held)
     })();
     match played {
--- a/review/standins-2/src/moved_store.rs
+++ b/review/standins-2/src/moved_store.rs
@@ -98,7 +98,10 @@
             if index < SIGNALLED {
                 gateway.signal("HUP");
             }
-            record.write(format!("the settings of {} name the store {new}", gateway.name));
+            record.write(format!(
+                "the settings of {} name the store {new}",
+                gateway.name
+            ));
         }
     }
     thread::sleep(OVERLAP);
--- a/review/standins-2/src/mute_watch.rs
+++ b/review/standins-2/src/mute_watch.rs
@@ -144,7 +144,9 @@
     ));
     let (mut judged, mut run) = (0, 0);
     for (gateway, sender) in boxes.iter().zip(senders) {
-        let seen = sender.join().map_err(|_| io::Error::other("a caller ended"))?;
+        let seen = sender
+            .join()
+            .map_err(|_| io::Error::other("a caller ended"))?;
         judged += seen.judged;
         run += seen.run;
         record.say(format!(
--- a/review/standins-2/src/plain_server.rs
+++ b/review/standins-2/src/plain_server.rs
@@ -44,7 +44,10 @@
         if head.target() == "/healthz" {
             return format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
         }
-        if head.get("x-expected-instance").is_some_and(|expected| expected != id) {
+        if head
+            .get("x-expected-instance")
+            .is_some_and(|expected| expected != id)
+        {
             return format!(
                 "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {request}\r\n\
                  X-Instance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -316,8 +316,8 @@
         let mut keys = self.0 .0.lock().unwrap();
         loop {
             let changes = keys.history.iter();
-            let changes = changes
-                .filter(|change| change.revision > since && change.key.starts_with(prefix));
+            let changes =
+                changes.filter(|change| change.revision > since && change.key.starts_with(prefix));
             let events: Vec<String> = changes
                 .map(|change| match &change.item {
                     Some(item) => format!("{{{}}}", item_json(&change.key, item)),
--- a/review/standins-2/src/wrong_event.rs
+++ b/review/standins-2/src/wrong_event.rs
@@ -67,7 +67,10 @@
             );
             return conn.write(answer.as_bytes());
         }
-        if head.get("x-expected-instance").is_some_and(|expected| expected != self.id) {
+        if head
+            .get("x-expected-instance")
+            .is_some_and(|expected| expected != self.id)
+        {
             let answer = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {id}\r\nX-Instance-Id: {}\r\n\
                  Content-Length: 0\r\n\r\n",
@@ -87,7 +90,8 @@
             self.id
         );
         conn.write(answer.as_bytes())?;
-        self.record.write(format!("{} begins {id} at event {first}", self.id));
+        self.record
+            .write(format!("{} begins {id} at event {first}", self.id));
         let pieces: Vec<usize> = (first..=EVENTS).collect();
         for group in pieces.chunks(EVENTS_PER_CHUNK) {
             let mut chunk = String::new();
@@ -95,13 +99,17 @@
                 let mut shown = piece.to_string();
                 if wrong == Some(*piece) {
                     // One byte is wrong: the last digit of the id.
-                    let right = shown.pop().and_then(|digit| digit.to_digit(10)).unwrap_or(0);
+                    let right = shown
+                        .pop()
+                        .and_then(|digit| digit.to_digit(10))
+                        .unwrap_or(0);
                     let digit = (right + 1 + below(9) as u32) % 10;
                     shown.push_str(&digit.to_string());
                     self.spoiled.fetch_add(1, Ordering::Relaxed);
                     self.spoiled_requests.lock().unwrap().insert(id.clone());
                     let sent = format!("{} sends event {piece} of {id} as id {shown}", self.id);
-                    self.record.write(format!("{sent}, in one chunk with {group:?}"));
+                    self.record
+                        .write(format!("{sent}, in one chunk with {group:?}"));
                 }
                 chunk.push_str(&format!("id: {shown}\ndata: piece {piece} of {id}\n\n"));
             }
@@ -154,8 +162,13 @@
         }
     }
     // An event counts once it is whole.
-    for event in text.split_inclusive("\n\n").filter(|event| event.ends_with("\n\n")) {
-        let data = event.lines().find_map(|line| line.strip_prefix("data: piece "));
+    for event in text
+        .split_inclusive("\n\n")
+        .filter(|event| event.ends_with("\n\n"))
+    {
+        let data = event
+            .lines()
+            .find_map(|line| line.strip_prefix("data: piece "));
         let piece: Option<usize> = data.and_then(|data| data.split(' ').next()?.parse().ok());
         received.pieces.extend(piece);
     }
@@ -299,7 +312,11 @@
         (429 | 503, _) => add(&totals.refused),
         _ => add(&totals.failed),
     }
-    let end = if received.is_complete { "complete" } else { "not complete" };
+    let end = if received.is_complete {
+        "complete"
+    } else {
+        "not complete"
+    };
     record.write(format!(
         "caller: {id} got {}, {} pieces, {end}",
         received.status,
