--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,27 @@
 const METRICS_PORT: u16 = 9464;
 pub const STORE_PORT: u16 = 8781;
 
+/// The processes that were started and have not been ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, and this one, if the case takes too long.
+pub fn end_after(time: Duration) {
+    thread::spawn(move || {
+        thread::sleep(time);
+        eprintln!("the case took too long");
+        for id in STARTED.lock().unwrap().iter() {
+            send_signal("KILL", *id);
+        }
+        std::process::exit(2);
+    });
+}
+
+/// Sends a signal with the `kill` that each shell has.
+fn send_signal(name: &str, id: u32) {
+    let command = format!("kill -{name} {id}");
+    let _ = Command::new("sh").arg("-c").arg(command).status();
+}
+
 /// A loopback network that nobody else uses, for as long as this value lives.
 pub struct Network {
     number: u8,
@@ -120,6 +142,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        STARTED.lock().unwrap().push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -131,10 +154,7 @@
     /// Sends a signal to the process, by its name as `kill` takes it.
     pub fn signal(&self, name: &str) {
         if self.child.is_some() {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(self.id().to_string())
-                .status();
+            send_signal(name, self.id());
         }
     }
 
@@ -142,6 +162,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            STARTED.lock().unwrap().retain(|id| *id != child.id());
         }
     }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -18,6 +18,7 @@
 use record::Record;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 fn temporary_folder() -> std::io::Result<PathBuf> {
     let folder = std::env::temp_dir().join(format!("dockgate-review-{:016x}", draw::number()));
@@ -31,6 +32,7 @@
         eprintln!("usage: standins-2 CASE FOLDER");
         return ExitCode::from(2);
     };
+    fleet::end_after(Duration::from_secs(110));
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = (|| {
         let record = Record::create(&Path::new(folder).join("record.txt"))?;
