feat: a line and a metric tell which events of a stream are not forwarded

`event_rejected` names the fault, the id and how many events of the same read were in order and are dropped; `dockgate_rejected_events_total` counts them. No logic is changed.

--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -384,20 +384,44 @@
     fn split_events(&mut self, data: &[u8]) -> Result<Bytes, &'static str> {
         let (bytes, events) = self.splitter.push(data).ok_or("an event is too long")?;
         let mut start = 0;
+        let mut in_order = 0;
         for event in &events {
             match (event.id, self.last_event) {
-                (Some(id), Some(last)) if id <= last => start = event.range.end,
-                (Some(id), Some(last)) if id > last + 1 => return Err("events are missing"),
+                (Some(id), Some(last)) if id <= last => {
+                    self.log_rejected("repeated", Some(id), in_order);
+                    start = event.range.end;
+                    in_order = 0;
+                }
+                (Some(id), Some(last)) if id > last + 1 => {
+                    self.log_rejected("gap", Some(id), in_order);
+                    return Err("events are missing");
+                }
                 (Some(id), _) => {
                     self.last_event = Some(id);
                     self.events += 1;
+                    in_order += 1;
                 }
-                (None, _) => {}
+                (None, _) => self.log_rejected("unnumbered", None, 0),
             }
         }
         Ok(Bytes::from(bytes).slice(start..))
     }
 
+    /// Records an event out of order, or one without a readable id. `dropped` events of the same
+    /// read were in order and are not forwarded.
+    fn log_rejected(&self, fault: &str, id: Option<u64>, dropped: usize) {
+        GATEWAY_METRICS.record_rejected_event(fault);
+        let source = self.source.as_ref();
+        log_gateway(&GatewayEvent::EventRejected {
+            request: &self.call.head.id,
+            endpoint: source.map_or("", |source| &source.target.name),
+            fault,
+            id,
+            after_event: self.last_event,
+            dropped,
+        });
+    }
+
     /// Resumes the stream at another endpoint after the current one was lost.
     async fn fail_over(&mut self, lost: LostSource) -> Result<(), BrokenAnswer> {
         let LostSource {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -277,6 +277,18 @@
         after_event: u64,
         problem: &'a str,
     },
+    /// An endpoint sent an event out of order, or one without a readable id.
+    EventRejected {
+        request: &'a str,
+        endpoint: &'a str,
+        fault: &'a str,
+        /// The id of the event, if it has a readable one.
+        id: Option<u64>,
+        /// The last event in order.
+        after_event: Option<u64>,
+        /// The number of events in order that arrived in the same read and are not forwarded.
+        dropped: usize,
+    },
     /// A caller takes up a stream.
     TakenUp {
         request: &'a str,
@@ -445,6 +457,7 @@
             Self::Sent { request, .. }
             | Self::SendFailed { request, .. }
             | Self::Resumed { request, .. }
+            | Self::EventRejected { request, .. }
             | Self::TakenUp { request, .. }
             | Self::Refused { request, .. }
             | Self::Answered { request, .. }
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -91,6 +91,11 @@
             request: "r", lost: "d", began_at: "v1", endpoint: "e", version: "v1", after_event: 2, problem: "p" },
         "after_event began_at endpoint event lost problem request version"
     },
+    event_rejected = {
+        GatewayEvent::EventRejected {
+            request: "r", endpoint: "e", fault: "gap", id: Some(7), after_event: Some(2), dropped: 1 },
+        "after_event dropped endpoint event fault id request"
+    },
     routes = {
         GatewayEvent::RoutesInForce {
             old: 1, version: 2, source: "store", routes: 3, workspaces: 4,
@@ -331,6 +336,14 @@
             after_event: 2,
             problem: "p",
         },
+        GatewayEvent::EventRejected {
+            request: "r",
+            endpoint: "e",
+            fault: "gap",
+            id: Some(7),
+            after_event: Some(2),
+            dropped: 1,
+        },
         GatewayEvent::TakenUp {
             request: "r",
             resumes: Some("q"),
--- a/dockgate/src/gateway/gateway_metrics.rs
+++ b/dockgate/src/gateway/gateway_metrics.rs
@@ -23,6 +23,8 @@
     prompt_tokens: IntCounterVec,
     /// Streams that were resumed at another endpoint.
     pub(super) resumed_streams: IntCounter,
+    /// Events of streams that were out of order or had no readable id, by fault.
+    rejected_events: IntCounterVec,
     /// Streams that callers took up, by how their version was found or why they were refused.
     taken_up: IntCounterVec,
     /// Streams whose versions were read from the store.
@@ -123,6 +125,11 @@
                 "dockgate_streams_resumed_total",
                 "Streams that went on at another endpoint",
             ),
+            rejected_events: counter_vec(
+                "dockgate_rejected_events_total",
+                "Events of streams that were out of order, or had no readable id, by fault",
+                &["fault"],
+            ),
             taken_up: counter_vec(
                 "dockgate_streams_taken_up_total",
                 "Streams that callers took up, by how their software version was found: \
@@ -264,6 +271,11 @@
         self.unbounded_answers.with_label_values(&[bound]).inc();
     }
 
+    /// Counts an event of a stream that was out of order or had no readable id.
+    pub(super) fn record_rejected_event(&self, fault: &str) {
+        self.rejected_events.with_label_values(&[fault]).inc();
+    }
+
     /// Counts a stream that a caller takes up.
     pub(super) fn record_take_up(&self, origin: &str) {
         self.taken_up.with_label_values(&[origin]).inc();
