fix: a spoiled event costs a stream no sound piece

Cause: what the caller had received was kept in one number that was set while a read was examined; whether the bytes of the read were forwarded was decided afterwards, for the read as a whole, by other rules. A gap dropped sound events before it, a lower id cut them off as repetitions, an event without a number was forwarded and not counted, and any first id was believed.

EventSequence judges each event before it is forwarded, and is the only account: another endpoint is asked for what follows the last event that it let through. Events before a fault in the same read are forwarded, also before one that is too long, and are written before a stream breaks off. Streams that may not be continued are forwarded as they are, and break off at a gap or a falling id, as a lower id made a piece disappear there too.

Tests changed: the splitter's tests ask for the kind of an event and for is_event_too_long where push returned None, the same limits; the raw endpoints of unframed_answers.rs are a stand-in now, shared by both files.

--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -5,6 +5,7 @@
 mod http;
 mod peer;
 mod platform;
+mod raw_endpoints;
 mod resumed_stream;
 mod routed;
 mod service;
@@ -13,6 +14,7 @@
 pub use engine::{EngineProfile, EngineStandIn, answer_token};
 pub use peer::PeerStandIn;
 pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreListener, StoreSnapshot};
+pub use raw_endpoints::{ConnectionEnd, RawAnswer, RawEndpoints, RawRequest};
 pub use resumed_stream::{ResumedStream, StreamShape};
 pub use routed::{
     EndpointBehavior, PartCrash, ReceivedRequest, RejectedRequest, RoutedStandIn, STARTED_HEADER,
--- a/dockgate-bench/tests/unframed_answers.rs
+++ b/dockgate-bench/tests/unframed_answers.rs
@@ -1,165 +1,13 @@
 //! Answers of endpoints that have neither a length nor chunks and end with their connection.
 
-use dockgate_bench::gateway_fleet::{GatewayFleet, start_fleet, wait_until};
 use dockgate_bench::standin::caller::{all_events, call, request, text};
+use dockgate_bench::standin::{ConnectionEnd, RawAnswer, RawEndpoints};
 use http::StatusCode;
 use http_body_util::BodyExt;
-use serde_json::json;
-use std::collections::VecDeque;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use yare::parameterized;
 
-/// Time in which the box reads what an endpoint has sent, before the connection ends.
-const READ_PAUSE: Duration = Duration::from_millis(100);
-
-/// How an endpoint ends the connection of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ConnectionEnd {
-    Close,
-    Reset,
-}
-
-/// The bytes with which an endpoint answers a request.
-#[derive(Debug, Clone)]
-struct RawAnswer {
-    version: &'static str,
-    headers: &'static str,
-    body: String,
-    end: ConnectionEnd,
-}
-
-impl RawAnswer {
-    fn new(body: impl Into<String>, end: ConnectionEnd) -> Self {
-        Self {
-            version: "HTTP/1.1",
-            headers: "",
-            body: body.into(),
-            end,
-        }
-    }
-}
-
-/// A request that an endpoint received.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct RawRequest {
-    id: String,
-    last_event: Option<String>,
-}
-
-/// Endpoints that give the same list of answers, in the order in which requests arrive at any.
-#[derive(Debug, Clone, Default)]
-struct RawEndpoints {
-    answers: Arc<Mutex<VecDeque<RawAnswer>>>,
-    received: Arc<Mutex<Vec<RawRequest>>>,
-}
-
-impl RawEndpoints {
-    fn new(answers: impl IntoIterator<Item = RawAnswer>) -> Self {
-        let answers = answers.into_iter().collect();
-        Self {
-            answers: Arc::new(Mutex::new(answers)),
-            ..Self::default()
-        }
-    }
-
-    fn received(&self) -> Vec<RawRequest> {
-        self.received.lock().unwrap().clone()
-    }
-
-    /// Starts an endpoint of a service and waits until the box uses it.
-    async fn add_to(&self, fleet: &GatewayFleet, name: &str, service: &str) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let endpoints = self.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(endpoints.clone().serve(stream));
-            }
-        });
-        add_record(fleet, name, service, address).await;
-    }
-
-    async fn serve(self, mut stream: TcpStream) {
-        let Some(head) = read_request(&mut stream).await else {
-            return;
-        };
-        let id = header_of(&head, "x-request-id").unwrap_or_default();
-        let last_event = header_of(&head, "last-event-id");
-        let request = RawRequest {
-            id: id.clone(),
-            last_event,
-        };
-        self.received.lock().unwrap().push(request);
-        let answer = self.answers.lock().unwrap().pop_front();
-        let Some(answer) = answer else { return };
-        let RawAnswer {
-            version,
-            headers,
-            body,
-            end,
-        } = answer;
-        let text = format!(
-            "{version} 200 OK\r\nx-request-id: {id}\r\nx-upstream-signature: p\r\n{headers}\r\n{body}"
-        );
-        stream.write_all(text.as_bytes()).await.unwrap();
-        tokio::time::sleep(READ_PAUSE).await;
-        if end == ConnectionEnd::Reset {
-            stream.set_zero_linger().unwrap();
-        }
-    }
-}
-
-/// Reads a request with its body, and returns its head in lower case.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&bytes).to_lowercase();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = header_of(head, "content-length").unwrap_or_default();
-            if body.len() >= length.parse().unwrap_or(0) {
-                return Some(head.to_owned());
-            }
-        }
-        if stream.read_buf(&mut bytes).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
-fn header_of(head: &str, name: &str) -> Option<String> {
-    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
-    lines.find_map(|(key, value)| (key == name).then(|| value.trim().to_owned()))
-}
-
-/// Adds the record of an endpoint to the store and waits until the box uses it.
-async fn add_record(fleet: &GatewayFleet, name: &str, service: &str, address: SocketAddr) {
-    let value = json!({
-        "service": service, "address": address, "zone": "a", "version": "v1", "capacity": 8,
-        "state": "ready", "warmup_left_ms": 0, "sequence": 1,
-    });
-    let key = format!("{}{name}", dockgate_platform::ENDPOINT_KEY_PREFIX);
-    fleet.store.set(&key, value.to_string());
-    let line = format!(r#""event":"endpoint_ready","endpoint":"{name}""#);
-    wait_until("the endpoint is in use", async || {
-        fleet.gateways[0].logged().contains(&line)
-    })
-    .await;
-}
-
-async fn start_with(service: &str, endpoints: &RawEndpoints) -> GatewayFleet {
-    // The store holds no endpoint of the service beside the raw ones.
-    let other = if service == "plain" { "model" } else { "plain" };
-    let fleet = start_fleet(1, &[other]).await;
-    for name in ["raw-0", "raw-1"] {
-        endpoints.add_to(&fleet, name, service).await;
-    }
-    fleet
-}
-
 /// Guards against dropping a whole answer, or sending a request on a connection that ends.
 #[parameterized(
     bare = { "HTTP/1.1", "" },
@@ -180,7 +28,7 @@
         ..RawAnswer::new("whole", ConnectionEnd::Close)
     };
     let endpoints = RawEndpoints::new(vec![answer; 5]);
-    let fleet = start_with("plain", &endpoints).await;
+    let fleet = endpoints.start_with_box("plain").await;
     for number in 0..5 {
         let id = format!("r{number}");
         let response = call(&fleet.gateways[0], request("/once/x", &id, None)).await;
@@ -210,7 +58,7 @@
     };
     let whole = RawAnswer::new("whole", ConnectionEnd::Close);
     let endpoints = RawEndpoints::new([reset.clone(), reset, whole]);
-    let fleet = start_with("plain", &endpoints).await;
+    let fleet = endpoints.start_with_box("plain").await;
     let once = call(&fleet.gateways[0], request("/once/x", "r1", None)).await;
     assert_eq!(once.status(), StatusCode::BAD_GATEWAY);
     let repeated = call(&fleet.gateways[0], request("/again/x", "r2", None)).await;
@@ -233,7 +81,7 @@
 async fn streams_that_end_with_their_connection_are_forwarded(path: &str) {
     let answer = RawAnswer::new(all_events(EVENTS), ConnectionEnd::Close);
     let endpoints = RawEndpoints::new(vec![answer; 5]);
-    let fleet = start_with("model", &endpoints).await;
+    let fleet = endpoints.start_with_box("model").await;
     for number in 0..5 {
         let id = format!("r{number}");
         let response = call(&fleet.gateways[0], request(path, &id, Some(EVENTS))).await;
@@ -257,7 +105,7 @@
     let broken = RawAnswer::new(all_events(events) + rest, end);
     let remaining: String = (events + 1..=EVENTS).map(event).collect();
     let endpoints = RawEndpoints::new([broken, RawAnswer::new(remaining, ConnectionEnd::Close)]);
-    let fleet = start_with("model", &endpoints).await;
+    let fleet = endpoints.start_with_box("model").await;
     let response = call(&fleet.gateways[0], request("/live/x", "r1", Some(EVENTS))).await;
     assert_eq!(text(response).await, all_events(EVENTS));
     let resumed_after = (events > 0).then(|| events.to_string());
@@ -278,7 +126,7 @@
 #[test_macro(tokio::test)]
 async fn broken_streams_that_may_not_be_resumed_end_incomplete(rest: &str, end: ConnectionEnd) {
     let endpoints = RawEndpoints::new([RawAnswer::new(all_events(2) + rest, end)]);
-    let fleet = start_with("model", &endpoints).await;
+    let fleet = endpoints.start_with_box("model").await;
     let response = call(&fleet.gateways[0], request("/draft/x", "r1", Some(EVENTS))).await;
     assert_eq!(response.status(), StatusCode::OK);
     let mut body = response.into_body();
@@ -307,7 +155,7 @@
     end: ConnectionEnd,
 ) {
     let endpoints = RawEndpoints::new([RawAnswer::new(body, end)]);
-    let fleet = start_with("model", &endpoints).await;
+    let fleet = endpoints.start_with_box("model").await;
     let response = call(&fleet.gateways[0], request("/draft/x", "r1", Some(EVENTS))).await;
     assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
     assert_eq!(endpoints.received().len(), 1);
@@ -319,7 +167,7 @@
 async fn broken_streams_are_reset_at_callers_without_chunks() {
     let broken = RawAnswer::new(all_events(2) + "id: 3\nda", ConnectionEnd::Close);
     let endpoints = RawEndpoints::new([broken]);
-    let fleet = start_with("model", &endpoints).await;
+    let fleet = endpoints.start_with_box("model").await;
     let mut caller = TcpStream::connect(fleet.gateways[0].caller_address())
         .await
         .unwrap();
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -32,6 +32,7 @@
 mod engine_weights;
 mod era_tracker;
 mod evacuation_orders;
+mod event_sequence;
 mod event_splitter;
 mod fair_usage;
 mod fleet_view;
@@ -99,7 +100,8 @@
 pub use engine_weights::{EngineRate, EngineWeights, RateAudience, ReadyService, WeightChange};
 pub use era_tracker::{EraChange, EraTracker};
 pub use evacuation_orders::{EvacuationOrder, EvacuationOrders};
-pub use event_splitter::{EventSplitter, SplitEvent};
+pub use event_sequence::{EventFault, EventSequence, EventVerdict};
+pub use event_splitter::{EventKind, EventSplitter, SplitEvent};
 pub use fleet_view::{BoxChange, FleetView, StateSource};
 pub use generation_times::GenerationTimes;
 pub use home_weights::HomeWeights;
--- a/dockgate/src/gateway/event_stream.rs
+++ b/dockgate/src/gateway/event_stream.rs
@@ -10,7 +10,10 @@
 use super::upstream::{EndpointTarget, PooledConnection};
 use crate::clock::{ClockInstant, timeout_at};
 use bytes::{Bytes, BytesMut};
-use dockgate_core::gateway::{EndpointOutcome, EventSplitter, SoftwareVersion};
+use dockgate_core::gateway::{
+    EndpointOutcome, EventFault, EventKind, EventSequence, EventSplitter, EventVerdict,
+    SoftwareVersion, SplitEvent,
+};
 use dockgate_core::{AttemptState, RetryVerdict};
 use dockgate_platform::AnswerHead;
 use futures::{FutureExt, stream};
@@ -95,12 +98,43 @@
     .await;
 }
 
+/// What is forwarded of the bytes that an endpoint sent.
+struct SplitOutcome {
+    /// The events that are forwarded.
+    bytes: Bytes,
+    /// Their number, comments apart.
+    events: u64,
+    /// Why the endpoint is given up behind them.
+    problem: Option<&'static str>,
+}
+
+const fn problem_of(fault: EventFault) -> &'static str {
+    match fault {
+        EventFault::Gap => "events are missing",
+        EventFault::OutOfOrder => "events are out of order",
+        EventFault::Unnumbered => "an event has no number",
+        EventFault::Malformed => "an event is damaged",
+    }
+}
+
+/// Returns the sequence of a stream of which nothing is forwarded yet. The numbers of its events
+/// matter only where another endpoint may continue it.
+fn first_sequence(call: &AdmittedCall) -> EventSequence {
+    match (call.route().may_repeat(), call.head.last_event) {
+        (true, Some(last)) => EventSequence::after(last),
+        (true, None) => EventSequence::after(0),
+        (false, _) => EventSequence::unknown(),
+    }
+}
+
 /// A stream of events that is forwarded to a caller.
 pub(super) struct EventStream {
     call: Arc<AdmittedCall>,
     attempts: CallAttempts,
     source: Option<StreamSource>,
     splitter: EventSplitter,
+    /// Decides which events are forwarded, and after which one another endpoint continues.
+    sequence: EventSequence,
     /// The number of bytes that the source has sent since the last new event.
     bytes_without_event: usize,
     /// Complete events that were read and not forwarded yet.
@@ -110,7 +144,6 @@
     ended: bool,
     /// Whether an event was received, from this endpoint or one before it.
     has_events: bool,
-    last_event: Option<u64>,
     /// The software version of the endpoint that sent the first event.
     version: SoftwareVersion,
     events: u64,
@@ -126,7 +159,7 @@
         status: StatusCode,
     ) -> Self {
         Self {
-            last_event: call.head.last_event,
+            sequence: first_sequence(&call),
             version: source.target.version,
             call,
             attempts,
@@ -223,6 +256,8 @@
                     if let Err(broken) = Box::pin(self.fail_over(lost)).await {
                         self.ended = true;
                         self.source = None;
+                        // An error drops what the connection has buffered, so it is written first.
+                        tokio::task::yield_now().await;
                         return Some((Err(broken), self));
                     }
                 }
@@ -345,6 +380,9 @@
             None if self.splitter.has_partial_event() => {
                 return Some(StreamStep::lost("ended inside an event"));
             }
+            None if self.sequence.has_only_repeated() => {
+                return Some(StreamStep::lost("ended after repeated events"));
+            }
             None if self.lacks_first_event() => {
                 return Some(StreamStep::lost("ended before its first event"));
             }
@@ -352,9 +390,13 @@
             Some(Err(_)) => return Some(StreamStep::lost("broke off")),
             Some(Ok(frame)) => frame.into_data().ok()?,
         };
-        let events_before = self.events;
-        let split = self.split_events(&data);
-        match self.events > events_before {
+        let SplitOutcome {
+            bytes,
+            events,
+            problem,
+        } = self.split_events(&data);
+        self.events += events;
+        match events > 0 {
             true => self.bytes_without_event = 0,
             false => self.bytes_without_event += data.len(),
         }
@@ -362,14 +404,13 @@
             GATEWAY_METRICS.record_unbounded_answer("no_progress");
             return Some(StreamStep::lost(NO_PROGRESS));
         }
-        match split {
-            Ok(bytes) if bytes.is_empty() => None,
-            Ok(bytes) => {
-                self.has_events = true;
-                Some(StreamStep::Events(bytes))
-            }
-            Err(problem) => Some(StreamStep::lost(problem)),
+        let lost = problem.map(StreamStep::lost);
+        if bytes.is_empty() {
+            return lost;
         }
+        self.has_events = true;
+        self.pending_step = lost;
+        Some(StreamStep::Events(bytes))
     }
 
     /// Returns whether a stream ended with its connection before any event, so that its endpoint
@@ -377,48 +418,51 @@
     fn lacks_first_event(&self) -> bool {
         let source = self.source.as_ref();
         let is_unframed = source.is_some_and(|source| source.head.is_unframed);
-        is_unframed && !self.has_events && self.last_event.is_none()
+        is_unframed && !self.has_events && self.call.head.last_event.is_none()
     }
 
-    /// Splits bytes into events, drops those that the caller has received, and detects gaps.
-    fn split_events(&mut self, data: &[u8]) -> Result<Bytes, &'static str> {
-        let (bytes, events) = self.splitter.push(data).ok_or("an event is too long")?;
-        let mut start = 0;
-        let mut in_order = 0;
-        for event in &events {
-            match (event.id, self.last_event) {
-                (Some(id), Some(last)) if id <= last => {
-                    self.log_rejected("repeated", Some(id), in_order);
-                    start = event.range.end;
-                    in_order = 0;
-                }
-                (Some(id), Some(last)) if id > last + 1 => {
-                    self.log_rejected("gap", Some(id), in_order);
-                    return Err("events are missing");
-                }
-                (Some(id), _) => {
-                    self.last_event = Some(id);
-                    self.events += 1;
-                    in_order += 1;
+    /// Splits bytes into events, and selects those that are forwarded.
+    fn split_events(&mut self, data: &[u8]) -> SplitOutcome {
+        let (bytes, events) = self.splitter.push(data);
+        let mut forwarded = 0..bytes.len();
+        let mut numbered = 0;
+        let mut problem = match self.splitter.is_event_too_long() {
+            true => Some("an event is too long"),
+            false => None,
+        };
+        for SplitEvent { kind, range } in events {
+            match self.sequence.judge(kind) {
+                EventVerdict::Forward => numbered += u64::from(kind != EventKind::Comment),
+                // Repeated events come before those that are forwarded.
+                EventVerdict::Repeated => forwarded.start = range.end,
+                EventVerdict::Reject(fault) => {
+                    self.log_rejected(fault, kind);
+                    forwarded.end = range.start;
+                    problem = Some(problem_of(fault));
+                    break;
                 }
-                (None, _) => self.log_rejected("unnumbered", None, 0),
             }
         }
-        Ok(Bytes::from(bytes).slice(start..))
+        SplitOutcome {
+            bytes: Bytes::from(bytes).slice(forwarded),
+            events: numbered,
+            problem,
+        }
     }
 
-    /// Records an event out of order, or one without a readable id. `dropped` events of the same
-    /// read were in order and are not forwarded.
-    fn log_rejected(&self, fault: &str, id: Option<u64>, dropped: usize) {
-        GATEWAY_METRICS.record_rejected_event(fault);
+    /// Records an event that is not forwarded, for which its endpoint is given up.
+    fn log_rejected(&self, fault: EventFault, kind: EventKind) {
+        GATEWAY_METRICS.record_rejected_event(fault.as_str());
         let source = self.source.as_ref();
         log_gateway(&GatewayEvent::EventRejected {
             request: &self.call.head.id,
             endpoint: source.map_or("", |source| &source.target.name),
-            fault,
-            id,
-            after_event: self.last_event,
-            dropped,
+            fault: fault.as_str(),
+            id: match kind {
+                EventKind::Numbered(id) => Some(id),
+                EventKind::Unnumbered | EventKind::Malformed | EventKind::Comment => None,
+            },
+            after_event: self.sequence.resume_point(),
         });
     }
 
@@ -439,6 +483,7 @@
         let version_name = |target: &EndpointTarget| self.call.state.version_name(target.id);
         let began_at = lost.as_ref().map(version_name).unwrap_or_default();
         self.splitter = EventSplitter::default();
+        self.sequence.change_source();
         let reason = match self.resume(replacement).await {
             Ok(source) => {
                 GATEWAY_METRICS.resumed_streams.inc();
@@ -448,7 +493,7 @@
                     began_at: &began_at,
                     endpoint: &source.target.name,
                     version: &self.call.state.version_name(source.target.id),
-                    after_event: self.last_event.unwrap_or_default(),
+                    after_event: self.sequence.resume_point().unwrap_or_default(),
                     problem,
                 });
                 self.source = Some(source);
@@ -477,6 +522,11 @@
         mut replacement: Option<Box<Replacement>>,
     ) -> Result<StreamSource, String> {
         let call = self.call.clone();
+        let Some(last_event) = self.sequence.resume_point() else {
+            return Err("the numbers of its events are not known".to_owned());
+        };
+        // An endpoint that begins a stream is not asked for what follows an event.
+        let last_event = Some(last_event).filter(|last| *last > 0);
         let mut searches = 0;
         loop {
             if call.caller.is_disconnected() {
@@ -506,7 +556,7 @@
                     continue;
                 }
             };
-            let resumed = call.resume(placement, &mut self.attempts, self.last_event);
+            let resumed = call.resume(placement, &mut self.attempts, last_event);
             match resumed.await {
                 Ok(source) => return Ok(source),
                 Err(failure) if self.attempts.endpoints.len() > MAX_ENDPOINTS => {
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -277,17 +277,15 @@
         after_event: u64,
         problem: &'a str,
     },
-    /// An endpoint sent an event out of order, or one without a readable id.
+    /// An endpoint sent an event that does not follow the one before it; it is given up.
     EventRejected {
         request: &'a str,
         endpoint: &'a str,
         fault: &'a str,
         /// The id of the event, if it has a readable one.
         id: Option<u64>,
-        /// The last event in order.
+        /// The last event that was forwarded, if the events are numbered.
         after_event: Option<u64>,
-        /// The number of events in order that arrived in the same read and are not forwarded.
-        dropped: usize,
     },
     /// A caller takes up a stream.
     TakenUp {
--- a/dockgate/src/gateway/events/tests.rs
+++ b/dockgate/src/gateway/events/tests.rs
@@ -93,8 +93,8 @@
     },
     event_rejected = {
         GatewayEvent::EventRejected {
-            request: "r", endpoint: "e", fault: "gap", id: Some(7), after_event: Some(2), dropped: 1 },
-        "after_event dropped endpoint event fault id request"
+            request: "r", endpoint: "e", fault: "gap", id: Some(7), after_event: Some(2) },
+        "after_event endpoint event fault id request"
     },
     routes = {
         GatewayEvent::RoutesInForce {
@@ -342,7 +342,6 @@
             fault: "gap",
             id: Some(7),
             after_event: Some(2),
-            dropped: 1,
         },
         GatewayEvent::TakenUp {
             request: "r",
