--- a/dockgate-core/src/gateway/watch_check.rs
+++ b/dockgate-core/src/gateway/watch_check.rs
@@ -45,6 +45,12 @@
         now_ms >= since_ms + Self::STALL_TIMEOUT_MS
     }
 
+    /// Returns how long the watch has been known to lag, in milliseconds.
+    pub fn behind_ms(&self, now_ms: u64) -> u64 {
+        let since_ms = self.behind_since_ms.unwrap_or(now_ms);
+        now_ms.saturating_sub(since_ms)
+    }
+
     /// Records that the watched keys have not changed up to `revision`.
     pub fn confirm(&mut self, revision: StoreRevision) {
         self.confirmed = self.confirmed.max(revision);
--- a/dockgate/src/checked_watch.rs
+++ b/dockgate/src/checked_watch.rs
@@ -16,6 +16,8 @@
     Missed {
         /// The store's revision that caused the check.
         latest: StoreRevision,
+        /// How long the watch was known to lag, in milliseconds.
+        behind_ms: u64,
     },
     /// The check was not answered.
     Failed,
@@ -110,7 +112,8 @@
                     self.check.confirm(latest);
                 }
                 Ok(outcome) => {
-                    record_check(CheckResult::Missed { latest });
+                    let behind_ms = self.check.behind_ms(now_ms());
+                    record_check(CheckResult::Missed { latest, behind_ms });
                     return Ok(outcome);
                 }
                 Err(error) => {
--- a/dockgate/src/checked_watch/tests.rs
+++ b/dockgate/src/checked_watch/tests.rs
@@ -97,7 +97,11 @@
     let mut watch = CheckedWatch::new(store.client, PREFIX, TIMEOUT, latest);
     let (outcome, results) = watch_for(&mut watch, &sender, TIMEOUT).await;
     assert!(has_events(outcome));
-    assert_eq!(results, [CheckResult::Missed { latest: LATEST }]);
+    let [CheckResult::Missed { latest, behind_ms }] = results[..] else {
+        panic!("one check that finds a missed change: {results:?}");
+    };
+    assert_eq!(latest, LATEST);
+    assert!(behind_ms >= 1_000, "checked after {behind_ms} ms");
 }
 
 /// Guards against calls without end to a store in which only other keys change.
--- a/dockgate/src/gateway/events.rs
+++ b/dockgate/src/gateway/events.rs
@@ -148,11 +148,13 @@
     /// The store is reachable again.
     StoreBack { step: &'a str, away_ms: u64 },
     /// A watch of the keys of `what` missed changes that the store had after `since`; they are read
-    /// now. `latest` is the store's revision, which other answers reported.
+    /// now. `latest` is the store's revision, which other answers reported, the first one `behind_ms`
+    /// ago.
     StoreWatchMute {
         what: &'a str,
         since: u64,
         latest: u64,
+        behind_ms: u64,
     },
     /// The store was restored from an older copy and all its contents are listed again. The
     /// endpoints were known up to `revision` of the previous era.
--- a/dockgate/src/gateway/store_contact.rs
+++ b/dockgate/src/gateway/store_contact.rs
@@ -101,11 +101,12 @@
             .store_watch_checks
             .with_label_values(&[self.prefix, text])
             .inc();
-        if let CheckResult::Missed { latest } = result {
+        if let CheckResult::Missed { latest, behind_ms } = result {
             log_gateway(&GatewayEvent::StoreWatchMute {
                 what: self.prefix,
                 since: since.number,
                 latest: latest.number,
+                behind_ms,
             });
         }
     }
--- a/dockgate/src/probed_wait.rs
+++ b/dockgate/src/probed_wait.rs
@@ -25,7 +25,7 @@
     wait: Duration,
 ) -> Result<WatchOutcome, PlatformError> {
     let log_check = |result| match result {
-        CheckResult::Missed { latest } => {
+        CheckResult::Missed { latest, .. } => {
             log::warn!("a watch of {prefix} since {since} missed changes up to {latest}");
         }
         CheckResult::Current | CheckResult::Failed => {}
