fix: a mute watch is found while reads that may be outdated hide the change

Cause: a watch is checked if the store's revision is ahead of it. In a calm store only probes report one, and they ask for reads that may be outdated: the answer proves that the store is reached, and was taken for a proof of what it holds.

One follower of each domain, the first that the store answers, reads the current revision once no call has told it for a second; the others learn what it finds from it, as they learn any change. A check is made when it is due, not at the next answer, and a follower asks a box of its own domain after 0.4 s instead of 0.7 s, which is longer than the pause between two watches. The daemon without a gateway section reads it every 1.75 s.

--- a/dockgate-bench/src/standin/platform.rs
+++ b/dockgate-bench/src/standin/platform.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the platform's key-value store with leases, watches and a history of changes.
 
 mod key_store;
+mod past_states;
 mod store_listener;
 
 use super::http::{AbortedConnection, StandInBody, answer, serve};
@@ -13,6 +14,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use key_store::{KeyStore, TxnRejection};
+use past_states::PastStates;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 use serde_json::value::RawValue;
@@ -73,6 +75,10 @@
 
 struct PlatformState {
     store: Mutex<KeyStore>,
+    /// What reads that may be outdated are answered from; `None` while they are current.
+    past: Mutex<Option<PastStates>>,
+    /// The number of listings that must be current.
+    current_listings: AtomicU64,
     /// Incremented each time the store is restored from an older snapshot.
     era: AtomicU64,
     changed: watch::Sender<u64>,
@@ -88,11 +94,18 @@
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn past(&self) -> MutexGuard<'_, Option<PastStates>> {
+        self.past.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Expires leases, applies a change and wakes the watches.
     fn change<T>(&self, change: impl FnOnce(&mut KeyStore) -> T) -> T {
         let mut store = self.store();
         store.expire();
         let result = change(&mut store);
+        if let Some(past) = &mut *self.past() {
+            past.record(&store);
+        }
         self.changed.send_replace(store.revision());
         result
     }
@@ -114,6 +127,8 @@
     pub async fn start() -> Result<Self, BenchError> {
         let state = Arc::new(PlatformState {
             store: Mutex::default(),
+            past: Mutex::default(),
+            current_listings: AtomicU64::new(0),
             era: AtomicU64::new(1),
             changed: watch::channel(0).0,
             reads: AtomicU64::new(0),
@@ -218,6 +233,18 @@
         self.state.delay_ms.store(delay, Ordering::Release);
     }
 
+    /// Answers reads that may be outdated from the state that the store had `age` ago, but not before
+    /// now.
+    pub fn set_staleness(&self, age: Duration) {
+        let store = self.state.store();
+        *self.state.past() = Some(PastStates::new(age, &store));
+    }
+
+    /// Returns the number of listings so far that had to be current.
+    pub fn current_listings(&self) -> u64 {
+        self.state.current_listings.load(Ordering::Relaxed)
+    }
+
     /// Returns the numbers of calls so far.
     pub fn calls(&self) -> PlatformCalls {
         PlatformCalls {
@@ -371,10 +398,19 @@
 }
 
 fn range(state: &PlatformState, query: &CallQuery) -> Response<StandInBody> {
-    let page = state.change(|store| {
+    let encode = |store: &KeyStore| {
         let page = store.page(query.text("path_prefix"), query.text("since_revision"));
         store.encode_range(&page)
-    });
+    };
+    let is_current = query.text("serializable") != "1";
+    if is_current {
+        state.current_listings.fetch_add(1, Ordering::Relaxed);
+    }
+    let outdated = match &mut *state.past() {
+        Some(past) if !is_current => Some(encode(past.visible())),
+        _ => None,
+    };
+    let page = outdated.unwrap_or_else(|| state.change(|store| encode(store)));
     json(StatusCode::OK, &page)
 }
 
--- a/dockgate-core/src/gateway.rs
+++ b/dockgate-core/src/gateway.rs
@@ -136,7 +136,7 @@
 pub use software_version::SoftwareVersion;
 pub use stop_window::StopWindow;
 pub use store_follower::{StoreAccess, StoreFollower, StorePeers};
-pub use store_probe::{ProbeChange, ProbeTiming, StoreProbe};
+pub use store_probe::{ProbeChange, ProbeTiming, RevisionAge, StoreProbe};
 pub use store_revision::StoreRevision;
 pub use store_search::{StandbyTurn, StoreSearch};
 pub use stream_key::StreamKey;
--- a/dockgate-core/src/gateway/store_probe.rs
+++ b/dockgate-core/src/gateway/store_probe.rs
@@ -33,6 +33,9 @@
     pub interval_ms: u64,
     /// The time without an answer after which a probe has failed, in milliseconds.
     pub timeout_ms: u64,
+    /// How old the store's latest known revision may become until a probe reads the current one, in
+    /// milliseconds.
+    pub revision_age_ms: u64,
 }
 
 impl ProbeTiming {
@@ -41,9 +44,14 @@
     /// 0.8 s of the 2.3 s that are counted for all steps.
     const INTERVAL_DIVISOR: u64 = 10;
     const TIMEOUT_DIVISOR: u64 = 6;
-    /// The lower limits of both, which tolerate a very slow store.
+    /// The divisor that gives the age of the revision; a watch is checked 1 s after a revision that it
+    /// has not delivered.
+    const REVISION_AGE_DIVISOR: u64 = 4;
+    /// The lower limits: of the interval and the timeout, as a store may be very slow, and of the age,
+    /// as current reads are expensive.
     const MIN_INTERVAL_MS: u64 = 200;
     const MIN_TIMEOUT_MS: u64 = 350;
+    const MIN_REVISION_AGE_MS: u64 = 1_000;
 
     /// Creates the timing for a bound within which all boxes must learn of a change, in
     /// milliseconds.
@@ -51,10 +59,33 @@
         Self {
             interval_ms: (bound_ms / Self::INTERVAL_DIVISOR).max(Self::MIN_INTERVAL_MS),
             timeout_ms: (bound_ms / Self::TIMEOUT_DIVISOR).max(Self::MIN_TIMEOUT_MS),
+            revision_age_ms: (bound_ms / Self::REVISION_AGE_DIVISOR).max(Self::MIN_REVISION_AGE_MS),
         }
     }
 }
 
+/// Tracks when this box last asked for the store's current revision.
+///
+/// An answer that may be outdated does not show that a watch has missed a change. A watch, or a
+/// listing, that is answered shows the current revision as well.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RevisionAge {
+    known_ms: Option<u64>,
+}
+
+impl RevisionAge {
+    /// Records a call that asked for the current revision.
+    pub fn record(&mut self, at_ms: u64) {
+        self.known_ms = self.known_ms.max(Some(at_ms));
+    }
+
+    /// Returns whether the next probe has to read the current revision.
+    pub fn is_over(&self, max_age_ms: u64, now_ms: u64) -> bool {
+        self.known_ms
+            .is_none_or(|known_ms| now_ms >= known_ms + max_age_ms)
+    }
+}
+
 /// The outcome of the probes so far.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreProbe {
--- a/dockgate-core/src/gateway/store_probe/tests.rs
+++ b/dockgate-core/src/gateway/store_probe/tests.rs
@@ -38,15 +38,36 @@
 }
 
 #[parameterized(
-    short = { 2_000, 200, 350 },
-    middle = { 3_000, 300, 500 },
-    long = { 4_000, 400, 666 },
-    least = { 500, 200, 350 },
+    short = { 2_000, 200, 350, 1_000 },
+    middle = { 3_000, 300, 500, 1_000 },
+    long = { 7_000, 700, 1_166, 1_750 },
+    least = { 500, 200, 350, 1_000 },
 )]
-fn timing_is_derived_from_the_bound(bound_ms: u64, interval_ms: u64, timeout_ms: u64) {
+fn timing_is_derived_from_the_bound(
+    bound_ms: u64,
+    interval_ms: u64,
+    timeout_ms: u64,
+    revision_age_ms: u64,
+) {
     let timing = ProbeTiming {
         interval_ms,
         timeout_ms,
+        revision_age_ms,
     };
     assert_eq!(ProbeTiming::within(bound_ms), timing);
 }
+
+/// Guards against current reads beside calls that have just shown the current revision.
+#[test]
+fn current_revision_is_read_again_once_it_is_old() {
+    let mut age = RevisionAge::default();
+    assert!(age.is_over(1_000, 50), "nothing is known yet");
+    age.record(2_000);
+    assert!(!age.is_over(1_000, 2_999));
+    assert!(age.is_over(1_000, 3_000));
+    age.record(1_500);
+    assert!(
+        !age.is_over(1_000, 2_999),
+        "an earlier call changes nothing"
+    );
+}
--- a/dockgate-core/src/gateway/watch_check.rs
+++ b/dockgate-core/src/gateway/watch_check.rs
@@ -45,6 +45,13 @@
         now_ms >= since_ms + Self::STALL_TIMEOUT_MS
     }
 
+    /// Returns the time until the watch must be checked if nothing else changes, in milliseconds;
+    /// `None` if it does not lag.
+    pub fn due_in_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.behind_since_ms?;
+        Some((since_ms + Self::STALL_TIMEOUT_MS).saturating_sub(now_ms))
+    }
+
     /// Returns how long the watch has been known to lag, in milliseconds.
     pub fn behind_ms(&self, now_ms: u64) -> u64 {
         let since_ms = self.behind_since_ms.unwrap_or(now_ms);
--- a/dockgate-core/src/gateway/watch_check/tests.rs
+++ b/dockgate-core/src/gateway/watch_check/tests.rs
@@ -12,6 +12,7 @@
     assert!(!check.is_due(at(8), at(8), 2_000));
     assert!(!check.is_due(at(9), at(8), 2_100), "the wait starts again");
     assert!(!check.is_due(at(9), at(8), 3_099));
+    assert_eq!(check.due_in_ms(3_099), Some(1));
     assert!(check.is_due(at(9), at(8), 3_100));
 }
 
@@ -21,6 +22,7 @@
     check.is_due(at(7), at(6), 1_000);
     assert!(check.is_due(at(7), at(6), 2_000));
     check.confirm(at(7));
+    assert_eq!(check.due_in_ms(2_000), None);
     assert!(
         (2_000..60_000)
             .step_by(300)
--- a/dockgate/src/checked_watch.rs
+++ b/dockgate/src/checked_watch.rs
@@ -94,9 +94,11 @@
         let client = self.client.clone();
         let mut pending = pin!(client.watch(self.prefix, since.number, self.wait));
         loop {
+            let due_in = self.check.due_in_ms(now_ms()).map(Duration::from_millis);
             tokio::select! {
                 outcome = &mut pending => return outcome,
                 Ok(()) = self.latest.changed() => {}
+                () = tokio::time::sleep(due_in.unwrap_or_default()), if due_in.is_some() => {}
             }
             let latest = *self.latest.borrow_and_update();
             if !self.check.is_due(latest, since, now_ms()) {
--- a/dockgate/src/checked_watch/tests.rs
+++ b/dockgate/src/checked_watch/tests.rs
@@ -132,3 +132,14 @@
     assert!(has_events(outcome));
     assert_eq!(store.checks.load(Ordering::Relaxed), 2);
 }
+
+/// Guards against a check that waits for the store's next answer to another call.
+#[tokio::test]
+async fn lagging_watch_is_checked_without_a_further_answer() {
+    let store = MuteStore::start(MISSED, 0).await;
+    let (sender, latest) = watch::channel(SINCE);
+    let mut watch = CheckedWatch::new(store.client, PREFIX, TIMEOUT, latest);
+    sender.send_replace(LATEST);
+    let outcome = tokio::time::timeout(TIMEOUT, watch.next(SINCE, |_| {})).await;
+    assert!(has_events(outcome.ok()));
+}
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -22,9 +22,9 @@
     EndpointRegistry, EndpointUpdate, EngineRegistry, EngineWeights, EraTracker, FleetView,
     GenerationTimes, InterruptionTracker, LedgerKeeper, LoadShedder, LoopLag, MemoryBudget,
     OverflowBudget, PlainLoads, PrefixHistory, QuarantineChange, RemovedEndpoint, ResumeGate,
-    RetryBudget, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker, StopWindow,
-    StoreFollower, StoreProbe, StoreRevision, StreamLog, StreamRegistry, SuspectRegistry,
-    VersionHistory, WaitQueue, WarmupTracker,
+    RetryBudget, RevisionAge, RouteConfig, RouteTable, RunKey, ShareTally, ShareTracker,
+    StopWindow, StoreFollower, StoreProbe, StoreRevision, StreamLog, StreamRegistry,
+    SuspectRegistry, VersionHistory, WaitQueue, WarmupTracker,
 };
 use dockgate_core::{BoxKey, Incarnation};
 use dockgate_platform::PlatformClient;
@@ -109,6 +109,8 @@
     pub(super) overflow: OverflowBudget,
     /// Whether the store answers this box.
     pub(super) probe: StoreProbe,
+    /// When this box last asked for the store's current revision.
+    pub(super) revision_age: RevisionAge,
     /// The key prefixes whose last call was answered, with the revision up to which they are known.
     pub(super) store_revisions: BTreeMap<&'static str, StoreRevision>,
     /// Whether the view was refreshed since the last suspension of the box.
@@ -218,6 +220,7 @@
             store,
             overflow: OverflowBudget::default(),
             probe: StoreProbe::default(),
+            revision_age: RevisionAge::default(),
             store_revisions: BTreeMap::new(),
             gate: ResumeGate::default(),
             warmups: WarmupTracker::default(),
--- a/dockgate/src/gateway/gateway_state/store_access.rs
+++ b/dockgate/src/gateway/gateway_state/store_access.rs
@@ -7,7 +7,7 @@
 use super::{GatewayState, GatewayView};
 use crate::clock::now_ms;
 use dockgate_core::gateway::{
-    EraChange, ProbeChange, StandbyTurn, StoreAccess, StoreFollower, StoreRevision,
+    EraChange, ProbeChange, ProbeTiming, StandbyTurn, StoreAccess, StoreFollower, StoreRevision,
 };
 use tokio::sync::watch;
 
@@ -106,6 +106,26 @@
         })
     }
 
+    /// Returns whether a probe sent at `sent_ms` has to read the store's current revision, and records
+    /// that it does. One follower of the domain is enough, as others learn from it what it finds.
+    pub(in super::super) fn reads_current_revision(
+        &self,
+        timing: ProbeTiming,
+        sent_ms: u64,
+    ) -> bool {
+        if !self.follows_store() {
+            return false;
+        }
+        self.with(|view| {
+            let is_first = view.fleet.store_peers(sent_ms).reaching_before == 0;
+            let is_due = is_first && view.revision_age.is_over(timing.revision_age_ms, sent_ms);
+            if is_due {
+                view.revision_age.record(sent_ms);
+            }
+            is_due
+        })
+    }
+
     /// Returns whether this box is a coordinator of its failure domain.
     pub(in super::super) fn is_coordinator(&self) -> bool {
         self.with(|view| view.fleet.is_coordinator(now_ms()))
@@ -200,7 +220,10 @@
         }
         self.with(|view| {
             match revision {
-                Some(revision) => view.store_revisions.insert(prefix, revision),
+                Some(revision) => {
+                    view.revision_age.record(now_ms());
+                    view.store_revisions.insert(prefix, revision)
+                }
                 None => view.store_revisions.remove(prefix),
             };
             let before = view.fleet.own().status.reaches_store;
--- a/dockgate/src/gateway/peer_state.rs
+++ b/dockgate/src/gateway/peer_state.rs
@@ -31,9 +31,11 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
 /// The same for a box without a configuration, which cannot serve requests yet.
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(40);
-/// How long a box that follows the store waits for its own watch before it queries another box, in
-/// milliseconds; longer than the pause between two watches.
-const WATCH_QUERY_DELAY_MS: u64 = 700;
+/// How long a box that follows the store waits for its own watch before it queries another box of its
+/// domain, in milliseconds; longer than the pause between two watches.
+const WATCH_QUERY_DELAY_MS: u64 = 400;
+/// The same before it queries one of another domain.
+const REMOTE_WATCH_QUERY_DELAY_MS: u64 = 700;
 /// How long a box waits before it queries one of another domain, in milliseconds: over one
 /// heartbeat, within which a box of the own domain usually has the state too, without traffic
 /// between domains.
@@ -124,7 +126,8 @@
         };
         let behind_ms = now_ms - *self.behind_since_ms.get_or_insert(now_ms);
         let delay_ms = match (has_watch, source.is_same_domain) {
-            (true, _) => WATCH_QUERY_DELAY_MS,
+            (true, true) => WATCH_QUERY_DELAY_MS,
+            (true, false) => REMOTE_WATCH_QUERY_DELAY_MS,
             (false, false) => REMOTE_QUERY_DELAY_MS,
             (false, true) => 0,
         };
--- a/dockgate/src/gateway/peer_state/tests.rs
+++ b/dockgate/src/gateway/peer_state/tests.rs
@@ -23,6 +23,8 @@
     assert_eq!(measure_query_delay_ms(true, false), 0);
     assert_eq!(measure_query_delay_ms(false, false), REMOTE_QUERY_DELAY_MS);
     assert_eq!(measure_query_delay_ms(true, true), WATCH_QUERY_DELAY_MS);
+    let remote_ms = measure_query_delay_ms(false, true);
+    assert_eq!(remote_ms, REMOTE_WATCH_QUERY_DELAY_MS);
 }
 
 #[test]
--- a/dockgate/src/gateway/store_probe.rs
+++ b/dockgate/src/gateway/store_probe.rs
@@ -7,7 +7,7 @@
 use super::quarantine_store;
 use crate::clock::{now_ms, subscribe_resumes, timeout};
 use dockgate_core::gateway::{ProbeChange, ProbeTiming, StandbyTurn, StoreRevision};
-use dockgate_platform::{PlatformClient, QUARANTINE_KEY_PREFIX};
+use dockgate_platform::{PlatformClient, QUARANTINE_KEY_PREFIX, ReadConsistency};
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,24 +79,30 @@
     }
 }
 
-/// Probes the store once; sends a heartbeat at once if the access to the store has changed.
+/// Probes the store once. The box of its domain that reads the current state tells the others what it
+/// finds. Sends a heartbeat at once if the access to the store has changed.
 async fn probe_once(state: &Arc<GatewayState>, client: &PlatformClient, timing: ProbeTiming) {
-    const STEP: &str = "probe";
     let sent_ms = now_ms();
+    let (step, consistency) = match state.reads_current_revision(timing, sent_ms) {
+        true => ("current_probe", ReadConsistency::Linearizable),
+        false => ("probe", ReadConsistency::Serializable),
+    };
     let probe_timeout = Duration::from_millis(timing.timeout_ms);
-    let answer = client.probe(QUARANTINE_KEY_PREFIX, probe_timeout).await;
+    let answer = client
+        .probe(QUARANTINE_KEY_PREFIX, consistency, probe_timeout)
+        .await;
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
     let counter = &GATEWAY_METRICS.store_calls;
-    counter.with_label_values(&[STEP, outcome]).inc();
+    counter.with_label_values(&[step, outcome]).inc();
     let answer = answer.as_ref();
     let revision = answer.ok().and_then(|listing| {
-        let era = state.record_era(listing.era, STEP)?;
+        let era = state.record_era(listing.era, "probe")?;
         Some(StoreRevision::new(era, listing.revision))
     });
     let change = state.record_probe(revision, sent_ms);
     if let (Some(ProbeChange::Down), Err(error)) = (change, answer) {
         log_gateway(&GatewayEvent::StoreLost {
-            step: STEP,
+            step: "probe",
             problem: error.to_string(),
         });
     }
--- a/dockgate/src/probed_wait.rs
+++ b/dockgate/src/probed_wait.rs
@@ -1,8 +1,11 @@
 //! Waits for responses of the platform's store to long polls, while probing the store.
 
 use crate::checked_watch::{CheckResult, CheckedWatch};
-use dockgate_core::gateway::{ProbeTiming, StoreRevision};
-use dockgate_platform::{PlatformClient, PlatformError, QUARANTINE_KEY_PREFIX, WatchOutcome};
+use crate::clock::now_ms;
+use dockgate_core::gateway::{ProbeTiming, RevisionAge, StoreRevision};
+use dockgate_platform::{
+    PlatformClient, PlatformError, QUARANTINE_KEY_PREFIX, ReadConsistency, WatchOutcome,
+};
 use std::future::Future;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -62,10 +65,21 @@
     latest: &watch::Sender<StoreRevision>,
 ) -> PlatformError {
     let timing = ProbeTiming::within(MAX_PROPAGATION_MS);
+    let mut revision_age = RevisionAge::default();
+    // The watch that begins now is answered at once if it lacks a change.
+    revision_age.record(now_ms());
     loop {
         tokio::time::sleep(Duration::from_millis(timing.interval_ms)).await;
         let timeout = Duration::from_millis(timing.timeout_ms);
-        match client.probe(QUARANTINE_KEY_PREFIX, timeout).await {
+        let consistency = match revision_age.is_over(timing.revision_age_ms, now_ms()) {
+            true => ReadConsistency::Linearizable,
+            false => ReadConsistency::Serializable,
+        };
+        if consistency == ReadConsistency::Linearizable {
+            revision_age.record(now_ms());
+        }
+        let probe = client.probe(QUARANTINE_KEY_PREFIX, consistency, timeout);
+        match probe.await {
             // Revisions of the past of a restored store are compared by their number alone.
             Ok(listing) => drop(latest.send_replace(listing.revision.into())),
             Err(error) => return error,
