fix: a status that ends no request is not passed on as an answer

Statuses above 599 went through even where another endpoint could have been asked.

Cause: the classification of answers names the statuses that it handles and passes on the rest. The HTTP library skips interim answers but for 101.

--- a/dockgate-bench/src/standin/service.rs
+++ b/dockgate-bench/src/standin/service.rs
@@ -1,4 +1,5 @@
-//! A stand-in for a plain service that counts its runs and echoes requests after a delay.
+//! A stand-in for a plain service that counts its runs and echoes requests after a delay, with the
+//! status that a path `/status/CODE` names.
 
 use super::http::{AbortedConnection, StandInBody, answer, serve};
 use super::tally::{LateRunCounter, RunTally};
@@ -107,7 +108,9 @@
     tally.add_units(&workspace, processing_time.as_secs_f64() * 1_000.0);
     drop(run);
     let echo = format!("{} {} ", parts.method, parts.uri);
-    let mut response = answer(StatusCode::OK, [echo.as_bytes(), &body].concat());
+    let status = path.strip_prefix("/status/").map(StatusCode::try_from);
+    let status = status.and_then(Result::ok).unwrap_or(StatusCode::OK);
+    let mut response = answer(status, [echo.as_bytes(), &body].concat());
     if let Ok(nonce) = HeaderValue::from_str(&nonce) {
         response.headers_mut().insert(NONCE, nonce);
     }
--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -103,6 +103,19 @@
     fleet.stop().await;
 }
 
+/// Guards against passing on an answer that is no final one, after which a caller takes its connection
+/// for one of another protocol.
+#[tokio::test]
+async fn answer_that_is_not_final_is_a_failure() {
+    let mut fleet = start().await;
+    let daemon = &fleet.daemons[0];
+    let response = send(request(daemon, "/services/media/status/101", "x")).await;
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    let served = send(request(daemon, "/services/media/status/404", "x")).await;
+    assert_eq!(served.status(), StatusCode::NOT_FOUND);
+    fleet.stop().await;
+}
+
 #[tokio::test]
 async fn invalid_requests_are_refused_with_their_code() {
     let mut fleet = start().await;
--- a/dockgate-core/src/gateway/answer_verdict.rs
+++ b/dockgate-core/src/gateway/answer_verdict.rs
@@ -67,12 +67,15 @@
     pub fn classify(&self) -> AnswerVerdict {
         match (self.status, self.owner) {
             (_, AnswerOwner::Foreign) => AnswerVerdict::Unusable,
+            // Interim answers end no request, and no request asks to switch protocols.
+            (..200, _) => AnswerVerdict::Unusable,
             _ if self.not_run => AnswerVerdict::NotRun,
             (_, AnswerOwner::Unnamed) => AnswerVerdict::Unusable,
             (200..=299, _) if self.has_proof && !self.is_encoded => AnswerVerdict::PassOn,
             (200..=299, _) => AnswerVerdict::Unusable,
             (status, _) if NOT_RUN_STATUSES.contains(&status) => AnswerVerdict::Unusable,
-            (500..=599, _) => AnswerVerdict::Failed,
+            // A status without a class counts as one of a server error (RFC 9110, section 15).
+            (500.., _) => AnswerVerdict::Failed,
             _ => AnswerVerdict::PassOn,
         }
     }
--- a/dockgate-core/src/gateway/answer_verdict/tests.rs
+++ b/dockgate-core/src/gateway/answer_verdict/tests.rs
@@ -26,6 +26,12 @@
     unavailable_without_statement = { AnswerAttributes { status: 503, ..VALID }, AnswerVerdict::Unusable },
     failed = { AnswerAttributes { status: 500, ..VALID }, AnswerVerdict::Failed },
     timed_out = { AnswerAttributes { status: 504, ..VALID }, AnswerVerdict::Failed },
+    switching_protocols = { AnswerAttributes { status: 101, ..VALID }, AnswerVerdict::Unusable },
+    interim_refusal = {
+        AnswerAttributes { status: 199, not_run: true, ..VALID }, AnswerVerdict::Unusable
+    },
+    without_a_class = { AnswerAttributes { status: 600, ..VALID }, AnswerVerdict::Failed },
+    highest = { AnswerAttributes { status: 999, ..VALID }, AnswerVerdict::Failed },
     not_found = { AnswerAttributes { status: 404, ..VALID }, AnswerVerdict::PassOn },
 )]
 fn answers_are_classified(attributes: AnswerAttributes, verdict: AnswerVerdict) {
@@ -34,7 +40,7 @@
 
 #[test]
 fn refusal_requires_a_statement_of_the_endpoint() {
-    for status in 100..600 {
+    for status in 100..1_000 {
         let attributes = AnswerAttributes { status, ..VALID };
         assert_ne!(attributes.classify(), AnswerVerdict::NotRun);
         if NOT_RUN_STATUSES.contains(&status) {
--- a/dockgate/src/caller/request_runner.rs
+++ b/dockgate/src/caller/request_runner.rs
@@ -318,6 +318,12 @@
                 let cause = "it is unavailable".to_owned();
                 return Err(failure(AttemptState::Sent, name, cause));
             }
+            // No request asks to switch protocols, and other interim answers are skipped before.
+            status if status.is_informational() => {
+                running.slot_outcome = SlotOutcome::Lost;
+                let cause = format!("status {status} is not final");
+                return Err(failure(AttemptState::Sent, name, cause));
+            }
             _ => running.slot_outcome = SlotOutcome::Answered,
         }
         Ok((response, running))
