fix: a daemon without a gateway section bounds the bytes it keeps of an event

A server that sent a line without end made the box that had called it keep all of its bytes (a report from other operators: the machine ran out of memory, and the requests of others ended with it).

Cause: StreamRelay keeps bytes until the empty line that ends an event, without a limit.

An event of more than 1 MB is treated as a lost endpoint: the stream goes on elsewhere where it may, or breaks off.

--- a/dockgate-bench/src/standin.rs
+++ b/dockgate-bench/src/standin.rs
@@ -11,7 +11,7 @@
 mod service;
 mod tally;
 
-pub use engine::{EngineProfile, EngineStandIn, answer_token};
+pub use engine::{ENDLESS_NONCE, EngineProfile, EngineStandIn, answer_token};
 pub use peer::PeerStandIn;
 pub use platform::{BoxEntry, PlatformCalls, PlatformStandIn, StoreListener, StoreSnapshot};
 pub use raw_endpoints::{ConnectionEnd, RawAnswer, RawEndpoints, RawRequest};
--- a/dockgate-bench/src/standin/engine.rs
+++ b/dockgate-bench/src/standin/engine.rs
@@ -5,8 +5,8 @@
 use crate::error::BenchError;
 use bytes::Bytes;
 use dockgate_proto::headers;
-use futures::SinkExt;
 use futures::channel::mpsc;
+use futures::{SinkExt, stream};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -25,6 +25,12 @@
 /// Number of prompt tokens per block of the prefix cache.
 const BLOCK_TOKENS: usize = 16;
 
+/// The nonce of a prompt whose stream is one line that hardly ends.
+pub const ENDLESS_NONCE: &str = "endless";
+/// The size of such a line, and of its parts, in bytes.
+const ENDLESS_BYTES: usize = 64 << 20;
+const ENDLESS_PART_BYTES: usize = 64 << 10;
+
 /// The capacity and speed of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct EngineProfile {
@@ -113,6 +119,9 @@
     is_killed: AtomicBool,
     cache: Mutex<PrefixCache>,
     late_runs: Arc<LateRunCounter>,
+    /// The number of bytes sent of lines that hardly end, and of such lines.
+    endless_bytes: AtomicUsize,
+    endless_lines: AtomicUsize,
     stop: CancellationToken,
 }
 
@@ -140,6 +149,8 @@
             is_killed: AtomicBool::new(false),
             cache: Mutex::default(),
             late_runs: Arc::default(),
+            endless_bytes: AtomicUsize::new(0),
+            endless_lines: AtomicUsize::new(0),
             stop: CancellationToken::new(),
         });
         let handler_state = state.clone();
@@ -163,6 +174,12 @@
         }
     }
 
+    /// Returns the number of bytes sent of lines that hardly end, and of such lines.
+    pub fn endless_lines(&self) -> (usize, usize) {
+        let bytes = self.state.endless_bytes.load(Ordering::Acquire);
+        (bytes, self.state.endless_lines.load(Ordering::Acquire))
+    }
+
     /// Returns the number of requests running now.
     pub fn running(&self) -> usize {
         self.state.running.load(Ordering::Acquire)
@@ -267,11 +284,19 @@
         attempt: header_text(&parts.headers, headers::ATTEMPT_ID),
     };
     match chat.stream {
+        true if task.nonce == ENDLESS_NONCE => Ok(task.stream_endless()),
         true => Ok(task.stream()),
         false => task.complete().await,
     }
 }
 
+fn event_stream(body: StandInBody) -> Response<StandInBody> {
+    let mut response = Response::new(body);
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
 /// A request that runs on an engine.
 struct EngineTask {
     run: EngineRun,
@@ -338,6 +363,21 @@
         text
     }
 
+    /// Streams a line of [`ENDLESS_BYTES`] that no empty line follows.
+    fn stream_endless(self) -> Response<StandInBody> {
+        self.run.state.endless_lines.fetch_add(1, Ordering::AcqRel);
+        let parts = stream::unfold((self, 0), |(task, sent)| async move {
+            if sent >= ENDLESS_BYTES {
+                return None;
+            }
+            let counter = &task.run.state.endless_bytes;
+            counter.fetch_add(ENDLESS_PART_BYTES, Ordering::AcqRel);
+            let part = Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
+            Some((Ok(Frame::data(part)), (task, sent + ENDLESS_PART_BYTES)))
+        });
+        event_stream(StreamBody::new(parts).boxed())
+    }
+
     fn stream(self) -> Response<StandInBody> {
         let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, AbortedConnection>>(4);
         tokio::spawn(async move {
@@ -361,10 +401,7 @@
             drop(self);
             let _ = sender.send(last).await;
         });
-        let mut response = Response::new(BodyExt::boxed(StreamBody::new(receiver)));
-        let kind = HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(header::CONTENT_TYPE, kind);
-        response
+        event_stream(StreamBody::new(receiver).boxed())
     }
 
     async fn complete(self) -> Result<Response<StandInBody>, AbortedConnection> {
--- a/dockgate-bench/tests/fleet.rs
+++ b/dockgate-bench/tests/fleet.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 use dockgate_bench::caller::{AnswerChecker, AnswerVerdict};
-use dockgate_bench::fleet::{BenchFleet, DaemonProcess, workspace_key};
+use dockgate_bench::fleet::{BenchFleet, DaemonProcess, EndpointStandIn, workspace_key};
 use dockgate_bench::scenario::{BenchArm, BenchScenario};
+use dockgate_bench::standin::ENDLESS_NONCE;
 use dockgate_config::{CommitOutcome, ConfigStore, HEAD_KEY};
 use dockgate_core::{ConfigChange, KindSpec, Outcome};
 use dockgate_platform::{BOX_KEY_PREFIX, PlatformClient};
@@ -386,6 +387,32 @@
     fleet.stop().await;
 }
 
+/// Guards against a box that keeps a line without end until its memory is exhausted.
+#[tokio::test]
+async fn stream_with_a_line_without_end_is_given_up() {
+    // What the system buffers between two processes counts as sent.
+    const MAX_LINE_BYTES: usize = 16 << 20;
+    let mut fleet = start().await;
+    let body = chat("chat", 3, ENDLESS_NONCE, true);
+    let response = send(request(&fleet.daemons[0], "/v1/chat/completions", &body)).await;
+    let received = response.into_body().collect().await;
+    assert!(received.is_err(), "the answer must not look complete");
+    let engines = fleet
+        .endpoints
+        .iter()
+        .filter_map(|endpoint| match &endpoint.standin {
+            EndpointStandIn::Engine(engine) => Some(engine.endless_lines()),
+            EndpointStandIn::Service(_) => None,
+        });
+    let (bytes, lines) = engines.fold((0, 0), |sum, line| (sum.0 + line.0, sum.1 + line.1));
+    assert!(lines > 0, "no engine was asked");
+    assert!(
+        bytes <= lines * MAX_LINE_BYTES,
+        "{bytes} bytes of {lines} lines"
+    );
+    fleet.stop().await;
+}
+
 /// Guards against missing a disconnect because a pipelined request is still unread.
 #[tokio::test]
 async fn request_is_cancelled_despite_a_pipelined_one() {
--- a/dockgate/src/caller/metered_body.rs
+++ b/dockgate/src/caller/metered_body.rs
@@ -27,6 +27,10 @@
         TimedOut(endpoint: String) {
             display("endpoint {}: response: no data within the timeout", endpoint)
         }
+        /// The endpoint sent an event that is too long.
+        EventTooLong(endpoint: String) {
+            display("endpoint {}: response: an event is too long", endpoint)
+        }
         /// The response was paused and could not be resumed.
         NotResumed(endpoint: String) {
             display("endpoint {}: response: it was paused and could not be resumed", endpoint)
--- a/dockgate/src/caller/stream_relay.rs
+++ b/dockgate/src/caller/stream_relay.rs
@@ -22,6 +22,8 @@
 const BUFFERED_CHUNKS: usize = 8;
 /// The maximum number of endpoint losses after which one response is resumed.
 const MAX_LOSSES: u32 = 5;
+/// The maximum number of bytes buffered for an incomplete event.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 /// The maximum number of pauses of one response.
 const MAX_PAUSES: u32 = 5;
 
@@ -158,8 +160,13 @@
                 }
             };
             pending.extend_from_slice(&bytes);
-            let Some(events) = take_events(&mut pending) else {
-                continue;
+            let events = match take_events(&mut pending) {
+                Some(events) => events,
+                None if pending.len() > MAX_EVENT_BYTES => {
+                    let endpoint = segment.endpoint.clone();
+                    break SegmentEnd::Lost(ResponseError::EventTooLong(endpoint));
+                }
+                None => continue,
             };
             meter.feed(&events);
             segment.running.cost = meter.cost(&segment.rule);
