fix: a changed limit of heads reaches connections that are open

Cause: the HTTP library keeps the limit that a connection was opened with; all other limits are read when they are used.

A connection remembers its limit. While another one is in force, it ends with its next answer, and one that has rested for a second is closed.

--- a/dockgate-bench/tests/reconfiguration.rs
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -268,3 +268,55 @@
     let (answer, _) = read_head(&mut stream).await;
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
+
+/// Sends a request on a connection that may have ended; returns the head of its answer.
+async fn answer_on(stream: &mut TcpStream, id: &str, extra: &str) -> Option<String> {
+    let head = head("/again/x", id, 0, extra);
+    stream.write_all(head.as_bytes()).await.ok()?;
+    let mut read = Vec::new();
+    while !read.ends_with(b"echo ") {
+        if stream.read_buf(&mut read).await.ok()? == 0 {
+            break;
+        }
+    }
+    Some(String::from_utf8(read).unwrap()).filter(|answer| !answer.is_empty())
+}
+
+/// Guards against denying requests by a limit of heads that is no longer in force, on connections that
+/// were opened under it.
+#[parameterized(
+    raised = { 32_768 },
+    reduced = { 4_096 },
+)]
+#[test_macro(tokio::test)]
+async fn changed_limit_of_heads_reaches_kept_connections(max_header_bytes: usize) {
+    const TRIES: usize = 40;
+    let fleet = start().await;
+    let (mut used, mut resting) = (connect(&fleet).await, connect(&fleet).await);
+    for stream in [&mut used, &mut resting] {
+        let answer = answer_on(stream, "r1", "").await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(!answer.contains("connection: close"), "{answer}");
+    }
+    let limit = format!(r#""max_header_bytes":{max_header_bytes}"#);
+    let changed = config(4).replace(r#""max_header_bytes":8192"#, &limit);
+    apply(&fleet, 4, changed).await;
+    let mut ends = false;
+    for number in 0..TRIES {
+        let answer = answer_on(&mut used, &format!("u{number}"), "").await;
+        ends = answer.is_none_or(|answer| answer.contains("connection: close"));
+        if ends {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(ends, "a connection in use keeps the limit");
+    let mut rest = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(5), resting.read_to_end(&mut rest));
+    closed.await.expect("a resting connection ends").unwrap();
+    let long = format!("x-long: {}\r\n", "x".repeat(max_header_bytes / 2));
+    let answer = answer_on(&mut connect(&fleet).await, "r2", &long)
+        .await
+        .unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
--- a/dockgate/src/gateway/caller_listener.rs
+++ b/dockgate/src/gateway/caller_listener.rs
@@ -39,6 +39,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// The interval between checks for overdue connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a connection rests before it is closed for its limit of heads, in milliseconds; one that is
+/// used more often ends with an answer, which no request crosses.
+const MIN_REST_MS: u64 = 1_000;
 /// How long a connection stays open after its last answer for a caller that does not close it.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 /// The maximum number of bytes that are read and discarded in that time.
@@ -112,6 +115,17 @@
         descriptors.saturating_sub(OTHER_DESCRIPTORS).max(100)
     }
 
+    /// Returns the limit of heads in force, in bytes.
+    fn head_limit(&self) -> usize {
+        self.state.table().config().limits.head_bytes
+    }
+
+    /// Returns whether a connection was opened with another limit of heads than the one in force. The
+    /// HTTP library keeps the limit for as long as the connection is open.
+    fn has_outdated_limit(&self, connection: &ConnectionState) -> bool {
+        connection.head_bytes() != self.head_limit()
+    }
+
     /// Returns whether connections should be closed after each answer.
     fn is_crowded(&self) -> bool {
         self.open() as f64 > self.max_connections() as f64 * CROWDED_FRACTION
@@ -150,7 +164,7 @@
             return;
         }
         let number = self.counter.fetch_add(1, Ordering::Relaxed);
-        let connection = Arc::new(ConnectionState::new());
+        let connection = Arc::new(ConnectionState::new(self.head_limit()));
         self.locked().insert(number, connection.clone());
         let memory = MemoryGuard::connection(&self.state);
         tokio::spawn(async move {
@@ -161,7 +175,6 @@
     }
 
     async fn serve(&self, stream: TcpStream, connection: &Arc<ConnectionState>) {
-        let limits = self.state.table().config().limits;
         let stream = SharedStream::new(stream);
         let (caller, abort) = (stream.disconnect_monitor(), stream.handle());
         let io = TokioIo::new(TrackedIo::new(stream, connection.clone()));
@@ -179,12 +192,13 @@
                 let ends = stopping.is_stopping()
                     || stopping.is_overloaded()
                     || stopping.is_short_of_memory()
-                    || self.is_crowded();
+                    || self.is_crowded()
+                    || self.has_outdated_limit(connection);
                 self.answered_ms.store(now_ms(), Ordering::Relaxed);
                 Ok::<_, Infallible>(finish_answer(ends, response, busy, abort))
             }
         });
-        let buffer_bytes = limits.head_bytes.max(MIN_BUFFER_BYTES);
+        let buffer_bytes = connection.head_bytes().max(MIN_BUFFER_BYTES);
         let served = Builder::new()
             .max_buf_size(buffer_bytes)
             .max_headers(buffer_bytes / MIN_HEADER_BYTES)
@@ -258,10 +272,14 @@
             );
             let now = now_ms();
             for connection in self.locked().values() {
-                if connection.is_overdue(now, head_ms, idle_ms) {
-                    if connection.is_unread() {
-                        record_abandoned("unread");
-                    }
+                let is_overdue = connection.is_overdue(now, head_ms, idle_ms);
+                if is_overdue && connection.is_unread() {
+                    record_abandoned("unread");
+                }
+                let has_outdated_limit = connection.head_bytes() != limits.head_bytes;
+                let is_resting = connection.is_resting(now.saturating_sub(MIN_REST_MS));
+                let is_outdated = is_resting && has_outdated_limit;
+                if is_overdue || is_outdated {
                     connection.close.notify_one();
                 }
             }
--- a/dockgate/src/gateway/caller_listener/tests.rs
+++ b/dockgate/src/gateway/caller_listener/tests.rs
@@ -3,6 +3,9 @@
 use futures::FutureExt;
 use tokio::net::UdpSocket;
 
+/// The limit of heads of a connection.
+const HEAD_BYTES: usize = 8_192;
+
 /// Guards against new callers that wait until lingering connections time out.
 #[tokio::test(start_paused = true)]
 async fn lingering_connections_are_closed_for_new_callers() {
@@ -11,12 +14,12 @@
     let seed = datagrams.local_addr().unwrap();
     let state = Arc::new(state_with_seed(datagrams, seed));
     let listener = Arc::new(CallerListener::new(state));
-    let idle = Arc::new(ConnectionState::new());
+    let idle = Arc::new(ConnectionState::new(HEAD_BYTES));
     listener.locked().insert(0, idle.clone());
     let limit = listener.max_connections() as u64;
     let lingering: Vec<Arc<ConnectionState>> = (1..limit)
         .map(|number| {
-            let connection = Arc::new(ConnectionState::new());
+            let connection = Arc::new(ConnectionState::new(HEAD_BYTES));
             connection.begin_linger();
             listener.locked().insert(number, connection.clone());
             connection
--- a/dockgate/src/gateway/tracked_io.rs
+++ b/dockgate/src/gateway/tracked_io.rs
@@ -33,19 +33,22 @@
     is_writing: AtomicBool,
     /// Whether the connection only waits for its caller's close.
     is_lingering: AtomicBool,
+    /// The limit of heads that the connection was opened with, in bytes.
+    head_bytes: usize,
     /// Notifies the connection's task to close the connection.
     pub(super) close: Notify,
 }
 
 impl ConnectionState {
-    /// Creates the state of a newly accepted connection.
-    pub(super) fn new() -> Self {
+    /// Creates the state of a newly accepted connection, whose heads have at most `head_bytes`.
+    pub(super) fn new(head_bytes: usize) -> Self {
         Self {
             last_used_ms: AtomicU64::new(now_ms()),
             busy: AtomicU32::new(0),
             partial: AtomicBool::new(false),
             is_writing: AtomicBool::new(false),
             is_lingering: AtomicBool::new(false),
+            head_bytes,
             close: Notify::new(),
         }
     }
@@ -98,6 +101,18 @@
         self.has_request() || self.is_unread()
     }
 
+    /// Returns the limit of heads that the connection was opened with, in bytes.
+    pub(super) const fn head_bytes(&self) -> usize {
+        self.head_bytes
+    }
+
+    /// Returns whether the connection has not been used since `since_ms`: no request is in progress,
+    /// none has begun to arrive, and no answer is unread.
+    pub(super) fn is_resting(&self, since_ms: u64) -> bool {
+        let is_used = self.is_busy() || self.partial.load(Ordering::Relaxed);
+        !is_used && self.last_used_ms() <= since_ms
+    }
+
     /// Returns whether bytes of an answer wait until the caller reads.
     pub(super) fn is_unread(&self) -> bool {
         self.is_writing.load(Ordering::Relaxed)
--- a/dockgate/src/gateway/tracked_io/disconnect_tests.rs
+++ b/dockgate/src/gateway/tracked_io/disconnect_tests.rs
@@ -14,6 +14,9 @@
 use tokio::io::AsyncWriteExt;
 use tokio::sync::Semaphore;
 
+/// The limit of heads of a connection.
+const HEAD_BYTES: usize = 8_192;
+
 /// A step of the simulated caller or its service.
 #[derive(Debug, Clone)]
 enum CallerStep {
@@ -124,7 +127,7 @@
 ) -> Result<(), TestCaseError> {
     let (mut caller, stream) = pair().await;
     let monitor = stream.disconnect_monitor();
-    let connection = Arc::new(ConnectionState::new());
+    let connection = Arc::new(ConnectionState::new(HEAD_BYTES));
     let counters = Arc::<Mutex<WorkCounters>>::default();
     let answers = Arc::new(Semaphore::new(0));
     let (state, service_counters, permits) =
--- a/dockgate/src/gateway/tracked_io/tests.rs
+++ b/dockgate/src/gateway/tracked_io/tests.rs
@@ -1,6 +1,9 @@
 use super::*;
 use crate::shared_stream::tests::pair;
 
+/// The limit of heads of a connection.
+const HEAD_BYTES: usize = 8_192;
+
 const HEAD_MS: u64 = 3_000;
 const IDLE_MS: u64 = 15_000;
 
@@ -8,14 +11,14 @@
 fn new_connections_are_not_overdue() {
     // The clock starts with the process, long before the connection.
     let started_ms = now_ms();
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(HEAD_BYTES);
     assert!(state.last_used_ms() >= started_ms);
     assert!(!state.is_overdue(started_ms + IDLE_MS - 1, HEAD_MS, IDLE_MS));
 }
 
 #[test]
 fn idle_time_and_incomplete_heads_are_bounded_unlike_busy_time() {
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(HEAD_BYTES);
     let now = now_ms();
     assert!(state.is_overdue(now + IDLE_MS + 100, HEAD_MS, IDLE_MS));
     state.record_read();
@@ -39,7 +42,7 @@
 #[tokio::test]
 async fn requests_received_before_the_close_are_answered() {
     let (_caller, stream) = pair().await;
-    let connection = ConnectionState::new();
+    let connection = ConnectionState::new(HEAD_BYTES);
     connection.close.notify_one();
     let request = std::pin::pin!(answer_one_request(&connection));
     assert_eq!(
@@ -53,7 +56,7 @@
 #[tokio::test]
 async fn idle_connections_are_closed_on_notification() {
     let (_caller, stream) = pair().await;
-    let connection = ConnectionState::new();
+    let connection = ConnectionState::new(HEAD_BYTES);
     connection.close.notify_one();
     let request = std::pin::pin!(std::future::pending::<()>());
     assert_eq!(
@@ -67,7 +70,7 @@
 /// Guards against taking a connection for idle whose answer the caller still reads.
 #[test]
 fn connections_are_busy_until_their_answer_is_written() {
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(HEAD_BYTES);
     state.begin_request();
     state.end_request();
     state.record_write(true);
@@ -79,7 +82,7 @@
 /// Guards against keeping a connection for ever whose caller does not read the answer.
 #[test]
 fn unread_answers_are_bounded_like_idle_time() {
-    let state = ConnectionState::new();
+    let state = ConnectionState::new(HEAD_BYTES);
     state.record_write(true);
     let now = now_ms();
     assert!(!state.is_overdue(now + MIN_UNREAD_MS - 100, 1, 1));
@@ -89,7 +92,7 @@
 #[tokio::test]
 async fn overdue_connections_with_unread_answers_are_closed() {
     let (_caller, stream) = pair().await;
-    let connection = ConnectionState::new();
+    let connection = ConnectionState::new(HEAD_BYTES);
     connection.record_write(true);
     connection.close.notify_one();
     let request = std::pin::pin!(std::future::pending::<()>());
