fix: the address of the store in the settings is followed without a restart

Cause: the tasks that call the store made a client with the address in force when they started, and kept it.

Evidence: the boxes log that they have reloaded the changed settings; in changed_address_of_the_store_is_followed, with the same store at both addresses, no box learns of a change that the old address does not tell.

A client follows the address, so that each call goes to the one in force, and the followers of the store list everything anew when it changes.

--- a/dockgate-bench/tests/reconfiguration.rs
+++ b/dockgate-bench/tests/reconfiguration.rs
@@ -269,6 +269,36 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
 }
 
+/// Guards against a box that stays with a store at an address that is no longer in its settings.
+#[parameterized(
+    with_a_signal = { true },
+    without_a_signal = { false },
+)]
+#[test_macro(tokio::test)]
+async fn changed_address_of_the_store_is_followed(signal: bool) {
+    let fleet = start().await;
+    let gateway = &fleet.gateways[0];
+    let old = &fleet.store_listeners[0];
+    let new = fleet.store.open_listener().await.unwrap();
+    let moved = |text: &str| text.replace(&old.address.to_string(), &new.address.to_string());
+    gateway.edit_settings(moved).unwrap();
+    if signal {
+        gateway.signal(Signal::SIGHUP);
+    }
+    wait_until("the box has reloaded its settings", async || {
+        gateway.logged().contains("\"reloaded\"")
+    })
+    .await;
+    old.set_silent(true);
+    apply(&fleet, 4, config(4)).await;
+    let (key, record) = fleet.endpoints[0].record("a", "draining");
+    fleet.store.set(&key, record);
+    wait_until("the box knows that the endpoint leaves", async || {
+        gateway.logged().contains("endpoint_draining")
+    })
+    .await;
+}
+
 /// Sends a request on a connection that may have ended; returns the head of its answer.
 async fn answer_on(stream: &mut TcpStream, id: &str, extra: &str) -> Option<String> {
     let head = head("/again/x", id, 0, extra);
--- a/dockgate/src/gateway/follow.rs
+++ b/dockgate/src/gateway/follow.rs
@@ -66,6 +66,7 @@
     let prefix = contact.prefix;
     let mut recoveries = state.store_recoveries();
     let mut resumes = subscribe_resumes();
+    let mut moves = state.store_moves();
     loop {
         if wait_for_follower_role(state, prefix).await {
             let known =
@@ -74,6 +75,7 @@
             contact.start_following(state.store_proof_age_ms(), known_era);
         }
         recoveries.mark_unchanged();
+        moves.mark_unchanged();
         let listing = client.list(prefix).await;
         let listing = listing.map(|listing| (state.record_era(listing.era, "store"), listing));
         let mut since = match listing {
@@ -111,6 +113,8 @@
                     }
                     continue;
                 }
+                // A store at another address may have another history.
+                Ok(()) = moves.changed() => break,
                 // The channel is never closed.
                 _ = resumes.changed() => match state.has_listed(prefix) {
                     true => continue,
--- a/dockgate/src/gateway/gateway_state.rs
+++ b/dockgate/src/gateway/gateway_state.rs
@@ -31,6 +31,7 @@
 use dockgate_proto::StreamOrigin;
 use serde_json::value::{RawValue, to_raw_value};
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
@@ -155,6 +156,8 @@
     memory: Mutex<MemoryBudget>,
     role: watch::Sender<StoreRole>,
     recoveries: watch::Sender<u64>,
+    /// The address of the store.
+    store_address: watch::Sender<SocketAddr>,
     store_revision: watch::Sender<StoreRevision>,
     /// The revision after which other boxes are to be asked for removals.
     removal_check: watch::Sender<Option<StoreRevision>>,
@@ -244,6 +247,7 @@
             memory: Mutex::new(memory),
             role: watch::channel(StoreRole::default()).0,
             recoveries: watch::channel(0).0,
+            store_address: watch::channel(settings.store).0,
             store_revision: watch::channel(StoreRevision::NONE).0,
             removal_check: watch::Sender::new(None),
             // A random start avoids reusing recent run numbers after a restart.
@@ -278,6 +282,9 @@
                 .set_window(settings.share_window.as_millis() as u64);
         });
         self.with_memory(|memory| memory.set_machine(settings.memory_bytes()));
+        self.store_address.send_if_modified(|address| {
+            std::mem::replace(address, settings.store) != settings.store
+        });
         self.settings
             .store(Arc::new(GatewaySettings { listen, ..settings }));
     }
@@ -307,7 +314,7 @@
 
     /// Creates a client of the store with its own connections.
     pub(super) fn store_client(&self) -> PlatformClient {
-        PlatformClient::new(self.settings().store, STORE_TIMEOUT)
+        PlatformClient::following(self.store_address.subscribe(), STORE_TIMEOUT)
     }
 
     /// Returns the routes in force.
--- a/dockgate/src/gateway/gateway_state/store_access.rs
+++ b/dockgate/src/gateway/gateway_state/store_access.rs
@@ -9,6 +9,7 @@
 use dockgate_core::gateway::{
     EraChange, ProbeChange, ProbeTiming, StandbyTurn, StoreAccess, StoreFollower, StoreRevision,
 };
+use std::net::SocketAddr;
 use tokio::sync::watch;
 
 impl GatewayView {
@@ -47,6 +48,11 @@
         self.role.subscribe()
     }
 
+    /// Subscribes to changes of the store's address.
+    pub(in super::super) fn store_moves(&self) -> watch::Receiver<SocketAddr> {
+        self.store_address.subscribe()
+    }
+
     /// Subscribes to recoveries of the store; each value is the length of the outage in
     /// milliseconds.
     pub(in super::super) fn store_recoveries(&self) -> watch::Receiver<u64> {
